Lay out the workspace: domain types, borders and framing

Cause: an empty repository. The types that every part shares (stamp, status, batch, reply, outcome) and the trait objects at the borders (store, inventory, upstream, lane, clock) come first so that the parts can grow side by side. Conclusion: the planned modules stand as documented stubs.

--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, workloads and measurements.
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the lab.
+
+fn main() {}
--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,1 @@
+//! HTTP endpoint for status and metrics.
--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,1 @@
+//! Bounded, fair, deadline-ordered queue before an instance.
--- /dev/null
+++ b/src/apply.rs
@@ -0,0 +1,1 @@
+//! Puts a whole file in force by compare-and-swap.
--- /dev/null
+++ b/src/bin/mangotrayd.rs
@@ -0,0 +1,3 @@
+//! The proxy daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/board.rs
@@ -0,0 +1,1 @@
+//! Last observations of a group's instances, and what follows from them.
--- /dev/null
+++ b/src/breaker.rs
@@ -0,0 +1,1 @@
+//! Circuit breaker of one instance.
--- /dev/null
+++ b/src/cancel.rs
@@ -0,0 +1,1 @@
+//! Cancel requests of callers.
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,1 @@
+//! Status, fencing and promotion of an instance over SQL.
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,1 @@
+//! A whole proxy process, from settings to drained.
--- /dev/null
+++ b/src/declaration.rs
@@ -0,0 +1,1 @@
+//! Reads the operators' INI file into a checked catalog.
--- /dev/null
+++ b/src/detect.rs
@@ -0,0 +1,1 @@
+//! Failure detection of a primary.
--- /dev/null
+++ b/src/exit.rs
@@ -0,0 +1,1 @@
+//! Exit codes.
--- /dev/null
+++ b/src/group.rs
@@ -0,0 +1,1 @@
+//! Runtime of one database group on this proxy.
--- /dev/null
+++ b/src/lane.rs
@@ -0,0 +1,30 @@
+//! Border between a caller's session and the group that serves it.
+
+use futures_util::future;
+
+use crate::batch;
+use crate::outcome;
+use crate::reply;
+use crate::stamp;
+
+/// One session's way into its database group. Holds the connection that an open
+/// transaction is pinned to; dropping the lane rolls such a transaction back.
+pub trait Lane: Send {
+    /// Runs a batch to its final outcome.
+    fn run(
+        &mut self,
+        batch: batch::Batch,
+    ) -> future::BoxFuture<'_, Result<reply::Reply, outcome::Outcome>>;
+}
+
+/// Opens lanes by database name.
+pub trait Switch: Send + Sync {
+    /// A lane for the named database, or `None` when no group serves it.
+    fn lane(&self, database: &str) -> Option<Box<dyn Lane>>;
+
+    /// Default deadline of requests to the named database.
+    fn deadline(&self, database: &str) -> std::time::Duration;
+}
+
+/// Token that a caller carries between proxies.
+pub type Token = stamp::Stamp;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,59 @@
+//! A database proxy with session consistency.
+//!
+//! The modules are a line of filters from the caller to the upstream; decisions are
+//! plain functions of state, event and time, apart from sockets.
+
+pub mod admin;
+pub mod admission;
+pub mod apply;
+pub mod batch;
+pub mod board;
+pub mod breaker;
+pub mod cancel;
+pub mod catalog;
+pub mod class;
+pub mod classify;
+pub mod cli;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod database;
+pub mod declaration;
+pub mod detect;
+pub mod exit;
+pub mod forward;
+pub mod frame;
+pub mod group;
+pub mod id;
+pub mod lane;
+pub mod link;
+pub mod listener;
+pub mod local;
+pub mod member;
+pub mod outcome;
+pub mod peer;
+pub mod placement;
+pub mod platform;
+pub mod pool;
+pub mod prepared;
+pub mod probe;
+pub mod promote;
+pub mod reason;
+pub mod refusal;
+pub mod reply;
+pub mod retry;
+pub mod revision;
+pub mod role;
+pub mod route;
+pub mod session;
+pub mod settings;
+pub mod share;
+pub mod stamp;
+pub mod startup;
+pub mod status;
+pub mod store;
+pub mod telemetry;
+pub mod term;
+pub mod transaction;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/src/listener.rs
@@ -0,0 +1,1 @@
+//! Accepts callers.
--- /dev/null
+++ b/src/local.rs
@@ -0,0 +1,1 @@
+//! Statements that the proxy answers itself: SET and SHOW of its own parameters.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line client for operators.
+
+fn main() {}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,1 @@
+//! View of the live VMs.
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,1 @@
+//! Calls between the proxies.
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,1 @@
+//! Which VMs serve which database group.
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,1 @@
+//! The platform's service over HTTP with JSON.
--- /dev/null
+++ b/src/pool.rs
@@ -0,0 +1,1 @@
+//! Working connections to one instance.
--- /dev/null
+++ b/src/prepared.rs
@@ -0,0 +1,1 @@
+//! Carries named prepared statements across pooled connections.
--- /dev/null
+++ b/src/probe.rs
@@ -0,0 +1,1 @@
+//! Keeps the observations of a group fresh.
--- /dev/null
+++ b/src/promote.rs
@@ -0,0 +1,1 @@
+//! Promotion of a new primary, as a state machine.
--- /dev/null
+++ b/src/refusal.rs
@@ -0,0 +1,1 @@
+//! Turns outcomes into error frames with standard SQLSTATEs.
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget and backoff.
--- /dev/null
+++ b/src/revision.rs
@@ -0,0 +1,1 @@
+//! Spread of configuration revisions; a node never goes back.
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,1 @@
+//! Choice of the instance that serves a request.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of a daemon, read from an INI file.
--- /dev/null
+++ b/src/startup.rs
@@ -0,0 +1,1 @@
+//! Opening of a caller's connection, up to the first `ReadyForQuery`.
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics of a process.
--- /dev/null
+++ b/src/term.rs
@@ -0,0 +1,1 @@
+//! Claims on unique terms, kept in the platform's store.
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,103 @@
+//! Framing of the `PostgreSQL` wire protocol over a byte stream.
+
+use std::io;
+
+use bytes::Buf;
+use futures_lite::io as stream;
+use tokio_util::codec;
+use tokio_util::codec::Decoder;
+use tokio_util::compat;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::frame;
+
+const LENGTH_BYTES: usize = 4;
+const TAG_BYTES: usize = 1;
+
+/// Largest startup packet; the protocol's own servers use the same bound.
+pub const STARTUP_LIMIT: usize = 10_000;
+
+/// Any bidirectional byte stream: plain TCP, TLS, or a test's pipe.
+pub trait Duplex: stream::AsyncRead + stream::AsyncWrite + Unpin + Send {}
+
+impl<T: stream::AsyncRead + stream::AsyncWrite + Unpin + Send> Duplex for T {}
+
+/// A stream of frames over any byte stream.
+pub type Stream = codec::Framed<compat::Compat<Box<dyn Duplex>>, Codec>;
+
+/// Splits and joins frames; the length field is checked against a limit before
+/// any memory is reserved, so a false length cannot exhaust the proxy.
+#[derive(Debug)]
+pub struct Codec {
+    inner: codec::LengthDelimitedCodec,
+    tagged: bool,
+}
+
+impl Codec {
+    /// Frames of a connection that has passed its startup.
+    #[must_use]
+    pub fn tagged(limit: usize) -> Self {
+        Self {
+            inner: delimited(TAG_BYTES, limit),
+            tagged: true,
+        }
+    }
+
+    /// Startup, SSL and cancel packets, which carry no type byte; their frames
+    /// have tag 0.
+    #[must_use]
+    pub fn untagged() -> Self {
+        Self {
+            inner: delimited(0, STARTUP_LIMIT),
+            tagged: false,
+        }
+    }
+}
+
+fn delimited(offset: usize, limit: usize) -> codec::LengthDelimitedCodec {
+    codec::LengthDelimitedCodec::builder()
+        .length_field_offset(offset)
+        .length_field_length(LENGTH_BYTES)
+        .length_adjustment(-4)
+        .num_skip(0)
+        .max_frame_length(limit)
+        .new_codec()
+}
+
+impl codec::Decoder for Codec {
+    type Item = frame::Frame;
+    type Error = io::Error;
+
+    fn decode(&mut self, buffer: &mut bytes::BytesMut) -> io::Result<Option<frame::Frame>> {
+        let Some(mut packet) = self.inner.decode(buffer)? else {
+            return Ok(None);
+        };
+        let tag = if self.tagged { packet.get_u8() } else { 0 };
+        packet.advance(LENGTH_BYTES);
+        Ok(Some(frame::Frame {
+            tag,
+            body: packet.freeze(),
+        }))
+    }
+}
+
+impl codec::Encoder<frame::Frame> for Codec {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: frame::Frame, buffer: &mut bytes::BytesMut) -> io::Result<()> {
+        frame.write(buffer);
+        Ok(())
+    }
+}
+
+/// Wraps a byte stream whose startup is still to come.
+#[must_use]
+pub fn stream(socket: Box<dyn Duplex>) -> Stream {
+    codec::Framed::new(socket.compat(), Codec::untagged())
+}
+
+/// Switches a stream to tagged frames of at most `limit` bytes each.
+#[must_use]
+pub fn established(stream: Stream, limit: usize) -> Stream {
+    stream.map_codec(|_| Codec::tagged(limit))
+}
