--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,6 @@
 use bytes::Buf;
 use futures_lite::io as stream;
 use tokio_util::codec;
-use tokio_util::codec::Decoder;
 use tokio_util::compat;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
