--- /dev/null
+++ b/lab/src/cli.rs
@@ -0,0 +1,1 @@
+//! Command-line arguments of the lab.
--- /dev/null
+++ b/lab/src/cluster.rs
@@ -0,0 +1,1 @@
+//! A database group of stand-in instances, with faults.
--- /dev/null
+++ b/lab/src/database.rs
@@ -0,0 +1,1 @@
+//! SQL execution of an instance by an embedded library.
--- /dev/null
+++ b/lab/src/demo.rs
@@ -0,0 +1,1 @@
+//! One group, one platform and two proxies in one process.
--- /dev/null
+++ b/lab/src/fault.rs
@@ -0,0 +1,1 @@
+//! Faults by name and time.
--- /dev/null
+++ b/lab/src/instance.rs
@@ -0,0 +1,1 @@
+//! One stand-in instance that speaks the `PostgreSQL` wire protocol.
--- /dev/null
+++ b/lab/src/journal.rs
@@ -0,0 +1,1 @@
+//! Log of an instance and its replication.
--- /dev/null
+++ b/lab/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Compares what callers were told with what the databases hold.
--- /dev/null
+++ b/lab/src/profile.rs
@@ -0,0 +1,1 @@
+//! The users' two profiles: sizes, delays, statements.
--- /dev/null
+++ b/lab/src/run.rs
@@ -0,0 +1,1 @@
+//! One measured run of a profile under faults.
