Decide freshness, confirmation, detection, promotion and routing in plain code

Before: stubs. Ruled out: comparing fence terms for confirmation, reusing a term after a lost promotion answer, judging silence by age alone (a paused proxy would suspect).

--- /dev/null
+++ b/src/detect/tests.rs
@@ -0,0 +1,96 @@
+//! Tests of the failure detector.
+
+use std::time::Duration;
+
+use super::Cause;
+use super::Rule;
+use super::Verdict;
+use crate::board;
+use crate::id;
+use crate::role::Role;
+use crate::stamp::Stamp;
+use crate::status;
+
+fn see(board: &mut board::Board, index: id::Index, millis: u64, role: Role, position: u64) {
+    let time = Duration::from_millis(millis);
+    let status = status::Status {
+        stamp: Stamp::new(1, position),
+        fence: 1,
+        role,
+        voter: true,
+        incarnation: 1,
+    };
+    let observation = board::Observation {
+        started: time,
+        finished: time,
+        status,
+    };
+    board.answered(index, observation);
+}
+
+fn see_all(board: &mut board::Board, millis: u64, primary: u64, replica: u64) {
+    see(board, 0, millis, Role::Primary, primary);
+    see(board, 1, millis, Role::Replica, replica);
+    see(board, 2, millis, Role::Replica, replica);
+}
+
+fn judge(board: &board::Board, millis: u64) -> Verdict {
+    Rule::default().judge(board, Duration::from_millis(millis))
+}
+
+#[test]
+fn a_silent_primary_is_suspected_after_failed_probes() {
+    let mut board = board::Board::new(3);
+    see_all(&mut board, 1_000, 1, 1);
+    see(&mut board, 1, 1_500, Role::Replica, 1);
+    see(&mut board, 2, 1_500, Role::Replica, 1);
+    assert_eq!(judge(&board, 1_600), Verdict::Healthy);
+    for _ in 0..3 {
+        board.failed(0);
+    }
+    assert_eq!(judge(&board, 1_600), Verdict::Suspect(Cause::Silent));
+}
+
+#[test]
+fn a_proxy_that_was_paused_suspects_nobody() {
+    // Symptom: a primary is replaced although it was well.
+    // Events: the proxy is frozen for ten seconds; at its return every answer is old.
+    // Cause: silence was judged by the age of the answers alone.
+    let mut board = board::Board::new(3);
+    see_all(&mut board, 1_000, 1, 1);
+    assert_eq!(judge(&board, 11_000), Verdict::Blind);
+    see(&mut board, 1, 11_001, Role::Replica, 1);
+    see(&mut board, 2, 11_001, Role::Replica, 1);
+    assert_eq!(judge(&board, 11_002), Verdict::Healthy);
+}
+
+#[test]
+fn a_primary_whose_writes_reach_no_replica_is_suspected() {
+    // Symptom: every write ends unknown although all instances answer.
+    // Events: the primary is cut off from its replicas, not from the proxies.
+    // Cause: only silence was watched.
+    let mut board = board::Board::new(3);
+    see_all(&mut board, 1_000, 5, 5);
+    see_all(&mut board, 600_000, 9, 5);
+    assert_eq!(judge(&board, 600_100), Verdict::Healthy);
+    see_all(&mut board, 603_000, 12, 5);
+    assert_eq!(judge(&board, 603_001), Verdict::Suspect(Cause::Stalled));
+}
+
+#[test]
+fn lag_that_moves_is_not_a_stall() {
+    let mut board = board::Board::new(3);
+    for step in 0..100 {
+        let millis = 1_000 + step * 100;
+        see_all(&mut board, millis, 1_000 + step, step);
+        assert_eq!(judge(&board, millis), Verdict::Healthy);
+    }
+}
+
+#[test]
+fn a_group_without_primary_is_vacant() {
+    let mut board = board::Board::new(3);
+    see(&mut board, 1, 1_000, Role::Replica, 1);
+    see(&mut board, 2, 1_000, Role::Replica, 1);
+    assert_eq!(judge(&board, 1_000), Verdict::Suspect(Cause::Vacant));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod peer;
 pub mod placement;
 pub mod platform;
+pub mod policy;
 pub mod pool;
 pub mod prepared;
 pub mod probe;
--- a/src/promote.rs
+++ b/src/promote.rs
@@ -1,1 +1,355 @@
 //! Promotion of a new primary, as a state machine.
+//!
+//! Safety rests on two rules: a term is used by one promotion only, and the new
+//! primary is chosen among a majority that has been fenced at that term. Time only
+//! decides who tries first.
+
+use std::time;
+
+use crate::detect;
+use crate::id;
+use crate::status;
+
+/// Time between the first tries of proxies of neighbouring ranks.
+pub const RANK_DELAY: time::Duration = time::Duration::from_millis(400);
+
+/// Time a suspicion must last before even the first rank acts on it, so that a
+/// promotion made elsewhere is seen first.
+pub const PATIENCE: time::Duration = time::Duration::from_millis(30);
+
+/// Longest wait for answers to the fencing calls.
+pub const FENCE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+
+/// Wait for the remaining instances once a majority is fenced: the one that answers
+/// a little later may have the longer log and save callers a repair.
+pub const FENCE_GRACE: time::Duration = time::Duration::from_millis(20);
+
+/// Longest wait for the answer to the promotion call.
+pub const PROMOTE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Longest wait for a term from the platform's store.
+pub const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// First wait after a failed try; doubles up to `BACKOFF_LIMIT`.
+pub const BACKOFF: time::Duration = time::Duration::from_millis(200);
+
+/// Longest wait between tries.
+pub const BACKOFF_LIMIT: time::Duration = time::Duration::from_secs(3);
+
+/// Where the promotion stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// The primary is well.
+    Idle,
+    /// The primary is suspected; not yet this proxy's turn.
+    Waiting {
+        /// When this proxy's turn comes.
+        until: id::Time,
+    },
+    /// Waiting for a unique term.
+    Claiming {
+        /// When to give up.
+        until: id::Time,
+    },
+    /// Fencing all instances at the term.
+    Fencing {
+        /// The claimed term.
+        term: id::Term,
+        /// Answers by instance, of those fenced at exactly the term.
+        fenced: Vec<Option<status::Status>>,
+        /// Instances whose answer is still to come.
+        open: usize,
+        /// When to decide or give up.
+        until: id::Time,
+    },
+    /// Waiting for the chosen instance to take the term.
+    Promoting {
+        /// The claimed term.
+        term: id::Term,
+        /// The chosen instance.
+        index: id::Index,
+        /// When to give up.
+        until: id::Time,
+    },
+}
+
+/// What happens to a promotion.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Event {
+    /// Time has passed; the detector's present verdict.
+    Tick(detect::Verdict),
+    /// A term was claimed that nobody else can ever use.
+    Claimed(id::Term),
+    /// No term could be claimed.
+    ClaimFailed,
+    /// An instance answered a fencing call.
+    Fenced(id::Index, status::Status),
+    /// A fencing call had no answer; the instance may be fenced all the same.
+    FenceFailed(id::Index),
+    /// The chosen instance answered.
+    Promoted(status::Status),
+    /// The promotion call had no answer; the instance may lead all the same.
+    PromoteFailed,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// Claim a unique term above the given one.
+    Claim {
+        /// Highest term known to be in use.
+        above: id::Term,
+    },
+    /// Fence every instance at the term.
+    Fence {
+        /// The claimed term.
+        term: id::Term,
+    },
+    /// Promote one instance.
+    Promote {
+        /// The chosen instance.
+        index: id::Index,
+        /// The claimed term.
+        term: id::Term,
+    },
+    /// Tell the peers about the new primary.
+    Announce {
+        /// The new primary.
+        index: id::Index,
+        /// Its term.
+        term: id::Term,
+    },
+}
+
+/// Promotion of one group by one proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Machine {
+    phase: Phase,
+    instances: usize,
+    rank: u32,
+    tries: u32,
+    highest: id::Term,
+}
+
+impl Machine {
+    /// A machine for a group of `instances`; `rank` is this proxy's place among those
+    /// that may promote, 0 first.
+    ///
+    /// ```
+    /// use mangotray::promote;
+    /// let machine = promote::Machine::new(3, 0);
+    /// assert_eq!(machine.phase(), &promote::Phase::Idle);
+    /// ```
+    #[must_use]
+    pub fn new(instances: usize, rank: u32) -> Self {
+        Self {
+            phase: Phase::Idle,
+            instances,
+            rank,
+            tries: 0,
+            highest: 0,
+        }
+    }
+
+    /// Where the promotion stands.
+    #[must_use]
+    pub fn phase(&self) -> &Phase {
+        &self.phase
+    }
+
+    /// Changes this proxy's place among those that may promote.
+    pub fn set_rank(&mut self, rank: u32) {
+        self.rank = rank;
+    }
+
+    /// Notes a term seen in use anywhere.
+    pub fn saw(&mut self, term: id::Term) {
+        self.highest = self.highest.max(term);
+    }
+
+    /// Takes an event and says what is to be done.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use mangotray::{detect, promote};
+    /// let mut machine = promote::Machine::new(3, 0);
+    /// let suspect = detect::Verdict::Suspect(detect::Cause::Silent);
+    /// let none = machine.step(Duration::ZERO, promote::Event::Tick(suspect));
+    /// assert!(none.is_empty());
+    /// let claim = machine.step(Duration::from_secs(1), promote::Event::Tick(suspect));
+    /// assert_eq!(claim, vec![promote::Action::Claim { above: 0 }]);
+    /// ```
+    pub fn step(&mut self, now: id::Time, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick(verdict) => self.tick(now, verdict),
+            Event::Claimed(term) => self.claimed(now, term),
+            Event::ClaimFailed => self.claim_failed(now),
+            Event::Fenced(index, status) => self.fenced(now, index, status),
+            Event::FenceFailed(index) => self.fence_failed(now, index),
+            Event::Promoted(status) => self.promoted(now, status),
+            Event::PromoteFailed => self.promote_failed(now),
+        }
+    }
+
+    fn tick(&mut self, now: id::Time, verdict: detect::Verdict) -> Vec<Action> {
+        match (&self.phase, verdict) {
+            (Phase::Idle, detect::Verdict::Suspect(_)) => {
+                let until = now + PATIENCE + RANK_DELAY * self.rank;
+                self.phase = Phase::Waiting { until };
+                Vec::new()
+            }
+            (Phase::Waiting { .. }, detect::Verdict::Healthy) => self.rest(),
+            (Phase::Waiting { until }, detect::Verdict::Suspect(_)) if *until <= now => {
+                self.phase = Phase::Claiming {
+                    until: now + CLAIM_TIMEOUT,
+                };
+                vec![Action::Claim {
+                    above: self.highest,
+                }]
+            }
+            (Phase::Claiming { until } | Phase::Promoting { until, .. }, _) if *until <= now => {
+                self.back_off(now)
+            }
+            (Phase::Fencing { until, .. }, _) if *until <= now => self.choose(now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn claimed(&mut self, now: id::Time, term: id::Term) -> Vec<Action> {
+        let Phase::Claiming { .. } = self.phase else {
+            return Vec::new();
+        };
+        if term <= self.highest {
+            return self.back_off(now);
+        }
+        self.highest = term;
+        self.phase = Phase::Fencing {
+            term,
+            fenced: vec![None; self.instances],
+            open: self.instances,
+            until: now + FENCE_TIMEOUT,
+        };
+        vec![Action::Fence { term }]
+    }
+
+    fn claim_failed(&mut self, now: id::Time) -> Vec<Action> {
+        match self.phase {
+            Phase::Claiming { .. } => self.back_off(now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn fenced(&mut self, now: id::Time, index: id::Index, status: status::Status) -> Vec<Action> {
+        self.saw(status.fence);
+        let majority = self.majority();
+        let Phase::Fencing {
+            term,
+            fenced,
+            open,
+            until,
+        } = &mut self.phase
+        else {
+            return Vec::new();
+        };
+        *open = open.saturating_sub(1);
+        if status.fence > *term {
+            // Another promotion is ahead: this one could only disturb it.
+            return self.back_off(now);
+        }
+        if status.fence == *term && status.voter {
+            fenced[index] = Some(status);
+        }
+        if fenced.iter().flatten().count() >= majority {
+            *until = (*until).min(now + FENCE_GRACE);
+        }
+        if *open == 0 {
+            self.choose(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn fence_failed(&mut self, now: id::Time, _index: id::Index) -> Vec<Action> {
+        let Phase::Fencing { open, .. } = &mut self.phase else {
+            return Vec::new();
+        };
+        *open = open.saturating_sub(1);
+        if *open == 0 {
+            self.choose(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Chooses the highest stamp among a fenced majority. Every confirmed record is on
+    /// a majority, so the choice has it; fewer fenced instances may all lack it.
+    fn choose(&mut self, now: id::Time) -> Vec<Action> {
+        let majority = self.majority();
+        let Phase::Fencing { term, fenced, .. } = &self.phase else {
+            return Vec::new();
+        };
+        let term = *term;
+        let candidates = fenced
+            .iter()
+            .enumerate()
+            .filter_map(|(index, status)| status.map(|status| (index, status.stamp)));
+        let best = candidates
+            .clone()
+            .max_by_key(|(index, stamp)| (*stamp, usize::MAX - index));
+        match best {
+            Some((index, _)) if candidates.count() >= majority => {
+                let until = now + PROMOTE_TIMEOUT;
+                self.phase = Phase::Promoting { term, index, until };
+                vec![Action::Promote { index, term }]
+            }
+            _ => self.back_off(now),
+        }
+    }
+
+    fn promoted(&mut self, now: id::Time, status: status::Status) -> Vec<Action> {
+        self.saw(status.fence);
+        let Phase::Promoting { term, index, .. } = self.phase else {
+            return Vec::new();
+        };
+        let leads = status.role == crate::role::Role::Primary && status.fence == term;
+        if !leads {
+            return self.back_off(now);
+        }
+        self.rest();
+        vec![Action::Announce { index, term }]
+    }
+
+    /// The lost answer may have been a success, so the instance may lead the term: the
+    /// term is spent and no other instance may ever be promoted with it. The next try
+    /// claims a new one, unless the instance is seen to lead meanwhile.
+    fn promote_failed(&mut self, now: id::Time) -> Vec<Action> {
+        match self.phase {
+            Phase::Promoting { .. } => self.back_off(now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn rest(&mut self) -> Vec<Action> {
+        self.phase = Phase::Idle;
+        self.tries = 0;
+        Vec::new()
+    }
+
+    fn back_off(&mut self, now: id::Time) -> Vec<Action> {
+        let wait = BACKOFF * 2u32.saturating_pow(self.tries.min(8));
+        self.tries += 1;
+        let until = now + wait.min(BACKOFF_LIMIT) + RANK_DELAY * self.rank;
+        self.phase = Phase::Waiting { until };
+        Vec::new()
+    }
+
+    fn majority(&self) -> usize {
+        self.instances / 2 + 1
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/promote/tests.rs
@@ -0,0 +1,120 @@
+//! Tests of the promotion's state machine.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+
+use super::Action;
+use super::Event;
+use super::Machine;
+use super::Phase;
+use crate::detect;
+use crate::id;
+use crate::role::Role;
+use crate::stamp::Stamp;
+use crate::status::Status;
+
+const SUSPECT: Event = Event::Tick(detect::Verdict::Suspect(detect::Cause::Silent));
+
+fn status(fence: id::Term, term: id::Term, position: u64, role: Role) -> Status {
+    Status {
+        stamp: Stamp::new(term, position),
+        fence,
+        role,
+        voter: true,
+        incarnation: 1,
+    }
+}
+
+fn at(millis: u64) -> id::Time {
+    Duration::from_millis(millis)
+}
+
+fn fencing(term: id::Term) -> Machine {
+    let mut machine = Machine::new(3, 0);
+    machine.step(at(0), SUSPECT);
+    machine.step(at(1_000), SUSPECT);
+    let actions = machine.step(at(1_001), Event::Claimed(term));
+    assert_eq!(actions, vec![Action::Fence { term }]);
+    machine
+}
+
+#[test]
+fn promotes_the_highest_stamp_of_a_fenced_majority() {
+    let mut machine = fencing(2);
+    machine.step(at(1_002), Event::FenceFailed(0));
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    let actions = machine.step(at(1_003), Event::Fenced(2, status(2, 1, 9, Role::Replica)));
+    assert_eq!(actions, vec![Action::Promote { index: 2, term: 2 }]);
+    let actions = machine.step(at(1_004), Event::Promoted(status(2, 2, 10, Role::Primary)));
+    assert_eq!(actions, vec![Action::Announce { index: 2, term: 2 }]);
+    assert_eq!(machine.phase(), &Phase::Idle);
+}
+
+#[test]
+fn one_fenced_instance_is_not_enough() {
+    // Symptom: a confirmed write is lost by a promotion.
+    // Events: only one replica answers, and it lags behind the other.
+    // Cause: the promotion went on without a majority.
+    let mut machine = fencing(2);
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    machine.step(at(1_002), Event::FenceFailed(0));
+    let actions = machine.step(at(1_003), Event::FenceFailed(2));
+    assert!(actions.is_empty());
+    assert_matches!(machine.phase(), Phase::Waiting { .. });
+}
+
+#[test]
+fn an_instance_that_lost_its_log_does_not_vote() {
+    let mut machine = fencing(2);
+    let mut empty = status(2, 0, 0, Role::Replica);
+    empty.voter = false;
+    machine.step(at(1_002), Event::FenceFailed(0));
+    machine.step(at(1_002), Event::Fenced(1, empty));
+    let actions = machine.step(at(1_003), Event::Fenced(2, status(2, 1, 3, Role::Replica)));
+    assert!(actions.is_empty());
+}
+
+#[test]
+fn a_lost_promotion_answer_spends_the_term() {
+    // Symptom: two primaries of one term, whose logs then differ under equal stamps.
+    // Events: the promotion's answer is lost after it took effect; the machine tries
+    //   the other instance with the same term.
+    // Cause: a term was used by two promotions.
+    let mut machine = fencing(2);
+    machine.step(at(1_002), Event::FenceFailed(0));
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    machine.step(at(1_003), Event::Fenced(2, status(2, 1, 9, Role::Replica)));
+    assert!(machine.step(at(1_900), Event::PromoteFailed).is_empty());
+    let actions = machine.step(at(5_000), SUSPECT);
+    assert_eq!(actions, vec![Action::Claim { above: 2 }]);
+}
+
+#[test]
+fn a_higher_fence_ends_the_try() {
+    let mut machine = fencing(2);
+    let actions = machine.step(at(1_002), Event::Fenced(1, status(5, 1, 7, Role::Replica)));
+    assert!(actions.is_empty());
+    assert_matches!(machine.phase(), Phase::Waiting { .. });
+    assert_eq!(
+        machine.step(at(9_000), SUSPECT),
+        vec![Action::Claim { above: 5 }]
+    );
+}
+
+#[test]
+fn a_late_claim_after_the_timeout_is_not_used() {
+    let mut machine = Machine::new(3, 0);
+    machine.step(at(0), SUSPECT);
+    machine.step(at(1_000), SUSPECT);
+    machine.step(at(4_000), SUSPECT);
+    assert!(machine.step(at(4_001), Event::Claimed(2)).is_empty());
+}
+
+#[test]
+fn a_recovered_primary_is_left_alone() {
+    let mut machine = Machine::new(3, 1);
+    machine.step(at(0), SUSPECT);
+    machine.step(at(100), Event::Tick(detect::Verdict::Healthy));
+    assert_eq!(machine.phase(), &Phase::Idle);
+}
