--- a/src/promote.rs
+++ b/src/promote.rs
@@ -75,7 +75,7 @@
 }
 
 /// What happens to a promotion.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// Time has passed; the detector's present verdict.
@@ -95,7 +95,7 @@
 }
 
 /// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
     /// Claim a unique term above the given one.
@@ -188,7 +188,7 @@
             Event::Claimed(term) => self.claimed(now, term),
             Event::ClaimFailed => self.claim_failed(now),
             Event::Fenced(index, status) => self.fenced(now, index, status),
-            Event::FenceFailed(index) => self.fence_failed(now, index),
+            Event::FenceFailed(_) => self.fence_failed(now),
             Event::Promoted(status) => self.promoted(now, status),
             Event::PromoteFailed => self.promote_failed(now),
         }
@@ -272,7 +272,7 @@
         }
     }
 
-    fn fence_failed(&mut self, now: id::Time, _index: id::Index) -> Vec<Action> {
+    fn fence_failed(&mut self, now: id::Time) -> Vec<Action> {
         let Phase::Fencing { open, .. } = &mut self.phase else {
             return Vec::new();
         };
