--- /dev/null
+++ b/lab/src/control.rs
@@ -0,0 +1,65 @@
+//! Port of a stand-in process that takes one command a line.
+
+use std::fmt::Write;
+use std::net;
+
+use futures_lite::AsyncBufReadExt;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::StreamExt;
+use futures_util::future;
+
+/// Longest command line.
+const LINE_LIMIT: u64 = 64 * 1024;
+
+/// Answers commands.
+pub trait Handler: Send + Sync {
+    /// Carries out one command line and tells what came of it.
+    fn handle<'a>(&'a self, line: &'a str) -> future::BoxFuture<'a, eyre::Result<String>>;
+}
+
+/// Serves commands until the listener fails, one connection after the other.
+///
+/// # Errors
+/// When the listener fails.
+pub async fn serve(listener: async_net::TcpListener, handler: &dyn Handler) -> eyre::Result<()> {
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        if let Err(error) = answer(stream?, handler).await {
+            tracing::warn!(%error, "control connection");
+        }
+    }
+    Ok(())
+}
+
+async fn answer(mut stream: async_net::TcpStream, handler: &dyn Handler) -> eyre::Result<()> {
+    let mut line = String::new();
+    let limited = stream.clone().take(LINE_LIMIT);
+    futures_lite::io::BufReader::new(limited)
+        .read_line(&mut line)
+        .await?;
+    let text = match handler.handle(line.trim()).await {
+        Ok(text) => text,
+        Err(error) => format!("error: {error:#}"),
+    };
+    stream.write_all(text.as_bytes()).await?;
+    stream.write_all(b"\n").await?;
+    Ok(())
+}
+
+/// Sends one command and gives the whole answer.
+///
+/// # Errors
+/// When the port cannot be reached.
+pub async fn send(control: net::SocketAddr, words: &[String]) -> eyre::Result<String> {
+    let mut stream = async_net::TcpStream::connect(control).await?;
+    let mut line = words.join(" ");
+    writeln!(line)?;
+    stream.write_all(line.as_bytes()).await?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await?;
+    Ok(text)
+}
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,13 +1,19 @@
 //! Stand-ins, workloads and measurements.
+pub mod caller;
 pub mod cli;
 pub mod cluster;
+pub mod control;
 pub mod database;
 pub mod demo;
 pub mod fault;
+pub mod history;
 pub mod instance;
 pub mod journal;
 pub mod ledger;
+pub mod link;
+pub mod note;
 pub mod platform;
 pub mod profile;
 pub mod run;
+pub mod statement;
 pub mod workload;
--- /dev/null
+++ b/lab/src/link.rs
@@ -0,0 +1,107 @@
+//! A caller's connection to one proxy, by way of a well-known client library.
+
+use std::net;
+use std::time;
+
+use crate::ledger;
+
+/// Longest time to wait for a connection.
+const CONNECT_PATIENCE: time::Duration = time::Duration::from_secs(1);
+
+/// Answer to one request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Rows of the last statement; empty for statements without rows.
+    Rows(Vec<tokio_postgres::SimpleQueryRow>),
+    /// An error report that arrived whole.
+    Refused(ledger::Told),
+    /// The connection ended, or the caller gave up waiting.
+    Lost,
+}
+
+impl Answer {
+    /// What the answer says about a commit.
+    ///
+    /// ```
+    /// use mangotray_lab::{ledger::Told, link::Answer};
+    /// assert_eq!(Answer::Lost.told(), Told::Unknown);
+    /// ```
+    #[must_use]
+    pub fn told(&self) -> ledger::Told {
+        match self {
+            Self::Rows(_) => ledger::Told::Confirmed,
+            Self::Refused(told) => *told,
+            Self::Lost => ledger::Told::Unknown,
+        }
+    }
+}
+
+/// An open connection; dropping it closes the socket.
+#[derive(Debug)]
+pub struct Link {
+    client: tokio_postgres::Client,
+    reach: time::Duration,
+}
+
+impl Link {
+    /// Connects to a proxy; `reach` is the one-way delay added to each request and answer.
+    ///
+    /// # Errors
+    /// When the proxy does not accept the connection in time.
+    pub async fn open(
+        proxy: net::SocketAddr,
+        database: &str,
+        reach: time::Duration,
+    ) -> eyre::Result<Self> {
+        let mut config = tokio_postgres::Config::new();
+        config
+            .host(proxy.ip().to_string())
+            .port(proxy.port())
+            .user("desk")
+            .dbname(database);
+        let opened = tokio::time::timeout(CONNECT_PATIENCE, config.connect(tokio_postgres::NoTls));
+        let (client, connection) = opened.await??;
+        tokio::spawn(connection);
+        Ok(Self { client, reach })
+    }
+
+    /// False once the other side has closed the connection.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.client.is_closed()
+    }
+
+    /// Sends a request and waits for its answer; also gives the time that passed
+    /// without the added delays.
+    pub async fn ask(&self, sql: &str, patience: time::Duration) -> (Answer, time::Duration) {
+        tokio::time::sleep(self.reach).await;
+        let sent = time::Instant::now();
+        let answered = tokio::time::timeout(patience, self.client.simple_query(sql)).await;
+        let elapsed = sent.elapsed();
+        tokio::time::sleep(self.reach).await;
+        let answer = match answered {
+            Err(_) => Answer::Lost,
+            Ok(Err(error)) => failure(&error),
+            Ok(Ok(messages)) => Answer::Rows(messages.into_iter().filter_map(row).collect()),
+        };
+        (answer, elapsed)
+    }
+}
+
+fn failure(error: &tokio_postgres::Error) -> Answer {
+    error.as_db_error().map_or(Answer::Lost, |report| {
+        let code = report.code().code();
+        Answer::Refused(ledger::Told::from_error(
+            code,
+            report.message(),
+            report.detail(),
+        ))
+    })
+}
+
+fn row(message: tokio_postgres::SimpleQueryMessage) -> Option<tokio_postgres::SimpleQueryRow> {
+    match message {
+        tokio_postgres::SimpleQueryMessage::Row(row) => Some(row),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/lab/src/note.rs
@@ -0,0 +1,146 @@
+//! What callers recorded during a run.
+
+use std::time;
+
+use crate::ledger;
+use crate::profile;
+
+/// Latencies are kept to three significant digits.
+const DIGITS: u8 = 3;
+
+/// Records of one caller, or of many when merged.
+#[derive(Clone, Debug)]
+pub struct Note {
+    /// Every write that was tried.
+    pub promises: Vec<ledger::Promise>,
+    /// Probes that were confirmed.
+    pub probes: Vec<Probe>,
+    /// Requests answered after their deadline, whatever the answer was.
+    pub late: usize,
+    /// Reads that missed a write that they had to contain.
+    pub stale: usize,
+    /// Answers that belong to another request, or are incomplete.
+    pub foreign: usize,
+    /// Reads that were answered.
+    pub reads: usize,
+    /// Reads that were refused or lost.
+    pub reads_refused: usize,
+    /// Latencies of answered reads, in microseconds.
+    pub read_latency: hdrhistogram::Histogram<u64>,
+    /// Latencies of callers' confirmed writes, from BEGIN to the answer to COMMIT, in
+    /// microseconds.
+    pub write_latency: hdrhistogram::Histogram<u64>,
+}
+
+/// A confirmed write of the prober.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// When it was sent.
+    pub sent: time::Instant,
+    /// When its confirmation arrived.
+    pub confirmed: time::Instant,
+}
+
+impl Note {
+    /// An empty record.
+    ///
+    /// # Panics
+    /// Never: the number of digits is valid.
+    #[must_use]
+    pub fn new() -> Self {
+        let histogram = hdrhistogram::Histogram::new(DIGITS).expect("valid number of digits");
+        Self {
+            promises: Vec::new(),
+            probes: Vec::new(),
+            late: 0,
+            stale: 0,
+            foreign: 0,
+            reads: 0,
+            reads_refused: 0,
+            read_latency: histogram.clone(),
+            write_latency: histogram,
+        }
+    }
+
+    /// Adds another record to this one.
+    ///
+    /// ```
+    /// use mangotray_lab::note::Note;
+    /// let mut all = Note::new();
+    /// let mut one = Note::new();
+    /// one.late = 2;
+    /// all.merge(one);
+    /// assert_eq!(all.late, 2);
+    /// ```
+    ///
+    /// # Panics
+    /// Never: histograms resize themselves.
+    pub fn merge(&mut self, other: Self) {
+        self.promises.extend(other.promises);
+        self.probes.extend(other.probes);
+        self.late += other.late;
+        self.stale += other.stale;
+        self.foreign += other.foreign;
+        self.reads += other.reads;
+        self.reads_refused += other.reads_refused;
+        let resized = "histogram resizes itself";
+        self.read_latency.add(&other.read_latency).expect(resized);
+        self.write_latency.add(&other.write_latency).expect(resized);
+    }
+
+    /// Writes of callers, without the prober's, that got this answer.
+    ///
+    /// ```
+    /// use mangotray_lab::{ledger::Told, note::Note};
+    /// assert_eq!(Note::new().told(Told::Confirmed), 0);
+    /// ```
+    #[must_use]
+    pub fn told(&self, told: ledger::Told) -> usize {
+        self.promises
+            .iter()
+            .filter(|promise| promise.item != profile::PROBER_ITEM)
+            .filter(|promise| promise.told == told)
+            .count()
+    }
+
+    /// Time from `fault` to the first confirmation of a probe sent after it.
+    ///
+    /// Probes on their way at the time of the fault do not count: the lost
+    /// primary may have run them, which tells nothing about its successor.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use mangotray_lab::note::{Note, Probe};
+    /// let fault = Instant::now();
+    /// let at = |millis| fault + Duration::from_millis(millis);
+    /// let mut note = Note::new();
+    /// assert_eq!(note.gap(fault), None);
+    /// note.probes.push(Probe { sent: at(20), confirmed: at(90) });
+    /// assert_eq!(note.gap(fault), Some(Duration::from_millis(90)));
+    /// ```
+    #[must_use]
+    pub fn gap(&self, fault: time::Instant) -> Option<time::Duration> {
+        self.probes
+            .iter()
+            .filter(|probe| probe.sent >= fault)
+            .map(|probe| probe.confirmed - fault)
+            .min()
+    }
+}
+
+impl Default for Note {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Microseconds for a histogram.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(mangotray_lab::note::micros(Duration::from_millis(2)), 2_000);
+/// ```
+#[must_use]
+pub fn micros(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/lab/src/profile.rs
+++ b/lab/src/profile.rs
@@ -1,1 +1,224 @@
 //! The users' two profiles: sizes, delays, statements.
+
+use std::fmt;
+use std::str;
+use std::time;
+
+use compact_str::CompactString;
+use mangotray::database;
+
+use crate::ledger;
+
+/// Items that writes are spread over; item 0 belongs to the prober.
+pub const ITEMS: ledger::Item = 20;
+
+/// Item that the prober's writes count towards.
+pub const PROBER_ITEM: ledger::Item = 0;
+
+/// Greatest age of reads of the listing table.
+pub const LISTING_AGE: time::Duration = time::Duration::from_secs(5);
+
+/// Sizes, delays and workload of one user.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Profile {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Name of the groups and their databases, before the number.
+    pub database: &'static str,
+    /// Database groups.
+    pub groups: usize,
+    /// Failure domains; the instances of a group are spread over them.
+    pub domains: [&'static str; 3],
+    /// Statements that one instance executes at once.
+    pub slots: usize,
+    /// Connections that one instance accepts.
+    pub connections: usize,
+    /// Time to open a connection at an instance.
+    pub connect_cost: time::Duration,
+    /// Time an instance spends on one statement; an assumption, no user stated it.
+    pub statement_cost: time::Duration,
+    /// One-way delay between failure domains.
+    pub delay: time::Duration,
+    /// One-way delay between callers and proxies.
+    pub reach: time::Duration,
+    /// Callers of each group.
+    pub callers: usize,
+    /// Mean pause of a caller between two requests.
+    pub pause: time::Duration,
+    /// Deadline of one request at the proxy.
+    pub deadline: time::Duration,
+    /// Shares of the kinds of request.
+    pub mix: Mix,
+    /// Names of the tables.
+    pub tables: Tables,
+}
+
+/// Shares of the kinds of request, in percent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mix {
+    /// Writes: reservations or payout confirmations.
+    pub book: u32,
+    /// Reads of a caller's own rows.
+    pub own: u32,
+    /// Reads of one item's rows.
+    pub detail: u32,
+    /// Reads of the listing, covered by an age rule.
+    pub list: u32,
+}
+
+/// Names of the tables that a profile calls by its own words.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tables {
+    /// Items with their counters.
+    pub listing: &'static str,
+    /// First rows of the writes.
+    pub rows: &'static str,
+}
+
+/// Kind of request, drawn by a mix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// A reservation or a payout confirmation.
+    Book,
+    /// The caller's own rows.
+    Own,
+    /// Rows of one item: a running order or a brief.
+    Detail,
+    /// All items with their counters: a calendar or a brief list.
+    List,
+}
+
+impl Mix {
+    /// Kind for a number drawn below 100.
+    ///
+    /// ```
+    /// use mangotray_lab::profile::{Kind, Profile};
+    /// let mix = Profile::tarapath().mix;
+    /// assert_eq!(mix.kind(0), Kind::Book);
+    /// assert_eq!(mix.kind(99), Kind::List);
+    /// ```
+    #[must_use]
+    pub fn kind(&self, drawn: u32) -> Kind {
+        if drawn < self.book {
+            Kind::Book
+        } else if drawn < self.book + self.own {
+            Kind::Own
+        } else if drawn < self.book + self.own + self.detail {
+            Kind::Detail
+        } else {
+            Kind::List
+        }
+    }
+}
+
+impl Profile {
+    /// Planetarium bookings in the Kathmandu valley.
+    ///
+    /// ```
+    /// assert_eq!(mangotray_lab::profile::Profile::tarapath().connections, 20);
+    /// ```
+    #[must_use]
+    pub fn tarapath() -> Self {
+        Self {
+            name: "tarapath",
+            database: "dome_sched",
+            groups: 3,
+            domains: ["patan-hall", "kirtipur-hall", "bhaktapur-hall"],
+            slots: 3,
+            connections: 20,
+            connect_cost: time::Duration::from_millis(10),
+            statement_cost: time::Duration::from_millis(1),
+            delay: time::Duration::from_micros(1500),
+            reach: time::Duration::from_millis(3),
+            callers: 16,
+            pause: time::Duration::from_millis(40),
+            deadline: time::Duration::from_secs(2),
+            mix: Mix {
+                book: 25,
+                own: 20,
+                detail: 15,
+                list: 40,
+            },
+            tables: Tables {
+                listing: "calendar",
+                rows: "bookings",
+            },
+        }
+    }
+
+    /// Campaign briefs and payouts in Vietnam.
+    ///
+    /// ```
+    /// assert_eq!(mangotray_lab::profile::Profile::hoasen().connections, 40);
+    /// ```
+    #[must_use]
+    pub fn hoasen() -> Self {
+        Self {
+            name: "hoasen",
+            database: "campaign_core",
+            domains: ["hcm-a", "hcm-b", "hcm-c"],
+            connections: 40,
+            reach: time::Duration::from_millis(1),
+            mix: Mix {
+                book: 5,
+                own: 25,
+                detail: 15,
+                list: 55,
+            },
+            tables: Tables {
+                listing: "briefs",
+                rows: "payouts",
+            },
+            ..Self::tarapath()
+        }
+    }
+
+    /// Name of a group, which is also the name of its database.
+    ///
+    /// ```
+    /// let profile = mangotray_lab::profile::Profile::tarapath();
+    /// assert_eq!(profile.group(0), "dome_sched");
+    /// assert_eq!(profile.group(1), "dome_sched_2");
+    /// ```
+    #[must_use]
+    pub fn group(&self, index: usize) -> CompactString {
+        match index {
+            0 => CompactString::from(self.database),
+            _ => compact_str::format_compact!("{}_{}", self.database, index + 1),
+        }
+    }
+
+    /// Rule that lets reads of the listing see data of some age.
+    ///
+    /// ```
+    /// let age = mangotray_lab::profile::Profile::hoasen().age();
+    /// assert_eq!(age.tables, ["briefs"]);
+    /// ```
+    #[must_use]
+    pub fn age(&self) -> database::Age {
+        database::Age {
+            tables: vec![self.tables.listing.into()],
+            limit: LISTING_AGE,
+        }
+    }
+}
+
+impl fmt::Display for Profile {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name)
+    }
+}
+
+impl str::FromStr for Profile {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> eyre::Result<Self> {
+        [Self::tarapath(), Self::hoasen()]
+            .into_iter()
+            .find(|profile| profile.name == text)
+            .ok_or_else(|| eyre::eyre!("no profile {text:?}; there are tarapath and hoasen"))
+    }
+}
+
+#[cfg(test)]
+mod tests;
