Read settings and the operators' file; add metrics and logs

Cause: a daemon had no settings, and the operators' file no reader. rust-ini keeps no line numbers and stops at its first error, so each line is given to it alone: every mistake is reported at once with line and key. A file is sorted by name on reading, so its order says nothing and a difference is empty exactly for equal catalogs. Metric names stand in one module; labels come from fixed sets or from the operators' file.

Conclusion: daemons and the command line can build on both files.

--- /dev/null
+++ b/src/change.rs
@@ -0,0 +1,114 @@
+//! One difference between two catalogs, in the operators' terms.
+
+use std::fmt;
+use std::net;
+use std::time;
+
+use compact_str::CompactString;
+
+use crate::id;
+
+/// A group and what changes about it, or the set of serving VMs.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// A group is new.
+    GroupAdded(id::Group),
+    /// A group is no longer served.
+    GroupRemoved(id::Group),
+    /// A group that stays is declared otherwise.
+    Group(id::Group, Detail),
+    /// The set of VMs that serve traffic changes; empty means all live VMs.
+    Serving(Vec<id::Vm>, Vec<id::Vm>),
+}
+
+/// What changes about a group that stays; pairs are before and after.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Detail {
+    /// Callers connect by another database name.
+    Database(CompactString, CompactString),
+    /// An instance is new.
+    InstanceAdded(CompactString, id::Domain, net::SocketAddr),
+    /// An instance is gone.
+    InstanceRemoved(CompactString),
+    /// An instance listens elsewhere.
+    Address(CompactString, net::SocketAddr, net::SocketAddr),
+    /// An instance runs in another failure domain.
+    Domain(CompactString, id::Domain, id::Domain),
+    /// An instance starts to leave.
+    Leaving(CompactString),
+    /// An instance that was leaving stays.
+    Returning(CompactString),
+    /// Instances accept another number of connections.
+    Connections(usize, usize),
+    /// Instances execute another number of statements at once.
+    Slots(usize, usize),
+    /// Requests have another default deadline.
+    Deadline(time::Duration, time::Duration),
+    /// Reads of a table accept data of another age; `None` means fresh data only.
+    Age(
+        CompactString,
+        Option<time::Duration>,
+        Option<time::Duration>,
+    ),
+    /// The tables are put together otherwise, so a read across them is treated otherwise.
+    AgeTables(Vec<Vec<CompactString>>, Vec<Vec<CompactString>>),
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::GroupAdded(group) => write!(f, "+ group {group}"),
+            Self::GroupRemoved(group) => write!(f, "- group {group}"),
+            Self::Group(group, detail) => write!(f, "~ group {group}: {detail}"),
+            Self::Serving(old, new) => write!(f, "~ serving VMs: {} -> {}", vms(old), vms(new)),
+        }
+    }
+}
+
+impl fmt::Display for Detail {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Database(old, new) => write!(f, "database {old} -> {new}"),
+            Self::InstanceAdded(name, domain, address) => {
+                write!(f, "instance {name} added in {domain} at {address}")
+            }
+            Self::InstanceRemoved(name) => write!(f, "instance {name} removed"),
+            Self::Address(name, old, new) => write!(f, "instance {name} at {old} -> {new}"),
+            Self::Domain(name, old, new) => write!(f, "instance {name} in {old} -> {new}"),
+            Self::Leaving(name) => write!(f, "instance {name} is leaving"),
+            Self::Returning(name) => write!(f, "instance {name} is no longer leaving"),
+            Self::Connections(old, new) => write!(f, "connections {old} -> {new}"),
+            Self::Slots(old, new) => write!(f, "slots {old} -> {new}"),
+            Self::Deadline(old, new) => write!(f, "deadline {} -> {}", text(*old), text(*new)),
+            Self::Age(table, old, new) => {
+                write!(f, "age of {table} {} -> {}", age(*old), age(*new))
+            }
+            Self::AgeTables(old, new) => {
+                write!(f, "tables read together {} -> {}", sets(old), sets(new))
+            }
+        }
+    }
+}
+
+fn vms(names: &[id::Vm]) -> String {
+    if names.is_empty() {
+        "all".to_owned()
+    } else {
+        names.join(", ")
+    }
+}
+
+fn sets(sets: &[Vec<CompactString>]) -> String {
+    let words: Vec<_> = sets.iter().map(|set| set.join(", ")).collect();
+    format!("({})", words.join("; "))
+}
+
+fn age(limit: Option<time::Duration>) -> String {
+    limit.map_or("fresh only".to_owned(), text)
+}
+
+fn text(duration: time::Duration) -> String {
+    humantime::format_duration(duration).to_string()
+}
--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -1,1 +1,296 @@
 //! Reads the operators' INI file into a checked catalog.
+//!
+//! ```ini
+//! [group dome-sched-1]
+//! database = dome
+//! instances = a@patan-hall:10.0.1.5:5432, b@kirtipur-hall:10.0.2.5:5432, c@bhaktapur-hall:10.0.3.5:5432
+//! connections = 20
+//! slots = 3
+//! deadline = 2s
+//! leaving = b
+//!
+//! [age dome-sched-1 calendar]
+//! tables = shows, calendar
+//! limit = 5s
+//!
+//! [serving]
+//! vms = *
+//! ```
+//!
+//! `leaving`, `[age ...]` and `[serving]` may be left out. What is read is sorted by name, so
+//! that the order of a file says nothing: the same declarations always give the same catalog.
+
+use std::time;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::catalog;
+use crate::database;
+use crate::document;
+use crate::fault;
+use crate::section;
+use crate::value;
+
+/// Instances of a group: a majority of two must outlive the loss of any one.
+pub const INSTANCES: usize = 3;
+
+const GROUP_KEYS: [&str; 6] = [
+    "database",
+    "instances",
+    "leaving",
+    "connections",
+    "slots",
+    "deadline",
+];
+const AGE_KEYS: [&str; 2] = ["tables", "limit"];
+const SERVING_KEYS: [&str; 1] = ["vms"];
+const ALL_VMS: &str = "*";
+const LEAST_DEADLINE: time::Duration = time::Duration::from_millis(10);
+const MOST_DEADLINE: time::Duration = time::Duration::from_mins(10);
+const LEAST_AGE: time::Duration = time::Duration::from_millis(1);
+const MOST_AGE: time::Duration = time::Duration::from_hours(24);
+const MOST_CONNECTIONS: usize = 10_000;
+
+/// A checked file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Declaration {
+    /// What the file declares.
+    pub catalog: catalog::Catalog,
+    /// What is allowed but hardly meant.
+    pub warnings: Vec<fault::Fault>,
+}
+
+/// A group with the section that it came from.
+struct Source<'a> {
+    section: &'a section::Section,
+    group: database::Group,
+}
+
+impl Declaration {
+    /// Reads and checks a whole file.
+    ///
+    /// # Errors
+    /// Every mistake in the file, in the order of its lines.
+    ///
+    /// ```
+    /// let declaration = mangotray::declaration::Declaration::parse(
+    ///     "[group g]\ndatabase = d\ninstances = a@x:10.0.0.1:5, b@y:10.0.0.2:5, c@z:10.0.0.3:5\n\
+    ///      connections = 20\nslots = 3\ndeadline = 2s\n",
+    /// ).unwrap();
+    /// assert_eq!(declaration.catalog.groups[0].instances[2].domain, "z");
+    /// assert!(declaration.warnings.is_empty());
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<fault::Fault>> {
+        let mut document = document::Document::parse(text);
+        let mut faults = std::mem::take(&mut document.faults);
+        check_sections(&document, &mut faults);
+        let mut sources = groups(&document, &mut faults);
+        ages(&document, &mut sources, &mut faults);
+        check::unique(&sources, &mut faults);
+        let vms = serving(&document, &mut faults);
+        if !faults.is_empty() {
+            faults.sort_by_key(|fault| fault.line);
+            return Err(faults);
+        }
+        let warnings = sources.iter().filter_map(check::domains).collect();
+        Ok(Self {
+            catalog: sorted(sources, vms),
+            warnings,
+        })
+    }
+}
+
+fn sorted(sources: Vec<Source<'_>>, vms: Vec<CompactString>) -> catalog::Catalog {
+    let mut groups: Vec<_> = sources.into_iter().map(|source| source.group).collect();
+    groups.sort_by(|a, b| a.name.cmp(&b.name));
+    catalog::Catalog { groups, vms }
+}
+
+fn check_sections(document: &document::Document, faults: &mut Vec<fault::Fault>) {
+    let known = |title: &str| {
+        let words: Vec<_> = title.split(' ').collect();
+        matches!(words[..], ["group", _] | ["age", _, _] | ["serving"])
+    };
+    let unknown = document.sections.iter().filter(|s| !known(&s.title));
+    let reason = "unknown section; known are: [group NAME], [age GROUP NAME], [serving]";
+    faults.extend(
+        unknown.map(|s| fault::Fault::new(s.line, format_compact!("[{}]", s.title), reason)),
+    );
+    let declared = |s: &section::Section| s.title.split(' ').next() == Some("group");
+    if !document.sections.iter().any(declared) {
+        faults.push(fault::Fault::new(
+            Some(1),
+            "",
+            "declares no [group NAME]; applied, it would end all service",
+        ));
+    }
+}
+
+fn groups<'a>(document: &'a document::Document, faults: &mut Vec<fault::Fault>) -> Vec<Source<'a>> {
+    document
+        .sections
+        .iter()
+        .filter_map(|section| {
+            let name = section.title.strip_prefix("group ")?;
+            let group = group(section, name, faults)?;
+            Some(Source { section, group })
+        })
+        .collect()
+}
+
+fn group(
+    section: &section::Section,
+    name: &str,
+    faults: &mut Vec<fault::Fault>,
+) -> Option<database::Group> {
+    section.known(&GROUP_KEYS, faults);
+    let name = title(section, name, faults);
+    let database = section.required("database", value::name, faults);
+    let instances = section.required("instances", instances, faults);
+    let leaving = section.optional("leaving", value::list(value::name), faults);
+    let connections = section.required("connections", value::count, faults);
+    let slots = section.required("slots", value::count, faults);
+    let bounds = value::within(LEAST_DEADLINE, MOST_DEADLINE);
+    let deadline = section.required("deadline", bounds, faults);
+    let mut group = database::Group {
+        name: name?,
+        database: database?,
+        instances: instances?,
+        connections: connections?,
+        slots: slots?,
+        deadline: deadline?,
+        ages: Vec::new(),
+    };
+    leave(section, &mut group, &leaving.unwrap_or_default(), faults);
+    check::group(section, &group, faults);
+    Some(group)
+}
+
+fn title(
+    section: &section::Section,
+    name: &str,
+    faults: &mut Vec<fault::Fault>,
+) -> Option<CompactString> {
+    value::name(name)
+        .map_err(|reason| {
+            let key = format_compact!("[{}]", section.title);
+            faults.push(fault::Fault::new(section.line, key, reason));
+        })
+        .ok()
+}
+
+fn instances(text: &str) -> value::Parsed<Vec<database::Instance>> {
+    let mut instances = value::list(instance)(text)?;
+    if instances.len() != INSTANCES {
+        return Err(format_compact!(
+            "{} instances; a group has exactly {INSTANCES}, as writes are confirmed and promotions \
+             decided by a majority of 2 that must outlive the loss of any one",
+            instances.len()
+        ));
+    }
+    instances.sort_by(|a, b| a.name.cmp(&b.name));
+    Ok(instances)
+}
+
+fn instance(text: &str) -> value::Parsed<database::Instance> {
+    let parts = text
+        .split_once('@')
+        .and_then(|(name, rest)| Some((name, rest.split_once(':')?)));
+    let Some((name, (domain, address))) = parts else {
+        return Err(format_compact!(
+            "{text:?} is no instance: NAME@FAILURE-DOMAIN:IP:PORT"
+        ));
+    };
+    Ok(database::Instance {
+        name: value::name(name)?,
+        address: value::remote(address)?,
+        domain: value::name(domain)?,
+        leaving: false,
+    })
+}
+
+fn leave(
+    section: &section::Section,
+    group: &mut database::Group,
+    names: &[CompactString],
+    faults: &mut Vec<fault::Fault>,
+) {
+    if names.len() > 1 {
+        let reason = "only one instance may leave at a time; two must stay as a majority";
+        faults.push(section.fault("leaving", reason));
+    }
+    for name in names {
+        match group.instances.iter_mut().find(|i| i.name == *name) {
+            Some(instance) => instance.leaving = true,
+            None => faults.push(section.fault("leaving", format!("no instance {name:?}"))),
+        }
+    }
+}
+
+fn ages(document: &document::Document, sources: &mut [Source<'_>], faults: &mut Vec<fault::Fault>) {
+    for section in &document.sections {
+        let words: Vec<_> = section.title.split(' ').collect();
+        let ["age", group, label] = words[..] else {
+            continue;
+        };
+        title(section, label, faults);
+        let age = age(section, faults);
+        let declared = format_compact!("group {group}");
+        if !document.sections.iter().any(|s| s.title == declared) {
+            let key = format_compact!("[{}]", section.title);
+            let reason = format!("no [group {group}] in this file");
+            faults.push(fault::Fault::new(section.line, key, reason));
+        }
+        let source = sources.iter_mut().find(|s| s.group.name == group);
+        if let (Some(age), Some(source)) = (age, source) {
+            check::tables(section, &age, &source.group, faults);
+            source.group.ages.push(age);
+        }
+    }
+    for source in sources {
+        source.group.ages.sort_by(|a, b| a.tables.cmp(&b.tables));
+    }
+}
+
+fn age(section: &section::Section, faults: &mut Vec<fault::Fault>) -> Option<database::Age> {
+    section.known(&AGE_KEYS, faults);
+    let tables = section.required("tables", value::list(value::name), faults);
+    let limit = section.required("limit", value::within(LEAST_AGE, MOST_AGE), faults);
+    let mut age = database::Age {
+        tables: tables?,
+        limit: limit?,
+    };
+    age.tables.sort();
+    Some(age)
+}
+
+fn serving(document: &document::Document, faults: &mut Vec<fault::Fault>) -> Vec<CompactString> {
+    let Some(section) = document.sections.iter().find(|s| s.title == "serving") else {
+        return Vec::new();
+    };
+    section.known(&SERVING_KEYS, faults);
+    let mut vms = section.required("vms", vms, faults).unwrap_or_default();
+    vms.sort();
+    if let Some(name) = check::repeated(vms.iter()) {
+        faults.push(section.fault("vms", format!("{name:?} stands twice")));
+    }
+    vms
+}
+
+fn vms(text: &str) -> value::Parsed<Vec<CompactString>> {
+    if text == ALL_VMS {
+        return Ok(Vec::new());
+    }
+    value::list(value::name)(text)
+}
+
+mod check;
+mod compare;
+mod print;
+
+pub use compare::diff;
+pub use print::render;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/declaration/check.rs
@@ -0,0 +1,88 @@
+//! Checks across the entries of a declaration.
+
+use std::collections;
+
+use crate::database;
+use crate::declaration;
+use crate::fault;
+use crate::section;
+
+/// Checks what one group says by itself.
+pub(super) fn group(
+    section: &section::Section,
+    group: &database::Group,
+    faults: &mut Vec<fault::Fault>,
+) {
+    if group.connections > declaration::MOST_CONNECTIONS {
+        let reason = format!("more than {}", declaration::MOST_CONNECTIONS);
+        faults.push(section.fault("connections", reason));
+    }
+    if group.slots > group.connections {
+        let reason = format!(
+            "{} slots cannot be used over {} connections",
+            group.slots, group.connections
+        );
+        faults.push(section.fault("slots", reason));
+    }
+    if let Some(name) = repeated(group.instances.iter().map(|i| &i.name)) {
+        let reason = format!("two instances are named {name:?}");
+        faults.push(section.fault("instances", reason));
+    }
+}
+
+/// Checks that no table has two limits.
+pub(super) fn tables(
+    section: &section::Section,
+    age: &database::Age,
+    group: &database::Group,
+    faults: &mut Vec<fault::Fault>,
+) {
+    let earlier = group.ages.iter().flat_map(|age| &age.tables);
+    if let Some(table) = repeated(earlier.chain(&age.tables)) {
+        let reason = format!("table {table:?} of {} is listed twice", group.name);
+        faults.push(section.fault("tables", reason));
+    }
+}
+
+/// Checks that no database and no address stands for two things.
+pub(super) fn unique(sources: &[declaration::Source<'_>], faults: &mut Vec<fault::Fault>) {
+    let mut databases = collections::HashMap::new();
+    let mut addresses = collections::HashMap::new();
+    for declaration::Source { section, group } in sources {
+        if let Some(other) = databases.insert(&group.database, &group.name) {
+            let reason = format!("{:?} is also the database of {other}", group.database);
+            faults.push(section.fault("database", reason));
+        }
+        for instance in &group.instances {
+            if let Some(other) = addresses.insert(instance.address, &group.name) {
+                let reason = format!(
+                    "{} is also the address of an instance of {other}",
+                    instance.address
+                );
+                faults.push(section.fault("instances", reason));
+            }
+        }
+    }
+}
+
+/// Warns when the loss of one failure domain takes a group's majority.
+pub(super) fn domains(source: &declaration::Source<'_>) -> Option<fault::Fault> {
+    let domains = source.group.instances.iter().map(|i| &i.domain);
+    let domain = repeated(domains)?;
+    let reason =
+        format!("two or more instances run in {domain:?}; losing it ends writes until one is back");
+    Some(source.section.fault("instances", reason))
+}
+
+/// First item that stands twice.
+pub(super) fn repeated<T: Eq + std::hash::Hash>(items: impl Iterator<Item = T>) -> Option<T> {
+    let mut seen = collections::HashSet::new();
+    let mut items = items;
+    items.find_map(|item| {
+        if seen.contains(&item) {
+            return Some(item);
+        }
+        seen.insert(item);
+        None
+    })
+}
--- /dev/null
+++ b/src/fault.rs
@@ -0,0 +1,65 @@
+//! One mistake in an INI file, worded for the person who wrote it.
+
+use std::fmt;
+
+use compact_str::CompactString;
+
+/// A mistake or a warning with its place in the file.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// Line counted from 1; `None` for a value given on the command line.
+    pub line: Option<usize>,
+    /// Section and key, as far as they are known; empty for a line that cannot be read.
+    pub key: CompactString,
+    /// What is wrong and what is expected instead.
+    pub reason: CompactString,
+}
+
+impl Fault {
+    /// Builds a fault from its parts.
+    ///
+    /// ```
+    /// let fault = mangotray::fault::Fault::new(Some(3), "[log] format", "unknown format");
+    /// assert_eq!(fault.to_string(), "line 3: [log] format: unknown format");
+    /// ```
+    #[must_use]
+    pub fn new(line: Option<usize>, key: impl AsRef<str>, reason: impl AsRef<str>) -> Self {
+        Self {
+            line,
+            key: CompactString::new(key),
+            reason: CompactString::new(reason),
+        }
+    }
+
+    /// Words the fault with the file's name, in the form that editors can jump to.
+    ///
+    /// ```
+    /// let fault = mangotray::fault::Fault::new(Some(3), "[log] format", "unknown format");
+    /// assert_eq!(fault.located("vm.ini"), "vm.ini:3: [log] format: unknown format");
+    /// ```
+    #[must_use]
+    pub fn located(&self, file: &str) -> String {
+        match self.line {
+            Some(line) => format!("{file}:{line}: {}", self.text()),
+            None => format!("command line: {}", self.text()),
+        }
+    }
+
+    fn text(&self) -> String {
+        if self.key.is_empty() {
+            self.reason.to_string()
+        } else {
+            format!("{}: {}", self.key, self.reason)
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "line {line}: {}", self.text()),
+            None => write!(f, "command line: {}", self.text()),
+        }
+    }
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,1 +1,195 @@
 //! Logs and metrics of a process.
+//!
+//! Metric names stand here and nowhere else. Labels take their values from fixed sets
+//! (`source`, `outcome`, `reason`) or from the operators' file (`group`), never from
+//! callers, so that the number of series stays bounded.
+
+use std::io::IsTerminal;
+use std::sync;
+
+use crate::settings;
+
+/// Requests answered or refused; label `outcome`.
+pub const REQUESTS: &str = "mangotray_requests_total";
+/// Reads served; label `source` is [`REPLICA`] or [`PRIMARY`].
+pub const READS: &str = "mangotray_reads_total";
+/// Time from the loss of a primary to the first write of the next term.
+pub const FAILOVER_GAP: &str = "mangotray_failover_gap_seconds";
+/// Time from a request's arrival to the last byte of its answer.
+pub const REQUEST_TIME: &str = "mangotray_request_seconds";
+/// Caller connections open now.
+pub const CALLERS: &str = "mangotray_callers";
+/// Requests waiting for a connection now; label `group`.
+pub const QUEUE_DEPTH: &str = "mangotray_queue_depth";
+/// Connections open to upstreams now; label `group`.
+pub const UPSTREAM_CONNECTIONS: &str = "mangotray_upstream_connections";
+/// Revision of the configuration in force.
+pub const CONFIG_REVISION: &str = "mangotray_config_revision";
+/// Promotions that this process carried through.
+pub const PROMOTIONS: &str = "mangotray_promotions_total";
+/// Calls to the platform's service.
+pub const STORE_CALLS: &str = "mangotray_store_calls_total";
+/// Calls to the platform's service without a usable answer.
+pub const STORE_FAILURES: &str = "mangotray_store_failures_total";
+/// Status probes sent to instances.
+pub const PROBES: &str = "mangotray_probes_total";
+/// Requests forwarded to another proxy.
+pub const FORWARDS: &str = "mangotray_forwards_total";
+/// Requests refused as not run; label `reason`.
+pub const REFUSALS: &str = "mangotray_refusals_total";
+/// Requests whose outcome stayed unknown; label `reason`.
+pub const UNKNOWNS: &str = "mangotray_unknown_outcomes_total";
+
+/// Value of label `source` for a read that a replica served.
+pub const REPLICA: &str = "replica";
+/// Value of label `source` for a read that the primary served.
+pub const PRIMARY: &str = "primary";
+
+const GAP_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 12.0, 30.0];
+const REQUEST_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
+
+static RECORDER: sync::OnceLock<Handle> = sync::OnceLock::new();
+
+/// Access to the metrics of the process.
+#[derive(Clone)]
+pub struct Handle {
+    prometheus: metrics_exporter_prometheus::PrometheusHandle,
+}
+
+impl Handle {
+    /// Installs the process's recorder, or finds the one installed before.
+    ///
+    /// Several daemons in one process share one recorder.
+    ///
+    /// # Panics
+    /// If another recorder was installed around this function.
+    ///
+    /// ```
+    /// use mangotray::telemetry;
+    /// let handle = telemetry::Handle::install();
+    /// metrics::counter!(telemetry::PROMOTIONS).increment(1);
+    /// assert!(handle.render().contains("mangotray_promotions_total 1"));
+    /// ```
+    pub fn install() -> Self {
+        RECORDER.get_or_init(Self::build).clone()
+    }
+
+    /// Writes all metrics in the Prometheus text format.
+    ///
+    /// ```
+    /// let handle = mangotray::telemetry::Handle::install();
+    /// metrics::gauge!(mangotray::telemetry::CALLERS).set(3.0);
+    /// assert!(handle.render().contains("# TYPE mangotray_callers gauge"));
+    /// ```
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.prometheus.run_upkeep();
+        self.prometheus.render()
+    }
+
+    fn build() -> Self {
+        let recorder = buckets(FAILOVER_GAP, &GAP_BUCKETS)
+            .and_then(|builder| with_buckets(builder, REQUEST_TIME, &REQUEST_BUCKETS))
+            .expect("bucket lists are not empty")
+            .build_recorder();
+        let prometheus = recorder.handle();
+        metrics::set_global_recorder(recorder).expect("no other recorder is installed");
+        describe();
+        Self { prometheus }
+    }
+}
+
+type Builder = metrics_exporter_prometheus::PrometheusBuilder;
+type Built = Result<Builder, metrics_exporter_prometheus::BuildError>;
+
+fn buckets(name: &str, values: &[f64]) -> Built {
+    with_buckets(Builder::new(), name, values)
+}
+
+fn with_buckets(builder: Builder, name: &str, values: &[f64]) -> Built {
+    let matcher = metrics_exporter_prometheus::Matcher::Full(name.to_owned());
+    builder.set_buckets_for_metric(matcher, values)
+}
+
+fn describe() {
+    describe_counters();
+    describe_gauges();
+    describe_histograms();
+}
+
+fn describe_counters() {
+    let counters = [
+        (REQUESTS, "Requests answered or refused, by outcome"),
+        (READS, "Reads served, by source"),
+        (PROMOTIONS, "Promotions that this process carried through"),
+        (STORE_CALLS, "Calls to the platform's service"),
+        (
+            STORE_FAILURES,
+            "Calls to the platform's service without a usable answer",
+        ),
+        (PROBES, "Status probes sent to instances"),
+        (FORWARDS, "Requests forwarded to another proxy"),
+        (REFUSALS, "Requests refused as not run, by reason"),
+        (UNKNOWNS, "Requests whose outcome stayed unknown, by reason"),
+    ];
+    for (name, text) in counters {
+        metrics::describe_counter!(name, metrics::Unit::Count, text);
+    }
+}
+
+fn describe_gauges() {
+    let gauges = [
+        (CALLERS, "Caller connections open now"),
+        (
+            QUEUE_DEPTH,
+            "Requests waiting for a connection now, by group",
+        ),
+        (
+            UPSTREAM_CONNECTIONS,
+            "Connections open to upstreams now, by group",
+        ),
+        (CONFIG_REVISION, "Revision of the configuration in force"),
+    ];
+    for (name, text) in gauges {
+        metrics::describe_gauge!(name, metrics::Unit::Count, text);
+    }
+}
+
+fn describe_histograms() {
+    let histograms = [
+        (
+            FAILOVER_GAP,
+            "Time from the loss of a primary to the first write of the next term",
+        ),
+        (REQUEST_TIME, "Time from a request's arrival to its answer"),
+    ];
+    for (name, text) in histograms {
+        metrics::describe_histogram!(name, metrics::Unit::Seconds, text);
+    }
+}
+
+/// Starts logging to standard error; colour only on a terminal.
+///
+/// # Errors
+/// When the filter cannot be parsed or logging was started before.
+///
+/// ```
+/// let log = mangotray::settings::Log::default();
+/// assert!(mangotray::telemetry::log(&log).is_ok());
+/// assert!(mangotray::telemetry::log(&log).is_err());
+/// ```
+pub fn log(log: &settings::Log) -> eyre::Result<()> {
+    let filter = tracing_subscriber::EnvFilter::builder().parse(&log.filter)?;
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal());
+    let started = match log.format {
+        settings::Format::Text => builder.try_init(),
+        settings::Format::Json => builder.json().flatten_event(true).try_init(),
+    };
+    started.map_err(|e| eyre::eyre!(e))
+}
+
+#[cfg(test)]
+mod tests;
