--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -12,7 +12,8 @@
 use crate::link;
 use crate::note;
 use crate::profile;
-use crate::statement;
+use crate::query;
+use crate::verdict;
 
 /// Own rows that a read asks for, counted back from the newest.
 const RECENT: u32 = 50;
@@ -128,9 +129,9 @@
         }
     }
 
-    fn booking(&mut self, item: ledger::Item) -> statement::Booking {
+    fn booking(&mut self, item: ledger::Item) -> query::Booking {
         self.sequence += 1;
-        statement::Booking {
+        query::Booking {
             key: ledger::key(&self.plan.name, self.sequence),
             caller: self.plan.name.clone(),
             sequence: self.sequence,
@@ -207,17 +208,10 @@
         let Some(rows) = self.read(proxy, &sql).await else {
             return;
         };
-        let belongs = |row: &tokio_postgres::SimpleQueryRow| {
-            row.get("echo") == Some(&request) && row.get("caller") == Some(&self.plan.name)
-        };
-        let foreign = !rows.iter().all(belongs);
-        let seen: collections::BTreeSet<u32> = rows
-            .iter()
-            .filter_map(|row| row.get("sequence")?.parse().ok())
-            .collect();
-        let mut expected = self.confirmed.range(after + 1..);
-        let stale = !expected.all(|(sequence, _)| seen.contains(sequence));
-        self.judge(foreign, stale);
+        let confirmed = self.confirmed.range(after + 1..).map(|(number, _)| *number);
+        let judged = parsed(&rows, own_row)
+            .map(|rows| verdict::Verdict::own(&rows, &request, &self.plan.name, confirmed));
+        self.judge(judged);
     }
 
     async fn detail(&mut self, proxy: usize) {
@@ -228,10 +222,9 @@
             return;
         };
         let own = self.confirmed.values().filter(|it| **it == item).count();
-        let counters = counters(&rows, &request);
-        let foreign = counters.len() != 1 || counters[0].0 != item;
-        let stale = counters.iter().any(|(_, taken)| *taken < own);
-        self.judge(foreign, stale);
+        let judged =
+            parsed(&rows, counter).map(|rows| verdict::Verdict::detail(&rows, &request, item, own));
+        self.judge(judged);
     }
 
     async fn list(&mut self, proxy: usize) {
@@ -241,14 +234,10 @@
         let Some(rows) = self.read(proxy, &sql).await else {
             return;
         };
-        let counters = counters(&rows, &request);
-        let foreign = !counters
-            .iter()
-            .map(|(item, _)| *item)
-            .eq(profile::PROBER_ITEM..=profile::ITEMS);
         let confirmed = |item| oldest.map_or(0, |at| self.plan.history.before(item, at));
-        let stale = !foreign && counters.iter().any(|(item, n)| *n < confirmed(*item));
-        self.judge(foreign, stale);
+        let judged =
+            parsed(&rows, counter).map(|rows| verdict::Verdict::list(&rows, &request, confirmed));
+        self.judge(judged);
     }
 
     async fn read(
@@ -267,21 +256,37 @@
         Some(rows)
     }
 
-    fn judge(&mut self, foreign: bool, stale: bool) {
-        self.note.foreign += usize::from(foreign);
-        self.note.stale += usize::from(stale);
+    fn judge(&mut self, judged: Option<verdict::Verdict>) {
+        let verdict = judged.unwrap_or(verdict::Verdict::FOREIGN);
+        self.note.foreign += usize::from(verdict.foreign);
+        self.note.stale += usize::from(verdict.stale);
     }
 }
 
-/// Items and counters of the rows that echo `request`.
-fn counters(rows: &[tokio_postgres::SimpleQueryRow], request: &str) -> Vec<(ledger::Item, usize)> {
-    let counter = |row: &tokio_postgres::SimpleQueryRow| {
-        let item = row.get("item")?.parse().ok()?;
-        let taken = row.get("taken")?.parse().ok()?;
-        Some((item, taken))
-    };
-    rows.iter()
-        .filter(|row| row.get("echo") == Some(request))
-        .filter_map(counter)
-        .collect()
+/// All rows, or `None` when one of them has not the columns asked for.
+fn parsed<T>(
+    rows: &[tokio_postgres::SimpleQueryRow],
+    parse: fn(&tokio_postgres::SimpleQueryRow) -> Option<T>,
+) -> Option<Vec<T>> {
+    rows.iter().map(parse).collect()
+}
+
+fn own_row(row: &tokio_postgres::SimpleQueryRow) -> Option<verdict::Own> {
+    Some(verdict::Own {
+        echo: text(row, "echo")?.into(),
+        caller: text(row, "caller")?.into(),
+        sequence: text(row, "sequence")?.parse().ok()?,
+    })
+}
+
+fn counter(row: &tokio_postgres::SimpleQueryRow) -> Option<verdict::Counter> {
+    Some(verdict::Counter {
+        echo: text(row, "echo")?.into(),
+        item: text(row, "item")?.parse().ok()?,
+        taken: text(row, "taken")?.parse().ok()?,
+    })
+}
+
+fn text<'a>(row: &'a tokio_postgres::SimpleQueryRow, column: &str) -> Option<&'a str> {
+    row.try_get(column).ok().flatten()
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod note;
 pub mod platform;
 pub mod profile;
+pub mod query;
 pub mod run;
-pub mod statement;
+pub mod verdict;
 pub mod workload;
--- a/lab/src/statement.rs
+++ b/lab/src/query.rs
@@ -52,8 +52,8 @@
     /// the commit is not idempotent.
     ///
     /// ```
-    /// use mangotray_lab::{ledger, profile, statement};
-    /// let booking = statement::Booking {
+    /// use mangotray_lab::{ledger, profile, query};
+    /// let booking = query::Booking {
     ///     key: ledger::key("a", 1),
     ///     caller: "a".into(),
     ///     sequence: 1,
--- /dev/null
+++ b/lab/src/verdict.rs
@@ -0,0 +1,117 @@
+//! Judges the answer to one read.
+
+use std::collections;
+
+use compact_str::CompactString;
+
+use crate::ledger;
+use crate::profile;
+
+/// What is wrong with an answer; nothing, when it is as it has to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// It belongs to another request or another caller, or is incomplete.
+    pub foreign: bool,
+    /// It misses a write that it had to contain.
+    pub stale: bool,
+}
+
+/// Row of a read of the caller's own writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Marker of the request that it answers.
+    pub echo: CompactString,
+    /// Caller that it belongs to.
+    pub caller: CompactString,
+    /// Number of the write among the caller's.
+    pub sequence: u32,
+}
+
+/// Row of a read that counts the writes to an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Counter {
+    /// Marker of the request that it answers.
+    pub echo: CompactString,
+    /// Item that it counts.
+    pub item: ledger::Item,
+    /// Writes counted.
+    pub taken: usize,
+}
+
+impl Verdict {
+    /// An answer whose rows do not even have the columns asked for.
+    pub const FOREIGN: Self = Self {
+        foreign: true,
+        stale: false,
+    };
+
+    /// Judges a caller's read of its own writes; `confirmed` holds the sequence
+    /// numbers that were confirmed before it was sent, in the range asked for.
+    ///
+    /// ```
+    /// use mangotray_lab::verdict::{Own, Verdict};
+    /// let row = Own { echo: "r".into(), caller: "a".into(), sequence: 1 };
+    /// assert_eq!(Verdict::own(&[row], "r", "a", [1]), Verdict::default());
+    /// assert!(Verdict::own(&[], "r", "a", [1]).stale);
+    /// ```
+    #[must_use]
+    pub fn own(
+        rows: &[Own],
+        request: &str,
+        caller: &str,
+        confirmed: impl IntoIterator<Item = u32>,
+    ) -> Self {
+        let seen: collections::BTreeSet<_> = rows.iter().map(|row| row.sequence).collect();
+        Self {
+            foreign: rows
+                .iter()
+                .any(|row| row.echo != request || row.caller != caller),
+            stale: confirmed.into_iter().any(|number| !seen.contains(&number)),
+        }
+    }
+
+    /// Judges a read of one item's counter, which must count at least `confirmed` writes.
+    ///
+    /// ```
+    /// use mangotray_lab::verdict::{Counter, Verdict};
+    /// let row = Counter { echo: "r".into(), item: 3, taken: 5 };
+    /// assert!(Verdict::detail(&[row], "r", 3, 6).stale);
+    /// ```
+    #[must_use]
+    pub fn detail(rows: &[Counter], request: &str, item: ledger::Item, confirmed: usize) -> Self {
+        let [row] = rows else {
+            return Self::FOREIGN;
+        };
+        Self {
+            foreign: row.echo != request || row.item != item,
+            stale: row.taken < confirmed,
+        }
+    }
+
+    /// Judges a read of all items; `confirmed` gives the writes to an item that the
+    /// read had to count, those confirmed longer ago than the age rule allows.
+    ///
+    /// ```
+    /// use mangotray_lab::verdict::Verdict;
+    /// assert!(Verdict::list(&[], "r", |_| 0).foreign, "an incomplete answer");
+    /// ```
+    #[must_use]
+    pub fn list(
+        rows: &[Counter],
+        request: &str,
+        confirmed: impl Fn(ledger::Item) -> usize,
+    ) -> Self {
+        let items = rows.iter().map(|row| row.item);
+        let complete = items.eq(profile::PROBER_ITEM..=profile::ITEMS);
+        if !complete || rows.iter().any(|row| row.echo != request) {
+            return Self::FOREIGN;
+        }
+        Self {
+            foreign: false,
+            stale: rows.iter().any(|row| row.taken < confirmed(row.item)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
