Serve status and metrics over HTTP

Cause: operators could not see what a proxy knows. The endpoint is read-only; it bounds its connections and the time for a request's head, as a silent client would otherwise make a healthy proxy look hung.

Figures: the status fetched equals the one given; wrong paths, wrong methods and a silent peer end in errors (3 tests).

--- /dev/null
+++ b/src/admin/server.rs
@@ -0,0 +1,177 @@
+//! Serves the endpoint.
+
+use std::convert;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use http_body_util::Full;
+use hyper::body;
+use hyper::header;
+use hyper::service;
+
+use crate::admin;
+use crate::telemetry;
+
+/// Connections served at once; more wait, so that scrapers cannot use up file descriptors.
+const CONNECTIONS: usize = 32;
+
+/// Time for a client to send its request's head. A client that connects and stays silent
+/// would otherwise hold one of the few connections for ever; operators would see the
+/// endpoint hang on a healthy proxy.
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Pause after a failed accept, which mostly means that file descriptors ran out.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+const TEXT: &str = "text/plain; charset=utf-8";
+const METRICS: &str = "text/plain; version=0.0.4; charset=utf-8";
+const JSON: &str = "application/json";
+
+type Answer = hyper::Response<Full<body::Bytes>>;
+
+/// A bound endpoint.
+pub struct Server {
+    listener: async_net::TcpListener,
+    handler: sync::Arc<Handler>,
+}
+
+struct Handler {
+    source: sync::Arc<dyn admin::Source>,
+    metrics: telemetry::Handle,
+}
+
+impl Server {
+    /// Binds the endpoint; port 0 takes any free port.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    ///
+    /// ```
+    /// use mangotray::{admin, telemetry};
+    /// use std::sync;
+    /// struct Idle;
+    /// impl admin::Source for Idle {
+    ///     fn status(&self) -> admin::Status {
+    ///         admin::Status::default()
+    ///     }
+    /// }
+    /// let address = "127.0.0.1:0".parse().unwrap();
+    /// let metrics = telemetry::Handle::install();
+    /// let server = admin::Server::bind(address, sync::Arc::new(Idle), metrics);
+    /// assert!(futures_lite::future::block_on(server).is_ok());
+    /// ```
+    pub async fn bind(
+        address: net::SocketAddr,
+        source: sync::Arc<dyn admin::Source>,
+        metrics: telemetry::Handle,
+    ) -> io::Result<Self> {
+        let listener = async_net::TcpListener::bind(address).await?;
+        let handler = sync::Arc::new(Handler { source, metrics });
+        Ok(Self { listener, handler })
+    }
+
+    /// Address that was bound.
+    ///
+    /// # Errors
+    /// When the system cannot tell it.
+    ///
+    /// ```
+    /// # use mangotray::{admin, telemetry};
+    /// # struct Idle;
+    /// # impl admin::Source for Idle {
+    /// #     fn status(&self) -> admin::Status { admin::Status::default() }
+    /// # }
+    /// # let address = "127.0.0.1:0".parse().unwrap();
+    /// # let source = std::sync::Arc::new(Idle);
+    /// # let server = admin::Server::bind(address, source, telemetry::Handle::install());
+    /// # let server = futures_lite::future::block_on(server).unwrap();
+    /// assert_ne!(server.address().unwrap().port(), 0);
+    /// ```
+    pub fn address(&self) -> io::Result<net::SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until the future is dropped; each connection is a task of `executor`.
+    pub async fn run(self, executor: sync::Arc<async_executor::Executor<'static>>) {
+        let slots = sync::Arc::new(async_lock::Semaphore::new(CONNECTIONS));
+        loop {
+            let slot = slots.acquire_arc().await;
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let handler = self.handler.clone();
+                    executor
+                        .spawn(async move {
+                            serve(stream, handler).await;
+                            drop(slot);
+                        })
+                        .detach();
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "admin connection not accepted");
+                    async_io::Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve(stream: async_net::TcpStream, handler: sync::Arc<Handler>) {
+    let service = service::service_fn(|request: hyper::Request<body::Incoming>| {
+        let answer = handler.answer(request.method(), request.uri().path());
+        async move { Ok::<_, convert::Infallible>(answer) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(smol_hyper::rt::SmolTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(smol_hyper::rt::FuturesIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(%error, "admin connection ended");
+    }
+}
+
+impl Handler {
+    fn answer(&self, method: &hyper::Method, path: &str) -> Answer {
+        if method != hyper::Method::GET {
+            return answer(hyper::StatusCode::METHOD_NOT_ALLOWED, TEXT, "GET only\n");
+        }
+        match path {
+            "/metrics" => answer(hyper::StatusCode::OK, METRICS, self.metrics.render()),
+            "/status" => self.status(),
+            "/healthz" => self.health(),
+            _ => answer(
+                hyper::StatusCode::NOT_FOUND,
+                TEXT,
+                "try /status, /metrics or /healthz\n",
+            ),
+        }
+    }
+
+    fn status(&self) -> Answer {
+        match serde_json::to_vec(&self.source.status()) {
+            Ok(json) => answer(hyper::StatusCode::OK, JSON, json),
+            Err(error) => {
+                let code = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+                answer(code, TEXT, format!("{error}\n"))
+            }
+        }
+    }
+
+    fn health(&self) -> Answer {
+        if self.source.status().draining {
+            answer(hyper::StatusCode::SERVICE_UNAVAILABLE, TEXT, "draining\n")
+        } else {
+            answer(hyper::StatusCode::OK, TEXT, "ok\n")
+        }
+    }
+}
+
+fn answer(code: hyper::StatusCode, kind: &'static str, body: impl Into<body::Bytes>) -> Answer {
+    let mut answer = hyper::Response::new(Full::new(body.into()));
+    *answer.status_mut() = code;
+    let kind = header::HeaderValue::from_static(kind);
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
--- /dev/null
+++ b/src/admin/tests.rs
@@ -0,0 +1,98 @@
+use std::sync;
+use std::time;
+
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future;
+
+use crate::admin;
+use crate::telemetry;
+
+const PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+struct Fixed(admin::Status);
+
+impl admin::Source for Fixed {
+    fn status(&self) -> admin::Status {
+        self.0.clone()
+    }
+}
+
+fn status() -> admin::Status {
+    let instance = admin::Instance {
+        name: "a".into(),
+        lag_records: Some(4),
+        ..admin::Instance::default()
+    };
+    admin::Status {
+        vm: "entry-1".into(),
+        draining: true,
+        groups: vec![admin::Group {
+            instances: vec![instance],
+            ..admin::Group::default()
+        }],
+        ..admin::Status::default()
+    }
+}
+
+/// Runs a client against a served endpoint.
+fn with<T>(client: impl AsyncFnOnce(std::net::SocketAddr) -> T) -> T {
+    let executor = sync::Arc::new(async_executor::Executor::new());
+    let source = sync::Arc::new(Fixed(status()));
+    future::block_on(executor.run(async {
+        let address = "127.0.0.1:0".parse().unwrap();
+        let metrics = telemetry::Handle::install();
+        let server = admin::Server::bind(address, source, metrics).await.unwrap();
+        let address = server.address().unwrap();
+        let task = executor.spawn(server.run(executor.clone()));
+        let answer = client(address).await;
+        task.cancel().await;
+        answer
+    }))
+}
+
+async fn raw(address: std::net::SocketAddr, request: &str) -> String {
+    let mut stream = async_net::TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+#[test]
+fn a_status_arrives_as_it_was_given() {
+    let fetched = with(async |address| admin::fetch(address, PATIENCE).await);
+    assert_eq!(fetched.unwrap(), status());
+}
+
+#[test]
+fn metrics_health_and_wrong_requests_are_answered() {
+    let cases = [
+        ("GET /healthz", "HTTP/1.1 503", "draining"),
+        ("GET /metrics", "HTTP/1.1 200", "test_scraped 7"),
+        ("GET /other", "HTTP/1.1 404", "/status"),
+        ("POST /status", "HTTP/1.1 405", "GET only"),
+    ];
+    with(async |address| {
+        metrics::gauge!("test_scraped").set(7.0);
+        for (request, code, words) in cases {
+            let head = format!("{request} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+            let answer = raw(address, &head).await;
+            assert!(answer.starts_with(code), "{request}: {answer}");
+            assert!(answer.contains(words), "{request}: {answer}");
+        }
+    });
+}
+
+// Symptom: `mangotray status` hangs. Events: the admin address belongs to a process that
+// accepts connections and says nothing. Cause: a fetch without a timeout.
+#[test]
+fn a_silent_peer_ends_in_an_error() {
+    let error = future::block_on(async {
+        let listener = async_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        admin::fetch(address, time::Duration::from_millis(20)).await
+    });
+    let words = format!("{:#}", error.unwrap_err());
+    assert!(words.contains("no answer within 20ms"), "{words}");
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -88,10 +88,7 @@
     }
 
     fn build() -> Self {
-        let recorder = buckets(FAILOVER_GAP, &GAP_BUCKETS)
-            .and_then(|builder| with_buckets(builder, REQUEST_TIME, &REQUEST_BUCKETS))
-            .expect("bucket lists are not empty")
-            .build_recorder();
+        let recorder = recorder();
         let prometheus = recorder.handle();
         metrics::set_global_recorder(recorder).expect("no other recorder is installed");
         describe();
@@ -102,8 +99,11 @@
 type Builder = metrics_exporter_prometheus::PrometheusBuilder;
 type Built = Result<Builder, metrics_exporter_prometheus::BuildError>;
 
-fn buckets(name: &str, values: &[f64]) -> Built {
-    with_buckets(Builder::new(), name, values)
+fn recorder() -> metrics_exporter_prometheus::PrometheusRecorder {
+    with_buckets(Builder::new(), FAILOVER_GAP, &GAP_BUCKETS)
+        .and_then(|builder| with_buckets(builder, REQUEST_TIME, &REQUEST_BUCKETS))
+        .expect("bucket lists are not empty")
+        .build_recorder()
 }
 
 fn with_buckets(builder: Builder, name: &str, values: &[f64]) -> Built {
