Forward sessions between proxies over tarpc

A caller may reach any proxy, but only a few hold connections to a group. An entry therefore forwards each session to a member of the group's serving set over a few multiplexed connections; the same connections carry news.

Whether a batch can still run is settled exactly: a mark in the message turns to "written" when it is encoded, and a message whose sender has given up refuses to be encoded. So "not run" is said only of what never left, a write that left without an answer is unknown, and reads go on to the next member. A session is opened, found or closed in the order of arrival, and its run is a task of its own, so a broken connection cannot cut a write off half way.

The codec is postcard inside tokio-util's framing, without tokio-serde: the end of the stream has to be an error, so that a vanished peer ends its sessions at once, and one copy of each message is saved.

--- /dev/null
+++ b/src/accept.rs
@@ -0,0 +1,247 @@
+//! Serving side of the connections between proxies.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_compat::CompatExt;
+use futures_lite::future;
+use futures_util::stream::StreamExt;
+use tarpc::server::Channel;
+
+use crate::clock;
+use crate::hello;
+use crate::lane;
+use crate::outcome;
+use crate::packet;
+use crate::peer;
+use crate::reason;
+use crate::reply;
+use crate::wire;
+
+/// A connection from which nothing came for so long is given up. Its client pings
+/// several times in that span, so only a dead or cut-off client stays silent; its
+/// open transactions would otherwise hold their locks and connections for ever.
+pub const IDLE: time::Duration = time::Duration::from_secs(10);
+
+/// Most sessions that one connection may hold.
+const SESSIONS: usize = 65_536;
+
+/// Bytes that a frame takes at most besides its body, and a reply besides its frames.
+const OVERHEAD: usize = 256;
+
+/// Answers that wait to be written on one connection.
+const PENDING: usize = 1024;
+
+type Transport =
+    hello::Framed<tarpc::ClientMessage<peer::PeerRequest>, tarpc::Response<peer::PeerResponse>>;
+
+/// Accepts peers and runs their work on this proxy's own lanes.
+pub struct Server {
+    /// The rest of the proxy.
+    pub handler: sync::Arc<dyn peer::Handler>,
+    /// Clock that received deadlines are counted on.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Where requests run.
+    pub executor: sync::Arc<async_executor::Executor<'static>>,
+    /// Greeting that a peer must match.
+    pub hello: hello::Hello,
+}
+
+impl Server {
+    /// Serves one connection until it ends; its sessions end with it.
+    ///
+    /// # Errors
+    /// When the other side is not a peer of this system, or the stream breaks.
+    pub async fn serve(&self, stream: Box<dyn wire::Duplex>) -> io::Result<()> {
+        let transport = self.hello.answer(stream).await?;
+        let heard = atomic::AtomicBool::new(true);
+        let work = self.answer(transport, &heard);
+        future::or(work, silence(&heard)).compat().await
+    }
+
+    async fn answer(&self, transport: Transport, heard: &atomic::AtomicBool) -> io::Result<()> {
+        let config = tarpc::server::Config {
+            pending_response_buffer: PENDING,
+        };
+        let channel = tarpc::server::BaseChannel::new(config, transport);
+        let mut requests = Box::pin(channel.requests());
+        let service = self.service();
+        while let Some(request) = requests.next().await {
+            let request = request.map_err(|error| io::Error::other(error.to_string()))?;
+            heard.store(true, atomic::Ordering::Relaxed);
+            let serve = peer::Peer::serve(service.clone());
+            self.start(request.execute(serve)).await;
+        }
+        Ok(())
+    }
+
+    /// Polls a request once in its order of arrival before it runs beside others: a
+    /// session is opened, found or closed in that first step, so a "close" cannot
+    /// overtake the run that opens the session and leave it behind without an owner.
+    async fn start(&self, request: impl Future<Output = ()> + Send + 'static) {
+        let mut request = Box::pin(request);
+        if future::poll_once(&mut request).await.is_none() {
+            self.executor.spawn(request).detach();
+        }
+    }
+
+    fn service(&self) -> Service {
+        Service(sync::Arc::new(Connection {
+            handler: self.handler.clone(),
+            clock: self.clock.clone(),
+            executor: self.executor.clone(),
+            sessions: sync::Mutex::default(),
+        }))
+    }
+}
+
+async fn silence(heard: &atomic::AtomicBool) -> io::Result<()> {
+    while heard.swap(false, atomic::Ordering::Relaxed) {
+        async_io::Timer::after(IDLE).await;
+    }
+    Err(io::ErrorKind::TimedOut.into())
+}
+
+struct Connection {
+    handler: sync::Arc<dyn peer::Handler>,
+    clock: sync::Arc<dyn clock::Clock>,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    sessions: sync::Mutex<HashMap<peer::Session, sync::Arc<Session>>>,
+}
+
+impl Connection {
+    fn session(&self, run: &peer::Run) -> Result<sync::Arc<Session>, outcome::Outcome> {
+        let mut sessions = self.sessions.lock().expect("no panic while locked");
+        if let Some(session) = sessions.get(&run.session) {
+            return Ok(session.clone());
+        }
+        if sessions.len() >= SESSIONS {
+            return Err(refused(reason::Reason::Overload, "too many sessions"));
+        }
+        let database = run.open.as_deref();
+        let database = database.ok_or_else(|| no_server("the session has ended"))?;
+        let lane = self.handler.switch().lane(database);
+        let lane = lane.ok_or_else(|| no_server("the group is not served here"))?;
+        let session = sync::Arc::new(Session::new(lane));
+        sessions.insert(run.session, session.clone());
+        Ok(session)
+    }
+
+    fn close(&self, session: peer::Session) {
+        let mut sessions = self.sessions.lock().expect("no panic while locked");
+        let ended = sessions.remove(&session);
+        drop(sessions);
+        drop(ended);
+    }
+}
+
+struct Session {
+    state: async_lock::Mutex<State>,
+}
+
+struct State {
+    lane: Box<dyn lane::Lane>,
+    last: Option<peer::Sequence>,
+}
+
+impl Session {
+    fn new(lane: Box<dyn lane::Lane>) -> Self {
+        let state = State { lane, last: None };
+        Self {
+            state: async_lock::Mutex::new(state),
+        }
+    }
+
+    async fn run(&self, run: peer::Run, clock: &dyn clock::Clock) -> peer::Answer {
+        let sequence = run.sequence;
+        let batch = run.batch(clock.now());
+        let mut state = self.state.lock().await;
+        if state.last >= Some(sequence) {
+            return Err(repeated());
+        }
+        state.last = Some(sequence);
+        state.lane.run(batch).await.and_then(bounded)
+    }
+}
+
+#[derive(Clone)]
+struct Service(sync::Arc<Connection>);
+
+impl peer::Peer for Service {
+    async fn run(self, _: tarpc::context::Context, run: peer::Run) -> peer::Answer {
+        let session = self.0.session(&run)?;
+        let (sender, receiver) = async_channel::bounded(1);
+        let clock = self.0.clock.clone();
+        // A task of its own, as a request that is cancelled or whose connection
+        // breaks is dropped at any point: a write cut off half way would lose its
+        // confirmation, and with it a connection to the primary.
+        let work = async move {
+            let answer = session.run(run, &*clock).await;
+            sender.send(answer).await.ok();
+        };
+        self.0.executor.spawn(work).detach();
+        receiver.recv().await.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    async fn close(self, _: tarpc::context::Context, session: peer::Session) {
+        self.0.close(session);
+    }
+
+    async fn exchange(self, _: tarpc::context::Context, digest: peer::Digest) -> peer::News {
+        self.0.handler.exchange(digest).await
+    }
+
+    async fn announce(self, _: tarpc::context::Context, news: peer::News) {
+        self.0.handler.announce(news).await;
+    }
+
+    async fn suspects(self, _: tarpc::context::Context, suspect: peer::Suspect) -> bool {
+        self.0.handler.suspects(&suspect)
+    }
+
+    async fn ping(self, _: tarpc::context::Context) {}
+}
+
+/// Keeps an answer back that the connection cannot carry: writing it would fail, and
+/// with it the connection and every other session on it.
+fn bounded(reply: reply::Reply) -> peer::Answer {
+    let frames = reply.frames.iter();
+    let size: usize = frames.map(|frame| frame.body.len() + OVERHEAD).sum();
+    if size + OVERHEAD <= packet::LIMIT {
+        return Ok(reply);
+    }
+    Err(outcome::Outcome::Unknown {
+        reason: reason::Reason::TooLarge,
+        detail: "the request ran, but its answer is too large to relay".into(),
+    })
+}
+
+fn no_server(detail: &str) -> outcome::Outcome {
+    refused(reason::Reason::NoServer, detail)
+}
+
+fn refused(reason: reason::Reason, detail: &str) -> outcome::Outcome {
+    outcome::Outcome::NotRun {
+        reason,
+        detail: detail.into(),
+        retry: None,
+    }
+}
+
+/// Not "not run": the first message of that number may well have run.
+fn repeated() -> outcome::Outcome {
+    outcome::Outcome::Unknown {
+        reason: reason::Reason::ConnectionLost,
+        detail: "the request was received before".into(),
+    }
+}
+
+fn stopped() -> outcome::Outcome {
+    outcome::Outcome::Unknown {
+        reason: reason::Reason::ConnectionLost,
+        detail: "the proxy stopped while the request ran".into(),
+    }
+}
--- /dev/null
+++ b/src/choice/tests.rs
@@ -0,0 +1,45 @@
+use std::time::Duration;
+
+use super::{Choice, Member};
+use crate::endpoint;
+
+const WELL: Member = Member {
+    health: endpoint::Health::WELL,
+    tried: false,
+};
+
+fn ill() -> Member {
+    let mut member = WELL;
+    member.health.fail(Duration::ZERO, 1.0);
+    member
+}
+
+fn tried(member: Member) -> Member {
+    Member {
+        tried: true,
+        ..member
+    }
+}
+
+#[test]
+fn keeps_the_order_of_healthy_members() {
+    assert_eq!(Choice::new(&[WELL, WELL], Duration::ZERO).member, Some(0));
+    let choice = Choice::new(&[tried(WELL), WELL], Duration::ZERO);
+    assert_eq!(choice.member, Some(1));
+}
+
+#[test]
+fn an_open_circuit_is_probed_beside_the_request_once_its_pause_is_over() {
+    let members = [ill(), WELL];
+    assert!(Choice::new(&members, Duration::ZERO).probes.is_empty());
+    let choice = Choice::new(&members, Duration::from_secs(1));
+    assert_eq!((choice.member, choice.probes), (Some(1), vec![0]));
+}
+
+#[test]
+fn without_a_healthy_member_the_first_due_one_is_tried() {
+    let members = [tried(WELL), ill(), ill()];
+    assert_eq!(Choice::new(&members, Duration::ZERO).member, None);
+    let choice = Choice::new(&members, Duration::from_secs(1));
+    assert_eq!((choice.member, choice.probes), (Some(1), vec![2]));
+}
--- /dev/null
+++ b/src/dial.rs
@@ -0,0 +1,229 @@
+//! Calling side of the connections between proxies.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_compat::CompatExt;
+use futures_util::future;
+
+use crate::hello;
+use crate::peer;
+use crate::wire;
+
+/// Longest time for a connection to be made and to pass its greeting.
+pub const TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Pause between two pings.
+pub const PING: time::Duration = time::Duration::from_millis(500);
+
+/// A connection whose ping stays unanswered for so long is given up; a peer that
+/// was cut off without a word would otherwise hold every request to its deadline.
+pub const SILENCE: time::Duration = time::Duration::from_millis(1500);
+
+/// Time beyond the deadline that the answer of a peer is waited for, as an answer
+/// that says what became of the request is better than not knowing.
+pub const GRACE: time::Duration = time::Duration::from_millis(50);
+
+/// Deadline of calls that carry no batch.
+const CALL: time::Duration = time::Duration::from_secs(3);
+
+/// Expiry that `tarpc` itself watches; far behind this module's own, because its
+/// cancellation cannot tell a batch that ran from one that did not.
+const BACKSTOP: time::Duration = time::Duration::from_mins(1);
+
+/// Opens byte streams to peers: plain TCP today, TLS once there are certificates.
+pub trait Connector: Send + Sync {
+    /// Opens a stream to the peer at that address.
+    fn connect(
+        &self,
+        address: net::SocketAddr,
+    ) -> future::BoxFuture<'_, io::Result<Box<dyn wire::Duplex>>>;
+}
+
+/// Plain TCP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Connector for Tcp {
+    fn connect(
+        &self,
+        address: net::SocketAddr,
+    ) -> future::BoxFuture<'_, io::Result<Box<dyn wire::Duplex>>> {
+        Box::pin(async move {
+            let stream = async_net::TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            Ok(Box::new(stream) as Box<dyn wire::Duplex>)
+        })
+    }
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing of it was or ever will be sent.
+    Unsent,
+    /// It was sent, and the connection broke before the answer.
+    Lost,
+    /// It was sent, and no answer came in time.
+    Expired,
+}
+
+/// One multiplexed connection to a peer; carries many sessions at once.
+pub struct Connection {
+    client: peer::PeerClient,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    alive: sync::Arc<atomic::AtomicBool>,
+    sessions: atomic::AtomicU64,
+    _task: async_executor::Task<()>,
+}
+
+impl Connection {
+    /// Greets the peer at the other end of the stream and starts the connection's task.
+    ///
+    /// # Errors
+    /// When the stream breaks or the other end is not a peer of this system.
+    pub async fn open(
+        stream: Box<dyn wire::Duplex>,
+        hello: &hello::Hello,
+        executor: sync::Arc<async_executor::Executor<'static>>,
+    ) -> io::Result<Self> {
+        let transport = hello.ask(stream).await?;
+        let config = tarpc::client::Config::default();
+        let new = peer::PeerClient::new(config, transport);
+        let client = new.client;
+        let alive = sync::Arc::new(atomic::AtomicBool::new(true));
+        let ended = alive.clone();
+        let pings = ping(client.clone());
+        let work = async move {
+            let dispatch = async {
+                let end = new.dispatch.await;
+                end.map_err(|error| io::Error::other(error.to_string()))
+            };
+            let end = futures_lite::future::or(dispatch, pings).await;
+            ended.store(false, atomic::Ordering::Release);
+            tracing::info!(?end, "connection to a peer ended");
+        };
+        Ok(Self {
+            client,
+            _task: executor.spawn(work.compat()),
+            executor,
+            alive,
+            sessions: atomic::AtomicU64::new(0),
+        })
+    }
+
+    /// False once the connection has ended; it never comes back.
+    #[must_use]
+    pub fn alive(&self) -> bool {
+        self.alive.load(atomic::Ordering::Acquire)
+    }
+
+    /// Draws a number for a new session.
+    #[must_use]
+    pub fn session(&self) -> peer::Session {
+        self.sessions.fetch_add(1, atomic::Ordering::Relaxed)
+    }
+
+    /// Runs one batch at the peer.
+    ///
+    /// # Errors
+    /// A failure says whether the batch can still run; the peer's own refusal is
+    /// part of the answer.
+    pub async fn run(&self, run: peer::Run) -> Result<peer::Answer, Failure> {
+        if !self.alive() {
+            return Err(Failure::Unsent);
+        }
+        let mark = run.mark.clone();
+        let patience = run.remaining + GRACE;
+        let call = async {
+            let result = self.client.run(context(patience + BACKSTOP), run).await;
+            result.map_err(|error| match error {
+                tarpc::client::RpcError::Send(_) => Failure::Unsent,
+                _ => settle(&mark, Failure::Lost),
+            })
+        };
+        let expiry = async {
+            async_io::Timer::after(patience).await;
+            Err(settle(&mark, Failure::Expired))
+        };
+        futures_lite::future::or(call, expiry).await
+    }
+
+    /// Ends a session without waiting for it.
+    pub fn close(&self, session: peer::Session) {
+        let client = self.client.clone();
+        let work = async move {
+            client.close(context(CALL), session).await.ok();
+        };
+        self.executor.spawn(work).detach();
+    }
+
+    /// Asks for the peer's news.
+    ///
+    /// # Errors
+    /// When the connection breaks or no answer comes in time.
+    pub async fn exchange(&self, digest: peer::Digest) -> Result<peer::News, Failure> {
+        bounded(self.client.exchange(context(CALL), digest)).await
+    }
+
+    /// Pushes news to the peer.
+    ///
+    /// # Errors
+    /// When the connection breaks or no answer comes in time.
+    pub async fn announce(&self, news: peer::News) -> Result<(), Failure> {
+        bounded(self.client.announce(context(CALL), news)).await
+    }
+
+    /// Asks whether the peer, too, sees that primary as failed.
+    ///
+    /// # Errors
+    /// When the connection breaks or no answer comes in time.
+    pub async fn suspects(&self, suspect: peer::Suspect) -> Result<bool, Failure> {
+        bounded(self.client.suspects(context(CALL), suspect)).await
+    }
+}
+
+fn settle(mark: &peer::Mark, sent: Failure) -> Failure {
+    if mark.abandon() {
+        Failure::Unsent
+    } else {
+        sent
+    }
+}
+
+async fn bounded<T>(
+    call: impl Future<Output = Result<T, tarpc::client::RpcError>>,
+) -> Result<T, Failure> {
+    let call = async { call.await.map_err(|_| Failure::Lost) };
+    let expiry = async {
+        async_io::Timer::after(CALL).await;
+        Err(Failure::Expired)
+    };
+    futures_lite::future::or(call, expiry).await
+}
+
+async fn ping(client: peer::PeerClient) -> io::Result<()> {
+    loop {
+        async_io::Timer::after(PING).await;
+        let call = async {
+            client
+                .ping(context(SILENCE))
+                .await
+                .map_err(io::Error::other)
+        };
+        let expiry = async {
+            async_io::Timer::after(SILENCE).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        futures_lite::future::or(call, expiry).await?;
+    }
+}
+
+fn context(deadline: time::Duration) -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = time::Instant::now() + deadline;
+    context
+}
--- /dev/null
+++ b/src/hello.rs
@@ -0,0 +1,130 @@
+//! First messages on a connection between proxies: is this a peer of the same system?
+
+use std::io;
+use std::time;
+
+use compact_str::CompactString;
+use futures_lite::future;
+use futures_util::sink::SinkExt;
+use futures_util::stream::StreamExt;
+use tokio_util::codec;
+use tokio_util::compat;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::packet;
+use crate::wire;
+
+/// Version of the protocol between proxies; both sides must speak the same.
+pub const VERSION: u32 = 1;
+
+const MAGIC: [u8; 8] = *b"mangtray";
+const LIMIT: usize = 1024;
+const TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// What each side says first: the client asks, the server answers with its own.
+///
+/// Without it a stray client, or a proxy of another installation that was given a
+/// reused address, could run statements or spread a foreign configuration.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Hello {
+    magic: [u8; 8],
+    version: u32,
+    key: CompactString,
+}
+
+/// A byte stream that has passed the exchange of greetings.
+pub type Framed<In, Out> =
+    codec::Framed<compat::Compat<Box<dyn wire::Duplex>>, packet::Codec<In, Out>>;
+
+impl Hello {
+    /// A greeting with the key that all proxies of one installation share.
+    ///
+    /// ```
+    /// use mangotray::hello;
+    /// let hello = hello::Hello::new("secret");
+    /// assert!(hello.accepts(&hello::Hello::new("secret")));
+    /// assert!(!hello.accepts(&hello::Hello::new("other")));
+    /// ```
+    #[must_use]
+    pub fn new(key: &str) -> Self {
+        Self {
+            magic: MAGIC,
+            version: VERSION,
+            key: key.into(),
+        }
+    }
+
+    /// Whether a peer that says `other` belongs to the same system.
+    #[must_use]
+    pub fn accepts(&self, other: &Self) -> bool {
+        self.magic == other.magic
+            && self.version == other.version
+            && same(self.key.as_bytes(), other.key.as_bytes())
+    }
+
+    /// Greets as the client.
+    ///
+    /// # Errors
+    /// When the stream breaks, stays silent, or the other side is not a peer.
+    pub async fn ask<In, Out>(&self, stream: Box<dyn wire::Duplex>) -> io::Result<Framed<In, Out>> {
+        let exchange = async {
+            let mut framed = framed(stream);
+            framed.send(self.clone()).await?;
+            self.check(&mut framed).await?;
+            Ok(framed)
+        };
+        bounded(exchange).await.map(established)
+    }
+
+    /// Greets as the server; a stream that is refused gets no answer at all.
+    ///
+    /// # Errors
+    /// When the stream breaks, stays silent, or the other side is not a peer.
+    pub async fn answer<In, Out>(
+        &self,
+        stream: Box<dyn wire::Duplex>,
+    ) -> io::Result<Framed<In, Out>> {
+        let exchange = async {
+            let mut framed = framed(stream);
+            self.check(&mut framed).await?;
+            framed.send(self.clone()).await?;
+            Ok(framed)
+        };
+        bounded(exchange).await.map(established)
+    }
+
+    async fn check(&self, framed: &mut Framed<Self, Self>) -> io::Result<()> {
+        let other = framed.next().await;
+        let other = other.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))?;
+        if self.accepts(&other) {
+            return Ok(());
+        }
+        Err(io::Error::new(
+            io::ErrorKind::PermissionDenied,
+            "not a peer of this system",
+        ))
+    }
+}
+
+/// Compares in a time that does not depend on where the texts differ, so the key
+/// cannot be found byte by byte.
+fn same(left: &[u8], right: &[u8]) -> bool {
+    let differences = left.iter().zip(right).fold(0, |sum, (a, b)| sum | (a ^ b));
+    left.len() == right.len() && differences == 0
+}
+
+fn framed(stream: Box<dyn wire::Duplex>) -> Framed<Hello, Hello> {
+    codec::Framed::new(stream.compat(), packet::Codec::new(LIMIT))
+}
+
+fn established<In, Out>(framed: Framed<Hello, Hello>) -> Framed<In, Out> {
+    framed.map_codec(|_| packet::Codec::new(packet::LIMIT))
+}
+
+async fn bounded<T>(exchange: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let expiry = async {
+        async_io::Timer::after(TIMEOUT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(exchange, expiry).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The modules are a line of filters from the caller to the upstream; decisions are
 //! plain functions of state, event and time, apart from sockets.
 
+pub mod accept;
 pub mod admin;
 pub mod admission;
 pub mod apply;
@@ -12,6 +13,7 @@
 pub mod cancel;
 pub mod catalog;
 pub mod change;
+pub mod choice;
 pub mod class;
 pub mod classify;
 pub mod cli;
@@ -21,12 +23,15 @@
 pub mod database;
 pub mod declaration;
 pub mod detect;
+pub mod dial;
 pub mod document;
+pub mod endpoint;
 pub mod exit;
 pub mod fault;
 pub mod forward;
 pub mod frame;
 pub mod group;
+pub mod hello;
 pub mod id;
 pub mod lane;
 pub mod link;
@@ -34,6 +39,7 @@
 pub mod local;
 pub mod member;
 pub mod outcome;
+pub mod packet;
 pub mod peer;
 pub mod placement;
 pub mod platform;
--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,690 @@
+//! Forwarding between two proxies over real sockets, each with its own executor.
+
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use async_executor::{Executor, Task};
+use futures_lite::future;
+use futures_util::future::BoxFuture;
+use mangotray::clock::Clock;
+use mangotray::lane::{Lane, Switch};
+use mangotray::outcome::Outcome;
+use mangotray::reason::Reason;
+use mangotray::{
+    accept, batch, class, clock, dial, endpoint, forward, frame, hello, peer, reply, transaction,
+};
+
+const KEY: &str = "key of the installation";
+const GENEROUS: Duration = Duration::from_secs(20);
+const LARGE: usize = 8 * 1024 * 1024;
+const TOO_LARGE: usize = 65 * 1024 * 1024;
+
+/// What a served group did, counted where it was done.
+struct Upstream {
+    name: &'static str,
+    ran: sync::Mutex<Vec<String>>,
+    lanes: atomic::AtomicUsize,
+    started: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    rolled_back: (async_channel::Sender<()>, async_channel::Receiver<()>),
+}
+
+impl Upstream {
+    fn new(name: &'static str) -> sync::Arc<Self> {
+        sync::Arc::new(Self {
+            name,
+            ran: sync::Mutex::default(),
+            lanes: atomic::AtomicUsize::new(0),
+            started: async_channel::unbounded(),
+            rolled_back: async_channel::unbounded(),
+        })
+    }
+
+    fn ran(&self) -> Vec<String> {
+        self.ran.lock().unwrap().clone()
+    }
+}
+
+struct Session {
+    upstream: sync::Arc<Upstream>,
+    transaction: transaction::State,
+}
+
+impl Session {
+    async fn answer(&mut self, batch: batch::Batch) -> peer::Answer {
+        let text = String::from_utf8(batch.frames[0].body.to_vec()).unwrap();
+        self.upstream.ran.lock().unwrap().push(text.clone());
+        let mut body = bytes::Bytes::from(self.upstream.name);
+        match text.as_str() {
+            "hang" => {
+                self.upstream.started.0.send(()).await.unwrap();
+                future::pending::<()>().await;
+            }
+            "large" => body = vec![7; LARGE].into(),
+            "too large" => body = vec![7; TOO_LARGE].into(),
+            _ => {}
+        }
+        match batch.class {
+            class::Class::Begin => self.transaction = transaction::State::Open,
+            class::Class::Commit | class::Class::Rollback => {
+                self.transaction = transaction::State::Idle;
+            }
+            _ => {}
+        }
+        Ok(reply::Reply {
+            frames: vec![frame::Frame { tag: b'D', body }],
+            transaction: self.transaction,
+            stamp: None,
+            error: None,
+        })
+    }
+}
+
+impl Lane for Session {
+    fn run(&mut self, batch: batch::Batch) -> BoxFuture<'_, peer::Answer> {
+        Box::pin(self.answer(batch))
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        if self.transaction != transaction::State::Idle {
+            self.upstream.rolled_back.0.try_send(()).unwrap();
+        }
+    }
+}
+
+struct Local(sync::Arc<Upstream>);
+
+impl Switch for Local {
+    fn lane(&self, database: &str) -> Option<Box<dyn Lane>> {
+        self.0.lanes.fetch_add(1, atomic::Ordering::Relaxed);
+        (database == "shows").then(|| {
+            Box::new(Session {
+                upstream: self.0.clone(),
+                transaction: transaction::State::Idle,
+            }) as Box<dyn Lane>
+        })
+    }
+
+    fn deadline(&self, _: &str) -> Duration {
+        GENEROUS
+    }
+}
+
+struct Handler {
+    switch: sync::Arc<Local>,
+    announced: sync::Mutex<Vec<peer::News>>,
+}
+
+impl peer::Handler for Handler {
+    fn switch(&self) -> sync::Arc<dyn Switch> {
+        self.switch.clone()
+    }
+
+    fn exchange(&self, digest: peer::Digest) -> BoxFuture<'_, peer::News> {
+        Box::pin(async move { news(digest.revision + 1) })
+    }
+
+    fn announce(&self, news: peer::News) -> BoxFuture<'_, ()> {
+        self.announced.lock().unwrap().push(news);
+        Box::pin(future::ready(()))
+    }
+
+    fn suspects(&self, suspect: &peer::Suspect) -> bool {
+        suspect.term == 4
+    }
+}
+
+fn news(revision: u64) -> peer::News {
+    peer::News {
+        vm: "entry-1".into(),
+        incarnation: 11,
+        revision,
+        text: Some("{}".into()),
+        primaries: vec![peer::Primary {
+            group: "dome-sched-1".into(),
+            instance: 2,
+            term: 5,
+        }],
+        store_reachable: false,
+        suspects: vec![],
+    }
+}
+
+/// An executor with a thread of its own.
+fn executor() -> sync::Arc<Executor<'static>> {
+    let executor = sync::Arc::new(Executor::new());
+    let runner = executor.clone();
+    thread::spawn(move || async_io::block_on(runner.run(future::pending::<()>())));
+    executor
+}
+
+/// A serving proxy that can be killed.
+struct Proxy {
+    address: net::SocketAddr,
+    upstream: sync::Arc<Upstream>,
+    handler: sync::Arc<Handler>,
+    tasks: sync::Arc<sync::Mutex<Vec<Task<()>>>>,
+}
+
+impl Proxy {
+    fn start(name: &'static str) -> Self {
+        let executor = executor();
+        let upstream = Upstream::new(name);
+        let handler = sync::Arc::new(Handler {
+            switch: sync::Arc::new(Local(upstream.clone())),
+            announced: sync::Mutex::default(),
+        });
+        let server = sync::Arc::new(accept::Server {
+            handler: handler.clone(),
+            clock: sync::Arc::new(clock::Monotonic::new()),
+            executor: executor.clone(),
+            hello: hello::Hello::new(KEY),
+        });
+        let bind = async_net::TcpListener::bind("127.0.0.1:0");
+        let listener = future::block_on(bind).unwrap();
+        let address = listener.local_addr().unwrap();
+        let tasks = sync::Arc::new(sync::Mutex::new(Vec::new()));
+        let connections = tasks.clone();
+        let spawner = executor.clone();
+        let listen = async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let server = server.clone();
+                let serve = async move {
+                    server.serve(Box::new(stream)).await.ok();
+                };
+                connections.lock().unwrap().push(spawner.spawn(serve));
+            }
+        };
+        tasks.lock().unwrap().push(executor.spawn(listen));
+        Self {
+            address,
+            upstream,
+            handler,
+            tasks,
+        }
+    }
+
+    async fn kill(&self) {
+        let tasks: Vec<_> = self.tasks.lock().unwrap().drain(..).collect();
+        for task in tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+/// A serving set that a test can change.
+#[derive(Default)]
+struct Set(sync::Mutex<Vec<forward::Member>>);
+
+impl Set {
+    fn new(addresses: &[net::SocketAddr]) -> sync::Arc<Self> {
+        let set = sync::Arc::new(Self::default());
+        set.change(addresses);
+        set
+    }
+
+    fn change(&self, addresses: &[net::SocketAddr]) {
+        let member = |address: &net::SocketAddr| forward::Member {
+            vm: "entry".into(),
+            address: *address,
+        };
+        *self.0.lock().unwrap() = addresses.iter().map(member).collect();
+    }
+}
+
+impl forward::Directory for Set {
+    fn members(&self, _: &str) -> Vec<forward::Member> {
+        self.0.lock().unwrap().clone()
+    }
+}
+
+/// A proxy that forwards.
+struct Entry {
+    clock: sync::Arc<clock::Monotonic>,
+    pool: sync::Arc<forward::Pool>,
+    executor: sync::Arc<Executor<'static>>,
+}
+
+impl Entry {
+    fn start(key: &str) -> Self {
+        let clock = sync::Arc::new(clock::Monotonic::new());
+        let executor = executor();
+        let pool = forward::Pool::new(endpoint::Means {
+            connector: Box::new(dial::Tcp),
+            hello: hello::Hello::new(key),
+            executor: executor.clone(),
+            clock: clock.clone(),
+        });
+        Self {
+            clock,
+            pool: sync::Arc::new(pool),
+            executor,
+        }
+    }
+
+    fn lane(&self, set: &sync::Arc<Set>, database: &str) -> forward::Lane {
+        forward::Lane::new(self.pool.clone(), set.clone(), database)
+    }
+
+    fn batch(&self, class: class::Class, text: &str, patience: Duration) -> batch::Batch {
+        let now = self.clock.now();
+        batch::Batch {
+            request: 1,
+            frames: vec![frame::Frame {
+                tag: b'Q',
+                body: text.to_owned().into(),
+            }],
+            class,
+            tables: vec![],
+            token: None,
+            arrived: now,
+            deadline: now + patience,
+        }
+    }
+
+    async fn run(&self, lane: &mut forward::Lane, class: class::Class, text: &str) -> peer::Answer {
+        lane.run(self.batch(class, text, GENEROUS)).await
+    }
+
+    async fn connection(&self, address: net::SocketAddr) -> dial::Connection {
+        let stream = dial::Connector::connect(&dial::Tcp, address).await.unwrap();
+        let hello = hello::Hello::new(KEY);
+        dial::Connection::open(stream, &hello, self.executor.clone())
+            .await
+            .unwrap()
+    }
+}
+
+fn text(answer: &peer::Answer) -> &[u8] {
+    &answer.as_ref().unwrap().frames[0].body
+}
+
+/// An address where nothing listens.
+fn vacant() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[test]
+fn a_session_opens_runs_and_closes() {
+    future::block_on(async {
+        let (entry, proxy) = (Entry::start(KEY), Proxy::start("a"));
+        let set = Set::new(&[proxy.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let answer = entry.run(&mut lane, class::Class::Begin, "BEGIN").await;
+        assert_eq!(text(&answer), b"a");
+        assert_eq!(answer.unwrap().transaction, transaction::State::Open);
+        entry
+            .run(&mut lane, class::Class::Write, "INSERT")
+            .await
+            .unwrap();
+        assert_eq!(proxy.upstream.lanes.load(atomic::Ordering::Relaxed), 1);
+        drop(lane);
+        proxy.upstream.rolled_back.1.recv().await.unwrap();
+        assert_eq!(proxy.upstream.ran(), ["BEGIN", "INSERT"]);
+    });
+}
+
+#[test]
+fn a_group_that_is_not_served_is_not_run() {
+    future::block_on(async {
+        let (entry, proxy) = (Entry::start(KEY), Proxy::start("a"));
+        let set = Set::new(&[proxy.address]);
+        let mut lane = entry.lane(&set, "unheard of");
+        let batch = entry.batch(class::Class::Write, "INSERT", Duration::from_millis(200));
+        let refused = |outcome| {
+            matches!(
+                outcome,
+                Outcome::NotRun {
+                    reason: Reason::NoServer,
+                    ..
+                }
+            )
+        };
+        assert!(refused(lane.run(batch).await.unwrap_err()));
+        assert!(proxy.upstream.ran().is_empty());
+    });
+}
+
+#[test]
+fn an_open_transaction_stays_where_it_is() {
+    // Symptom: statements of one transaction on two proxies.
+    // Events: BEGIN at the first member; the serving set changes its order; INSERT.
+    // Cause: choosing a member for each batch without regard to the transaction.
+    future::block_on(async {
+        let entry = Entry::start(KEY);
+        let (a, b) = (Proxy::start("a"), Proxy::start("b"));
+        let set = Set::new(&[a.address, b.address]);
+        let mut lane = entry.lane(&set, "shows");
+        entry
+            .run(&mut lane, class::Class::Begin, "BEGIN")
+            .await
+            .unwrap();
+        set.change(&[b.address]);
+        for (class, text) in [
+            (class::Class::Write, "INSERT"),
+            (class::Class::Commit, "COMMIT"),
+            (class::Class::Read, "SELECT"),
+        ] {
+            entry.run(&mut lane, class, text).await.unwrap();
+        }
+        assert_eq!(a.upstream.ran(), ["BEGIN", "INSERT", "COMMIT"]);
+        assert_eq!(b.upstream.ran(), ["SELECT"]);
+    });
+}
+
+#[test]
+fn a_member_that_cannot_be_reached_is_passed_over() {
+    // Symptom: a write refused, or run twice, while one member is down.
+    // Events: the first member's process is gone; a write arrives.
+    // Cause: taking "the connection failed" for either answer without knowing
+    // that nothing was sent.
+    future::block_on(async {
+        let (entry, proxy) = (Entry::start(KEY), Proxy::start("b"));
+        let set = Set::new(&[vacant(), proxy.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
+        assert_eq!(text(&answer), b"b");
+        assert_eq!(proxy.upstream.ran(), ["INSERT"]);
+    });
+}
+
+#[test]
+fn a_write_cut_off_after_it_was_sent_is_unknown_and_never_repeated() {
+    // Symptom: a booking made twice.
+    // Events: a write runs at the first member; the member dies before it answers.
+    // Cause: sending a write again whose fate cannot be known.
+    future::block_on(async {
+        let entry = Entry::start(KEY);
+        let (a, b) = (Proxy::start("a"), Proxy::start("b"));
+        let set = Set::new(&[a.address, b.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let killer = async {
+            a.upstream.started.1.recv().await.unwrap();
+            a.kill().await;
+        };
+        let write = entry.run(&mut lane, class::Class::Write, "hang");
+        let (answer, ()) = future::zip(write, killer).await;
+        assert_matches!(
+            answer,
+            Err(Outcome::Unknown {
+                reason: Reason::ConnectionLost,
+                ..
+            })
+        );
+        assert_eq!(a.upstream.ran(), ["hang"]);
+        let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
+        assert_eq!(text(&answer), b"b");
+        assert_eq!(b.upstream.ran(), ["INSERT"]);
+    });
+}
+
+#[test]
+fn a_read_cut_off_after_it_was_sent_runs_elsewhere() {
+    // Symptom: a read fails although another member could answer it.
+    // Events: a read runs at the first member; the member dies before it answers.
+    // Cause: treating reads, which may be repeated, like writes.
+    future::block_on(async {
+        let entry = Entry::start(KEY);
+        let (a, b) = (Proxy::start("a"), Proxy::start("b"));
+        let set = Set::new(&[a.address, b.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let killer = async {
+            a.upstream.started.1.recv().await.unwrap();
+            set.change(&[b.address]);
+            a.kill().await;
+            b.upstream.started.1.recv().await.unwrap();
+        };
+        let read = async {
+            let patience = Duration::from_secs(2);
+            lane.run(entry.batch(class::Class::Read, "hang", patience))
+                .await
+        };
+        let (answer, ()) = future::zip(read, killer).await;
+        assert_matches!(
+            answer,
+            Err(Outcome::Unknown {
+                reason: Reason::Deadline,
+                ..
+            })
+        );
+        assert_eq!(a.upstream.ran(), ["hang"]);
+        assert_eq!(b.upstream.ran(), ["hang"]);
+    });
+}
+
+#[test]
+fn a_lost_transaction_is_refused_until_it_is_ended() {
+    // Symptom: the second half of a transaction is kept, the first half is not.
+    // Events: BEGIN and INSERT at a member; the member dies; INSERT, COMMIT.
+    // Cause: opening a fresh session elsewhere under an open transaction.
+    future::block_on(async {
+        let entry = Entry::start(KEY);
+        let (a, b) = (Proxy::start("a"), Proxy::start("b"));
+        let set = Set::new(&[a.address, b.address]);
+        let mut lane = entry.lane(&set, "shows");
+        entry
+            .run(&mut lane, class::Class::Begin, "BEGIN")
+            .await
+            .unwrap();
+        a.kill().await;
+        a.upstream.rolled_back.1.recv().await.unwrap();
+        // Sent or not, depending on when the break is noticed; lost in any case.
+        let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
+        assert_matches!(
+            answer,
+            Err(Outcome::NotRun {
+                reason: Reason::ConnectionLost,
+                ..
+            } | Outcome::Unknown {
+                reason: Reason::ConnectionLost,
+                ..
+            })
+        );
+        for class in [
+            class::Class::Write,
+            class::Class::Read,
+            class::Class::Commit,
+        ] {
+            let answer = entry.run(&mut lane, class, "refused").await;
+            assert_matches!(
+                answer,
+                Err(Outcome::NotRun {
+                    reason: Reason::ConnectionLost,
+                    ..
+                })
+            );
+        }
+        assert!(b.upstream.ran().is_empty());
+        let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
+        assert_eq!(text(&answer), b"b");
+        assert_eq!(a.upstream.ran(), ["BEGIN"]);
+    });
+}
+
+#[test]
+fn a_run_dropped_half_way_loses_its_transaction() {
+    // Symptom: a statement runs in a transaction of unknown state.
+    // Events: BEGIN; a statement hangs and its future is dropped; the next one runs.
+    // Cause: keeping a session after one of its runs was given up.
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let set = Set::new(&[a.address]);
+        let mut lane = entry.lane(&set, "shows");
+        entry
+            .run(&mut lane, class::Class::Begin, "BEGIN")
+            .await
+            .unwrap();
+        let hang = async {
+            entry
+                .run(&mut lane, class::Class::Write, "hang")
+                .await
+                .unwrap();
+        };
+        let started = async {
+            a.upstream.started.1.recv().await.unwrap();
+        };
+        future::or(hang, started).await;
+        let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
+        assert_matches!(
+            answer,
+            Err(Outcome::NotRun {
+                reason: Reason::ConnectionLost,
+                ..
+            })
+        );
+        assert_eq!(a.upstream.ran(), ["BEGIN", "hang"]);
+    });
+}
+
+#[test]
+fn a_write_without_an_answer_in_time_is_unknown() {
+    // Symptom: a late write reported as "not run", then repeated by the caller.
+    // Events: a write is sent; its deadline passes without an answer.
+    // Cause: taking the passed deadline for a proof that nothing ran.
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let set = Set::new(&[a.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let batch = entry.batch(class::Class::Write, "hang", Duration::from_secs(1));
+        let answer = lane.run(batch).await;
+        assert_matches!(
+            answer,
+            Err(Outcome::Unknown {
+                reason: Reason::Deadline,
+                ..
+            })
+        );
+        entry
+            .run(&mut lane, class::Class::Write, "INSERT")
+            .await
+            .unwrap();
+        assert_eq!(a.upstream.ran(), ["hang", "INSERT"]);
+    });
+}
+
+#[test]
+fn a_sequence_number_runs_once() {
+    // Symptom: a booking made twice.
+    // Events: the same message reaches a member twice.
+    // Cause: no memory of what already ran.
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let connection = entry.connection(a.address).await;
+        let batch = entry.batch(class::Class::Write, "INSERT", GENEROUS);
+        let run = || {
+            let mut run = peer::Run::new(&batch, entry.clock.now());
+            run.open = Some("shows".into());
+            connection.run(run)
+        };
+        run().await.unwrap().unwrap();
+        assert_matches!(run().await.unwrap(), Err(Outcome::Unknown { .. }));
+        assert_eq!(a.upstream.ran(), ["INSERT"]);
+    });
+}
+
+#[test]
+fn answers_are_whole_or_refused() {
+    // Symptom: an answer cut short, or every session of a connection lost with one.
+    // Events: an answer of many frames' size; an answer over the limit.
+    // Cause: writing what the connection cannot carry.
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let set = Set::new(&[a.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let answer = entry.run(&mut lane, class::Class::Read, "large").await;
+        assert_eq!(text(&answer).len(), LARGE);
+        assert!(text(&answer).iter().all(|byte| *byte == 7));
+        let answer = entry.run(&mut lane, class::Class::Read, "too large").await;
+        assert_matches!(
+            answer,
+            Err(Outcome::Unknown {
+                reason: Reason::TooLarge,
+                ..
+            })
+        );
+        entry
+            .run(&mut lane, class::Class::Read, "SELECT")
+            .await
+            .unwrap();
+        assert_eq!(a.upstream.lanes.load(atomic::Ordering::Relaxed), 1);
+    });
+}
+
+#[test]
+fn many_sessions_share_a_connection_and_get_their_own_answers() {
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let connection = entry.connection(a.address).await;
+        let runs = (0..200).map(|number| {
+            let text = format!("INSERT {number}");
+            let batch = entry.batch(class::Class::Write, &text, GENEROUS);
+            let mut run = peer::Run::new(&batch, entry.clock.now());
+            run.session = connection.session();
+            run.open = Some("shows".into());
+            connection.run(run)
+        });
+        let answers = futures_util::future::join_all(runs).await;
+        assert!(answers.iter().all(|answer| matches!(answer, Ok(Ok(_)))));
+        let ran: HashSet<_> = a.upstream.ran().into_iter().collect();
+        assert_eq!(ran.len(), 200);
+    });
+}
+
+#[test]
+fn a_stranger_is_refused() {
+    // Symptom: a proxy of another installation runs statements here.
+    // Events: a client with another key; a client that speaks another protocol.
+    // Cause: serving whoever connects.
+    future::block_on(async {
+        let (entry, a) = (Entry::start("another key"), Proxy::start("a"));
+        let set = Set::new(&[a.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let batch = entry.batch(class::Class::Read, "SELECT", Duration::from_millis(300));
+        let answer = lane.run(batch).await;
+        assert_matches!(
+            answer,
+            Err(Outcome::NotRun {
+                reason: Reason::NoServer,
+                ..
+            })
+        );
+
+        let mut stream = net::TcpStream::connect(a.address).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).ok();
+        assert!(answer.is_empty());
+        assert_eq!(a.upstream.lanes.load(atomic::Ordering::Relaxed), 0);
+    });
+}
+
+#[test]
+fn news_and_suspicions_pass_between_peers() {
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let connection = entry.connection(a.address).await;
+        let digest = peer::Digest {
+            vm: "entry-2".into(),
+            incarnation: 3,
+            revision: 8,
+        };
+        assert_eq!(connection.exchange(digest).await, Ok(news(9)));
+        assert_eq!(connection.announce(news(10)).await, Ok(()));
+        assert_eq!(*a.handler.announced.lock().unwrap(), [news(10)]);
+        let suspect = |term| peer::Suspect {
+            group: "dome-sched-1".into(),
+            term,
+        };
+        assert_eq!(connection.suspects(suspect(4)).await, Ok(true));
+        assert_eq!(connection.suspects(suspect(5)).await, Ok(false));
+    });
+}
