--- /dev/null
+++ b/src/breaker/tests.rs
@@ -0,0 +1,125 @@
+use std::time;
+
+use assert_matches::assert_matches;
+
+use crate::breaker;
+use crate::id;
+
+fn ms(count: u64) -> id::Time {
+    time::Duration::from_millis(count)
+}
+
+fn random() -> fastrand::Rng {
+    fastrand::Rng::with_seed(7)
+}
+
+fn opened(random: &mut fastrand::Rng) -> (breaker::Breaker, id::Time) {
+    let mut breaker = breaker::Breaker::new(breaker::Limits::default());
+    for _ in 0..5 {
+        let permit = breaker.permit(ms(0)).unwrap();
+        breaker.failure(permit, ms(0), random);
+    }
+    let until = assert_matches!(breaker.state(), breaker::State::Open { until } => until);
+    (breaker, until)
+}
+
+#[test]
+fn opens_after_failures_in_a_row_and_tries_once() {
+    let (mut breaker, until) = opened(&mut random());
+    assert!(breaker.permit(until.saturating_sub(ms(1))).is_none());
+    let trial = breaker.permit(until).unwrap();
+    assert!(breaker.permit(until).is_none());
+    breaker.success(trial, until + ms(5));
+    assert_eq!(breaker.state(), breaker::State::Closed);
+}
+
+#[test]
+fn successes_between_failures_keep_it_closed_below_the_ratio() {
+    let mut random = random();
+    let mut breaker = breaker::Breaker::new(breaker::Limits::default());
+    for step in 0..300 {
+        let permit = breaker.permit(ms(step)).unwrap();
+        if step % 3 == 0 {
+            breaker.failure(permit, ms(step), &mut random);
+        } else {
+            breaker.success(permit, ms(step));
+        }
+    }
+    assert_eq!(breaker.state(), breaker::State::Closed);
+}
+
+#[test]
+fn opens_on_the_ratio_within_the_window_only() {
+    let mut random = random();
+    let mut breaker = breaker::Breaker::new(breaker::Limits::default());
+    let mut sample = |breaker: &mut breaker::Breaker, at: id::Time, failed: bool| {
+        let permit = breaker.permit(at).unwrap();
+        if failed {
+            breaker.failure(permit, at, &mut random);
+        } else {
+            breaker.success(permit, at);
+        }
+    };
+    (0..18).for_each(|step| sample(&mut breaker, ms(step), step % 2 == 0));
+    let later = ms(11_000);
+    (0..18).for_each(|step| sample(&mut breaker, later, step % 2 == 1));
+    assert_eq!(breaker.state(), breaker::State::Closed);
+    sample(&mut breaker, later, false);
+    sample(&mut breaker, later, true);
+    assert_matches!(breaker.state(), breaker::State::Open { .. });
+}
+
+#[test]
+fn failed_trials_lengthen_the_pause_up_to_the_ceiling() {
+    let mut random = random();
+    let (mut breaker, mut until) = opened(&mut random);
+    let ceiling = breaker::Limits::default().ceiling;
+    let mut longest = ms(0);
+    for _ in 0..20 {
+        let now = until;
+        let trial = breaker.permit(now).unwrap();
+        breaker.failure(trial, now, &mut random);
+        until = assert_matches!(breaker.state(), breaker::State::Open { until } => until);
+        longest = longest.max(until.saturating_sub(now));
+    }
+    assert!(longest > ceiling / 2 && longest <= ceiling * 3 / 2);
+}
+
+/// Symptom: an instance that hangs is taken back again and again. Events: a request is
+/// sent, others fail and open the breaker, a trial starts, the first request's answer
+/// arrives at last. Cause: the late answer was counted as the trial's.
+#[test]
+fn a_result_from_before_the_change_is_ignored() {
+    let mut random = random();
+    let mut breaker = breaker::Breaker::new(breaker::Limits::default());
+    let early = breaker.permit(ms(0)).unwrap();
+    for _ in 0..5 {
+        let permit = breaker.permit(ms(0)).unwrap();
+        breaker.failure(permit, ms(0), &mut random);
+    }
+    let trial = breaker.permit(ms(1_000)).unwrap();
+    breaker.success(early, ms(1_001));
+    assert_matches!(breaker.state(), breaker::State::HalfOpen { .. });
+    breaker.failure(trial, ms(1_002), &mut random);
+    assert_matches!(breaker.state(), breaker::State::Open { .. });
+}
+
+/// Symptom: a healthy instance gets no requests for good. Events: the trial's caller
+/// goes away before the answer. Cause: nobody reports, and nobody else may try.
+#[test]
+fn a_lost_trial_is_replaced() {
+    let (mut breaker, until) = opened(&mut random());
+    breaker.permit(until).unwrap();
+    let again = until + breaker::Limits::default().ceiling;
+    assert!(breaker.permit(again.saturating_sub(ms(1))).is_none());
+    let trial = breaker.permit(again).unwrap();
+    breaker.success(trial, again);
+    assert_eq!(breaker.state(), breaker::State::Closed);
+}
+
+#[test]
+fn reopening_is_jittered() {
+    let (_, first) = opened(&mut fastrand::Rng::with_seed(1));
+    let (_, second) = opened(&mut fastrand::Rng::with_seed(2));
+    assert_ne!(first, second);
+}
--- /dev/null
+++ b/src/placement/tests.rs
@@ -0,0 +1,119 @@
+use std::collections;
+
+use crate::id;
+use crate::placement;
+
+const DOMAINS: usize = 3;
+
+fn fleet(size: usize) -> Vec<placement::Candidate> {
+    (0..size)
+        .map(|number| placement::Candidate {
+            vm: format!("entry-{number}").into(),
+            domain: format!("domain-{}", number % DOMAINS).into(),
+            leaving: false,
+        })
+        .collect()
+}
+
+fn sets(groups: usize, vms: &[placement::Candidate]) -> Vec<Vec<id::Vm>> {
+    (0..groups)
+        .map(|number| placement::serving(&format!("group-{number}"), vms, placement::SERVING))
+        .collect()
+}
+
+fn changed(before: &[Vec<id::Vm>], after: &[Vec<id::Vm>]) -> usize {
+    before
+        .iter()
+        .zip(after)
+        .map(|(old, new)| new.iter().filter(|vm| !old.contains(vm)).count())
+        .sum()
+}
+
+#[test]
+fn score_is_the_same_in_every_version() {
+    // Computed from the definition by a separate program.
+    assert_eq!(
+        placement::score("dome-sched-1", "entry-1"),
+        4_705_686_109_814_426_093
+    );
+}
+
+#[test]
+fn no_domain_is_used_twice_while_another_is_free() {
+    let vms = fleet(8);
+    for set in sets(200, &vms) {
+        let domains: collections::HashSet<_> = set
+            .iter()
+            .map(|vm| &vms.iter().find(|known| known.vm == *vm).unwrap().domain)
+            .collect();
+        assert_eq!(domains.len(), DOMAINS);
+    }
+}
+
+#[test]
+fn domains_are_shared_when_there_are_too_few() {
+    let vms: Vec<_> = fleet(8)
+        .into_iter()
+        .filter(|vm| vm.domain == "domain-0")
+        .collect();
+    assert_eq!(placement::serving("group", &vms, 3).len(), 3);
+    assert_eq!(placement::serving("group", &vms, 9).len(), vms.len());
+    assert!(placement::serving("group", &[], 3).is_empty());
+}
+
+#[test]
+fn order_of_the_list_and_repeated_lines_do_not_matter() {
+    let vms = fleet(8);
+    let mut other = vms.clone();
+    other.reverse();
+    other.extend(vms.clone());
+    assert_eq!(sets(100, &vms), sets(100, &other));
+}
+
+/// Symptom: groups of unaffected VMs reconnect whenever one VM goes. Events: one VM
+/// leaves. Cause: a placement that renumbers the VMs moves sets that did not hold it.
+#[test]
+fn a_leaving_vm_moves_only_its_own_seats() {
+    let mut vms = fleet(30);
+    let before = sets(1_400, &vms);
+    let gone = vms[7].vm.clone();
+    let held = before.iter().filter(|set| set.contains(&gone)).count();
+    vms[7].leaving = true;
+    let after = sets(1_400, &vms);
+    assert!(after.iter().all(|set| !set.contains(&gone)));
+    println!("moved {} of {} seats", changed(&before, &after), 1_400 * 3);
+    assert_eq!(changed(&before, &after), held);
+}
+
+#[test]
+fn a_joining_vm_takes_only_what_it_wins() {
+    let before = sets(1_400, &fleet(30));
+    let after = sets(1_400, &fleet(31));
+    let won = after
+        .iter()
+        .filter(|set| set.contains(&"entry-30".into()))
+        .count();
+    assert_eq!(changed(&before, &after), won);
+    let fair = 1_400 * placement::SERVING / 31;
+    assert!(won < 2 * fair, "won {won} of a fair {fair}");
+}
+
+#[test]
+fn load_is_balanced_at_the_target_size() {
+    let vms = fleet(690);
+    let mut seats: collections::HashMap<id::Vm, usize> = collections::HashMap::new();
+    for vm in sets(1_400, &vms).into_iter().flatten() {
+        *seats.entry(vm).or_default() += 1;
+    }
+    let least = vms
+        .iter()
+        .map(|known| seats.get(&known.vm).copied().unwrap_or(0));
+    let (least, most) = (least.clone().min().unwrap(), least.max().unwrap());
+    println!(
+        "seats on a VM: least {least}, most {most}, mean {}",
+        1_400.0 * 3.0 / 690.0
+    );
+    assert!(most <= 20, "a VM serves {most} groups, the mean is 6");
+    let idle = vms.len() - seats.len();
+    assert!(idle <= 20, "{idle} of 690 VMs serve nothing");
+}
