Check files from the command line

Cause: an operator could not tell what is wrong with a file before applying it, nor with a VM's settings before starting the daemon.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,1 +1,81 @@
-//! Command-line arguments.
+//! Command-line arguments of the operators' client.
+
+use std::path;
+
+use bpaf::Bpaf;
+use bpaf::Parser;
+
+use crate::exit;
+
+const WIDTH: usize = 100;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    descr("Checks and applies the declarative file of a mangotray system and shows its state."),
+    footer(
+        "Exit codes: 0 success, 1 general error, 2 wrong usage, 3 invalid file, 4 conflict, \
+         5 unreachable, 6 degraded, 7 outcome unknown. For shell completion evaluate the output \
+         of `mangotray --bpaf-complete-style-bash` (or -zsh, -fish, -elvish)."
+    )
+)]
+pub enum Command {
+    /// Check a file and print all its mistakes
+    #[bpaf(command)]
+    Check(#[bpaf(external(check))] Check),
+}
+
+/// Arguments of `mangotray check`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+pub struct Check {
+    /// Operators' file
+    #[bpaf(external(file))]
+    pub file: path::PathBuf,
+}
+
+fn file() -> impl Parser<path::PathBuf> {
+    bpaf::positional("FILE")
+        .help("Operators' file")
+        .complete_shell(bpaf::ShellComp::File { mask: None })
+}
+
+/// The parser with its help texts.
+///
+/// ```
+/// use mangotray::cli;
+/// let parsed = cli::options().run_inner(&["check", "system.ini"]).unwrap();
+/// assert_eq!(parsed, cli::Command::Check(cli::Check { file: "system.ini".into() }));
+/// ```
+#[must_use]
+pub fn options() -> bpaf::OptionParser<Command> {
+    command()
+}
+
+/// Parses the arguments of the process; help, versions and mistakes are printed.
+///
+/// # Errors
+/// Code to exit with, when there is nothing to run.
+///
+/// ```no_run
+/// use mangotray::{cli, exit};
+/// let parsed = cli::parse(&cli::options());
+/// assert_eq!(parsed, Err(exit::Code::Usage));
+/// ```
+pub fn parse<T>(options: &bpaf::OptionParser<T>) -> Result<T, exit::Code> {
+    options
+        .run_inner(bpaf::Args::current_args())
+        .map_err(|failure| {
+            failure.print_message(WIDTH);
+            match failure {
+                bpaf::ParseFailure::Stderr(_) => exit::Code::Usage,
+                bpaf::ParseFailure::Stdout(..) | bpaf::ParseFailure::Completion(_) => {
+                    exit::Code::Success
+                }
+            }
+        })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/command/check.rs
@@ -0,0 +1,27 @@
+//! `mangotray check`.
+
+use crate::cli;
+use crate::command;
+use crate::console;
+use crate::exit;
+
+pub(super) fn run(
+    arguments: &cli::Check,
+    console: &mut console::Console,
+) -> eyre::Result<exit::Code> {
+    let catalog = match command::declaration(&arguments.file, console)? {
+        Ok(declaration) => declaration.catalog,
+        Err(code) => return Ok(code),
+    };
+    let vms = match catalog.vms.len() {
+        0 => "all VMs".to_owned(),
+        count => format!("{count} VMs"),
+    };
+    writeln!(
+        console.out,
+        "{} is valid: {} groups, served by {vms}",
+        arguments.file.display(),
+        catalog.groups.len()
+    )?;
+    Ok(exit::Code::Success)
+}
--- /dev/null
+++ b/src/console.rs
@@ -0,0 +1,110 @@
+//! What a command prints, for people or for scripts.
+
+use std::io;
+use std::io::IsTerminal;
+
+use crate::exit;
+use crate::fault;
+
+const RED: &str = "31";
+const YELLOW: &str = "33";
+const NO_COLOUR: &str = "NO_COLOR";
+
+/// Results go to `out`, everything else to `err`.
+pub struct Console {
+    /// Results.
+    pub out: Box<dyn io::Write>,
+    /// Errors and warnings.
+    pub err: Box<dyn io::Write>,
+    /// Whether errors and warnings are coloured.
+    pub colour: bool,
+}
+
+impl Console {
+    /// Standard output and error; coloured if the latter is a terminal and `NO_COLOR` is unset.
+    ///
+    /// ```
+    /// use std::io::Write;
+    /// let mut console = mangotray::console::Console::standard();
+    /// assert!(writeln!(console.out, "revision 4").is_ok());
+    /// ```
+    #[must_use]
+    pub fn standard() -> Self {
+        let plain = std::env::var_os(NO_COLOUR).is_some_and(|value| !value.is_empty());
+        Self {
+            out: Box::new(io::stdout()),
+            err: Box::new(io::stderr()),
+            colour: !plain && io::stderr().is_terminal(),
+        }
+    }
+
+    /// Prints an error.
+    ///
+    /// # Errors
+    /// When standard error cannot be written.
+    ///
+    /// ```
+    /// let mut console = mangotray::console::Console::standard();
+    /// assert!(console.error("no such file").is_ok());
+    /// ```
+    pub fn error(&mut self, words: &str) -> io::Result<()> {
+        self.paint(RED, "error", words)
+    }
+
+    /// Prints a warning.
+    ///
+    /// # Errors
+    /// When standard error cannot be written.
+    ///
+    /// ```
+    /// let mut console = mangotray::console::Console::standard();
+    /// assert!(console.warning("one failure domain only").is_ok());
+    /// ```
+    pub fn warning(&mut self, words: &str) -> io::Result<()> {
+        self.paint(YELLOW, "warning", words)
+    }
+
+    /// Prints all faults of a file as errors.
+    ///
+    /// # Errors
+    /// When standard error cannot be written.
+    ///
+    /// ```
+    /// use mangotray::{console, exit, fault};
+    /// let faults = [fault::Fault::new(Some(1), "[vm] name", "missing")];
+    /// let code = console::Console::standard().invalid("vm.ini", &faults);
+    /// assert_eq!(code.unwrap(), exit::Code::InvalidFile);
+    /// ```
+    pub fn invalid(&mut self, file: &str, faults: &[fault::Fault]) -> io::Result<exit::Code> {
+        for fault in faults {
+            self.error(&fault.located(file))?;
+        }
+        Ok(exit::Code::InvalidFile)
+    }
+
+    /// Prints an error that ended a command, unless nobody reads the output any more.
+    ///
+    /// ```
+    /// use mangotray::{console, exit};
+    /// let code = console::Console::standard().fail(&eyre::eyre!("out of luck"));
+    /// assert_eq!(code, exit::Code::GeneralError);
+    /// ```
+    pub fn fail(&mut self, error: &eyre::Report) -> exit::Code {
+        let closed = error
+            .downcast_ref::<io::Error>()
+            .is_some_and(|error| error.kind() == io::ErrorKind::BrokenPipe);
+        if !closed {
+            // Nothing is left to report to if standard error is gone as well.
+            let _ = self.error(&format!("{error:#}"));
+        }
+        exit::Code::GeneralError
+    }
+
+    fn paint(&mut self, colour: &str, label: &str, words: &str) -> io::Result<()> {
+        if self.colour {
+            writeln!(self.err, "\x1b[1;{colour}m{label}\x1b[0m: {words}")
+        } else {
+            writeln!(self.err, "{label}: {words}")
+        }
+    }
+}
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -1,1 +1,41 @@
-//! Exit codes.
+//! Exit codes of the programs.
+
+use std::process;
+
+/// How a program ended, for scripts.
+///
+/// ```
+/// assert_eq!(u8::from(mangotray::exit::Code::InvalidFile), 3);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Code {
+    /// All went well.
+    Success = 0,
+    /// Something failed that has no code of its own.
+    GeneralError = 1,
+    /// The arguments could not be understood.
+    Usage = 2,
+    /// The file has mistakes; all of them were printed.
+    InvalidFile = 3,
+    /// Another file was applied at the same time; nothing was changed.
+    Conflict = 4,
+    /// The platform's service or the proxies could not be reached; nothing was changed.
+    Unreachable = 5,
+    /// The system is up, but something needs attention.
+    Degraded = 6,
+    /// A file may or may not be in force; `mangotray diff` tells.
+    Unknown = 7,
+}
+
+impl From<Code> for u8 {
+    fn from(code: Code) -> Self {
+        code as Self
+    }
+}
+
+impl From<Code> for process::ExitCode {
+    fn from(code: Code) -> Self {
+        Self::from(u8::from(code))
+    }
+}
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,206 @@
+//! State of a whole system, put together from the views of its proxies.
+
+use std::collections;
+use std::net;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::admin;
+use crate::id;
+use crate::role;
+use crate::stamp;
+
+mod print;
+
+/// Everything that `mangotray status` tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Report {
+    /// Proxies, by name.
+    pub vms: Vec<Vm>,
+    /// Groups, by name.
+    pub groups: Vec<Group>,
+    /// What needs attention; empty for a healthy system.
+    pub problems: Vec<CompactString>,
+}
+
+/// What one proxy answered.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Vm {
+    /// Name, or the admin address of a proxy that did not tell its name.
+    pub name: id::Vm,
+    /// Address that was asked.
+    pub admin: net::SocketAddr,
+    /// Answer; `None` when there was none.
+    pub status: Option<admin::Status>,
+    /// Why there was no answer.
+    pub error: Option<CompactString>,
+}
+
+/// One group, as all proxies together see it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Group {
+    /// Name in the operators' file.
+    pub name: id::Group,
+    /// Instance that leads in the highest term, when one is known.
+    pub primary: Option<CompactString>,
+    /// Highest term that any proxy has seen.
+    pub term: id::Term,
+    /// Instances in the order of the catalog.
+    pub instances: Vec<Instance>,
+    /// Requests that wait for a connection, on all proxies.
+    pub queue: usize,
+    /// Promotions that the proxies carried through since they started.
+    pub promotions: u64,
+    /// Longest of the proxies' last failover gaps in milliseconds.
+    pub last_failover_gap_ms: Option<u64>,
+}
+
+/// One instance, as all proxies together see it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Instance {
+    /// Name in the operators' file.
+    pub name: CompactString,
+    /// Role at the highest fence term seen.
+    pub role: Option<role::Role>,
+    /// Highest stamp seen.
+    pub stamp: stamp::Stamp,
+    /// Highest fence term seen.
+    pub fence: id::Term,
+    /// Records behind the newest instance; the least that any proxy has seen.
+    pub lag_records: Option<u64>,
+    /// Proxies that reach the instance.
+    pub reached_by: usize,
+    /// Proxies that know the instance.
+    pub known_by: usize,
+    /// Connections, of all proxies.
+    pub connections: usize,
+    /// Connections that run a batch, of all proxies.
+    pub busy: usize,
+}
+
+impl Report {
+    /// Puts the proxies' answers together and finds what needs attention.
+    ///
+    /// ```
+    /// let report = mangotray::report::Report::new(Vec::new());
+    /// assert_eq!(report.problems, ["no proxy is registered"]);
+    /// ```
+    #[must_use]
+    pub fn new(mut vms: Vec<Vm>) -> Self {
+        vms.sort_by(|a, b| a.name.cmp(&b.name));
+        let groups = merge(&vms);
+        let problems = problems(&vms, &groups);
+        Self {
+            vms,
+            groups,
+            problems,
+        }
+    }
+}
+
+fn merge(vms: &[Vm]) -> Vec<Group> {
+    let mut merged = collections::BTreeMap::new();
+    let views = vms.iter().filter_map(|vm| vm.status.as_ref());
+    for view in views.flat_map(|status| &status.groups) {
+        merged
+            .entry(view.name.clone())
+            .or_insert_with(Group::default)
+            .add(view);
+    }
+    merged.into_values().collect()
+}
+
+impl Group {
+    fn add(&mut self, view: &admin::Group) {
+        self.name.clone_from(&view.name);
+        if view.term > self.term {
+            self.term = view.term;
+            self.primary = None;
+        }
+        if view.term == self.term && self.primary.is_none() {
+            self.primary.clone_from(&view.primary);
+        }
+        self.queue += view.queue;
+        self.promotions += view.promotions;
+        self.last_failover_gap_ms = self.last_failover_gap_ms.max(view.last_failover_gap_ms);
+        for instance in &view.instances {
+            self.instance(&instance.name).add(instance);
+        }
+    }
+
+    fn instance(&mut self, name: &CompactString) -> &mut Instance {
+        let found = self.instances.iter().position(|i| i.name == *name);
+        let index = found.unwrap_or_else(|| {
+            self.instances.push(Instance {
+                name: name.clone(),
+                ..Instance::default()
+            });
+            self.instances.len() - 1
+        });
+        &mut self.instances[index]
+    }
+}
+
+impl Instance {
+    fn add(&mut self, view: &admin::Instance) {
+        if self.role.is_none() || view.fence > self.fence {
+            self.role = view.role;
+        }
+        let lags = [self.lag_records, view.lag_records];
+        self.lag_records = lags.into_iter().flatten().min();
+        self.fence = self.fence.max(view.fence);
+        self.stamp = self.stamp.max(view.stamp);
+        self.reached_by += usize::from(view.reachable);
+        self.known_by += 1;
+        self.connections += view.connections;
+        self.busy += view.busy;
+    }
+}
+
+fn problems(vms: &[Vm], groups: &[Group]) -> Vec<CompactString> {
+    if vms.is_empty() {
+        return vec!["no proxy is registered".into()];
+    }
+    let statuses = || vms.iter().filter_map(|vm| vm.status.as_ref());
+    let newest = statuses().map(|s| s.revision).max().unwrap_or_default();
+    let silent = vms.iter().filter_map(|vm| {
+        let error = vm.error.as_ref()?;
+        Some(format_compact!("{}: no status: {error}", vm.name))
+    });
+    let behind = statuses()
+        .filter(|s| s.revision < newest)
+        .map(|s| format_compact!("{}: still at revision {}, not {newest}", s.vm, s.revision));
+    let unconfigured = (newest == 0 && statuses().next().is_some())
+        .then(|| "no configuration is in force; apply a file".into());
+    silent
+        .chain(behind)
+        .chain(unconfigured)
+        .chain(groups.iter().flat_map(group_problems))
+        .collect()
+}
+
+fn group_problems(group: &Group) -> Vec<CompactString> {
+    let headless = group
+        .primary
+        .is_none()
+        .then(|| format_compact!("{}: no primary is known; writes are refused", group.name));
+    let lost = group.instances.iter().filter_map(|instance| {
+        let Instance {
+            name,
+            reached_by,
+            known_by,
+            ..
+        } = instance;
+        (reached_by < known_by).then(|| {
+            format_compact!(
+                "{}: instance {name} is reached by {reached_by} of {known_by} proxies",
+                group.name
+            )
+        })
+    });
+    headless.into_iter().chain(lost).collect()
+}
+
+#[cfg(test)]
+mod tests;
