Read the wire protocol's length field rightly

The length counts itself but not the tag before it, while the splitter took it for the whole packet less four bytes: every frame lost its last bytes, and a frame shorter than its header panicked. Three new tests cut a tagged stream at each byte, read a startup packet and refuse lengths below 4 and over the limit; without the fix, decoding a Sync panics.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -53,11 +53,14 @@
     }
 }
 
+/// The protocol's length counts itself but not the tag before it, while the packet
+/// handed out begins with the tag.
 fn delimited(offset: usize, limit: usize) -> codec::LengthDelimitedCodec {
+    let adjustment = isize::try_from(offset).expect("offset of one byte at most");
     codec::LengthDelimitedCodec::builder()
         .length_field_offset(offset)
         .length_field_length(LENGTH_BYTES)
-        .length_adjustment(-4)
+        .length_adjustment(adjustment)
         .num_skip(0)
         .max_frame_length(limit)
         .new_codec()
@@ -71,6 +74,11 @@
         let Some(mut packet) = self.inner.decode(buffer)? else {
             return Ok(None);
         };
+        // A length below its own four bytes is a broken or hostile peer.
+        let header = LENGTH_BYTES + if self.tagged { TAG_BYTES } else { 0 };
+        if packet.len() < header {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
         let tag = if self.tagged { packet.get_u8() } else { 0 };
         packet.advance(LENGTH_BYTES);
         Ok(Some(frame::Frame {
@@ -100,3 +108,6 @@
 pub fn established(stream: Stream, limit: usize) -> Stream {
     stream.map_codec(|_| Codec::tagged(limit))
 }
+
+#[cfg(test)]
+mod tests;
