--- a/lab/src/cluster.rs
+++ b/lab/src/cluster.rs
@@ -1,1 +1,247 @@
 //! A database group of stand-in instances, with faults.
+
+use std::net;
+use std::sync::Arc;
+use std::time;
+
+use mangotray::database;
+use mangotray::id;
+use mangotray::status;
+
+use crate::instance;
+use crate::journal;
+
+/// Instances of a group.
+pub const SIZE: usize = 3;
+
+const DEADLINE: time::Duration = time::Duration::from_secs(2);
+
+/// Size, costs and delays of a group; the same for all its instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Name of the group.
+    pub name: String,
+    /// Name of the database.
+    pub database: String,
+    /// Failure domain of each instance.
+    pub domains: [String; SIZE],
+    /// Port of each instance; 0 takes a free one.
+    pub ports: [u16; SIZE],
+    /// Batches that one instance runs at once.
+    pub slots: usize,
+    /// Connections that one instance accepts.
+    pub connections: usize,
+    /// Time that a new connection takes.
+    pub connect_cost: time::Duration,
+    /// Time that a batch occupies its slot.
+    pub statement_cost: time::Duration,
+    /// Replication delay.
+    pub lag: time::Duration,
+    /// Network delay of each request and of each answer.
+    pub delay: time::Duration,
+    /// SQL that all instances run at their creation.
+    pub schema: Vec<String>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            name: "dome-sched".to_owned(),
+            database: "dome_sched".to_owned(),
+            domains: ["patan-hall", "kirtipur-hall", "bhaktapur-hall"].map(str::to_owned),
+            ports: [0; SIZE],
+            slots: 3,
+            connections: 20,
+            connect_cost: time::Duration::from_millis(10),
+            statement_cost: time::Duration::from_micros(500),
+            lag: time::Duration::from_millis(2),
+            delay: time::Duration::ZERO,
+            schema: Vec::new(),
+        }
+    }
+}
+
+/// A running group. It starts without a primary, each instance fenced at term 0.
+pub struct Cluster {
+    options: Arc<Options>,
+    instances: Vec<Arc<instance::Instance>>,
+    /// Listeners and replication; they end with the cluster.
+    _tasks: Vec<async_executor::Task<()>>,
+    _directory: tempfile::TempDir,
+}
+
+impl Cluster {
+    /// Starts the instances on the executor, which others have to run.
+    ///
+    /// ```
+    /// use mangotray_lab::cluster;
+    /// let executor = std::sync::Arc::new(async_executor::Executor::new());
+    /// let group = cluster::Cluster::start(cluster::Options::default(), &executor).unwrap();
+    /// assert_eq!(group.declaration().instances.len(), 3);
+    /// ```
+    ///
+    /// # Errors
+    /// When no listener or file can be opened, or the schema is wrong.
+    pub fn start(
+        options: Options,
+        executor: &Arc<async_executor::Executor<'static>>,
+    ) -> eyre::Result<Arc<Self>> {
+        let options = Arc::new(options);
+        let directory = tempfile::tempdir()?;
+        let mut instances = Vec::new();
+        let mut tasks = Vec::new();
+        for (index, port) in options.ports.iter().enumerate() {
+            let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, *port));
+            let listener = async_io::Async::<net::TcpListener>::bind(address)?;
+            let address = listener.get_ref().local_addr()?;
+            let instance = instance::Instance::new(index, address, &options, directory.path())?;
+            let instance = Arc::new(instance);
+            let listening = Arc::clone(&instance).listen(listener, Arc::clone(executor));
+            tasks.push(executor.spawn(listening));
+            instances.push(instance);
+        }
+        tasks.extend(shipments(&instances).map(|shipment| executor.spawn(shipment.run())));
+        Ok(Arc::new(Self {
+            options,
+            instances,
+            _tasks: tasks,
+            _directory: directory,
+        }))
+    }
+
+    /// Where the instances listen.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<net::SocketAddr> {
+        let instances = self.instances.iter();
+        instances.map(|instance| instance.address).collect()
+    }
+
+    /// The group as operators would declare it.
+    #[must_use]
+    pub fn declaration(&self) -> database::Group {
+        let instances = self.instances.iter().zip(&self.options.domains);
+        let instances = instances.map(|(instance, domain)| database::Instance {
+            name: format!("{}-{}", self.options.name, instance.index).into(),
+            address: instance.address,
+            domain: domain.into(),
+            leaving: false,
+        });
+        database::Group {
+            name: self.options.name.as_str().into(),
+            database: self.options.database.as_str().into(),
+            instances: instances.collect(),
+            connections: self.options.connections,
+            slots: self.options.slots,
+            deadline: DEADLINE,
+            ages: Vec::new(),
+        }
+    }
+
+    /// Stops an instance: sockets drop, new connections are closed at once, open
+    /// transactions are lost; the log and the fence stay.
+    pub fn crash(&self, index: id::Index) {
+        self.instances[index].crash();
+    }
+
+    /// Starts a stopped instance again, as a replica with a new incarnation.
+    pub fn restart(&self, index: id::Index) {
+        self.instances[index].restart();
+    }
+
+    /// Stops an instance, loses its log, fence and data, and starts it as a replica
+    /// that is no voter until it has copied a current primary's whole log.
+    ///
+    /// # Errors
+    /// When no new data file can be created.
+    pub fn wipe(&self, index: id::Index) -> eyre::Result<()> {
+        self.instances[index].wipe()
+    }
+
+    /// Cuts or heals replication between an instance and the others; callers still
+    /// reach all of them.
+    pub fn cut(&self, index: id::Index, on: bool) {
+        self.instances[index].state().cut = on;
+        self.instances[index].notify();
+    }
+
+    /// Stops or restores all bytes to and from an instance, without closing sockets.
+    pub fn blackhole(&self, index: id::Index, on: bool) {
+        self.instances[index].blackhole(on);
+    }
+
+    /// Freezes or resumes an instance's process.
+    pub fn pause(&self, index: id::Index, on: bool) {
+        self.instances[index].pause(on);
+    }
+
+    /// Sets the delay of replication to an instance.
+    pub fn set_lag(&self, index: id::Index, lag: time::Duration) {
+        self.instances[index].state().lag = lag;
+        self.instances[index].notify();
+    }
+
+    /// Fences all instances at `term` and promotes one, for tests that need no proxy.
+    ///
+    /// # Errors
+    /// When the instance is already fenced at a higher term.
+    pub fn lead(&self, index: id::Index, term: id::Term) -> eyre::Result<status::Status> {
+        for instance in &self.instances {
+            instance.fence(term);
+        }
+        self.instances[index]
+            .promote(term)
+            .map_err(|error| eyre::eyre!("{}", error.message))
+    }
+
+    /// Counters of an instance.
+    #[must_use]
+    pub fn stats(&self, index: id::Index) -> instance::Stats {
+        *self.instances[index].stats()
+    }
+
+    /// State of an instance, read directly.
+    #[must_use]
+    pub fn status(&self, index: id::Index) -> status::Status {
+        self.instances[index].status()
+    }
+
+    /// Runs a query on an instance's data directly; `None` stands for NULL.
+    ///
+    /// # Errors
+    /// When the query is wrong.
+    pub fn query(&self, index: id::Index, sql: &str) -> eyre::Result<Vec<Vec<Option<String>>>> {
+        crate::database::audit(&self.instances[index].file().0, sql)
+    }
+
+    /// Log of an instance.
+    #[must_use]
+    pub fn log(&self, index: id::Index) -> Vec<Arc<journal::Record>> {
+        self.instances[index].state().journal.records().to_vec()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.instances.iter().for_each(|instance| instance.crash());
+    }
+}
+
+/// One for each ordered pair of instances.
+fn shipments(
+    instances: &[Arc<instance::Instance>],
+) -> impl Iterator<Item = journal::Shipment> + '_ {
+    let pairs = instances
+        .iter()
+        .flat_map(move |source| instances.iter().map(move |target| (source, target)));
+    pairs
+        .filter(|(source, target)| source.index != target.index)
+        .map(|(source, target)| journal::Shipment {
+            source: Arc::clone(source),
+            target: Arc::clone(target),
+            witnesses: instances
+                .iter()
+                .filter(|other| other.index != source.index && other.index != target.index)
+                .map(Arc::clone)
+                .collect(),
+        })
+}
--- a/lab/src/instance.rs
+++ b/lab/src/instance.rs
@@ -1,1 +1,410 @@
 //! One stand-in instance that speaks the `PostgreSQL` wire protocol.
+
+use std::net;
+use std::path;
+use std::sync;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use mangotray::id;
+use mangotray::role;
+use mangotray::status;
+
+use crate::backend;
+use crate::cluster;
+use crate::database;
+use crate::gate;
+use crate::journal;
+
+/// Incarnations never repeat within a process of the lab.
+static INCARNATIONS: atomic::AtomicU64 = atomic::AtomicU64::new(1);
+
+/// What an instance knows and what faults were done to it.
+pub(crate) struct State {
+    pub(crate) journal: journal::Journal,
+    pub(crate) fence: id::Term,
+    /// Delay of replication to this instance.
+    pub(crate) lag: time::Duration,
+    /// Replication to and from this instance is cut.
+    pub(crate) cut: bool,
+    running: bool,
+    role: role::Role,
+    voter: bool,
+    incarnation: id::Incarnation,
+    /// Grows whenever open write transactions lose their right to commit.
+    reign: u64,
+    /// Number of the data file.
+    generation: u64,
+    applier: rusqlite::Connection,
+}
+
+impl State {
+    pub(crate) fn is_primary(&self) -> bool {
+        self.running && self.role == role::Role::Primary
+    }
+
+    fn status(&self) -> status::Status {
+        status::Status {
+            stamp: self.journal.stamp(),
+            fence: self.fence,
+            role: self.role,
+            voter: self.voter,
+            incarnation: self.incarnation,
+        }
+    }
+
+    fn follows(&self, term: id::Term) -> bool {
+        self.fence == term && self.role == role::Role::Replica
+    }
+
+    fn demote(&mut self) {
+        self.role = role::Role::Replica;
+        self.reign += 1;
+    }
+}
+
+/// Counters of one instance since its cluster's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Most connections open at once.
+    pub peak_connections: usize,
+    /// Most slots in use at once.
+    pub peak_busy: usize,
+    /// Statements run, control statements excepted.
+    pub statements: usize,
+    /// Connections refused at the limit.
+    pub refused_connections: usize,
+    /// Connections open now.
+    pub connections: usize,
+    /// Slots in use now.
+    pub busy: usize,
+}
+
+/// One instance of a group.
+pub(crate) struct Instance {
+    pub(crate) index: id::Index,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) options: Arc<cluster::Options>,
+    /// Notified when replication may have something to do.
+    pub(crate) changed: event_listener::Event,
+    /// Closed while no byte flows to or from callers.
+    pub(crate) network: gate::Gate,
+    /// Closed while the process is frozen.
+    pub(crate) process: gate::Gate,
+    pub(crate) slots: async_lock::Semaphore,
+    /// Held by the one session that writes.
+    pub(crate) writer: Arc<async_lock::Mutex<()>>,
+    pub(crate) stats: sync::Mutex<Stats>,
+    directory: path::PathBuf,
+    /// Number of the next data file; two repairs at once must not share one.
+    next_file: atomic::AtomicU64,
+    state: sync::Mutex<State>,
+    sessions: sync::Mutex<Vec<sync::Weak<sync::Mutex<database::Database>>>>,
+    tasks: sync::Mutex<Vec<async_executor::Task<()>>>,
+}
+
+impl Instance {
+    pub(crate) fn new(
+        index: id::Index,
+        address: net::SocketAddr,
+        options: &Arc<cluster::Options>,
+        directory: &path::Path,
+    ) -> eyre::Result<Self> {
+        let applier = database::create(&file(directory, index, 0), &options.schema)?;
+        let state = State {
+            journal: journal::Journal::default(),
+            fence: 0,
+            lag: options.lag,
+            cut: false,
+            running: true,
+            role: role::Role::Replica,
+            voter: true,
+            incarnation: incarnation(),
+            reign: 0,
+            generation: 0,
+            applier,
+        };
+        Ok(Self {
+            index,
+            address,
+            options: Arc::clone(options),
+            changed: event_listener::Event::new(),
+            network: gate::Gate::default(),
+            process: gate::Gate::default(),
+            slots: async_lock::Semaphore::new(options.slots),
+            writer: Arc::default(),
+            stats: sync::Mutex::default(),
+            directory: directory.to_owned(),
+            next_file: atomic::AtomicU64::new(1),
+            state: sync::Mutex::new(state),
+            sessions: sync::Mutex::default(),
+            tasks: sync::Mutex::default(),
+        })
+    }
+
+    /// Accepts connections for ever. While the instance is down the listener stays
+    /// bound, so that nothing else takes its port, and closes what it accepts.
+    pub(crate) async fn listen(
+        self: Arc<Self>,
+        listener: async_io::Async<net::TcpListener>,
+        executor: Arc<async_executor::Executor<'static>>,
+    ) {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else {
+                continue;
+            };
+            let mut tasks = lock(&self.tasks);
+            if self.state().running {
+                let session = backend::Backend::serve(Arc::clone(&self), socket);
+                tasks.retain(|task| !task.is_finished());
+                tasks.push(executor.spawn(session));
+            }
+        }
+    }
+
+    pub(crate) fn state(&self) -> sync::MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Whether replication reaches the instance.
+    pub(crate) fn replicates(&self, state: &State) -> bool {
+        let silent = self.network.is_closed() || self.process.is_closed();
+        state.running && !state.cut && !silent
+    }
+
+    pub(crate) fn status(&self) -> status::Status {
+        self.state().status()
+    }
+
+    pub(crate) fn stats(&self) -> sync::MutexGuard<'_, Stats> {
+        lock(&self.stats)
+    }
+
+    /// Data file and its generation.
+    pub(crate) fn file(&self) -> (path::PathBuf, u64) {
+        let generation = self.state().generation;
+        (file(&self.directory, self.index, generation), generation)
+    }
+
+    fn new_file(&self) -> (path::PathBuf, u64) {
+        let next = self.next_file.fetch_add(1, atomic::Ordering::Relaxed);
+        (file(&self.directory, self.index, next), next)
+    }
+
+    pub(crate) fn connect(&self) -> rusqlite::Result<Arc<sync::Mutex<database::Database>>> {
+        let (path, generation) = self.file();
+        let database = database::Database::open(&path, generation)?;
+        let database = Arc::new(sync::Mutex::new(database));
+        let mut sessions = lock(&self.sessions);
+        sessions.retain(|session| session.strong_count() > 0);
+        sessions.push(Arc::downgrade(&database));
+        Ok(database)
+    }
+
+    /// Begins a write transaction if the instance leads; gives its reign.
+    pub(crate) fn begin(&self, connection: &rusqlite::Connection) -> rusqlite::Result<Option<u64>> {
+        let state = self.state();
+        if !state.is_primary() {
+            return Ok(None);
+        }
+        connection.execute_batch("BEGIN IMMEDIATE")?;
+        Ok(Some(state.reign))
+    }
+
+    /// Commits the connection's transaction and appends its record, unless the
+    /// instance was fenced since the transaction began.
+    pub(crate) fn commit(
+        &self,
+        connection: &rusqlite::Connection,
+        reign: u64,
+        writes: Vec<journal::Write>,
+    ) -> Result<mangotray::stamp::Stamp, database::Error> {
+        let mut state = self.state();
+        if !state.is_primary() || state.reign != reign {
+            return Err(database::Error::read_only("COMMIT"));
+        }
+        let record = state.journal.draft(state.fence, writes);
+        let stamp = record.stamp();
+        database::write_stamp(connection, stamp)?;
+        connection.execute_batch("COMMIT")?;
+        state.journal.append(Arc::new(record));
+        drop(state);
+        self.notify();
+        Ok(stamp)
+    }
+
+    /// Raises the fence; a primary of a lower term becomes a replica.
+    pub(crate) fn fence(&self, term: id::Term) -> status::Status {
+        let mut state = self.state();
+        let demoted = state.fence < term && state.role == role::Role::Primary;
+        state.fence = state.fence.max(term);
+        if demoted {
+            state.demote();
+        }
+        let status = state.status();
+        drop(state);
+        if demoted {
+            self.revoke(false);
+        }
+        self.notify();
+        status
+    }
+
+    /// Becomes the primary of `term` if fenced at exactly this term.
+    pub(crate) fn promote(&self, term: id::Term) -> Result<status::Status, database::Error> {
+        let mut state = self.state();
+        if state.fence != term {
+            let words = format!("fenced at {}, not at {term}", state.fence);
+            return Err(database::Error::new("55000", words));
+        }
+        if state.role == role::Role::Replica {
+            let record = Arc::new(state.journal.draft(term, Vec::new()));
+            database::replay(&state.applier, std::slice::from_ref(&record))?;
+            state.journal.append(record);
+            state.role = role::Role::Primary;
+        }
+        let status = state.status();
+        drop(state);
+        self.notify();
+        Ok(status)
+    }
+
+    /// Appends records of the primary of `term`; ignored if no longer in place.
+    pub(crate) fn append(&self, term: id::Term, records: &[Arc<journal::Record>]) {
+        let mut state = self.state();
+        let next = state.journal.records().len() as id::Position + 1;
+        let fits = records
+            .first()
+            .is_some_and(|record| record.position == next);
+        if !self.replicates(&state) || !state.follows(term) || !fits {
+            return;
+        }
+        database::replay(&state.applier, records).expect("records apply as on the primary");
+        for record in records {
+            state.journal.append(Arc::clone(record));
+        }
+        drop(state);
+        self.notify();
+    }
+
+    /// Replaces the data by a replay of `prefix`, which the log begins with, and cuts
+    /// the log there. Works on a second file; readers see one or the other.
+    pub(crate) async fn rebuild(&self, term: id::Term, prefix: Vec<Arc<journal::Record>>) {
+        let (old, generation) = self.file();
+        let (path, next) = self.new_file();
+        let applier = database::create(&path, &self.options.schema).expect("schema applies");
+        for records in prefix.chunks(journal::CHUNK) {
+            database::replay(&applier, records).expect("records apply again");
+            futures_lite::future::yield_now().await;
+        }
+        let mut state = self.state();
+        let same = state.generation == generation && state.journal.starts_with(&prefix);
+        if !self.replicates(&state) || !state.follows(term) || !same {
+            remove(&path);
+            return;
+        }
+        state.applier = applier;
+        state.generation = next;
+        state.reign += 1;
+        state.journal.truncate(prefix.len());
+        drop(state);
+        self.revoke(true);
+        remove(&old);
+        self.notify();
+    }
+
+    /// Counts an instance that lost its log again, once it holds `length` records.
+    pub(crate) fn readmit(&self, term: id::Term, length: usize) {
+        let mut state = self.state();
+        if state.follows(term) && state.journal.records().len() >= length {
+            state.voter = true;
+        }
+    }
+
+    pub(crate) fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends transactions that must not go on.
+    fn revoke(&self, readers_too: bool) {
+        let sessions = lock(&self.sessions).clone();
+        for session in sessions.iter().filter_map(sync::Weak::upgrade) {
+            lock(&session).revoke(readers_too);
+        }
+    }
+
+    /// Stops the process: sockets close, open transactions are lost, log and fence stay.
+    pub(crate) fn crash(&self) {
+        let mut state = self.state();
+        state.running = false;
+        state.demote();
+        drop(state);
+        lock(&self.tasks).clear();
+        self.revoke(true);
+        self.notify();
+    }
+
+    /// Starts the process again as a replica.
+    pub(crate) fn restart(&self) {
+        let mut state = self.state();
+        if !state.running {
+            state.running = true;
+            state.incarnation = incarnation();
+        }
+        drop(state);
+        self.notify();
+    }
+
+    /// Stops the process, loses log, fence and data, and starts it again.
+    pub(crate) fn wipe(&self) -> eyre::Result<()> {
+        self.crash();
+        let (old, _) = self.file();
+        let (path, next) = self.new_file();
+        let applier = database::create(&path, &self.options.schema)?;
+        let mut state = self.state();
+        state.applier = applier;
+        state.generation = next;
+        state.journal.truncate(0);
+        state.fence = 0;
+        state.voter = false;
+        drop(state);
+        remove(&old);
+        self.restart();
+        Ok(())
+    }
+
+    /// Stops all bytes to and from callers, and replication.
+    pub(crate) fn blackhole(&self, on: bool) {
+        self.network.set(on);
+        self.notify();
+    }
+
+    /// Freezes the process.
+    pub(crate) fn pause(&self, on: bool) {
+        self.process.set(on);
+        self.notify();
+    }
+}
+
+/// Locks a mutex; a panic elsewhere has already failed the run.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no panic while locked")
+}
+
+fn incarnation() -> id::Incarnation {
+    INCARNATIONS.fetch_add(1, atomic::Ordering::Relaxed)
+}
+
+fn file(directory: &path::Path, index: id::Index, generation: u64) -> path::PathBuf {
+    directory.join(format!("{index}-{generation}.db"))
+}
+
+/// Removes a data file and its write-ahead log, if any.
+fn remove(path: &path::Path) {
+    for suffix in ["", "-wal", "-shm"] {
+        let mut name = path.as_os_str().to_owned();
+        name.push(suffix);
+        let _ = std::fs::remove_file(name);
+    }
+}
--- a/lab/src/journal.rs
+++ b/lab/src/journal.rs
@@ -1,1 +1,243 @@
 //! Log of an instance and its replication.
+
+use std::sync::Arc;
+use std::time;
+
+use mangotray::id;
+use mangotray::stamp;
+use rusqlite::types;
+
+use crate::instance;
+
+/// Records applied under one hold of the replica's lock.
+pub(crate) const CHUNK: usize = 64;
+/// Pause between attempts to count a rebuilt instance again.
+const READMISSION_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// A statement that wrote, with its bound parameters.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Write {
+    /// Translated SQL.
+    pub sql: String,
+    /// Values of `?1`, `?2` and so on.
+    pub parameters: Vec<types::Value>,
+}
+
+/// One committed transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// Term of the primary that committed it.
+    pub term: id::Term,
+    /// Place in the log; the first record has position 1.
+    pub position: id::Position,
+    /// What it did; empty for the first record of a term.
+    pub statements: Vec<Write>,
+    /// Time of the commit, from which the replication delay counts.
+    pub committed: time::Instant,
+}
+
+impl Record {
+    pub(crate) fn stamp(&self) -> stamp::Stamp {
+        stamp::Stamp::new(self.term, self.position)
+    }
+}
+
+/// An instance's log; all its records are applied.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Journal {
+    records: Vec<Arc<Record>>,
+}
+
+impl Journal {
+    pub(crate) fn records(&self) -> &[Arc<Record>] {
+        &self.records
+    }
+
+    pub(crate) fn stamp(&self) -> stamp::Stamp {
+        self.records
+            .last()
+            .map_or_else(stamp::Stamp::default, |record| record.stamp())
+    }
+
+    /// The record that a commit of `term` would append.
+    pub(crate) fn draft(&self, term: id::Term, statements: Vec<Write>) -> Record {
+        Record {
+            term,
+            position: self.records.len() as id::Position + 1,
+            statements,
+            committed: time::Instant::now(),
+        }
+    }
+
+    pub(crate) fn append(&mut self, record: Arc<Record>) {
+        assert_eq!(
+            record.position,
+            self.records.len() as id::Position + 1,
+            "records are appended without gaps"
+        );
+        self.records.push(record);
+    }
+
+    pub(crate) fn truncate(&mut self, length: usize) {
+        self.records.truncate(length);
+    }
+
+    pub(crate) fn starts_with(&self, prefix: &[Arc<Record>]) -> bool {
+        let stamps = |records: &[Arc<Record>]| records.last().map(|record| record.stamp());
+        let own = self.records.get(..prefix.len());
+        own.is_some_and(|own| stamps(own) == stamps(prefix))
+    }
+
+    /// Number of leading records that both logs hold. Each term has one primary, so
+    /// logs that agree on the term at a position agree on all positions before it.
+    fn common(&self, other: &Self) -> usize {
+        let shorter = self.records.len().min(other.records.len());
+        (0..shorter)
+            .rev()
+            .find(|&at| self.records[at].term == other.records[at].term)
+            .map_or(0, |at| at + 1)
+    }
+}
+
+/// What a replication step found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// More may be due at once.
+    Again,
+    /// The next record is due at this time.
+    At(time::Instant),
+    /// Nothing to do until something changes.
+    Idle,
+}
+
+/// One direction of replication between two instances of a group.
+pub(crate) struct Shipment {
+    /// Ships while it is the primary.
+    pub(crate) source: Arc<instance::Instance>,
+    /// Receives.
+    pub(crate) target: Arc<instance::Instance>,
+    /// The remaining instances.
+    pub(crate) witnesses: Vec<Arc<instance::Instance>>,
+}
+
+impl Shipment {
+    /// Ships for ever; ends when its task is dropped.
+    pub(crate) async fn run(self) {
+        loop {
+            let changed = self.source.changed.listen();
+            let touched = self.target.changed.listen();
+            match self.step().await {
+                Step::Again => futures_lite::future::yield_now().await,
+                Step::At(due) => {
+                    let timer = async {
+                        async_io::Timer::at(due).await;
+                    };
+                    futures_lite::future::or(timer, either(changed, touched)).await;
+                }
+                Step::Idle => either(changed, touched).await,
+            }
+        }
+    }
+
+    async fn step(&self) -> Step {
+        let Some((term, offer)) = self.offer() else {
+            return Step::Idle;
+        };
+        match offer {
+            Offer::Join => {
+                self.target.fence(term);
+                Step::Again
+            }
+            Offer::Repair(prefix) => {
+                self.target.rebuild(term, prefix).await;
+                Step::Again
+            }
+            Offer::Records(records) => {
+                self.target.append(term, &records);
+                Step::Again
+            }
+            Offer::Wait(due) => Step::At(due),
+            Offer::Complete(length) => {
+                if self.readmit(term, length) {
+                    return Step::Idle;
+                }
+                Step::At(time::Instant::now() + READMISSION_INTERVAL)
+            }
+        }
+    }
+
+    /// Compares both instances under both locks, taken in the order of their indexes.
+    fn offer(&self) -> Option<(id::Term, Offer)> {
+        let (source, target);
+        if self.source.index < self.target.index {
+            source = self.source.state();
+            target = self.target.state();
+        } else {
+            target = self.target.state();
+            source = self.source.state();
+        }
+        let reachable = self.source.replicates(&source) && self.target.replicates(&target);
+        if !reachable || !source.is_primary() || target.fence > source.fence {
+            return None;
+        }
+        if target.fence < source.fence {
+            return Some((source.fence, Offer::Join));
+        }
+        let common = target.journal.common(&source.journal);
+        let offer = if target.journal.records.len() > common {
+            Offer::Repair(target.journal.records[..common].to_vec())
+        } else {
+            Offer::of(&source.journal.records[common..], target.lag, common)
+        };
+        Some((source.fence, offer))
+    }
+
+    /// An instance that lost its log has also lost its fence. It may count again only
+    /// when no other instance is fenced above the primary it copied from; else it could
+    /// confirm commits of a primary that a majority has already left, and they would vanish.
+    fn readmit(&self, term: id::Term, length: usize) -> bool {
+        let current = self.witnesses.iter().all(|witness| {
+            let state = witness.state();
+            witness.replicates(&state) && state.fence <= term
+        });
+        if current {
+            self.target.readmit(term, length);
+        }
+        self.target.status().voter
+    }
+}
+
+/// What a primary has for a replica.
+enum Offer {
+    /// The replica has to join the term first.
+    Join,
+    /// The replica's log differs after these records.
+    Repair(Vec<Arc<Record>>),
+    /// Records that are due.
+    Records(Vec<Arc<Record>>),
+    /// The next record is due then.
+    Wait(time::Instant),
+    /// The replica holds the whole log, of this length.
+    Complete(usize),
+}
+
+impl Offer {
+    fn of(missing: &[Arc<Record>], lag: time::Duration, common: usize) -> Self {
+        let now = time::Instant::now();
+        let due: Vec<_> = missing
+            .iter()
+            .take_while(|record| record.committed + lag <= now)
+            .take(CHUNK)
+            .cloned()
+            .collect();
+        match missing.first() {
+            None => Self::Complete(common),
+            Some(next) if due.is_empty() => Self::Wait(next.committed + lag),
+            Some(_) => Self::Records(due),
+        }
+    }
+}
+
+async fn either(one: event_listener::EventListener, other: event_listener::EventListener) {
+    futures_lite::future::or(one, other).await;
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,4 +1,5 @@
 //! Stand-ins, workloads and measurements.
+mod backend;
 pub mod caller;
 pub mod cli;
 pub mod cluster;
@@ -6,6 +7,7 @@
 pub mod database;
 pub mod demo;
 pub mod fault;
+mod gate;
 pub mod history;
 pub mod instance;
 pub mod journal;
@@ -16,5 +18,7 @@
 pub mod profile;
 pub mod query;
 pub mod run;
+mod statement;
+mod value;
 pub mod verdict;
 pub mod workload;
--- /dev/null
+++ b/lab/src/statement.rs
@@ -0,0 +1,335 @@
+//! One SQL statement, translated from the `PostgreSQL` dialect for the embedded library.
+
+use std::collections::HashMap;
+
+use crate::database;
+use crate::value;
+
+/// What a statement does to its transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Verb {
+    Empty,
+    Read,
+    Write,
+    Begin {
+        read_only: bool,
+    },
+    Commit,
+    Rollback,
+    Savepoint(String),
+    Release(String),
+    RollbackTo(String),
+    /// Session settings, which change nothing here.
+    Setting,
+    Control(Control),
+}
+
+/// Statements of the control path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Control {
+    Status,
+    Fence(u64),
+    Promote(u64),
+}
+
+/// A translated statement.
+#[derive(Clone, Debug)]
+pub(crate) struct Statement {
+    pub(crate) text: String,
+    pub(crate) verb: Verb,
+    /// First words, for the command tag.
+    pub(crate) tag: String,
+    /// Calls functions whose result differs from instance to instance.
+    pub(crate) volatile: bool,
+    /// Number of parameters.
+    pub(crate) parameters: usize,
+    /// Parameter types given by casts.
+    pub(crate) casts: Vec<(usize, value::Kind)>,
+    /// Column types given by `expression::type AS alias`.
+    pub(crate) aliases: Vec<(String, value::Kind)>,
+    /// Lower-case words and signs, for the types of parameters.
+    pub(crate) tokens: Vec<String>,
+}
+
+impl Statement {
+    /// Splits a query string into its statements.
+    pub(crate) fn parse_all(sql: &str) -> Result<Vec<Self>, database::Error> {
+        let tokens = scan(sql)?;
+        Ok(tokens
+            .split(|token| token.text == ";")
+            .filter(|tokens| !tokens.is_empty())
+            .map(Self::translate)
+            .collect())
+    }
+
+    /// The one statement of an extended query.
+    pub(crate) fn parse(sql: &str) -> Result<Self, database::Error> {
+        let mut statements = Self::parse_all(sql)?;
+        if statements.len() > 1 {
+            let words = "cannot insert multiple commands into a prepared statement";
+            return Err(database::Error::new("42601", words));
+        }
+        Ok(statements.pop().unwrap_or_else(|| Self::translate(&[])))
+    }
+
+    fn translate(tokens: &[Token]) -> Self {
+        let words: Vec<String> = tokens.iter().map(Token::lower).collect();
+        let mut statement = Self {
+            text: String::new(),
+            verb: verb(&words),
+            tag: tag(&words),
+            volatile: false,
+            parameters: 0,
+            casts: Vec::new(),
+            aliases: Vec::new(),
+            tokens: words,
+        };
+        let end = statement.locking_clause().unwrap_or(tokens.len());
+        let mut index = 0;
+        while index < end {
+            index += statement.push(tokens, index);
+        }
+        statement
+    }
+
+    /// Appends the token at `index`; gives the number of tokens consumed.
+    fn push(&mut self, tokens: &[Token], index: usize) -> usize {
+        let token = &tokens[index];
+        if token.space {
+            self.text.push(' ');
+        }
+        if token.text == "::" {
+            return self.cast(tokens, index);
+        }
+        let word = self.tokens[index].as_str();
+        let call = self.tokens.get(index + 1).is_some_and(|next| next == "(");
+        match word {
+            "now" | "clock_timestamp" if call => {
+                self.volatile = true;
+                self.text.push_str("datetime('now')");
+                return 3;
+            }
+            "random" | "gen_random_uuid" | "randomblob" if call => self.volatile = true,
+            "current_timestamp" | "current_date" | "current_time" => self.volatile = true,
+            _ => {}
+        }
+        if let Some(number) = parameter(word) {
+            self.parameters = self.parameters.max(number);
+            self.text.push('?');
+            self.text.push_str(&word[1..]);
+        } else {
+            self.text.push_str(&token.text);
+        }
+        1
+    }
+
+    fn cast(&mut self, tokens: &[Token], index: usize) -> usize {
+        let name = tokens.get(index + 1).map_or("", |token| &token.text);
+        let kind = value::Kind::named(name);
+        if let Some(number) = index
+            .checked_sub(1)
+            .and_then(|at| parameter(&self.tokens[at]))
+        {
+            self.casts.push((number, kind));
+        }
+        let word = |at: usize| self.tokens.get(at).map_or("", String::as_str);
+        let mut next = index + 2;
+        if matches!(word(next), "precision" | "varying") {
+            next += 1;
+        }
+        if word(next) == "(" {
+            next += 3;
+        }
+        if word(next) == "as" {
+            self.aliases
+                .push((word(next + 1).trim_matches('"').to_owned(), kind));
+        }
+        next - index
+    }
+
+    /// Start of `FOR UPDATE` and its kin: the whole database is locked anyway.
+    fn locking_clause(&self) -> Option<usize> {
+        self.tokens.windows(2).position(|pair| {
+            pair[0] == "for" && matches!(pair[1].as_str(), "update" | "share" | "no" | "key")
+        })
+    }
+
+    /// Type of parameter `number` by its cast, the column it meets, or its place.
+    pub(crate) fn infer(
+        &self,
+        number: usize,
+        declared: &HashMap<String, value::Kind>,
+    ) -> value::Kind {
+        let cast = self.casts.iter().find(|(other, _)| *other == number);
+        let place = |at: &usize| parameter(&self.tokens[*at]) == Some(number);
+        cast.map(|(_, kind)| *kind)
+            .or_else(|| {
+                let mut places = (0..self.tokens.len()).filter(place);
+                places.find_map(|at| self.infer_at(at, declared))
+            })
+            .unwrap_or(value::Kind::Text)
+    }
+
+    fn infer_at(&self, at: usize, declared: &HashMap<String, value::Kind>) -> Option<value::Kind> {
+        let word = |at: usize| self.tokens.get(at).map_or("", String::as_str);
+        let before = |distance: usize| at.checked_sub(distance).map_or("", word);
+        if matches!(before(1), "limit" | "offset") {
+            return Some(value::Kind::Int8);
+        }
+        let is_sign = |word: &&str| matches!(*word, "=" | "<" | ">" | "!" | "+" | "-" | "*");
+        let left = (1..=at).map(before).find(|word| !is_sign(word));
+        let right = (at + 1..self.tokens.len())
+            .map(word)
+            .find(|word| !is_sign(word));
+        let range = (before(1) == "and" && before(3) == "between").then(|| before(4));
+        let opening = matches!(before(1), "between" | "in").then(|| before(2));
+        let list = (before(1) == "(" && before(2) == "in").then(|| before(3));
+        [opening, list, range, self.inserted(at), left, right]
+            .into_iter()
+            .flatten()
+            .find_map(|column| declared.get(column).copied())
+    }
+
+    /// Column that a place in the VALUES of an INSERT belongs to.
+    fn inserted(&self, at: usize) -> Option<&str> {
+        let values = self.tokens.iter().position(|word| word == "values")?;
+        let open = self.tokens.iter().position(|word| word == "(")?;
+        if open > values || at < values {
+            return None;
+        }
+        let mut depth = 0;
+        let mut index = 0;
+        for word in &self.tokens[values..at] {
+            match word.as_str() {
+                "(" => depth += 1,
+                ")" => depth -= 1,
+                "," if depth == 0 => index = 0,
+                "," if depth == 1 => index += 1,
+                _ => {}
+            }
+        }
+        let columns = self.tokens[open + 1..values].split(|word| word == ",");
+        let column = columns.map(|words| &words[0]).nth(index)?;
+        (depth == 1).then_some(column.as_str())
+    }
+
+    /// Whether the statement may only run while the instance's one writer.
+    pub(crate) fn writes(&self) -> bool {
+        match self.verb {
+            Verb::Write | Verb::Begin { read_only: false } => true,
+            Verb::Read => self.locking_clause().is_some(),
+            _ => false,
+        }
+    }
+}
+
+/// A word, literal or sign.
+struct Token {
+    text: String,
+    /// Whether white space stood before it.
+    space: bool,
+}
+
+impl Token {
+    fn lower(&self) -> String {
+        if self.text.starts_with(['\'', '"']) {
+            return self.text.clone();
+        }
+        self.text.to_ascii_lowercase()
+    }
+}
+
+pub(crate) fn parameter(word: &str) -> Option<usize> {
+    word.strip_prefix('$')?.parse().ok()
+}
+
+fn scan(sql: &str) -> Result<Vec<Token>, database::Error> {
+    let mut tokens = Vec::new();
+    let mut rest = sql;
+    let mut space = false;
+    while let Some(first) = rest.chars().next() {
+        let length = token_length(rest, first)?;
+        let (text, after) = rest.split_at(length);
+        rest = after;
+        if first.is_whitespace() || text.starts_with("--") || text.starts_with("/*") {
+            space = true;
+            continue;
+        }
+        let text = text.to_owned();
+        tokens.push(Token { text, space });
+        space = false;
+    }
+    Ok(tokens)
+}
+
+fn token_length(rest: &str, first: char) -> Result<usize, database::Error> {
+    let unterminated = || database::Error::new("42601", "syntax error: unterminated token");
+    let found = |end: Option<usize>| end.ok_or_else(unterminated);
+    if rest.starts_with("--") {
+        return Ok(rest.find('\n').unwrap_or(rest.len()));
+    }
+    if rest.starts_with("/*") {
+        return found(rest.find("*/").map(|end| end + 2));
+    }
+    if rest.starts_with("::") {
+        return Ok(2);
+    }
+    match first {
+        '\'' | '"' => found(rest[1..].find(first).map(|end| end + 2)),
+        _ if is_word(first) => Ok(rest.find(|next| !is_word(next)).unwrap_or(rest.len())),
+        _ => Ok(first.len_utf8()),
+    }
+}
+
+fn is_word(character: char) -> bool {
+    character.is_alphanumeric() || matches!(character, '_' | '$')
+}
+
+fn tag(words: &[String]) -> String {
+    let first = words.first().map(String::as_str).unwrap_or_default();
+    let count = if matches!(first, "create" | "drop" | "alter") {
+        2
+    } else {
+        1
+    };
+    words[..count.min(words.len())].join(" ").to_uppercase()
+}
+
+fn verb(words: &[String]) -> Verb {
+    let has = |word: &str| words.iter().any(|other| other == word);
+    let first = words.first().map(String::as_str).unwrap_or_default();
+    let last = || words.last().cloned().unwrap_or_default();
+    match first {
+        "" => Verb::Empty,
+        "begin" | "start" => Verb::Begin {
+            read_only: has("only"),
+        },
+        "commit" | "end" => Verb::Commit,
+        "rollback" | "abort" if has("to") => Verb::RollbackTo(last()),
+        "rollback" | "abort" => Verb::Rollback,
+        "savepoint" => Verb::Savepoint(last()),
+        "release" => Verb::Release(last()),
+        "set" | "reset" | "discard" | "deallocate" | "listen" | "unlisten" | "show" => {
+            Verb::Setting
+        }
+        "select" => control(words).map_or(Verb::Read, Verb::Control),
+        "values" => Verb::Read,
+        "with" | "explain" if !has("insert") && !has("update") && !has("delete") => Verb::Read,
+        _ => Verb::Write,
+    }
+}
+
+/// Recognises `SELECT * FROM group_NAME(TERM)`.
+fn control(words: &[String]) -> Option<Control> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["select", "*", "from", "group_status", "(", ")"] => Some(Control::Status),
+        ["select", "*", "from", "group_fence", "(", term, ")"] => {
+            term.parse().ok().map(Control::Fence)
+        }
+        ["select", "*", "from", "group_promote", "(", term, ")"] => {
+            term.parse().ok().map(Control::Promote)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/lab/tests/cluster.rs
@@ -0,0 +1,488 @@
+//! The stand-in group, met through the product's own client and through tokio-postgres.
+
+use std::sync::Arc;
+use std::time;
+
+use assert_matches::assert_matches;
+use futures_lite::future;
+use mangotray::control;
+use mangotray::frame;
+use mangotray::reply;
+use mangotray::role;
+use mangotray::stamp;
+use mangotray::transaction;
+use mangotray::upstream;
+use mangotray::upstream::Upstream;
+use mangotray_lab::cluster;
+use pgwire::messages::simplequery;
+
+/// Generous bound on what happens "soon".
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+const STEP: time::Duration = time::Duration::from_millis(2);
+
+type Connection = Box<dyn upstream::Connection>;
+
+struct Bench {
+    cluster: Arc<cluster::Cluster>,
+    /// Ends the executor's threads when dropped.
+    _stop: async_channel::Sender<()>,
+}
+
+impl Bench {
+    fn start(options: cluster::Options) -> Self {
+        let executor = Arc::new(async_executor::Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        for _ in 0..2 {
+            let (executor, stopped) = (Arc::clone(&executor), stopped.clone());
+            std::thread::spawn(move || {
+                let _ = async_io::block_on(executor.run(stopped.recv()));
+            });
+        }
+        let cluster = cluster::Cluster::start(options, &executor).unwrap();
+        Self {
+            cluster,
+            _stop: stop,
+        }
+    }
+
+    /// A group with a table, led by instance 0 at term 1.
+    fn led() -> Self {
+        let bench = Self::start(options());
+        bench.cluster.lead(0, 1).unwrap();
+        bench
+    }
+
+    fn control(&self, index: usize) -> control::Control {
+        let generous = control::Options {
+            probe: PATIENCE,
+            change: PATIENCE,
+            ..control::Options::default()
+        };
+        let address = self.cluster.addresses()[index];
+        control::Control::new(address, "dome_sched", generous)
+    }
+
+    fn open(&self, index: usize) -> Connection {
+        future::block_on(self.control(index).open()).unwrap()
+    }
+
+    fn seats(&self, index: usize) -> Vec<String> {
+        let sql = "SELECT name FROM seats ORDER BY name";
+        let rows = self.cluster.query(index, sql).unwrap();
+        rows.into_iter().flatten().flatten().collect()
+    }
+
+    fn eventually(&self, what: &str, check: impl Fn(&cluster::Cluster) -> bool) {
+        let start = time::Instant::now();
+        while !check(&self.cluster) {
+            assert!(start.elapsed() < PATIENCE, "never: {what}");
+            std::thread::sleep(STEP);
+        }
+    }
+}
+
+fn options() -> cluster::Options {
+    cluster::Options {
+        connect_cost: time::Duration::ZERO,
+        schema: vec!["CREATE TABLE seats (name TEXT PRIMARY KEY, row INT, price BIGINT, free BOOL, score FLOAT8)".into()],
+        ..cluster::Options::default()
+    }
+}
+
+fn query(sql: &str) -> Vec<frame::Frame> {
+    vec![frame::Frame::encode(&simplequery::Query::new(sql.into()))]
+}
+
+fn run(connection: &mut Connection, sql: &str) -> Result<reply::Reply, upstream::Failure> {
+    future::block_on(connection.run(&query(sql)))
+}
+
+fn insert(name: &str) -> String {
+    format!("INSERT INTO seats (name) VALUES ('{name}')")
+}
+
+#[test]
+fn reports_status_and_the_stamp_of_a_commit() {
+    let bench = Bench::start(options());
+    let control = bench.control(0);
+    let status = future::block_on(control.status()).unwrap();
+    assert_eq!(status.stamp, stamp::Stamp::new(0, 0));
+    assert_eq!(status.role, role::Role::Replica);
+    assert!(status.voter);
+    assert_eq!(future::block_on(control.fence(3)).unwrap().fence, 3);
+    let status = future::block_on(control.promote(3)).unwrap();
+    assert_eq!(status.role, role::Role::Primary);
+    assert_eq!(status.stamp, stamp::Stamp::new(3, 1));
+    assert_eq!(future::block_on(control.promote(3)).unwrap(), status);
+
+    let mut link = bench.open(0);
+    assert_eq!(link.incarnation(), status.incarnation);
+    let reply = run(&mut link, &insert("A1")).unwrap();
+    assert_eq!(reply.error, None);
+    assert_eq!(reply.stamp, Some(stamp::Stamp::new(3, 2)));
+    assert_eq!(reply.transaction, transaction::State::Idle);
+    let reply = run(&mut link, "SELECT name FROM seats").unwrap();
+    assert_eq!(reply.stamp, Some(stamp::Stamp::new(3, 2)));
+    assert!(reply.frames.iter().all(|frame| frame.tag != b'S'));
+    let reply = run(&mut link, &insert("A1")).unwrap();
+    assert_eq!(reply.error.as_deref(), Some("23505"));
+    assert_eq!(bench.cluster.log(0).len(), 2);
+}
+
+#[test]
+fn replicates_whole_transactions_in_order() {
+    let bench = Bench::led();
+    let mut link = bench.open(0);
+    let reply = run(&mut link, "BEGIN").unwrap();
+    assert_eq!(reply.transaction, transaction::State::Open);
+    assert_eq!(reply.stamp, None);
+    run(&mut link, &insert("A1")).unwrap();
+    run(&mut link, "SAVEPOINT one").unwrap();
+    run(&mut link, &insert("A2")).unwrap();
+    run(&mut link, "ROLLBACK TO SAVEPOINT one").unwrap();
+    run(&mut link, &insert("A3")).unwrap();
+    assert!(bench.seats(1).is_empty());
+    let stamp = run(&mut link, "COMMIT").unwrap().stamp.unwrap();
+    bench.eventually("replicas catch up", |cluster| {
+        (1..3).all(|index| cluster.status(index).stamp == stamp)
+    });
+    assert_eq!(bench.seats(1), ["A1", "A3"]);
+    assert_eq!(bench.cluster.log(2), bench.cluster.log(0));
+    let mut replica = bench.open(1);
+    let reply = run(&mut replica, &insert("B1")).unwrap();
+    assert_eq!(reply.error.as_deref(), Some("25006"));
+    let reply = run(&mut replica, "SELECT * FROM seats").unwrap();
+    assert_eq!(reply.stamp, Some(stamp));
+}
+
+#[test]
+fn a_failed_transaction_takes_only_a_rollback() {
+    let bench = Bench::led();
+    let mut link = bench.open(0);
+    run(&mut link, "BEGIN").unwrap();
+    run(&mut link, &insert("A1")).unwrap();
+    let reply = run(&mut link, "SELECT * FROM ghosts").unwrap();
+    assert_eq!(reply.error.as_deref(), Some("42P01"));
+    assert_eq!(reply.transaction, transaction::State::Failed);
+    let reply = run(&mut link, &insert("A2")).unwrap();
+    assert_eq!(reply.error.as_deref(), Some("25P02"));
+    run(&mut link, "COMMIT").unwrap();
+    let reply = run(&mut link, "SELEKT").unwrap();
+    assert_eq!(reply.error.as_deref(), Some("42601"));
+    let reply = run(&mut link, &format!("{}; {}", insert("A3"), insert("A3"))).unwrap();
+    assert_eq!(reply.error.as_deref(), Some("23505"));
+    assert!(bench.seats(0).is_empty());
+    assert_eq!(bench.cluster.log(0).len(), 1);
+}
+
+#[test]
+fn refuses_a_promotion_without_the_fence() {
+    let bench = Bench::led();
+    let control = bench.control(1);
+    assert_matches!(
+        future::block_on(control.promote(2)),
+        Err(upstream::Failure::NotRun(words)) if words.contains("55000")
+    );
+    assert_eq!(future::block_on(control.fence(5)).unwrap().fence, 5);
+    assert_eq!(future::block_on(control.fence(4)).unwrap().fence, 5);
+}
+
+/// Symptom: a booking is acknowledged by a primary that has been replaced.
+/// Events: a clerk opens a transaction; the primary is fenced for a promotion
+/// elsewhere; the clerk commits.
+/// Cause: a commit that does not check the fence.
+#[test]
+fn a_fenced_primary_rolls_back_its_open_transactions() {
+    let bench = Bench::led();
+    let mut link = bench.open(0);
+    run(&mut link, "BEGIN").unwrap();
+    run(&mut link, &insert("A1")).unwrap();
+    future::block_on(bench.control(0).fence(2)).unwrap();
+    let reply = run(&mut link, "COMMIT").unwrap();
+    assert_eq!(reply.error.as_deref(), Some("25006"));
+    assert_eq!(reply.transaction, transaction::State::Idle);
+    assert!(bench.seats(0).is_empty());
+    assert_eq!(bench.cluster.status(0).role, role::Role::Replica);
+}
+
+/// Symptom: a booking of the old primary stays visible after the group was repaired.
+/// Events: the primary is cut off and still commits; another is promoted and
+/// commits; the cut heals.
+/// Cause: a replica that keeps records which the new primary's log lacks.
+#[test]
+fn a_cut_off_primary_goes_on_and_is_repaired_later() {
+    let bench = Bench::led();
+    bench.eventually("term 1 everywhere", |cluster| {
+        (0..3).all(|index| cluster.status(index).stamp == stamp::Stamp::new(1, 1))
+    });
+    let mut old = bench.open(0);
+    bench.cluster.cut(0, true);
+    let reply = run(&mut old, &insert("lost")).unwrap();
+    assert_eq!(reply.stamp, Some(stamp::Stamp::new(1, 2)));
+    for index in 1..3 {
+        future::block_on(bench.control(index).fence(2)).unwrap();
+    }
+    future::block_on(bench.control(1).promote(2)).unwrap();
+    let mut new = bench.open(1);
+    let reply = run(&mut new, &insert("kept")).unwrap();
+    let stamp = reply.stamp.unwrap();
+    assert_eq!(stamp, stamp::Stamp::new(2, 3));
+    run(&mut old, "BEGIN").unwrap();
+    run(&mut old, &insert("open")).unwrap();
+    assert_eq!(bench.seats(0), ["lost"]);
+
+    bench.cluster.cut(0, false);
+    bench.eventually("repaired", |cluster| cluster.status(0).stamp == stamp);
+    assert_eq!(bench.seats(0), ["kept"]);
+    assert_eq!(bench.cluster.log(0), bench.cluster.log(1));
+    let reply = run(&mut old, "COMMIT").unwrap();
+    assert_eq!(reply.error.as_deref(), Some("25006"));
+    let reply = run(&mut old, "SELECT name FROM seats").unwrap();
+    assert_eq!(reply.stamp, Some(stamp));
+}
+
+/// Symptom: a commit of a replaced primary is confirmed by an instance that has
+/// forgotten its fence, and is lost.
+/// Events: instances 1 and 2 are fenced at term 2; instance 1 loses its memory and
+/// copies the log of the cut-off primary of term 1.
+/// Cause: counting an instance again although another one is fenced higher.
+#[test]
+fn a_wiped_instance_counts_only_after_copying_a_current_log() {
+    let bench = Bench::led();
+    let incarnation = bench.cluster.status(1).incarnation;
+    bench.cluster.crash(2);
+    for index in 1..3 {
+        future::block_on(async {
+            bench.cluster.restart(index);
+            bench.control(index).fence(2).await.unwrap();
+        });
+    }
+    bench.cluster.wipe(1).unwrap();
+    let status = bench.cluster.status(1);
+    assert_ne!(status.incarnation, incarnation);
+    assert!(!status.voter);
+    bench.eventually("copied from the stale primary", |cluster| {
+        cluster.status(1).stamp == cluster.status(0).stamp
+    });
+    std::thread::sleep(time::Duration::from_millis(100));
+    assert!(!bench.cluster.status(1).voter);
+    future::block_on(bench.control(2).promote(2)).unwrap();
+    bench.eventually("voter again", |cluster| cluster.status(1).voter);
+    assert_eq!(bench.cluster.log(1), bench.cluster.log(2));
+}
+
+#[test]
+fn refuses_connections_over_the_limit() {
+    let bench = Bench::start(cluster::Options {
+        connections: 2,
+        ..options()
+    });
+    let first = bench.open(0);
+    let _second = bench.open(0);
+    let third = future::block_on(bench.control(0).open());
+    assert_matches!(third.err(), Some(upstream::Failure::NotRun(words)) if words.contains("53300"));
+    assert_eq!(bench.cluster.stats(0).refused_connections, 1);
+    drop(first);
+    bench.eventually("seat free", |cluster| cluster.stats(0).connections == 1);
+    drop(bench.open(0));
+    assert_eq!(bench.cluster.stats(0).peak_connections, 2);
+}
+
+#[test]
+fn control_statements_need_no_slot() {
+    let bench = Bench::start(cluster::Options {
+        statement_cost: PATIENCE * 10,
+        ..options()
+    });
+    let mut links: Vec<_> = (0..4).map(|_| bench.open(0)).collect();
+    let busy = links.iter_mut().map(|link| async {
+        let frames = query("SELECT * FROM seats");
+        link.run(&frames).await
+    });
+    let busy = futures_util::future::join_all(busy);
+    let probe = async {
+        while bench.cluster.stats(0).busy < 3 {
+            async_io::Timer::after(STEP).await;
+        }
+        bench.control(0).status().await.unwrap();
+    };
+    future::block_on(future::or(probe, async {
+        busy.await;
+    }));
+    assert_eq!(bench.cluster.stats(0).peak_busy, 3);
+    assert_eq!(bench.cluster.stats(0).statements, 0);
+}
+
+/// Symptom: a caller is told "not run" about a booking that an instance had received.
+/// Events: the instance crashes while it runs the batch.
+/// Cause: taking a lost connection for proof that nothing ran.
+#[test]
+fn a_crash_before_the_answer_is_unknown() {
+    let bench = Bench::start(cluster::Options {
+        statement_cost: PATIENCE * 10,
+        ..options()
+    });
+    bench.cluster.lead(0, 1).unwrap();
+    let mut link = bench.open(0);
+    let frames = query(&insert("A1"));
+    let crash = async {
+        while bench.cluster.stats(0).busy == 0 {
+            async_io::Timer::after(STEP).await;
+        }
+        bench.cluster.crash(0);
+    };
+    let (result, ()) = future::block_on(future::zip(link.run(&frames), crash));
+    assert_matches!(result, Err(upstream::Failure::Unknown(_)));
+    assert_matches!(
+        run(&mut link, "SELECT 1"),
+        Err(upstream::Failure::NotRun(_))
+    );
+    let refused = future::block_on(bench.control(0).status());
+    assert_matches!(refused, Err(upstream::Failure::NotRun(_)));
+    let incarnation = bench.cluster.status(0).incarnation;
+    bench.cluster.restart(0);
+    let status = future::block_on(bench.control(0).status()).unwrap();
+    assert_ne!(status.incarnation, incarnation);
+    assert_eq!((status.fence, status.role), (1, role::Role::Replica));
+    assert!(bench.seats(0).is_empty());
+}
+
+/// Symptom: a booking is reported "unknown" although it never left the proxy.
+/// Events: the instance restarts while a pooled connection lies idle.
+/// Cause: writing into a socket whose other end is already closed.
+#[test]
+fn a_connection_closed_while_idle_proves_that_nothing_ran() {
+    let bench = Bench::led();
+    let mut link = bench.open(0);
+    bench.cluster.crash(0);
+    bench.eventually("closed", |cluster| cluster.stats(0).connections == 0);
+    bench.cluster.restart(0);
+    assert_matches!(
+        run(&mut link, &insert("A1")),
+        Err(upstream::Failure::NotRun(_))
+    );
+}
+
+/// Symptom: promotion hangs for ever on an instance behind a broken switch.
+/// Events: the sockets stay open, but no byte flows.
+/// Cause: a control request without a timeout.
+#[test]
+fn a_silent_instance_times_out_and_comes_back() {
+    let bench = Bench::led();
+    let address = bench.cluster.addresses()[2];
+    let short = control::Options {
+        probe: time::Duration::from_millis(50),
+        ..control::Options::default()
+    };
+    let control = control::Control::new(address, "dome_sched", short);
+    for fault in [cluster::Cluster::blackhole, cluster::Cluster::pause] {
+        fault(&bench.cluster, 2, true);
+        assert_matches!(
+            future::block_on(control.status()),
+            Err(upstream::Failure::Unknown(_))
+        );
+        let mut link = bench.open(0);
+        let stamp = run(
+            &mut link,
+            "INSERT INTO seats (name) SELECT 'A' || count(*) FROM seats",
+        )
+        .unwrap()
+        .stamp
+        .unwrap();
+        bench.eventually("the other replica follows", |cluster| {
+            cluster.status(1).stamp == stamp
+        });
+        assert!(bench.cluster.status(2).stamp < stamp);
+        fault(&bench.cluster, 2, false);
+        bench.eventually("caught up", |cluster| cluster.status(2).stamp == stamp);
+        future::block_on(bench.control(2).status()).unwrap();
+    }
+}
+
+#[test]
+fn a_lagging_replica_serves_old_data_with_an_old_stamp() {
+    let bench = Bench::led();
+    bench.eventually("followed", |cluster| cluster.status(1).stamp.position == 1);
+    bench.cluster.set_lag(1, PATIENCE * 10);
+    let mut primary = bench.open(0);
+    let new = run(&mut primary, &insert("A1")).unwrap().stamp.unwrap();
+    bench.eventually("other replica", |cluster| cluster.status(2).stamp == new);
+    let mut replica = bench.open(1);
+    let reply = run(&mut replica, "SELECT name FROM seats").unwrap();
+    assert_eq!(reply.stamp, Some(stamp::Stamp::new(1, 1)));
+    assert!(reply.frames.iter().all(|frame| frame.tag != b'D'));
+    bench.cluster.set_lag(1, time::Duration::ZERO);
+    bench.eventually("caught up", |cluster| cluster.status(1).stamp == new);
+}
+
+#[test]
+fn serves_an_ordinary_client_library() {
+    let bench = Bench::led();
+    let port = bench.cluster.addresses()[0].port();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let config = format!("host=127.0.0.1 port={port} user=clerk dbname=dome_sched");
+        let (mut client, connection) = tokio_postgres::connect(&config, tokio_postgres::NoTls)
+            .await
+            .unwrap();
+        tokio::spawn(connection);
+        let sql = "INSERT INTO seats (name, row, price, free, score) VALUES ($1, $2, $3, $4, $5)";
+        let statement = client.prepare(sql).await.unwrap();
+        for row in 1..=3_i32 {
+            let name = format!("A{row}");
+            let parameters: [&(dyn tokio_postgres::types::ToSql + Sync); 5] =
+                [&name, &row, &(i64::from(row) * 100), &(row == 2), &0.5_f64];
+            assert_eq!(client.execute(&statement, &parameters).await.unwrap(), 1);
+        }
+        let sql = "SELECT * FROM seats WHERE price >= $1 AND free = $2 LIMIT $3";
+        let row = client
+            .query_one(sql, &[&200_i64, &true, &5_i64])
+            .await
+            .unwrap();
+        assert_eq!(row.get::<_, String>("name"), "A2");
+        assert_eq!(row.get::<_, i32>("row"), 2);
+        assert_eq!(row.get::<_, i64>("price"), 200);
+        assert!(row.get::<_, bool>("free"));
+        assert!((row.get::<_, f64>("score") - 0.5).abs() < f64::EPSILON);
+        let row = client
+            .query_one("SELECT count(*) FROM seats", &[])
+            .await
+            .unwrap();
+        assert_eq!(row.get::<_, i64>(0), 3);
+        let row = client
+            .query_one("SELECT $1::int8 + 1", &[&41_i64])
+            .await
+            .unwrap();
+        assert_eq!(row.get::<_, i64>(0), 42);
+
+        let change = client.transaction().await.unwrap();
+        let sql = "UPDATE seats SET free = $2 WHERE name = $1 RETURNING price";
+        let row = change.query_one(sql, &[&"A1", &true]).await.unwrap();
+        assert_eq!(row.get::<_, i64>(0), 100);
+        change.commit().await.unwrap();
+        let error = client
+            .execute(&statement, &[&"A1", &1_i32, &1_i64, &true, &0.0_f64])
+            .await;
+        let code = error.unwrap_err().code().cloned();
+        assert_eq!(
+            code,
+            Some(tokio_postgres::error::SqlState::UNIQUE_VIOLATION)
+        );
+        let volatile = client.batch_execute("UPDATE seats SET name = now()").await;
+        let code = volatile.unwrap_err().code().cloned();
+        assert_eq!(
+            code,
+            Some(tokio_postgres::error::SqlState::FEATURE_NOT_SUPPORTED)
+        );
+    });
+    let free = "SELECT name FROM seats WHERE free ORDER BY name";
+    let rows = bench.cluster.query(0, free).unwrap();
+    assert_eq!(rows, [[Some("A1".to_owned())], [Some("A2".to_owned())]]);
+    bench.eventually("replicated", |cluster| {
+        cluster.status(2).stamp == cluster.status(0).stamp
+    });
+    assert_eq!(bench.cluster.query(2, free).unwrap(), rows);
+}
--- /dev/null
+++ b/src/link/tests.rs
@@ -0,0 +1,161 @@
+use assert_matches::assert_matches;
+use futures_lite::AsyncReadExt;
+use futures_lite::future;
+use pgwire::messages::data;
+use pgwire::messages::simplequery;
+
+use super::*;
+use crate::upstream::Connection;
+
+/// A server that answers the handshake and then each request with the given bytes;
+/// closes after the last.
+async fn serve(listener: async_net::TcpListener, answers: Vec<Vec<u8>>) {
+    let (mut socket, _) = listener.accept().await.unwrap();
+    let mut request = [0; 1024];
+    socket.read(&mut request).await.unwrap();
+    socket.write_all(&greeting_answer()).await.unwrap();
+    for answer in answers {
+        if socket.read(&mut request).await.unwrap() == 0 {
+            return;
+        }
+        socket.write_all(&answer).await.unwrap();
+    }
+}
+
+fn greeting_answer() -> Vec<u8> {
+    let incarnation = startup::ParameterStatus::new(INCARNATION.into(), "7".into());
+    [
+        encode(&startup::Authentication::Ok),
+        encode(&incarnation),
+        encode(&response::ReadyForQuery::new(
+            response::TransactionStatus::Idle,
+        )),
+    ]
+    .concat()
+}
+
+fn encode<M: pgwire::messages::Message>(message: &M) -> Vec<u8> {
+    let mut buffer = bytes::BytesMut::new();
+    frame::Frame::encode(message).write(&mut buffer);
+    buffer.to_vec()
+}
+
+fn complete() -> Vec<u8> {
+    let stamp = startup::ParameterStatus::new(STAMP.into(), "3/9".into());
+    let zone = startup::ParameterStatus::new("TimeZone".into(), "UTC".into());
+    [
+        encode(&data::DataRow::new(bytes::BytesMut::new(), 0)),
+        encode(&response::CommandComplete::new("SELECT 1".into())),
+        encode(&zone),
+        encode(&stamp),
+        encode(&response::ReadyForQuery::new(
+            response::TransactionStatus::Transaction,
+        )),
+    ]
+    .concat()
+}
+
+fn query() -> Vec<frame::Frame> {
+    let query = simplequery::Query::new("SELECT 1".into());
+    vec![frame::Frame::encode(&query)]
+}
+
+/// Runs as many batches as given against a server with these answers.
+fn converse(
+    limit: usize,
+    answers: Vec<Vec<u8>>,
+    runs: usize,
+) -> Vec<Result<reply::Reply, upstream::Failure>> {
+    future::block_on(async {
+        let listener = async_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = async {
+            let options = Options {
+                limit,
+                ..Options::default()
+            };
+            let mut link = Link::open(address, "db", &options).await.unwrap();
+            assert_eq!(link.incarnation(), 7);
+            let mut results = Vec::new();
+            for _ in 0..runs {
+                results.push(link.run(&query()).await);
+            }
+            results
+        };
+        future::zip(client, serve(listener, answers)).await.0
+    })
+}
+
+#[test]
+fn gives_the_whole_answer_without_private_reports() {
+    let results = converse(1024, vec![complete(), complete()], 2);
+    for result in results {
+        let reply = result.unwrap();
+        let tags: Vec<_> = reply.frames.iter().map(|frame| frame.tag).collect();
+        assert_eq!(tags, [b'D', b'C', b'S']);
+        assert_eq!(reply.transaction, transaction::State::Open);
+        assert_eq!(reply.stamp, Some(stamp::Stamp::new(3, 9)));
+        assert_eq!(reply.error, None);
+    }
+}
+
+/// Symptom: a caller gets half an answer, or the rest of somebody else's.
+/// Events: the connection breaks after any number of bytes of the answer.
+/// Cause: relaying frames before the answer is whole, or using the link again.
+#[test]
+fn an_answer_cut_anywhere_is_unknown_and_ends_the_link() {
+    let answer = complete();
+    for cut in 0..answer.len() {
+        let results = converse(1024, vec![answer[..cut].to_vec()], 2);
+        assert_matches!(results[0], Err(upstream::Failure::Unknown(_)), "{cut}");
+        assert_matches!(results[1], Err(upstream::Failure::NotRun(_)), "{cut}");
+    }
+}
+
+/// Symptom: the second caller sees the first one's answer.
+/// Events: the first caller's deadline passes before the answer; the answer comes late.
+/// Cause: giving a link with an answer under way to the next request.
+#[test]
+fn a_link_dropped_while_it_runs_is_never_used_again() {
+    let listening = async_net::TcpListener::bind("127.0.0.1:0");
+    let listener = future::block_on(listening).unwrap();
+    let address = listener.local_addr().unwrap();
+    future::block_on(async {
+        let client = async {
+            let mut link = Link::open(address, "db", &Options::default())
+                .await
+                .unwrap();
+            let frames = query();
+            assert!(link.run(&frames).now_or_never().is_none());
+            link.run(&frames).await
+        };
+        let (result, ()) = future::zip(client, serve(listener, vec![complete()])).await;
+        assert_matches!(result, Err(upstream::Failure::NotRun(_)));
+    });
+}
+
+#[test]
+fn an_answer_over_the_limit_is_named_so() {
+    let many = complete();
+    let results = converse(many.len() - 1, vec![many.clone()], 2);
+    assert_matches!(&results[0], Err(upstream::Failure::Unknown(words)) if words.starts_with(TOO_LARGE));
+    assert_matches!(results[1], Err(upstream::Failure::NotRun(_)));
+    let row = data::DataRow::new(bytes::BytesMut::from(&[0; 2000][..]), 1);
+    let results = converse(1024, vec![encode(&row)], 1);
+    assert_matches!(&results[0], Err(upstream::Failure::Unknown(words)) if words.starts_with(TOO_LARGE));
+    assert_matches!(converse(many.len(), vec![many], 1)[0], Ok(_));
+}
+
+#[test]
+fn gives_the_first_sqlstate() {
+    let error = |code: &str| {
+        let fields = vec![(b'C', code.to_owned()), (b'M', "words".to_owned())];
+        encode(&response::ErrorResponse::new(fields))
+    };
+    let ready = response::ReadyForQuery::new(response::TransactionStatus::Error);
+    let answer = [error("23505"), error("25P02"), encode(&ready)].concat();
+    let reply = converse(1024, vec![answer], 1).remove(0).unwrap();
+    assert_eq!(reply.error.as_deref(), Some("23505"));
+    assert_eq!(reply.transaction, transaction::State::Failed);
+    assert_eq!(reply.stamp, None);
+}
