--- a/lab/src/platform.rs
+++ b/lab/src/platform.rs
@@ -1,1 +1,511 @@
 //! Stand-in for the platform's key-value service and VM list.
+//!
+//! Serves the published Consul KV HTTP API as far as `mangotray::platform` uses it,
+//! with faults: outages, slow answers, lost answers, lagging lists, rate limits.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use base64::Engine;
+use base64::engine::general_purpose;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use mangotray::clock;
+use mangotray::clock::Clock;
+use mangotray::id;
+use mangotray::store;
+
+use crate::rate;
+use crate::space;
+
+/// How often ended leases are looked for.
+const EXPIRY_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// Longest time that a watch waits.
+const WAIT_LIMIT: time::Duration = time::Duration::from_mins(10);
+
+type Executor = sync::Arc<async_executor::Executor<'static>>;
+type Response = hyper::Response<http_body_util::Full<bytes::Bytes>>;
+
+/// How a stand-in starts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Options {
+    /// Port on the loopback address; 0 draws a free one.
+    pub port: u16,
+    /// Time that each call takes before it is carried out.
+    pub delay: time::Duration,
+    /// Age of the VM list that is handed out.
+    pub lag: time::Duration,
+    /// Calls a second that are admitted; `None` admits all.
+    pub rates: Option<Rates>,
+}
+
+/// Calls a second that the service admits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rates {
+    /// Reads a second; a watch counts as one.
+    pub reads: u32,
+    /// Writes a second.
+    pub writes: u32,
+}
+
+/// Kinds of call, as they are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Read of one key.
+    Get,
+    /// Read of a prefix.
+    List,
+    /// Read that waits for a change.
+    Watch,
+    /// Compare-and-swap.
+    Swap,
+    /// Opening of a lease.
+    Grant,
+    /// Renewal of a lease.
+    Renew,
+    /// End of a lease.
+    Revoke,
+    /// Read of the VM list.
+    Vms,
+}
+
+impl Kind {
+    /// True for calls that change something.
+    #[must_use]
+    pub const fn changes(self) -> bool {
+        matches!(self, Self::Swap | Self::Grant | Self::Renew | Self::Revoke)
+    }
+}
+
+/// A running stand-in; it ends when the last handle is dropped.
+pub struct Platform {
+    address: net::SocketAddr,
+    clock: clock::Monotonic,
+    executor: Executor,
+    outage: atomic::AtomicBool,
+    changed: event_listener::Event,
+    failed: event_listener::Event,
+    state: sync::Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    space: space::Space,
+    delay: time::Duration,
+    lag: time::Duration,
+    listings: Vec<(id::Time, Vec<store::Listing>)>,
+    lose: Option<Lose>,
+    limits: Option<Limits>,
+    calls: collections::HashMap<Kind, u64>,
+}
+
+struct Lose {
+    fraction: f64,
+    random: fastrand::Rng,
+}
+
+struct Limits {
+    reads: rate::Limit,
+    writes: rate::Limit,
+}
+
+/// A parsed call.
+#[derive(Clone, Debug)]
+struct Call {
+    kind: Kind,
+    key: String,
+    query: collections::HashMap<String, String>,
+    body: bytes::Bytes,
+}
+
+impl Platform {
+    /// Listens on the loopback address and serves on `executor`.
+    ///
+    /// ```
+    /// use std::sync;
+    /// use mangotray_lab::platform;
+    /// let executor = sync::Arc::new(async_executor::Executor::new());
+    /// let platform = platform::Platform::start(platform::Options::default(), &executor).unwrap();
+    /// assert!(platform.address().ip().is_loopback());
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails when the port cannot be bound.
+    pub fn start(options: Options, executor: &Executor) -> eyre::Result<sync::Arc<Self>> {
+        let loopback = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, options.port));
+        let listener = async_io::Async::<net::TcpListener>::bind(loopback)?;
+        let platform = sync::Arc::new(Self {
+            address: listener.get_ref().local_addr()?,
+            clock: clock::Monotonic::new(),
+            executor: sync::Arc::clone(executor),
+            outage: atomic::AtomicBool::new(false),
+            changed: event_listener::Event::new(),
+            failed: event_listener::Event::new(),
+            state: sync::Mutex::default(),
+        });
+        platform.set_delay(options.delay);
+        platform.set_lag(options.lag);
+        platform.set_rates(options.rates);
+        let weak = sync::Arc::downgrade(&platform);
+        executor.spawn(accept(listener, weak.clone())).detach();
+        executor.spawn(expire(weak)).detach();
+        Ok(platform)
+    }
+
+    /// Where the stand-in listens.
+    #[must_use]
+    pub const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Starts or ends an outage: open connections are cut, calls are answered 503.
+    ///
+    /// Leases go on running out in an outage.
+    pub fn set_outage(&self, outage: bool) {
+        self.outage.store(outage, atomic::Ordering::SeqCst);
+        if outage {
+            self.failed.notify(usize::MAX);
+        }
+    }
+
+    /// Sets the time that each call takes before it is carried out.
+    ///
+    /// A caller that gives up meanwhile does not stop its call.
+    pub fn set_delay(&self, delay: time::Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Carries out a fraction of the changes and cuts the connection without an answer.
+    pub fn lose_answers(&self, fraction: f64, seed: u64) {
+        let random = fastrand::Rng::with_seed(seed);
+        self.lock().lose = (fraction > 0.0).then_some(Lose { fraction, random });
+    }
+
+    /// Admits so many calls a second, answering 429 above; `None` admits all.
+    pub fn set_rates(&self, rates: Option<Rates>) {
+        let now = self.clock.now();
+        self.lock().limits = rates.map(|rates| Limits {
+            reads: rate::Limit::new(rates.reads, now),
+            writes: rate::Limit::new(rates.writes, now),
+        });
+    }
+
+    /// Sets the VM list, handed out once the lag has passed.
+    pub fn set_vms(&self, listings: Vec<store::Listing>) {
+        let now = self.clock.now();
+        self.lock().listings.push((now, listings));
+    }
+
+    /// Sets the age of the VM list that is handed out.
+    pub fn set_lag(&self, lag: time::Duration) {
+        self.lock().lag = lag;
+    }
+
+    /// Calls that arrived, refused ones too.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls.values().sum()
+    }
+
+    /// Calls of one kind that arrived.
+    #[must_use]
+    pub fn calls_of(&self, kind: Kind) -> u64 {
+        self.lock().calls.get(&kind).copied().unwrap_or_default()
+    }
+
+    /// All entries, for audits.
+    #[must_use]
+    pub fn entries(&self) -> Vec<store::Entry> {
+        self.lock().space.list("")
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().expect("state of the stand-in")
+    }
+
+    fn failing(&self) -> bool {
+        self.outage.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Admits, delays, carries out and answers one call.
+    async fn serve(self: sync::Arc<Self>, call: Call) -> eyre::Result<Response> {
+        let kind = call.kind;
+        let (admitted, delay) = self.arrive(kind);
+        if self.failing() {
+            return plain(503, "outage");
+        }
+        if !admitted {
+            return plain(429, "too many calls");
+        }
+        async_io::Timer::after(delay).await;
+        if self.failing() {
+            eyre::bail!("cut by an outage");
+        }
+        let response = match kind {
+            Kind::Watch => self.watch(&call).await?,
+            _ => self.lock().run(&call, self.clock.now())?,
+        };
+        if kind.changes() {
+            self.changed.notify(usize::MAX);
+            eyre::ensure!(!self.lock().loses(), "answer lost");
+        }
+        Ok(response)
+    }
+
+    fn arrive(&self, kind: Kind) -> (bool, time::Duration) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        *state.calls.entry(kind).or_default() += 1;
+        let admitted = state.limits.as_mut().is_none_or(|limits| {
+            if kind.changes() {
+                limits.writes.admit(now)
+            } else {
+                limits.reads.admit(now)
+            }
+        });
+        (admitted, state.delay)
+    }
+
+    async fn watch(&self, call: &Call) -> eyre::Result<Response> {
+        let seen: store::Version = call.number("index")?;
+        let wait = call.duration("wait")?.min(WAIT_LIMIT);
+        let deadline = time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.listen();
+            if self.lock().space.index(&call.key) != seen {
+                break;
+            }
+            let timer = async {
+                async_io::Timer::at(deadline).await;
+                false
+            };
+            let woken = async {
+                changed.await;
+                true
+            };
+            if !woken.or(timer).await {
+                break;
+            }
+        }
+        self.lock().run(call, self.clock.now())
+    }
+}
+
+impl State {
+    /// Carries out a call at time `now`.
+    fn run(&mut self, call: &Call, now: id::Time) -> eyre::Result<Response> {
+        self.space.expire(now);
+        match call.kind {
+            Kind::Get | Kind::Watch => {
+                let found = self.space.get(&call.key).cloned();
+                rows(found.as_slice(), self.space.index(&call.key))
+            }
+            Kind::List => {
+                let found = self.space.list(&call.key);
+                let index = found.iter().map(|entry| entry.version).max();
+                rows(&found, index.unwrap_or(1))
+            }
+            Kind::Swap => self.swap(call),
+            Kind::Grant => {
+                let body: serde_json::Value = serde_json::from_slice(&call.body)?;
+                let ttl = humantime::parse_duration(body["TTL"].as_str().unwrap_or_default())?;
+                let id = self.space.grant(ttl, now);
+                json(200, &serde_json::json!({ "ID": id }))
+            }
+            Kind::Renew if self.space.renew(&call.key, now) => json(200, &serde_json::json!([])),
+            Kind::Renew => plain(404, "session not found"),
+            Kind::Revoke => {
+                self.space.revoke(&call.key);
+                plain(200, "true")
+            }
+            Kind::Vms => json(200, &serde_json::to_value(self.listed(now))?),
+        }
+    }
+
+    fn swap(&mut self, call: &Call) -> eyre::Result<Response> {
+        let expect = call.number("cas")?;
+        let lease = call.query.get("acquire").map(String::as_str);
+        match self.space.put(&call.key, call.body.clone(), expect, lease) {
+            space::Put::Stored => plain(200, "true"),
+            space::Put::Conflict => plain(200, "false"),
+            space::Put::NoLease => plain(400, "invalid session"),
+            space::Put::TooLarge => plain(413, "value is too large"),
+        }
+    }
+
+    /// The newest list that is older than the lag; the first one before that.
+    fn listed(&self, now: id::Time) -> &[store::Listing] {
+        let old = |entry: &&(id::Time, Vec<store::Listing>)| entry.0 + self.lag <= now;
+        let newest = self.listings.iter().rev().find(old);
+        newest
+            .or(self.listings.first())
+            .map_or(&[], |entry| &entry.1)
+    }
+
+    fn loses(&mut self) -> bool {
+        self.lose
+            .as_mut()
+            .is_some_and(|lose| lose.random.f64() < lose.fraction)
+    }
+}
+
+impl Call {
+    /// Reads a call from a request's head; `None` if there is no such call.
+    fn parse(method: &hyper::Method, uri: &hyper::Uri, body: bytes::Bytes) -> Option<Self> {
+        let query = pairs(uri.query().unwrap_or_default());
+        let path = percent_encoding::percent_decode_str(uri.path())
+            .decode_utf8()
+            .ok()?
+            .into_owned();
+        let parts = |prefix: &str| path.strip_prefix(prefix).map(str::to_owned);
+        let get = *method == hyper::Method::GET;
+        let (kind, key) = match () {
+            () if path == "/v1/vms" => (Kind::Vms, String::new()),
+            () if path == "/v1/session/create" => (Kind::Grant, String::new()),
+            () => parts("/v1/session/renew/")
+                .map(|id| (Kind::Renew, id))
+                .or_else(|| parts("/v1/session/destroy/").map(|id| (Kind::Revoke, id)))
+                .or_else(|| parts("/v1/kv/").map(|key| (key_call(get, &query), key)))?,
+        };
+        (get != kind.changes()).then_some(Self {
+            kind,
+            key,
+            query,
+            body,
+        })
+    }
+
+    fn number(&self, name: &str) -> eyre::Result<u64> {
+        let text = self.query.get(name);
+        let text = text.ok_or_else(|| eyre::eyre!("no {name} in the query"))?;
+        Ok(text.parse()?)
+    }
+
+    fn duration(&self, name: &str) -> eyre::Result<time::Duration> {
+        let text = self.query.get(name).map_or("5m", String::as_str);
+        Ok(humantime::parse_duration(text)?)
+    }
+}
+
+fn key_call(get: bool, query: &collections::HashMap<String, String>) -> Kind {
+    match get {
+        false => Kind::Swap,
+        true if query.contains_key("recurse") => Kind::List,
+        true if query.contains_key("index") => Kind::Watch,
+        true => Kind::Get,
+    }
+}
+
+fn pairs(query: &str) -> collections::HashMap<String, String> {
+    query
+        .split('&')
+        .map(|pair| pair.split_once('=').unwrap_or((pair, "")))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn rows(entries: &[store::Entry], index: store::Version) -> eyre::Result<Response> {
+    let status = if entries.is_empty() { 404 } else { 200 };
+    let rows: Vec<serde_json::Value> = entries.iter().map(row).collect();
+    let mut response = json(status, &serde_json::Value::from(rows))?;
+    response
+        .headers_mut()
+        .insert(mangotray::http::INDEX_HEADER, index.into());
+    Ok(response)
+}
+
+fn row(entry: &store::Entry) -> serde_json::Value {
+    serde_json::json!({
+        "Key": entry.key,
+        "Value": general_purpose::STANDARD.encode(&entry.value),
+        "ModifyIndex": entry.version,
+        "Session": entry.lease,
+    })
+}
+
+fn json(status: u16, body: &serde_json::Value) -> eyre::Result<Response> {
+    plain(status, &body.to_string())
+}
+
+fn plain(status: u16, body: &str) -> eyre::Result<Response> {
+    let body = http_body_util::Full::new(body.to_owned().into());
+    Ok(hyper::Response::builder().status(status).body(body)?)
+}
+
+async fn accept(listener: async_io::Async<net::TcpListener>, weak: sync::Weak<Platform>) {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let timer = async {
+            async_io::Timer::after(EXPIRY_INTERVAL).await;
+            None
+        };
+        let accepted = accepted.or(timer).await;
+        let Some(platform) = weak.upgrade() else {
+            return;
+        };
+        if let Some(Ok((stream, _))) = accepted {
+            let connection = connect(stream, sync::Arc::downgrade(&platform));
+            platform.executor.spawn(connection).detach();
+        }
+    }
+}
+
+async fn expire(weak: sync::Weak<Platform>) {
+    while let Some(platform) = weak.upgrade() {
+        let ended = platform.lock().space.expire(platform.clock.now());
+        if ended > 0 {
+            platform.changed.notify(usize::MAX);
+        }
+        drop(platform);
+        async_io::Timer::after(EXPIRY_INTERVAL).await;
+    }
+}
+
+async fn connect(stream: async_io::Async<net::TcpStream>, weak: sync::Weak<Platform>) {
+    let Some(platform) = weak.upgrade() else {
+        return;
+    };
+    let failed = platform.failed.listen();
+    drop(platform);
+    let service = hyper::service::service_fn(move |request| respond(request, weak.clone()));
+    let serve = async move {
+        let stream = smol_hyper::rt::FuturesIo::new(stream);
+        let served = hyper::server::conn::http1::Builder::new()
+            .serve_connection(stream, service)
+            .await;
+        if let Err(error) = served {
+            tracing::debug!(%error, "connection ended");
+        }
+    };
+    serve.or(failed).await;
+}
+
+/// Answers one request; an error cuts the connection.
+async fn respond(
+    request: hyper::Request<hyper::body::Incoming>,
+    weak: sync::Weak<Platform>,
+) -> eyre::Result<Response> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let Some(call) = Call::parse(&head.method, &head.uri, body) else {
+        return plain(405, "no such call");
+    };
+    let platform = weak.upgrade().ok_or_else(|| eyre::eyre!("stopped"))?;
+    let executor = sync::Arc::clone(&platform.executor);
+    let (sender, receiver) = async_channel::bounded(1);
+    // A call goes on when its caller has gone, as at a real service.
+    let serve = async move {
+        let _ = sender.send(platform.serve(call).await).await;
+    };
+    executor.spawn(serve).detach();
+    receiver.recv().await?
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lab/src/space.rs
@@ -0,0 +1,176 @@
+//! Keys, versions and leases of the stand-in service, as a plain state machine.
+
+use std::collections;
+use std::time;
+
+use mangotray::id;
+use mangotray::store;
+
+/// Greatest length of a value in bytes.
+pub const VALUE_LIMIT: usize = 1_000_000;
+
+/// Outcome of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Put {
+    /// The value is stored.
+    Stored,
+    /// The key has another version.
+    Conflict,
+    /// The lease to bind to has ended.
+    NoLease,
+    /// The value is longer than `VALUE_LIMIT`.
+    TooLarge,
+}
+
+/// Everything the service keeps.
+#[derive(Clone, Debug, Default)]
+pub struct Space {
+    index: store::Version,
+    entries: collections::BTreeMap<String, store::Entry>,
+    /// Versions at which keys were removed.
+    removed: collections::HashMap<String, store::Version>,
+    leases: collections::BTreeMap<String, Lease>,
+    granted: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: time::Duration,
+    end: id::Time,
+}
+
+impl Space {
+    /// The entry of one key.
+    ///
+    /// ```
+    /// assert!(mangotray_lab::space::Space::default().get("a").is_none());
+    /// ```
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&store::Entry> {
+        self.entries.get(key)
+    }
+
+    /// All entries whose key starts with `prefix`, by key.
+    #[must_use]
+    pub fn list(&self, prefix: &str) -> Vec<store::Entry> {
+        self.entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, entry)| entry.clone())
+            .collect()
+    }
+
+    /// Index of the last change of a key, also of its removal; 1 if it never was.
+    #[must_use]
+    pub fn index(&self, key: &str) -> store::Version {
+        let removed = self.removed.get(key).copied().unwrap_or(1);
+        self.get(key).map_or(removed, |entry| entry.version)
+    }
+
+    /// Stores a value if the key's version is `expect` (0: absent).
+    ///
+    /// Without a lease, an entry keeps the one that it is bound to.
+    ///
+    /// ```
+    /// use mangotray_lab::space;
+    /// let mut space = space::Space::default();
+    /// assert_eq!(space.put("a", "1".into(), 0, None), space::Put::Stored);
+    /// assert_eq!(space.put("a", "2".into(), 0, None), space::Put::Conflict);
+    /// ```
+    pub fn put(
+        &mut self,
+        key: &str,
+        value: bytes::Bytes,
+        expect: store::Version,
+        lease: Option<&str>,
+    ) -> Put {
+        if value.len() > VALUE_LIMIT {
+            return Put::TooLarge;
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(lease)) {
+            return Put::NoLease;
+        }
+        let found = self.get(key);
+        if found.map_or(0, |entry| entry.version) != expect {
+            return Put::Conflict;
+        }
+        let kept = found.and_then(|entry| entry.lease.clone());
+        let entry = store::Entry {
+            key: key.into(),
+            value,
+            version: self.advance(),
+            lease: lease.map(Into::into).or(kept),
+        };
+        self.removed.remove(key);
+        self.entries.insert(key.to_owned(), entry);
+        Put::Stored
+    }
+
+    /// Opens a lease that ends `ttl` after its last renewal.
+    pub fn grant(&mut self, ttl: time::Duration, now: id::Time) -> String {
+        self.granted += 1;
+        let id = format!("lease-{:08x}", self.granted);
+        let end = now + ttl;
+        self.leases.insert(id.clone(), Lease { ttl, end });
+        id
+    }
+
+    /// Renews a lease; false when it has ended.
+    pub fn renew(&mut self, id: &str, now: id::Time) -> bool {
+        self.expire(now);
+        let lease = self.leases.get_mut(id);
+        lease.map(|lease| lease.end = now + lease.ttl).is_some()
+    }
+
+    /// Ends a lease and removes the entries bound to it.
+    pub fn revoke(&mut self, id: &str) {
+        if self.leases.remove(id).is_none() {
+            return;
+        }
+        let bound: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.lease.as_deref() == Some(id))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in bound {
+            self.entries.remove(&key);
+            let index = self.advance();
+            self.removed.insert(key, index);
+        }
+    }
+
+    /// Ends the leases whose time is over; returns how many there were.
+    ///
+    /// ```
+    /// use std::time;
+    /// let mut space = mangotray_lab::space::Space::default();
+    /// let second = time::Duration::from_secs(1);
+    /// let lease = space.grant(second, time::Duration::ZERO);
+    /// space.put("a", "1".into(), 0, Some(&lease));
+    /// assert_eq!(space.expire(second / 2), 0);
+    /// assert_eq!(space.expire(second), 1);
+    /// assert!(space.get("a").is_none());
+    /// ```
+    pub fn expire(&mut self, now: id::Time) -> usize {
+        let ended: Vec<String> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.end <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &ended {
+            self.revoke(id);
+        }
+        ended.len()
+    }
+
+    fn advance(&mut self) -> store::Version {
+        // Index 1 stands for "never was", so the first change is number 2.
+        self.index = self.index.max(1) + 1;
+        self.index
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,210 @@
+//! Small pool of kept-alive HTTP connections to one address.
+
+use std::fmt;
+use std::net;
+use std::sync;
+use std::time;
+
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use hyper::client::conn::http1;
+
+/// Request as the pool sends it.
+pub type Request = hyper::Request<http_body_util::Full<bytes::Bytes>>;
+
+type Sender = http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
+
+/// Header that carries the index of the data that was read.
+pub const INDEX_HEADER: &str = "x-consul-index";
+
+/// What came back for one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Status of the response.
+    pub status: hyper::StatusCode,
+    /// Index of the data, when the service gave one.
+    pub index: Option<u64>,
+    /// Whole body.
+    pub body: bytes::Bytes,
+}
+
+/// Why a request has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// True when the request may have left this process.
+    pub sent: bool,
+    /// True when a kept-alive connection turned out to be closed.
+    pub stale: bool,
+    /// Words for the log.
+    pub detail: String,
+}
+
+/// Bounded set of connections; one request at a time on each.
+pub struct Pool {
+    address: net::SocketAddr,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    permits: async_lock::Semaphore,
+    idle: sync::Mutex<Vec<Sender>>,
+}
+
+impl Pool {
+    /// Builds a pool of at most `connections`; nothing is opened yet.
+    ///
+    /// ```
+    /// use std::sync;
+    /// let executor = sync::Arc::new(async_executor::Executor::new());
+    /// let pool = mangotray::http::Pool::new("127.0.0.1:8500".parse().unwrap(), 4, &executor);
+    /// assert_eq!(pool.idle(), 0);
+    /// ```
+    #[must_use]
+    pub fn new(
+        address: net::SocketAddr,
+        connections: usize,
+        executor: &sync::Arc<async_executor::Executor<'static>>,
+    ) -> Self {
+        Self {
+            address,
+            executor: sync::Arc::clone(executor),
+            permits: async_lock::Semaphore::new(connections),
+            idle: sync::Mutex::default(),
+        }
+    }
+
+    /// Connections that are open and not in use.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        self.kept().len()
+    }
+
+    /// Sends one request and collects its whole answer within `timeout`.
+    ///
+    /// With `fresh`, kept-alive connections are dropped and a new one is opened.
+    /// Nothing is sent twice.
+    ///
+    /// # Errors
+    ///
+    /// `Failure::sent` tells whether the request may have left this process.
+    pub async fn call(
+        &self,
+        request: Request,
+        timeout: time::Duration,
+        fresh: bool,
+    ) -> Result<Answer, Failure> {
+        let deadline = time::Instant::now() + timeout;
+        let _permit = within(deadline, self.permits.acquire())
+            .await
+            .ok_or_else(|| Failure::unsent("no connection was free in time"))?;
+        let (mut sender, kept) = within(deadline, self.checkout(fresh))
+            .await
+            .ok_or_else(|| Failure::unsent("timeout while connecting"))??;
+        let answer = within(deadline, exchange(&mut sender, request, kept))
+            .await
+            .ok_or_else(|| Failure::lost("timeout while waiting for the answer"))??;
+        // A call that is given up drops its sender, which closes the connection:
+        // a late answer can never be taken for the answer to the next request.
+        self.kept().push(sender);
+        Ok(answer)
+    }
+
+    /// Takes a kept-alive connection, or opens one; true when it was kept alive.
+    async fn checkout(&self, fresh: bool) -> Result<(Sender, bool), Failure> {
+        if fresh {
+            self.kept().clear();
+        }
+        while let Some(mut sender) = self.pop() {
+            if sender.ready().await.is_ok() {
+                return Ok((sender, true));
+            }
+        }
+        Ok((self.connect().await?, false))
+    }
+
+    fn kept(&self) -> sync::MutexGuard<'_, Vec<Sender>> {
+        self.idle.lock().expect("no thread panics with the list")
+    }
+
+    // A function of its own, as the list must not stay locked while a sender is tried.
+    fn pop(&self) -> Option<Sender> {
+        self.kept().pop()
+    }
+
+    async fn connect(&self) -> Result<Sender, Failure> {
+        let stream = async_net::TcpStream::connect(self.address)
+            .await
+            .map_err(Failure::unsent)?;
+        stream.set_nodelay(true).map_err(Failure::unsent)?;
+        let (sender, connection) = http1::handshake(smol_hyper::rt::FuturesIo::new(stream))
+            .await
+            .map_err(Failure::unsent)?;
+        let serve = async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection to the platform ended");
+            }
+        };
+        self.executor.spawn(serve).detach();
+        Ok(sender)
+    }
+}
+
+impl fmt::Debug for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pool")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Failure {
+    fn unsent(detail: impl fmt::Display) -> Self {
+        Self {
+            sent: false,
+            stale: false,
+            detail: detail.to_string(),
+        }
+    }
+
+    fn lost(detail: impl fmt::Display) -> Self {
+        Self {
+            sent: true,
+            ..Self::unsent(detail)
+        }
+    }
+}
+
+async fn exchange(sender: &mut Sender, request: Request, kept: bool) -> Result<Answer, Failure> {
+    let response = sender
+        .try_send_request(request)
+        .await
+        .map_err(|mut error| Failure {
+            // The request comes back only when none of it was written.
+            sent: error.take_message().is_none(),
+            stale: kept,
+            detail: error.into_error().to_string(),
+        })?;
+    let status = response.status();
+    let index = index(response.headers());
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(Failure::lost)?
+        .to_bytes();
+    Ok(Answer {
+        status,
+        index,
+        body,
+    })
+}
+
+fn index(headers: &hyper::HeaderMap) -> Option<u64> {
+    headers.get(INDEX_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// Result of `future`, or `None` once the deadline has passed.
+async fn within<T>(deadline: time::Instant, future: impl Future<Output = T>) -> Option<T> {
+    let timer = async {
+        async_io::Timer::at(deadline).await;
+        None
+    };
+    async { Some(future.await) }.or(timer).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod frame;
 pub mod group;
 pub mod hello;
+pub mod http;
 pub mod id;
 pub mod lane;
 pub mod launch;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,1 +1,384 @@
-//! The platform's service over HTTP with JSON.
+//! Client of the platform's key-value service and VM list over HTTP.
+//!
+//! The calls are those of the published Consul KV HTTP API, with two liberties: one
+//! write may both compare (`cas`) and bind to a session (`acquire`), and `/v1/vms`
+//! gives the VM list. Statuses 429, 503 and 4xx are answers of a service that has
+//! refused a call before it carried it out; 500, 502 and 504 say nothing of the kind.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use base64::Engine;
+use base64::engine::general_purpose;
+use compact_str::CompactString;
+use futures_util::FutureExt;
+use futures_util::future;
+
+use crate::http;
+use crate::store;
+
+/// Calls in flight at once, watches apart.
+const CONNECTIONS: usize = 8;
+
+/// Watches that wait at once; apart, so that they never hold up a write.
+const WATCHES: usize = 4;
+
+/// Time for a call to be answered.
+const TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Bytes of a key that need no escape in a path.
+const KEY_ESCAPES: &percent_encoding::AsciiSet = &percent_encoding::NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~');
+
+/// How the client reaches the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Address of the service.
+    pub address: net::SocketAddr,
+    /// Time for one call, from its start to the last byte of the answer.
+    pub timeout: time::Duration,
+    /// Calls in flight at once, watches apart.
+    pub connections: usize,
+    /// Watches that wait at once.
+    pub watches: usize,
+}
+
+impl Options {
+    /// Usual options for a service at `address`.
+    ///
+    /// ```
+    /// let address = "127.0.0.1:8500".parse().unwrap();
+    /// assert_eq!(mangotray::platform::Options::new(address).address, address);
+    /// ```
+    #[must_use]
+    pub const fn new(address: net::SocketAddr) -> Self {
+        Self {
+            address,
+            timeout: TIMEOUT,
+            connections: CONNECTIONS,
+            watches: WATCHES,
+        }
+    }
+}
+
+/// Client that never repeats a call that changes anything.
+#[derive(Debug)]
+pub struct Client {
+    calls: http::Pool,
+    watches: http::Pool,
+    timeout: time::Duration,
+}
+
+/// One entry as the service writes it.
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Row {
+    key: CompactString,
+    value: Option<String>,
+    modify_index: store::Version,
+    session: Option<store::Lease>,
+}
+
+/// Body of a request for a session.
+#[derive(serde::Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Session {
+    #[serde(rename = "TTL")]
+    ttl: String,
+    behavior: &'static str,
+}
+
+/// Answer to a request for a session.
+#[derive(serde::Deserialize)]
+struct Created {
+    #[serde(rename = "ID")]
+    id: store::Lease,
+}
+
+/// An entry and the index to wait on for its next change.
+struct Seen {
+    entry: Option<store::Entry>,
+    index: u64,
+}
+
+impl Client {
+    /// Builds a client whose connections run on `executor`; nothing is opened yet.
+    ///
+    /// ```
+    /// use mangotray::platform;
+    /// use std::sync;
+    /// let executor = sync::Arc::new(async_executor::Executor::new());
+    /// let options = platform::Options::new("127.0.0.1:8500".parse().unwrap());
+    /// let client = platform::Client::new(options, &executor);
+    /// assert!(format!("{client:?}").contains("8500"));
+    /// ```
+    #[must_use]
+    pub fn new(options: Options, executor: &sync::Arc<async_executor::Executor<'static>>) -> Self {
+        Self {
+            calls: http::Pool::new(options.address, options.connections, executor),
+            watches: http::Pool::new(options.address, options.watches, executor),
+            timeout: options.timeout,
+        }
+    }
+
+    /// Reads; repeated once, on a new connection, if a kept-alive one was closed.
+    async fn read(
+        &self,
+        pool: &http::Pool,
+        path: &str,
+        timeout: time::Duration,
+    ) -> Result<http::Answer, store::Failure> {
+        let first = pool.call(get(path), timeout, false).await;
+        let answer = match first {
+            Err(failure) if failure.stale => pool.call(get(path), timeout, true).await,
+            answer => answer,
+        };
+        count("read", answer.is_ok());
+        answer.map_err(|failure| store::Failure::NotRun(failure.detail.into()))
+    }
+
+    /// Changes something; sent at most once.
+    async fn change(&self, path: &str, body: bytes::Bytes) -> Result<http::Answer, store::Failure> {
+        let answer = self.calls.call(put(path, body), self.timeout, false).await;
+        count("change", answer.is_ok());
+        match answer {
+            Ok(answer) => accepted(answer),
+            Err(failure) if failure.sent => Err(store::Failure::Unknown(failure.detail.into())),
+            Err(failure) => Err(store::Failure::NotRun(failure.detail.into())),
+        }
+    }
+
+    async fn entries(&self, path: &str) -> Result<Vec<store::Entry>, store::Failure> {
+        let answer = self.read(&self.calls, path, self.timeout).await?;
+        rows(&answer)
+    }
+
+    async fn seen(
+        &self,
+        key: &str,
+        after: Option<(u64, time::Duration)>,
+    ) -> Result<Seen, store::Failure> {
+        let (query, patience) = match after {
+            Some((index, wait)) => (format!("?index={index}&wait={}ms", wait.as_millis()), wait),
+            None => (String::new(), time::Duration::ZERO),
+        };
+        let path = format!("/v1/kv/{}{query}", escape(key));
+        let answer = self
+            .read(&self.watches, &path, self.timeout + patience)
+            .await?;
+        let index = answer.index.unwrap_or_default();
+        let entry = rows(&answer)?.pop();
+        Ok(Seen { entry, index })
+    }
+
+    async fn changed(
+        &self,
+        key: &str,
+        seen: store::Version,
+        patience: time::Duration,
+    ) -> Result<Option<store::Entry>, store::Failure> {
+        let deadline = time::Instant::now() + patience;
+        // An absent key has no version of its own to wait on: read its index first.
+        let mut index = seen;
+        if seen == 0 {
+            let found = self.seen(key, None).await?;
+            if found.entry.is_some() {
+                return Ok(found.entry);
+            }
+            index = found.index;
+        }
+        loop {
+            let rest = deadline.saturating_duration_since(time::Instant::now());
+            let found = self.seen(key, Some((index, rest))).await?;
+            if found.version() != seen || rest.is_zero() {
+                return Ok(found.entry);
+            }
+            index = found.index;
+        }
+    }
+}
+
+impl Seen {
+    fn version(&self) -> store::Version {
+        self.entry.as_ref().map_or(0, |entry| entry.version)
+    }
+}
+
+impl store::Store for Client {
+    fn get<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
+        async move {
+            let path = format!("/v1/kv/{}", escape(key));
+            Ok(self.entries(&path).await?.pop())
+        }
+        .boxed()
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> future::BoxFuture<'a, Result<Vec<store::Entry>, store::Failure>> {
+        async move {
+            let path = format!("/v1/kv/{}?recurse", escape(prefix));
+            self.entries(&path).await
+        }
+        .boxed()
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        value: bytes::Bytes,
+        expect: store::Version,
+        lease: Option<&'a str>,
+    ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
+        async move {
+            let acquire = lease.map_or_else(String::new, |lease| format!("&acquire={lease}"));
+            let path = format!("/v1/kv/{}?cas={expect}{acquire}", escape(key));
+            let answer = self.change(&path, value).await?;
+            match answer.body.trim_ascii() {
+                b"true" => Ok(store::Swap::Stored),
+                b"false" => Ok(store::Swap::Conflict),
+                _ => Err(store::Failure::Unknown("answer is no boolean".into())),
+            }
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        seen: store::Version,
+        patience: time::Duration,
+    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
+        self.changed(key, seen, patience).boxed()
+    }
+
+    fn grant(
+        &self,
+        ttl: time::Duration,
+    ) -> future::BoxFuture<'_, Result<store::Lease, store::Failure>> {
+        async move {
+            let session = Session {
+                ttl: format!("{}ms", ttl.as_millis()),
+                behavior: "delete",
+            };
+            let body = serde_json::to_vec(&session).expect("plain strings");
+            let answer = self.change("/v1/session/create", body.into()).await?;
+            serde_json::from_slice::<Created>(&answer.body)
+                .map(|created| created.id)
+                .map_err(|error| store::Failure::Unknown(error.to_string().into()))
+        }
+        .boxed()
+    }
+
+    fn renew<'a>(&'a self, lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
+        async move {
+            let path = format!("/v1/session/renew/{lease}");
+            let answer = self.change(&path, bytes::Bytes::new()).await?;
+            Ok(answer.status != hyper::StatusCode::NOT_FOUND)
+        }
+        .boxed()
+    }
+
+    fn revoke<'a>(&'a self, lease: &'a str) -> future::BoxFuture<'a, Result<(), store::Failure>> {
+        async move {
+            let path = format!("/v1/session/destroy/{lease}");
+            self.change(&path, bytes::Bytes::new()).await.map(drop)
+        }
+        .boxed()
+    }
+}
+
+impl store::Inventory for Client {
+    fn vms(&self) -> future::BoxFuture<'_, Result<Vec<store::Listing>, store::Failure>> {
+        async move {
+            let answer = self.read(&self.calls, "/v1/vms", self.timeout).await?;
+            let answer = accepted(answer)?;
+            serde_json::from_slice(&answer.body).map_err(|error| unreadable(&error))
+        }
+        .boxed()
+    }
+}
+
+fn get(path: &str) -> http::Request {
+    request(hyper::Method::GET, path, bytes::Bytes::new())
+}
+
+fn put(path: &str, body: bytes::Bytes) -> http::Request {
+    request(hyper::Method::PUT, path, body)
+}
+
+fn request(method: hyper::Method, path: &str, body: bytes::Bytes) -> http::Request {
+    hyper::Request::builder()
+        .method(method)
+        .uri(path)
+        .header(hyper::header::HOST, "platform")
+        .body(http_body_util::Full::new(body))
+        .expect("paths are escaped")
+}
+
+fn escape(key: &str) -> percent_encoding::PercentEncode<'_> {
+    percent_encoding::utf8_percent_encode(key, KEY_ESCAPES)
+}
+
+/// Sorts answers to changes by what they prove; 404 is left to the caller.
+fn accepted(answer: http::Answer) -> Result<http::Answer, store::Failure> {
+    let status = answer.status;
+    let detail = || CompactString::from(format!("platform answered {status}"));
+    if status.is_success() || status == hyper::StatusCode::NOT_FOUND {
+        return Ok(answer);
+    }
+    if status.is_client_error() || status == hyper::StatusCode::SERVICE_UNAVAILABLE {
+        return Err(store::Failure::NotRun(detail()));
+    }
+    Err(store::Failure::Unknown(detail()))
+}
+
+fn rows(answer: &http::Answer) -> Result<Vec<store::Entry>, store::Failure> {
+    if answer.status == hyper::StatusCode::NOT_FOUND {
+        return Ok(Vec::new());
+    }
+    if !answer.status.is_success() {
+        let detail = format!("platform answered {}", answer.status);
+        return Err(store::Failure::NotRun(detail.into()));
+    }
+    serde_json::from_slice::<Vec<Row>>(&answer.body)
+        .map_err(|error| unreadable(&error))?
+        .into_iter()
+        .map(entry)
+        .collect()
+}
+
+fn entry(row: Row) -> Result<store::Entry, store::Failure> {
+    let value = general_purpose::STANDARD
+        .decode(row.value.unwrap_or_default())
+        .map_err(|error| unreadable(&error))?;
+    Ok(store::Entry {
+        key: row.key,
+        value: value.into(),
+        version: row.modify_index,
+        lease: row.session,
+    })
+}
+
+fn unreadable(error: &dyn std::error::Error) -> store::Failure {
+    store::Failure::NotRun(error.to_string().into())
+}
+
+fn count(kind: &'static str, answered: bool) {
+    let outcome = if answered { "answered" } else { "failed" };
+    metrics::counter!("platform_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
+}
+
+#[cfg(test)]
+pub(crate) mod fake;
+#[cfg(test)]
+mod tests;
