Run the stand-ins as processes and the callers against them

The lab's binary starts the platform's stand-in and the instances of a group, each with a control port that takes faults, and prints the group's declaration.

The callers now run against instances without a proxy: they find nothing wrong with one instance, stale reads at replicas that lag, and each confirmed write of a primary lost before replication as lost.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -185,6 +185,7 @@
             self.note.late += 1;
         }
         if matches!(answer, link::Answer::Lost) {
+            self.note.cut += 1;
             self.links[proxy] = None;
         }
         Some(answer)
--- a/lab/src/fault.rs
+++ b/lab/src/fault.rs
@@ -82,15 +82,17 @@
     }
 }
 
-/// One fault of a run, written `NAME@SECONDS` or `NAME@SECONDS+SECONDS`.
+/// One fault of a run, written `NAME@SECONDS`, with `+SECONDS` for how long it lasts
+/// and `/N` for the group it hits.
 ///
 /// ```
 /// use std::time::Duration;
 /// use mangotray_lab::fault::{Fault, Kind};
-/// let fault: Fault = "primary-pause@2.5+4".parse().unwrap();
+/// let fault: Fault = "primary-pause@2.5+4/1".parse().unwrap();
 /// assert_eq!(fault.kind, Kind::PrimaryPause);
 /// assert_eq!(fault.at, Duration::from_millis(2500));
 /// assert_eq!(fault.lasts, Duration::from_secs(4));
+/// assert_eq!(fault.group, 1);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -100,6 +102,8 @@
     pub at: time::Duration,
     /// How long; a drained or crashed proxy stays away.
     pub lasts: time::Duration,
+    /// Group that it hits, counted from 0; of no meaning for proxies and platform.
+    pub group: usize,
 }
 
 impl str::FromStr for Fault {
@@ -109,6 +113,10 @@
         let (name, times) = text
             .split_once('@')
             .ok_or_else(|| eyre::eyre!("fault {text:?} is not of the form NAME@SECONDS"))?;
+        let (times, group) = match times.split_once('/') {
+            Some((times, group)) => (times, group.parse()?),
+            None => (times, 0),
+        };
         let (at, lasts) = match times.split_once('+') {
             Some((at, lasts)) => (at, seconds(lasts)?),
             None => (times, DEFAULT_LASTS),
@@ -117,6 +125,7 @@
             kind: name.parse()?,
             at: seconds(at)?,
             lasts,
+            group,
         })
     }
 }
@@ -124,7 +133,7 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (at, lasts) = (self.at.as_secs_f64(), self.lasts.as_secs_f64());
-        write!(f, "{}@{at}+{lasts}", self.kind)
+        write!(f, "{}@{at}+{lasts}/{}", self.kind, self.group)
     }
 }
 
--- a/lab/src/fault/tests.rs
+++ b/lab/src/fault/tests.rs
@@ -15,7 +15,7 @@
     let fault: Fault = "replica-lag@3".parse().unwrap();
     assert_eq!(fault.at, time::Duration::from_secs(3));
     assert_eq!(fault.lasts, DEFAULT_LASTS);
-    assert_eq!(fault.to_string(), "replica-lag@3+8");
+    assert_eq!(fault.to_string(), "replica-lag@3+8/0");
 }
 
 #[test]
@@ -26,6 +26,7 @@
         "crash@2",
         "replica-lag@-1",
         "replica-lag@1+x",
+        "replica-lag@1/x",
     ] {
         assert!(text.parse::<Fault>().is_err(), "{text}");
     }
--- /dev/null
+++ b/lab/src/inspect.rs
@@ -0,0 +1,59 @@
+//! Reads what a stand-in group holds, for the audit.
+
+use crate::cluster;
+use crate::ledger;
+use crate::profile;
+
+/// Columns of one row as text.
+type Columns = Vec<Option<String>>;
+
+/// Tables of one instance, and the logs of all.
+///
+/// # Errors
+/// When the tables are not those of the profile.
+pub fn holding(
+    cluster: &cluster::Cluster,
+    primary: mangotray::id::Index,
+    profile: &profile::Profile,
+) -> eyre::Result<ledger::Holding> {
+    let rows = |sql: &str| -> eyre::Result<Vec<ledger::Row>> {
+        cluster.query(primary, sql)?.iter().map(row).collect()
+    };
+    let counters = cluster.query(primary, &profile.all_counters())?;
+    Ok(ledger::Holding {
+        bookings: rows(&profile.all_bookings())?,
+        entries: rows(profile.all_entries())?,
+        taken: counters.iter().map(counter).collect::<Result<_, _>>()?,
+        logs: (0..cluster::SIZE)
+            .map(|index| log(cluster, index))
+            .collect(),
+    })
+}
+
+fn log(cluster: &cluster::Cluster, index: mangotray::id::Index) -> Vec<ledger::Record> {
+    cluster
+        .log(index)
+        .iter()
+        .map(|record| ledger::keys(&format!("{:?}", record.statements)))
+        .filter(|keys| !keys.is_empty())
+        .collect()
+}
+
+fn row(columns: &Columns) -> eyre::Result<ledger::Row> {
+    Ok(ledger::Row {
+        key: text(columns, 0)?.into(),
+        marker: text(columns, 1)?.into(),
+        item: text(columns, 2)?.parse()?,
+    })
+}
+
+fn counter(columns: &Columns) -> eyre::Result<(ledger::Item, i64)> {
+    Ok((text(columns, 0)?.parse()?, text(columns, 1)?.parse()?))
+}
+
+fn text(columns: &Columns, index: usize) -> eyre::Result<&str> {
+    columns
+        .get(index)
+        .and_then(Option::as_deref)
+        .ok_or_else(|| eyre::eyre!("row {columns:?} has no column {index}"))
+}
--- a/lab/src/note.rs
+++ b/lab/src/note.rs
@@ -17,6 +17,8 @@
     pub probes: Vec<Probe>,
     /// Requests answered after their deadline, whatever the answer was.
     pub late: usize,
+    /// Requests whose connection ended, or that were given up, without an answer.
+    pub cut: usize,
     /// Reads that missed a write that they had to contain.
     pub stale: usize,
     /// Answers that belong to another request, or are incomplete.
@@ -53,6 +55,7 @@
             promises: Vec::new(),
             probes: Vec::new(),
             late: 0,
+            cut: 0,
             stale: 0,
             foreign: 0,
             reads: 0,
@@ -79,6 +82,7 @@
         self.promises.extend(other.promises);
         self.probes.extend(other.probes);
         self.late += other.late;
+        self.cut += other.cut;
         self.stale += other.stale;
         self.foreign += other.foreign;
         self.reads += other.reads;
--- a/lab/src/profile.rs
+++ b/lab/src/profile.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use mangotray::database;
 
+use crate::cluster;
 use crate::ledger;
 
 /// Items that writes are spread over; item 0 belongs to the prober.
@@ -23,6 +24,8 @@
 pub struct Profile {
     /// Name on the command line.
     pub name: &'static str,
+    /// Region of the failure domains.
+    pub region: &'static str,
     /// Name of the groups and their databases, before the number.
     pub database: &'static str,
     /// Database groups.
@@ -121,6 +124,7 @@
     pub fn tarapath() -> Self {
         Self {
             name: "tarapath",
+            region: "kathmandu-valley",
             database: "dome_sched",
             groups: 3,
             domains: ["patan-hall", "kirtipur-hall", "bhaktapur-hall"],
@@ -155,6 +159,7 @@
     pub fn hoasen() -> Self {
         Self {
             name: "hoasen",
+            region: "hcm",
             database: "campaign_core",
             domains: ["hcm-a", "hcm-b", "hcm-c"],
             connections: 40,
@@ -188,6 +193,38 @@
         }
     }
 
+    /// How the stand-ins of a group start.
+    ///
+    /// ```
+    /// let options = mangotray_lab::profile::Profile::hoasen().cluster(0);
+    /// assert_eq!(options.connections, 40);
+    /// ```
+    #[must_use]
+    pub fn cluster(&self, index: usize) -> cluster::Options {
+        cluster::Options {
+            name: self.group(index).into(),
+            database: self.group(index).into(),
+            domains: self.domains.map(str::to_owned),
+            slots: self.slots,
+            connections: self.connections,
+            connect_cost: self.connect_cost,
+            statement_cost: self.statement_cost,
+            delay: self.delay,
+            schema: self.schema(),
+            ..cluster::Options::default()
+        }
+    }
+
+    /// What operators declare about a running group.
+    #[must_use]
+    pub fn declare(&self, cluster: &cluster::Cluster) -> database::Group {
+        database::Group {
+            deadline: self.deadline,
+            ages: vec![self.age()],
+            ..cluster.declaration()
+        }
+    }
+
     /// Rule that lets reads of the listing see data of some age.
     ///
     /// ```
--- a/lab/src/profile/tests.rs
+++ b/lab/src/profile/tests.rs
@@ -22,7 +22,7 @@
 fn schema_runs_and_counts_from_zero() {
     for profile in [Profile::tarapath(), Profile::hoasen()] {
         let database = rusqlite::Connection::open_in_memory().unwrap();
-        database.execute_batch(&profile.schema()).unwrap();
+        database.execute_batch(&profile.schema().join(";")).unwrap();
         let mut counters = database.prepare(&profile.all_counters()).unwrap();
         let taken: Vec<i64> = counters
             .query_map([], |row| row.get(1))
--- a/lab/src/query.rs
+++ b/lab/src/query.rs
@@ -26,15 +26,15 @@
     ///
     /// ```
     /// let schema = mangotray_lab::profile::Profile::tarapath().schema();
-    /// assert!(schema.contains("CREATE TABLE bookings"));
+    /// assert!(schema[1].starts_with("CREATE TABLE bookings"));
     /// ```
     #[must_use]
-    pub fn schema(&self) -> String {
+    pub fn schema(&self) -> Vec<String> {
         let profile::Tables { listing, rows } = self.tables;
         let values: Vec<_> = (profile::PROBER_ITEM..=profile::ITEMS)
             .map(|item| format!("({item}, 'item {item}', 0)"))
             .collect();
-        [
+        vec![
             format!("CREATE TABLE {listing} (item INTEGER PRIMARY KEY, title TEXT, taken INTEGER)"),
             format!(
                 "CREATE TABLE {rows} (booking TEXT, caller TEXT, sequence INTEGER, marker TEXT, \
@@ -45,7 +45,6 @@
             "CREATE TABLE ledger (booking TEXT, marker TEXT, item INTEGER)".to_owned(),
             format!("INSERT INTO {listing} VALUES {}", values.join(", ")),
         ]
-        .join(";\n")
     }
 
     /// Statements of one write, from BEGIN to COMMIT. The last statement before
@@ -88,6 +87,18 @@
         ]
     }
 
+    /// A write that changes nothing.
+    ///
+    /// ```
+    /// let sql = mangotray_lab::profile::Profile::tarapath().touch();
+    /// assert!(sql.starts_with("UPDATE calendar"));
+    /// ```
+    #[must_use]
+    pub fn touch(&self) -> String {
+        let listing = self.tables.listing;
+        format!("UPDATE {listing} SET taken = taken WHERE item = 0")
+    }
+
     /// Query for a caller's own rows after a sequence number; each row echoes `request`.
     ///
     /// ```
--- /dev/null
+++ b/lab/src/serve.rs
@@ -0,0 +1,82 @@
+//! Stand-ins as processes of their own.
+
+use std::net;
+use std::sync;
+
+use mangotray::catalog;
+
+use crate::cli;
+use crate::cluster;
+use crate::control;
+use crate::declare;
+use crate::platform;
+use crate::remote;
+
+type Executor = sync::Arc<async_executor::Executor<'static>>;
+
+/// Runs the platform's stand-in until interrupted.
+///
+/// # Errors
+/// When an address is taken, or a VM is written wrongly.
+pub fn platform(arguments: &cli::Platform) -> eyre::Result<()> {
+    let executor = Executor::default();
+    let options = platform::Options {
+        port: loopback_port(arguments.listen)?,
+        ..platform::Options::default()
+    };
+    let platform = platform::Platform::start(options, &executor)?;
+    platform.set_vms(remote::listings(arguments.vm.iter().map(String::as_str))?);
+    println!("platform {}", platform.address());
+    let handler = remote::Platform(platform);
+    until_failure(&executor, arguments.control, &handler)
+}
+
+/// Runs the instances of one group until interrupted, and prints what operators
+/// declare about it.
+///
+/// # Errors
+/// When an address is taken, or not three are given.
+pub fn group(arguments: &cli::Group) -> eyre::Result<()> {
+    let executor = Executor::default();
+    let ports: Vec<_> = arguments
+        .listen
+        .iter()
+        .map(|address| loopback_port(*address))
+        .collect::<Result<_, _>>()?;
+    let profile = &arguments.profile;
+    let options = cluster::Options {
+        ports: ports
+            .try_into()
+            .map_err(|ports: Vec<_>| eyre::eyre!("{} addresses given, not 3", ports.len()))?,
+        ..profile.cluster(arguments.index)
+    };
+    let cluster = cluster::Cluster::start(options, &executor)?;
+    let catalog = catalog::Catalog {
+        groups: vec![profile.declare(&cluster)],
+        vms: Vec::new(),
+    };
+    print!("{}", declare::text(&catalog));
+    let handler = remote::Group(cluster);
+    until_failure(&executor, arguments.control, &handler)
+}
+
+/// The stand-ins listen on the loopback address only.
+fn loopback_port(address: net::SocketAddr) -> eyre::Result<u16> {
+    let loopback = address.ip() == net::Ipv4Addr::LOCALHOST;
+    eyre::ensure!(loopback, "{address} is not on 127.0.0.1");
+    Ok(address.port())
+}
+
+fn until_failure(
+    executor: &Executor,
+    control: Option<net::SocketAddr>,
+    handler: &dyn control::Handler,
+) -> eyre::Result<()> {
+    async_io::block_on(executor.run(async {
+        let Some(address) = control else {
+            return futures_lite::future::pending().await;
+        };
+        let listener = async_net::TcpListener::bind(address).await?;
+        control::serve(listener, handler).await
+    }))
+}
--- a/lab/src/workload.rs
+++ b/lab/src/workload.rs
@@ -177,6 +177,8 @@
         let caller = idle.recv().await.expect("every prober comes back");
         note.merge(caller.finish());
     }
+    // Probes give up early by themselves; that is no answer cut off by a proxy.
+    note.cut = 0;
     note
 }
 
--- /dev/null
+++ b/lab/tests/direct.rs
@@ -0,0 +1,107 @@
+//! The workload against stand-in instances without a proxy: it must find nothing
+//! wrong with one instance, and must find what a group does wrong without a proxy.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use mangotray_lab::cluster;
+use mangotray_lab::inspect;
+use mangotray_lab::ledger;
+use mangotray_lab::note;
+use mangotray_lab::profile;
+use mangotray_lab::workload;
+
+const SEED: u64 = 7;
+const WORK: time::Duration = time::Duration::from_secs(2);
+
+struct Group {
+    cluster: sync::Arc<cluster::Cluster>,
+    _stop: async_channel::Sender<()>,
+}
+
+/// One group that is led by its first instance, and executed by a thread of its own.
+fn group(profile: &profile::Profile) -> Group {
+    let executor = sync::Arc::new(async_executor::Executor::new());
+    let options = cluster::Options {
+        connections: 200,
+        ..profile.cluster(0)
+    };
+    let cluster = cluster::Cluster::start(options, &executor).unwrap();
+    cluster.lead(0, 1).unwrap();
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    thread::spawn(move || async_io::block_on(executor.run(stopped.recv())));
+    Group {
+        cluster,
+        _stop: stop,
+    }
+}
+
+fn profile() -> profile::Profile {
+    profile::Profile {
+        groups: 1,
+        callers: 8,
+        reach: time::Duration::ZERO,
+        pause: time::Duration::from_millis(10),
+        deadline: time::Duration::from_secs(20),
+        ..profile::Profile::tarapath()
+    }
+}
+
+fn work(proxies: &[net::SocketAddr]) -> note::Note {
+    let profile = sync::Arc::new(profile());
+    let workload = workload::Workload::start(&profile, &proxies.into(), SEED).unwrap();
+    thread::sleep(WORK);
+    workload.stop().remove(0)
+}
+
+#[test]
+fn one_instance_keeps_every_promise() {
+    let profile = profile();
+    let group = group(&profile);
+    let note = work(&group.cluster.addresses()[..1]);
+    let holding = inspect::holding(&group.cluster, 0, &profile).unwrap();
+    assert_eq!(
+        ledger::Audit::of(&note.promises, &holding),
+        ledger::Audit::default()
+    );
+    assert_eq!((note.stale, note.foreign, note.cut), (0, 0, 0));
+    assert!(note.told(ledger::Told::Confirmed) > 0);
+    assert!(note.reads > 0);
+    assert!(!note.probes.is_empty());
+}
+
+#[test]
+fn lagging_replicas_give_stale_reads() {
+    // Symptom: callers do not find their own confirmed writes.
+    // Events: they write at the primary and read at replicas that lag far behind.
+    // Cause: nothing between callers and instances compares stamps.
+    let profile = profile();
+    let group = group(&profile);
+    for replica in [1, 2] {
+        group.cluster.set_lag(replica, time::Duration::from_mins(1));
+    }
+    let note = work(&group.cluster.addresses());
+    assert!(note.stale > 0);
+    assert_eq!(note.foreign, 0);
+}
+
+#[test]
+fn primary_lost_before_replication_loses_confirmed_writes() {
+    // Symptom: confirmed writes are absent after a promotion.
+    // Events: writes confirmed by the primary alone; the primary crashes; a replica
+    // that never got them is promoted.
+    // Cause: confirmation before a majority held the record.
+    let profile = profile();
+    let group = group(&profile);
+    group.cluster.cut(0, true);
+    let note = work(&group.cluster.addresses()[..1]);
+    group.cluster.crash(0);
+    group.cluster.lead(1, 2).unwrap();
+    let holding = inspect::holding(&group.cluster, 1, &profile).unwrap();
+    let audit = ledger::Audit::of(&note.promises, &holding);
+    let confirmed = note.told(ledger::Told::Confirmed) + note.probes.len();
+    assert!(confirmed > 0);
+    assert_eq!(audit.lost, confirmed);
+}
