Rename the report on a system to overview

Cause: the state of one proxy is a report as well, and two modules cannot share the name. Conclusion: overview::Overview is put together from the reports of all proxies.

--- a/src/report.rs
+++ b/src/overview.rs
@@ -15,7 +15,7 @@
 
 /// Everything that `mangotray status` tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Report {
+pub struct Overview {
     /// Proxies, by name.
     pub vms: Vec<Vm>,
     /// Groups, by name.
@@ -79,12 +79,12 @@
     pub busy: usize,
 }
 
-impl Report {
+impl Overview {
     /// Puts the proxies' answers together and finds what needs attention.
     ///
     /// ```
-    /// let report = mangotray::report::Report::new(Vec::new());
-    /// assert_eq!(report.problems, ["no proxy is registered"]);
+    /// let overview = mangotray::overview::Overview::new(Vec::new());
+    /// assert_eq!(overview.problems, ["no proxy is registered"]);
     /// ```
     #[must_use]
     pub fn new(mut vms: Vec<Vm>) -> Self {
--- a/src/report/print.rs
+++ b/src/overview/print.rs
@@ -1,13 +1,13 @@
-//! The report as text.
+//! The overview as text.
 
 use std::fmt;
 
-use crate::report;
+use crate::overview;
 use crate::role;
 
 const NOTHING: &str = "-";
 
-impl fmt::Display for report::Report {
+impl fmt::Display for overview::Overview {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{:<16} {:>8}  {:<10} ADMIN", "VM", "REVISION", "STATE")?;
         for vm in &self.vms {
@@ -20,7 +20,7 @@
     }
 }
 
-impl fmt::Display for report::Vm {
+impl fmt::Display for overview::Vm {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (revision, state) = match &self.status {
             None => (NOTHING.to_owned(), "no answer"),
@@ -35,7 +35,7 @@
     }
 }
 
-impl fmt::Display for report::Group {
+impl fmt::Display for overview::Group {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let primary = self.primary.as_deref().unwrap_or("unknown");
         let gap = self
@@ -58,7 +58,7 @@
     }
 }
 
-impl fmt::Display for report::Instance {
+impl fmt::Display for overview::Instance {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let role = match self.role {
             None => NOTHING,
--- a/src/report/tests.rs
+++ b/src/overview/tests.rs
@@ -1,5 +1,5 @@
 use crate::admin;
-use crate::report;
+use crate::overview;
 use crate::role;
 use crate::stamp;
 
@@ -16,14 +16,14 @@
     }
 }
 
-fn vm(name: &str, revision: u64, group: admin::Group) -> report::Vm {
+fn vm(name: &str, revision: u64, group: admin::Group) -> overview::Vm {
     let status = admin::Status {
         vm: name.into(),
         revision,
         groups: vec![group],
         ..admin::Status::default()
     };
-    report::Vm {
+    overview::Vm {
         name: name.into(),
         admin: ([127, 0, 0, 1], 1).into(),
         status: Some(status),
@@ -67,14 +67,14 @@
         ),
     );
     for vms in [vec![old.clone(), new.clone()], vec![new, old]] {
-        let report = report::Report::new(vms);
-        let merged = &report.groups[0];
+        let overview = overview::Overview::new(vms);
+        let merged = &overview.groups[0];
         assert_eq!(merged.primary.as_deref(), Some("b"));
         assert_eq!((merged.term, merged.queue, merged.promotions), (4, 4, 2));
         assert_eq!(merged.instances[0].role, Some(role::Role::Replica));
         assert_eq!(merged.instances[0].lag_records, Some(3));
         assert_eq!(
-            report.problems,
+            overview.problems,
             ["g: instance a is reached by 1 of 2 proxies"]
         );
     }
@@ -89,9 +89,9 @@
             vec![instance("a", role::Role::Primary, 4, true)],
         )
     };
-    let report = report::Report::new(vec![vm("v1", 7, healthy()), vm("v2", 7, healthy())]);
-    assert!(report.problems.is_empty(), "{:?}", report.problems);
-    let text = report.to_string();
+    let overview = overview::Overview::new(vec![vm("v1", 7, healthy()), vm("v2", 7, healthy())]);
+    assert!(overview.problems.is_empty(), "{:?}", overview.problems);
+    let text = overview.to_string();
     assert!(text.contains("group g: term 4, primary a"), "{text}");
 }
 
@@ -100,7 +100,7 @@
     let mut silent = vm("v3", 0, group(0, None, Vec::new()));
     silent.status = None;
     silent.error = Some("connection refused".into());
-    let report = report::Report::new(vec![
+    let overview = overview::Overview::new(vec![
         silent,
         vm("v2", 6, group(4, None, Vec::new())),
         vm("v1", 7, group(4, None, Vec::new())),
@@ -110,16 +110,16 @@
         "v2: still at revision 6, not 7",
         "g: no primary is known; writes are refused",
     ];
-    assert_eq!(report.problems, expected);
+    assert_eq!(overview.problems, expected);
 }
 
 #[test]
 fn a_system_without_a_file_says_so() {
     let mut fresh = vm("v1", 0, group(0, None, Vec::new()));
     fresh.status.as_mut().unwrap().groups.clear();
-    let report = report::Report::new(vec![fresh]);
+    let overview = overview::Overview::new(vec![fresh]);
     assert_eq!(
-        report.problems,
+        overview.problems,
         ["no configuration is in force; apply a file"]
     );
 }
