--- /dev/null
+++ b/src/analysis.rs
@@ -0,0 +1,137 @@
+//! Decides what a batch of the extended protocol needs as a whole.
+
+use std::sync;
+
+use crate::class;
+use crate::classify;
+use crate::extended;
+use crate::prepared;
+use crate::refusal;
+
+/// What is to be done with a batch.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Analysis {
+    /// It touches nothing but the session's own prepared statements.
+    Bookkeeping,
+    /// The proxy answers all of it.
+    Local,
+    /// A lane runs it.
+    Run(classify::Verdict),
+    /// It cannot be carried over pooled connections.
+    Refuse(refusal::Error),
+}
+
+/// Analyzes a batch.
+///
+/// ```
+/// use mangotray::{extended, analysis};
+/// let batch = [extended::Message::Sync];
+/// assert_eq!(analysis::analyze(&batch, &vec![None]), analysis::Analysis::Bookkeeping);
+/// ```
+#[must_use]
+pub fn analyze(messages: &[extended::Message], references: &prepared::References) -> Analysis {
+    if messages.iter().all(bookkeeping) {
+        return Analysis::Bookkeeping;
+    }
+    let plans = || {
+        references
+            .iter()
+            .flatten()
+            .map(|statement| &*statement.plan)
+    };
+    let refused = plans().find_map(|plan| match plan {
+        classify::Plan::Refuse(error) => Some(error.clone()),
+        _ => None,
+    });
+    if let Some(error) = refused {
+        return Analysis::Refuse(error);
+    }
+    if plans().any(|plan| matches!(plan, classify::Plan::Local(_))) {
+        return local(messages, references);
+    }
+    Analysis::Run(verdict(messages, references))
+}
+
+fn bookkeeping(message: &extended::Message) -> bool {
+    matches!(
+        message,
+        extended::Message::Sync | extended::Message::Close(extended::Target::Statement(_))
+    )
+}
+
+/// A batch runs in one place, so the proxy answers either all of it or nothing.
+fn local(messages: &[extended::Message], references: &prepared::References) -> Analysis {
+    let pure = messages.iter().zip(references).all(|(message, reference)| {
+        match reference.as_ref().map(|statement| &*statement.plan) {
+            Some(classify::Plan::Local(commands)) => commands.len() == 1,
+            Some(_) => false,
+            None => bookkeeping(message),
+        }
+    });
+    if pure {
+        return Analysis::Local;
+    }
+    Analysis::Refuse(refusal::Error::new(
+        refusal::NOT_SUPPORTED,
+        "a setting of the proxy and other statements in one batch are not supported (not run)",
+    ))
+}
+
+/// A batch that executes nothing cannot change anything, whatever it prepares.
+fn verdict(messages: &[extended::Message], references: &prepared::References) -> classify::Verdict {
+    let verdicts: Vec<_> = messages
+        .iter()
+        .zip(references)
+        .filter(|(message, _)| matches!(message, extended::Message::Execute { .. }))
+        .map(|(_, reference)| executed(reference.as_ref()))
+        .collect();
+    if verdicts.is_empty() {
+        return classify::Verdict::plain(class::Class::Read);
+    }
+    classify::Verdict::join(verdicts)
+}
+
+fn executed(reference: Option<&sync::Arc<prepared::Statement>>) -> classify::Verdict {
+    match reference.map(|statement| &*statement.plan) {
+        Some(classify::Plan::Run(verdict)) => verdict.clone(),
+        Some(classify::Plan::Empty) => classify::Verdict::plain(class::Class::Read),
+        _ => classify::Verdict::plain(class::Class::Write),
+    }
+}
+
+/// Whether all that a batch refers to are statements that end a transaction.
+///
+/// ```
+/// assert!(!mangotray::analysis::ends_transaction(&[], &vec![]));
+/// ```
+#[must_use]
+pub fn ends_transaction(messages: &[extended::Message], references: &prepared::References) -> bool {
+    let all = messages
+        .iter()
+        .zip(references)
+        .all(|(message, reference)| match reference {
+            Some(statement) => ends(&statement.plan),
+            None => bookkeeping(message),
+        });
+    all && references.iter().any(Option::is_some)
+}
+
+/// Whether a plan is a single statement that ends a transaction.
+///
+/// ```
+/// use mangotray::{classify, analysis};
+/// assert!(analysis::ends(&classify::plan("ROLLBACK")));
+/// assert!(!analysis::ends(&classify::plan("COMMIT; BEGIN")));
+/// ```
+#[must_use]
+pub fn ends(plan: &classify::Plan) -> bool {
+    match plan {
+        classify::Plan::Run(verdict) => {
+            matches!(verdict.class, class::Class::Commit | class::Class::Rollback)
+        }
+        _ => false,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/answer.rs
@@ -0,0 +1,175 @@
+//! Answers that the proxy gives without an upstream, as frames.
+
+use bytes::BufMut;
+use pgwire::messages::data;
+use pgwire::messages::response;
+use pgwire::messages::startup;
+
+use crate::classify;
+use crate::extended;
+use crate::frame;
+use crate::local;
+use crate::prepared;
+use crate::refusal;
+use crate::transaction;
+
+/// Object id of the type `text`.
+const TEXT: u32 = 25;
+/// Size that stands for "varies".
+const VARIES: i16 = -1;
+const NO_MODIFIER: i32 = -1;
+
+const PARSE_COMPLETE: u8 = b'1';
+const BIND_COMPLETE: u8 = b'2';
+const CLOSE_COMPLETE: u8 = b'3';
+const NO_DATA: u8 = b'n';
+const EMPTY_QUERY: u8 = b'I';
+
+/// A frame without a body.
+fn bare(tag: u8) -> frame::Frame {
+    frame::Frame {
+        tag,
+        body: bytes::Bytes::new(),
+    }
+}
+
+/// The answer to a text without statements.
+///
+/// ```
+/// assert_eq!(mangotray::answer::empty().tag, b'I');
+/// ```
+#[must_use]
+pub fn empty() -> frame::Frame {
+    bare(EMPTY_QUERY)
+}
+
+/// Tells that the next request is awaited.
+///
+/// ```
+/// use mangotray::{answer, transaction};
+/// assert_eq!(answer::ready(transaction::State::Open).body[..], b"T"[..]);
+/// ```
+#[must_use]
+pub fn ready(state: transaction::State) -> frame::Frame {
+    let status = match state {
+        transaction::State::Idle => response::TransactionStatus::Idle,
+        transaction::State::Open => response::TransactionStatus::Transaction,
+        transaction::State::Failed => response::TransactionStatus::Error,
+    };
+    frame::Frame::encode(&response::ReadyForQuery::new(status))
+}
+
+/// Reports the value of a setting.
+///
+/// ```
+/// assert_eq!(mangotray::answer::status("TimeZone", "UTC").tag, b'S');
+/// ```
+#[must_use]
+pub fn status(name: &str, value: &str) -> frame::Frame {
+    frame::Frame::encode(&startup::ParameterStatus::new(
+        name.to_owned(),
+        value.to_owned(),
+    ))
+}
+
+/// Ends the answer to one statement.
+fn complete(tag: &str) -> frame::Frame {
+    frame::Frame::encode(&response::CommandComplete::new(tag.to_owned()))
+}
+
+fn columns(name: &str) -> frame::Frame {
+    let field = data::FieldDescription::new(name.to_owned(), 0, 0, TEXT, VARIES, NO_MODIFIER, 0);
+    frame::Frame::encode(&data::RowDescription::new(vec![field]))
+}
+
+fn row(value: &str) -> frame::Frame {
+    let length = i32::try_from(value.len()).expect("settings are short");
+    let mut body = bytes::BytesMut::new();
+    body.put_i32(length);
+    body.put_slice(value.as_bytes());
+    frame::Frame::encode(&data::DataRow::new(body, 1))
+}
+
+fn rows(answer: &local::Answer) -> Vec<frame::Frame> {
+    match answer {
+        local::Answer::Done(tag) => vec![complete(tag)],
+        local::Answer::Row { value, .. } => vec![row(value), complete("SHOW")],
+    }
+}
+
+/// The answer to one statement of the simple protocol.
+///
+/// ```
+/// use mangotray::{answer, local};
+/// let frames = answer::simple(&local::Answer::Done("SET"));
+/// assert_eq!(frames.len(), 1);
+/// ```
+#[must_use]
+pub fn simple(answer: &local::Answer) -> Vec<frame::Frame> {
+    match answer {
+        local::Answer::Done(_) => rows(answer),
+        local::Answer::Row { name, .. } => {
+            let mut frames = vec![columns(name)];
+            frames.extend(rows(answer));
+            frames
+        }
+    }
+}
+
+/// The answer to a batch of the extended protocol, and the effects of its messages.
+/// `run` is called for each statement that is executed; an error ends the batch.
+///
+/// ```
+/// use mangotray::{answer, extended, local};
+/// let batch = [extended::Message::Sync];
+/// let (frames, effects) = answer::extended(&batch, &vec![None], |_| Ok(local::Answer::Done("SET")));
+/// assert!(frames.is_empty() && effects.is_empty());
+/// ```
+pub fn extended(
+    messages: &[extended::Message],
+    references: &prepared::References,
+    mut run: impl FnMut(&prepared::Statement) -> Result<local::Answer, refusal::Error>,
+) -> (Vec<frame::Frame>, Vec<prepared::Effect>) {
+    let mut frames = Vec::new();
+    let mut effects = Vec::new();
+    for (message, reference) in messages.iter().zip(references) {
+        let statement = reference.as_deref();
+        match message {
+            extended::Message::Parse(_) => frames.push(bare(PARSE_COMPLETE)),
+            extended::Message::Bind(_) => frames.push(bare(BIND_COMPLETE)),
+            extended::Message::Close(_) => frames.push(bare(CLOSE_COMPLETE)),
+            extended::Message::Describe(target) => {
+                if matches!(target, extended::Target::Statement(_)) {
+                    frames.push(frame::Frame::encode(&data::ParameterDescription::new(
+                        Vec::new(),
+                    )));
+                }
+                frames.push(shape(statement));
+            }
+            extended::Message::Execute { .. } => match statement.map(&mut run) {
+                Some(Ok(answer)) => frames.extend(rows(&answer)),
+                Some(Err(error)) => {
+                    frames.push(error.frame());
+                    return (frames, effects);
+                }
+                None => {}
+            },
+            extended::Message::Sync => {}
+        }
+        effects.extend(prepared::effect(message, reference.as_ref()));
+    }
+    (frames, effects)
+}
+
+fn shape(statement: Option<&prepared::Statement>) -> frame::Frame {
+    match statement.map(|statement| &*statement.plan) {
+        Some(classify::Plan::Local(commands)) => match commands.as_slice() {
+            [local::Command::Show(name)] => columns(name),
+            _ => bare(NO_DATA),
+        },
+        _ => bare(NO_DATA),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/classify.rs
+++ b/src/classify.rs
@@ -1,1 +1,443 @@
-//! Finds out what a batch of statements needs, by parsing it.
+//! Decides from SQL text alone what a caller's statements need.
+//!
+//! A statement is a read only when that is proven: it has the shape of a query, holds
+//! none of the words that write or lock, and calls only built-in functions that are
+//! known to be free of effects. Everything else is a write. What is not looked into:
+//! operators, casts, views and attribute notation that an operator of the database has
+//! defined with side effects of their own.
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use sqlparser::ast;
+use sqlparser::tokenizer;
+
+use crate::class;
+use crate::function;
+use crate::local;
+use crate::refusal;
+use crate::relation;
+use crate::sql;
+
+/// What one text of statements needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Strongest need of its statements.
+    pub class: class::Class,
+    /// Tables that it reads; empty when unknown or none.
+    pub tables: Vec<CompactString>,
+    /// More than one statement.
+    pub multi: bool,
+    /// Transaction control stands together with other statements, so that losing the
+    /// answer leaves open whether a commit in the middle has happened.
+    pub mixed: bool,
+    /// Asks for state of the connection, which only a transaction keeps.
+    pub bound: bool,
+}
+
+impl Verdict {
+    /// Verdict on a statement of which only the class is known.
+    ///
+    /// ```
+    /// use mangotray::{class, classify};
+    /// assert!(classify::Verdict::plain(class::Class::Write).tables.is_empty());
+    /// ```
+    #[must_use]
+    pub const fn plain(class: class::Class) -> Self {
+        Self {
+            class,
+            tables: Vec::new(),
+            multi: false,
+            mixed: false,
+            bound: false,
+        }
+    }
+
+    /// Joint verdict on statements that run one after the other in one batch.
+    ///
+    /// ```
+    /// use mangotray::{class, classify};
+    /// let read = classify::Verdict::plain(class::Class::Read);
+    /// let write = classify::Verdict::plain(class::Class::Write);
+    /// let both = classify::Verdict::join(vec![read, write]);
+    /// assert_eq!(both.class, class::Class::Write);
+    /// ```
+    #[must_use]
+    pub fn join(mut verdicts: Vec<Self>) -> Self {
+        if verdicts.len() == 1 {
+            return verdicts.remove(0);
+        }
+        let mixed = verdicts
+            .iter()
+            .any(|verdict| verdict.mixed || control(verdict.class));
+        let class = joint_class(&verdicts);
+        let bound = verdicts.iter().any(|verdict| verdict.bound);
+        let mut tables: Vec<_> = verdicts
+            .into_iter()
+            .flat_map(|verdict| verdict.tables)
+            .collect();
+        tables.sort_unstable();
+        tables.dedup();
+        Self {
+            class,
+            tables,
+            multi: true,
+            mixed,
+            bound,
+        }
+    }
+}
+
+fn control(class: class::Class) -> bool {
+    !matches!(class, class::Class::Read | class::Class::Write)
+}
+
+/// A batch that opens a transaction and leaves it open has to hold its connection as
+/// `Begin`; any other mixture with transaction control counts as a write.
+fn joint_class(verdicts: &[Verdict]) -> class::Class {
+    let opens = verdicts
+        .first()
+        .is_some_and(|first| matches!(first.class, class::Class::Begin | class::Class::BeginRead));
+    if opens
+        && verdicts
+            .iter()
+            .skip(1)
+            .all(|verdict| !control(verdict.class))
+    {
+        return class::Class::Begin;
+    }
+    if verdicts
+        .iter()
+        .all(|verdict| verdict.class == class::Class::Read)
+    {
+        return class::Class::Read;
+    }
+    class::Class::Write
+}
+
+/// What is to be done with a text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Nothing: the text holds no statement.
+    Empty,
+    /// The proxy answers for itself.
+    Local(Vec<local::Command>),
+    /// A lane runs it.
+    Run(Verdict),
+    /// It cannot be carried over pooled connections.
+    Refuse(refusal::Error),
+}
+
+/// Classifies a text that is to run on an upstream.
+///
+/// ```
+/// use mangotray::{class, classify};
+/// let verdict = classify::classify("SELECT count(*) FROM shows").unwrap();
+/// assert_eq!(verdict.class, class::Class::Read);
+/// assert_eq!(verdict.tables, ["shows"]);
+/// assert!(classify::classify("LISTEN shows").is_err());
+/// ```
+///
+/// # Errors
+/// The refusal to send to the caller, when transaction pooling cannot carry the text.
+pub fn classify(text: &str) -> Result<Verdict, refusal::Error> {
+    match sql::split(text) {
+        Ok(statements) => judge(&statements),
+        Err(sql::Opaque) => Ok(Verdict::plain(class::Class::Write)),
+    }
+}
+
+/// Decides what is to be done with a text.
+///
+/// ```
+/// use mangotray::classify;
+/// assert_eq!(classify::plan(" ; "), classify::Plan::Empty);
+/// assert!(matches!(classify::plan("SHOW mangotray.token"), classify::Plan::Local(_)));
+/// ```
+#[must_use]
+pub fn plan(text: &str) -> Plan {
+    let Ok(statements) = sql::split(text) else {
+        return Plan::Run(Verdict::plain(class::Class::Write));
+    };
+    if statements.is_empty() {
+        return Plan::Empty;
+    }
+    if let Some(commands) = statements.iter().map(local::Command::read).collect() {
+        return Plan::Local(commands);
+    }
+    match judge(&statements) {
+        Ok(verdict) => Plan::Run(verdict),
+        Err(error) => Plan::Refuse(error),
+    }
+}
+
+fn judge(statements: &[sql::Statement]) -> Result<Verdict, refusal::Error> {
+    let verdicts = statements
+        .iter()
+        .map(statement)
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok(Verdict::join(verdicts))
+}
+
+fn statement(statement: &sql::Statement) -> Result<Verdict, refusal::Error> {
+    let words = statement.words();
+    if let Some(what) = unsupported(statement, &words) {
+        return Err(refuse(&what));
+    }
+    let bound = calls(statement).any(|index| function::bound(&callee(statement, index)));
+    let class = transaction(&words);
+    let parsed = match class {
+        None if !bound && harmless(statement, &words) => statement.parse(),
+        _ => None,
+    };
+    let read = parsed.filter(is_query);
+    Ok(Verdict {
+        class: class.unwrap_or(match read {
+            Some(_) => class::Class::Read,
+            None => class::Class::Write,
+        }),
+        tables: read.as_ref().map(relation::tables).unwrap_or_default(),
+        bound,
+        ..Verdict::plain(class::Class::Write)
+    })
+}
+
+fn refuse(what: &str) -> refusal::Error {
+    refusal::Error::new(
+        refusal::NOT_SUPPORTED,
+        format_compact!("{what} is not supported through the proxy (not run)"),
+    )
+    .hint("Connections to the database are shared between transactions and keep no session state.")
+}
+
+/// Names what transaction pooling cannot carry, if the statement holds it.
+fn unsupported(statement: &sql::Statement, words: &[String]) -> Option<String> {
+    let first = words.first()?.as_str();
+    let second = words.get(1).map_or("", String::as_str);
+    let whole = match first {
+        "listen" | "unlisten" | "notify" | "discard" | "execute" | "deallocate" | "copy"
+        | "load" | "reset" => Some(first.to_uppercase()),
+        "prepare" if second == "transaction" => Some("PREPARE TRANSACTION".into()),
+        "prepare" => Some("PREPARE".into()),
+        "set" => unsupported_set(words),
+        "commit" | "end" | "rollback" | "abort" => unsupported_end(words),
+        "create" if temporary(words) => Some("a temporary object".into()),
+        "declare" if holds(words) => Some("DECLARE CURSOR WITH HOLD".into()),
+        _ if into_temporary(words) => Some("a temporary table".into()),
+        _ => None,
+    };
+    whole.or_else(|| unsupported_call(statement))
+}
+
+/// `SET LOCAL` and `SET TRANSACTION` end with the transaction; all else outlives it.
+/// The access mode is refused as well: it would turn a transaction that runs as
+/// read-only into one whose commit has to be confirmed.
+fn unsupported_set(words: &[String]) -> Option<String> {
+    let scoped = words
+        .get(1)
+        .is_some_and(|word| word == "local" || word == "transaction");
+    let access = words.iter().any(|word| word.ends_with("_read_only"))
+        || words
+            .windows(2)
+            .any(|pair| pair[0] == "read" && pair[1] == "write");
+    let own = words.iter().any(|word| word == "mangotray");
+    match (scoped, access || own) {
+        (false, _) => Some("SET outside a transaction's scope".into()),
+        (true, true) => Some("SET LOCAL of this setting".into()),
+        (true, false) => None,
+    }
+}
+
+fn unsupported_end(words: &[String]) -> Option<String> {
+    if words.get(1).is_some_and(|word| word == "prepared") {
+        return Some("a prepared transaction".into());
+    }
+    let chain = words
+        .windows(2)
+        .any(|pair| pair[0] == "and" && pair[1] == "chain");
+    chain.then(|| "AND CHAIN".into())
+}
+
+fn temporary(words: &[String]) -> bool {
+    words
+        .iter()
+        .take(5)
+        .any(|word| matches!(word.as_str(), "temp" | "temporary" | "pg_temp"))
+}
+
+fn holds(words: &[String]) -> bool {
+    words
+        .windows(2)
+        .any(|pair| pair[0] == "with" && pair[1] == "hold")
+}
+
+fn into_temporary(words: &[String]) -> bool {
+    words.windows(3).any(|three| {
+        three[0] == "into"
+            && (is_temporary(&three[1]) || (is_scope(&three[1]) && is_temporary(&three[2])))
+    })
+}
+
+fn is_temporary(word: &str) -> bool {
+    matches!(word, "temp" | "temporary" | "pg_temp")
+}
+
+fn is_scope(word: &str) -> bool {
+    matches!(word, "local" | "global")
+}
+
+fn unsupported_call(statement: &sql::Statement) -> Option<String> {
+    calls(statement).find_map(|index| {
+        let name = callee(statement, index);
+        let unsupported = function::session(&name)
+            || (name == "set_config" && !transaction_scoped(statement, index));
+        unsupported.then(|| format!("function {name}"))
+    })
+}
+
+/// Whether `set_config('name', ..., true)` changes a harmless setting for one transaction.
+fn transaction_scoped(statement: &sql::Statement, index: usize) -> bool {
+    let tokens = statement.tokens();
+    let harmless = match tokens.get(index + 2) {
+        Some(tokenizer::Token::SingleQuotedString(name)) => {
+            let name = name.to_ascii_lowercase();
+            !name.ends_with("_read_only") && !name.starts_with("mangotray.")
+        }
+        _ => false,
+    };
+    let Some(close) = closing(tokens, index + 1) else {
+        return false;
+    };
+    harmless
+        && statement.word(close - 1) == "true"
+        && tokens.get(close - 2) == Some(&tokenizer::Token::Comma)
+}
+
+/// Index of the parenthesis that closes the one at `open`.
+fn closing(tokens: &[tokenizer::Token], open: usize) -> Option<usize> {
+    let mut depth = 0_usize;
+    tokens
+        .iter()
+        .enumerate()
+        .skip(open)
+        .find_map(|(index, token)| {
+            match token {
+                tokenizer::Token::LParen => depth += 1,
+                tokenizer::Token::RParen => depth = depth.checked_sub(1)?,
+                _ => {}
+            }
+            (depth == 0).then_some(index)
+        })
+}
+
+/// Indices of all names that stand directly before an opening parenthesis.
+fn calls(statement: &sql::Statement) -> impl Iterator<Item = usize> {
+    let tokens = statement.tokens();
+    (0..tokens.len().saturating_sub(1)).filter(|index| {
+        matches!(tokens[*index], tokenizer::Token::Word(_))
+            && tokens[index + 1] == tokenizer::Token::LParen
+    })
+}
+
+fn callee(statement: &sql::Statement, index: usize) -> String {
+    statement.name(index).unwrap_or_default()
+}
+
+/// Class of a statement that opens or ends a transaction.
+fn transaction(words: &[String]) -> Option<class::Class> {
+    match words.first()?.as_str() {
+        "begin" => Some(opening(words)),
+        "start" if words.get(1).is_some_and(|word| word == "transaction") => Some(opening(words)),
+        "commit" | "end" => Some(class::Class::Commit),
+        "abort" => Some(class::Class::Rollback),
+        "rollback" if !words.iter().any(|word| word == "to") => Some(class::Class::Rollback),
+        _ => None,
+    }
+}
+
+/// A replica cannot serve a serializable transaction, so that one is left to the primary.
+fn opening(words: &[String]) -> class::Class {
+    let mode = |access: &str| {
+        words
+            .windows(2)
+            .any(|pair| pair[0] == "read" && pair[1] == access)
+    };
+    let serializable = words.iter().any(|word| word == "serializable");
+    if mode("only") && !mode("write") && !serializable {
+        class::Class::BeginRead
+    } else {
+        class::Class::Begin
+    }
+}
+
+/// Words that a query may hold only if it writes, locks or creates.
+const EFFECTS: &[&str] = &[
+    "insert", "update", "delete", "merge", "into", "truncate", "share",
+];
+
+/// First words of statements that can be proven to read only.
+const QUERIES: &[&str] = &["select", "values", "with", "explain", "show"];
+
+/// Whether the tokens hold nothing that could write.
+fn harmless(statement: &sql::Statement, words: &[String]) -> bool {
+    let opens = match words.first() {
+        Some(first) if first.is_empty() => {
+            statement.tokens().first() == Some(&tokenizer::Token::LParen)
+        }
+        Some(first) => QUERIES.contains(&first.as_str()),
+        None => false,
+    };
+    let analyze = words
+        .iter()
+        .any(|word| word == "analyze" || word == "analyse");
+    let ascii = statement.tokens().iter().all(plain);
+    let effects = words.iter().any(|word| EFFECTS.contains(&word.as_str()));
+    opens && !analyze && ascii && !effects && calls(statement).all(|index| pure(statement, index))
+}
+
+/// Tokens that this tokenizer and the database surely read alike.
+fn plain(token: &tokenizer::Token) -> bool {
+    match token {
+        tokenizer::Token::Word(word) => word.quote_style.is_some() || word.value.is_ascii(),
+        tokenizer::Token::CustomBinaryOperator(_) | tokenizer::Token::Char(_) => false,
+        _ => true,
+    }
+}
+
+fn pure(statement: &sql::Statement, index: usize) -> bool {
+    let before = index.checked_sub(1);
+    let previous = before.map(|index| &statement.tokens()[index]);
+    if previous == Some(&tokenizer::Token::Period) {
+        return catalog(statement, index) && function::pure(&callee(statement, index));
+    }
+    // What follows these words is a name with a list of columns, never a call.
+    let declares = before.is_some_and(|index| {
+        matches!(statement.word(index).as_str(), "as" | "recursive")
+            || (index == 0 && statement.word(index) == "with")
+    });
+    declares || function::pure(&callee(statement, index))
+}
+
+/// Whether the name at `index` is qualified by `pg_catalog` and nothing else.
+fn catalog(statement: &sql::Statement, index: usize) -> bool {
+    let schema = index.checked_sub(2).and_then(|at| statement.name(at));
+    let longer = index
+        .checked_sub(3)
+        .is_some_and(|at| statement.tokens()[at] == tokenizer::Token::Period);
+    schema.as_deref() == Some("pg_catalog") && !longer
+}
+
+/// Whether the parser agrees that the statement is a query.
+fn is_query(statement: &ast::Statement) -> bool {
+    match statement {
+        ast::Statement::Query(_) => true,
+        ast::Statement::Explain { statement, .. } => is_query(statement),
+        // An instance answers for itself whether it takes writes.
+        ast::Statement::ShowVariable { variable } => !variable
+            .iter()
+            .any(|part| part.value.to_ascii_lowercase().ends_with("read_only")),
+        _ => false,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/extended.rs
@@ -0,0 +1,241 @@
+//! Messages of the extended query protocol, as callers send them.
+//!
+//! They are taken apart here and not by the codec library, whose decoders panic on a
+//! body that is cut short: one malformed message must not end the process.
+
+use std::sync;
+
+use bytes::Buf;
+use bytes::BufMut;
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::frame;
+use crate::refusal;
+
+/// One message, taken apart as far as the proxy has to know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Prepares a statement.
+    Parse(Parse),
+    /// Makes a portal of a statement.
+    Bind(Bind),
+    /// Asks for the shape of a statement or portal.
+    Describe(Target),
+    /// Drops a statement or portal.
+    Close(Target),
+    /// Runs a portal.
+    Execute {
+        /// Name of the portal.
+        portal: CompactString,
+        /// Greatest number of rows to answer; zero for all.
+        rows: i32,
+    },
+    /// Ends the batch.
+    Sync,
+}
+
+/// Text and parameter types of a statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Parse {
+    /// Name for later messages; empty for the unnamed statement.
+    pub name: CompactString,
+    /// SQL text.
+    pub query: sync::Arc<str>,
+    /// Count and object ids of the parameter types, as encoded.
+    pub types: bytes::Bytes,
+}
+
+/// A statement with its parameters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bind {
+    /// Name of the portal.
+    pub portal: CompactString,
+    /// Name of the statement.
+    pub statement: CompactString,
+    /// Parameters and formats, as encoded.
+    pub rest: bytes::Bytes,
+}
+
+/// What a Describe or Close is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A prepared statement.
+    Statement(CompactString),
+    /// A portal.
+    Portal(CompactString),
+}
+
+const STATEMENT: u8 = b'S';
+const PORTAL: u8 = b'P';
+const TYPE_BYTES: usize = 4;
+
+impl Message {
+    /// Takes a frame apart.
+    ///
+    /// ```
+    /// use mangotray::{extended, frame};
+    /// let frame = frame::Frame { tag: b'E', body: bytes::Bytes::from_static(b"\0\0\0\0\0") };
+    /// let message = extended::Message::decode(&frame).unwrap();
+    /// assert_eq!(message, extended::Message::Execute { portal: "".into(), rows: 0 });
+    /// assert_eq!(message.encode(), frame);
+    /// ```
+    ///
+    /// # Errors
+    /// The fatal error to send, when the body is not a message of that type.
+    pub fn decode(frame: &frame::Frame) -> Result<Self, refusal::Error> {
+        let mut body = frame.body.clone();
+        let message = Self::read(frame.tag, &mut body).ok_or_else(|| malformed(frame))?;
+        if body.has_remaining() {
+            return Err(malformed(frame));
+        }
+        Ok(message)
+    }
+
+    fn read(tag: u8, body: &mut bytes::Bytes) -> Option<Self> {
+        match tag {
+            b'P' => Parse::read(body).map(Self::Parse),
+            b'B' => Bind::read(body).map(Self::Bind),
+            b'D' => Target::read(body).map(Self::Describe),
+            b'C' => Target::read(body).map(Self::Close),
+            b'E' => Some(Self::Execute {
+                portal: text(body)?.into(),
+                rows: body.try_get_i32().ok()?,
+            }),
+            b'S' => Some(Self::Sync),
+            _ => None,
+        }
+    }
+
+    /// Puts the message together again.
+    ///
+    /// ```
+    /// use mangotray::extended;
+    /// assert_eq!(extended::Message::Sync.encode().tag, b'S');
+    /// ```
+    #[must_use]
+    pub fn encode(&self) -> frame::Frame {
+        let mut body = bytes::BytesMut::new();
+        let tag = match self {
+            Self::Parse(parse) => {
+                put(&mut body, &parse.name);
+                put(&mut body, &parse.query);
+                body.put_slice(&parse.types);
+                b'P'
+            }
+            Self::Bind(bind) => {
+                put(&mut body, &bind.portal);
+                put(&mut body, &bind.statement);
+                body.put_slice(&bind.rest);
+                b'B'
+            }
+            Self::Describe(target) => {
+                target.write(&mut body);
+                b'D'
+            }
+            Self::Close(target) => {
+                target.write(&mut body);
+                b'C'
+            }
+            Self::Execute { portal, rows } => {
+                put(&mut body, portal);
+                body.put_i32(*rows);
+                b'E'
+            }
+            Self::Sync => b'S',
+        };
+        frame::Frame {
+            tag,
+            body: body.freeze(),
+        }
+    }
+}
+
+impl Parse {
+    fn read(body: &mut bytes::Bytes) -> Option<Self> {
+        let name = text(body)?.into();
+        let query = text(body)?.into();
+        let count = usize::from(body.clone().try_get_u16().ok()?);
+        let types = take(body, size_of::<u16>() + count * TYPE_BYTES)?;
+        Some(Self { name, query, types })
+    }
+}
+
+impl Bind {
+    fn read(body: &mut bytes::Bytes) -> Option<Self> {
+        let portal = text(body)?.into();
+        let statement = text(body)?.into();
+        let rest = body.split_off(0);
+        Some(Self {
+            portal,
+            statement,
+            rest,
+        })
+    }
+}
+
+impl Target {
+    fn read(body: &mut bytes::Bytes) -> Option<Self> {
+        match body.try_get_u8().ok()? {
+            STATEMENT => Some(Self::Statement(text(body)?.into())),
+            PORTAL => Some(Self::Portal(text(body)?.into())),
+            _ => None,
+        }
+    }
+
+    fn write(&self, body: &mut bytes::BytesMut) {
+        let (kind, name) = match self {
+            Self::Statement(name) => (STATEMENT, name),
+            Self::Portal(name) => (PORTAL, name),
+        };
+        body.put_u8(kind);
+        put(body, name);
+    }
+}
+
+/// SQL text of a Query frame.
+///
+/// ```
+/// use mangotray::{extended, frame};
+/// let frame = frame::Frame { tag: b'Q', body: bytes::Bytes::from_static(b"SELECT 1\0") };
+/// assert_eq!(extended::query(&frame).unwrap(), "SELECT 1");
+/// ```
+///
+/// # Errors
+/// The fatal error to send, when the body is not one text.
+pub fn query(frame: &frame::Frame) -> Result<String, refusal::Error> {
+    let mut body = frame.body.clone();
+    text(&mut body)
+        .filter(|_| body.is_empty())
+        .ok_or_else(|| malformed(frame))
+}
+
+fn malformed(frame: &frame::Frame) -> refusal::Error {
+    refusal::Error::fatal(
+        refusal::PROTOCOL_VIOLATION,
+        format_compact!(
+            "malformed message of type {:?} with {} bytes",
+            char::from(frame.tag),
+            frame.body.len()
+        ),
+    )
+}
+
+/// Reads a text that ends in a zero byte.
+fn text(body: &mut bytes::Bytes) -> Option<String> {
+    let length = body.iter().position(|byte| *byte == 0)?;
+    let text = take(body, length + 1)?;
+    String::from_utf8(text[..length].to_vec()).ok()
+}
+
+fn take(body: &mut bytes::Bytes, length: usize) -> Option<bytes::Bytes> {
+    (length <= body.len()).then(|| body.split_to(length))
+}
+
+fn put(body: &mut bytes::BytesMut, text: &str) {
+    body.put_slice(text.as_bytes());
+    body.put_u8(0);
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -1,1 +1,209 @@
-//! Accepts callers.
+//! Accepts callers' connections.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+
+use async_executor::Executor;
+use async_net::TcpListener;
+use async_net::TcpStream;
+use compact_str::format_compact;
+use event_listener::Event;
+use futures_lite::FutureExt;
+
+use crate::refusal;
+use crate::session;
+use crate::wire;
+use crate::writer;
+
+/// Bounds of one listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections in all.
+    pub connections: usize,
+    /// Connections from one address.
+    pub address: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 2_000,
+            address: 1_000,
+        }
+    }
+}
+
+/// A socket that accepts callers until the process drains.
+pub struct Listener {
+    socket: TcpListener,
+    context: sync::Arc<session::Context>,
+    limits: Limits,
+    sessions: sync::Arc<Sessions>,
+}
+
+/// Open connections, by address.
+#[derive(Debug, Default)]
+struct Sessions {
+    open: sync::Mutex<Open>,
+    ended: Event,
+}
+
+#[derive(Debug, Default)]
+struct Open {
+    total: usize,
+    addresses: collections::HashMap<net::IpAddr, usize>,
+}
+
+/// Place of one open connection; dropping it frees the place.
+#[derive(Debug)]
+struct Place {
+    sessions: sync::Arc<Sessions>,
+    address: net::IpAddr,
+}
+
+impl Listener {
+    /// Binds a socket.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(
+        address: net::SocketAddr,
+        context: sync::Arc<session::Context>,
+        limits: Limits,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            socket: TcpListener::bind(address).await?,
+            context,
+            limits,
+            sessions: sync::Arc::default(),
+        })
+    }
+
+    /// Address that it listens on.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn address(&self) -> io::Result<net::SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Accepts callers until the process drains, one task on the executor for each.
+    pub async fn run(&self, executor: &sync::Arc<Executor<'static>>) {
+        let drain = self.context.drain.clone();
+        let drained = async {
+            drain.wait().await;
+            None
+        };
+        let mut drained = std::pin::pin!(drained);
+        loop {
+            let accept = async { Some(self.socket.accept().await) };
+            match drained.as_mut().or(accept).await {
+                Some(Ok((socket, peer))) => self.admit(socket, peer.ip(), executor),
+                Some(Err(error)) => self.pause(&error).await,
+                None => return,
+            }
+        }
+    }
+
+    /// An accept fails when the process is out of descriptors; trying again at once
+    /// would keep a core busy until one is free.
+    async fn pause(&self, error: &io::Error) {
+        tracing::warn!(target: "mangotray::session", %error, "accept failed");
+        async_io::Timer::after(ACCEPT_PAUSE).await;
+    }
+
+    fn admit(&self, socket: TcpStream, address: net::IpAddr, executor: &Executor<'static>) {
+        // Answers are written whole, so waiting to fill packets only adds delay.
+        let _ = socket.set_nodelay(true);
+        let stream = wire::stream(Box::new(socket));
+        match self.place(address) {
+            Ok(place) => {
+                let context = self.context.clone();
+                executor
+                    .spawn(async move {
+                        session::serve(stream, context).await;
+                        drop(place);
+                    })
+                    .detach();
+            }
+            Err(error) => {
+                metrics::counter!("mangotray_callers_refused_total").increment(1);
+                executor
+                    .spawn(async move { writer::close(stream, &error).await })
+                    .detach();
+            }
+        }
+    }
+
+    fn place(&self, address: net::IpAddr) -> Result<Place, refusal::Error> {
+        let mut open = self.sessions.lock();
+        let count = open.addresses.get(&address).copied().unwrap_or(0);
+        if open.total >= self.limits.connections {
+            return Err(full("connections", self.limits.connections));
+        }
+        if count >= self.limits.address {
+            return Err(full("connections from one address", self.limits.address));
+        }
+        open.total += 1;
+        open.addresses.insert(address, count + 1);
+        Ok(Place {
+            sessions: self.sessions.clone(),
+            address,
+        })
+    }
+
+    /// Open connections.
+    #[must_use]
+    pub fn sessions(&self) -> usize {
+        self.sessions.lock().total
+    }
+
+    /// Waits until no connection is open.
+    pub async fn ended(&self) {
+        while self.sessions() > 0 {
+            let listener = self.sessions.ended.listen();
+            if self.sessions() == 0 {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
+
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+fn full(what: &str, limit: usize) -> refusal::Error {
+    refusal::Error::fatal(
+        refusal::TOO_MANY,
+        format_compact!("too many {what}; the limit is {limit}"),
+    )
+    .hint("Close connections that are no longer needed, or connect to another proxy.")
+}
+
+impl Sessions {
+    fn lock(&self) -> sync::MutexGuard<'_, Open> {
+        self.open.lock().expect("no panic while counting")
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut open = self.sessions.lock();
+        open.total -= 1;
+        let count = open.addresses.get_mut(&self.address);
+        let left = count.map_or(0, |count| {
+            *count -= 1;
+            *count
+        });
+        if left == 0 {
+            open.addresses.remove(&self.address);
+        }
+        drop(open);
+        self.sessions.ended.notify(usize::MAX);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/local.rs
+++ b/src/local.rs
@@ -1,1 +1,316 @@
-//! Statements that the proxy answers itself: SET and SHOW of its own parameters.
+//! Settings of a session that the proxy answers for itself.
+
+use std::time;
+
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use compact_str::format_compact;
+use sqlparser::tokenizer;
+
+use crate::refusal;
+use crate::sql;
+use crate::stamp;
+
+/// Name of the caller's token.
+pub const TOKEN: &str = "mangotray.token";
+/// Name of the deadline of requests.
+pub const DEADLINE: &str = "mangotray.deadline";
+/// Name of the summary of the last request's outcome.
+pub const LAST_OUTCOME: &str = "mangotray.last_outcome";
+/// Name of the caller's own label.
+pub const APPLICATION: &str = "application_name";
+
+/// Settings that hold on every upstream connection, as told to each caller.
+///
+/// A caller may ask for these very values and no others: on pooled connections
+/// another value would leak into other sessions.
+pub const IN_FORCE: &[(&str, &str)] = &[
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("IntervalStyle", "postgres"),
+    ("standard_conforming_strings", "on"),
+    ("TimeZone", "UTC"),
+];
+
+/// A statement that needs no upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Changes a setting; `None` restores its default.
+    Set(CompactString, Option<CompactString>),
+    /// Shows a setting.
+    Show(CompactString),
+}
+
+/// What a command is answered with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// No rows, and this command tag.
+    Done(&'static str),
+    /// One row with one text column.
+    Row {
+        /// Name of the column.
+        name: CompactString,
+        /// Its value.
+        value: CompactString,
+    },
+}
+
+impl Command {
+    /// Recognizes a statement that the proxy answers for itself.
+    ///
+    /// ```
+    /// use mangotray::{local, sql};
+    /// let statements = sql::split("SET mangotray.token TO '3/77'").unwrap();
+    /// let command = local::Command::read(&statements[0]);
+    /// assert_eq!(command, Some(local::Command::Set("mangotray.token".into(), Some("3/77".into()))));
+    /// assert_eq!(local::Command::read(&sql::split("SELECT 1").unwrap()[0]), None);
+    /// ```
+    #[must_use]
+    pub fn read(statement: &sql::Statement) -> Option<Self> {
+        match statement.word(0).as_str() {
+            "set" => set(statement),
+            "reset" => {
+                let (name, next) = setting(statement, 1)?;
+                (own(&name) && next == statement.tokens().len()).then_some(Self::Set(name, None))
+            }
+            "show" => {
+                let (name, next) = setting(statement, 1)?;
+                (own(&name) && next == statement.tokens().len()).then_some(Self::Show(name))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Whether the proxy keeps this setting for the session.
+fn own(name: &str) -> bool {
+    name.starts_with("mangotray.") || name == APPLICATION
+}
+
+/// A setting's name from `index` on, and the index after it.
+fn setting(statement: &sql::Statement, index: usize) -> Option<(CompactString, usize)> {
+    let first = statement.name(index)?;
+    if statement.tokens().get(index + 1) != Some(&tokenizer::Token::Period) {
+        return Some((first.to_ascii_lowercase().into(), index + 1));
+    }
+    let second = statement.name(index + 2)?;
+    let name = format_compact!("{first}.{second}").to_ascii_lowercase();
+    Some((name, index + 3))
+}
+
+fn set(statement: &sql::Statement) -> Option<Command> {
+    let start = if statement.word(1) == "session" { 2 } else { 1 };
+    let (name, value_at) = match (statement.word(start).as_str(), statement.word(start + 1)) {
+        ("names", _) => ("client_encoding".into(), start + 1),
+        ("time", next) if next == "zone" => ("timezone".into(), start + 2),
+        _ => {
+            let (name, next) = setting(statement, start)?;
+            assignment(statement, next).then_some((name, next + 1))?
+        }
+    };
+    let default = statement.word(value_at) == "default";
+    let value = value(statement, value_at).map(|value| (!default).then_some(value))?;
+    (own(&name) || in_force(&name, value.as_deref())).then_some(Command::Set(name, value))
+}
+
+fn assignment(statement: &sql::Statement, index: usize) -> bool {
+    statement.word(index) == "to" || statement.tokens().get(index) == Some(&tokenizer::Token::Eq)
+}
+
+/// The rest of the statement as one value; `DEFAULT` is left unquoted as it stands.
+fn value(statement: &sql::Statement, index: usize) -> Option<CompactString> {
+    let rest = statement.tokens().get(index..)?;
+    let parts = rest
+        .iter()
+        .filter(|token| **token != tokenizer::Token::Comma)
+        .map(|token| match token {
+            tokenizer::Token::SingleQuotedString(text) | tokenizer::Token::Number(text, _) => {
+                Some(text.clone())
+            }
+            tokenizer::Token::Word(word) => Some(word.value.clone()),
+            _ => None,
+        })
+        .collect::<Option<Vec<_>>>()?;
+    (!parts.is_empty()).then(|| parts.join(", ").into())
+}
+
+/// Whether a setting already has this value on every upstream connection.
+///
+/// ```
+/// use mangotray::local;
+/// assert!(local::in_force("client_encoding", Some("utf-8")));
+/// assert!(!local::in_force("timezone", Some("Asia/Kathmandu")));
+/// ```
+#[must_use]
+pub fn in_force(name: &str, value: Option<&str>) -> bool {
+    let Some(value) = value else {
+        return IN_FORCE
+            .iter()
+            .any(|(known, _)| known.eq_ignore_ascii_case(name));
+    };
+    if name.eq_ignore_ascii_case("extra_float_digits") {
+        // All values above zero mean the shortest exact form, which is the default.
+        return matches!(value, "1" | "2" | "3");
+    }
+    IN_FORCE
+        .iter()
+        .filter(|(known, _)| known.eq_ignore_ascii_case(name))
+        .any(|(known, wanted)| same(known, value, wanted))
+}
+
+fn same(name: &str, value: &str, wanted: &str) -> bool {
+    let plain = |text: &str| {
+        text.chars()
+            .filter(char::is_ascii_alphanumeric)
+            .map(|char| char.to_ascii_lowercase())
+            .collect::<String>()
+    };
+    let value = plain(value);
+    match name {
+        "client_encoding" => value == "utf8" || value == "unicode",
+        "DateStyle" => value == "iso" || value == plain(wanted),
+        "TimeZone" => value == "utc" || value == "etcutc",
+        "standard_conforming_strings" => matches!(value.as_str(), "on" | "true" | "1" | "yes"),
+        _ => value == plain(wanted),
+    }
+}
+
+/// The settings of one session.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// Least stamp that answers must include.
+    pub token: Option<stamp::Stamp>,
+    /// Deadline of requests, when the caller chose one.
+    pub deadline: Option<time::Duration>,
+    /// The caller's label.
+    pub application: CompactString,
+    /// Summary of the last request's outcome.
+    pub outcome: CompactString,
+}
+
+impl Settings {
+    /// Runs a command.
+    ///
+    /// ```
+    /// use mangotray::local;
+    /// let mut settings = local::Settings::default();
+    /// let set = local::Command::Set(local::DEADLINE.into(), Some("500ms".into()));
+    /// assert_eq!(settings.run(&set), Ok(local::Answer::Done("SET")));
+    /// assert_eq!(settings.deadline, Some(std::time::Duration::from_millis(500)));
+    /// ```
+    ///
+    /// # Errors
+    /// When the setting is unknown, read-only, or the value is malformed.
+    pub fn run(&mut self, command: &Command) -> Result<Answer, refusal::Error> {
+        match command {
+            Command::Set(name, value) => {
+                self.set(name, value.as_deref())?;
+                Ok(Answer::Done("SET"))
+            }
+            Command::Show(name) => Ok(Answer::Row {
+                name: name.clone(),
+                value: self.show(name)?,
+            }),
+        }
+    }
+
+    /// Changes one setting; `None` restores its default.
+    ///
+    /// ```
+    /// let mut settings = mangotray::local::Settings::default();
+    /// assert!(settings.set("mangotray.token", Some("nonsense")).is_err());
+    /// ```
+    ///
+    /// # Errors
+    /// As [`Settings::run`].
+    pub fn set(&mut self, name: &str, value: Option<&str>) -> Result<(), refusal::Error> {
+        let value = value.filter(|text| !text.is_empty());
+        match name {
+            TOKEN => self.token = value.map(token).transpose()?,
+            DEADLINE => self.deadline = value.map(deadline).transpose()?,
+            APPLICATION => self.application = value.unwrap_or_default().into(),
+            LAST_OUTCOME => {
+                return Err(refusal::Error::new(
+                    refusal::CANNOT_CHANGE,
+                    format_compact!("parameter \"{name}\" cannot be changed"),
+                ));
+            }
+            _ if in_force(name, value) => {}
+            _ => return Err(unknown(name)),
+        }
+        Ok(())
+    }
+
+    fn show(&self, name: &str) -> Result<CompactString, refusal::Error> {
+        match name {
+            TOKEN => Ok(self.token_text()),
+            DEADLINE => Ok(self
+                .deadline
+                .map(|deadline| format_compact!("{}ms", deadline.as_millis()))
+                .unwrap_or_default()),
+            LAST_OUTCOME => Ok(self.outcome.clone()),
+            APPLICATION => Ok(self.application.clone()),
+            _ => Err(unknown(name)),
+        }
+    }
+
+    /// The token as told to the caller; empty when there is none.
+    ///
+    /// ```
+    /// assert_eq!(mangotray::local::Settings::default().token_text(), "");
+    /// ```
+    #[must_use]
+    pub fn token_text(&self) -> CompactString {
+        self.token
+            .map(|token| token.to_compact_string())
+            .unwrap_or_default()
+    }
+
+    /// Raises the token to a stamp that an answer reported; it never falls.
+    ///
+    /// ```
+    /// use mangotray::{local, stamp};
+    /// let mut settings = local::Settings::default();
+    /// settings.raise(stamp::Stamp::new(3, 9));
+    /// settings.raise(stamp::Stamp::new(3, 2));
+    /// assert_eq!(settings.token_text(), "3/9");
+    /// ```
+    pub fn raise(&mut self, stamp: stamp::Stamp) {
+        self.token = self.token.max(Some(stamp));
+    }
+}
+
+fn token(text: &str) -> Result<stamp::Stamp, refusal::Error> {
+    text.parse()
+        .map_err(|_| invalid(TOKEN, text).hint("A token has the form TERM/POSITION."))
+}
+
+fn deadline(text: &str) -> Result<time::Duration, refusal::Error> {
+    let duration = match text.parse::<u64>() {
+        Ok(millis) => Some(time::Duration::from_millis(millis)),
+        Err(_) => humantime::parse_duration(text).ok(),
+    };
+    duration
+        .filter(|duration| !duration.is_zero() && *duration <= LONGEST_DEADLINE)
+        .ok_or_else(|| invalid(DEADLINE, text).hint("Give a time such as 500ms, at most 1h."))
+}
+
+/// Longest deadline that a caller may ask for.
+pub const LONGEST_DEADLINE: time::Duration = time::Duration::from_hours(1);
+
+fn invalid(name: &str, value: &str) -> refusal::Error {
+    refusal::Error::new(
+        refusal::INVALID_PARAMETER,
+        format_compact!("invalid value for parameter \"{name}\": \"{value}\""),
+    )
+}
+
+fn unknown(name: &str) -> refusal::Error {
+    refusal::Error::new(
+        refusal::UNKNOWN_PARAMETER,
+        format_compact!("unrecognized configuration parameter \"{name}\""),
+    )
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/reader.rs
@@ -0,0 +1,182 @@
+//! Reads whole requests from a caller.
+
+use std::io;
+
+use bytes::Buf;
+use compact_str::format_compact;
+use futures_lite::StreamExt;
+
+use crate::extended;
+use crate::frame;
+use crate::refusal;
+use crate::wire;
+
+/// One request of a caller.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Statements in the simple protocol, with the frame they came in.
+    Query(String, frame::Frame),
+    /// Messages of the extended protocol, the last of them a Sync.
+    Extended(Vec<extended::Message>),
+    /// A message that pooled connections cannot serve; `skip` when the caller goes on
+    /// to a Sync before it awaits the end of the answer.
+    Unsupported {
+        /// Name of the message.
+        what: &'static str,
+        /// Whether to ignore everything up to a Sync.
+        skip: bool,
+    },
+    /// The caller says good-bye.
+    Terminate,
+}
+
+/// Why no further request can be read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// The caller is gone.
+    Closed,
+    /// The session ends with this error.
+    Fatal(refusal::Error),
+}
+
+const QUERY: u8 = b'Q';
+const SYNC: u8 = b'S';
+const FLUSH: u8 = b'H';
+const CALL: u8 = b'F';
+const TERMINATE: u8 = b'X';
+const HEADER_BYTES: usize = 5;
+
+/// Reads one frame.
+///
+/// # Errors
+/// When the caller is gone or its bytes are no frame within the limits.
+pub async fn frame(stream: &mut wire::Stream) -> Result<frame::Frame, Stop> {
+    loop {
+        let frame = match stream.next().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => return Err(broken(stream, &error)),
+            None => return Err(Stop::Closed),
+        };
+        // Left over from a copy that was refused; the protocol has them ignored.
+        if !matches!(frame.tag, b'd' | b'c' | b'f') {
+            return Ok(frame);
+        }
+    }
+}
+
+/// Reads one packet of a connection that has not passed its startup.
+///
+/// # Errors
+/// When the caller is gone or its bytes are no packet within the limits.
+pub async fn packet(stream: &mut wire::Stream) -> Result<frame::Frame, Stop> {
+    match stream.next().await {
+        Some(Ok(frame)) => Ok(frame),
+        Some(Err(error)) if invalid(&error) => Err(Stop::Fatal(refusal::Error::fatal(
+            refusal::PROTOCOL_VIOLATION,
+            format_compact!(
+                "startup packet has an invalid length; the limit is {} bytes",
+                wire::STARTUP_LIMIT
+            ),
+        ))),
+        Some(Err(_)) | None => Err(Stop::Closed),
+    }
+}
+
+fn invalid(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+    )
+}
+
+/// The codec leaves an oversized message in the buffer, and has taken one that is
+/// shorter than its own header.
+fn broken(stream: &wire::Stream, error: &io::Error) -> Stop {
+    if !invalid(error) {
+        return Stop::Closed;
+    }
+    let head = stream.read_buffer();
+    let text = if error.get_ref().is_some() && head.len() >= HEADER_BYTES {
+        let length = (&head[1..HEADER_BYTES]).get_u32();
+        let tag = char::from(head[0]);
+        format_compact!("message of type {tag:?} has an invalid length of {length} bytes")
+    } else {
+        "message is shorter than its own header".into()
+    };
+    Stop::Fatal(refusal::Error::fatal(refusal::PROTOCOL_VIOLATION, text))
+}
+
+/// Reads the rest of the request that `first` opens, of at most `limit` bytes in all.
+///
+/// # Errors
+/// When the caller is gone, or sends what is no request or too large a one.
+pub async fn request(
+    stream: &mut wire::Stream,
+    first: frame::Frame,
+    limit: usize,
+) -> Result<Request, Stop> {
+    let mut messages = Vec::new();
+    let mut bytes = 0;
+    let mut next = first;
+    loop {
+        bytes += next.body.len() + HEADER_BYTES;
+        if bytes > limit {
+            return Err(Stop::Fatal(too_large(&next, bytes, limit)));
+        }
+        match next.tag {
+            TERMINATE => return Ok(Request::Terminate),
+            FLUSH => return Ok(unsupported("Flush", true)),
+            CALL => return Ok(unsupported("FunctionCall", !messages.is_empty())),
+            QUERY if messages.is_empty() => {
+                let text = extended::query(&next).map_err(Stop::Fatal)?;
+                return Ok(Request::Query(text, next));
+            }
+            tag @ (b'P' | b'B' | b'D' | b'C' | b'E' | SYNC) => {
+                messages.push(extended::Message::decode(&next).map_err(Stop::Fatal)?);
+                if tag == SYNC {
+                    return Ok(Request::Extended(messages));
+                }
+            }
+            tag => return Err(Stop::Fatal(unexpected(tag))),
+        }
+        next = frame(stream).await?;
+    }
+}
+
+const fn unsupported(what: &'static str, skip: bool) -> Request {
+    Request::Unsupported { what, skip }
+}
+
+fn too_large(frame: &frame::Frame, bytes: usize, limit: usize) -> refusal::Error {
+    refusal::Error::fatal(
+        refusal::PROTOCOL_VIOLATION,
+        format_compact!(
+            "request of {bytes} bytes, up to a message of type {:?}, exceeds the limit of {limit}",
+            char::from(frame.tag)
+        ),
+    )
+}
+
+fn unexpected(tag: u8) -> refusal::Error {
+    refusal::Error::fatal(
+        refusal::PROTOCOL_VIOLATION,
+        format_compact!("unexpected message of type {:?}", char::from(tag)),
+    )
+}
+
+/// Ignores everything up to the next Sync.
+///
+/// # Errors
+/// When the caller is gone, says good-bye or sends no frame.
+pub async fn skip(stream: &mut wire::Stream) -> Result<(), Stop> {
+    loop {
+        match frame(stream).await?.tag {
+            SYNC => return Ok(()),
+            TERMINATE => return Err(Stop::Closed),
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/relation.rs
@@ -0,0 +1,86 @@
+//! Names of the tables that a parsed query reads.
+
+use std::collections;
+use std::ops;
+
+use compact_str::CompactString;
+use sqlparser::ast;
+use sqlparser::ast::Visit;
+
+/// Tables that a statement names, sorted, folded to lower case unless quoted, without
+/// the schema `public`. Names of common table expressions are left out only where they
+/// surely do not mean a table; a name too many merely denies an exemption.
+///
+/// ```
+/// use mangotray::{relation, sql};
+/// let text = "WITH open AS (SELECT * FROM public.Shows) SELECT * FROM open, seats";
+/// let parsed = sql::split(text).unwrap()[0].parse().unwrap();
+/// assert_eq!(relation::tables(&parsed), ["seats", "shows"]);
+/// ```
+#[must_use]
+pub fn tables(statement: &ast::Statement) -> Vec<CompactString> {
+    let mut found = match statement {
+        ast::Statement::Query(query) => of_query(query),
+        other => named(other),
+    };
+    found.remove("");
+    found.into_iter().collect()
+}
+
+type Names = collections::BTreeSet<CompactString>;
+
+/// An expression sees the ones before it, and itself only when the list is recursive.
+fn of_query(query: &ast::Query) -> Names {
+    let mut defined = Names::new();
+    let mut found = Names::new();
+    let Some(with) = &query.with else {
+        return named(query);
+    };
+    if with.recursive {
+        defined.extend(with.cte_tables.iter().map(|cte| fold(&cte.alias.name)));
+    }
+    for cte in &with.cte_tables {
+        found.extend(named(&cte.query).difference(&defined).cloned());
+        defined.insert(fold(&cte.alias.name));
+    }
+    let rest = ast::Query {
+        with: None,
+        ..query.clone()
+    };
+    found.extend(named(&rest).difference(&defined).cloned());
+    found
+}
+
+fn named<V: Visit>(node: &V) -> Names {
+    let mut names = Names::new();
+    let _ = ast::visit_relations(node, |relation| {
+        names.insert(name(relation));
+        ops::ControlFlow::<()>::Continue(())
+    });
+    names
+}
+
+fn name(relation: &ast::ObjectName) -> CompactString {
+    let parts: Vec<_> = relation
+        .0
+        .iter()
+        .map(|part| {
+            part.as_ident()
+                .map_or_else(|| part.to_string().into(), fold)
+        })
+        .collect();
+    match parts.as_slice() {
+        [schema, table] if schema == "public" => table.clone(),
+        _ => parts.join(".").into(),
+    }
+}
+
+fn fold(name: &ast::Ident) -> CompactString {
+    match name.quote_style {
+        Some(_) => name.value.as_str().into(),
+        None => name.value.to_ascii_lowercase().into(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/sql.rs
@@ -0,0 +1,184 @@
+//! Splits SQL text into statements of significant tokens.
+
+use sqlparser::dialect;
+use sqlparser::parser;
+use sqlparser::tokenizer;
+
+/// One statement: its tokens without white space and comments.
+#[derive(Clone, Debug)]
+pub struct Statement {
+    tokens: Vec<tokenizer::Token>,
+}
+
+/// Why a text could not be split.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opaque;
+
+/// Splits a text into its non-empty statements.
+///
+/// ```
+/// let statements = mangotray::sql::split("SELECT 1; ; SELECT ';'").unwrap();
+/// assert_eq!(statements.len(), 2);
+/// ```
+///
+/// # Errors
+/// When the text has no valid tokens, or holds characters that the tokenizer and
+/// the database read differently.
+pub fn split(text: &str) -> Result<Vec<Statement>, Opaque> {
+    if ambiguous(text) {
+        return Err(Opaque);
+    }
+    let dialect = dialect::PostgreSqlDialect {};
+    let tokens = tokenizer::Tokenizer::new(&dialect, text)
+        .tokenize()
+        .map_err(|_| Opaque)?;
+    let significant: Vec<_> = tokens
+        .into_iter()
+        .filter(|token| {
+            !matches!(
+                token,
+                tokenizer::Token::Whitespace(_) | tokenizer::Token::EOF
+            )
+        })
+        .collect();
+    if significant.iter().any(hides_comment) {
+        return Err(Opaque);
+    }
+    Ok(cut(significant))
+}
+
+/// The database ends a line comment at a bare carriage return and takes white
+/// space beyond ASCII for letters; a tokenizer that does otherwise would see a
+/// harmless text where the database sees a second statement.
+fn ambiguous(text: &str) -> bool {
+    let bare_return = text
+        .as_bytes()
+        .iter()
+        .zip(text.as_bytes().iter().skip(1).chain(&[0]))
+        .any(|(byte, next)| *byte == b'\r' && *next != b'\n');
+    let odd_space = text
+        .chars()
+        .any(|char| char == '\u{b}' || (!char.is_ascii() && char.is_whitespace()));
+    bare_return || odd_space
+}
+
+/// The database starts a comment inside a run of operator characters.
+fn hides_comment(token: &tokenizer::Token) -> bool {
+    match token {
+        tokenizer::Token::CustomBinaryOperator(text) => text.contains("--") || text.contains("/*"),
+        _ => false,
+    }
+}
+
+fn cut(tokens: Vec<tokenizer::Token>) -> Vec<Statement> {
+    let mut statements = Vec::new();
+    let mut current = Vec::new();
+    let mut depth = 0_usize;
+    for token in tokens {
+        match token {
+            tokenizer::Token::LParen => depth += 1,
+            tokenizer::Token::RParen => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        let ends = token == tokenizer::Token::SemiColon && depth == 0;
+        if ends && !in_body(&current) {
+            statements.push(Statement {
+                tokens: std::mem::take(&mut current),
+            });
+        } else {
+            current.push(token);
+        }
+    }
+    statements.push(Statement { tokens: current });
+    statements.retain(|statement| !statement.tokens.is_empty());
+    statements
+}
+
+/// A function body written as `BEGIN ATOMIC ... END` holds semicolons of its own.
+fn in_body(tokens: &[tokenizer::Token]) -> bool {
+    word(tokens.first()).is_some_and(|first| first == "create")
+        && tokens.windows(2).any(|pair| {
+            word(pair.first()).as_deref() == Some("begin")
+                && word(pair.last()).as_deref() == Some("atomic")
+        })
+}
+
+/// Lower-case text of an unquoted word.
+fn word(token: Option<&tokenizer::Token>) -> Option<String> {
+    match token {
+        Some(tokenizer::Token::Word(word)) if word.quote_style.is_none() => {
+            Some(word.value.to_ascii_lowercase())
+        }
+        _ => None,
+    }
+}
+
+impl Statement {
+    /// The tokens.
+    ///
+    /// ```
+    /// let statements = mangotray::sql::split("SELECT /* x */ 1").unwrap();
+    /// assert_eq!(statements[0].tokens().len(), 2);
+    /// ```
+    #[must_use]
+    pub fn tokens(&self) -> &[tokenizer::Token] {
+        &self.tokens
+    }
+
+    /// Lower-case text of the unquoted word at `index`; empty for anything else.
+    ///
+    /// ```
+    /// let statements = mangotray::sql::split("Select 1").unwrap();
+    /// assert_eq!(statements[0].word(0), "select");
+    /// assert_eq!(statements[0].word(1), "");
+    /// ```
+    #[must_use]
+    pub fn word(&self, index: usize) -> String {
+        word(self.tokens.get(index)).unwrap_or_default()
+    }
+
+    /// All tokens as by [`Statement::word`].
+    ///
+    /// ```
+    /// let statements = mangotray::sql::split("SELECT a").unwrap();
+    /// assert_eq!(statements[0].words(), ["select", "a"]);
+    /// ```
+    #[must_use]
+    pub fn words(&self) -> Vec<String> {
+        (0..self.tokens.len()).map(|i| self.word(i)).collect()
+    }
+
+    /// Name at `index`, folded as the database folds it; quoted names keep their case.
+    ///
+    /// ```
+    /// let statements = mangotray::sql::split("SELECT \"A\", B").unwrap();
+    /// assert_eq!(statements[0].name(1).as_deref(), Some("A"));
+    /// assert_eq!(statements[0].name(3).as_deref(), Some("b"));
+    /// ```
+    #[must_use]
+    pub fn name(&self, index: usize) -> Option<String> {
+        match self.tokens.get(index)? {
+            tokenizer::Token::Word(word) if word.quote_style.is_some() => Some(word.value.clone()),
+            _ => word(self.tokens.get(index)),
+        }
+    }
+
+    /// Parses the statement on its own.
+    ///
+    /// ```
+    /// let statements = mangotray::sql::split("SELECT 1").unwrap();
+    /// assert!(statements[0].parse().is_some());
+    /// ```
+    #[must_use]
+    pub fn parse(&self) -> Option<sqlparser::ast::Statement> {
+        let dialect = dialect::PostgreSqlDialect {};
+        let parsed = parser::Parser::new(&dialect)
+            .with_tokens(self.tokens.clone())
+            .parse_statements()
+            .ok()?;
+        <[_; 1]>::try_from(parsed).ok().map(|[statement]| statement)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -1,1 +1,267 @@
-//! Opening of a caller's connection, up to the first `ReadyForQuery`.
+//! First messages of a caller's connection.
+
+use std::collections;
+
+use bytes::Buf;
+use compact_str::CompactString;
+use compact_str::format_compact;
+use futures_util::SinkExt;
+use pgwire::messages::startup;
+
+use crate::answer;
+use crate::cancel;
+use crate::frame;
+use crate::local;
+use crate::reader;
+use crate::refusal;
+use crate::transaction;
+use crate::wire;
+
+const CANCEL: u32 = 80_877_102;
+const SSL: u32 = 80_877_103;
+const GSS: u32 = 80_877_104;
+const MAJOR: u16 = 3;
+const NEWEST_MINOR: u16 = 2;
+const CODE_BYTES: usize = 4;
+const CANCEL_BYTES: usize = 12;
+/// Encryption requests that one connection may make; one of each kind is usual.
+const NEGOTIATIONS: usize = 2;
+
+/// Version that callers are told; the dialect the proxy classifies.
+pub const SERVER_VERSION: &str = "15.0";
+
+/// A packet without a type byte.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Packet {
+    /// Asks for TLS or GSS encryption.
+    Encrypt,
+    /// Asks to cancel what another session runs.
+    Cancel(cancel::Pid, cancel::Secret),
+    /// Opens a session.
+    Open(Parameters),
+}
+
+/// What a caller asks for when it opens a session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Parameters {
+    /// User name, as told.
+    pub user: CompactString,
+    /// Name of the database.
+    pub database: CompactString,
+    /// The session's first settings.
+    pub settings: local::Settings,
+    /// Protocol version to answer with, and options not understood, when they differ
+    /// from what was asked.
+    pub negotiate: Option<(i32, Vec<String>)>,
+}
+
+impl Packet {
+    /// Takes a packet apart.
+    ///
+    /// ```
+    /// use mangotray::{frame, startup};
+    /// let body = bytes::Bytes::from_static(&[0x04, 0xd2, 0x16, 0x2f]);
+    /// let packet = startup::Packet::decode(&frame::Frame { tag: 0, body });
+    /// assert_eq!(packet, Ok(startup::Packet::Encrypt));
+    /// ```
+    ///
+    /// # Errors
+    /// The fatal error to send.
+    pub fn decode(frame: &frame::Frame) -> Result<Self, refusal::Error> {
+        let mut body = frame.body.clone();
+        match body.try_get_u32() {
+            Ok(SSL | GSS) if body.is_empty() => Ok(Self::Encrypt),
+            Ok(CANCEL) if frame.body.len() == CANCEL_BYTES => {
+                Ok(Self::Cancel(body.get_i32(), body.get_i32()))
+            }
+            Ok(code) if code >> u16::BITS == u32::from(MAJOR) => open(frame).map(Self::Open),
+            Ok(code) => Err(violation(&format_compact!(
+                "unsupported protocol {}.{}",
+                code >> u16::BITS,
+                code & u32::from(u16::MAX)
+            ))),
+            Err(_) => Err(violation("startup packet is too short")),
+        }
+    }
+}
+
+fn violation(text: &str) -> refusal::Error {
+    refusal::Error::fatal(refusal::PROTOCOL_VIOLATION, text)
+}
+
+fn open(frame: &frame::Frame) -> Result<Parameters, refusal::Error> {
+    // The codec ends the list of parameters wherever a text is missing or empty; a
+    // packet that is not closed by an empty name was cut or is made up.
+    let pairs = frame.body.get(CODE_BYTES..).unwrap_or_default();
+    if pairs != [0] && !pairs.ends_with(&[0, 0]) {
+        return Err(violation("startup packet has no terminator"));
+    }
+    let startup: startup::Startup = frame
+        .decode()
+        .map_err(|_| violation("malformed startup packet"))?;
+    let minor = startup.protocol_number_minor;
+    let (extensions, parameters): (Vec<_>, Vec<_>) = startup
+        .parameters
+        .into_iter()
+        .partition(|(name, _)| name.starts_with("_pq_."));
+    let unknown: Vec<_> = extensions.into_iter().map(|(name, _)| name).collect();
+    parameters_of(parameters.into_iter().collect(), negotiate(minor, unknown))
+}
+
+fn negotiate(minor: u16, unknown: Vec<String>) -> Option<(i32, Vec<String>)> {
+    let accepted = match minor {
+        0 | 1 => 0,
+        _ => NEWEST_MINOR,
+    };
+    let version = (i32::from(MAJOR) << u16::BITS) | i32::from(accepted);
+    (accepted != minor || !unknown.is_empty()).then_some((version, unknown))
+}
+
+fn parameters_of(
+    mut pairs: collections::BTreeMap<String, String>,
+    negotiate: Option<(i32, Vec<String>)>,
+) -> Result<Parameters, refusal::Error> {
+    let user = pairs
+        .remove("user")
+        .ok_or_else(|| refusal::Error::fatal(refusal::NO_USER, "no user name in startup packet"))?;
+    let database = pairs.remove("database").unwrap_or_else(|| user.clone());
+    let options = pairs.remove("options").unwrap_or_default();
+    let mut settings = local::Settings::default();
+    for (name, value) in read_options(&options)?.into_iter().chain(pairs) {
+        apply(&mut settings, &name, &value)?;
+    }
+    Ok(Parameters {
+        user: user.into(),
+        database: database.into(),
+        settings,
+        negotiate,
+    })
+}
+
+fn apply(settings: &mut local::Settings, name: &str, value: &str) -> Result<(), refusal::Error> {
+    if name == "replication" && matches!(value, "false" | "off" | "no" | "0") {
+        return Ok(());
+    }
+    let name = name.to_ascii_lowercase();
+    let result = settings.set(&name, Some(value));
+    result.map_err(|error| match error.code {
+        refusal::UNKNOWN_PARAMETER => refusal::Error::fatal(
+            refusal::NOT_SUPPORTED,
+            format_compact!("startup parameter \"{name}\" = \"{value}\" is not in force"),
+        )
+        .hint("Connections to the database are shared and keep no session state."),
+        _ => refusal::Error {
+            severity: refusal::Severity::Fatal,
+            ..error
+        },
+    })
+}
+
+/// Reads `-c name=value` and `--name=value`; a backslash keeps the next character.
+fn read_options(text: &str) -> Result<Vec<(String, String)>, refusal::Error> {
+    let mut words = split_words(text).into_iter();
+    let mut pairs = Vec::new();
+    while let Some(word) = words.next() {
+        let pair = match word.as_str() {
+            "-c" => words.next(),
+            word => word
+                .strip_prefix("--")
+                .or_else(|| word.strip_prefix("-c"))
+                .map(str::to_owned),
+        };
+        let pair = pair.as_deref().and_then(|pair| pair.split_once('='));
+        let (name, value) =
+            pair.ok_or_else(|| violation(&format_compact!("invalid startup option \"{word}\"")))?;
+        pairs.push((name.replace('-', "_"), value.to_owned()));
+    }
+    Ok(pairs)
+}
+
+fn split_words(text: &str) -> Vec<String> {
+    let mut words = vec![String::new()];
+    let mut chars = text.chars();
+    while let Some(char) = chars.next() {
+        match char {
+            '\\' => words.last_mut().expect("never empty").extend(chars.next()),
+            char if char.is_ascii_whitespace() => words.push(String::new()),
+            char => words.last_mut().expect("never empty").push(char),
+        }
+    }
+    words.retain(|word| !word.is_empty());
+    words
+}
+
+/// Reads packets until the caller opens a session; `None` after a cancel request.
+///
+/// # Errors
+/// When the caller is gone or its packets are malformed.
+pub async fn receive(
+    stream: &mut wire::Stream,
+    cancels: &cancel::Registry,
+) -> Result<Option<Parameters>, reader::Stop> {
+    for _ in 0..=NEGOTIATIONS {
+        let frame = reader::packet(stream).await?;
+        match Packet::decode(&frame).map_err(reader::Stop::Fatal)? {
+            Packet::Open(parameters) => return Ok(Some(parameters)),
+            Packet::Cancel(pid, secret) => {
+                let found = cancels.cancel(pid, secret);
+                tracing::debug!(target: "mangotray::session", pid, found, "cancel request");
+                return Ok(None);
+            }
+            Packet::Encrypt => {
+                stream.write_buffer_mut().extend_from_slice(b"N");
+                stream.flush().await.map_err(|_| reader::Stop::Closed)?;
+            }
+        }
+    }
+    Err(reader::Stop::Fatal(violation(
+        "too many encryption requests",
+    )))
+}
+
+/// The frames that tell a caller that its session is open.
+///
+/// ```
+/// use mangotray::{cancel, local, startup};
+/// let parameters = startup::Parameters {
+///     user: "desk".into(),
+///     database: "dome".into(),
+///     settings: local::Settings::default(),
+///     negotiate: None,
+/// };
+/// let handle = cancel::Registry::new().register();
+/// let frames = startup::welcome(&parameters, &handle);
+/// assert_eq!(frames.last().unwrap().tag, b'Z');
+/// ```
+#[must_use]
+pub fn welcome(parameters: &Parameters, handle: &cancel::Handle) -> Vec<frame::Frame> {
+    let mut frames = Vec::new();
+    frames.extend(parameters.negotiate.clone().map(|(version, unknown)| {
+        frame::Frame::encode(&startup::NegotiateProtocolVersion::new(version, unknown))
+    }));
+    frames.push(frame::Frame::encode(&startup::Authentication::Ok));
+    let token = parameters.settings.token_text();
+    let own = [
+        ("server_version", SERVER_VERSION),
+        ("server_encoding", "UTF8"),
+        ("integer_datetimes", "on"),
+        ("is_superuser", "off"),
+        ("in_hot_standby", "off"),
+        ("default_transaction_read_only", "off"),
+        ("session_authorization", parameters.user.as_str()),
+        (local::APPLICATION, parameters.settings.application.as_str()),
+        (local::TOKEN, token.as_str()),
+    ];
+    let statuses = local::IN_FORCE.iter().copied().chain(own);
+    frames.extend(statuses.map(|(name, value)| answer::status(name, value)));
+    let secret = startup::SecretKey::I32(handle.secret());
+    frames.push(frame::Frame::encode(&startup::BackendKeyData::new(
+        handle.pid(),
+        secret,
+    )));
+    frames.push(answer::ready(transaction::State::Idle));
+    frames
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/writer.rs
@@ -0,0 +1,95 @@
+//! Writes to callers in bounded time, up to the last message of a session.
+
+use std::time;
+
+use futures_lite::AsyncReadExt;
+use futures_lite::FutureExt;
+use futures_util::SinkExt;
+
+use crate::frame;
+use crate::reader;
+use crate::refusal;
+use crate::wire;
+
+/// Time to write the last message.
+const LAST_SEND: time::Duration = time::Duration::from_secs(1);
+
+/// Time to wait for the caller to close after the last message.
+const LINGER: time::Duration = time::Duration::from_secs(1);
+
+/// Bytes thrown away at a time.
+const CHUNK: usize = 4 * 1024;
+
+/// Writes an answer.
+///
+/// # Errors
+/// When the caller is gone or does not take the answer within `limit`: a caller that
+/// stopped reading would otherwise hold the answer in memory and delay a drain.
+pub async fn send(
+    stream: &mut wire::Stream,
+    frames: Vec<frame::Frame>,
+    limit: time::Duration,
+) -> Result<(), reader::Stop> {
+    let write = async {
+        for frame in frames {
+            stream.feed(frame).await?;
+        }
+        stream.flush().await
+    };
+    let late = async {
+        async_io::Timer::after(limit).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    write.or(late).await.map_err(|_| reader::Stop::Closed)
+}
+
+/// Sends the error that ends a session and closes the connection.
+///
+/// Closing a socket that still has unread bytes makes the system reset it, and the
+/// reset can destroy the error before the caller has read it. So the proxy closes its
+/// own direction only and reads on for a moment.
+pub async fn close(mut stream: wire::Stream, error: &refusal::Error) {
+    if send(&mut stream, vec![error.frame()], LAST_SEND)
+        .await
+        .is_err()
+    {
+        return;
+    }
+    let finish = async {
+        let _ = SinkExt::<frame::Frame>::close(&mut stream).await;
+        let mut socket = stream.into_inner().into_inner();
+        let mut waste = [0; CHUNK];
+        while socket.read(&mut waste).await.is_ok_and(|count| count > 0) {}
+    };
+    let late = async {
+        async_io::Timer::after(LINGER).await;
+    };
+    finish.or(late).await;
+}
+
+/// The error for a caller that is idle when the process shuts down.
+///
+/// ```
+/// assert_eq!(mangotray::writer::shutdown().code, "57P01");
+/// ```
+#[must_use]
+pub fn shutdown() -> refusal::Error {
+    refusal::Error::fatal(
+        refusal::SHUTDOWN,
+        "terminating connection: the proxy is shutting down",
+    )
+    .hint("Connect again.")
+}
+
+/// The error for a caller that leaves a transaction open without using it.
+///
+/// ```
+/// assert_eq!(mangotray::writer::idle_transaction().code, "25P03");
+/// ```
+#[must_use]
+pub fn idle_transaction() -> refusal::Error {
+    refusal::Error::fatal(
+        refusal::IDLE_TRANSACTION,
+        "terminating connection due to idle-in-transaction timeout",
+    )
+}
