Serve a database group end to end: probes, pools, lanes, failover, daemon

Cause: the decisions, the caller side, the upstream client and the platform client stood apart. The board is published by read-copy-update; one probe per instance serves all waiting commits and reads; failover runs the promotion's state machine against the instances; the daemon joins them. Found while joining: a primary cut off from its replicas alone would have been promoted again (longest log); the promotion now leaves out the instance to be replaced where the others are a majority, with a test. Left: equal shares by the number of registered VMs stand in for seats.

--- a/src/bin/mangotrayd.rs
+++ b/src/bin/mangotrayd.rs
@@ -3,12 +3,18 @@
 use std::fs;
 use std::process;
 
+use async_signal::Signal;
+use async_signal::Signals;
 use eyre::WrapErr;
+use futures_lite::StreamExt;
 use mangotray::cli;
 use mangotray::console;
+use mangotray::daemon;
 use mangotray::exit;
 use mangotray::launch;
+use mangotray::policy;
 use mangotray::settings;
+use mangotray::telemetry;
 
 fn main() -> process::ExitCode {
     let launch = match cli::parse(&launch::options()) {
@@ -32,5 +38,23 @@
         writeln!(console.out, "{file} is valid: VM {}", settings.vm.name)?;
         return Ok(exit::Code::Success);
     }
-    eyre::bail!("this build only checks settings; run it with --check")
+    telemetry::log(&settings.log)?;
+    let proxy = daemon::Daemon::start(&settings, policy::Policy::Default)?;
+    writeln!(console.out, "serving callers at {}", proxy.callers())?;
+    let complete = async_io::block_on(async {
+        stop_signal().await?;
+        Ok::<_, eyre::Report>(proxy.drain().await)
+    })?;
+    Ok(if complete {
+        exit::Code::Success
+    } else {
+        exit::Code::Degraded
+    })
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() -> eyre::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    signals.next().await;
+    Ok(())
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,1 +1,225 @@
 //! A whole proxy process, from settings to drained.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use futures_lite::FutureExt;
+
+use crate::admin;
+use crate::clock;
+use crate::control;
+use crate::directory;
+use crate::drain;
+use crate::enrol;
+use crate::follow;
+use crate::id;
+use crate::lane;
+use crate::listener;
+use crate::platform;
+use crate::policy;
+use crate::report;
+use crate::session;
+use crate::settings;
+use crate::store;
+use crate::telemetry;
+
+/// Threads that run the tasks of one process.
+const THREADS: usize = 4;
+
+/// A running proxy.
+pub struct Daemon {
+    context: sync::Arc<Context>,
+    listener: sync::Arc<listener::Listener>,
+    callers: net::SocketAddr,
+    admin: net::SocketAddr,
+    stop: async_channel::Sender<()>,
+    threads: Vec<thread::JoinHandle<()>>,
+    drain_timeout: time::Duration,
+}
+
+/// What the tasks of a process share.
+struct Context {
+    report: sync::Arc<report::Report>,
+    follower: follow::Follower,
+    enrolment: enrol::Enrolment,
+    drain: drain::Signal,
+}
+
+impl Daemon {
+    /// Starts a proxy on its own threads and returns once it listens.
+    ///
+    /// # Errors
+    /// When an address cannot be bound.
+    pub fn start(settings: &settings::Settings, policy: policy::Policy) -> eyre::Result<Self> {
+        let executor = sync::Arc::new(async_executor::Executor::new());
+        let (stop, stopped) = async_channel::bounded(1);
+        let threads = (0..THREADS).map(|_| work(&executor, &stopped)).collect();
+        let started = executor.spawn(open(settings.clone(), policy, executor.clone()));
+        let opened = futures_lite::future::block_on(started)?;
+        Ok(Self {
+            context: opened.context,
+            callers: opened.listener.address()?,
+            listener: opened.listener,
+            admin: opened.admin,
+            stop,
+            threads,
+            drain_timeout: settings.limits.drain_timeout,
+        })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn callers(&self) -> net::SocketAddr {
+        self.callers
+    }
+
+    /// Where operators ask for status and metrics.
+    #[must_use]
+    pub fn admin(&self) -> net::SocketAddr {
+        self.admin
+    }
+
+    /// Revision of the configuration in force.
+    #[must_use]
+    pub fn revision(&self) -> id::Revision {
+        self.context.report.revision()
+    }
+
+    /// Stops at once: every task and socket is dropped, as when the VM dies.
+    pub fn crash(self) {
+        self.halt();
+    }
+
+    /// Stops taking callers, lets requests in flight finish and gives up the lease.
+    /// True when every session ended within the timeout.
+    pub async fn drain(self) -> bool {
+        self.context.drain.start();
+        let ended = async {
+            self.listener.ended().await;
+            true
+        };
+        let timeout = async {
+            async_io::Timer::after(self.drain_timeout).await;
+            false
+        };
+        let complete = ended.or(timeout).await;
+        self.context.enrolment.leave().await;
+        self.halt();
+        complete
+    }
+
+    fn halt(self) {
+        self.stop.close();
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Opened {
+    context: sync::Arc<Context>,
+    listener: sync::Arc<listener::Listener>,
+    admin: net::SocketAddr,
+}
+
+fn work(
+    executor: &sync::Arc<async_executor::Executor<'static>>,
+    stopped: &async_channel::Receiver<()>,
+) -> thread::JoinHandle<()> {
+    let executor = executor.clone();
+    let stopped = stopped.clone();
+    thread::spawn(move || {
+        let _ = async_io::block_on(executor.run(stopped.recv()));
+    })
+}
+
+async fn open(
+    settings: settings::Settings,
+    policy: policy::Policy,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+) -> eyre::Result<Opened> {
+    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::Monotonic::new());
+    let mut options = platform::Options::new(settings.platform.address);
+    options.timeout = settings.platform.timeout;
+    let store: sync::Arc<dyn store::Store> =
+        sync::Arc::new(platform::Client::new(options, &executor));
+    let incarnation = fastrand::u64(1..u64::MAX);
+    let shared = directory::Shared {
+        vm: settings.vm.name.clone(),
+        incarnation,
+        domain: settings.vm.failure_domain.clone(),
+        store: store.clone(),
+        clock: clock.clone(),
+        policy,
+        control: control::Options::default(),
+        executor: executor.clone(),
+    };
+    let directory = sync::Arc::new(directory::Directory::new(shared));
+    let drain = drain::Signal::new();
+    let switch: sync::Arc<dyn lane::Switch> = directory.clone();
+    let limits = session::Limits {
+        request: settings.limits.message_bytes,
+        startup: settings.limits.startup_timeout,
+        ..session::Limits::default()
+    };
+    let callers = session::Context::new(switch, clock, limits, drain.clone());
+    let bounds = listener::Limits {
+        connections: settings.limits.callers,
+        address: settings.limits.callers_per_address,
+    };
+    let listener =
+        listener::Listener::bind(settings.listen.callers, sync::Arc::new(callers), bounds).await?;
+    let listener = sync::Arc::new(listener);
+    let report = sync::Arc::new(report::Report::new(
+        settings.vm.name.clone(),
+        incarnation,
+        directory.clone(),
+        drain.clone(),
+    ));
+    let metrics = telemetry::Handle::install();
+    let server = admin::Server::bind(settings.listen.admin, report.clone(), metrics).await?;
+    let admin = server.address()?;
+    executor.spawn(server.run(executor.clone())).detach();
+    let record = enrol::Record {
+        vm: settings.vm.name.clone(),
+        domain: settings.vm.failure_domain.clone(),
+        incarnation,
+        callers: listener.address()?,
+        peers: settings.listen.peers,
+        admin,
+    };
+    let context = sync::Arc::new(Context {
+        follower: follow::Follower::new(store.clone(), directory, report.clone()),
+        report,
+        enrolment: enrol::Enrolment::new(store, record),
+        drain,
+    });
+    spawn(&executor, &context, &listener);
+    Ok(Opened {
+        context,
+        listener,
+        admin,
+    })
+}
+
+fn spawn(
+    executor: &sync::Arc<async_executor::Executor<'static>>,
+    context: &sync::Arc<Context>,
+    listener: &sync::Arc<listener::Listener>,
+) {
+    let enrolled = context.clone();
+    executor
+        .spawn(async move { enrolled.enrolment.run().await })
+        .detach();
+    let follower = context.clone();
+    executor
+        .spawn(async move { follower.follower.run().await })
+        .detach();
+    let listener = listener.clone();
+    let tasks = executor.clone();
+    executor
+        .spawn(async move { listener.run(&tasks).await })
+        .detach();
+}
--- a/src/detect.rs
+++ b/src/detect.rs
@@ -42,6 +42,8 @@
     Vacant,
     /// It answers, but its writes reach no replica.
     Stalled,
+    /// The operators are taking it out of service.
+    Leaving,
 }
 
 /// What the observations say about the primary.
--- /dev/null
+++ b/src/failover.rs
@@ -0,0 +1,210 @@
+//! Carries out promotions: detector and state machine against the real instances.
+
+use std::sync;
+use std::time;
+
+use futures_lite::future;
+
+use crate::board;
+use crate::clock;
+use crate::detect;
+use crate::id;
+use crate::policy;
+use crate::probe;
+use crate::promote;
+use crate::term;
+use crate::upstream;
+
+/// Time between two looks at the detector while nothing happens.
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// Lease that the baseline policy waits for.
+const BASELINE_LEASE: time::Duration = time::Duration::from_secs(10);
+
+/// What one proxy needs to replace the primary of one group.
+pub struct Failover {
+    /// Name of the group, for the log.
+    pub group: id::Group,
+    /// The group's instances by index.
+    pub upstreams: Vec<sync::Arc<dyn upstream::Upstream>>,
+    /// Indices of instances that the operators are taking out of service.
+    pub leaving: Vec<id::Index>,
+    /// Observations of the group.
+    pub watch: sync::Arc<probe::Watch>,
+    /// Source of unique terms.
+    pub terms: sync::Arc<term::Registry>,
+    /// Time.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Limits of the detector.
+    pub rule: detect::Rule,
+    /// Baseline or the product's own rules.
+    pub policy: policy::Policy,
+    /// Where the tasks run.
+    pub executor: sync::Arc<async_executor::Executor<'static>>,
+    /// This proxy's place among those that may promote; 0 tries first.
+    pub rank: sync::Arc<sync::atomic::AtomicU32>,
+}
+
+impl Failover {
+    /// Watches the primary for ever and replaces it when it fails.
+    pub async fn run(self) {
+        let rank = self.rank.load(sync::atomic::Ordering::Relaxed);
+        let mut machine = promote::Machine::new(self.upstreams.len(), rank);
+        let (sender, events) = async_channel::unbounded();
+        let mut suspected = None;
+        loop {
+            let event = self.next(&events, &mut suspected).await;
+            let board = self.watch.board();
+            machine.saw(board.highest_fence());
+            machine.set_rank(self.rank.load(sync::atomic::Ordering::Relaxed));
+            machine.avoid(board.leader().map(|leader| leader.index));
+            for action in machine.step(self.clock.now(), event) {
+                self.perform(action, &sender);
+            }
+        }
+    }
+
+    async fn next(
+        &self,
+        events: &async_channel::Receiver<promote::Event>,
+        suspected: &mut Option<id::Time>,
+    ) -> promote::Event {
+        let received = async { events.recv().await.ok() };
+        let timer = async {
+            async_io::Timer::after(TICK).await;
+            None
+        };
+        match future::or(received, timer).await {
+            Some(event) => event,
+            None => promote::Event::Tick(self.verdict(suspected)),
+        }
+    }
+
+    fn verdict(&self, suspected: &mut Option<id::Time>) -> detect::Verdict {
+        let now = self.clock.now();
+        let board = self.watch.board();
+        let verdict = self
+            .leaving_primary(&board)
+            .unwrap_or_else(|| self.rule.judge(&board, now));
+        if !matches!(verdict, detect::Verdict::Suspect(_)) {
+            *suspected = None;
+            return verdict;
+        }
+        let since = *suspected.get_or_insert(now);
+        let lease = self.policy == policy::Policy::LeaseExpiry;
+        if lease && now < since + BASELINE_LEASE {
+            return detect::Verdict::Healthy;
+        }
+        verdict
+    }
+
+    /// A primary that the operators take out of service is replaced while it is well.
+    fn leaving_primary(&self, board: &board::Board) -> Option<detect::Verdict> {
+        let leader = board.leader()?;
+        let leaving = self.leaving.contains(&leader.index);
+        leaving.then_some(detect::Verdict::Suspect(detect::Cause::Leaving))
+    }
+
+    fn perform(&self, action: promote::Action, sender: &async_channel::Sender<promote::Event>) {
+        match action {
+            promote::Action::Claim { above } => self.claim(above, sender.clone()),
+            promote::Action::Fence { term } => self.fence(term, sender),
+            promote::Action::Promote { index, term } => self.promote(index, term, sender.clone()),
+            promote::Action::Announce { index, term } => self.announce(index, term),
+        }
+    }
+
+    fn claim(&self, above: id::Term, sender: async_channel::Sender<promote::Event>) {
+        tracing::warn!(target: "mangotray::placement", group = %self.group, above,
+            "primary suspected, claiming a term");
+        let terms = self.terms.clone();
+        let task = async move {
+            let event = match terms.claim(above).await {
+                Ok(term) => promote::Event::Claimed(term),
+                Err(failure) => reserved(&terms, above, &failure),
+            };
+            let _ = sender.send(event).await;
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn fence(&self, term: id::Term, sender: &async_channel::Sender<promote::Event>) {
+        tracing::info!(target: "mangotray::placement", group = %self.group, term,
+            "fencing all instances");
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            let upstream = upstream.clone();
+            let sender = sender.clone();
+            let task = async move {
+                let event = match upstream.fence(term).await {
+                    Ok(status) => promote::Event::Fenced(index, status),
+                    Err(_) => promote::Event::FenceFailed(index),
+                };
+                let _ = sender.send(event).await;
+            };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    fn promote(
+        &self,
+        index: id::Index,
+        term: id::Term,
+        sender: async_channel::Sender<promote::Event>,
+    ) {
+        tracing::info!(target: "mangotray::placement", group = %self.group, term, index,
+            "promoting the most advanced fenced instance");
+        let upstream = self.upstreams[index].clone();
+        let watch = self.watch.clone();
+        let clock = self.clock.clone();
+        let task = async move {
+            let started = clock.now();
+            let event = match upstream.promote(term).await {
+                Ok(status) => {
+                    let finished = clock.now();
+                    watch.answered(
+                        index,
+                        board::Observation {
+                            started,
+                            finished,
+                            status,
+                        },
+                    );
+                    promote::Event::Promoted(status)
+                }
+                Err(_) => promote::Event::PromoteFailed,
+            };
+            let _ = sender.send(event).await;
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn announce(&self, index: id::Index, term: id::Term) {
+        metrics::counter!("mangotray_promotions_total").increment(1);
+        tracing::warn!(target: "mangotray::placement", group = %self.group, term, index,
+            "new primary");
+        let terms = self.terms.clone();
+        let task = async move {
+            // Replenishes the claim that a promotion during an outage needs.
+            if let Err(failure) = terms.reserve(term).await {
+                tracing::info!(?failure, "no term could be reserved in advance");
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+}
+
+/// The store gave no term: falls back to the one reserved in advance, if any is left.
+fn reserved(
+    terms: &term::Registry,
+    above: id::Term,
+    failure: &crate::store::Failure,
+) -> promote::Event {
+    match terms.take_reserved(above) {
+        Some(term) => {
+            tracing::warn!(target: "mangotray::placement", term, ?failure,
+                "store not reachable, using the reserved term");
+            promote::Event::Claimed(term)
+        }
+        None => promote::Event::ClaimFailed,
+    }
+}
--- a/src/group.rs
+++ b/src/group.rs
@@ -1,1 +1,235 @@
 //! Runtime of one database group on this proxy.
+
+use std::sync;
+use std::sync::atomic;
+
+use crate::admin;
+use crate::batch;
+use crate::board;
+use crate::clock;
+use crate::database;
+use crate::detect;
+use crate::failover;
+use crate::id;
+use crate::policy;
+use crate::pool;
+use crate::probe;
+use crate::route;
+use crate::stamp;
+use crate::status;
+use crate::term;
+use crate::upstream;
+
+/// What a group's runtime is made of.
+pub struct Parts {
+    /// The operators' declaration.
+    pub declaration: database::Group,
+    /// The instances, in the declaration's order.
+    pub upstreams: Vec<sync::Arc<dyn upstream::Upstream>>,
+    /// This proxy's share of each instance.
+    pub limit: pool::Limit,
+    /// Source of unique terms.
+    pub terms: sync::Arc<term::Registry>,
+    /// Time.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Failure domain of this proxy.
+    pub domain: id::Domain,
+    /// Baseline or the product's own rules.
+    pub policy: policy::Policy,
+    /// This proxy's place among those that may promote; 0 tries first.
+    pub rank: u32,
+    /// Where the group's tasks run.
+    pub executor: sync::Arc<async_executor::Executor<'static>>,
+}
+
+/// One database group: observations, connections, failover.
+pub struct Group {
+    /// The operators' declaration.
+    pub declaration: database::Group,
+    /// Observations of the instances.
+    pub watch: sync::Arc<probe::Watch>,
+    /// Time.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Baseline or the product's own rules.
+    pub policy: policy::Policy,
+    /// This proxy's share of each instance.
+    pub limit: pool::Limit,
+    pools: Vec<pool::Pool>,
+    domain: id::Domain,
+    rank: sync::Arc<atomic::AtomicU32>,
+    tasks: Vec<async_executor::Task<()>>,
+}
+
+impl Group {
+    /// Starts the group's probes and its failover.
+    #[must_use]
+    pub fn start(parts: Parts) -> sync::Arc<Self> {
+        let count = parts.upstreams.len();
+        let watch = sync::Arc::new(probe::Watch::new(count, parts.clock.clone()));
+        let rank = sync::Arc::new(atomic::AtomicU32::new(parts.rank));
+        let mut tasks = probes(&parts, &watch);
+        tasks.push(
+            parts
+                .executor
+                .spawn(succession(&parts, &watch, &rank).run()),
+        );
+        let pools = parts
+            .upstreams
+            .iter()
+            .map(|upstream| pool::Pool::new(upstream.clone(), parts.limit))
+            .collect();
+        sync::Arc::new(Self {
+            declaration: parts.declaration,
+            watch,
+            clock: parts.clock,
+            policy: parts.policy,
+            limit: parts.limit,
+            pools,
+            domain: parts.domain,
+            rank,
+            tasks,
+        })
+    }
+
+    /// Working connections to an instance.
+    #[must_use]
+    pub fn pool(&self, index: id::Index) -> &pool::Pool {
+        &self.pools[index]
+    }
+
+    /// Changes this proxy's place among those that may promote.
+    pub fn set_rank(&self, rank: u32) {
+        self.rank.store(rank, atomic::Ordering::Relaxed);
+    }
+
+    /// Number of tasks that keep the group fresh.
+    #[must_use]
+    pub fn tasks(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Age that a batch's data may have, when all its tables are declared so.
+    #[must_use]
+    pub fn age_limit(&self, batch: &batch::Batch) -> Option<std::time::Duration> {
+        if batch.tables.is_empty() {
+            return None;
+        }
+        let limits = batch.tables.iter().map(|table| self.table_limit(table));
+        limits.min().flatten()
+    }
+
+    fn table_limit(&self, table: &str) -> Option<std::time::Duration> {
+        let covering = self.declaration.ages.iter();
+        let covering = covering.filter(|age| age.tables.iter().any(|name| name == table));
+        covering.map(|age| age.limit).min()
+    }
+
+    /// The instance that a read including `floor` is sent to, leaving out those that
+    /// failed this request before.
+    #[must_use]
+    pub fn choose(
+        &self,
+        board: &board::Board,
+        floor: stamp::Stamp,
+        failed: &[id::Index],
+    ) -> Option<id::Index> {
+        let candidates: Vec<_> = (0..self.pools.len())
+            .filter(|index| !failed.contains(index))
+            .map(|index| self.candidate(board, index))
+            .collect();
+        route::read(floor, board.leader(), &candidates)
+    }
+
+    /// State of the group, for operators.
+    #[must_use]
+    pub fn status(&self) -> admin::Group {
+        let board = self.watch.board();
+        let leader = board.leader();
+        let ahead = leader.and_then(|leader| board.status(leader.index));
+        let instances = (0..self.pools.len())
+            .map(|index| self.instance_status(&board, index, ahead))
+            .collect();
+        admin::Group {
+            name: self.declaration.name.clone(),
+            primary: leader.map(|leader| self.declaration.instances[leader.index].name.clone()),
+            term: leader.map_or(0, |leader| leader.term),
+            instances,
+            queue: self.pools.iter().map(pool::Pool::load).sum(),
+            promotions: 0,
+            last_failover_gap_ms: None,
+        }
+    }
+
+    fn instance_status(
+        &self,
+        board: &board::Board,
+        index: id::Index,
+        ahead: Option<status::Status>,
+    ) -> admin::Instance {
+        let seen = &board.seen()[index];
+        let status = seen.last.map(|last| last.status);
+        let lag = status
+            .zip(ahead)
+            .filter(|(status, ahead)| status.stamp.term == ahead.stamp.term);
+        admin::Instance {
+            name: self.declaration.instances[index].name.clone(),
+            role: status.map(|status| status.role),
+            stamp: status.map(|status| status.stamp).unwrap_or_default(),
+            fence: status.map_or(0, |status| status.fence),
+            lag_records: lag
+                .map(|(status, ahead)| ahead.stamp.position.saturating_sub(status.stamp.position)),
+            reachable: status.is_some() && seen.failures == 0,
+            connections: self.pools[index].open(),
+            busy: self.pools[index].load(),
+        }
+    }
+
+    fn candidate(&self, board: &board::Board, index: id::Index) -> route::Candidate {
+        let declared = &self.declaration.instances[index];
+        let seen = &board.seen()[index];
+        route::Candidate {
+            index,
+            stamp: seen.last.map(|last| last.status.stamp),
+            usable: seen.failures == 0 && seen.last.is_some(),
+            leaving: declared.leaving,
+            near: declared.domain == self.domain,
+            load: self.pools[index].load(),
+        }
+    }
+}
+
+fn probes(parts: &Parts, watch: &sync::Arc<probe::Watch>) -> Vec<async_executor::Task<()>> {
+    let upstreams = parts.upstreams.iter().enumerate();
+    upstreams
+        .map(|(index, upstream)| {
+            let watch = watch.clone();
+            let upstream = upstream.clone();
+            let task = async move { watch.probe(index, upstream).await };
+            parts.executor.spawn(task)
+        })
+        .collect()
+}
+
+fn succession(
+    parts: &Parts,
+    watch: &sync::Arc<probe::Watch>,
+    rank: &sync::Arc<atomic::AtomicU32>,
+) -> failover::Failover {
+    let instances = parts.declaration.instances.iter().enumerate();
+    let leaving = instances
+        .filter(|(_, instance)| instance.leaving)
+        .map(|(index, _)| index)
+        .collect();
+    failover::Failover {
+        group: parts.declaration.name.clone(),
+        upstreams: parts.upstreams.clone(),
+        leaving,
+        watch: watch.clone(),
+        terms: parts.terms.clone(),
+        clock: parts.clock.clone(),
+        rule: detect::Rule::default(),
+        policy: parts.policy,
+        executor: parts.executor.clone(),
+        rank: rank.clone(),
+    }
+}
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -27,3 +27,37 @@
         detail: CompactString,
     },
 }
+
+impl Outcome {
+    /// A refusal of work that surely did not run.
+    ///
+    /// ```
+    /// use mangotray::{outcome, reason};
+    /// let refusal = outcome::Outcome::not_run(reason::Reason::Overload, "busy".into(), None);
+    /// assert!(matches!(refusal, outcome::Outcome::NotRun { .. }));
+    /// ```
+    #[must_use]
+    pub fn not_run(
+        reason: reason::Reason,
+        detail: CompactString,
+        retry: Option<time::Duration>,
+    ) -> Self {
+        Self::NotRun {
+            reason,
+            detail,
+            retry,
+        }
+    }
+
+    /// An answer for work that may have run.
+    ///
+    /// ```
+    /// use mangotray::{outcome, reason};
+    /// let answer = outcome::Outcome::unknown(reason::Reason::Unconfirmed, "late".into());
+    /// assert!(matches!(answer, outcome::Outcome::Unknown { .. }));
+    /// ```
+    #[must_use]
+    pub fn unknown(reason: reason::Reason, detail: CompactString) -> Self {
+        Self::Unknown { reason, detail }
+    }
+}
--- /dev/null
+++ b/src/path.rs
@@ -0,0 +1,286 @@
+//! Choice of an instance for a batch, and the exchange with it.
+
+use std::sync;
+use std::time;
+
+use compact_str::CompactString;
+use futures_lite::future;
+use futures_util::FutureExt;
+
+use crate::batch;
+use crate::board;
+use crate::class;
+use crate::frame;
+use crate::group;
+use crate::id;
+use crate::outcome;
+use crate::policy;
+use crate::pool;
+use crate::reason;
+use crate::reply;
+use crate::route;
+use crate::stamp;
+use crate::upstream;
+
+/// Wait that a caller is told after a refusal for lack of an instance.
+const RETRY: time::Duration = time::Duration::from_millis(500);
+
+/// What came of sending a batch to one instance.
+pub enum Sent {
+    /// The whole answer, with the connection it came over.
+    Answered(reply::Reply, pool::Guard),
+    /// Nothing left this proxy.
+    Unsent(CompactString),
+    /// Some of it may have run.
+    Lost(CompactString),
+    /// The deadline passed before anything was sent.
+    Late,
+}
+
+/// Ways from this proxy into one group.
+pub struct Path {
+    /// The group.
+    pub group: sync::Arc<group::Group>,
+}
+
+type Answer = Result<reply::Reply, outcome::Outcome>;
+
+impl Path {
+    /// Ways into `group`.
+    #[must_use]
+    pub fn new(group: sync::Arc<group::Group>) -> Self {
+        Self { group }
+    }
+
+    /// The primary for a batch that may write. For a transaction, a sample taken after
+    /// its arrival must show that no later term has begun, so that it does not read
+    /// from a primary that has been replaced.
+    ///
+    /// # Errors
+    /// When no primary can confirm writes before the deadline.
+    pub async fn primary(&self, batch: &batch::Batch) -> Result<id::Index, outcome::Outcome> {
+        let since = match batch.class {
+            class::Class::Begin => batch.arrived,
+            _ => id::Time::ZERO,
+        };
+        let found = self
+            .group
+            .watch
+            .until(since, batch.deadline, true, |board| {
+                let leader = board.leader()?;
+                let floor = board.floor(since)?;
+                let stamp = board.status(leader.index)?.stamp;
+                let usable = board.seen()[leader.index].failures == 0;
+                (stamp >= floor && usable && has_witness(board, leader)).then_some(leader.index)
+            });
+        found.await.ok_or_else(no_primary)
+    }
+
+    /// Where a read goes, why, and the stamp it must include.
+    ///
+    /// # Errors
+    /// When no instance is fresh enough before the deadline.
+    pub async fn source(
+        &self,
+        batch: &batch::Batch,
+        failed: &[id::Index],
+    ) -> Result<(id::Index, route::Why, stamp::Stamp), outcome::Outcome> {
+        if self.primary_only(batch) {
+            let index = self.primary(batch).await?;
+            return Ok((index, route::Why::Policy, stamp::Stamp::default()));
+        }
+        let (since, why) = self.freshness(batch);
+        let token = batch.token;
+        let found = self
+            .group
+            .watch
+            .until(since, batch.deadline, true, |board| {
+                let floor = token.or_else(|| board.floor(since))?;
+                let index = self.group.choose(board, floor, failed)?;
+                let fallback = board.leader().is_some_and(|leader| leader.index == index);
+                let why = if fallback { route::Why::Fallback } else { why };
+                Some((index, why, floor))
+            });
+        found.await.ok_or_else(|| {
+            let detail = "no instance is fresh enough within the deadline".into();
+            outcome::Outcome::not_run(reason::Reason::NoInstance, detail, Some(RETRY))
+        })
+    }
+
+    /// Time after which a sample must have started to prove enough for the read.
+    fn freshness(&self, batch: &batch::Batch) -> (id::Time, route::Why) {
+        if batch.token.is_some() {
+            return (id::Time::ZERO, route::Why::Token);
+        }
+        match self.group.age_limit(batch) {
+            Some(limit) => (batch.arrived.saturating_sub(limit), route::Why::Aged),
+            None => (batch.arrived, route::Why::Sampled),
+        }
+    }
+
+    fn primary_only(&self, batch: &batch::Batch) -> bool {
+        match self.group.policy {
+            policy::Policy::PrimaryOnly => true,
+            policy::Policy::TokenOnly => batch.token.is_none(),
+            _ => false,
+        }
+    }
+
+    /// Waits until a replica is seen to hold what the primary has shown. Answers of
+    /// replicas need no wait: a record that was shipped is on two instances.
+    ///
+    /// # Errors
+    /// When the record is not confirmed before the deadline: its outcome is unknown.
+    pub async fn confirm(
+        &self,
+        batch: &batch::Batch,
+        index: id::Index,
+        writes: bool,
+        reply: reply::Reply,
+    ) -> Answer {
+        let led = self
+            .group
+            .watch
+            .board()
+            .leader()
+            .is_some_and(|leader| leader.index == index);
+        let needed = (writes || led) && self.group.policy != policy::Policy::UnsafeAck;
+        let Some(stamp) = reply.stamp.filter(|_| needed && reply.error.is_none()) else {
+            return Ok(reply);
+        };
+        let since = self.group.clock.now();
+        let seen = self
+            .group
+            .watch
+            .until(since, batch.deadline, true, |board| {
+                board.confirmed(stamp, index, since).then_some(())
+            });
+        if seen.await.is_some() {
+            return Ok(reply);
+        }
+        let detail = format!("record {stamp} was not seen on a second instance in time");
+        Err(outcome::Outcome::unknown(
+            reason::Reason::Unconfirmed,
+            detail.into(),
+        ))
+    }
+
+    /// Runs a batch on an instance, over the held connection if there is one.
+    pub async fn send(
+        &self,
+        index: id::Index,
+        held: Option<pool::Guard>,
+        batch: &batch::Batch,
+    ) -> Sent {
+        let pool = self.group.pool(index);
+        let _waiting = pool.enter();
+        let ready = async {
+            let guard = match held {
+                Some(guard) => guard,
+                None => pool.checkout(self.incarnation(index)).await?,
+            };
+            Ok::<_, upstream::Failure>((guard, pool.slot().await))
+        };
+        let (guard, slot) = match self.before(batch.deadline, ready).await {
+            Some(Ok(ready)) => ready,
+            Some(Err(failure)) => return Sent::Unsent(words(failure)),
+            None => return Sent::Late,
+        };
+        let sent = self.exchange(guard, &batch.frames, batch.deadline).await;
+        drop(slot);
+        sent
+    }
+
+    async fn exchange(
+        &self,
+        mut guard: pool::Guard,
+        frames: &[frame::Frame],
+        deadline: id::Time,
+    ) -> Sent {
+        let run = guard.connection.run(frames);
+        match self.before(deadline, run).await {
+            Some(Ok(reply)) => Sent::Answered(reply, guard),
+            Some(Err(upstream::Failure::NotRun(detail))) => Sent::Unsent(detail),
+            Some(Err(upstream::Failure::Unknown(detail))) => Sent::Lost(detail),
+            None => Sent::Lost("the deadline passed while the request was running".into()),
+        }
+    }
+
+    fn incarnation(&self, index: id::Index) -> Option<id::Incarnation> {
+        let status = self.group.watch.board().status(index)?;
+        Some(status.incarnation)
+    }
+
+    /// Waits until the group is known to be led otherwise, or to be led still.
+    pub async fn await_change(&self, index: id::Index, batch: &batch::Batch) {
+        let since = self.group.clock.now();
+        let changed = self
+            .group
+            .watch
+            .until(since, batch.deadline, true, |board| {
+                let leader = board.leader()?;
+                let fresh = board.floor(since).is_some();
+                (leader.index != index || fresh).then_some(())
+            });
+        changed.await;
+    }
+
+    async fn before<T>(&self, deadline: id::Time, task: impl Future<Output = T>) -> Option<T> {
+        let left = deadline.saturating_sub(self.group.clock.now());
+        let timer = async {
+            async_io::Timer::after(left).await;
+            None
+        };
+        future::or(task.map(Some), timer).await
+    }
+
+    /// Logs and counts a routing decision.
+    pub fn log(
+        &self,
+        batch: &batch::Batch,
+        index: id::Index,
+        why: route::Why,
+        floor: Option<stamp::Stamp>,
+    ) {
+        let board = self.group.watch.board();
+        let status = board.status(index);
+        let leads = board.leader().is_some_and(|leader| leader.index == index);
+        let source = if leads { "primary" } else { "replica" };
+        if batch.class == class::Class::Read && why != route::Why::Pinned {
+            metrics::counter!("mangotray_reads_total", "source" => source).increment(1);
+        }
+        tracing::info!(
+            target: "mangotray::route",
+            request = batch.request,
+            group = %self.group.declaration.name,
+            class = ?batch.class,
+            instance = %self.group.declaration.instances[index].name,
+            source,
+            why = why.name(),
+            term = status.map(|status| status.fence),
+            stamp = status.map(|status| tracing::field::display(status.stamp)),
+            floor = floor.map(tracing::field::display),
+            "routed"
+        );
+    }
+}
+
+/// Whether any replica can still confirm: with none answering, a write could only end
+/// unknown, so it is better refused before it runs.
+fn has_witness(board: &board::Board, leader: board::Leader) -> bool {
+    let mut seen = board.seen().iter().enumerate();
+    seen.any(|(index, seen)| index != leader.index && seen.failures == 0 && seen.last.is_some())
+}
+
+fn words(failure: upstream::Failure) -> CompactString {
+    match failure {
+        upstream::Failure::NotRun(detail) | upstream::Failure::Unknown(detail) => detail,
+    }
+}
+
+/// Refusal of a batch that needs the primary.
+#[must_use]
+pub fn no_primary() -> outcome::Outcome {
+    let detail = "no primary can take writes at the moment".into();
+    outcome::Outcome::not_run(reason::Reason::NoPrimary, detail, Some(RETRY))
+}
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -1,1 +1,192 @@
 //! Keeps the observations of a group fresh.
+//!
+//! One probe per instance is in flight at a time and serves everyone who waits:
+//! commits for confirmation, reads for a sample. Without demand a slow heartbeat
+//! remains for the failure detector.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use futures_lite::future;
+
+use crate::board;
+use crate::clock;
+use crate::id;
+use crate::upstream;
+
+/// Heartbeat of a group that has seen requests lately or has a failing instance.
+const ACTIVE_HEARTBEAT: time::Duration = time::Duration::from_millis(100);
+
+/// Heartbeat of an idle group; bounds the control traffic at the target size.
+const IDLE_HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+
+/// How long after its last request a group counts as active.
+const ACTIVE_FOR: time::Duration = time::Duration::from_secs(5);
+
+/// Least time between the starts of two probes of one instance.
+const PACE: time::Duration = time::Duration::from_millis(1);
+
+/// Least time between two probes of an instance that fails.
+const FAILED_PACE: time::Duration = time::Duration::from_millis(40);
+
+/// Observations of one group, with those who wait for them.
+pub struct Watch {
+    board: arc_swap::ArcSwap<board::Board>,
+    clock: sync::Arc<dyn clock::Clock>,
+    changed: event_listener::Event,
+    demand: event_listener::Event,
+    wanted: atomic::AtomicU64,
+    requested: atomic::AtomicU64,
+}
+
+impl Watch {
+    /// A watch over `count` instances.
+    #[must_use]
+    pub fn new(count: usize, clock: sync::Arc<dyn clock::Clock>) -> Self {
+        Self {
+            board: arc_swap::ArcSwap::from_pointee(board::Board::new(count)),
+            clock,
+            changed: event_listener::Event::new(),
+            demand: event_listener::Event::new(),
+            wanted: atomic::AtomicU64::new(0),
+            requested: atomic::AtomicU64::new(0),
+        }
+    }
+
+    /// The observations of this moment.
+    #[must_use]
+    pub fn board(&self) -> sync::Arc<board::Board> {
+        self.board.load_full()
+    }
+
+    /// Notes that a request has come, which quickens the heartbeat.
+    pub fn touch(&self) {
+        let now = nanos(self.clock.now());
+        self.requested.fetch_max(now, atomic::Ordering::Relaxed);
+    }
+
+    /// Asks for a probe of every instance that starts at or after `since`.
+    pub fn want(&self, since: id::Time) {
+        let since = nanos(since);
+        if self.wanted.fetch_max(since, atomic::Ordering::AcqRel) < since {
+            self.demand.notify(usize::MAX);
+        }
+    }
+
+    /// Waits until the board gives an answer. With `renew`, fresh probes are asked for
+    /// until it does; without, one round that started at or after `since` is enough.
+    /// `None` when the deadline comes first.
+    pub async fn until<T>(
+        &self,
+        since: id::Time,
+        deadline: id::Time,
+        renew: bool,
+        check: impl Fn(&board::Board) -> Option<T>,
+    ) -> Option<T> {
+        self.want(since);
+        loop {
+            let listener = self.changed.listen();
+            if let Some(found) = check(&self.board.load()) {
+                return Some(found);
+            }
+            let now = self.clock.now();
+            if now >= deadline {
+                return None;
+            }
+            if renew {
+                self.want(now);
+            }
+            wait(listener, deadline.saturating_sub(now)).await;
+        }
+    }
+
+    /// Waits for any news, at most `patience`.
+    pub async fn news(&self, patience: time::Duration) {
+        wait(self.changed.listen(), patience).await;
+    }
+
+    /// Notes an answered probe.
+    pub fn answered(&self, index: id::Index, observation: board::Observation) {
+        self.update(|board| board.answered(index, observation));
+    }
+
+    /// Notes a probe without an answer.
+    pub fn failed(&self, index: id::Index) {
+        self.update(|board| board.failed(index));
+    }
+
+    /// Probes one instance for ever; run one such task for each instance.
+    pub async fn probe(&self, index: id::Index, upstream: sync::Arc<dyn upstream::Upstream>) {
+        loop {
+            let started = self.clock.now();
+            let answer = upstream.status().await;
+            let finished = self.clock.now();
+            let failed = answer.is_err();
+            match answer {
+                Ok(status) => {
+                    let observation = board::Observation {
+                        started,
+                        finished,
+                        status,
+                    };
+                    self.answered(index, observation);
+                }
+                Err(_) => self.failed(index),
+            }
+            let pace = if failed { FAILED_PACE } else { PACE };
+            async_io::Timer::after((started + pace).saturating_sub(finished)).await;
+            self.rest(started).await;
+        }
+    }
+
+    async fn rest(&self, started: id::Time) {
+        loop {
+            let listener = self.demand.listen();
+            let elapsed = self.clock.now().saturating_sub(started);
+            let heartbeat = self.heartbeat();
+            let wanted = self.wanted.load(atomic::Ordering::Acquire) > nanos(started);
+            if wanted || elapsed >= heartbeat {
+                return;
+            }
+            wait(listener, heartbeat.saturating_sub(elapsed)).await;
+        }
+    }
+
+    fn heartbeat(&self) -> time::Duration {
+        let requested = self.requested.load(atomic::Ordering::Relaxed);
+        let quiet = nanos(self.clock.now()).saturating_sub(requested);
+        let active = requested > 0 && quiet < nanos(ACTIVE_FOR);
+        let failing = self
+            .board
+            .load()
+            .seen()
+            .iter()
+            .any(|seen| seen.failures > 0);
+        if active || failing {
+            ACTIVE_HEARTBEAT
+        } else {
+            IDLE_HEARTBEAT
+        }
+    }
+
+    fn update(&self, change: impl Fn(&mut board::Board)) {
+        self.board.rcu(|old| {
+            let mut new = board::Board::clone(old);
+            change(&mut new);
+            new
+        });
+        self.changed.notify(usize::MAX);
+    }
+}
+
+async fn wait(listener: event_listener::EventListener, patience: time::Duration) {
+    let timer = async {
+        async_io::Timer::after(patience).await;
+    };
+    future::or(listener, timer).await;
+}
+
+fn nanos(time: id::Time) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/src/promote.rs
+++ b/src/promote.rs
@@ -8,6 +8,8 @@
 
 use crate::detect;
 use crate::id;
+use crate::role;
+use crate::stamp;
 use crate::status;
 
 /// Time between the first tries of proxies of neighbouring ranks.
@@ -132,6 +134,7 @@
     rank: u32,
     tries: u32,
     highest: id::Term,
+    avoid: Option<id::Index>,
 }
 
 impl Machine {
@@ -151,6 +154,7 @@
             rank,
             tries: 0,
             highest: 0,
+            avoid: None,
         }
     }
 
@@ -165,6 +169,13 @@
         self.rank = rank;
     }
 
+    /// Names the instance that is to be replaced. A primary that is cut off from its
+    /// replicas alone may well answer the fencing call, and its log is the longest:
+    /// without this it would be promoted again and again.
+    pub fn avoid(&mut self, index: Option<id::Index>) {
+        self.avoid = index;
+    }
+
     /// Notes a term seen in use anywhere.
     pub fn saw(&mut self, term: id::Term) {
         self.highest = self.highest.max(term);
@@ -285,22 +296,27 @@
     }
 
     /// Chooses the highest stamp among a fenced majority. Every confirmed record is on
-    /// a majority, so the choice has it; fewer fenced instances may all lack it.
+    /// a majority, so the choice has it; fewer fenced instances may all lack it. The
+    /// instance to be replaced is left out where the others are a majority by themselves.
     fn choose(&mut self, now: id::Time) -> Vec<Action> {
         let majority = self.majority();
         let Phase::Fencing { term, fenced, .. } = &self.phase else {
             return Vec::new();
         };
         let term = *term;
-        let candidates = fenced
+        let all = stamps(fenced, None);
+        let others = stamps(fenced, self.avoid);
+        let voters = if others.len() >= majority {
+            others
+        } else {
+            all
+        };
+        let best = voters
             .iter()
-            .enumerate()
-            .filter_map(|(index, status)| status.map(|status| (index, status.stamp)));
-        let best = candidates
-            .clone()
             .max_by_key(|(index, stamp)| (*stamp, usize::MAX - index));
         match best {
-            Some((index, _)) if candidates.count() >= majority => {
+            Some((index, _)) if voters.len() >= majority => {
+                let index = *index;
                 let until = now + PROMOTE_TIMEOUT;
                 self.phase = Phase::Promoting { term, index, until };
                 vec![Action::Promote { index, term }]
@@ -314,7 +330,7 @@
         let Phase::Promoting { term, index, .. } = self.phase else {
             return Vec::new();
         };
-        let leads = status.role == crate::role::Role::Primary && status.fence == term;
+        let leads = status.role == role::Role::Primary && status.fence == term;
         if !leads {
             return self.back_off(now);
         }
@@ -351,5 +367,17 @@
     }
 }
 
+fn stamps(
+    fenced: &[Option<status::Status>],
+    without: Option<id::Index>,
+) -> Vec<(id::Index, stamp::Stamp)> {
+    fenced
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| Some(*index) != without)
+        .filter_map(|(index, status)| status.map(|status| (index, status.stamp)))
+        .collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/promote/tests.rs
+++ b/src/promote/tests.rs
@@ -118,3 +118,33 @@
     machine.step(at(100), Event::Tick(detect::Verdict::Healthy));
     assert_eq!(machine.phase(), &Phase::Idle);
 }
+
+#[test]
+fn a_primary_cut_off_from_its_replicas_is_not_promoted_again() {
+    // Symptom: writes stay unconfirmed although promotions go on.
+    // Events: the primary is cut off from its replicas but answers the promoter; it
+    //   has the longest log of all fenced instances.
+    // Cause: the longest log was chosen with the instance to be replaced among them.
+    let mut machine = Machine::new(3, 0);
+    machine.avoid(Some(0));
+    machine.step(at(0), SUSPECT);
+    machine.step(at(1_000), SUSPECT);
+    machine.step(at(1_001), Event::Claimed(2));
+    machine.step(at(1_002), Event::Fenced(0, status(2, 1, 99, Role::Replica)));
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    let actions = machine.step(at(1_003), Event::Fenced(2, status(2, 1, 5, Role::Replica)));
+    assert_eq!(actions, vec![Action::Promote { index: 1, term: 2 }]);
+}
+
+#[test]
+fn the_instance_to_be_replaced_still_completes_a_majority() {
+    let mut machine = Machine::new(3, 0);
+    machine.avoid(Some(0));
+    machine.step(at(0), SUSPECT);
+    machine.step(at(1_000), SUSPECT);
+    machine.step(at(1_001), Event::Claimed(2));
+    machine.step(at(1_002), Event::Fenced(0, status(2, 1, 99, Role::Replica)));
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    let actions = machine.step(at(1_003), Event::FenceFailed(2));
+    assert_eq!(actions, vec![Action::Promote { index: 0, term: 2 }]);
+}
