Let no record be applied beside a session that is still rolling back

A demoted instance could apply a record while one of its sessions still held the data file's write lock and waited for the state's lock: both waited for the other until the file's busy timeout, and the replica's task panicked. Changes of role and data now exclude each other until the open transactions are rolled back. Errors found before a statement runs now fail the open transaction too, and a restarted instance is always a replica.

--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -210,7 +210,7 @@
         let leads = self.instance.state().is_primary();
         if writes && leads && !self.database().is_writer() {
             let right = self.instance.writer.lock_arc().await;
-            self.database().lend(right);
+            self.database().lend(&self.instance, right);
         }
     }
 
@@ -263,6 +263,7 @@
 
     fn fail(&mut self, error: &database::Error) {
         self.skipping = true;
+        self.database().fail();
         self.error("ERROR", error);
     }
 
--- a/lab/src/database.rs
+++ b/lab/src/database.rs
@@ -171,8 +171,13 @@
         self.writer.is_some()
     }
 
-    pub(crate) fn lend(&mut self, writer: async_lock::MutexGuardArc<()>) {
-        self.writer = Some(writer);
+    /// Takes the right to write, unless the instance has lost its lead meanwhile.
+    pub(crate) fn lend(
+        &mut self,
+        instance: &instance::Instance,
+        writer: async_lock::MutexGuardArc<()>,
+    ) {
+        self.writer = instance.state().is_primary().then_some(writer);
     }
 
     pub(crate) fn take_ended(&mut self) -> Option<stamp::Stamp> {
@@ -195,8 +200,8 @@
         parameters: &[types::Value],
     ) -> Result<Answer, Error> {
         let result = self.dispatch(instance, statement, parameters);
-        if result.is_err() && self.is_open() && self.health == Health::Sound {
-            self.health = Health::Failed;
+        if result.is_err() {
+            self.fail();
         }
         result
     }
@@ -499,14 +504,21 @@
         result
     }
 
+    /// Fails the transaction for an error outside its statements.
+    pub(crate) fn fail(&mut self) {
+        if self.is_open() && self.health == Health::Sound {
+            self.health = Health::Failed;
+        }
+    }
+
     /// Rolls back from outside, because the instance changed its role or its data.
     pub(crate) fn revoke(&mut self, readers_too: bool) {
         if self.is_open() && (readers_too || self.reign.is_some()) {
             self.undo();
             self.health = Health::Revoked;
             self.reign = None;
-            self.writer = None;
         }
+        self.writer = None;
     }
 }
 
--- a/lab/src/instance.rs
+++ b/lab/src/instance.rs
@@ -99,6 +99,10 @@
     directory: path::PathBuf,
     /// Number of the next data file; two repairs at once must not share one.
     next_file: atomic::AtomicU64,
+    /// Held while the role or the data changes, until the open transactions that
+    /// must not go on are rolled back. Without it, a record could be applied while a
+    /// demoted session still holds the file's write lock and waits for the state's.
+    transition: sync::Mutex<()>,
     state: sync::Mutex<State>,
     sessions: sync::Mutex<Vec<sync::Weak<sync::Mutex<database::Database>>>>,
     tasks: sync::Mutex<Vec<async_executor::Task<()>>>,
@@ -137,6 +141,7 @@
             stats: sync::Mutex::default(),
             directory: directory.to_owned(),
             next_file: atomic::AtomicU64::new(1),
+            transition: sync::Mutex::default(),
             state: sync::Mutex::new(state),
             sessions: sync::Mutex::default(),
             tasks: sync::Mutex::default(),
@@ -236,6 +241,7 @@
 
     /// Raises the fence; a primary of a lower term becomes a replica.
     pub(crate) fn fence(&self, term: id::Term) -> status::Status {
+        let _transition = lock(&self.transition);
         let mut state = self.state();
         let demoted = state.fence < term && state.role == role::Role::Primary;
         state.fence = state.fence.max(term);
@@ -253,6 +259,7 @@
 
     /// Becomes the primary of `term` if fenced at exactly this term.
     pub(crate) fn promote(&self, term: id::Term) -> Result<status::Status, database::Error> {
+        let _transition = lock(&self.transition);
         let mut state = self.state();
         if state.fence != term {
             let words = format!("fenced at {}, not at {term}", state.fence);
@@ -272,6 +279,7 @@
 
     /// Appends records of the primary of `term`; ignored if no longer in place.
     pub(crate) fn append(&self, term: id::Term, records: &[Arc<journal::Record>]) {
+        let _transition = lock(&self.transition);
         let mut state = self.state();
         let next = state.journal.records().len() as id::Position + 1;
         let fits = records
@@ -291,17 +299,17 @@
     /// Replaces the data by a replay of `prefix`, which the log begins with, and cuts
     /// the log there. Works on a second file; readers see one or the other.
     pub(crate) async fn rebuild(&self, term: id::Term, prefix: Vec<Arc<journal::Record>>) {
-        let (old, generation) = self.file();
+        let (_, generation) = self.file();
         let (path, next) = self.new_file();
         let applier = database::create(&path, &self.options.schema).expect("schema applies");
         for records in prefix.chunks(journal::CHUNK) {
             database::replay(&applier, records).expect("records apply again");
             futures_lite::future::yield_now().await;
         }
+        let _transition = lock(&self.transition);
         let mut state = self.state();
         let same = state.generation == generation && state.journal.starts_with(&prefix);
         if !self.replicates(&state) || !state.follows(term) || !same {
-            remove(&path);
             return;
         }
         state.applier = applier;
@@ -310,7 +318,6 @@
         state.journal.truncate(prefix.len());
         drop(state);
         self.revoke(true);
-        remove(&old);
         self.notify();
     }
 
@@ -336,6 +343,7 @@
 
     /// Stops the process: sockets close, open transactions are lost, log and fence stay.
     pub(crate) fn crash(&self) {
+        let _transition = lock(&self.transition);
         let mut state = self.state();
         state.running = false;
         state.demote();
@@ -350,6 +358,7 @@
         let mut state = self.state();
         if !state.running {
             state.running = true;
+            state.demote();
             state.incarnation = incarnation();
         }
         drop(state);
@@ -359,7 +368,6 @@
     /// Stops the process, loses log, fence and data, and starts it again.
     pub(crate) fn wipe(&self) -> eyre::Result<()> {
         self.crash();
-        let (old, _) = self.file();
         let (path, next) = self.new_file();
         let applier = database::create(&path, &self.options.schema)?;
         let mut state = self.state();
@@ -369,7 +377,6 @@
         state.fence = 0;
         state.voter = false;
         drop(state);
-        remove(&old);
         self.restart();
         Ok(())
     }
@@ -399,12 +406,3 @@
 fn file(directory: &path::Path, index: id::Index, generation: u64) -> path::PathBuf {
     directory.join(format!("{index}-{generation}.db"))
 }
-
-/// Removes a data file and its write-ahead log, if any.
-fn remove(path: &path::Path) {
-    for suffix in ["", "-wal", "-shm"] {
-        let mut name = path.as_os_str().to_owned();
-        name.push(suffix);
-        let _ = std::fs::remove_file(name);
-    }
-}
--- a/lab/tests/cluster.rs
+++ b/lab/tests/cluster.rs
@@ -1,19 +1,23 @@
 //! The stand-in group, met through the product's own client and through tokio-postgres.
 
 use std::sync::Arc;
+use std::sync::atomic;
 use std::time;
 
 use assert_matches::assert_matches;
 use futures_lite::future;
 use mangotray::control;
 use mangotray::frame;
+use mangotray::link;
 use mangotray::reply;
 use mangotray::role;
 use mangotray::stamp;
 use mangotray::transaction;
 use mangotray::upstream;
+use mangotray::upstream::Connection as _;
 use mangotray::upstream::Upstream;
 use mangotray_lab::cluster;
+use mangotray_lab::journal;
 use pgwire::messages::simplequery;
 
 /// Generous bound on what happens "soon".
@@ -486,3 +490,146 @@
     });
     assert_eq!(bench.cluster.query(2, free).unwrap(), rows);
 }
+
+/// Inserts numbered seats at any instance that lets it, until told to stop; gives the
+/// seats that were answered with a stamp.
+fn write_until_stopped(
+    bench: &Bench,
+    clerk: usize,
+    stop: &atomic::AtomicBool,
+) -> Vec<(String, stamp::Stamp)> {
+    let mut random = fastrand::Rng::with_seed(clerk as u64);
+    let mut answered = Vec::new();
+    for number in 0.. {
+        if stop.load(atomic::Ordering::SeqCst) {
+            break;
+        }
+        let options = link::Options {
+            timeout: time::Duration::from_millis(100),
+            ..link::Options::default()
+        };
+        let address = bench.cluster.addresses()[random.usize(..cluster::SIZE)];
+        let name = format!("{clerk}-{number}");
+        let booking = async {
+            let mut link = link::Link::open(address, "dome_sched", &options)
+                .await
+                .ok()?;
+            if random.bool() {
+                let text = format!("BEGIN; {}; COMMIT", insert(&name));
+                return link.run(&query(&text)).await.ok()?.stamp_of_write();
+            }
+            link.run(&query("BEGIN")).await.ok()?;
+            link.run(&query(&insert(&name))).await.ok()?;
+            link.run(&query("COMMIT")).await.ok()?.stamp_of_write()
+        };
+        let timeout = async {
+            async_io::Timer::after(time::Duration::from_millis(200)).await;
+            None
+        };
+        let stamp = future::block_on(future::or(booking, timeout));
+        answered.extend(stamp.map(|stamp| (name, stamp)));
+    }
+    answered
+}
+
+trait Committed {
+    /// The stamp, unless the transaction failed or was rolled back.
+    fn stamp_of_write(self) -> Option<stamp::Stamp>;
+}
+
+impl Committed for reply::Reply {
+    fn stamp_of_write(self) -> Option<stamp::Stamp> {
+        let rolled_back = |frame: &frame::Frame| frame.body.starts_with(b"ROLLBACK");
+        let failed = self.error.is_some() || self.frames.iter().any(rolled_back);
+        self.stamp.filter(|_| !failed)
+    }
+}
+
+/// One random fault, and its end half of the time.
+fn disturb(bench: &Bench, random: &mut fastrand::Rng, term: &mut u64) {
+    let index = random.usize(..cluster::SIZE);
+    match random.u8(..8) {
+        0 => bench.cluster.crash(index),
+        1 => bench.cluster.restart(index),
+        2 => bench.cluster.cut(index, random.bool()),
+        3 => bench.cluster.pause(index, random.bool()),
+        4 => bench.cluster.blackhole(index, random.bool()),
+        5 => {
+            let lag = time::Duration::from_millis(random.u64(..20));
+            bench.cluster.set_lag(index, lag);
+        }
+        6 if random.u8(..4) == 0 => bench.cluster.wipe(index).unwrap(),
+        _ => {
+            *term += 1;
+            let _ = bench.cluster.lead(index, *term);
+        }
+    }
+}
+
+fn heal(bench: &Bench) {
+    for index in 0..cluster::SIZE {
+        bench.cluster.restart(index);
+        bench.cluster.cut(index, false);
+        bench.cluster.pause(index, false);
+        bench.cluster.blackhole(index, false);
+        bench.cluster.set_lag(index, time::Duration::ZERO);
+    }
+}
+
+/// Symptom: the stand-in itself loses or invents bookings, and the product is blamed.
+/// Events: any faults and promotions while clerks write everywhere.
+/// Cause: data, log and reported stamps that disagree.
+#[test]
+fn data_logs_and_stamps_agree_after_any_faults() {
+    for seed in 0..3 {
+        let bench = Bench::led();
+        let stop = atomic::AtomicBool::new(false);
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut term = 1;
+        let answered: Vec<_> = std::thread::scope(|scope| {
+            let clerks: Vec<_> = (0..4)
+                .map(|clerk| {
+                    let (bench, stop) = (&bench, &stop);
+                    scope.spawn(move || write_until_stopped(bench, clerk, stop))
+                })
+                .collect();
+            for _ in 0..100 {
+                disturb(&bench, &mut random, &mut term);
+                std::thread::sleep(STEP * 4);
+            }
+            heal(&bench);
+            bench.cluster.lead(0, term + 1).unwrap();
+            std::thread::sleep(STEP * 50);
+            stop.store(true, atomic::Ordering::SeqCst);
+            clerks
+                .into_iter()
+                .flat_map(|clerk| clerk.join().unwrap())
+                .collect()
+        });
+        bench.eventually("all instances agree", |cluster| {
+            (1..3).all(|index| cluster.status(index).stamp == cluster.status(0).stamp)
+        });
+        let log = bench.cluster.log(0);
+        let mut booked: Vec<String> = log
+            .iter()
+            .flat_map(|record| &record.statements)
+            .map(|write| write.sql.split('\'').nth(1).unwrap().to_owned())
+            .collect();
+        booked.sort();
+        for index in 0..3 {
+            assert_eq!(bench.cluster.log(index), log);
+            assert_eq!(bench.seats(index), booked);
+        }
+        for (name, stamp) in &answered {
+            let position = usize::try_from(stamp.position).unwrap();
+            let record = log.get(position - 1);
+            let record = record.filter(|record| record.term == stamp.term);
+            let holds = |record: &Arc<journal::Record>| {
+                let mut writes = record.statements.iter();
+                writes.any(|write| write.sql.contains(&format!("'{name}'")))
+            };
+            assert!(record.is_none_or(holds), "{name} is not at {stamp}");
+        }
+        assert!(!answered.is_empty());
+    }
+}
