--- /dev/null
+++ b/src/grant/tests.rs
@@ -0,0 +1,73 @@
+use std::time;
+
+use crate::grant;
+use crate::id;
+use crate::witness;
+
+fn at(seconds: u64) -> id::Time {
+    time::Duration::from_secs(seconds)
+}
+
+fn silent(seconds: u64) -> witness::Report {
+    witness::Report {
+        silent: at(seconds),
+        contacted: true,
+    }
+}
+
+fn grant() -> grant::Grant {
+    grant::Grant::new("l".into(), at(0), grant::Limits::default())
+}
+
+fn names() -> Vec<id::Vm> {
+    ["w", "x", "y"].map(id::Vm::from).to_vec()
+}
+
+#[test]
+fn a_guard_interval_outlasts_a_lease_and_any_testimony() {
+    let limits = grant::Limits::default();
+    assert!(limits.guard >= limits.ttl + limits.margin);
+    assert!(limits.stretch(limits.reach()) < limits.guard);
+}
+
+/// Symptom: a VM cut off from everything goes on. Events: its peers testified just before
+/// the cut that they had renewed their leases. Cause: such a testimony tells of no outage.
+#[test]
+fn an_isolated_vm_stops_at_the_end_of_its_lease() {
+    let mut grant = grant();
+    for vm in names() {
+        grant.report(&vm, at(8), at(8), silent(2));
+    }
+    assert_eq!(grant.until(&names()), grant::Limits::default().end(at(0)));
+}
+
+/// Symptom: all VMs stop a few minutes into an outage. Events: the testimonies tell of an
+/// ever longer silence. Cause: the drift allowed for grows with it, past the lease's end.
+#[test]
+fn testimonies_of_a_long_outage_are_joined() {
+    let mut grant = grant();
+    for now in 5..4_000 {
+        for vm in &names()[..2] {
+            grant.report(vm, at(now), at(now), silent(now));
+        }
+    }
+    assert!(grant.until(&names()) > at(4_000));
+    let mut late = self::grant();
+    late.report(&names()[0], at(3_999), at(3_999), silent(3_999));
+    late.report(&names()[1], at(3_999), at(3_999), silent(3_999));
+    assert!(late.until(&names()) < at(4_000));
+}
+
+/// Symptom: a seat has two users. Events: a witness had contact during the outage, then
+/// its process restarted and remembers none. Cause: its silence was taken for a whole one.
+#[test]
+fn a_restarted_witness_does_not_testify_about_earlier_times() {
+    let mut grant = grant();
+    let mut restarted = witness::Witness::new(at(30));
+    for vm in &names()[..2] {
+        grant.report(vm, at(40), at(40), restarted.report(at(40)));
+    }
+    assert!(grant.until(&names()) < at(40));
+    restarted.contact(at(41));
+    assert!(restarted.report(at(41)).contacted);
+}
--- /dev/null
+++ b/src/share/tests.rs
@@ -0,0 +1,165 @@
+use std::time;
+
+use assert_matches::assert_matches;
+
+use crate::grant;
+use crate::id;
+use crate::seat;
+use crate::share;
+use crate::witness;
+
+mod world;
+
+const RUNS: u64 = 60;
+const SECONDS: u64 = 600;
+
+fn tally(mutation: world::Mutation) -> world::Tally {
+    let mut sum = world::Tally::default();
+    for seed in 0..RUNS {
+        let mut world = world::World::new(seed, mutation);
+        world.run(SECONDS);
+        sum.uses += world.tally.uses;
+        sum.takeovers += world.tally.takeovers;
+        sum.returns += world.tally.returns;
+        sum.outage_uses += world.tally.outage_uses;
+        sum.conflicts += world.tally.conflicts;
+    }
+    println!("{mutation:?}: {sum:?}");
+    sum
+}
+
+#[test]
+fn a_seat_never_has_two_users() {
+    let tally = tally(world::Mutation::None);
+    assert_eq!(tally.conflicts, 0);
+    assert!(tally.uses > 0 && tally.takeovers > 0);
+    assert!(tally.returns > 0 && tally.outage_uses > 0);
+}
+
+/// Symptom: an instance refuses connections at the end of an outage. Events: an owner
+/// goes on through the outage, the store returns, another takes the seat and uses it.
+/// Cause: the owner's last testimony still holds for a while.
+#[test]
+fn without_the_guard_interval_a_seat_has_two_users() {
+    assert!(tally(world::Mutation::NoGuard).conflicts > 0);
+}
+
+/// Symptom: as above, without an outage. Events: the owner sends a renewal, is paused for
+/// a minute, reads the answer. Cause: the lease ended long ago, counted from the sending.
+#[test]
+fn counting_from_the_answer_gives_two_users() {
+    assert!(tally(world::Mutation::FromAnswer).conflicts > 0);
+}
+
+/// Symptom: as above, in a partition. Events: an owner and some peers lose the store, the
+/// others keep it. Cause: those in reach all testify to an outage that is only theirs.
+#[test]
+fn a_majority_of_those_in_reach_gives_two_users() {
+    assert!(tally(world::Mutation::Reachable).conflicts > 0);
+}
+
+/// Symptom: as above, as an outage ends. Events: one VM reaches the store again, before
+/// the owner's witnesses do. Cause: the lease is gone, but the owner cannot know.
+#[test]
+fn without_witnesses_a_seat_has_two_users() {
+    assert!(tally(world::Mutation::NoWitness).conflicts > 0);
+}
+
+fn at(seconds: u64) -> id::Time {
+    time::Duration::from_secs(seconds)
+}
+
+fn entry(vm: &str, lease: &str, witnesses: &[&str]) -> seat::Seat {
+    seat::Seat {
+        seat: 0,
+        vm: vm.into(),
+        incarnation: 1,
+        lease: lease.into(),
+        witnesses: witnesses.iter().map(|name| (*name).into()).collect(),
+    }
+}
+
+fn book() -> share::Book {
+    share::Book::new("b".into(), 1, 1, grant::Limits::default())
+}
+
+fn grants() -> Vec<grant::Grant> {
+    let mut grant = grant::Grant::new("lb".into(), at(0), grant::Limits::default());
+    grant.renewed(at(900));
+    vec![grant]
+}
+
+fn contact(silent: u64) -> witness::Report {
+    witness::Report {
+        silent: at(silent),
+        contacted: true,
+    }
+}
+
+/// A book that has taken over the seat of `a` at 110 s, by a call without an answer.
+fn taken_over() -> share::Book {
+    let mut book = book();
+    book.read(1, vec![entry("a", "la", &["w", "x", "y"])], at(100));
+    let decide = |book: &mut share::Book, now| book.decide(at(now), 1, &[], &"lb".into());
+    assert_matches!(decide(&mut book, 100), share::Step::Check { .. });
+    book.gone(&"la".into(), at(101));
+    book.report(&"w".into(), at(105), contact(1));
+    book.report(&"x".into(), at(105), contact(10));
+    assert_eq!(decide(&mut book, 106), share::Step::Idle);
+    book.report(&"x".into(), at(109), contact(1));
+    assert_matches!(
+        decide(&mut book, 110),
+        share::Step::Propose { expect: 1, .. }
+    );
+    book.read(2, vec![entry("b", "lb", &[])], at(120));
+    book
+}
+
+#[test]
+fn a_takeover_waits_for_witnesses_and_then_for_the_guard_interval() {
+    let book = taken_over();
+    assert_eq!(book.until(0, at(129), &grants()), None);
+    assert!(book.until(0, at(130), &grants()).is_some());
+}
+
+/// Symptom: a seat has two users. Events: a claimant takes it over, is told to give it
+/// back at once, a third finds it vacant and uses it. Cause: the guard interval, which the
+/// first owner still relies on, was cut short.
+#[test]
+fn a_seat_is_not_given_back_within_the_guard_interval() {
+    let mut book = taken_over();
+    let decide = |book: &mut share::Book, now| book.decide(at(now), 0, &[], &"lb".into());
+    assert_eq!(decide(&mut book, 121), share::Step::Drain { seat: 0 });
+    book.drained(0);
+    assert_eq!(decide(&mut book, 129), share::Step::Idle);
+    assert_matches!(decide(&mut book, 130), share::Step::Propose { seats, .. } if seats.is_empty());
+    assert_eq!(book.until(0, at(131), &grants()), None);
+}
+
+/// Symptom: a seat has two users at the end of an outage. Events: the owner names new
+/// witnesses, the answer is lost, the outage begins. Cause: the claimant asks the new
+/// witnesses while the owner still relies on the old.
+#[test]
+fn witnesses_in_doubt_have_to_agree_with_the_known_ones() {
+    let mut book = book();
+    book.read(1, vec![entry("b", "lb", &["w"])], at(0));
+    let mut grants = grants();
+    let silent = contact(40);
+    grants[0].report(&"w".into(), at(940), at(940), silent);
+    let now = at(945);
+    assert!(book.until(0, now, &grants).is_some());
+    book.decide(now, 1, &["x".into()], &"lb".into());
+    assert_eq!(book.until(0, now, &grants), None);
+    grants[0].report(&"x".into(), at(944), at(944), silent);
+    assert!(book.until(0, now, &grants).is_some());
+    assert_eq!(book.witnesses().len(), 2);
+}
+
+#[test]
+fn an_overtaken_read_is_dropped() {
+    let mut book = taken_over();
+    book.read(1, Vec::new(), at(140));
+    assert!(book.until(0, at(140), &grants()).is_some());
+    book.read(3, Vec::new(), at(141));
+    assert_eq!(book.until(0, at(141), &grants()), None);
+}
--- /dev/null
+++ b/src/share/tests/world.rs
@@ -0,0 +1,504 @@
+//! A few VMs and a store in virtual time, with pauses, partitions, outages, lost and late
+//! messages, restarts and clocks that run at different rates.
+
+use std::time;
+
+use crate::grant;
+use crate::id;
+use crate::seat;
+use crate::share;
+use crate::store;
+use crate::witness;
+
+/// A rule of the protocol left out, to show that it is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    None,
+    /// A seat is used as soon as it has been taken over.
+    NoGuard,
+    /// A renewal counts from its answer.
+    FromAnswer,
+    /// The owner asks for a majority of the witnesses in reach, not of all.
+    Reachable,
+    /// A lease that is gone is enough to take a seat over.
+    NoWitness,
+}
+
+pub const SEATS: usize = 2;
+const CLAIMANTS: usize = 3;
+const VMS: usize = 7;
+const STEP_MS: u64 = 200;
+
+enum Request {
+    Grant { sent: id::Time },
+    Renew { lease: store::Lease, sent: id::Time },
+    Read,
+    Check { lease: store::Lease },
+    Swap { expect: u64, seats: Vec<seat::Seat> },
+}
+
+enum Answer {
+    Granted {
+        lease: store::Lease,
+        sent: id::Time,
+    },
+    Renewed {
+        lease: store::Lease,
+        sent: id::Time,
+    },
+    Lost {
+        lease: store::Lease,
+    },
+    Record {
+        version: u64,
+        seats: Vec<seat::Seat>,
+    },
+    Gone {
+        lease: store::Lease,
+    },
+    Report {
+        vm: id::Vm,
+        asked: id::Time,
+        report: witness::Report,
+    },
+}
+
+struct Mail<T> {
+    due: u64,
+    vm: usize,
+    incarnation: u64,
+    body: T,
+}
+
+struct Lease {
+    name: store::Lease,
+    end: u64,
+}
+
+struct Store {
+    up: bool,
+    /// Thousandths of real time.
+    rate: u32,
+    leases: Vec<Lease>,
+    version: u64,
+    record: Vec<seat::Seat>,
+}
+
+struct Vm {
+    name: id::Vm,
+    incarnation: u64,
+    /// Thousandths of real time.
+    rate: u32,
+    side: bool,
+    paused: u64,
+    witness: witness::Witness,
+    book: share::Book,
+    grants: Vec<grant::Grant>,
+    lease: Option<store::Lease>,
+    wanted: usize,
+    using: Vec<seat::Index>,
+    draining: Vec<seat::Index>,
+}
+
+/// What a run has shown; a run in which nothing happens would prove nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub uses: u64,
+    pub takeovers: u64,
+    pub returns: u64,
+    /// Uses more than a lease and a guard interval into an outage.
+    pub outage_uses: u64,
+    /// Moments at which a seat had two users.
+    pub conflicts: u64,
+}
+
+pub struct World {
+    random: fastrand::Rng,
+    mutation: Mutation,
+    now: u64,
+    down_since: Option<u64>,
+    store: Store,
+    vms: Vec<Vm>,
+    requests: Vec<Mail<Request>>,
+    answers: Vec<Mail<Answer>>,
+    pub tally: Tally,
+}
+
+fn limits() -> grant::Limits {
+    grant::Limits::default()
+}
+
+impl World {
+    pub fn new(seed: u64, mutation: Mutation) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let store = Store {
+            up: true,
+            rate: rate(&mut random),
+            leases: Vec::new(),
+            version: 0,
+            record: Vec::new(),
+        };
+        let vms = (0..VMS)
+            .map(|number| Vm {
+                name: format!("vm-{number}").into(),
+                incarnation: 1,
+                rate: rate(&mut random),
+                side: true,
+                paused: 0,
+                witness: witness::Witness::new(time::Duration::ZERO),
+                book: book(number, 1, mutation),
+                grants: Vec::new(),
+                lease: None,
+                wanted: usize::from(number < CLAIMANTS),
+                using: Vec::new(),
+                draining: Vec::new(),
+            })
+            .collect();
+        Self {
+            random,
+            mutation,
+            now: 0,
+            down_since: None,
+            store,
+            vms,
+            requests: Vec::new(),
+            answers: Vec::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    /// Runs for so many seconds, with a fault every few seconds.
+    pub fn run(&mut self, seconds: u64) {
+        let end = self.now + seconds * 1_000;
+        while self.now < end {
+            if self.random.u64(0..60) == 0 {
+                self.fault();
+            }
+            self.step();
+        }
+    }
+
+    fn fault(&mut self) {
+        let vm = self.random.usize(0..VMS);
+        match self.random.u64(0..10) {
+            0 | 1 => self.switch_store(),
+            2 => self.vms[vm].side = !self.vms[vm].side,
+            3 => self.split(),
+            4 | 5 => self.heal(),
+            6 | 7 => self.vms[vm].paused = self.now + self.random.u64(1_000..60_000),
+            8 => self.restart(vm),
+            _ => self.vms[vm % CLAIMANTS].wanted = self.random.usize(0..=SEATS),
+        }
+    }
+
+    fn switch_store(&mut self) {
+        self.store.up = !self.store.up;
+        self.down_since = (!self.store.up).then_some(self.now);
+    }
+
+    /// The store's side of a partition is `true`.
+    fn split(&mut self) {
+        for vm in &mut self.vms {
+            vm.side = self.random.bool();
+        }
+    }
+
+    fn heal(&mut self) {
+        self.store.up = true;
+        self.down_since = None;
+        self.vms.iter_mut().for_each(|vm| vm.side = true);
+    }
+
+    fn restart(&mut self, number: usize) {
+        let now = self.local(number);
+        let mutation = self.mutation;
+        let vm = &mut self.vms[number];
+        vm.incarnation += 1;
+        vm.witness = witness::Witness::new(now);
+        vm.book = book(number, vm.incarnation, mutation);
+        vm.grants.clear();
+        vm.lease = None;
+        vm.using.clear();
+        vm.draining.clear();
+    }
+
+    fn local(&self, number: usize) -> id::Time {
+        let offset = time::Duration::from_secs(1_000 * number as u64);
+        offset + time::Duration::from_millis(self.now) * self.vms[number].rate / 1_000
+    }
+
+    fn delay(&mut self) -> u64 {
+        match self.random.u64(0..40) {
+            0 => self.random.u64(0..40_000),
+            _ => self.random.u64(0..400),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.serve_store();
+        for number in 0..VMS {
+            if self.vms[number].paused > self.now {
+                continue;
+            }
+            self.take_answers(number);
+            if (self.now / STEP_MS + number as u64).is_multiple_of(5) {
+                self.work(number);
+            }
+            self.use_seats(number);
+        }
+        self.count();
+    }
+
+    fn ask(&mut self, number: usize, body: Request) {
+        let due = self.now + self.delay();
+        let incarnation = self.vms[number].incarnation;
+        self.requests.push(Mail {
+            due,
+            vm: number,
+            incarnation,
+            body,
+        });
+    }
+
+    fn answer(&mut self, vm: usize, incarnation: u64, body: Answer) {
+        if self.random.u64(0..10) == 0 {
+            return;
+        }
+        let due = self.now + self.delay();
+        self.answers.push(Mail {
+            due,
+            vm,
+            incarnation,
+            body,
+        });
+    }
+
+    fn serve_store(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .requests
+            .extract_if(.., |mail| mail.due <= now)
+            .collect();
+        for mail in due {
+            if self.store.up && self.vms[mail.vm].side {
+                let answer = self.store.serve(mail.vm, now, mail.body);
+                if let Some(answer) = answer {
+                    self.answer(mail.vm, mail.incarnation, answer);
+                }
+            }
+        }
+    }
+
+    fn take_answers(&mut self, number: usize) {
+        let (time, now) = (self.now, self.local(number));
+        let due = |mail: &mut Mail<Answer>| mail.vm == number && mail.due <= time;
+        let mails: Vec<_> = self.answers.extract_if(.., due).collect();
+        let vm = &mut self.vms[number];
+        for mail in mails {
+            if mail.incarnation == vm.incarnation {
+                vm.take(mail.body, now, self.mutation, &mut self.tally);
+            }
+        }
+    }
+
+    /// What a VM does every second.
+    fn work(&mut self, number: usize) {
+        let now = self.local(number);
+        if self.now / STEP_MS % 15 < 5 {
+            let lease = self.vms[number].lease.clone();
+            self.ask(
+                number,
+                match lease {
+                    Some(lease) => Request::Renew { lease, sent: now },
+                    None => Request::Grant { sent: now },
+                },
+            );
+        }
+        self.poll_peers(number, now);
+        if number < CLAIMANTS {
+            self.ask(number, Request::Read);
+            self.decide(number, now);
+        }
+    }
+
+    fn poll_peers(&mut self, number: usize, now: id::Time) {
+        for peer in 0..VMS {
+            let target = &self.vms[peer];
+            let linked = target.side == self.vms[number].side && target.paused <= self.now;
+            if peer == number || !linked {
+                continue;
+            }
+            let (vm, report) = (target.name.clone(), target.witness.report(self.local(peer)));
+            let late = time::Duration::from_millis(self.random.u64(0..500));
+            let asked = now.saturating_sub(late);
+            let incarnation = self.vms[number].incarnation;
+            self.answer(number, incarnation, Answer::Report { vm, asked, report });
+        }
+    }
+
+    fn decide(&mut self, number: usize, now: id::Time) {
+        let names: Vec<id::Vm> = self.vms.iter().map(|vm| vm.name.clone()).collect();
+        // The set changes now and then, as it does when VMs are replaced.
+        let skipped = (self.now / 60_000) as usize % VMS;
+        let witnesses: Vec<id::Vm> = (0..VMS)
+            .filter(|peer| *peer != number && *peer != skipped)
+            .map(|peer| names[peer].clone())
+            .collect();
+        let vm = &mut self.vms[number];
+        if self.mutation == Mutation::NoWitness {
+            for name in &names {
+                vm.book.destroyed(name);
+            }
+        }
+        let Some(lease) = vm.lease.clone() else {
+            return;
+        };
+        match vm.book.decide(now, vm.wanted, &witnesses, &lease) {
+            share::Step::Idle => {}
+            share::Step::Drain { seat } => vm.draining.push(seat),
+            share::Step::Check { owner } => self.ask(number, Request::Check { lease: owner.lease }),
+            share::Step::Propose { expect, seats } => {
+                self.ask(number, Request::Swap { expect, seats });
+            }
+        }
+    }
+
+    fn use_seats(&mut self, number: usize) {
+        let now = self.local(number);
+        let reachable: Vec<id::Vm> = self
+            .vms
+            .iter()
+            .filter(|peer| peer.side == self.vms[number].side && peer.paused <= self.now)
+            .map(|peer| peer.name.clone())
+            .collect();
+        let mutation = self.mutation;
+        let vm = &mut self.vms[number];
+        let drained: Vec<seat::Index> = vm.draining.drain(..).collect();
+        for seat in &drained {
+            vm.book.drained(*seat);
+        }
+        self.tally.returns += drained.len() as u64;
+        vm.using = (0..SEATS)
+            .filter(|seat| {
+                let allowed = vm.book.until(*seat, now, &vm.grants).is_some();
+                let kept = mutation == Mutation::Reachable && vm.keeps(*seat, now, &reachable);
+                allowed || kept
+            })
+            .collect();
+    }
+
+    fn count(&mut self) {
+        for seat in 0..SEATS {
+            let active = |vm: &&Vm| vm.using.contains(&seat) && vm.paused <= self.now;
+            let users = self.vms.iter().filter(active).count() as u64;
+            self.tally.uses += users;
+            self.tally.conflicts += u64::from(users > 1);
+            if self
+                .down_since
+                .is_some_and(|since| since + 40_000 < self.now)
+            {
+                self.tally.outage_uses += users;
+            }
+        }
+    }
+}
+
+impl Vm {
+    fn take(&mut self, answer: Answer, now: id::Time, mutation: Mutation, tally: &mut Tally) {
+        match answer {
+            Answer::Granted { lease, sent } => {
+                self.witness.contact(now);
+                self.grants
+                    .push(grant::Grant::new(lease.clone(), sent, limits()));
+                self.lease = Some(lease);
+            }
+            Answer::Renewed { lease, sent } => {
+                self.witness.contact(now);
+                let counted = if mutation == Mutation::FromAnswer {
+                    now
+                } else {
+                    sent
+                };
+                let renewed = |grant: &&mut grant::Grant| *grant.lease() == lease;
+                let known = self.grants.iter_mut().find(renewed);
+                if let Some(grant) = known {
+                    grant.renewed(counted);
+                }
+            }
+            Answer::Lost { lease } => {
+                self.witness.contact(now);
+                self.lease = self.lease.take().filter(|current| *current != lease);
+            }
+            Answer::Record { version, seats } => {
+                let before = self.book.held().count();
+                self.book.read(version, seats, now);
+                tally.takeovers += u64::from(self.book.held().count() > before);
+            }
+            Answer::Gone { lease } => self.book.gone(&lease, now),
+            Answer::Report { vm, asked, report } => {
+                self.book.report(&vm, asked, report);
+                self.grants
+                    .iter_mut()
+                    .for_each(|grant| grant.report(&vm, asked, now, report));
+            }
+        }
+    }
+
+    /// The mutated rule: goes on with a seat while those in reach testify.
+    fn keeps(&self, seat: seat::Index, now: id::Time, reachable: &[id::Vm]) -> bool {
+        let used = self.using.contains(&seat) && self.book.held().any(|held| held == seat);
+        let until = |grant: &grant::Grant| grant.until(reachable);
+        used && self.grants.iter().map(until).max() > Some(now)
+    }
+}
+
+impl Store {
+    fn serve(&mut self, vm: usize, now: u64, request: Request) -> Option<Answer> {
+        let end = now + limits().ttl.as_secs() * 1_000 * 1_000 / u64::from(self.rate);
+        self.leases.retain(|lease| lease.end > now);
+        match request {
+            Request::Grant { sent } => {
+                let lease = store::Lease::from(format!("lease-{vm}-{now}-{}", self.leases.len()));
+                let name = lease.clone();
+                self.leases.push(Lease { name, end });
+                Some(Answer::Granted { lease, sent })
+            }
+            Request::Renew { lease, sent } => {
+                let known = self.leases.iter_mut().find(|known| known.name == lease);
+                let Some(known) = known else {
+                    return Some(Answer::Lost { lease });
+                };
+                known.end = end;
+                Some(Answer::Renewed { lease, sent })
+            }
+            Request::Read => Some(Answer::Record {
+                version: self.version,
+                seats: self.record.clone(),
+            }),
+            Request::Check { lease } => {
+                let gone = self.leases.iter().all(|known| known.name != lease);
+                gone.then_some(Answer::Gone { lease })
+            }
+            Request::Swap { expect, seats } => {
+                if expect == self.version {
+                    self.version += 1;
+                    self.record = seats;
+                }
+                None
+            }
+        }
+    }
+}
+
+fn book(number: usize, incarnation: u64, mutation: Mutation) -> share::Book {
+    let mut limits = limits();
+    if mutation == Mutation::NoGuard {
+        limits.guard = time::Duration::ZERO;
+    }
+    share::Book::new(format!("vm-{number}").into(), incarnation, SEATS, limits)
+}
+
+fn rate(random: &mut fastrand::Rng) -> u32 {
+    random.u32(990..=1_010)
+}
