--- /dev/null
+++ b/tests/environment/mod.rs
@@ -0,0 +1,185 @@
+//! A whole system for end-to-end tests: stand-ins in this process, proxies as
+//! processes of their own.
+
+use std::fs;
+use std::io;
+use std::io::BufRead;
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use mangotray::catalog;
+use mangotray::declaration;
+use mangotray::store;
+use mangotray::store::Store;
+use mangotray_lab::cluster;
+use mangotray_lab::platform;
+
+static NEXT: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
+/// Stand-ins and proxies; everything ends with it.
+pub struct Environment {
+    pub platform: sync::Arc<platform::Platform>,
+    pub cluster: sync::Arc<cluster::Cluster>,
+    pub proxies: Vec<Proxy>,
+    directory: path::PathBuf,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    stop: async_channel::Sender<()>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+/// A proxy process.
+pub struct Proxy {
+    pub callers: net::SocketAddr,
+    child: process::Child,
+}
+
+impl Environment {
+    /// Starts the stand-ins and as many proxies as asked for, with one group in force.
+    pub fn start(proxies: usize, options: cluster::Options) -> Self {
+        let executor = sync::Arc::new(async_executor::Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let threads = (0..2).map(|_| drive(&executor, &stopped)).collect();
+        let platform = platform::Platform::start(platform::Options::default(), &executor).unwrap();
+        let cluster = cluster::Cluster::start(options, &executor).unwrap();
+        let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+        let name = format!("environment-{}-{number}", process::id());
+        let directory = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&directory).unwrap();
+        let mut environment = Self {
+            platform,
+            cluster,
+            proxies: Vec::new(),
+            directory,
+            executor,
+            stop,
+            threads,
+        };
+        for index in 0..proxies {
+            let proxy = environment.spawn(index);
+            environment.proxies.push(proxy);
+        }
+        environment.apply();
+        environment
+    }
+
+    /// Puts the group in force.
+    pub fn apply(&self) {
+        let catalog = catalog::Catalog {
+            groups: vec![self.cluster.declaration()],
+            vms: Vec::new(),
+        };
+        let text = declaration::render(&catalog);
+        let document = serde_json::json!({ "revision": 1, "id": 1, "by": "test", "text": text });
+        let options = mangotray::platform::Options::new(self.platform.address());
+        let client = mangotray::platform::Client::new(options, &self.executor);
+        let stored = client.swap("config", document.to_string().into(), 0, None);
+        assert_eq!(async_io::block_on(stored), Ok(store::Swap::Stored));
+    }
+
+    /// Starts one more proxy process.
+    pub fn spawn(&self, index: usize) -> Proxy {
+        let domain = &self.cluster.declaration().instances[index % 3].domain;
+        let settings = format!(
+            "[vm]\nname = entry-{index}\nfailure_domain = {domain}\n\
+             [listen]\ncallers = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+             [platform]\naddress = {}\n[log]\nfilter = warn\n",
+            self.platform.address()
+        );
+        let file = self.directory.join(format!("entry-{index}.ini"));
+        fs::write(&file, settings).unwrap();
+        let mut child = process::Command::new(env!("CARGO_BIN_EXE_mangotrayd"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        let out = child.stdout.take().unwrap();
+        io::BufReader::new(out).read_line(&mut line).unwrap();
+        let callers = line.rsplit(' ').next().unwrap().trim().parse().unwrap();
+        Proxy { callers, child }
+    }
+
+    /// Index of the instance that leads at the highest term.
+    pub fn primary(&self) -> Option<usize> {
+        (0..3)
+            .map(|index| (index, self.cluster.status(index)))
+            .filter(|(_, status)| status.role == mangotray::role::Role::Primary)
+            .max_by_key(|(_, status)| status.fence)
+            .map(|(index, _)| index)
+    }
+}
+
+impl Proxy {
+    /// Asks the process to drain and waits for its end.
+    pub fn terminate(&mut self) -> process::ExitStatus {
+        let id = self.child.id().to_string();
+        process::Command::new("kill")
+            .args(["-TERM", &id])
+            .status()
+            .unwrap();
+        self.child.wait().unwrap()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Environment {
+    fn drop(&mut self) {
+        self.proxies.iter_mut().for_each(Proxy::kill);
+        self.stop.close();
+        self.threads
+            .drain(..)
+            .for_each(|thread| thread.join().unwrap());
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn drive(
+    executor: &sync::Arc<async_executor::Executor<'static>>,
+    stopped: &async_channel::Receiver<()>,
+) -> thread::JoinHandle<()> {
+    let executor = executor.clone();
+    let stopped = stopped.clone();
+    thread::spawn(move || {
+        let _ = async_io::block_on(executor.run(stopped.recv()));
+    })
+}
+
+/// Runs a test's callers.
+pub fn block_on<T>(task: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(task)
+}
+
+/// Connects a caller; tries again while the proxy has no configuration yet.
+pub async fn connect(address: net::SocketAddr, database: &str) -> tokio_postgres::Client {
+    let parameters = format!(
+        "host={} port={} user=desk dbname={database}",
+        address.ip(),
+        address.port()
+    );
+    let give_up = time::Instant::now() + time::Duration::from_secs(20);
+    loop {
+        match tokio_postgres::connect(&parameters, tokio_postgres::NoTls).await {
+            Ok((client, connection)) => {
+                tokio::spawn(connection);
+                return client;
+            }
+            Err(error) if time::Instant::now() > give_up => panic!("no connection: {error}"),
+            Err(_) => tokio::time::sleep(time::Duration::from_millis(50)).await,
+        }
+    }
+}
--- /dev/null
+++ b/tests/story.rs
@@ -0,0 +1,139 @@
+//! The booking story through real processes, with an ordinary driver.
+
+mod environment;
+
+use std::time;
+
+use mangotray_lab::cluster;
+
+use environment::Environment;
+use environment::block_on;
+use environment::connect;
+
+const DATABASE: &str = "dome_sched";
+
+fn options() -> cluster::Options {
+    let schema = "CREATE TABLE bookings (id TEXT PRIMARY KEY, seat INTEGER NOT NULL)";
+    cluster::Options {
+        schema: vec![schema.to_owned()],
+        ..cluster::Options::default()
+    }
+}
+
+#[test]
+fn a_booking_made_through_one_proxy_is_seen_through_the_other() {
+    let system = Environment::start(2, options());
+    block_on(async {
+        let here = connect(system.proxies[0].callers, DATABASE).await;
+        let there = connect(system.proxies[1].callers, DATABASE).await;
+        for seat in 0..20 {
+            let id = format!("booking-{seat}");
+            here.execute(
+                "INSERT INTO bookings (id, seat) VALUES ($1::text, $2::int4)",
+                &[&id, &seat],
+            )
+            .await
+            .unwrap();
+            let row = there
+                .query_one("SELECT seat FROM bookings WHERE id = $1::text", &[&id])
+                .await
+                .unwrap();
+            assert_eq!(row.get::<_, i32>(0), seat);
+        }
+    });
+}
+
+#[test]
+fn transactions_commit_and_roll_back() {
+    let system = Environment::start(2, options());
+    block_on(async {
+        let mut here = connect(system.proxies[0].callers, DATABASE).await;
+        let there = connect(system.proxies[1].callers, DATABASE).await;
+        let kept = here.transaction().await.unwrap();
+        kept.batch_execute("INSERT INTO bookings VALUES ('kept', 1)")
+            .await
+            .unwrap();
+        kept.commit().await.unwrap();
+        let dropped = here.transaction().await.unwrap();
+        dropped
+            .batch_execute("INSERT INTO bookings VALUES ('dropped', 2)")
+            .await
+            .unwrap();
+        dropped.rollback().await.unwrap();
+        let rows = there
+            .query("SELECT id FROM bookings ORDER BY id", &[])
+            .await
+            .unwrap();
+        let ids: Vec<String> = rows.iter().map(|row| row.get(0)).collect();
+        assert_eq!(ids, ["kept"]);
+    });
+}
+
+#[test]
+fn writes_go_on_after_the_primary_is_lost() {
+    // Symptom: bookings fail until an operator steps in, or confirmed ones are gone.
+    // Events: the primary's process ends; nobody else orders a promotion.
+    // Cause: a group without a promotion by the proxies stays without a primary.
+    let system = Environment::start(2, options());
+    block_on(async {
+        let here = connect(system.proxies[0].callers, DATABASE).await;
+        let there = connect(system.proxies[1].callers, DATABASE).await;
+        here.batch_execute("INSERT INTO bookings VALUES ('before', 1)")
+            .await
+            .unwrap();
+        let lost = system.primary().unwrap();
+        system.cluster.crash(lost);
+        let mut tries = 0;
+        let give_up = time::Instant::now() + time::Duration::from_secs(30);
+        while let Err(error) = here
+            .batch_execute(&format!("INSERT INTO bookings VALUES ('after-{tries}', 2)"))
+            .await
+        {
+            assert!(
+                time::Instant::now() < give_up,
+                "no write since the loss: {error}"
+            );
+            tries += 1;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        let rows = there
+            .query("SELECT id FROM bookings ORDER BY id", &[])
+            .await
+            .unwrap();
+        let ids: Vec<String> = rows.iter().map(|row| row.get(0)).collect();
+        assert!(ids.contains(&"before".to_owned()), "{ids:?}");
+        assert!(ids.contains(&format!("after-{tries}")), "{ids:?}");
+        assert_ne!(system.primary(), Some(lost));
+    });
+}
+
+#[test]
+fn a_terminated_proxy_finishes_what_is_in_flight() {
+    // Symptom: a caller's connection breaks in the middle of a booking.
+    // Events: a proxy gets SIGTERM while a transaction is open.
+    // Cause: the process ended without waiting for it.
+    let mut system = Environment::start(1, options());
+    let address = system.proxies[0].callers;
+    let mut proxy = system.proxies.remove(0);
+    block_on(async {
+        let mut caller = connect(address, DATABASE).await;
+        let open = caller.transaction().await.unwrap();
+        open.batch_execute("INSERT INTO bookings VALUES ('open', 1)")
+            .await
+            .unwrap();
+        let ending = std::thread::spawn(move || proxy.terminate());
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        open.commit().await.unwrap();
+        drop(caller);
+        let status = tokio::task::spawn_blocking(move || ending.join().unwrap())
+            .await
+            .unwrap();
+        assert!(status.success(), "{status}");
+    });
+    let primary = system.primary().unwrap();
+    let rows = system
+        .cluster
+        .query(primary, "SELECT id FROM bookings")
+        .unwrap();
+    assert_eq!(rows.len(), 1);
+}
