--- /dev/null
+++ b/tests/model/config.rs
@@ -0,0 +1,74 @@
+//! Bounds of one search.
+
+use crate::mutation;
+use crate::state;
+
+/// Something that a search may include besides the basic steps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extra {
+    /// Fencing answers may arrive late, one at a time for each promoter.
+    SlowFences,
+    /// The writer may confirm with a status of any age.
+    StaleStatus,
+    /// Writes may be refused as not run.
+    Refusals,
+    /// A proxy that serves reads.
+    Reader,
+    /// Answers to its probes may arrive late, one at a time.
+    SlowProbes,
+    /// Terms start without an empty record.
+    NoFirstRecord,
+}
+
+/// What a search includes and when it stops.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Name for the report.
+    pub name: &'static str,
+    /// Number of writes.
+    pub writes: u8,
+    /// Term that each promoter has claimed in advance; 0 for none.
+    pub reserved: [u8; state::PROMOTERS],
+    /// Promoters that may also claim from the store.
+    pub claimants: usize,
+    /// Highest term that the store gives out.
+    pub terms: u8,
+    /// Instances that may lose their log.
+    pub wipes: u8,
+    /// Restarts that may happen.
+    pub restarts: u8,
+    /// What else is included.
+    pub extras: &'static [Extra],
+    /// The broken rule, if any.
+    pub mutation: Option<mutation::Mutation>,
+    /// States after which the search gives up.
+    pub limit: usize,
+}
+
+impl Config {
+    /// One write, two promoters with a term each, nothing else.
+    pub const fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            writes: 1,
+            reserved: [2, 3],
+            claimants: 0,
+            terms: 3,
+            wipes: 0,
+            restarts: 0,
+            extras: &[],
+            mutation: None,
+            limit: 3_000_000,
+        }
+    }
+
+    /// Whether the given rule is the broken one.
+    pub fn broken(&self, mutation: mutation::Mutation) -> bool {
+        self.mutation == Some(mutation)
+    }
+
+    /// Whether the search includes something.
+    pub fn has(&self, extra: Extra) -> bool {
+        self.extras.contains(&extra)
+    }
+}
--- /dev/null
+++ b/tests/model/instance.rs
@@ -0,0 +1,147 @@
+//! One instance of the group, as the upstream's contract describes it.
+
+use mangotray::id;
+use mangotray::role;
+use mangotray::stamp;
+use mangotray::status;
+
+use crate::log;
+
+/// State of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Instance {
+    /// Its log.
+    pub log: log::Log,
+    /// Highest term it has been fenced at.
+    pub fence: u8,
+    /// Term it last led with its present log; 0 if none. It believes that it leads
+    /// while this is its fence. Once deposed, records it sent before may still arrive.
+    pub led: u8,
+    /// Number of its process.
+    pub incarnation: u8,
+    /// 0 for a voter; for one that lost its log, the highest term claimed by then.
+    pub barrier: u8,
+}
+
+impl Instance {
+    /// An instance that has applied the first record of term 1.
+    pub fn new(leads: bool) -> Self {
+        let mut log = log::Log::default();
+        log.push(log::Record { term: 1, write: 0 });
+        Self {
+            log,
+            fence: 1,
+            led: u8::from(leads),
+            incarnation: 0,
+            barrier: 0,
+        }
+    }
+
+    /// Whether it believes that it leads.
+    pub fn leads(&self) -> bool {
+        self.led != 0 && self.led == self.fence
+    }
+
+    /// Whether it counts towards a majority.
+    pub fn voter(&self) -> bool {
+        self.barrier == 0
+    }
+
+    /// What a probe would see now.
+    pub fn view(&self) -> View {
+        View {
+            term: self.log.term(),
+            position: self.log.len(),
+            fence: self.fence,
+            leads: self.leads(),
+            voter: self.voter(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Appends a write if it believes that it leads, and says at which stamp.
+    pub fn write(&mut self, write: u8) -> Option<stamp::Stamp> {
+        if !self.leads() {
+            return None;
+        }
+        self.log.push(log::Record {
+            term: self.fence,
+            write,
+        });
+        Some(self.log.stamp())
+    }
+
+    /// Takes a fencing call.
+    pub fn fence(&mut self, term: u8) {
+        self.fence = self.fence.max(term);
+    }
+
+    /// Starts to lead a term, with a first record if `first` says so.
+    pub fn promote(&mut self, term: u8, first: bool) {
+        if self.leads() {
+            return;
+        }
+        self.led = term;
+        if first {
+            self.log.push(log::Record { term, write: 0 });
+        }
+    }
+
+    /// Takes one step to follow `source`: cuts off what it does not have, or else
+    /// applies one record.
+    pub fn follow(&mut self, source: &Self) {
+        let common = self.log.common(&source.log);
+        if common < self.log.len() {
+            self.led = 0;
+            self.log.truncate(common);
+        } else if let Some(record) = source.log.records().get(usize::from(common)) {
+            self.led = 0;
+            self.log.push(*record);
+        }
+    }
+
+    /// Loses everything and starts anew. `claimed` is the highest term claimed so far.
+    pub fn wipe(&mut self, claimed: u8) {
+        *self = Self {
+            log: log::Log::default(),
+            fence: 0,
+            led: 0,
+            incarnation: self.incarnation + 1,
+            barrier: claimed,
+        };
+    }
+}
+
+/// What a probe saw of an instance; `status::Status` in few bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct View {
+    /// Term of the last record.
+    pub term: u8,
+    /// Position of the last record.
+    pub position: u8,
+    /// Highest term it has been fenced at.
+    pub fence: u8,
+    /// Whether it believes that it leads.
+    pub leads: bool,
+    /// Whether it counts towards a majority.
+    pub voter: bool,
+    /// Number of its process.
+    pub incarnation: u8,
+}
+
+impl View {
+    /// The status that the decision code knows.
+    pub fn status(self) -> status::Status {
+        status::Status {
+            stamp: stamp::Stamp::new(self.term.into(), self.position.into()),
+            fence: self.fence.into(),
+            role: if self.leads {
+                role::Role::Primary
+            } else {
+                role::Role::Replica
+            },
+            voter: self.voter,
+            incarnation: id::Incarnation::from(self.incarnation),
+        }
+    }
+}
--- /dev/null
+++ b/tests/model/property.rs
@@ -0,0 +1,136 @@
+//! What must hold in every state.
+
+use crate::instance;
+use crate::log;
+use crate::rules;
+use crate::state;
+
+/// A property that a state can violate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Property {
+    /// A confirmed write is missing from the log of a primary of its term or a later one.
+    ConfirmedLost,
+    /// A write is in a log twice.
+    RunTwice,
+    /// Two instances have led one term.
+    TermSharedByPrimaries,
+    /// A write that was reported as not run is in a log.
+    NotRunFound,
+    /// A read without a token can be served without a write confirmed before it arrived.
+    ReadMisses,
+    /// A read with a token can be served without the token's record.
+    TokenMisses,
+    /// The leader's stamp is behind another instance's, see `leader_behind`.
+    LeaderBehind,
+}
+
+/// The first property that the state violates.
+pub fn violated(state: &state::State, rules: &rules::Rules) -> Option<Property> {
+    let checks = [
+        (Property::ConfirmedLost, lost(state)),
+        (Property::RunTwice, twice(state)),
+        (Property::TermSharedByPrimaries, shared(state)),
+        (Property::NotRunFound, not_run(state)),
+        (Property::ReadMisses, read_misses(state, rules)),
+        (Property::TokenMisses, token_misses(state, rules)),
+    ];
+    checks
+        .into_iter()
+        .find_map(|(property, violated)| violated.then_some(property))
+}
+
+/// Whether no instance is fenced above an instance that leads, yet another one's stamp
+/// is higher: reads that must see that stamp cannot be served by the group's leader.
+/// This is no property that safety needs; it shows what the first record of a term is for.
+pub fn leader_behind(state: &state::State) -> bool {
+    let top = state.instances.iter().map(|instance| instance.fence).max();
+    state
+        .instances
+        .iter()
+        .filter(|instance| instance.leads() && Some(instance.fence) == top)
+        .any(|leader| {
+            let stamps = state.instances.iter().map(|instance| instance.log.stamp());
+            stamps.max() > Some(leader.log.stamp())
+        })
+}
+
+fn lost(state: &state::State) -> bool {
+    state.confirmed().any(|(write, place)| {
+        state
+            .instances
+            .iter()
+            .filter(|instance| instance.leads() && instance.fence >= place.term)
+            .any(|instance| !holds(instance, write, place))
+    })
+}
+
+fn twice(state: &state::State) -> bool {
+    writes().any(|write| {
+        state
+            .instances
+            .iter()
+            .any(|instance| instance.log.count(write) > 1)
+    })
+}
+
+fn shared(state: &state::State) -> bool {
+    state.reigns.iter().any(|reign| reign.count_ones() > 1)
+}
+
+fn not_run(state: &state::State) -> bool {
+    writes()
+        .zip(state.writes)
+        .filter(|(_, known)| *known == state::Write::NotRun)
+        .any(|(write, _)| {
+            state
+                .instances
+                .iter()
+                .any(|instance| instance.log.count(write) > 0)
+        })
+}
+
+fn read_misses(state: &state::State, rules: &rules::Rules) -> bool {
+    let reader = &state.reader;
+    if !reader.arrived {
+        return false;
+    }
+    let Some(floor) = rules.floor(reader) else {
+        return false;
+    };
+    state.instances.iter().enumerate().any(|(index, instance)| {
+        let owed = state
+            .confirmed()
+            .filter(|(write, _)| reader.owed & bit(*write) != 0);
+        rules.serves(reader, index, floor, instance.incarnation)
+            && owed
+                .into_iter()
+                .any(|(write, place)| !holds(instance, write, place))
+    })
+}
+
+fn token_misses(state: &state::State, rules: &rules::Rules) -> bool {
+    state.confirmed().any(|(write, place)| {
+        state.instances.iter().enumerate().any(|(index, instance)| {
+            let token = place.stamp();
+            !holds(instance, write, place)
+                && rules.serves(&state.reader, index, token, instance.incarnation)
+        })
+    })
+}
+
+fn holds(instance: &instance::Instance, write: u8, place: state::Place) -> bool {
+    let record = log::Record {
+        term: place.term,
+        write,
+    };
+    instance.log.records().get(usize::from(place.position) - 1) == Some(&record)
+}
+
+fn writes() -> impl Iterator<Item = u8> {
+    (1..).take(state::WRITES)
+}
+
+/// The bit of a write's number, from 1.
+pub fn bit(write: u8) -> u8 {
+    1 << (write - 1)
+}
--- /dev/null
+++ b/tests/model/search.rs
@@ -0,0 +1,147 @@
+//! Breadth-first search.
+
+use std::cell::Cell;
+use std::fmt;
+use std::hash;
+
+use pathfinding::prelude::bfs_reach;
+
+use crate::config;
+use crate::property;
+use crate::rules;
+use crate::state;
+use crate::step;
+
+/// What a search found.
+#[derive(Debug)]
+pub struct Report {
+    /// Name of the configuration.
+    pub name: &'static str,
+    /// States visited.
+    pub states: usize,
+    /// Steps from the first state to the last one visited.
+    pub depth: usize,
+    /// Whether every reachable state was visited.
+    pub exhausted: bool,
+    /// The shortest way to a violation, if there is one.
+    pub found: Option<Found>,
+}
+
+/// A counterexample.
+#[derive(Debug)]
+pub struct Found {
+    /// The violated property.
+    pub property: property::Property,
+    /// The steps that lead to it.
+    pub path: Vec<step::Step>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            name,
+            states,
+            depth,
+            exhausted,
+            found,
+        } = self;
+        write!(
+            f,
+            "{name}: {states} states, depth {depth}, exhausted {exhausted}"
+        )?;
+        let Some(found) = found else {
+            return write!(f, ", no violation");
+        };
+        let length = found.path.len();
+        write!(f, ", {:?} after {length} steps: ", found.property)?;
+        f.debug_list().entries(&found.path).finish()
+    }
+}
+
+/// A state with the way it was first reached, which does not tell states apart.
+#[derive(Clone)]
+struct Node {
+    state: state::State,
+    parent: u32,
+    step: step::Step,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state
+    }
+}
+
+impl Eq for Node {}
+
+impl hash::Hash for Node {
+    fn hash<H: hash::Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+/// Searches for a violation of the properties.
+pub fn run(config: &config::Config) -> Report {
+    let rules = rules::Rules::new(config);
+    run_until(config, &rules, |state| property::violated(state, &rules))
+}
+
+/// Searches for a state that `judge` finds fault with.
+pub fn run_until(
+    config: &config::Config,
+    rules: &rules::Rules,
+    judge: impl Fn(&state::State) -> Option<property::Property>,
+) -> Report {
+    let first = Node {
+        state: state::State::new(config, rules),
+        parent: 0,
+        step: step::Step::Start,
+    };
+    let visited = Cell::new(0);
+    let mut ways = Vec::new();
+    let nodes = bfs_reach(first, |node: &Node| {
+        let parent = visited.get();
+        step::successors(&node.state, config, rules)
+            .into_iter()
+            .map(move |(step, state)| Node {
+                state,
+                parent,
+                step,
+            })
+    });
+    let mut report = Report {
+        name: config.name,
+        states: 0,
+        depth: 0,
+        exhausted: true,
+        found: None,
+    };
+    for node in nodes {
+        ways.push((node.parent, node.step));
+        visited.set(visited.get() + 1);
+        if let Some(property) = judge(&node.state) {
+            let path = path(&ways);
+            report.found = Some(Found { property, path });
+        }
+        report.exhausted = report.found.is_none() && ways.len() < config.limit;
+        if !report.exhausted {
+            break;
+        }
+    }
+    report.states = ways.len();
+    report.depth = path(&ways).len();
+    report
+}
+
+/// The steps to the node visited last.
+fn path(ways: &[(u32, step::Step)]) -> Vec<step::Step> {
+    let mut index = ways.len() - 1;
+    let mut path = Vec::new();
+    while index != 0 {
+        let (parent, step) = ways[index];
+        path.push(step);
+        index = parent as usize;
+    }
+    path.reverse();
+    path
+}
