Show a system's state and explain statements

Cause: an operator could see one proxy at a time, and nobody could tell in advance how a statement is treated. Tables of age permissions are folded as the parser of statements folds them; otherwise a permission for Shows would silently never apply.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,15 @@
 //! Command-line arguments of the operators' client.
 
+use std::net;
 use std::path;
+use std::time;
 
 use bpaf::Bpaf;
 use bpaf::Parser;
 
 use crate::exit;
 
+const PATIENCE: time::Duration = time::Duration::from_secs(5);
 const WIDTH: usize = 100;
 
 /// What an operator asks for.
@@ -25,6 +28,12 @@
     /// Check a file and print all its mistakes
     #[bpaf(command)]
     Check(#[bpaf(external(check))] Check),
+    /// Show the state of all proxies and groups
+    #[bpaf(command)]
+    Status(#[bpaf(external(status))] Status),
+    /// Tell how a statement is treated, and why
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain))] Explain),
 }
 
 /// Arguments of `mangotray check`.
@@ -35,12 +44,56 @@
     pub file: path::PathBuf,
 }
 
+/// Arguments of `mangotray status`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+pub struct Status {
+    /// Where the platform's service listens; not needed when admin addresses are given.
+    #[bpaf(external(platform), optional)]
+    pub platform: Option<net::SocketAddr>,
+    /// Ask this admin address as well; needs no platform
+    #[bpaf(argument("IP:PORT"))]
+    pub admin: Vec<net::SocketAddr>,
+    /// Longest wait for one answer.
+    #[bpaf(external(timeout))]
+    pub timeout: time::Duration,
+    /// Print JSON
+    pub json: bool,
+}
+
+/// Arguments of `mangotray explain`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+pub struct Explain {
+    /// Database name that the caller connects to
+    #[bpaf(argument("NAME"))]
+    pub database: String,
+    /// Operators' file, to tell about reads that accept data of a stated age
+    #[bpaf(argument("FILE"), optional)]
+    pub file: Option<path::PathBuf>,
+    /// Statements as a caller sends them
+    #[bpaf(positional("SQL"))]
+    pub sql: String,
+}
+
 fn file() -> impl Parser<path::PathBuf> {
     bpaf::positional("FILE")
         .help("Operators' file")
         .complete_shell(bpaf::ShellComp::File { mask: None })
 }
 
+fn platform() -> impl Parser<net::SocketAddr> {
+    bpaf::long("platform")
+        .help("Address of the platform's key-value service")
+        .argument("IP:PORT")
+}
+
+fn timeout() -> impl Parser<time::Duration> {
+    bpaf::long("timeout")
+        .help("Longest wait for one answer, as in 500ms or 5s (default 5s)")
+        .argument::<String>("TIME")
+        .parse(|text| humantime::parse_duration(&text))
+        .fallback(PATIENCE)
+}
+
 /// The parser with its help texts.
 ///
 /// ```
--- a/src/command.rs
+++ b/src/command.rs
@@ -5,12 +5,21 @@
 
 use eyre::WrapErr;
 
+use crate::catalog;
 use crate::cli;
 use crate::console;
 use crate::declaration;
 use crate::exit;
+use crate::store;
 
 mod check;
+mod explain;
+mod status;
+
+/// An operators' file that was read and found valid.
+struct Source {
+    catalog: catalog::Catalog,
+}
 
 /// Runs a command to its exit code; results and mistakes are printed on `console`.
 ///
@@ -26,14 +35,23 @@
 pub fn run(command: &cli::Command, console: &mut console::Console) -> eyre::Result<exit::Code> {
     match command {
         cli::Command::Check(arguments) => check::run(arguments, console),
+        cli::Command::Explain(arguments) => explain::run(arguments, console),
+        cli::Command::Status(arguments) => status::run(arguments, console),
+    }
+}
+
+/// Words of a failed call.
+fn reason(failure: &store::Failure) -> &str {
+    match failure {
+        store::Failure::NotRun(why) | store::Failure::Unknown(why) => why,
     }
 }
 
 /// Reads a file; its mistakes are printed and end the command.
-fn declaration(
+fn source(
     file: &path::Path,
     console: &mut console::Console,
-) -> eyre::Result<Result<declaration::Declaration, exit::Code>> {
+) -> eyre::Result<Result<Source, exit::Code>> {
     let name = file.display().to_string();
     let text = fs::read_to_string(file).wrap_err_with(|| format!("cannot read {name}"))?;
     match declaration::Declaration::parse(&text) {
@@ -42,7 +60,8 @@
             for warning in &declaration.warnings {
                 console.warning(&warning.located(&name))?;
             }
-            Ok(Ok(declaration))
+            let catalog = declaration.catalog;
+            Ok(Ok(Source { catalog }))
         }
     }
 }
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -9,8 +9,8 @@
     arguments: &cli::Check,
     console: &mut console::Console,
 ) -> eyre::Result<exit::Code> {
-    let catalog = match command::declaration(&arguments.file, console)? {
-        Ok(declaration) => declaration.catalog,
+    let catalog = match command::source(&arguments.file, console)? {
+        Ok(source) => source.catalog,
         Err(code) => return Ok(code),
     };
     let vms = match catalog.vms.len() {
--- a/src/database.rs
+++ b/src/database.rs
@@ -27,6 +27,34 @@
     pub ages: Vec<Age>,
 }
 
+impl Group {
+    /// Greatest age of data that a read of these tables accepts: the least of the tables'
+    /// limits. `None` when a table has no limit, or when the tables are not known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let text = "[group g]\ndatabase = d\n\
+    ///     instances = a@x:10.0.0.1:5, b@y:10.0.0.2:5, c@z:10.0.0.3:5\n\
+    ///     connections = 20\nslots = 3\ndeadline = 2s\n\
+    ///     [age g calendar]\ntables = shows\nlimit = 5s\n";
+    /// let declaration = mangotray::declaration::Declaration::parse(text).unwrap();
+    /// let group = &declaration.catalog.groups[0];
+    /// assert_eq!(group.age(&["shows".into()]), Some(Duration::from_secs(5)));
+    /// assert_eq!(group.age(&["shows".into(), "seats".into()]), None);
+    /// assert_eq!(group.age(&[]), None);
+    /// ```
+    #[must_use]
+    pub fn age(&self, tables: &[CompactString]) -> Option<time::Duration> {
+        let limits: Option<Vec<_>> = tables.iter().map(|table| self.limit(table)).collect();
+        limits?.into_iter().min()
+    }
+
+    fn limit(&self, table: &CompactString) -> Option<time::Duration> {
+        let age = self.ages.iter().find(|age| age.tables.contains(table))?;
+        Some(age.limit)
+    }
+}
+
 /// One instance of a group.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Instance {
@@ -43,7 +71,8 @@
 /// Permission for reads of some tables to see data of a stated age.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Age {
-    /// Tables it covers; a read is covered when all its tables are.
+    /// Tables it covers, in lower case and without the schema `public`; a read is
+    /// covered when all its tables are, be it by several permissions.
     pub tables: Vec<CompactString>,
     /// Greatest age of the data.
     #[serde(with = "humantime_serde")]
--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -45,6 +45,7 @@
 ];
 const AGE_KEYS: [&str; 2] = ["tables", "limit"];
 const SERVING_KEYS: [&str; 1] = ["vms"];
+const DEFAULT_SCHEMA: &str = "public.";
 const ALL_VMS: &str = "*";
 const LEAST_DEADLINE: time::Duration = time::Duration::from_millis(10);
 const MOST_DEADLINE: time::Duration = time::Duration::from_mins(10);
@@ -255,7 +256,7 @@
 
 fn age(section: &section::Section, faults: &mut Vec<fault::Fault>) -> Option<database::Age> {
     section.known(&AGE_KEYS, faults);
-    let tables = section.required("tables", value::list(value::name), faults);
+    let tables = section.required("tables", value::list(table), faults);
     let limit = section.required("limit", value::within(LEAST_AGE, MOST_AGE), faults);
     let mut age = database::Age {
         tables: tables?,
@@ -265,6 +266,13 @@
     Some(age)
 }
 
+/// Tables are named as statements name them without quotes, so that `Shows` and
+/// `public.shows` mean the table that the parser of statements calls `shows`.
+fn table(text: &str) -> value::Parsed<CompactString> {
+    let name = value::name(text)?.to_ascii_lowercase();
+    Ok(name.strip_prefix(DEFAULT_SCHEMA).unwrap_or(&name).into())
+}
+
 fn serving(document: &document::Document, faults: &mut Vec<fault::Fault>) -> Vec<CompactString> {
     let Some(section) = document.sections.iter().find(|s| s.title == "serving") else {
         return Vec::new();
--- a/src/declaration/tests.rs
+++ b/src/declaration/tests.rs
@@ -102,6 +102,26 @@
     assert!(found[0].contains("table \"shows\" of dome-1 is listed twice"));
 }
 
+#[test]
+fn numbers_that_cannot_be_meant_are_refused() {
+    let found = faults(&GOOD.replace("slots = 3", "slots = 21"));
+    assert!(
+        found[0].contains("21 slots cannot be used over 20 connections"),
+        "{found:?}"
+    );
+    let found = faults(&GOOD.replace("connections = 20", "connections = 10001"));
+    assert!(found[0].contains("more than 10000"), "{found:?}");
+}
+
+#[test]
+fn tables_are_named_as_statements_name_them() {
+    let text = GOOD.replace("shows, calendar", "public.Shows, archive.shows");
+    assert_eq!(
+        parse(&text).groups[0].ages[0].tables,
+        ["archive.shows", "shows"]
+    );
+}
+
 #[test]
 fn two_instances_may_not_leave_together() {
     let found = faults(&GOOD.replace("leaving = b", "leaving = b, c"));
@@ -240,6 +260,13 @@
         prop_assert!(declaration::diff(&old, &old).is_empty());
     }
 
+    #[test]
+    fn every_edit_shows_in_the_difference(old in any_catalog(), edit in 0..EDITS.len()) {
+        let mut new = old.clone();
+        EDITS[edit](&mut new.groups[0]);
+        prop_assert_eq!(declaration::diff(&old, &new).is_empty(), old == new);
+    }
+
     #[test]
     fn any_text_is_parsed_or_refused_without_panic(lines in proptest::collection::vec(line(), 0..30)) {
         let outcome = declaration::Declaration::parse(&lines.join("\n"));
@@ -247,6 +274,35 @@
     }
 }
 
+/// Changes of one thing each.
+const EDITS: [fn(&mut database::Group); 11] = [
+    |group| group.database = "other".into(),
+    |group| group.connections += 1,
+    |group| group.slots += 1,
+    |group| group.deadline *= 2,
+    |group| group.instances[1].name = "other".into(),
+    |group| group.instances[1].domain = "other_domain".into(),
+    |group| group.instances[1].address.set_port(60_000),
+    |group| group.instances[1].leaving = !group.instances[1].leaving,
+    |group| group.ages.truncate(1),
+    |group| group.ages.iter_mut().for_each(|age| age.limit *= 2),
+    |group| split(&mut group.ages),
+];
+
+/// Puts each table of the first permission into one of its own, with the same limit.
+fn split(ages: &mut Vec<database::Age>) {
+    let limit = ages.first().map_or(time::Duration::ZERO, |age| age.limit);
+    let tables: Vec<_> = ages
+        .drain(..1.min(ages.len()))
+        .flat_map(|age| age.tables)
+        .collect();
+    let single = |table| database::Age {
+        tables: vec![table],
+        limit,
+    };
+    ages.splice(0..0, tables.into_iter().map(single));
+}
+
 fn line() -> impl Strategy<Value = String> {
     prop_oneof![
         "\\PC{0,20}",
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -68,6 +68,19 @@
     assert_eq!(keys, ["[listen] peers", "[listen] admin"]);
 }
 
+#[test]
+fn values_that_contradict_each_other_are_reported() {
+    let text = format!("{LEAST}[limits]\ncallers = 5\ncallers_per_address = 6\n");
+    assert_eq!(
+        places(&text),
+        [(Some(10), "[limits] callers_per_address".to_owned())]
+    );
+    let text = LEAST.replace("6432\n", "6432\nadmin = 127.0.0.1:6432\n");
+    assert_eq!(places(&text), [(Some(6), "[listen] admin".to_owned())]);
+    let text = LEAST.replace("6432\n", "0\nadmin = 127.0.0.1:0\n");
+    assert!(settings::Settings::parse(&text).is_ok());
+}
+
 #[test]
 fn a_mistake_on_the_command_line_has_no_line() {
     let port = settings::Override {
