Find registered proxies and test the status against running ones

Cause: the status read registrations by a type of its own, and told nobody when one could not be read; a short list would have looked whole.

Conclusion: a missing platform or an unreadable registration is an error of the status, with a code of its own.

--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -12,6 +12,7 @@
 use crate::cli;
 use crate::command;
 use crate::console;
+use crate::enrol;
 use crate::exit;
 use crate::id;
 use crate::overview;
@@ -19,25 +20,24 @@
 use crate::store;
 use crate::store::Store as _;
 
-/// Prefix of the keys under which proxies register; each goes with its proxy's lease.
-const PREFIX: &str = "vm/";
-
 /// Proxies that are asked at once.
 const CONCURRENCY: usize = 64;
 
-/// What this command needs from a proxy's registration.
-#[derive(serde::Deserialize)]
-struct Registration {
-    vm: id::Vm,
-    admin: net::SocketAddr,
-}
-
 /// A proxy to be asked; the name is unknown for an address given by hand.
 struct Target {
     name: Option<id::Vm>,
     admin: net::SocketAddr,
 }
 
+/// What the platform listed.
+#[derive(Default)]
+struct Listed {
+    targets: Vec<Target>,
+    /// Why the list is missing or not whole. An operator who saw a short list without a
+    /// word would take a proxy that still runs for gone.
+    failures: Vec<String>,
+}
+
 pub(super) fn run(
     arguments: &cli::Status,
     console: &mut console::Console,
@@ -48,20 +48,20 @@
     }
     let executor = sync::Arc::new(async_executor::Executor::new());
     let gathered = gather(arguments, &executor);
-    let (vms, failure) = async_io::block_on(executor.run(gathered));
-    if let Some(failure) = &failure {
-        console.error(&format!("cannot list the proxies: {failure}"))?;
+    let (vms, failures) = async_io::block_on(executor.run(gathered));
+    for failure in &failures {
+        console.error(failure)?;
     }
     let overview = overview::Overview::new(vms);
     show(arguments, &overview, console)?;
-    Ok(code(&overview, failure.is_some()))
+    Ok(code(&overview, !failures.is_empty()))
 }
 
-fn code(overview: &overview::Overview, unlisted: bool) -> exit::Code {
+fn code(overview: &overview::Overview, failed: bool) -> exit::Code {
     let silent = overview.vms.iter().all(|vm| vm.status.is_none());
-    if silent && (unlisted || !overview.vms.is_empty()) {
+    if silent && (failed || !overview.vms.is_empty()) {
         exit::Code::Unreachable
-    } else if unlisted || !overview.problems.is_empty() {
+    } else if failed || !overview.problems.is_empty() {
         exit::Code::Degraded
     } else {
         exit::Code::Success
@@ -89,14 +89,13 @@
 async fn gather(
     arguments: &cli::Status,
     executor: &sync::Arc<async_executor::Executor<'static>>,
-) -> (Vec<overview::Vm>, Option<String>) {
-    let listed = match arguments.platform {
+) -> (Vec<overview::Vm>, Vec<String>) {
+    let Listed {
+        mut targets,
+        failures,
+    } = match arguments.platform {
         Some(address) => list(address, arguments.timeout, executor).await,
-        None => Ok(Vec::new()),
-    };
-    let (mut targets, failure) = match listed {
-        Ok(targets) => (targets, None),
-        Err(failure) => (Vec::new(), Some(failure)),
+        None => Listed::default(),
     };
     for admin in &arguments.admin {
         if targets.iter().all(|target| target.admin != *admin) {
@@ -109,35 +108,40 @@
         .buffer_unordered(CONCURRENCY)
         .collect()
         .await;
-    (vms, failure)
+    (vms, failures)
 }
 
 async fn list(
     address: net::SocketAddr,
     timeout: time::Duration,
     executor: &sync::Arc<async_executor::Executor<'static>>,
-) -> Result<Vec<Target>, String> {
+) -> Listed {
     let mut options = platform::Options::new(address);
     options.timeout = timeout;
     let client = platform::Client::new(options, executor);
-    let entries = client
-        .list(PREFIX)
-        .await
-        .map_err(|failure| command::reason(&failure).to_owned())?;
-    Ok(entries.iter().filter_map(target).collect())
+    let mut listed = Listed::default();
+    match client.list(enrol::PREFIX).await {
+        Ok(entries) => entries.iter().for_each(|entry| listed.add(entry)),
+        Err(failure) => {
+            let why = command::reason(&failure);
+            let words = format!("platform at {address}: cannot list the proxies: {why}");
+            listed.failures.push(words);
+        }
+    }
+    listed
 }
 
-/// A registration that cannot be read is left out, but not silently: a newer proxy may
-/// write a form that this client does not know.
-fn target(entry: &store::Entry) -> Option<Target> {
-    match serde_json::from_slice::<Registration>(&entry.value) {
-        Ok(registration) => Some(Target {
-            name: Some(registration.vm),
-            admin: registration.admin,
-        }),
-        Err(error) => {
-            tracing::warn!(key = %entry.key, %error, "registration cannot be read");
-            None
+impl Listed {
+    fn add(&mut self, entry: &store::Entry) {
+        match serde_json::from_slice::<enrol::Record>(&entry.value) {
+            Ok(record) => self.targets.push(Target {
+                name: Some(record.vm),
+                admin: record.admin,
+            }),
+            Err(error) => {
+                let words = format!("{}: registration cannot be read: {error}", entry.key);
+                self.failures.push(words);
+            }
         }
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -3,7 +3,15 @@
 use std::fs;
 use std::path;
 use std::process;
+use std::sync;
 use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use mangotray::daemon;
+use mangotray::policy;
+use mangotray::settings;
+use mangotray_lab::platform;
 
 const CATALOG: &str = "[group dome-1]\ndatabase = dome\n\
     instances = a@patan:127.0.0.1:1, b@kirtipur:127.0.0.1:2, c@bhaktapur:127.0.0.1:3\n\
@@ -12,6 +20,13 @@
 const SETTINGS: &str = "[vm]\nname = entry-1\nfailure_domain = patan-hall\n\
     [listen]\ncallers = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:7000\n";
 
+/// Looks for a change that happens in the background, and the pause between them.
+const TRIES: usize = 600;
+const PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Address on which nobody listens: a port that needs rights and has no service.
+const NOBODY: &str = "127.0.0.1:1";
+
 static NEXT: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
 
 /// A directory of its own for the files of one test.
@@ -69,6 +84,53 @@
     }
 }
 
+/// A stand-in for the platform, served on a thread of its own until it is dropped.
+struct Platform {
+    service: sync::Arc<platform::Platform>,
+    stop: Option<async_channel::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Platform {
+    fn start() -> Self {
+        let executor = sync::Arc::new(async_executor::Executor::new());
+        let service = platform::Platform::start(platform::Options::default(), &executor).unwrap();
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let thread = thread::spawn(move || {
+            // The channel is closed to end the thread, never written to.
+            let _ = async_io::block_on(executor.run(stopped.recv()));
+        });
+        Self {
+            service,
+            stop: Some(stop),
+            thread: Some(thread),
+        }
+    }
+
+    fn address(&self) -> String {
+        self.service.address().to_string()
+    }
+
+    fn proxy(&self, name: &str) -> daemon::Daemon {
+        let text = SETTINGS
+            .replace("127.0.0.1:7000", &self.address())
+            .replace("entry-1", name)
+            .replace(
+                "127.0.0.1:0",
+                "127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0",
+            );
+        let settings = settings::Settings::parse(&text).unwrap();
+        daemon::Daemon::start(&settings, policy::Policy::Default).unwrap()
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        self.thread.take().unwrap().join().unwrap();
+    }
+}
+
 #[test]
 fn a_valid_file_passes_the_check() {
     let run = Environment::new()
@@ -166,3 +228,67 @@
         wrong.err
     );
 }
+
+#[test]
+fn the_status_of_a_proxy_is_found_by_its_address_alone() {
+    let platform = Platform::start();
+    let proxy = platform.proxy("entry-7");
+    let admin = proxy.admin().to_string();
+    let environment = Environment::new();
+    let run = environment.client(&["status", "--admin", &admin, "--admin", NOBODY]);
+    proxy.crash();
+    assert_eq!(run.code, 6, "{run:?}");
+    assert!(run.out.contains("entry-7"), "{run:?}");
+    assert!(run.err.contains("no configuration is in force"), "{run:?}");
+    assert!(run.err.contains("no status"), "{run:?}");
+}
+
+#[test]
+fn registered_proxies_are_listed_as_json() {
+    let platform = Platform::start();
+    let proxies = ["entry-1", "entry-2"].map(|name| platform.proxy(name));
+    let environment = Environment::new();
+    let arguments = ["status", "--json", "--platform", &platform.address()];
+    let names = |run: &Run| -> Vec<String> {
+        let overview: serde_json::Value = serde_json::from_str(&run.out).unwrap();
+        let vms = overview["vms"].as_array().unwrap().iter();
+        vms.map(|vm| vm["status"]["vm"].as_str().unwrap().to_owned())
+            .collect()
+    };
+    // A proxy registers in the background after it has started to listen.
+    let listed = (0..TRIES).find_map(|_| {
+        let run = environment.client(&arguments);
+        let all = names(&run) == ["entry-1", "entry-2"];
+        all.then_some(run).or_else(|| {
+            thread::sleep(PAUSE);
+            None
+        })
+    });
+    proxies.into_iter().for_each(daemon::Daemon::crash);
+    assert_eq!(listed.expect("both proxies are registered").code, 6);
+}
+
+// Symptom: a status that hangs or looks healthy. Events: the platform's service is down.
+// Cause: a client that takes an empty list for the whole truth.
+#[test]
+fn a_status_without_a_platform_is_unreachable() {
+    let run = Environment::new().client(&["status", "--platform", NOBODY]);
+    assert_eq!(run.code, 5, "{run:?}");
+    assert!(run.err.contains("cannot list the proxies"), "{run:?}");
+    let run = Environment::new().client(&["status"]);
+    assert_eq!(run.code, 2, "{run:?}");
+}
+
+#[test]
+fn a_statement_is_explained() {
+    let file = format!("{CATALOG}[age dome-1 calendar]\ntables = shows\nlimit = 5s\n");
+    let environment = Environment::new().with("system.ini", &file);
+    let base = ["explain", "SELECT * FROM shows", "--database"];
+    let run = environment.client(&[&base[..], &["dome"]].concat());
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.out.starts_with("class: read\n"), "{run:?}");
+    let run = environment.client(&[&base[..], &["dome", "--file", "system.ini"]].concat());
+    assert!(run.out.contains("age: may be 5s old"), "{run:?}");
+    let run = environment.client(&[&base[..], &["none", "--file", "system.ini"]].concat());
+    assert_eq!(run.code, 3, "{run:?}");
+}
