Split the stand-in's instance, session and SQL into small modules

They now hold one job each: counters, state, data files, columns, errors, scanning, prepared statements, messages to the caller, handshake and control statements have their own.

--- a/lab/src/cluster.rs
+++ b/lab/src/cluster.rs
@@ -10,6 +10,7 @@
 
 use crate::instance;
 use crate::journal;
+use crate::stats;
 
 /// Instances of a group.
 pub const SIZE: usize = 3;
@@ -195,7 +196,7 @@
 
     /// Counters of an instance.
     #[must_use]
-    pub fn stats(&self, index: id::Index) -> instance::Stats {
+    pub fn stats(&self, index: id::Index) -> stats::Stats {
         *self.instances[index].stats()
     }
 
@@ -210,7 +211,7 @@
     /// # Errors
     /// When the query is wrong.
     pub fn query(&self, index: id::Index, sql: &str) -> eyre::Result<Vec<Vec<Option<String>>>> {
-        crate::database::audit(&self.instances[index].file().0, sql)
+        crate::storage::audit(&self.instances[index].file().0, sql)
     }
 
     /// Log of an instance.
--- a/lab/src/database.rs
+++ b/lab/src/database.rs
@@ -1,92 +1,23 @@
 //! SQL execution of an instance by an embedded library.
 
-use std::collections::HashMap;
 use std::path;
-use std::sync::Arc;
-use std::time;
 
 use mangotray::stamp;
 use pgwire::messages::response;
 use rusqlite::types;
 
+use crate::column;
 use crate::instance;
 use crate::journal;
+use crate::sqlstate;
 use crate::statement;
+use crate::storage;
 use crate::value;
 
-const BUSY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
-/// Holds the stamp of the last record, so that each snapshot knows its own.
-const STAMP_TABLE: &str = "CREATE TABLE group_stamp (term INTEGER, position INTEGER);
-    INSERT INTO group_stamp VALUES (0, 0);";
-const READ_STAMP: &str = "SELECT term, position FROM group_stamp";
-const WRITE_STAMP: &str = "UPDATE group_stamp SET term = ?1, position = ?2";
-
-/// SQL error as it goes over the wire.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Error {
-    pub(crate) code: &'static str,
-    pub(crate) message: String,
-}
-
-impl Error {
-    pub(crate) fn new(code: &'static str, message: impl Into<String>) -> Self {
-        let message = message.into();
-        Self { code, message }
-    }
-
-    pub(crate) fn read_only(tag: &str) -> Self {
-        let words = format!("cannot execute {tag} in a read-only transaction");
-        Self::new("25006", words)
-    }
-
-    fn revoked() -> Self {
-        let words = "transaction rolled back: the instance is no longer the primary";
-        Self::new("25006", words)
-    }
-
-    fn failed() -> Self {
-        let words =
-            "current transaction is aborted, commands ignored until end of transaction block";
-        Self::new("25P02", words)
-    }
-}
-
-impl From<rusqlite::Error> for Error {
-    fn from(error: rusqlite::Error) -> Self {
-        let message = error.to_string();
-        let code = match error.sqlite_error().map(|error| error.extended_code) {
-            Some(
-                rusqlite::ffi::SQLITE_CONSTRAINT_UNIQUE
-                | rusqlite::ffi::SQLITE_CONSTRAINT_PRIMARYKEY,
-            ) => "23505",
-            Some(rusqlite::ffi::SQLITE_CONSTRAINT_NOTNULL) => "23502",
-            Some(rusqlite::ffi::SQLITE_CONSTRAINT_CHECK) => "23514",
-            Some(rusqlite::ffi::SQLITE_CONSTRAINT_FOREIGNKEY) => "23503",
-            Some(rusqlite::ffi::SQLITE_BUSY) => "55P03",
-            _ if message.contains("no such table") => "42P01",
-            _ if message.contains("no such column") => "42703",
-            _ if message.contains("no such function") => "42883",
-            _ if message.contains("already exists") => "42P07",
-            _ if message.contains("syntax error") || message.contains("incomplete input") => {
-                "42601"
-            }
-            _ => "XX000",
-        };
-        Self { code, message }
-    }
-}
-
-/// Result column; the type is unknown for some expressions without a row.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Column {
-    pub(crate) name: String,
-    pub(crate) kind: Option<value::Kind>,
-}
-
 /// Result of one statement.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Answer {
-    pub(crate) columns: Vec<Column>,
+    pub(crate) columns: Vec<column::Column>,
     pub(crate) rows: Vec<Vec<types::Value>>,
     /// Command tag; empty for an empty query.
     pub(crate) tag: String,
@@ -140,7 +71,7 @@
 impl Database {
     pub(crate) fn open(path: &path::Path, generation: u64) -> rusqlite::Result<Self> {
         Ok(Self {
-            connection: connect(path)?,
+            connection: storage::connect(path)?,
             generation,
             phase: Phase::Idle,
             health: Health::Sound,
@@ -156,7 +87,7 @@
     pub(crate) fn refresh(&mut self, instance: &instance::Instance) -> rusqlite::Result<()> {
         let (path, generation) = instance.file();
         if !self.is_open() && self.generation != generation {
-            self.connection = connect(&path)?;
+            self.connection = storage::connect(&path)?;
             self.generation = generation;
         }
         Ok(())
@@ -198,7 +129,7 @@
         instance: &instance::Instance,
         statement: &statement::Statement,
         parameters: &[types::Value],
-    ) -> Result<Answer, Error> {
+    ) -> Result<Answer, sqlstate::Error> {
         let result = self.dispatch(instance, statement, parameters);
         if result.is_err() {
             self.fail();
@@ -211,7 +142,7 @@
         instance: &instance::Instance,
         statement: &statement::Statement,
         parameters: &[types::Value],
-    ) -> Result<Answer, Error> {
+    ) -> Result<Answer, sqlstate::Error> {
         match &statement.verb {
             statement::Verb::Empty => return Ok(Answer::default()),
             statement::Verb::Commit => return self.commit(instance),
@@ -219,9 +150,9 @@
                 self.rollback(instance);
                 return Ok(Answer::tagged("ROLLBACK"));
             }
-            _ if self.health == Health::Revoked => return Err(Error::revoked()),
+            _ if self.health == Health::Revoked => return Err(sqlstate::Error::revoked()),
             statement::Verb::RollbackTo(name) => return self.rollback_to(name),
-            _ if self.health == Health::Failed => return Err(Error::failed()),
+            _ if self.health == Health::Failed => return Err(sqlstate::Error::failed()),
             _ => {}
         }
         match &statement.verb {
@@ -244,7 +175,11 @@
         }
     }
 
-    fn begin(&mut self, instance: &instance::Instance, read_only: bool) -> Result<(), Error> {
+    fn begin(
+        &mut self,
+        instance: &instance::Instance,
+        read_only: bool,
+    ) -> Result<(), sqlstate::Error> {
         if self.writer.is_some() && !read_only {
             self.reign = instance.begin(&self.connection)?;
         }
@@ -259,13 +194,13 @@
         &mut self,
         statement: &statement::Statement,
         parameters: &[types::Value],
-    ) -> Result<Answer, Error> {
+    ) -> Result<Answer, sqlstate::Error> {
         if statement.writes() && self.reign.is_none() {
-            return Err(Error::read_only(&statement.tag));
+            return Err(sqlstate::Error::read_only(&statement.tag));
         }
         if statement.writes() && statement.volatile {
             let words = "a write must give the same result on each instance";
-            return Err(Error::new("0A000", words));
+            return Err(sqlstate::Error::new("0A000", words));
         }
         let before = self.connection.total_changes();
         let mut answer = self.fetch(statement, parameters)?;
@@ -289,10 +224,10 @@
         &self,
         statement: &statement::Statement,
         parameters: &[types::Value],
-    ) -> Result<Answer, Error> {
+    ) -> Result<Answer, sqlstate::Error> {
         let mut prepared = self.connection.prepare_cached(&statement.text)?;
-        bind(&mut prepared, parameters)?;
-        let mut columns = self.columns(statement, &prepared);
+        storage::bind(&mut prepared, parameters)?;
+        let mut columns = column::Column::all(&self.connection, statement, &prepared);
         let mut rows = Vec::new();
         let mut cursor = prepared.raw_query();
         while let Some(row) = cursor.next()? {
@@ -310,84 +245,16 @@
         })
     }
 
-    fn columns(
-        &self,
-        statement: &statement::Statement,
-        prepared: &rusqlite::Statement<'_>,
-    ) -> Vec<Column> {
-        let mut declared = None;
-        prepared
-            .columns()
-            .map(|column| {
-                let name = column.name().to_owned();
-                let alias = statement.aliases.iter().find(|(alias, _)| *alias == name);
-                let kind = column.decl_type().map(value::Kind::named);
-                let kind = kind.or(alias.map(|(_, kind)| *kind)).or_else(|| {
-                    let declared = declared.get_or_insert_with(|| self.declared(statement));
-                    declared.get(&name).copied()
-                });
-                Column { name, kind }
-            })
-            .collect()
-    }
-
-    /// Declared types of the columns of all tables that the statement names.
-    fn declared(&self, statement: &statement::Statement) -> HashMap<String, value::Kind> {
-        let sql = "SELECT lower(c.name), c.type, lower(t.name)
-            FROM sqlite_master t, pragma_table_info(t.name) c WHERE t.type = 'table'";
-        let mut prepared = self.connection.prepare_cached(sql).expect("valid query");
-        let rows = prepared
-            .query_map([], |row| {
-                Ok((
-                    row.get(0)?,
-                    row.get::<_, String>(1)?,
-                    row.get::<_, String>(2)?,
-                ))
-            })
-            .expect("readable schema");
-        rows.filter_map(Result::ok)
-            .filter(|(_, _, table)| statement.tokens.contains(table))
-            .map(|(column, kind, _): (String, _, _)| (column, value::Kind::named(&kind)))
-            .collect()
-    }
-
     /// Types of a statement's parameters and columns, before it has run.
     pub(crate) fn describe(
         &self,
         statement: &statement::Statement,
         oids: &[u32],
-    ) -> Result<(Vec<u32>, Vec<Column>), Error> {
-        let runs = matches!(
-            statement.verb,
-            statement::Verb::Read | statement::Verb::Write
-        );
-        if !runs {
-            return Ok((Vec::new(), Vec::new()));
-        }
-        let mut prepared = self.connection.prepare_cached(&statement.text)?;
-        let declared = self.declared(statement);
-        let given = |at: usize| oids.get(at).copied().filter(|oid| *oid != 0);
-        let parameters: Vec<u32> = (0..statement.parameters)
-            .map(|at| given(at).unwrap_or_else(|| statement.infer(at + 1, &declared).oid()))
-            .collect();
-        let mut columns = self.columns(statement, &prepared);
-        if columns.iter().any(|column| column.kind.is_none()) && prepared.readonly() {
-            let samples = parameters
-                .iter()
-                .map(|oid| value::Kind::from_oid(*oid).sample());
-            bind(&mut prepared, &samples.collect::<Vec<_>>())?;
-            let mut cursor = prepared.raw_query();
-            let row = cursor.next()?;
-            for (at, column) in columns.iter_mut().enumerate() {
-                let value = row.and_then(|row| row.get(at).ok());
-                let value = value.as_ref().and_then(value::Kind::of);
-                column.kind = column.kind.or(value);
-            }
-        }
-        Ok((parameters, columns))
+    ) -> Result<(Vec<u32>, Vec<column::Column>), sqlstate::Error> {
+        column::Column::describe(&self.connection, statement, oids)
     }
 
-    fn savepoint(&mut self, name: &str) -> Result<Answer, Error> {
+    fn savepoint(&mut self, name: &str) -> Result<Answer, sqlstate::Error> {
         self.require_block()?;
         self.connection
             .execute_batch(&format!("SAVEPOINT {name}"))?;
@@ -395,14 +262,14 @@
         Ok(Answer::tagged("SAVEPOINT"))
     }
 
-    fn release(&mut self, name: &str) -> Result<Answer, Error> {
+    fn release(&mut self, name: &str) -> Result<Answer, sqlstate::Error> {
         let at = self.find_savepoint(name)?;
         self.connection.execute_batch(&format!("RELEASE {name}"))?;
         self.savepoints.truncate(at);
         Ok(Answer::tagged("RELEASE"))
     }
 
-    fn rollback_to(&mut self, name: &str) -> Result<Answer, Error> {
+    fn rollback_to(&mut self, name: &str) -> Result<Answer, sqlstate::Error> {
         let at = self.find_savepoint(name)?;
         self.connection
             .execute_batch(&format!("ROLLBACK TO {name}"))?;
@@ -412,26 +279,28 @@
         Ok(Answer::tagged("ROLLBACK"))
     }
 
-    fn find_savepoint(&self, name: &str) -> Result<usize, Error> {
+    fn find_savepoint(&self, name: &str) -> Result<usize, sqlstate::Error> {
         self.require_block()?;
         self.savepoints
             .iter()
             .rposition(|(other, _)| other == name)
-            .ok_or_else(|| Error::new("3B001", format!("savepoint {name} does not exist")))
+            .ok_or_else(|| {
+                sqlstate::Error::new("3B001", format!("savepoint {name} does not exist"))
+            })
     }
 
-    fn require_block(&self) -> Result<(), Error> {
+    fn require_block(&self) -> Result<(), sqlstate::Error> {
         if self.phase == Phase::Explicit {
             return Ok(());
         }
         let words = "savepoints can only be used in transaction blocks";
-        Err(Error::new("25P01", words))
+        Err(sqlstate::Error::new("25P01", words))
     }
 
-    fn commit(&mut self, instance: &instance::Instance) -> Result<Answer, Error> {
+    fn commit(&mut self, instance: &instance::Instance) -> Result<Answer, sqlstate::Error> {
         if self.health == Health::Revoked {
             self.rollback(instance);
-            return Err(Error::revoked());
+            return Err(sqlstate::Error::revoked());
         }
         if self.health == Health::Failed {
             self.rollback(instance);
@@ -443,14 +312,11 @@
         Ok(Answer::tagged("COMMIT"))
     }
 
-    fn finish_commit(&mut self, instance: &instance::Instance) -> Result<(), Error> {
+    fn finish_commit(&mut self, instance: &instance::Instance) -> Result<(), sqlstate::Error> {
         let writes = std::mem::take(&mut self.writes);
         let result = match self.reign {
             Some(reign) if !writes.is_empty() => instance.commit(&self.connection, reign, writes),
-            _ => read_stamp(&self.connection).and_then(|stamp| {
-                self.connection.execute_batch("COMMIT")?;
-                Ok(stamp)
-            }),
+            _ => self.end_reading().map_err(sqlstate::Error::from),
         };
         match result {
             Ok(stamp) => {
@@ -465,6 +331,13 @@
         }
     }
 
+    /// Gives the stamp of the snapshot that the transaction saw.
+    fn end_reading(&self) -> rusqlite::Result<stamp::Stamp> {
+        let stamp = storage::read_stamp(&self.connection)?;
+        self.connection.execute_batch("COMMIT")?;
+        Ok(stamp)
+    }
+
     fn rollback(&mut self, instance: &instance::Instance) {
         if self.is_open() {
             self.undo();
@@ -491,7 +364,7 @@
     }
 
     /// Ends the implicit transaction of a batch.
-    pub(crate) fn finish(&mut self, instance: &instance::Instance) -> Result<(), Error> {
+    pub(crate) fn finish(&mut self, instance: &instance::Instance) -> Result<(), sqlstate::Error> {
         if self.phase == Phase::Explicit {
             self.writer.take_if(|_| self.reign.is_none());
             return Ok(());
@@ -521,86 +394,3 @@
         self.writer = None;
     }
 }
-
-fn bind(
-    prepared: &mut rusqlite::Statement<'_>,
-    parameters: &[types::Value],
-) -> rusqlite::Result<()> {
-    parameters
-        .iter()
-        .enumerate()
-        .try_for_each(|(at, value)| prepared.raw_bind_parameter(at + 1, value))
-}
-
-fn connect(path: &path::Path) -> rusqlite::Result<rusqlite::Connection> {
-    let connection = rusqlite::Connection::open(path)?;
-    connection.busy_timeout(BUSY_TIMEOUT)?;
-    connection.pragma_update(None, "journal_mode", "WAL")?;
-    connection.pragma_update(None, "synchronous", "OFF")?;
-    connection.pragma_update(None, "foreign_keys", "ON")?;
-    Ok(connection)
-}
-
-/// Creates an instance's file with its schema.
-pub(crate) fn create(
-    path: &path::Path,
-    schema: &[String],
-) -> rusqlite::Result<rusqlite::Connection> {
-    let connection = connect(path)?;
-    connection.execute_batch(STAMP_TABLE)?;
-    schema
-        .iter()
-        .try_for_each(|sql| connection.execute_batch(sql))?;
-    Ok(connection)
-}
-
-/// Applies whole records in one transaction.
-pub(crate) fn replay(
-    connection: &rusqlite::Connection,
-    records: &[Arc<journal::Record>],
-) -> rusqlite::Result<()> {
-    connection.execute_batch("BEGIN IMMEDIATE")?;
-    for write in records.iter().flat_map(|record| &record.statements) {
-        let mut prepared = connection.prepare_cached(&write.sql)?;
-        bind(&mut prepared, &write.parameters)?;
-        let mut cursor = prepared.raw_query();
-        while cursor.next()?.is_some() {}
-    }
-    if let Some(last) = records.last() {
-        write_stamp(connection, last.stamp())?;
-    }
-    connection.execute_batch("COMMIT")
-}
-
-pub(crate) fn write_stamp(
-    connection: &rusqlite::Connection,
-    stamp: stamp::Stamp,
-) -> rusqlite::Result<()> {
-    let mut prepared = connection.prepare_cached(WRITE_STAMP)?;
-    prepared.execute((stamp.term, stamp.position)).map(drop)
-}
-
-/// Stamp of the snapshot that the connection's transaction sees.
-fn read_stamp(connection: &rusqlite::Connection) -> Result<stamp::Stamp, Error> {
-    let mut prepared = connection.prepare_cached(READ_STAMP)?;
-    let stamp = prepared.query_one([], |row| Ok(stamp::Stamp::new(row.get(0)?, row.get(1)?)))?;
-    Ok(stamp)
-}
-
-/// All rows of a query as text, for audits.
-pub(crate) fn audit(path: &path::Path, sql: &str) -> eyre::Result<Vec<Vec<Option<String>>>> {
-    let connection = connect(path)?;
-    let mut prepared = connection.prepare(sql)?;
-    let width = prepared.column_count();
-    let rows = prepared.query_map([], |row| {
-        (0..width)
-            .map(|at| row.get::<_, types::Value>(at))
-            .map(|value| value.map(|value| optional_text(&value)))
-            .collect()
-    })?;
-    Ok(rows.collect::<Result<_, _>>()?)
-}
-
-fn optional_text(value: &types::Value) -> Option<String> {
-    (*value != types::Value::Null).then(|| value::text(value))
-}
--- a/lab/src/instance.rs
+++ b/lab/src/instance.rs
@@ -5,7 +5,6 @@
 use std::sync;
 use std::sync::Arc;
 use std::sync::atomic;
-use std::time;
 
 use mangotray::id;
 use mangotray::role;
@@ -16,71 +15,14 @@
 use crate::database;
 use crate::gate;
 use crate::journal;
+use crate::sqlstate;
+use crate::state;
+use crate::stats;
+use crate::storage;
 
 /// Incarnations never repeat within a process of the lab.
 static INCARNATIONS: atomic::AtomicU64 = atomic::AtomicU64::new(1);
 
-/// What an instance knows and what faults were done to it.
-pub(crate) struct State {
-    pub(crate) journal: journal::Journal,
-    pub(crate) fence: id::Term,
-    /// Delay of replication to this instance.
-    pub(crate) lag: time::Duration,
-    /// Replication to and from this instance is cut.
-    pub(crate) cut: bool,
-    running: bool,
-    role: role::Role,
-    voter: bool,
-    incarnation: id::Incarnation,
-    /// Grows whenever open write transactions lose their right to commit.
-    reign: u64,
-    /// Number of the data file.
-    generation: u64,
-    applier: rusqlite::Connection,
-}
-
-impl State {
-    pub(crate) fn is_primary(&self) -> bool {
-        self.running && self.role == role::Role::Primary
-    }
-
-    fn status(&self) -> status::Status {
-        status::Status {
-            stamp: self.journal.stamp(),
-            fence: self.fence,
-            role: self.role,
-            voter: self.voter,
-            incarnation: self.incarnation,
-        }
-    }
-
-    fn follows(&self, term: id::Term) -> bool {
-        self.fence == term && self.role == role::Role::Replica
-    }
-
-    fn demote(&mut self) {
-        self.role = role::Role::Replica;
-        self.reign += 1;
-    }
-}
-
-/// Counters of one instance since its cluster's start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Stats {
-    /// Most connections open at once.
-    pub peak_connections: usize,
-    /// Most slots in use at once.
-    pub peak_busy: usize,
-    /// Statements run, control statements excepted.
-    pub statements: usize,
-    /// Connections refused at the limit.
-    pub refused_connections: usize,
-    /// Connections open now.
-    pub connections: usize,
-    /// Slots in use now.
-    pub busy: usize,
-}
-
 /// One instance of a group.
 pub(crate) struct Instance {
     pub(crate) index: id::Index,
@@ -95,7 +37,7 @@
     pub(crate) slots: async_lock::Semaphore,
     /// Held by the one session that writes.
     pub(crate) writer: Arc<async_lock::Mutex<()>>,
-    pub(crate) stats: sync::Mutex<Stats>,
+    pub(crate) stats: sync::Mutex<stats::Stats>,
     directory: path::PathBuf,
     /// Number of the next data file; two repairs at once must not share one.
     next_file: atomic::AtomicU64,
@@ -103,7 +45,7 @@
     /// must not go on are rolled back. Without it, a record could be applied while a
     /// demoted session still holds the file's write lock and waits for the state's.
     transition: sync::Mutex<()>,
-    state: sync::Mutex<State>,
+    state: sync::Mutex<state::State>,
     sessions: sync::Mutex<Vec<sync::Weak<sync::Mutex<database::Database>>>>,
     tasks: sync::Mutex<Vec<async_executor::Task<()>>>,
 }
@@ -115,8 +57,8 @@
         options: &Arc<cluster::Options>,
         directory: &path::Path,
     ) -> eyre::Result<Self> {
-        let applier = database::create(&file(directory, index, 0), &options.schema)?;
-        let state = State {
+        let applier = storage::create(&file(directory, index, 0), &options.schema)?;
+        let state = state::State {
             journal: journal::Journal::default(),
             fence: 0,
             lag: options.lag,
@@ -168,12 +110,12 @@
         }
     }
 
-    pub(crate) fn state(&self) -> sync::MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> sync::MutexGuard<'_, state::State> {
         lock(&self.state)
     }
 
     /// Whether replication reaches the instance.
-    pub(crate) fn replicates(&self, state: &State) -> bool {
+    pub(crate) fn replicates(&self, state: &state::State) -> bool {
         let silent = self.network.is_closed() || self.process.is_closed();
         state.running && !state.cut && !silent
     }
@@ -182,7 +124,7 @@
         self.state().status()
     }
 
-    pub(crate) fn stats(&self) -> sync::MutexGuard<'_, Stats> {
+    pub(crate) fn stats(&self) -> sync::MutexGuard<'_, stats::Stats> {
         lock(&self.stats)
     }
 
@@ -224,14 +166,14 @@
         connection: &rusqlite::Connection,
         reign: u64,
         writes: Vec<journal::Write>,
-    ) -> Result<mangotray::stamp::Stamp, database::Error> {
+    ) -> Result<mangotray::stamp::Stamp, sqlstate::Error> {
         let mut state = self.state();
         if !state.is_primary() || state.reign != reign {
-            return Err(database::Error::read_only("COMMIT"));
+            return Err(sqlstate::Error::read_only("COMMIT"));
         }
         let record = state.journal.draft(state.fence, writes);
         let stamp = record.stamp();
-        database::write_stamp(connection, stamp)?;
+        storage::write_stamp(connection, stamp)?;
         connection.execute_batch("COMMIT")?;
         state.journal.append(Arc::new(record));
         drop(state);
@@ -258,16 +200,16 @@
     }
 
     /// Becomes the primary of `term` if fenced at exactly this term.
-    pub(crate) fn promote(&self, term: id::Term) -> Result<status::Status, database::Error> {
+    pub(crate) fn promote(&self, term: id::Term) -> Result<status::Status, sqlstate::Error> {
         let _transition = lock(&self.transition);
         let mut state = self.state();
         if state.fence != term {
             let words = format!("fenced at {}, not at {term}", state.fence);
-            return Err(database::Error::new("55000", words));
+            return Err(sqlstate::Error::new("55000", words));
         }
         if state.role == role::Role::Replica {
             let record = Arc::new(state.journal.draft(term, Vec::new()));
-            database::replay(&state.applier, std::slice::from_ref(&record))?;
+            storage::replay(&state.applier, std::slice::from_ref(&record))?;
             state.journal.append(record);
             state.role = role::Role::Primary;
         }
@@ -288,7 +230,7 @@
         if !self.replicates(&state) || !state.follows(term) || !fits {
             return;
         }
-        database::replay(&state.applier, records).expect("records apply as on the primary");
+        storage::replay(&state.applier, records).expect("records apply as on the primary");
         for record in records {
             state.journal.append(Arc::clone(record));
         }
@@ -301,9 +243,9 @@
     pub(crate) async fn rebuild(&self, term: id::Term, prefix: Vec<Arc<journal::Record>>) {
         let (_, generation) = self.file();
         let (path, next) = self.new_file();
-        let applier = database::create(&path, &self.options.schema).expect("schema applies");
+        let applier = storage::create(&path, &self.options.schema).expect("schema applies");
         for records in prefix.chunks(journal::CHUNK) {
-            database::replay(&applier, records).expect("records apply again");
+            storage::replay(&applier, records).expect("records apply again");
             futures_lite::future::yield_now().await;
         }
         let _transition = lock(&self.transition);
@@ -369,7 +311,7 @@
     pub(crate) fn wipe(&self) -> eyre::Result<()> {
         self.crash();
         let (path, next) = self.new_file();
-        let applier = database::create(&path, &self.options.schema)?;
+        let applier = storage::create(&path, &self.options.schema)?;
         let mut state = self.state();
         state.applier = applier;
         state.generation = next;
--- /dev/null
+++ b/lab/src/sqlstate.rs
@@ -0,0 +1,56 @@
+//! SQL errors with their SQLSTATE.
+
+/// SQL error as it goes over the wire.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Error {
+    pub(crate) code: &'static str,
+    pub(crate) message: String,
+}
+
+impl Error {
+    pub(crate) fn new(code: &'static str, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self { code, message }
+    }
+
+    pub(crate) fn read_only(tag: &str) -> Self {
+        let words = format!("cannot execute {tag} in a read-only transaction");
+        Self::new("25006", words)
+    }
+
+    pub(crate) fn revoked() -> Self {
+        let words = "transaction rolled back: the instance is no longer the primary";
+        Self::new("25006", words)
+    }
+
+    pub(crate) fn failed() -> Self {
+        let words =
+            "current transaction is aborted, commands ignored until end of transaction block";
+        Self::new("25P02", words)
+    }
+}
+
+impl From<rusqlite::Error> for Error {
+    fn from(error: rusqlite::Error) -> Self {
+        let message = error.to_string();
+        let code = match error.sqlite_error().map(|error| error.extended_code) {
+            Some(
+                rusqlite::ffi::SQLITE_CONSTRAINT_UNIQUE
+                | rusqlite::ffi::SQLITE_CONSTRAINT_PRIMARYKEY,
+            ) => "23505",
+            Some(rusqlite::ffi::SQLITE_CONSTRAINT_NOTNULL) => "23502",
+            Some(rusqlite::ffi::SQLITE_CONSTRAINT_CHECK) => "23514",
+            Some(rusqlite::ffi::SQLITE_CONSTRAINT_FOREIGNKEY) => "23503",
+            Some(rusqlite::ffi::SQLITE_BUSY) => "55P03",
+            _ if message.contains("no such table") => "42P01",
+            _ if message.contains("no such column") => "42703",
+            _ if message.contains("no such function") => "42883",
+            _ if message.contains("already exists") => "42P07",
+            _ if message.contains("syntax error") || message.contains("incomplete input") => {
+                "42601"
+            }
+            _ => "XX000",
+        };
+        Self { code, message }
+    }
+}
--- a/lab/src/statement.rs
+++ b/lab/src/statement.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
-use crate::database;
+use crate::command;
+use crate::sqlstate;
+use crate::token;
 use crate::value;
 
 /// What a statement does to its transaction.
@@ -21,15 +23,7 @@
     RollbackTo(String),
     /// Session settings, which change nothing here.
     Setting,
-    Control(Control),
-}
-
-/// Statements of the control path.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Control {
-    Status,
-    Fence(u64),
-    Promote(u64),
+    Control(command::Command),
 }
 
 /// A translated statement.
@@ -53,8 +47,8 @@
 
 impl Statement {
     /// Splits a query string into its statements.
-    pub(crate) fn parse_all(sql: &str) -> Result<Vec<Self>, database::Error> {
-        let tokens = scan(sql)?;
+    pub(crate) fn parse_all(sql: &str) -> Result<Vec<Self>, sqlstate::Error> {
+        let tokens = token::scan(sql)?;
         Ok(tokens
             .split(|token| token.text == ";")
             .filter(|tokens| !tokens.is_empty())
@@ -63,17 +57,17 @@
     }
 
     /// The one statement of an extended query.
-    pub(crate) fn parse(sql: &str) -> Result<Self, database::Error> {
+    pub(crate) fn parse(sql: &str) -> Result<Self, sqlstate::Error> {
         let mut statements = Self::parse_all(sql)?;
         if statements.len() > 1 {
             let words = "cannot insert multiple commands into a prepared statement";
-            return Err(database::Error::new("42601", words));
+            return Err(sqlstate::Error::new("42601", words));
         }
         Ok(statements.pop().unwrap_or_else(|| Self::translate(&[])))
     }
 
-    fn translate(tokens: &[Token]) -> Self {
-        let words: Vec<String> = tokens.iter().map(Token::lower).collect();
+    fn translate(tokens: &[token::Token]) -> Self {
+        let words: Vec<String> = tokens.iter().map(token::Token::lower).collect();
         let mut statement = Self {
             text: String::new(),
             verb: verb(&words),
@@ -93,7 +87,7 @@
     }
 
     /// Appends the token at `index`; gives the number of tokens consumed.
-    fn push(&mut self, tokens: &[Token], index: usize) -> usize {
+    fn push(&mut self, tokens: &[token::Token], index: usize) -> usize {
         let token = &tokens[index];
         if token.space {
             self.text.push(' ');
@@ -113,7 +107,7 @@
             "current_timestamp" | "current_date" | "current_time" => self.volatile = true,
             _ => {}
         }
-        if let Some(number) = parameter(word) {
+        if let Some(number) = token::parameter(word) {
             self.parameters = self.parameters.max(number);
             self.text.push('?');
             self.text.push_str(&word[1..]);
@@ -123,12 +117,12 @@
         1
     }
 
-    fn cast(&mut self, tokens: &[Token], index: usize) -> usize {
+    fn cast(&mut self, tokens: &[token::Token], index: usize) -> usize {
         let name = tokens.get(index + 1).map_or("", |token| &token.text);
         let kind = value::Kind::named(name);
         if let Some(number) = index
             .checked_sub(1)
-            .and_then(|at| parameter(&self.tokens[at]))
+            .and_then(|at| token::parameter(&self.tokens[at]))
         {
             self.casts.push((number, kind));
         }
@@ -161,7 +155,7 @@
         declared: &HashMap<String, value::Kind>,
     ) -> value::Kind {
         let cast = self.casts.iter().find(|(other, _)| *other == number);
-        let place = |at: &usize| parameter(&self.tokens[*at]) == Some(number);
+        let place = |at: &usize| token::parameter(&self.tokens[*at]) == Some(number);
         cast.map(|(_, kind)| *kind)
             .or_else(|| {
                 let mut places = (0..self.tokens.len()).filter(place);
@@ -223,68 +217,6 @@
     }
 }
 
-/// A word, literal or sign.
-struct Token {
-    text: String,
-    /// Whether white space stood before it.
-    space: bool,
-}
-
-impl Token {
-    fn lower(&self) -> String {
-        if self.text.starts_with(['\'', '"']) {
-            return self.text.clone();
-        }
-        self.text.to_ascii_lowercase()
-    }
-}
-
-pub(crate) fn parameter(word: &str) -> Option<usize> {
-    word.strip_prefix('$')?.parse().ok()
-}
-
-fn scan(sql: &str) -> Result<Vec<Token>, database::Error> {
-    let mut tokens = Vec::new();
-    let mut rest = sql;
-    let mut space = false;
-    while let Some(first) = rest.chars().next() {
-        let length = token_length(rest, first)?;
-        let (text, after) = rest.split_at(length);
-        rest = after;
-        if first.is_whitespace() || text.starts_with("--") || text.starts_with("/*") {
-            space = true;
-            continue;
-        }
-        let text = text.to_owned();
-        tokens.push(Token { text, space });
-        space = false;
-    }
-    Ok(tokens)
-}
-
-fn token_length(rest: &str, first: char) -> Result<usize, database::Error> {
-    let unterminated = || database::Error::new("42601", "syntax error: unterminated token");
-    let found = |end: Option<usize>| end.ok_or_else(unterminated);
-    if rest.starts_with("--") {
-        return Ok(rest.find('\n').unwrap_or(rest.len()));
-    }
-    if rest.starts_with("/*") {
-        return found(rest.find("*/").map(|end| end + 2));
-    }
-    if rest.starts_with("::") {
-        return Ok(2);
-    }
-    match first {
-        '\'' | '"' => found(rest[1..].find(first).map(|end| end + 2)),
-        _ if is_word(first) => Ok(rest.find(|next| !is_word(next)).unwrap_or(rest.len())),
-        _ => Ok(first.len_utf8()),
-    }
-}
-
-fn is_word(character: char) -> bool {
-    character.is_alphanumeric() || matches!(character, '_' | '$')
-}
-
 fn tag(words: &[String]) -> String {
     let first = words.first().map(String::as_str).unwrap_or_default();
     let count = if matches!(first, "create" | "drop" | "alter") {
@@ -312,24 +244,9 @@
         "set" | "reset" | "discard" | "deallocate" | "listen" | "unlisten" | "show" => {
             Verb::Setting
         }
-        "select" => control(words).map_or(Verb::Read, Verb::Control),
+        "select" => command::Command::recognise(words).map_or(Verb::Read, Verb::Control),
         "values" => Verb::Read,
         "with" | "explain" if !has("insert") && !has("update") && !has("delete") => Verb::Read,
         _ => Verb::Write,
     }
 }
-
-/// Recognises `SELECT * FROM group_NAME(TERM)`.
-fn control(words: &[String]) -> Option<Control> {
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    match words.as_slice() {
-        ["select", "*", "from", "group_status", "(", ")"] => Some(Control::Status),
-        ["select", "*", "from", "group_fence", "(", term, ")"] => {
-            term.parse().ok().map(Control::Fence)
-        }
-        ["select", "*", "from", "group_promote", "(", term, ")"] => {
-            term.parse().ok().map(Control::Promote)
-        }
-        _ => None,
-    }
-}
--- /dev/null
+++ b/lab/src/stats.rs
@@ -0,0 +1,63 @@
+//! Counters of an instance.
+
+use std::sync::Arc;
+
+use crate::instance;
+
+/// Counters of one instance since its cluster's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Most connections open at once.
+    pub peak_connections: usize,
+    /// Most slots in use at once.
+    pub peak_busy: usize,
+    /// Statements run, control statements excepted.
+    pub statements: usize,
+    /// Connections refused at the limit.
+    pub refused_connections: usize,
+    /// Connections open now.
+    pub connections: usize,
+    /// Slots in use now.
+    pub busy: usize,
+}
+
+/// Counts a connection for as long as it lives.
+pub(crate) struct Seat(Arc<instance::Instance>);
+
+impl Seat {
+    /// Nothing when the instance has no connection left.
+    pub(crate) fn take(instance: &Arc<instance::Instance>) -> Option<Self> {
+        let mut stats = instance.stats();
+        if stats.connections >= instance.options.connections {
+            stats.refused_connections += 1;
+            return None;
+        }
+        stats.connections += 1;
+        stats.peak_connections = stats.peak_connections.max(stats.connections);
+        Some(Self(Arc::clone(instance)))
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.stats().connections -= 1;
+    }
+}
+
+/// Counts a busy slot.
+pub(crate) struct Busy<'a>(&'a instance::Instance);
+
+impl<'a> Busy<'a> {
+    pub(crate) fn count(instance: &'a instance::Instance) -> Self {
+        let mut stats = instance.stats();
+        stats.busy += 1;
+        stats.peak_busy = stats.peak_busy.max(stats.busy);
+        Self(instance)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.stats().busy -= 1;
+    }
+}
--- /dev/null
+++ b/lab/src/storage.rs
@@ -0,0 +1,100 @@
+//! Data files of an instance.
+
+use std::path;
+use std::sync::Arc;
+use std::time;
+
+use mangotray::stamp;
+use rusqlite::types;
+
+use crate::journal;
+use crate::value;
+
+const BUSY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Holds the stamp of the last record, so that each snapshot knows its own.
+const STAMP_TABLE: &str = "CREATE TABLE group_stamp (term INTEGER, position INTEGER);
+    INSERT INTO group_stamp VALUES (0, 0);";
+const READ_STAMP: &str = "SELECT term, position FROM group_stamp";
+const WRITE_STAMP: &str = "UPDATE group_stamp SET term = ?1, position = ?2";
+
+pub(crate) fn bind(
+    prepared: &mut rusqlite::Statement<'_>,
+    parameters: &[types::Value],
+) -> rusqlite::Result<()> {
+    parameters
+        .iter()
+        .enumerate()
+        .try_for_each(|(at, value)| prepared.raw_bind_parameter(at + 1, value))
+}
+
+pub(crate) fn connect(path: &path::Path) -> rusqlite::Result<rusqlite::Connection> {
+    let connection = rusqlite::Connection::open(path)?;
+    connection.busy_timeout(BUSY_TIMEOUT)?;
+    connection.pragma_update(None, "journal_mode", "WAL")?;
+    connection.pragma_update(None, "synchronous", "OFF")?;
+    connection.pragma_update(None, "foreign_keys", "ON")?;
+    Ok(connection)
+}
+
+/// Creates an instance's file with its schema.
+pub(crate) fn create(
+    path: &path::Path,
+    schema: &[String],
+) -> rusqlite::Result<rusqlite::Connection> {
+    let connection = connect(path)?;
+    connection.execute_batch(STAMP_TABLE)?;
+    schema
+        .iter()
+        .try_for_each(|sql| connection.execute_batch(sql))?;
+    Ok(connection)
+}
+
+/// Applies whole records in one transaction.
+pub(crate) fn replay(
+    connection: &rusqlite::Connection,
+    records: &[Arc<journal::Record>],
+) -> rusqlite::Result<()> {
+    connection.execute_batch("BEGIN IMMEDIATE")?;
+    for write in records.iter().flat_map(|record| &record.statements) {
+        let mut prepared = connection.prepare_cached(&write.sql)?;
+        bind(&mut prepared, &write.parameters)?;
+        let mut cursor = prepared.raw_query();
+        while cursor.next()?.is_some() {}
+    }
+    if let Some(last) = records.last() {
+        write_stamp(connection, last.stamp())?;
+    }
+    connection.execute_batch("COMMIT")
+}
+
+pub(crate) fn write_stamp(
+    connection: &rusqlite::Connection,
+    stamp: stamp::Stamp,
+) -> rusqlite::Result<()> {
+    let mut prepared = connection.prepare_cached(WRITE_STAMP)?;
+    prepared.execute((stamp.term, stamp.position)).map(drop)
+}
+
+/// Stamp of the snapshot that the connection's transaction sees.
+pub(crate) fn read_stamp(connection: &rusqlite::Connection) -> rusqlite::Result<stamp::Stamp> {
+    let mut prepared = connection.prepare_cached(READ_STAMP)?;
+    prepared.query_one([], |row| Ok(stamp::Stamp::new(row.get(0)?, row.get(1)?)))
+}
+
+/// All rows of a query as text, for audits.
+pub(crate) fn audit(path: &path::Path, sql: &str) -> eyre::Result<Vec<Vec<Option<String>>>> {
+    let connection = connect(path)?;
+    let mut prepared = connection.prepare(sql)?;
+    let width = prepared.column_count();
+    let rows = prepared.query_map([], |row| {
+        (0..width)
+            .map(|at| row.get::<_, types::Value>(at))
+            .map(|value| value.map(|value| optional_text(&value)))
+            .collect()
+    })?;
+    Ok(rows.collect::<Result<_, _>>()?)
+}
+
+fn optional_text(value: &types::Value) -> Option<String> {
+    (*value != types::Value::Null).then(|| value::text(value))
+}
--- a/lab/src/value.rs
+++ b/lab/src/value.rs
@@ -4,7 +4,7 @@
 use pgwire::messages::data;
 use rusqlite::types;
 
-use crate::database;
+use crate::sqlstate;
 
 /// Type of a parameter or column.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +88,7 @@
     }
 
     /// Reads a bound parameter.
-    pub(crate) fn decode(self, bytes: &[u8], format: i16) -> Result<types::Value, database::Error> {
+    pub(crate) fn decode(self, bytes: &[u8], format: i16) -> Result<types::Value, sqlstate::Error> {
         let value = if format == data::FORMAT_CODE_BINARY {
             self.decode_binary(bytes)
         } else {
@@ -96,7 +96,7 @@
                 .ok()
                 .and_then(|text| self.decode_text(text))
         };
-        value.ok_or_else(|| database::Error::new("22P02", format!("invalid {self:?} parameter")))
+        value.ok_or_else(|| sqlstate::Error::new("22P02", format!("invalid {self:?} parameter")))
     }
 
     fn decode_binary(self, bytes: &[u8]) -> Option<types::Value> {
