Measure whole runs, and show the proxies in a demonstration

A run starts stand-ins, proxies and callers in one process, brings faults at their times, audits tables and logs at the end and prints one line of JSON. The demonstration serves one group through two proxies, with a control port for faults.

The operators' file is stored directly until the library applies files.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -18,6 +18,8 @@
 /// Own rows that a read asks for, counted back from the newest.
 const RECENT: u32 = 50;
 
+const RESIZED: &str = "histograms resize themselves";
+
 /// What a caller needs to know before it starts.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -125,7 +127,7 @@
         self.confirmed.insert(sequence, item);
         if item != profile::PROBER_ITEM {
             let latency = note::micros(now - start);
-            self.note.write_latency.saturating_record(latency);
+            self.note.write_latency.record(latency).expect(RESIZED);
         }
     }
 
@@ -181,12 +183,16 @@
         let patience = self.plan.patience;
         let link = self.link(proxy).await?;
         let (answer, elapsed) = link.ask(sql, patience).await;
-        if elapsed > self.plan.profile.deadline {
-            self.note.late += 1;
-        }
-        if matches!(answer, link::Answer::Lost) {
-            self.note.cut += 1;
-            self.links[proxy] = None;
+        self.note.time(elapsed, self.plan.profile.deadline);
+        match &answer {
+            link::Answer::Rows(_) => {}
+            link::Answer::Refused(_, refusal) => {
+                *self.note.refusals.entry(refusal.clone()).or_default() += 1;
+            }
+            link::Answer::Lost => {
+                self.note.cut += 1;
+                self.links[proxy] = None;
+            }
         }
         Some(answer)
     }
@@ -253,7 +259,7 @@
         };
         self.note.reads += 1;
         let latency = note::micros(start.elapsed());
-        self.note.read_latency.saturating_record(latency);
+        self.note.read_latency.record(latency).expect(RESIZED);
         Some(rows)
     }
 
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -4,12 +4,19 @@
 
 use bpaf::Bpaf;
 
+use crate::fault;
 use crate::profile;
 
 /// Stand-ins, workloads and measurements for mangotray
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(command))]
 pub enum Command {
+    /// Run a profile's workload through proxies in this process and print one line of JSON
+    #[bpaf(command)]
+    Run(#[bpaf(external(run))] Run),
+    /// Serve one group through two proxies until interrupted, to try with psql
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo))] Demo),
     /// Run the stand-in for the platform's key-value service and VM list
     #[bpaf(command)]
     Platform(#[bpaf(external(platform))] Platform),
@@ -21,6 +28,40 @@
     Fault(#[bpaf(external(send))] Send),
 }
 
+/// Arguments of one measured run.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Run {
+    /// Whose sizes, delays and statements: tarapath or hoasen
+    #[bpaf(argument::<profile::Profile>("PROFILE"), map(Box::new))]
+    pub profile: Box<profile::Profile>,
+    /// Proxies to start
+    #[bpaf(argument("N"), fallback(3), display_fallback)]
+    pub proxies: usize,
+    /// How long the callers work
+    #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+    pub seconds: u64,
+    /// Seed of the callers' choices and of lost answers
+    #[bpaf(argument("K"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// What goes wrong and when, as NAME@SECONDS or NAME@SECONDS+SECONDS; may be repeated
+    #[bpaf(argument("NAME@SECONDS"), many)]
+    pub fault: Vec<fault::Fault>,
+    /// Rules of the proxies: default, primary-only, token-only, unsafe-ack or lease-expiry
+    #[bpaf(argument("POLICY"), fallback("default".to_owned()), display_fallback)]
+    pub policy: String,
+}
+
+/// Arguments of the demonstration.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Demo {
+    /// Port of the first proxy; the second takes the next
+    #[bpaf(argument("PORT"), fallback(6432), display_fallback)]
+    pub port: u16,
+    /// How long to serve, such as 30s; without it until interrupted
+    #[bpaf(argument("TIME"), optional, long("for"))]
+    pub lasts: Option<humantime::Duration>,
+}
+
 /// Arguments of the platform's stand-in.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Platform {
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -1,1 +1,99 @@
 //! One group, one platform and two proxies in one process.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use mangotray::policy;
+
+use crate::control;
+use crate::profile;
+use crate::ready;
+use crate::remote;
+use crate::stage;
+
+/// Proxies of the demonstration.
+const PROXIES: u16 = 2;
+
+/// Longest wait until the proxies take writes.
+const READY_PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+/// Serves until `lasts` has passed, or for ever.
+///
+/// # Errors
+/// When a port is taken, or the proxies are not ready in time.
+pub fn serve(port: u16, lasts: Option<time::Duration>) -> eyre::Result<()> {
+    let profile = profile::Profile::tarapath();
+    let control_port = port
+        .checked_add(PROXIES)
+        .ok_or_else(|| eyre::eyre!("no room for {PROXIES} ports after {port}"))?;
+    let control = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, control_port));
+    let listener = async_io::block_on(async_net::TcpListener::bind(control))?;
+    let stage = stage::Stage::start(&stage::Options {
+        profile: profile.clone(),
+        groups: 1,
+        callers: (port..control_port)
+            .map(|port| net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port)))
+            .collect(),
+        policy: policy::Policy::Default,
+    })?;
+    ready::wait(
+        &profile,
+        &[profile.group(0)],
+        &stage.callers,
+        READY_PATIENCE,
+    )?;
+    println!("ready");
+    println!("{}", guide(port, control));
+    let handler = remote::Both(
+        remote::Group(sync::Arc::clone(&stage.clusters[0])),
+        remote::Platform(sync::Arc::clone(&stage.platform)),
+    );
+    async_io::block_on(async {
+        let serving = control::serve(listener, &handler);
+        futures_lite::future::or(serving, over(lasts)).await
+    })?;
+    stage.stop();
+    Ok(())
+}
+
+async fn over(lasts: Option<time::Duration>) -> eyre::Result<()> {
+    match lasts {
+        Some(lasts) => async_io::Timer::after(lasts).await,
+        None => futures_lite::future::pending().await,
+    };
+    Ok(())
+}
+
+/// What to type next.
+fn guide(port: u16, control: net::SocketAddr) -> String {
+    let other = port + 1;
+    let lab = "cargo run --release --bin mangotray-lab -- fault";
+    format!(
+        "\
+Book a seat through one proxy, and find it at once through the other:
+
+  psql -h 127.0.0.1 -p {port} -U desk dome_sched -c \"INSERT INTO bookings VALUES ('b-1', 'desk', 1, 'm', 3)\"
+  psql -h 127.0.0.1 -p {other} -U desk dome_sched -c \"SELECT * FROM bookings\"
+
+A session's token names the write that its reads must include; another session may take it over:
+
+  psql -h 127.0.0.1 -p {port} -U desk dome_sched
+  dome_sched=> INSERT INTO bookings VALUES ('b-2', 'desk', 2, 'm', 3);
+  dome_sched=> SHOW mangotray.token;
+  dome_sched=> SET mangotray.deadline = '500ms';
+
+Lose the primary, write again, and let the lost instance come back:
+
+  {lab} {control} status
+  {lab} {control} crash primary
+  psql -h 127.0.0.1 -p {other} -U desk dome_sched -c \"INSERT INTO bookings VALUES ('b-3', 'desk', 3, 'm', 3)\"
+  {lab} {control} status
+  {lab} {control} restart 0
+
+The platform's service can fail too; reads and writes go on:
+
+  {lab} {control} platform outage on
+  {lab} {control} platform outage off"
+    )
+}
--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -3,6 +3,8 @@
 use std::net;
 use std::time;
 
+use compact_str::CompactString;
+
 use crate::ledger;
 
 /// Longest time to wait for a connection.
@@ -13,8 +15,9 @@
 pub enum Answer {
     /// Rows of the last statement; empty for statements without rows.
     Rows(Vec<tokio_postgres::SimpleQueryRow>),
-    /// An error report that arrived whole.
-    Refused(ledger::Told),
+    /// An error report that arrived whole: what it says about a commit, and its
+    /// SQLSTATE and detail.
+    Refused(ledger::Told, CompactString),
     /// The connection ended, or the caller gave up waiting.
     Lost,
 }
@@ -30,7 +33,7 @@
     pub fn told(&self) -> ledger::Told {
         match self {
             Self::Rows(_) => ledger::Told::Confirmed,
-            Self::Refused(told) => *told,
+            Self::Refused(told, _) => *told,
             Self::Lost => ledger::Told::Unknown,
         }
     }
@@ -90,12 +93,10 @@
 
 fn failure(error: &tokio_postgres::Error) -> Answer {
     error.as_db_error().map_or(Answer::Lost, |report| {
-        let code = report.code().code();
-        Answer::Refused(ledger::Told::from_error(
-            code,
-            report.message(),
-            report.detail(),
-        ))
+        let (code, message) = (report.code().code(), report.message());
+        let told = ledger::Told::from_error(code, message, report.detail());
+        let text = report.detail().unwrap_or(message);
+        Answer::Refused(told, compact_str::format_compact!("{code} {text}"))
     })
 }
 
--- /dev/null
+++ b/lab/src/load.rs
@@ -0,0 +1,58 @@
+//! What the databases and the platform count while a run goes on.
+
+use mangotray::role;
+
+use crate::cluster;
+use crate::stage;
+
+/// Counts of one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Statements that instances ran while they were not the primary.
+    pub replica_statements: usize,
+    /// Calls to the platform's service.
+    pub platform_calls: u64,
+    /// Most connections that one instance had open at once.
+    pub peak_connections: usize,
+    /// Most slots of one instance in use at once.
+    pub peak_busy: usize,
+    seen: Vec<[usize; cluster::SIZE]>,
+    calls_before: u64,
+}
+
+impl Load {
+    /// Starts counting from the state of a stage.
+    #[must_use]
+    pub fn start(stage: &stage::Stage) -> Self {
+        let seen = stage
+            .clusters
+            .iter()
+            .map(|cluster| std::array::from_fn(|index| cluster.stats(index).statements));
+        Self {
+            replica_statements: 0,
+            platform_calls: 0,
+            peak_connections: 0,
+            peak_busy: 0,
+            seen: seen.collect(),
+            calls_before: stage.platform.calls(),
+        }
+    }
+
+    /// Counts what has happened since the last look. Statements count by the
+    /// instance's part at the time of the look, so a change of primary blurs one
+    /// interval.
+    pub fn look(&mut self, stage: &stage::Stage) {
+        self.platform_calls = stage.platform.calls() - self.calls_before;
+        for (cluster, seen) in stage.clusters.iter().zip(&mut self.seen) {
+            for (index, before) in seen.iter_mut().enumerate() {
+                let stats = cluster.stats(index);
+                if cluster.status(index).role == role::Role::Replica {
+                    self.replica_statements += stats.statements - *before;
+                }
+                *before = stats.statements;
+                self.peak_connections = self.peak_connections.max(stats.peak_connections);
+                self.peak_busy = self.peak_busy.max(stats.peak_busy);
+            }
+        }
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,12 +2,16 @@
 
 use mangotray_lab::cli;
 use mangotray_lab::control;
+use mangotray_lab::demo;
+use mangotray_lab::run;
 use mangotray_lab::serve;
+use std::process;
+use std::time;
 
 /// Log lines of the lab itself, unless `RUST_LOG` says otherwise.
 const FILTER: &str = "warn";
 
-fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<process::ExitCode> {
     let command = cli::command().run();
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     tracing_subscriber::fmt()
@@ -15,6 +19,10 @@
         .with_writer(std::io::stderr)
         .init();
     match command {
+        cli::Command::Run(arguments) => return measure(arguments),
+        cli::Command::Demo(arguments) => {
+            demo::serve(arguments.port, arguments.lasts.map(Into::into))?;
+        }
         cli::Command::Platform(arguments) => serve::platform(&arguments)?,
         cli::Command::Group(arguments) => serve::group(&arguments)?,
         cli::Command::Fault(arguments) => {
@@ -22,5 +30,24 @@
             print!("{}", async_io::block_on(sending)?);
         }
     }
-    Ok(())
+    Ok(process::ExitCode::SUCCESS)
+}
+
+/// Runs once; the exit code tells whether a promise was broken.
+fn measure(arguments: cli::Run) -> eyre::Result<process::ExitCode> {
+    let run = run::Run {
+        policy: arguments.policy.parse()?,
+        profile: *arguments.profile,
+        proxies: arguments.proxies,
+        lasts: time::Duration::from_secs(arguments.seconds),
+        seed: arguments.seed,
+        faults: arguments.fault,
+    };
+    let report = run.execute()?;
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(if report.is_violated() {
+        process::ExitCode::FAILURE
+    } else {
+        process::ExitCode::SUCCESS
+    })
 }
--- a/lab/src/note.rs
+++ b/lab/src/note.rs
@@ -1,7 +1,10 @@
 //! What callers recorded during a run.
 
+use std::collections;
 use std::time;
 
+use compact_str::CompactString;
+
 use crate::ledger;
 use crate::profile;
 
@@ -17,12 +20,16 @@
     pub probes: Vec<Probe>,
     /// Requests answered after their deadline, whatever the answer was.
     pub late: usize,
+    /// Longest time by which an answer missed its deadline.
+    pub latest: time::Duration,
     /// Requests whose connection ended, or that were given up, without an answer.
     pub cut: usize,
     /// Reads that missed a write that they had to contain.
     pub stale: usize,
     /// Answers that belong to another request, or are incomplete.
     pub foreign: usize,
+    /// Refusals by SQLSTATE and detail.
+    pub refusals: collections::BTreeMap<CompactString, usize>,
     /// Reads that were answered.
     pub reads: usize,
     /// Reads that were refused or lost.
@@ -55,9 +62,11 @@
             promises: Vec::new(),
             probes: Vec::new(),
             late: 0,
+            latest: time::Duration::ZERO,
             cut: 0,
             stale: 0,
             foreign: 0,
+            refusals: collections::BTreeMap::new(),
             reads: 0,
             reads_refused: 0,
             read_latency: histogram.clone(),
@@ -82,9 +91,13 @@
         self.promises.extend(other.promises);
         self.probes.extend(other.probes);
         self.late += other.late;
+        self.latest = self.latest.max(other.latest);
         self.cut += other.cut;
         self.stale += other.stale;
         self.foreign += other.foreign;
+        for (refusal, count) in other.refusals {
+            *self.refusals.entry(refusal).or_default() += count;
+        }
         self.reads += other.reads;
         self.reads_refused += other.reads_refused;
         let resized = "histogram resizes itself";
@@ -92,6 +105,20 @@
         self.write_latency.add(&other.write_latency).expect(resized);
     }
 
+    /// Compares the time that an answer took with its deadline.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut note = mangotray_lab::note::Note::new();
+    /// note.time(Duration::from_millis(2003), Duration::from_secs(2));
+    /// assert_eq!((note.late, note.latest), (1, Duration::from_millis(3)));
+    /// ```
+    pub fn time(&mut self, elapsed: time::Duration, deadline: time::Duration) {
+        let excess = elapsed.saturating_sub(deadline);
+        self.late += usize::from(!excess.is_zero());
+        self.latest = self.latest.max(excess);
+    }
+
     /// Writes of callers, without the prober's, that got this answer.
     ///
     /// ```
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -1,1 +1,157 @@
 //! One measured run of a profile under faults.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use mangotray::policy;
+
+use crate::fault;
+use crate::inspect;
+use crate::ledger;
+use crate::load;
+use crate::note;
+use crate::profile;
+use crate::ready;
+use crate::report;
+use crate::stage;
+use crate::trouble;
+use crate::workload;
+
+/// Pause between two looks at faults and counters.
+const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(10);
+
+/// Longest wait for all groups to take a write through each proxy.
+const READY_PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+/// Longest wait for replication to settle before the audit.
+const SETTLE_PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+/// A run as it was asked for.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Sizes, delays and statements.
+    pub profile: profile::Profile,
+    /// Proxies to start.
+    pub proxies: usize,
+    /// How long callers work.
+    pub lasts: time::Duration,
+    /// Seed of callers' choices and of lost answers.
+    pub seed: u64,
+    /// Faults to bring.
+    pub faults: Vec<fault::Fault>,
+    /// Rules of the proxies.
+    pub policy: policy::Policy,
+}
+
+impl Run {
+    /// Runs to the end and gives its figures.
+    ///
+    /// # Errors
+    /// When the stage cannot be started, or is not ready in time.
+    pub fn execute(&self) -> eyre::Result<report::Report> {
+        let mut stage = stage::Stage::start(&self.stage())?;
+        let databases: Vec<_> = (0..self.profile.groups)
+            .map(|group| self.profile.group(group))
+            .collect();
+        ready::wait(&self.profile, &databases, &stage.callers, READY_PATIENCE)?;
+        let callers = sync::Arc::from(stage.callers.as_slice());
+        let profile = sync::Arc::new(self.profile.clone());
+        let mut load = load::Load::start(&stage);
+        let start = time::Instant::now();
+        let workload = workload::Workload::start(&profile, &callers, self.seed)?;
+        let troubles = self.bring(&mut stage, &mut load, start);
+        let seconds = start.elapsed().as_secs_f64();
+        let notes = workload.stop();
+        load.look(&stage);
+        let settled = stage.settle(SETTLE_PATIENCE);
+        let mut report = self.report(seconds, settled);
+        report.add_audit(self.audit(&stage, &notes)?);
+        report.add_gaps(&gaps(&troubles, &notes));
+        let note = merged(notes);
+        report.add_note(&note);
+        report.add_load(&load, note.reads);
+        stage.stop();
+        Ok(report)
+    }
+
+    fn stage(&self) -> stage::Options {
+        let free = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        stage::Options {
+            profile: self.profile.clone(),
+            groups: self.profile.groups,
+            callers: vec![free; self.proxies],
+            policy: self.policy,
+        }
+    }
+
+    /// Begins and ends faults at their times, until the run is over; all have
+    /// ended when it returns.
+    fn bring(
+        &self,
+        stage: &mut stage::Stage,
+        load: &mut load::Load,
+        start: time::Instant,
+    ) -> Vec<trouble::Trouble> {
+        let mut waiting = self.faults.clone();
+        waiting.sort_by_key(|fault| std::cmp::Reverse(fault.at));
+        let mut active = Vec::new();
+        let mut over = Vec::new();
+        while start.elapsed() < self.lasts {
+            thread::sleep(LOOK_INTERVAL);
+            load.look(stage);
+            while let Some(fault) = waiting.pop_if(|fault| fault.at <= start.elapsed()) {
+                active.push(trouble::Trouble::begin(fault, stage, self.seed));
+            }
+            let ended = active.extract_if(.., |trouble| trouble.is_over());
+            over.extend(ended.inspect(|trouble| trouble.end(stage)));
+        }
+        for trouble in &active {
+            trouble.end(stage);
+        }
+        over.extend(active);
+        over
+    }
+
+    fn audit(&self, stage: &stage::Stage, notes: &[note::Note]) -> eyre::Result<ledger::Audit> {
+        let mut all = ledger::Audit::default();
+        for (group, note) in notes.iter().enumerate() {
+            let primary = stage
+                .primary(group)
+                .ok_or_else(|| eyre::eyre!("group {group} has no primary at the end"))?;
+            let holding = inspect::holding(&stage.clusters[group], primary, &self.profile)?;
+            all = all.plus(ledger::Audit::of(&note.promises, &holding));
+        }
+        Ok(all)
+    }
+
+    fn report(&self, seconds: f64, settled: bool) -> report::Report {
+        report::Report {
+            profile: self.profile.name.to_owned(),
+            policy: format!("{:?}", self.policy),
+            proxies: self.proxies,
+            seconds,
+            seed: self.seed,
+            faults: self.faults.iter().map(ToString::to_string).collect(),
+            settled,
+            ..report::Report::default()
+        }
+    }
+}
+
+/// Time without confirmed writes after each primary's fault.
+fn gaps(troubles: &[trouble::Trouble], notes: &[note::Note]) -> Vec<Option<time::Duration>> {
+    troubles
+        .iter()
+        .filter(|trouble| trouble.fault.kind.hits_primary())
+        .map(|trouble| notes[trouble.fault.group].gap(trouble.began))
+        .collect()
+}
+
+fn merged(notes: Vec<note::Note>) -> note::Note {
+    notes.into_iter().fold(note::Note::new(), |mut all, one| {
+        all.merge(one);
+        all
+    })
+}
--- /dev/null
+++ b/lab/src/stage.rs
@@ -0,0 +1,281 @@
+//! Everything that a run or a demonstration needs, in one process.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use mangotray::catalog;
+use mangotray::daemon;
+use mangotray::id;
+use mangotray::policy;
+use mangotray::role;
+use mangotray::settings;
+use mangotray::store;
+use mangotray::store::Store;
+
+use crate::cluster;
+use crate::declare;
+use crate::platform;
+use crate::profile;
+use crate::remote;
+
+/// Key of the operators' file in the platform's service.
+const CONFIG_KEY: &str = "config";
+
+/// Threads that run the stand-ins.
+const THREADS: usize = 3;
+
+/// Longest wait of a proxy for one call to the platform.
+const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Age of the platform's list of VMs.
+const LIST_LAG: time::Duration = time::Duration::from_secs(3);
+
+/// Pause between two looks at a state that is waited for.
+const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+type Executor = sync::Arc<async_executor::Executor<'static>>;
+
+/// Settings of a stage.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Sizes, delays and tables.
+    pub profile: profile::Profile,
+    /// Groups to start, at most those of the profile.
+    pub groups: usize,
+    /// Where each proxy listens for callers; port 0 takes a free one.
+    pub callers: Vec<net::SocketAddr>,
+    /// Rules of the proxies.
+    pub policy: policy::Policy,
+}
+
+/// Platform, groups and proxies.
+pub struct Stage {
+    /// The platform's stand-in.
+    pub platform: sync::Arc<platform::Platform>,
+    /// The stand-in groups, in the order of the profile.
+    pub clusters: Vec<sync::Arc<cluster::Cluster>>,
+    /// Running proxies; `None` once one has crashed or drained.
+    pub proxies: Vec<Option<daemon::Daemon>>,
+    /// Where the proxies listen for callers, also of those that are gone.
+    pub callers: Vec<net::SocketAddr>,
+    profile: profile::Profile,
+    stop: async_channel::Sender<()>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Stage {
+    /// Starts everything and applies the groups' declaration.
+    ///
+    /// # Errors
+    /// When something cannot be started, or no proxy takes the declaration.
+    pub fn start(options: &Options) -> eyre::Result<Self> {
+        let executor = sync::Arc::new(async_executor::Executor::new());
+        let (stop, stopped) = async_channel::bounded(1);
+        let threads = (0..THREADS)
+            .map(|index| drive(index, &executor, &stopped))
+            .collect::<Result<_, _>>()?;
+        let platform = platform::Platform::start(platform::Options::default(), &executor)?;
+        let clusters = (0..options.groups)
+            .map(|index| cluster::Cluster::start(options.profile.cluster(index), &executor))
+            .collect::<Result<Vec<_>, _>>()?;
+        let mut stage = Self {
+            platform,
+            clusters,
+            proxies: Vec::new(),
+            callers: Vec::new(),
+            profile: options.profile.clone(),
+            stop,
+            threads,
+        };
+        stage.platform.set_lag(LIST_LAG);
+        stage.list_vms(options.callers.len());
+        async_io::block_on(stage.apply(&executor))?;
+        for (index, callers) in options.callers.iter().enumerate() {
+            stage.add_proxy(index, *callers, options.policy)?;
+        }
+        Ok(stage)
+    }
+
+    /// What the operators declare about the groups.
+    #[must_use]
+    pub fn catalog(&self) -> catalog::Catalog {
+        let groups = self.clusters.iter();
+        catalog::Catalog {
+            groups: groups.map(|it| self.profile.declare(it)).collect(),
+            vms: Vec::new(),
+        }
+    }
+
+    /// Puts the groups' declaration in force, as an operator would.
+    async fn apply(&self, executor: &Executor) -> eyre::Result<()> {
+        let options = mangotray::platform::Options::new(self.platform.address());
+        let store = mangotray::platform::Client::new(options, executor);
+        let text = declare::text(&self.catalog());
+        let file = serde_json::json!({
+            "revision": 1, "id": "lab", "by": "lab", "text": text,
+        });
+        let swapped = store.swap(CONFIG_KEY, file.to_string().into(), 0, None);
+        match swapped.await {
+            Ok(store::Swap::Stored) => Ok(()),
+            other => Err(eyre::eyre!("declaration not applied: {other:?}")),
+        }
+    }
+
+    /// Replica that a fault is to hit: the first that leads nothing.
+    #[must_use]
+    pub fn replica(&self, group: usize) -> id::Index {
+        let primary = self.primary(group);
+        (0..cluster::SIZE)
+            .find(|index| Some(*index) != primary)
+            .unwrap_or_default()
+    }
+
+    /// Instance that leads a group at the highest term, if any does.
+    #[must_use]
+    pub fn primary(&self, group: usize) -> Option<id::Index> {
+        remote::primary(&self.clusters[group])
+    }
+
+    /// Ends a proxy abruptly; the platform's list still shows it for a while.
+    pub fn crash_proxy(&mut self) {
+        if let Some(daemon) = self.take_proxy(false) {
+            daemon.crash();
+        }
+    }
+
+    /// Shuts a proxy down gracefully, in the background.
+    pub fn drain_proxy(&mut self) {
+        if let Some(daemon) = self.take_proxy(true) {
+            self.threads.push(thread::spawn(move || {
+                async_io::block_on(daemon.drain());
+            }));
+        }
+    }
+
+    /// Takes the last proxy that still runs, but never the only one.
+    fn take_proxy(&mut self, announced: bool) -> Option<daemon::Daemon> {
+        let index = self.proxies.iter().rposition(Option::is_some)?;
+        if index == 0 {
+            return None;
+        }
+        let daemon = self.proxies[index].take();
+        let listings = (0..self.proxies.len()).filter_map(|vm| {
+            let leaving = vm == index && announced;
+            (leaving || self.proxies[vm].is_some()).then(|| self.listing(vm, leaving))
+        });
+        self.platform.set_vms(listings.collect());
+        daemon
+    }
+
+    fn list_vms(&self, proxies: usize) {
+        let listings = (0..proxies).map(|vm| self.listing(vm, false)).collect();
+        self.platform.set_vms(listings);
+    }
+
+    fn listing(&self, vm: usize, leaving: bool) -> store::Listing {
+        store::Listing {
+            vm: vm_name(vm),
+            domain: self.domain(vm),
+            leaving,
+        }
+    }
+
+    fn domain(&self, vm: usize) -> id::Domain {
+        let domains = self.profile.domains;
+        domains[vm % domains.len()].into()
+    }
+
+    fn add_proxy(
+        &mut self,
+        index: usize,
+        callers: net::SocketAddr,
+        policy: policy::Policy,
+    ) -> eyre::Result<()> {
+        let free = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let settings = settings::Settings {
+            vm: settings::Vm {
+                name: vm_name(index),
+                failure_domain: self.domain(index),
+                region: self.profile.region.into(),
+            },
+            listen: settings::Listen {
+                callers,
+                peers: free,
+                admin: free,
+            },
+            platform: settings::Platform {
+                address: self.platform.address(),
+                timeout: PLATFORM_TIMEOUT,
+            },
+            limits: settings::Limits::default(),
+            log: settings::Log::default(),
+        };
+        let daemon = daemon::Daemon::start(&settings, policy)?;
+        self.callers.push(daemon.callers());
+        self.proxies.push(Some(daemon));
+        Ok(())
+    }
+
+    /// Waits until all instances of each group hold the same log under one primary.
+    #[must_use]
+    pub fn settle(&self, patience: time::Duration) -> bool {
+        wait_until(patience, || {
+            (0..self.clusters.len()).all(|group| self.is_settled(group))
+        })
+    }
+
+    fn is_settled(&self, group: usize) -> bool {
+        let states = (0..cluster::SIZE).map(|index| self.clusters[group].status(index));
+        let states: Vec<_> = states.collect();
+        let same = |state: &mangotray::status::Status| {
+            (state.stamp, state.fence) == (states[0].stamp, states[0].fence)
+        };
+        let primaries = states
+            .iter()
+            .filter(|state| state.role == role::Role::Primary);
+        states.iter().all(same) && primaries.count() == 1
+    }
+
+    /// Ends the proxies and the stand-ins.
+    pub fn stop(mut self) {
+        for daemon in self.proxies.iter_mut().filter_map(Option::take) {
+            daemon.crash();
+        }
+        self.stop.close();
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Polls `done` until it holds; false when `patience` ends first.
+pub fn wait_until(patience: time::Duration, done: impl Fn() -> bool) -> bool {
+    let end = time::Instant::now() + patience;
+    while !done() {
+        if time::Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+    true
+}
+
+fn vm_name(index: usize) -> id::Vm {
+    compact_str::format_compact!("entry-{}", index + 1)
+}
+
+fn drive(
+    index: usize,
+    executor: &Executor,
+    stopped: &async_channel::Receiver<()>,
+) -> std::io::Result<thread::JoinHandle<()>> {
+    let executor = sync::Arc::clone(executor);
+    let stopped = stopped.clone();
+    thread::Builder::new()
+        .name(format!("stand-ins-{index}"))
+        .spawn(move || {
+            let _ = async_io::block_on(executor.run(stopped.recv()));
+        })
+}
--- /dev/null
+++ b/lab/src/trouble.rs
@@ -0,0 +1,84 @@
+//! Brings faults over a stage and takes them away again.
+
+use std::time;
+
+use mangotray::id;
+
+use crate::fault;
+use crate::stage;
+
+/// Delay of replication to a replica that falls behind.
+const LAG: time::Duration = time::Duration::from_secs(4);
+
+/// Delay of replication otherwise.
+const USUAL_LAG: time::Duration = time::Duration::from_millis(2);
+
+/// Time that the platform's service takes for a call when it is slow.
+const SLOW: time::Duration = time::Duration::from_millis(800);
+
+/// Fraction of changes whose answer is lost.
+const LOST: f64 = 0.3;
+
+/// A fault in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trouble {
+    /// What was asked for.
+    pub fault: fault::Fault,
+    /// When it began.
+    pub began: time::Instant,
+    /// Instance that it hit.
+    instance: id::Index,
+}
+
+impl Trouble {
+    /// Brings a fault into force. A primary's fault hits the first instance when
+    /// the group has no primary at that moment.
+    #[must_use]
+    pub fn begin(fault: fault::Fault, stage: &mut stage::Stage, seed: u64) -> Self {
+        let instance = if fault.kind.hits_primary() {
+            stage.primary(fault.group).unwrap_or_default()
+        } else {
+            stage.replica(fault.group)
+        };
+        let cluster = &stage.clusters[fault.group];
+        match fault.kind {
+            fault::Kind::PrimaryCrash | fault::Kind::ReplicaCrash => cluster.crash(instance),
+            fault::Kind::PrimaryPartition => cluster.cut(instance, true),
+            fault::Kind::PrimaryPause => cluster.pause(instance, true),
+            fault::Kind::ReplicaLag => cluster.set_lag(instance, LAG),
+            fault::Kind::ProxyCrash => stage.crash_proxy(),
+            fault::Kind::ProxyDrain => stage.drain_proxy(),
+            fault::Kind::PlatformOutage => stage.platform.set_outage(true),
+            fault::Kind::PlatformSlow => stage.platform.set_delay(SLOW),
+            fault::Kind::PlatformLostAnswers => stage.platform.lose_answers(LOST, seed),
+        }
+        tracing::info!(%fault, instance, "fault begins");
+        Self {
+            fault,
+            began: time::Instant::now(),
+            instance,
+        }
+    }
+
+    /// Ends the fault; proxies that are gone stay away.
+    pub fn end(&self, stage: &stage::Stage) {
+        let cluster = &stage.clusters[self.fault.group];
+        match self.fault.kind {
+            fault::Kind::PrimaryCrash | fault::Kind::ReplicaCrash => cluster.restart(self.instance),
+            fault::Kind::PrimaryPartition => cluster.cut(self.instance, false),
+            fault::Kind::PrimaryPause => cluster.pause(self.instance, false),
+            fault::Kind::ReplicaLag => cluster.set_lag(self.instance, USUAL_LAG),
+            fault::Kind::ProxyCrash | fault::Kind::ProxyDrain => {}
+            fault::Kind::PlatformOutage => stage.platform.set_outage(false),
+            fault::Kind::PlatformSlow => stage.platform.set_delay(time::Duration::ZERO),
+            fault::Kind::PlatformLostAnswers => stage.platform.lose_answers(0.0, 0),
+        }
+        tracing::info!(fault = %self.fault, instance = self.instance, "fault ends");
+    }
+
+    /// True once the fault has lasted its time.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.began.elapsed() >= self.fault.lasts
+    }
+}
--- /dev/null
+++ b/lab/tests/run.rs
@@ -0,0 +1,48 @@
+//! Short measured runs with real proxies; they assert promises, never speed.
+
+use std::time;
+
+use mangotray::policy;
+use mangotray_lab::fault;
+use mangotray_lab::profile;
+use mangotray_lab::run;
+
+fn run(faults: &[&str]) -> mangotray_lab::report::Report {
+    let faults = faults.iter().map(|text| text.parse::<fault::Fault>());
+    let run = run::Run {
+        profile: profile::Profile {
+            groups: 1,
+            callers: 6,
+            deadline: time::Duration::from_secs(5),
+            ..profile::Profile::tarapath()
+        },
+        proxies: 2,
+        lasts: time::Duration::from_secs(6),
+        seed: 11,
+        faults: faults.collect::<Result<_, _>>().unwrap(),
+        policy: policy::Policy::Default,
+    };
+    run.execute().unwrap()
+}
+
+#[test]
+fn quiet() {
+    let report = run(&[]);
+    assert!(!report.is_violated(), "{report:?}");
+    assert!(
+        report.confirmed > 0 && report.reads_per_s > 0.0,
+        "{report:?}"
+    );
+}
+
+#[test]
+fn primary_lost() {
+    // Symptom to watch for: a confirmed write absent or doubled after a promotion.
+    // Events: the primary's process ends in the middle of writes, and starts again
+    // with its old log while its successor leads.
+    // Cause that is guarded against: confirmation before a majority held the record,
+    // or a write sent again after an unknown outcome.
+    let report = run(&["primary-crash@1+2"]);
+    assert!(!report.is_violated(), "{report:?}");
+    assert!(report.failover_gap_ms.is_some(), "{report:?}");
+}
