Merge the sources that tell of VMs into one view

Cause: the platform's list lags and goes out, leases and heartbeats tell of different links, and the operators' file has a say.

Conclusion: a plain function of the sources and the time; a wrong view costs time only, since the use of instances is settled by seats.

--- /dev/null
+++ b/src/member/tests.rs
@@ -0,0 +1,179 @@
+use std::net;
+use std::time;
+
+use crate::catalog;
+use crate::database;
+use crate::id;
+use crate::member;
+use crate::store;
+
+fn at(seconds: u64) -> id::Time {
+    time::Duration::from_secs(seconds)
+}
+
+fn sign(vm: &str) -> member::Sign {
+    member::Sign {
+        vm: vm.into(),
+        domain: "d".into(),
+        incarnation: 1,
+        draining: false,
+    }
+}
+
+fn listing(vm: &str, leaving: bool) -> store::Listing {
+    store::Listing {
+        vm: vm.into(),
+        domain: "d".into(),
+        leaving,
+    }
+}
+
+/// A view of `own` that has heard, and read as listed and leased, `a`, `b` and `c`.
+fn view() -> member::View {
+    let mut view = member::View::new("own".into(), "d".into());
+    let names = ["a", "b", "c"];
+    view.listed(&names.map(|vm| listing(vm, false)), at(0));
+    view.leases(&names.map(sign), at(0));
+    for vm in names {
+        view.heard(&sign(vm), at(0));
+    }
+    view
+}
+
+fn judged(view: &member::View, vm: &str, now: u64) -> (member::State, member::Cause) {
+    let members = view.members(at(now));
+    let member = members.iter().find(|member| member.vm == vm).unwrap();
+    (member.state, member.cause)
+}
+
+/// Symptom: no VM takes work. Events: the platform goes out and answers an empty list, or
+/// none for an hour. Cause: absence was taken for death.
+#[test]
+fn an_empty_or_old_list_makes_nobody_vanish() {
+    let mut view = view();
+    view.listed(&[], at(60));
+    view.listed(&[], at(3_600));
+    assert_eq!(view.candidates(at(3_600)).len(), 4);
+    assert!(view.destroyed(at(3_600)).is_empty());
+}
+
+#[test]
+fn delisted_and_heard_is_live_delisted_and_silent_is_dead() {
+    let mut view = view();
+    view.listed(&[listing("a", false)], at(10));
+    view.heard(&sign("b"), at(39));
+    assert_eq!(judged(&view, "c", 39).0, member::State::Live);
+    let dead = (member::State::Dead, member::Cause::Delisted);
+    assert_eq!(judged(&view, "c", 40), dead);
+    assert_eq!(judged(&view, "b", 40).0, member::State::Live);
+    assert_eq!(view.destroyed(at(40)), ["c"]);
+    view.listed(&[listing("a", false)], at(700));
+    assert!(view.members(at(700)).iter().all(|member| member.vm != "c"));
+}
+
+#[test]
+fn heard_but_not_yet_listed_is_live() {
+    let mut view = view();
+    view.heard(&sign("new"), at(5));
+    view.listed(&[listing("a", false)], at(6));
+    let live = (member::State::Live, member::Cause::Heartbeat);
+    assert_eq!(judged(&view, "new", 60), live);
+}
+
+#[test]
+fn an_announcement_counts_at_once_and_outlives_a_list_that_lags() {
+    let mut view = view();
+    let leaving = (member::State::Leaving, member::Cause::Announced);
+    view.listed(&[listing("a", true)], at(10));
+    assert_eq!(judged(&view, "a", 10), leaving);
+    view.listed(&[listing("a", false)], at(12));
+    assert_eq!(judged(&view, "a", 12), leaving);
+    view.listed(&[listing("a", false)], at(40));
+    assert_eq!(judged(&view, "a", 40).0, member::State::Live);
+}
+
+#[test]
+fn the_file_and_the_vm_itself_can_withdraw_it() {
+    let mut view = view();
+    let mut catalog = catalog::Catalog {
+        vms: vec!["own".into(), "a".into()],
+        ..catalog::Catalog::default()
+    };
+    view.declared(&catalog);
+    let withdrawn = (member::State::Leaving, member::Cause::Withdrawn);
+    assert_eq!(judged(&view, "b", 1), withdrawn);
+    catalog.vms.clear();
+    view.declared(&catalog);
+    let mut last = sign("b");
+    last.draining = true;
+    view.heard(&last, at(2));
+    view.heard(&sign("b"), at(2));
+    let draining = (member::State::Leaving, member::Cause::Draining);
+    assert_eq!(judged(&view, "b", 2), draining);
+    last.incarnation = 2;
+    last.draining = false;
+    view.heard(&last, at(3));
+    assert_eq!(judged(&view, "b", 3).0, member::State::Live);
+    view.drain();
+    assert_eq!(judged(&view, "own", 3).0, member::State::Leaving);
+}
+
+/// Symptom: a healthy VM loses its groups. Events: the link to it breaks while it renews
+/// its lease. Cause: one link was taken for the VM.
+#[test]
+fn silent_but_leased_is_suspect_silent_and_gone_is_dead() {
+    let mut view = view();
+    view.missed(&"a".into(), at(1));
+    view.leases(&["a", "b", "c"].map(sign), at(6));
+    let unreachable = (member::State::Suspect, member::Cause::Unreachable);
+    assert_eq!(judged(&view, "a", 6), unreachable);
+    view.leases(&["b", "c"].map(sign), at(7));
+    let dead = (member::State::Dead, member::Cause::SilentAndGone);
+    assert_eq!(judged(&view, "a", 7), dead);
+}
+
+/// Symptom: at the end of an outage of the store nobody is thought to live. Events: all
+/// leases have ended. Cause: a lease tells of the way to the store, a heartbeat of life.
+#[test]
+fn heard_without_a_lease_is_live() {
+    let mut view = view();
+    view.leases(&[], at(10));
+    for vm in ["a", "b", "c"] {
+        view.heard(&sign(vm), at(10));
+        assert_eq!(judged(&view, vm, 10).0, member::State::Live);
+    }
+}
+
+/// Symptom: a VM that is cut off holds all others for dead and takes their groups. Events:
+/// store and peers fall silent together. Cause: the fault is its own.
+#[test]
+fn who_hears_nobody_suspects_itself() {
+    let mut view = view();
+    view.missed(&"a".into(), at(1));
+    let dead = (member::State::Dead, member::Cause::Silence);
+    assert_eq!(judged(&view, "a", 20), dead);
+    view.missed(&"b".into(), at(1));
+    view.missed(&"c".into(), at(1));
+    for vm in ["a", "b", "c"] {
+        let isolated = (member::State::Suspect, member::Cause::Isolated);
+        assert_eq!(judged(&view, vm, 20), isolated);
+    }
+}
+
+#[test]
+fn an_upstream_is_withdrawn_by_the_file_or_by_the_platform() {
+    let mut view = view();
+    let mut instance = database::Instance {
+        name: "db-1".into(),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 5432)),
+        domain: "d".into(),
+        leaving: false,
+    };
+    assert!(!view.withdrawn(&instance));
+    view.listed(&[listing("a", false), listing("db-1", true)], at(1));
+    assert!(view.withdrawn(&instance));
+    assert_eq!(view.candidates(at(1)).len(), 4);
+    instance.name = "db-2".into();
+    instance.leaving = true;
+    assert!(view.withdrawn(&instance));
+}
