Give up silent peers, and split the verdicts from forwarding

A network that goes silent shows neither end nor error: a client kept its requests waiting for their deadlines, and a server kept a dead client's transactions. Both sides now end a connection after a set silence. Closing a session gives up its batch under way, so a canceled request frees its slot; a broken connection still lets it run to its end.

A connection whose call shows it broken is marked at once; before, the mark came from its own task, and a test that looked right after the failure found it still alive in some runs.

--- a/src/accept.rs
+++ b/src/accept.rs
@@ -48,6 +48,8 @@
     pub executor: sync::Arc<async_executor::Executor<'static>>,
     /// Greeting that a peer must match.
     pub hello: hello::Hello,
+    /// Longest silence of a client, in use [`IDLE`].
+    pub idle: time::Duration,
 }
 
 impl Server {
@@ -59,7 +61,7 @@
         let transport = self.hello.answer(stream).await?;
         let heard = atomic::AtomicBool::new(true);
         let work = self.answer(transport, &heard);
-        future::or(work, silence(&heard)).compat().await
+        future::or(work, silence(self.idle, &heard)).compat().await
     }
 
     async fn answer(&self, transport: Transport, heard: &atomic::AtomicBool) -> io::Result<()> {
@@ -98,9 +100,9 @@
     }
 }
 
-async fn silence(heard: &atomic::AtomicBool) -> io::Result<()> {
+async fn silence(idle: time::Duration, heard: &atomic::AtomicBool) -> io::Result<()> {
     while heard.swap(false, atomic::Ordering::Relaxed) {
-        async_io::Timer::after(IDLE).await;
+        async_io::Timer::after(idle).await;
     }
     Err(io::ErrorKind::TimedOut.into())
 }
@@ -132,14 +134,15 @@
 
     fn close(&self, session: peer::Session) {
         let mut sessions = self.sessions.lock().expect("no panic while locked");
-        let ended = sessions.remove(&session);
-        drop(sessions);
-        drop(ended);
+        if let Some(ended) = sessions.remove(&session) {
+            ended.closed.0.close();
+        }
     }
 }
 
 struct Session {
     state: async_lock::Mutex<State>,
+    closed: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 struct State {
@@ -152,10 +155,23 @@
         let state = State { lane, last: None };
         Self {
             state: async_lock::Mutex::new(state),
+            closed: async_channel::bounded(1),
         }
     }
 
+    /// Runs a batch unless the client closes the session first. Closing gives up a
+    /// batch under way, as dropping a lane on the spot would, so that a request which
+    /// its caller canceled does not hold a slot until its deadline. A broken
+    /// connection does not: the write it left behind runs to its end.
     async fn run(&self, run: peer::Run, clock: &dyn clock::Clock) -> peer::Answer {
+        let closed = async {
+            self.closed.1.recv().await.ok();
+            Err(given_up())
+        };
+        future::or(closed, self.execute(run, clock)).await
+    }
+
+    async fn execute(&self, run: peer::Run, clock: &dyn clock::Clock) -> peer::Answer {
         let sequence = run.sequence;
         let batch = run.batch(clock.now());
         let mut state = self.state.lock().await;
@@ -239,6 +255,13 @@
     }
 }
 
+fn given_up() -> outcome::Outcome {
+    outcome::Outcome::Unknown {
+        reason: reason::Reason::ConnectionLost,
+        detail: "the session was closed while the request ran".into(),
+    }
+}
+
 fn stopped() -> outcome::Outcome {
     outcome::Outcome::Unknown {
         reason: reason::Reason::ConnectionLost,
--- a/src/dial.rs
+++ b/src/dial.rs
@@ -8,6 +8,7 @@
 
 use async_compat::CompatExt;
 use futures_util::future;
+use tarpc::client;
 
 use crate::hello;
 use crate::peer;
@@ -16,13 +17,13 @@
 /// Longest time for a connection to be made and to pass its greeting.
 pub const TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Pause between two pings.
-pub const PING: time::Duration = time::Duration::from_millis(500);
-
 /// A connection whose ping stays unanswered for so long is given up; a peer that
 /// was cut off without a word would otherwise hold every request to its deadline.
 pub const SILENCE: time::Duration = time::Duration::from_millis(1500);
 
+/// Pings are this many times as frequent as the longest silence.
+const PINGS: u32 = 3;
+
 /// Time beyond the deadline that the answer of a peer is waited for, as an answer
 /// that says what became of the request is better than not knowing.
 pub const GRACE: time::Duration = time::Duration::from_millis(50);
@@ -81,7 +82,8 @@
 }
 
 impl Connection {
-    /// Greets the peer at the other end of the stream and starts the connection's task.
+    /// Greets the peer at the other end of the stream and starts the connection's
+    /// task; the connection ends when a ping is not answered within `silence`.
     ///
     /// # Errors
     /// When the stream breaks or the other end is not a peer of this system.
@@ -89,14 +91,15 @@
         stream: Box<dyn wire::Duplex>,
         hello: &hello::Hello,
         executor: sync::Arc<async_executor::Executor<'static>>,
+        silence: time::Duration,
     ) -> io::Result<Self> {
         let transport = hello.ask(stream).await?;
-        let config = tarpc::client::Config::default();
+        let config = client::Config::default();
         let new = peer::PeerClient::new(config, transport);
         let client = new.client;
         let alive = sync::Arc::new(atomic::AtomicBool::new(true));
         let ended = alive.clone();
-        let pings = ping(client.clone());
+        let pings = ping(client.clone(), silence);
         let work = async move {
             let dispatch = async {
                 let end = new.dispatch.await;
@@ -140,10 +143,7 @@
         let patience = run.remaining + GRACE;
         let call = async {
             let result = self.client.run(context(patience + BACKSTOP), run).await;
-            result.map_err(|error| match error {
-                tarpc::client::RpcError::Send(_) => Failure::Unsent,
-                _ => settle(&mark, Failure::Lost),
-            })
+            result.map_err(|error| self.failure(&error, &mark))
         };
         let expiry = async {
             async_io::Timer::after(patience).await;
@@ -152,6 +152,18 @@
         futures_lite::future::or(call, expiry).await
     }
 
+    fn failure(&self, error: &client::RpcError, mark: &peer::Mark) -> Failure {
+        match error {
+            client::RpcError::Send(_) => return Failure::Unsent,
+            // Before the connection's task gets to say so: nobody may choose it again.
+            client::RpcError::Shutdown | client::RpcError::Channel(_) => {
+                self.alive.store(false, atomic::Ordering::Release);
+            }
+            client::RpcError::DeadlineExceeded | client::RpcError::Server(_) => {}
+        }
+        settle(mark, Failure::Lost)
+    }
+
     /// Ends a session without waiting for it.
     pub fn close(&self, session: peer::Session) {
         let client = self.client.clone();
@@ -194,9 +206,7 @@
     }
 }
 
-async fn bounded<T>(
-    call: impl Future<Output = Result<T, tarpc::client::RpcError>>,
-) -> Result<T, Failure> {
+async fn bounded<T>(call: impl Future<Output = Result<T, client::RpcError>>) -> Result<T, Failure> {
     let call = async { call.await.map_err(|_| Failure::Lost) };
     let expiry = async {
         async_io::Timer::after(CALL).await;
@@ -205,17 +215,15 @@
     futures_lite::future::or(call, expiry).await
 }
 
-async fn ping(client: peer::PeerClient) -> io::Result<()> {
+async fn ping(client: peer::PeerClient, silence: time::Duration) -> io::Result<()> {
     loop {
-        async_io::Timer::after(PING).await;
+        async_io::Timer::after(silence / PINGS).await;
         let call = async {
-            client
-                .ping(context(SILENCE))
-                .await
-                .map_err(io::Error::other)
+            let call = client.ping(context(silence + BACKSTOP));
+            call.await.map_err(io::Error::other)
         };
         let expiry = async {
-            async_io::Timer::after(SILENCE).await;
+            async_io::Timer::after(silence).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         futures_lite::future::or(call, expiry).await?;
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -82,6 +82,8 @@
     pub executor: sync::Arc<async_executor::Executor<'static>>,
     /// Clock of pauses and deadlines.
     pub clock: sync::Arc<dyn clock::Clock>,
+    /// Longest silence of a peer, in use [`dial::SILENCE`].
+    pub silence: time::Duration,
 }
 
 /// A peer by its address.
@@ -188,7 +190,8 @@
     async fn attempt(&self) -> std::io::Result<dial::Connection> {
         let means = &self.means;
         let stream = means.connector.connect(self.address).await?;
-        dial::Connection::open(stream, &means.hello, means.executor.clone()).await
+        let executor = means.executor.clone();
+        dial::Connection::open(stream, &means.hello, executor, means.silence).await
     }
 
     fn record(&self, change: impl Fn(&mut Health)) {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -16,14 +16,13 @@
 use crate::lane;
 use crate::outcome;
 use crate::peer;
-use crate::reason;
+use crate::place;
+use crate::resend;
+use crate::telemetry;
 use crate::transaction;
 
 pub use crate::choice::Choice;
 
-/// Pause before the members of a serving set are tried once more.
-const ROUND: time::Duration = time::Duration::from_millis(50);
-
 /// One member of a group's serving set.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -68,6 +67,10 @@
     pub fn retain(&self, live: impl Fn(&net::SocketAddr) -> bool) {
         self.endpoints.pin().retain(|address, _| live(address));
     }
+
+    fn now(&self) -> id::Time {
+        self.means.clock.now()
+    }
 }
 
 /// A session's way to a member of its group's serving set.
@@ -75,28 +78,11 @@
     pool: sync::Arc<Pool>,
     directory: sync::Arc<dyn Directory>,
     database: CompactString,
-    place: Option<Place>,
+    place: Option<place::Place>,
     state: State,
 }
 
-/// The session at the member that it was opened at.
-struct Place {
-    vm: id::Vm,
-    address: net::SocketAddr,
-    connection: sync::Arc<dial::Connection>,
-    session: peer::Session,
-    sequence: peer::Sequence,
-    opened: bool,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if self.opened {
-            self.connection.close(self.session);
-        }
-    }
-}
-
+/// What the lane knows of the session's transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// No transaction is open: the next batch may go anywhere.
@@ -111,10 +97,21 @@
     Lost,
 }
 
-/// What to do after an attempt at one member.
-enum Step {
-    Done(peer::Answer),
-    Next(outcome::Outcome),
+impl State {
+    /// State after an answer from a place that still has the session.
+    fn after(pinned: bool, class: class::Class, answer: &peer::Answer) -> Self {
+        match answer {
+            Ok(reply) if reply.transaction == transaction::State::Idle => Self::Idle,
+            Ok(_) => Self::Pinned,
+            Err(outcome::Outcome::Unknown { .. }) if ends(class) => Self::Idle,
+            Err(_) if pinned => Self::Pinned,
+            Err(_) => Self::Idle,
+        }
+    }
+}
+
+fn ends(class: class::Class) -> bool {
+    matches!(class, class::Class::Commit | class::Class::Rollback)
 }
 
 impl Lane {
@@ -132,27 +129,16 @@
 
     async fn forward(&mut self, batch: batch::Batch) -> peer::Answer {
         self.recover();
-        match (self.state, batch.class) {
-            (State::Lost, class::Class::Rollback) => self.state = State::Idle,
-            (State::Lost, class::Class::Commit) => {
-                self.state = State::Idle;
-                return Err(lost("the transaction was lost and rolled back"));
-            }
-            (State::Lost, _) => {
-                return Err(lost("the transaction was lost; it has to be ended first"));
-            }
-            _ => {}
+        if self.state == State::Lost {
+            self.acknowledge(batch.class)?;
         }
         let pinned = self.state == State::Pinned;
         self.state = State::Busy { pinned };
-        let answer = if pinned {
-            self.stay(&batch).await
-        } else {
-            self.roam(&batch).await
-        };
-        if self.state == (State::Busy { pinned }) {
-            self.state = after(pinned, batch.class, &answer);
+        if pinned {
+            return self.stay(&batch).await;
         }
+        let answer = self.roam(&batch).await;
+        self.state = State::after(false, batch.class, &answer);
         answer
     }
 
@@ -164,41 +150,54 @@
         }
     }
 
+    /// Lets the caller end a lost transaction. A commit ends it too, but is refused:
+    /// a fresh session would report success for a commit of nothing.
+    fn acknowledge(&mut self, class: class::Class) -> Result<(), outcome::Outcome> {
+        if ends(class) {
+            self.state = State::Idle;
+        }
+        match class {
+            class::Class::Rollback => Ok(()),
+            _ => Err(resend::lost()),
+        }
+    }
+
     /// Runs a batch of an open transaction where the transaction is.
     async fn stay(&mut self, batch: &batch::Batch) -> peer::Answer {
-        let result = self.attempt(batch).await;
-        let gone = match &result {
-            Ok(Err(outcome)) => refused_for(outcome, reason::Reason::NoServer),
-            Ok(Ok(_)) => false,
-            Err(_) => true,
-        };
+        let attempt = self.attempt(batch).await;
+        let gone = resend::ended(&attempt);
+        let answer = attempt.unwrap_or_else(|failure| {
+            Err(match failure {
+                dial::Failure::Unsent => resend::lost(),
+                _ => resend::unknown(failure),
+            })
+        });
         if gone {
             self.place = None;
-            self.state = match batch.class {
-                class::Class::Commit | class::Class::Rollback => State::Idle,
-                _ => State::Lost,
-            };
-        }
-        match result {
-            Ok(answer) => answer,
-            Err(dial::Failure::Unsent) => Err(lost("the transaction was lost")),
-            Err(failure) => Err(unknown(failure)),
         }
+        self.state = match (gone, ends(batch.class)) {
+            (true, true) => State::Idle,
+            (true, false) => State::Lost,
+            (false, _) => State::after(true, batch.class, &answer),
+        };
+        answer
     }
 
-    /// Runs a batch outside of a transaction at the first member that takes it.
+    /// Runs a batch outside of a transaction at the first member that takes it,
+    /// round by round until the deadline.
     async fn roam(&mut self, batch: &batch::Batch) -> peer::Answer {
-        let mut last = no_server();
+        let mut last = resend::no_server();
         loop {
             let members = self.directory.members(&self.database);
             match self.round(batch, &members, last).await {
-                Step::Done(answer) => return answer,
-                Step::Next(outcome) => last = outcome,
+                resend::Verdict::Done(answer) => return answer,
+                resend::Verdict::Next(outcome) => last = outcome,
             }
-            if self.remaining(batch) <= ROUND {
+            if self.remaining(batch) <= resend::PAUSE {
                 return Err(last);
             }
-            async_io::Timer::after(ROUND.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+            let pause = resend::PAUSE.mul_f64(0.5 + fastrand::f64() / 2.0);
+            async_io::Timer::after(pause).await;
         }
     }
 
@@ -208,110 +207,78 @@
         batch: &batch::Batch,
         members: &[Member],
         mut last: outcome::Outcome,
-    ) -> Step {
+    ) -> resend::Verdict {
         let mut tried = vec![false; members.len()];
-        loop {
-            if self.remaining(batch).is_zero() {
-                return Step::Done(Err(last));
-            }
+        while !self.remaining(batch).is_zero() {
             let Some(index) = self.choose(members, &tried) else {
-                return Step::Next(last);
+                break;
             };
             tried[index] = true;
             match self.visit(batch, &members[index]).await {
-                Step::Done(answer) => return Step::Done(answer),
-                Step::Next(outcome) => last = outcome,
+                resend::Verdict::Next(outcome) => last = outcome,
+                done @ resend::Verdict::Done(_) => return done,
             }
         }
+        resend::Verdict::Next(last)
     }
 
     fn choose(&self, members: &[Member], tried: &[bool]) -> Option<usize> {
-        let endpoints = members
-            .iter()
-            .map(|member| self.pool.endpoint(member.address));
-        let endpoints: Vec<_> = endpoints.collect();
+        let addresses = members.iter().map(|member| member.address);
+        let endpoints: Vec<_> = addresses
+            .map(|address| self.pool.endpoint(address))
+            .collect();
         let states = endpoints.iter().zip(tried);
         let states = states.map(|(endpoint, tried)| choice::Member {
             health: endpoint.health(),
             tried: *tried,
         });
         let states: Vec<_> = states.collect();
-        let choice = Choice::new(&states, self.now());
-        choice
-            .probes
-            .iter()
-            .for_each(|index| endpoints[*index].probe());
+        let choice = Choice::new(&states, self.pool.now());
+        let probes = choice.probes.iter();
+        probes.for_each(|index| endpoints[*index].probe());
         choice.member
     }
 
-    async fn visit(&mut self, batch: &batch::Batch, member: &Member) -> Step {
-        if !self.enter(member).await {
-            return Step::Next(no_server());
-        }
-        let result = self.attempt(batch).await;
-        tracing::debug!(request = batch.request, vm = %member.vm, ok = result.is_ok(), "forwarded");
-        let unanswered = result.is_err();
-        let step = judge(batch.class, result);
-        if let Step::Next(outcome) = &step {
-            tracing::info!(request = batch.request, vm = %member.vm, ?outcome, "trying another peer");
-        }
+    async fn visit(&mut self, batch: &batch::Batch, member: &Member) -> resend::Verdict {
+        let attempt = if self.enter(member).await {
+            self.attempt(batch).await
+        } else {
+            report(batch, &member.vm, "unreachable");
+            Err(dial::Failure::Unsent)
+        };
+        let unanswered = attempt.is_err();
+        let verdict = resend::Verdict::new(batch.class, attempt);
         // A session without an answer may still be busy there; the next batch must
         // not wait behind it.
-        if unanswered || matches!(step, Step::Next(_)) {
+        if unanswered || matches!(verdict, resend::Verdict::Next(_)) {
             self.place = None;
         }
-        step
+        verdict
     }
 
     /// Makes the member the session's place, unless it already is.
     async fn enter(&mut self, member: &Member) -> bool {
         let place = self.place.as_ref();
-        let here = |place: &Place| place.address == member.address && place.connection.alive();
-        if place.is_some_and(here) {
+        if place.is_some_and(|place| place.is_at(member.address)) {
             return true;
         }
         self.place = None;
-        let Some(connection) = self.pool.endpoint(member.address).connection().await else {
-            return false;
-        };
-        self.place = Some(Place {
-            vm: member.vm.clone(),
-            address: member.address,
-            session: connection.session(),
-            connection,
-            sequence: 0,
-            opened: false,
-        });
-        true
+        let connection = self.pool.endpoint(member.address).connection().await;
+        let new = |connection| place::Place::new(member.vm.clone(), member.address, connection);
+        self.place = connection.map(new);
+        self.place.is_some()
     }
 
-    async fn attempt(&mut self, batch: &batch::Batch) -> Result<peer::Answer, dial::Failure> {
-        let now = self.now();
+    async fn attempt(&mut self, batch: &batch::Batch) -> resend::Attempt {
+        let now = self.pool.now();
         let place = self.place.as_mut().ok_or(dial::Failure::Unsent)?;
-        let mut run = peer::Run::new(batch, now);
-        run.session = place.session;
-        run.open = (!place.opened).then(|| self.database.clone());
-        run.sequence = place.sequence;
-        place.sequence += 1;
-        // Set before the answer is there: a run dropped half way may have opened it.
-        place.opened = true;
-        let result = place.connection.run(run).await;
-        match &result {
-            Err(dial::Failure::Unsent) if place.sequence == 1 => place.opened = false,
-            Err(failure) => {
-                tracing::warn!(request = batch.request, vm = %place.vm, ?failure, "peer gave no answer");
-            }
-            Ok(_) => {}
-        }
-        result
-    }
-
-    fn now(&self) -> id::Time {
-        self.pool.means.clock.now()
+        let attempt = place.run(&self.database, batch, now).await;
+        report(batch, place.vm(), label(&attempt));
+        attempt
     }
 
     fn remaining(&self, batch: &batch::Batch) -> time::Duration {
-        batch.deadline.saturating_sub(self.now())
+        batch.deadline.saturating_sub(self.pool.now())
     }
 }
 
@@ -321,66 +288,27 @@
     }
 }
 
-/// What follows from the result at one member, outside of a transaction. Only what
-/// surely did not run, or only reads, may run at another member.
-fn judge(class: class::Class, result: Result<peer::Answer, dial::Failure>) -> Step {
-    let reads = matches!(class, class::Class::Read | class::Class::BeginRead);
-    match result {
-        Ok(Err(outcome)) if is_elsewhere(&outcome) => Step::Next(outcome),
-        Ok(answer) => Step::Done(answer),
-        Err(dial::Failure::Unsent) => Step::Next(no_server()),
-        Err(dial::Failure::Lost) if reads => Step::Next(unknown(dial::Failure::Lost)),
-        Err(failure) => Step::Done(Err(unknown(failure))),
+fn label(attempt: &resend::Attempt) -> &'static str {
+    match attempt {
+        Ok(Ok(_)) => "done",
+        Ok(Err(_)) => "refused",
+        Err(dial::Failure::Unsent) => "unsent",
+        Err(dial::Failure::Lost) => "lost",
+        Err(dial::Failure::Expired) => "expired",
     }
 }
 
-/// State of the lane after a batch whose place still stands.
-fn after(pinned: bool, class: class::Class, answer: &peer::Answer) -> State {
-    let ends = matches!(class, class::Class::Commit | class::Class::Rollback);
-    match answer {
-        Ok(reply) if reply.transaction == transaction::State::Idle => State::Idle,
-        Ok(_) => State::Pinned,
-        Err(outcome::Outcome::Unknown { .. }) if ends => State::Idle,
-        Err(_) if pinned => State::Pinned,
-        Err(_) => State::Idle,
-    }
-}
-
-/// Whether a peer's refusal only means that another member has to be asked.
-fn is_elsewhere(outcome: &outcome::Outcome) -> bool {
-    refused_for(outcome, reason::Reason::NoServer) || refused_for(outcome, reason::Reason::Draining)
+fn report(batch: &batch::Batch, vm: &id::Vm, result: &'static str) {
+    metrics::counter!(telemetry::FORWARDS, "result" => result).increment(1);
+    tracing::debug!(
+        target: "mangotray::forward",
+        request = batch.request,
+        %vm,
+        class = ?batch.class,
+        result,
+        "forwarded"
+    );
 }
 
-fn refused_for(outcome: &outcome::Outcome, wanted: reason::Reason) -> bool {
-    matches!(outcome, outcome::Outcome::NotRun { reason, .. } if *reason == wanted)
-}
-
-fn no_server() -> outcome::Outcome {
-    outcome::Outcome::NotRun {
-        reason: reason::Reason::NoServer,
-        detail: "no proxy that serves the group could be reached".into(),
-        retry: Some(ROUND),
-    }
-}
-
-fn lost(detail: &str) -> outcome::Outcome {
-    outcome::Outcome::NotRun {
-        reason: reason::Reason::ConnectionLost,
-        detail: detail.into(),
-        retry: None,
-    }
-}
-
-fn unknown(failure: dial::Failure) -> outcome::Outcome {
-    let (reason, detail) = match failure {
-        dial::Failure::Expired => (reason::Reason::Deadline, "the peer did not answer in time"),
-        _ => (
-            reason::Reason::ConnectionLost,
-            "the connection to the peer was lost",
-        ),
-    };
-    outcome::Outcome::Unknown {
-        reason,
-        detail: detail.into(),
-    }
-}
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/place.rs
@@ -0,0 +1,85 @@
+//! The session that a lane holds at one member of its serving set.
+
+use std::net;
+use std::sync;
+
+use crate::batch;
+use crate::dial;
+use crate::id;
+use crate::peer;
+use crate::resend;
+
+/// A session at a peer; dropping it ends the session there.
+pub struct Place {
+    vm: id::Vm,
+    address: net::SocketAddr,
+    connection: sync::Arc<dial::Connection>,
+    session: peer::Session,
+    sequence: peer::Sequence,
+    opened: bool,
+}
+
+impl Place {
+    /// A session that opens at the peer with its first batch.
+    #[must_use]
+    pub fn new(
+        vm: id::Vm,
+        address: net::SocketAddr,
+        connection: sync::Arc<dial::Connection>,
+    ) -> Self {
+        Self {
+            vm,
+            address,
+            session: connection.session(),
+            connection,
+            sequence: 0,
+            opened: false,
+        }
+    }
+
+    /// Name of the peer's VM.
+    #[must_use]
+    pub fn vm(&self) -> &id::Vm {
+        &self.vm
+    }
+
+    /// Whether this is a session at that address that can still be used.
+    #[must_use]
+    pub fn is_at(&self, address: net::SocketAddr) -> bool {
+        self.address == address && self.connection.alive()
+    }
+
+    /// Sends one batch and waits for its answer.
+    ///
+    /// # Errors
+    /// A failure says whether the batch can still run.
+    pub async fn run(
+        &mut self,
+        database: &str,
+        batch: &batch::Batch,
+        now: id::Time,
+    ) -> resend::Attempt {
+        let mut run = peer::Run::new(batch, now);
+        run.session = self.session;
+        run.open = (!self.opened).then(|| database.into());
+        run.sequence = self.sequence;
+        let fresh = !self.opened;
+        self.sequence += 1;
+        // Set before the answer is there: a run that is dropped half way may have
+        // opened the session.
+        self.opened = true;
+        let attempt = self.connection.run(run).await;
+        if fresh && attempt == Err(dial::Failure::Unsent) {
+            self.opened = false;
+        }
+        attempt
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.opened {
+            self.connection.close(self.session);
+        }
+    }
+}
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::Duration;
 
-use assert_matches::assert_matches;
 use async_executor::{Executor, Task};
 use futures_lite::future;
 use futures_util::future::BoxFuture;
+use futures_util::{SinkExt, StreamExt};
 use mangotray::clock::Clock;
 use mangotray::lane::{Lane, Switch};
 use mangotray::outcome::Outcome;
@@ -22,6 +22,9 @@
 
 const KEY: &str = "key of the installation";
 const GENEROUS: Duration = Duration::from_secs(20);
+/// Silence that no connection of a test keeps, and one that a test waits for.
+const LONG: Duration = Duration::from_mins(1);
+const SHORT: Duration = Duration::from_millis(300);
 const LARGE: usize = 8 * 1024 * 1024;
 const TOO_LARGE: usize = 65 * 1024 * 1024;
 
@@ -175,6 +178,10 @@
 
 impl Proxy {
     fn start(name: &'static str) -> Self {
+        Self::listen(name, bind(), LONG)
+    }
+
+    fn listen(name: &'static str, listener: async_net::TcpListener, idle: Duration) -> Self {
         let executor = executor();
         let upstream = Upstream::new(name);
         let handler = sync::Arc::new(Handler {
@@ -186,9 +193,8 @@
             clock: sync::Arc::new(clock::Monotonic::new()),
             executor: executor.clone(),
             hello: hello::Hello::new(KEY),
+            idle,
         });
-        let bind = async_net::TcpListener::bind("127.0.0.1:0");
-        let listener = future::block_on(bind).unwrap();
         let address = listener.local_addr().unwrap();
         let tasks = sync::Arc::new(sync::Mutex::new(Vec::new()));
         let connections = tasks.clone();
@@ -262,6 +268,7 @@
             hello: hello::Hello::new(key),
             executor: executor.clone(),
             clock: clock.clone(),
+            silence: LONG,
         });
         Self {
             clock,
@@ -294,10 +301,10 @@
         lane.run(self.batch(class, text, GENEROUS)).await
     }
 
-    async fn connection(&self, address: net::SocketAddr) -> dial::Connection {
+    async fn connection(&self, address: net::SocketAddr, silence: Duration) -> dial::Connection {
         let stream = dial::Connector::connect(&dial::Tcp, address).await.unwrap();
         let hello = hello::Hello::new(KEY);
-        dial::Connection::open(stream, &hello, self.executor.clone())
+        dial::Connection::open(stream, &hello, self.executor.clone(), silence)
             .await
             .unwrap()
     }
@@ -307,6 +314,27 @@
     &answer.as_ref().unwrap().frames[0].body
 }
 
+fn bind() -> async_net::TcpListener {
+    let bind = async_net::TcpListener::bind("127.0.0.1:0");
+    future::block_on(bind).unwrap()
+}
+
+/// Why an answer says that the batch surely did not run.
+fn not_run(answer: &peer::Answer) -> Option<Reason> {
+    match answer {
+        Err(Outcome::NotRun { reason, .. }) => Some(*reason),
+        _ => None,
+    }
+}
+
+/// Why an answer says that the batch may have run.
+fn unknown(answer: &peer::Answer) -> Option<Reason> {
+    match answer {
+        Err(Outcome::Unknown { reason, .. }) => Some(*reason),
+        _ => None,
+    }
+}
+
 /// An address where nothing listens.
 fn vacant() -> net::SocketAddr {
     let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -340,16 +368,8 @@
         let set = Set::new(&[proxy.address]);
         let mut lane = entry.lane(&set, "unheard of");
         let batch = entry.batch(class::Class::Write, "INSERT", Duration::from_millis(200));
-        let refused = |outcome| {
-            matches!(
-                outcome,
-                Outcome::NotRun {
-                    reason: Reason::NoServer,
-                    ..
-                }
-            )
-        };
-        assert!(refused(lane.run(batch).await.unwrap_err()));
+        let answer = lane.run(batch).await;
+        assert_eq!(not_run(&answer), Some(Reason::NoServer));
         assert!(proxy.upstream.ran().is_empty());
     });
 }
@@ -413,13 +433,7 @@
         };
         let write = entry.run(&mut lane, class::Class::Write, "hang");
         let (answer, ()) = future::zip(write, killer).await;
-        assert_matches!(
-            answer,
-            Err(Outcome::Unknown {
-                reason: Reason::ConnectionLost,
-                ..
-            })
-        );
+        assert_eq!(unknown(&answer), Some(Reason::ConnectionLost));
         assert_eq!(a.upstream.ran(), ["hang"]);
         let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
         assert_eq!(text(&answer), b"b");
@@ -449,13 +463,7 @@
                 .await
         };
         let (answer, ()) = future::zip(read, killer).await;
-        assert_matches!(
-            answer,
-            Err(Outcome::Unknown {
-                reason: Reason::Deadline,
-                ..
-            })
-        );
+        assert_eq!(unknown(&answer), Some(Reason::Deadline));
         assert_eq!(a.upstream.ran(), ["hang"]);
         assert_eq!(b.upstream.ran(), ["hang"]);
     });
@@ -479,29 +487,15 @@
         a.upstream.rolled_back.1.recv().await.unwrap();
         // Sent or not, depending on when the break is noticed; lost in any case.
         let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
-        assert_matches!(
-            answer,
-            Err(Outcome::NotRun {
-                reason: Reason::ConnectionLost,
-                ..
-            } | Outcome::Unknown {
-                reason: Reason::ConnectionLost,
-                ..
-            })
-        );
+        let reason = not_run(&answer).or(unknown(&answer));
+        assert_eq!(reason, Some(Reason::ConnectionLost));
         for class in [
             class::Class::Write,
             class::Class::Read,
             class::Class::Commit,
         ] {
             let answer = entry.run(&mut lane, class, "refused").await;
-            assert_matches!(
-                answer,
-                Err(Outcome::NotRun {
-                    reason: Reason::ConnectionLost,
-                    ..
-                })
-            );
+            assert_eq!(not_run(&answer), Some(Reason::ConnectionLost));
         }
         assert!(b.upstream.ran().is_empty());
         let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
@@ -534,14 +528,9 @@
         };
         future::or(hang, started).await;
         let answer = entry.run(&mut lane, class::Class::Write, "INSERT").await;
-        assert_matches!(
-            answer,
-            Err(Outcome::NotRun {
-                reason: Reason::ConnectionLost,
-                ..
-            })
-        );
+        assert_eq!(not_run(&answer), Some(Reason::ConnectionLost));
         assert_eq!(a.upstream.ran(), ["BEGIN", "hang"]);
+        a.upstream.rolled_back.1.recv().await.unwrap();
     });
 }
 
@@ -556,13 +545,7 @@
         let mut lane = entry.lane(&set, "shows");
         let batch = entry.batch(class::Class::Write, "hang", Duration::from_secs(1));
         let answer = lane.run(batch).await;
-        assert_matches!(
-            answer,
-            Err(Outcome::Unknown {
-                reason: Reason::Deadline,
-                ..
-            })
-        );
+        assert_eq!(unknown(&answer), Some(Reason::Deadline));
         entry
             .run(&mut lane, class::Class::Write, "INSERT")
             .await
@@ -578,7 +561,7 @@
     // Cause: no memory of what already ran.
     future::block_on(async {
         let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
-        let connection = entry.connection(a.address).await;
+        let connection = entry.connection(a.address, LONG).await;
         let batch = entry.batch(class::Class::Write, "INSERT", GENEROUS);
         let run = || {
             let mut run = peer::Run::new(&batch, entry.clock.now());
@@ -586,7 +569,7 @@
             connection.run(run)
         };
         run().await.unwrap().unwrap();
-        assert_matches!(run().await.unwrap(), Err(Outcome::Unknown { .. }));
+        assert!(unknown(&run().await.unwrap()).is_some());
         assert_eq!(a.upstream.ran(), ["INSERT"]);
     });
 }
@@ -604,13 +587,7 @@
         assert_eq!(text(&answer).len(), LARGE);
         assert!(text(&answer).iter().all(|byte| *byte == 7));
         let answer = entry.run(&mut lane, class::Class::Read, "too large").await;
-        assert_matches!(
-            answer,
-            Err(Outcome::Unknown {
-                reason: Reason::TooLarge,
-                ..
-            })
-        );
+        assert_eq!(unknown(&answer), Some(Reason::TooLarge));
         entry
             .run(&mut lane, class::Class::Read, "SELECT")
             .await
@@ -623,7 +600,7 @@
 fn many_sessions_share_a_connection_and_get_their_own_answers() {
     future::block_on(async {
         let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
-        let connection = entry.connection(a.address).await;
+        let connection = entry.connection(a.address, LONG).await;
         let runs = (0..200).map(|number| {
             let text = format!("INSERT {number}");
             let batch = entry.batch(class::Class::Write, &text, GENEROUS);
@@ -650,13 +627,7 @@
         let mut lane = entry.lane(&set, "shows");
         let batch = entry.batch(class::Class::Read, "SELECT", Duration::from_millis(300));
         let answer = lane.run(batch).await;
-        assert_matches!(
-            answer,
-            Err(Outcome::NotRun {
-                reason: Reason::NoServer,
-                ..
-            })
-        );
+        assert_eq!(not_run(&answer), Some(Reason::NoServer));
 
         let mut stream = net::TcpStream::connect(a.address).unwrap();
         stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
@@ -671,7 +642,7 @@
 fn news_and_suspicions_pass_between_peers() {
     future::block_on(async {
         let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
-        let connection = entry.connection(a.address).await;
+        let connection = entry.connection(a.address, LONG).await;
         let digest = peer::Digest {
             vm: "entry-2".into(),
             incarnation: 3,
@@ -688,3 +659,102 @@
         assert_eq!(connection.suspects(suspect(5)).await, Ok(false));
     });
 }
+
+#[test]
+fn a_member_that_comes_back_is_used_again() {
+    // Symptom: a group's work stays on the second member for ever.
+    // Events: the first member accepts but does not answer; later it is well again.
+    // Cause: never trying a member again after its circuit has opened.
+    future::block_on(async {
+        let (entry, b) = (Entry::start(KEY), Proxy::start("b"));
+        let silent = bind();
+        let set = Set::new(&[silent.local_addr().unwrap(), b.address]);
+        let mut lane = entry.lane(&set, "shows");
+        let answer = entry.run(&mut lane, class::Class::Read, "SELECT").await;
+        assert_eq!(text(&answer), b"b");
+        let _a = Proxy::listen("a", silent, LONG);
+        loop {
+            let answer = entry.run(&mut lane, class::Class::Read, "SELECT").await;
+            if text(&answer) == b"a" {
+                break;
+            }
+            async_io::Timer::after(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+#[test]
+fn a_peer_that_falls_silent_is_given_up_before_the_deadline() {
+    // Symptom: every request to a cut-off proxy waits for its whole deadline.
+    // Events: a connection stands; its packets go nowhere from now on; a write.
+    // Cause: waiting for an error that a silent network never gives.
+    future::block_on(async {
+        let (entry, silent) = (Entry::start(KEY), bind());
+        let address = silent.local_addr().unwrap();
+        let accept = async {
+            let (stream, _) = silent.accept().await.unwrap();
+            let hello = hello::Hello::new(KEY);
+            hello.answer::<(), ()>(Box::new(stream)).await.unwrap()
+        };
+        let (connection, _held) = future::zip(entry.connection(address, SHORT), accept).await;
+        let batch = entry.batch(class::Class::Write, "INSERT", GENEROUS);
+        let run = peer::Run::new(&batch, entry.clock.now());
+        assert_eq!(connection.run(run).await, Err(dial::Failure::Lost));
+        assert!(!connection.alive());
+    });
+}
+
+#[test]
+fn a_client_that_falls_silent_loses_its_transactions() {
+    // Symptom: locks of a dead proxy's transaction are held for ever.
+    // Events: BEGIN is answered; the client's VM vanishes without closing.
+    // Cause: waiting for the end of a stream that a silent network never shows.
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::listen("a", bind(), SHORT));
+        let stream = dial::Connector::connect(&dial::Tcp, a.address);
+        let hello = hello::Hello::new(KEY);
+        let mut client: hello::Framed<
+            tarpc::Response<peer::PeerResponse>,
+            tarpc::ClientMessage<peer::PeerRequest>,
+        > = hello.ask(stream.await.unwrap()).await.unwrap();
+        let batch = entry.batch(class::Class::Begin, "BEGIN", GENEROUS);
+        let mut run = peer::Run::new(&batch, entry.clock.now());
+        run.open = Some("shows".into());
+        let request = tarpc::ClientMessage::Request(tarpc::Request {
+            context: tarpc::context::current(),
+            id: 0,
+            message: peer::PeerRequest::Run { run },
+        });
+        client.send(request).await.unwrap();
+        client.next().await.unwrap().unwrap();
+        a.upstream.rolled_back.1.recv().await.unwrap();
+    });
+}
+
+#[test]
+fn a_client_that_ends_loses_its_transactions_at_once() {
+    // Symptom: locks of a dead proxy's transaction are held while another of its
+    // requests runs.
+    // Events: BEGIN in one session; a write hangs in another; the client ends.
+    // Cause: ending the sessions of a connection only once all its requests have ended.
+    future::block_on(async {
+        let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
+        let connection = entry.connection(a.address, LONG).await;
+        let run = |class, text| {
+            let mut run = peer::Run::new(&entry.batch(class, text, GENEROUS), entry.clock.now());
+            run.session = connection.session();
+            run.open = Some("shows".into());
+            connection.run(run)
+        };
+        run(class::Class::Begin, "BEGIN").await.unwrap().unwrap();
+        let hang = async {
+            run(class::Class::Write, "hang").await.ok();
+        };
+        let started = async {
+            a.upstream.started.1.recv().await.unwrap();
+        };
+        future::or(hang, started).await;
+        drop(connection);
+        a.upstream.rolled_back.1.recv().await.unwrap();
+    });
+}
