Read an answer while the batch is still being sent

An instance that answers a long pipelined batch while reading it fills both sockets' buffers; a proxy that reads nothing before all is sent then waits for the instance, and the instance for the proxy, until the deadline. A new test with 32 MiB each way hangs into its timeout when the reading waits for the sending, and passes now.

--- /dev/null
+++ b/src/assembly.rs
@@ -0,0 +1,121 @@
+//! Assembly of an instance's answer from its frames.
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use pgwire::messages::copy;
+use pgwire::messages::response;
+use pgwire::messages::startup;
+
+use crate::frame;
+use crate::reply;
+use crate::stamp;
+use crate::transaction;
+use crate::upstream;
+
+/// First words of the failure of an answer that exceeds the limit.
+pub const TOO_LARGE: &str = "answer too large";
+
+/// Bytes of a frame besides its body.
+pub(crate) const HEADER_BYTES: usize = 5;
+pub(crate) const STAMP: &str = "group_stamp";
+/// Parameters that begin with this are for the proxy and never reach the caller.
+const PRIVATE_PREFIX: &str = "group_";
+const SQLSTATE_FIELD: u8 = b'C';
+const MESSAGE_FIELD: u8 = b'M';
+
+/// Answer under construction.
+pub(crate) struct Assembly {
+    frames: Vec<frame::Frame>,
+    size: usize,
+    limit: usize,
+    stamp: Option<stamp::Stamp>,
+    error: Option<CompactString>,
+}
+
+impl Assembly {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            frames: Vec::new(),
+            size: 0,
+            limit,
+            stamp: None,
+            error: None,
+        }
+    }
+
+    /// Takes the next frame; gives the reply when it was the last.
+    pub(crate) fn add(
+        &mut self,
+        frame: frame::Frame,
+    ) -> Result<Option<reply::Reply>, upstream::Failure> {
+        self.size += HEADER_BYTES + frame.body.len();
+        if self.size > self.limit {
+            return Err(self.too_large());
+        }
+        self.sort(frame)
+            .map_err(|error| upstream::Failure::Unknown(format_compact!("{error}")))
+    }
+
+    fn too_large(&self) -> upstream::Failure {
+        let limit = self.limit;
+        upstream::Failure::Unknown(format_compact!("{TOO_LARGE}: more than {limit} bytes"))
+    }
+
+    fn sort(&mut self, frame: frame::Frame) -> eyre::Result<Option<reply::Reply>> {
+        match frame.tag {
+            response::MESSAGE_TYPE_BYTE_READY_FOR_QUERY => return self.finish(&frame).map(Some),
+            startup::MESSAGE_TYPE_BYTE_PARAMETER_STATUS => {
+                let status = frame.decode::<startup::ParameterStatus>()?;
+                if status.name == STAMP {
+                    self.stamp = Some(status.value.parse()?);
+                }
+                if status.name.starts_with(PRIVATE_PREFIX) {
+                    return Ok(None);
+                }
+            }
+            response::MESSAGE_TYPE_BYTE_ERROR_RESPONSE if self.error.is_none() => {
+                let error = frame.decode::<response::ErrorResponse>()?;
+                self.error = field(&error, SQLSTATE_FIELD).map(CompactString::from);
+            }
+            copy::MESSAGE_TYPE_BYTE_COPY_IN_RESPONSE
+            | copy::MESSAGE_TYPE_BYTE_COPY_BOTH_RESPONSE => {
+                eyre::bail!("COPY from the caller is not relayed");
+            }
+            _ => {}
+        }
+        self.frames.push(frame);
+        Ok(None)
+    }
+
+    fn finish(&mut self, frame: &frame::Frame) -> eyre::Result<reply::Reply> {
+        let ready = frame.decode::<response::ReadyForQuery>()?;
+        Ok(reply::Reply {
+            frames: std::mem::take(&mut self.frames),
+            transaction: state(ready.status),
+            stamp: self.stamp,
+            error: self.error.take(),
+        })
+    }
+}
+
+fn state(status: response::TransactionStatus) -> transaction::State {
+    match status {
+        response::TransactionStatus::Idle => transaction::State::Idle,
+        response::TransactionStatus::Transaction => transaction::State::Open,
+        response::TransactionStatus::Error => transaction::State::Failed,
+    }
+}
+
+fn field(error: &response::ErrorResponse, kind: u8) -> Option<&str> {
+    error
+        .fields
+        .iter()
+        .find_map(|(tag, text)| (*tag == kind).then_some(text.as_str()))
+}
+
+/// SQLSTATE and message of an error, for logs.
+pub(crate) fn describe(error: &response::ErrorResponse) -> String {
+    let code = field(error, SQLSTATE_FIELD).unwrap_or("no SQLSTATE");
+    let message = field(error, MESSAGE_FIELD).unwrap_or_default();
+    format!("{code} {message}")
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,6 +12,7 @@
 use pgwire::messages::response;
 use pgwire::messages::simplequery;
 
+use crate::assembly;
 use crate::frame;
 use crate::id;
 use crate::link;
@@ -150,9 +151,10 @@
         .iter()
         .find(|frame| frame.tag == response::MESSAGE_TYPE_BYTE_ERROR_RESPONSE);
     if let Some(frame) = refusal {
-        let words = frame
-            .decode::<response::ErrorResponse>()
-            .map_or_else(|error| error.to_string(), |error| link::describe(&error));
+        let words = frame.decode::<response::ErrorResponse>().map_or_else(
+            |error| error.to_string(),
+            |error| assembly::describe(&error),
+        );
         return Err(upstream::Failure::NotRun(words.into()));
     }
     row(&reply.frames).map_err(|error| upstream::Failure::Unknown(format_compact!("{error}")))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod analysis;
 pub mod answer;
 pub mod apply;
+pub mod assembly;
 pub mod batch;
 pub mod board;
 pub mod breaker;
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,11 +1,16 @@
 //! A working connection to an instance over the `PostgreSQL` wire protocol.
 
+use std::future;
 use std::io;
 use std::net;
+use std::pin;
+use std::task;
 use std::time;
 
+use bytes::Buf;
 use compact_str::CompactString;
 use compact_str::format_compact;
+use futures_lite::AsyncWrite;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 use futures_lite::StreamExt;
@@ -14,24 +19,14 @@
 use pgwire::messages::response;
 use pgwire::messages::startup;
 
+use crate::assembly;
 use crate::frame;
 use crate::id;
 use crate::reply;
-use crate::stamp;
-use crate::transaction;
 use crate::upstream;
 use crate::wire;
 
-/// First words of the failure of an answer that exceeds the limit.
-pub const TOO_LARGE: &str = "answer too large";
-
-/// Parameters that begin with this are for the proxy and never reach the caller.
-const PRIVATE_PREFIX: &str = "group_";
 const INCARNATION: &str = "group_incarnation";
-const STAMP: &str = "group_stamp";
-const HEADER_BYTES: usize = 5;
-const SQLSTATE_FIELD: u8 = b'C';
-const MESSAGE_FIELD: u8 = b'M';
 
 /// How links are opened and how much they accept.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -123,7 +118,7 @@
                 }
                 response::MESSAGE_TYPE_BYTE_ERROR_RESPONSE => {
                     let refusal = frame.decode::<response::ErrorResponse>()?;
-                    eyre::bail!("refused: {}", describe(&refusal));
+                    eyre::bail!("refused: {}", assembly::describe(&refusal));
                 }
                 response::MESSAGE_TYPE_BYTE_READY_FOR_QUERY => break,
                 _ => {}
@@ -157,40 +152,52 @@
         Ok(())
     }
 
-    async fn send(&mut self, frames: &[frame::Frame]) -> Result<(), upstream::Failure> {
-        let mut buffer = bytes::BytesMut::new();
-        for frame in frames {
-            frame.write(&mut buffer);
-        }
+    /// Sends the batch and collects its answer at the same time: an instance that
+    /// answers a long batch while reading it would otherwise wait for the proxy to
+    /// read, while the proxy waits for the instance to read.
+    async fn exchange(
+        &mut self,
+        frames: &[frame::Frame],
+    ) -> Result<reply::Reply, upstream::Failure> {
+        let mut request = Request::new(frames);
+        let mut answer = assembly::Assembly::new(self.limit);
+        future::poll_fn(|context| {
+            self.poll_send(context, &mut request)?;
+            self.poll_receive(context, &mut answer)
+        })
+        .await
+    }
+
+    fn poll_send(
+        &mut self,
+        context: &mut task::Context<'_>,
+        request: &mut Request,
+    ) -> Result<(), upstream::Failure> {
         let socket = self.stream.get_mut().get_mut();
-        let mut sent = 0;
-        while sent < buffer.len() {
-            match socket.write(&buffer[sent..]).await {
-                Ok(0) | Err(_) if sent == 0 => {
+        while request.rest.has_remaining() {
+            match pin::Pin::new(&mut *socket).poll_write(context, &request.rest) {
+                task::Poll::Pending => break,
+                task::Poll::Ready(Ok(bytes)) if bytes > 0 => request.advance(bytes),
+                task::Poll::Ready(_) if request.untouched => {
                     return Err(not_run("connection lost before sending"));
                 }
-                Ok(0) => return Err(unknown("connection lost while sending")),
-                Ok(bytes) => sent += bytes,
-                Err(error) => return Err(unknown(format_args!("lost while sending: {error}"))),
+                task::Poll::Ready(_) => return Err(unknown("connection lost while sending")),
             }
         }
         Ok(())
     }
 
-    async fn receive(&mut self) -> Result<reply::Reply, upstream::Failure> {
-        let mut answer = Answer::default();
-        let mut size = 0;
+    fn poll_receive(
+        &mut self,
+        context: &mut task::Context<'_>,
+        answer: &mut assembly::Assembly,
+    ) -> task::Poll<Result<reply::Reply, upstream::Failure>> {
         loop {
-            let frame = self.next().await.map_err(|error| lost(&error))?;
-            size += HEADER_BYTES + frame.body.len();
-            if size > self.limit {
-                return Err(too_large(self.limit));
-            }
-            let complete = answer
-                .add(frame)
-                .map_err(|error| unknown(format_args!("{error}")))?;
-            if let Some(reply) = complete {
-                return Ok(reply);
+            let event = task::ready!(self.stream.poll_next(context));
+            let event = event.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()));
+            let frame = event.map_err(|error| lost(&error))?;
+            if let Some(reply) = answer.add(frame)? {
+                return task::Poll::Ready(Ok(reply));
             }
         }
     }
@@ -212,66 +219,35 @@
                 return Err(not_run("connection is no longer usable"));
             }
             self.check_idle()?;
-            self.send(frames).await?;
-            let reply = self.receive().await?;
+            let reply = self.exchange(frames).await?;
             self.usable = true;
             Ok(reply)
         })
     }
 }
 
-/// Answer under construction.
-#[derive(Default)]
-struct Answer {
-    frames: Vec<frame::Frame>,
-    stamp: Option<stamp::Stamp>,
-    error: Option<CompactString>,
+/// What is still to be sent.
+struct Request {
+    rest: bytes::Bytes,
+    /// No byte has left yet.
+    untouched: bool,
 }
 
-impl Answer {
-    /// Takes the next frame; gives the reply when it was the last.
-    fn add(&mut self, frame: frame::Frame) -> eyre::Result<Option<reply::Reply>> {
-        match frame.tag {
-            response::MESSAGE_TYPE_BYTE_READY_FOR_QUERY => return self.finish(&frame).map(Some),
-            startup::MESSAGE_TYPE_BYTE_PARAMETER_STATUS => {
-                let status = frame.decode::<startup::ParameterStatus>()?;
-                if status.name == STAMP {
-                    self.stamp = Some(status.value.parse()?);
-                }
-                if status.name.starts_with(PRIVATE_PREFIX) {
-                    return Ok(None);
-                }
-            }
-            response::MESSAGE_TYPE_BYTE_ERROR_RESPONSE if self.error.is_none() => {
-                let error = frame.decode::<response::ErrorResponse>()?;
-                self.error = field(&error, SQLSTATE_FIELD).map(CompactString::from);
-            }
-            pgwire::messages::copy::MESSAGE_TYPE_BYTE_COPY_IN_RESPONSE
-            | pgwire::messages::copy::MESSAGE_TYPE_BYTE_COPY_BOTH_RESPONSE => {
-                eyre::bail!("COPY from the caller is not relayed");
-            }
-            _ => {}
+impl Request {
+    fn new(frames: &[frame::Frame]) -> Self {
+        let mut buffer = bytes::BytesMut::new();
+        for frame in frames {
+            frame.write(&mut buffer);
+        }
+        Self {
+            rest: buffer.freeze(),
+            untouched: true,
         }
-        self.frames.push(frame);
-        Ok(None)
-    }
-
-    fn finish(&mut self, frame: &frame::Frame) -> eyre::Result<reply::Reply> {
-        let ready = frame.decode::<response::ReadyForQuery>()?;
-        Ok(reply::Reply {
-            frames: std::mem::take(&mut self.frames),
-            transaction: state(ready.status),
-            stamp: self.stamp,
-            error: self.error.take(),
-        })
     }
-}
 
-fn state(status: response::TransactionStatus) -> transaction::State {
-    match status {
-        response::TransactionStatus::Idle => transaction::State::Idle,
-        response::TransactionStatus::Transaction => transaction::State::Open,
-        response::TransactionStatus::Error => transaction::State::Failed,
+    fn advance(&mut self, bytes: usize) {
+        self.rest.advance(bytes);
+        self.untouched = false;
     }
 }
 
@@ -302,20 +278,6 @@
     )
 }
 
-fn field(error: &response::ErrorResponse, kind: u8) -> Option<&str> {
-    error
-        .fields
-        .iter()
-        .find_map(|(tag, text)| (*tag == kind).then_some(text.as_str()))
-}
-
-/// SQLSTATE and message of an error, for logs.
-pub(crate) fn describe(error: &response::ErrorResponse) -> String {
-    let code = field(error, SQLSTATE_FIELD).unwrap_or("no SQLSTATE");
-    let message = field(error, MESSAGE_FIELD).unwrap_or_default();
-    format!("{code} {message}")
-}
-
 fn not_run(words: impl std::fmt::Display) -> upstream::Failure {
     upstream::Failure::NotRun(format_compact!("{words}"))
 }
@@ -324,14 +286,10 @@
     upstream::Failure::Unknown(format_compact!("{words}"))
 }
 
-fn too_large(limit: usize) -> upstream::Failure {
-    unknown(format_args!("{TOO_LARGE}: more than {limit} bytes"))
-}
-
 /// A frame over the limit is refused by its length field, before it is read.
 fn lost(error: &io::Error) -> upstream::Failure {
     if error.kind() == io::ErrorKind::InvalidData {
-        return unknown(format_args!("{TOO_LARGE}: {error}"));
+        return unknown(format_args!("{}: {error}", assembly::TOO_LARGE));
     }
     unknown(format_args!(
         "connection lost before the whole answer: {error}"
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -5,6 +5,8 @@
 use pgwire::messages::simplequery;
 
 use super::*;
+use crate::stamp;
+use crate::transaction;
 use crate::upstream::Connection;
 
 /// A server that answers the handshake and then each request with the given bytes;
@@ -41,7 +43,7 @@
 }
 
 fn complete() -> Vec<u8> {
-    let stamp = startup::ParameterStatus::new(STAMP.into(), "3/9".into());
+    let stamp = startup::ParameterStatus::new(assembly::STAMP.into(), "3/9".into());
     let zone = startup::ParameterStatus::new("TimeZone".into(), "UTC".into());
     [
         encode(&data::DataRow::new(bytes::BytesMut::new(), 0)),
@@ -138,11 +140,11 @@
 fn an_answer_over_the_limit_is_named_so() {
     let many = complete();
     let results = converse(many.len() - 1, vec![many.clone()], 2);
-    assert_matches!(&results[0], Err(upstream::Failure::Unknown(words)) if words.starts_with(TOO_LARGE));
+    assert_matches!(&results[0], Err(upstream::Failure::Unknown(words)) if words.starts_with(assembly::TOO_LARGE));
     assert_matches!(results[1], Err(upstream::Failure::NotRun(_)));
     let row = data::DataRow::new(bytes::BytesMut::from(&[0; 2000][..]), 1);
     let results = converse(1024, vec![encode(&row)], 1);
-    assert_matches!(&results[0], Err(upstream::Failure::Unknown(words)) if words.starts_with(TOO_LARGE));
+    assert_matches!(&results[0], Err(upstream::Failure::Unknown(words)) if words.starts_with(assembly::TOO_LARGE));
     assert_matches!(converse(many.len(), vec![many], 1)[0], Ok(_));
 }
 
@@ -159,3 +161,43 @@
     assert_eq!(reply.transaction, transaction::State::Failed);
     assert_eq!(reply.stamp, None);
 }
+
+/// Symptom: a long pipelined batch hangs until its deadline.
+/// Events: the instance answers while it reads; its answers fill both sockets' buffers.
+/// Cause: a proxy that reads nothing before all is sent.
+#[test]
+fn reads_while_it_sends() {
+    const LONG: usize = 32 << 20;
+    future::block_on(async {
+        let listener = async_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = async {
+            let options = Options {
+                limit: 2 * LONG,
+                ..Options::default()
+            };
+            let mut link = Link::open(address, "db", &options).await.unwrap();
+            let query = simplequery::Query::new(" ".repeat(LONG));
+            link.run(&[frame::Frame::encode(&query)]).await.unwrap()
+        };
+        let server = async {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut request = vec![0; 1024];
+            socket.read(&mut request).await.unwrap();
+            socket.write_all(&greeting_answer()).await.unwrap();
+            socket.read_exact(&mut request).await.unwrap();
+            let row = data::DataRow::new(bytes::BytesMut::zeroed(LONG), 1);
+            socket.write_all(&encode(&row)).await.unwrap();
+            // Header and final zero of the query, less the part that was read first.
+            let rest = LONG + assembly::HEADER_BYTES + 1 - 1024;
+            socket.read_exact(&mut vec![0; rest]).await.unwrap();
+            socket.write_all(&complete()).await.unwrap();
+        };
+        let timeout = async {
+            async_io::Timer::after(time::Duration::from_mins(1)).await;
+            panic!("both sides wait for each other");
+        };
+        let (reply, ()) = future::or(future::zip(client, server), timeout).await;
+        assert_eq!(reply.frames.len(), 4);
+    });
+}
