--- a/src/admission.rs
+++ b/src/admission.rs
@@ -4,18 +4,14 @@
 //! the instance works at full speed on answers that are all late. The queue refuses early
 //! what cannot be in time, as surely not run, and spends the slots on the rest.
 //!
-//! Order, weighed in `docs/LIMITS.md`: class first, though a class that was passed over
-//! [`PATIENCE`] times gets one turn; within a class callers take turns; within a turn,
-//! and among the requests of one caller, the earliest deadline first.
+//! The order in which tickets go is kept by `backlog`.
 
 use std::time;
 
+use crate::backlog;
 use crate::id;
 use crate::reason;
 
-/// Turns that the other classes may take before a waiting class gets one.
-pub const PATIENCE: u32 = 8;
-
 /// Weight of a new sample in the moving average of the service time: one in this many.
 const SMOOTHING: u32 = 8;
 
@@ -36,12 +32,8 @@
     Aged,
 }
 
-impl Priority {
-    const ALL: [Self; 3] = [Self::Write, Self::Fresh, Self::Aged];
-}
-
 /// A request that wants a slot.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Ticket {
     /// The request; must be unique among those known to the queue.
     pub request: id::Request,
@@ -105,28 +97,13 @@
     pub refused: Vec<Refusal>,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    ticket: Ticket,
-    /// Turn of its caller, see `Queue::turns`.
-    turn: u64,
-    sequence: u64,
-}
-
-impl Waiting {
-    fn order(&self) -> (u64, id::Time, u64) {
-        (self.turn, self.ticket.deadline, self.sequence)
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     request: id::Request,
     started: id::Time,
 }
 
-/// The queue before one instance on one proxy. Searches are linear: the length is
-/// bounded by a few hundred, as more could not be answered in time anyway.
+/// The queue before one instance on one proxy.
 ///
 /// ```
 /// use std::time::Duration;
@@ -149,16 +126,9 @@
 #[derive(Debug)]
 pub struct Queue {
     limits: Limits,
-    waiting: Vec<Waiting>,
+    waiting: backlog::Backlog,
     running: Vec<Running>,
-    /// Turn that was last given out in each class. A caller that joins starts at the next
-    /// turn, never at this one: a flood of new callers would else keep a turn open for
-    /// ever and starve those who wait for the next.
-    turns: [u64; Priority::ALL.len()],
-    /// Tickets of other classes that went while this one waited.
-    passed: [u32; Priority::ALL.len()],
     service: Option<time::Duration>,
-    sequence: u64,
 }
 
 impl Queue {
@@ -173,12 +143,9 @@
     pub fn new(limits: Limits) -> Self {
         Self {
             limits,
-            waiting: Vec::new(),
+            waiting: backlog::Backlog::default(),
             running: Vec::new(),
-            turns: Default::default(),
-            passed: Default::default(),
             service: None,
-            sequence: 0,
         }
     }
 
@@ -212,18 +179,14 @@
         if self.running.len() < self.limits.slots {
             return time::Duration::ZERO;
         }
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|w| w.ticket.priority <= priority);
-        self.wait(ahead.count())
+        self.wait(self.waiting.up_to(priority))
     }
 
     /// Time at which `expire` should next be called.
     #[must_use]
     pub fn wake(&self) -> Option<id::Time> {
-        let latest = |w: &Waiting| w.ticket.deadline.saturating_sub(self.expected());
-        self.waiting.iter().map(latest).min()
+        let earliest = self.waiting.earliest()?;
+        Some(earliest.saturating_sub(self.expected()))
     }
 
     /// Accepts or refuses a ticket.
@@ -260,16 +223,16 @@
 
     /// Refuses what cannot be answered in time any more and fills free slots.
     pub fn expire(&mut self, now: id::Time) -> Change {
-        let refused = self.overdue(now);
+        // Compares as `wake` does, so that a call at that time takes something out.
+        let due = self.waiting.due(now + self.expected());
+        let refused = due.into_iter().map(late).collect();
         let run = std::iter::from_fn(|| self.dispatch(now)).collect();
         Change { run, refused }
     }
 
     /// Forgets a waiting request whose caller went away; false when it does not wait.
     pub fn remove(&mut self, request: id::Request) -> bool {
-        let before = self.waiting.len();
-        self.waiting.retain(|w| w.ticket.request != request);
-        self.waiting.len() < before
+        self.waiting.remove(request)
     }
 
     /// Changes the limits; running requests keep their slots until they end.
@@ -303,130 +266,46 @@
 
     /// By how much the ticket's answer would be late, if so.
     fn excess(&self, ticket: &Ticket, now: id::Time) -> Option<time::Duration> {
-        let done = now + self.wait(self.ahead(ticket)) + self.expected();
+        let done = now + self.wait(self.waiting.ahead(ticket)) + self.expected();
         (done > ticket.deadline).then(|| done.saturating_sub(ticket.deadline))
     }
 
-    /// Waiting tickets that would go before this one.
-    fn ahead(&self, ticket: &Ticket) -> usize {
-        let own =
-            |w: &&Waiting| w.ticket.caller == ticket.caller && w.ticket.priority == ticket.priority;
-        let earlier = |w: &&Waiting| w.ticket.deadline <= ticket.deadline;
-        let before = self.waiting.iter().filter(own).filter(earlier).count();
-        let turns = u64::try_from(before).unwrap_or(u64::MAX);
-        let turn = self.turns[ticket.priority as usize] + 1 + turns;
-        self.waiting
-            .iter()
-            .filter(|w| !own(w) || earlier(w))
-            .filter(|w| {
-                let key = (w.ticket.priority, w.turn, w.ticket.deadline);
-                key <= (ticket.priority, turn, ticket.deadline)
-            })
-            .count()
-    }
-
     fn enqueue(&mut self, ticket: Ticket) -> Verdict {
-        let own = self
-            .waiting
-            .iter()
-            .filter(|w| w.ticket.caller == ticket.caller);
-        let own_full = own.count() >= self.limits.per_caller;
+        let own_full = self.waiting.of(ticket.caller) >= self.limits.per_caller;
         let full = own_full || self.waiting.len() >= self.limits.length;
-        let displaced = full.then(|| self.displace(&ticket, own_full)).flatten();
+        let retry = Some(self.wait(self.waiting.len()).max(MIN_RETRY));
+        let reason = reason::Reason::Overload;
+        let displaced = full
+            .then(|| self.waiting.displace(&ticket, own_full))
+            .flatten();
         if full && displaced.is_none() {
-            return Verdict::Refuse {
-                reason: reason::Reason::Overload,
-                retry: Some(self.wait(self.waiting.len()).max(MIN_RETRY)),
-            };
+            return Verdict::Refuse { reason, retry };
+        }
+        self.waiting.insert(ticket);
+        Verdict::Wait {
+            displaced: displaced.map(|ticket| Refusal {
+                ticket,
+                reason,
+                retry,
+            }),
         }
-        self.insert(ticket);
-        Verdict::Wait { displaced }
-    }
-
-    /// Takes the place of the last waiting ticket if that is of a lower class.
-    fn displace(&mut self, ticket: &Ticket, own: bool) -> Option<Refusal> {
-        let victim = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(_, w)| !own || w.ticket.caller == ticket.caller)
-            .filter(|(_, w)| w.ticket.priority > ticket.priority)
-            .max_by_key(|(_, w)| (w.ticket.priority, w.order()))
-            .map(|(at, _)| at)?;
-        let retry = self.wait(self.waiting.len()).max(MIN_RETRY);
-        Some(Refusal {
-            ticket: self.waiting.swap_remove(victim).ticket,
-            reason: reason::Reason::Overload,
-            retry: Some(retry),
-        })
-    }
-
-    /// Gives the caller one turn more, and its earliest deadline the first of its turns.
-    fn insert(&mut self, ticket: Ticket) {
-        let (caller, priority) = (ticket.caller, ticket.priority);
-        let own = |w: &Waiting| w.ticket.caller == caller && w.ticket.priority == priority;
-        let last = self.waiting.iter().filter(|w| own(w)).map(|w| w.turn).max();
-        let turn = last.unwrap_or_default().max(self.turns[priority as usize]) + 1;
-        self.sequence += 1;
-        self.waiting.push(Waiting {
-            ticket,
-            turn,
-            sequence: self.sequence,
-        });
-        let mut own: Vec<&mut Waiting> = self.waiting.iter_mut().filter(|w| own(w)).collect();
-        let mut turns: Vec<u64> = own.iter().map(|w| w.turn).collect();
-        turns.sort_unstable();
-        own.sort_unstable_by_key(|w| (w.ticket.deadline, w.sequence));
-        own.into_iter()
-            .zip(turns)
-            .for_each(|(w, turn)| w.turn = turn);
-    }
-
-    /// Takes out what would be late even if it started now.
-    fn overdue(&mut self, now: id::Time) -> Vec<Refusal> {
-        let latest = now + self.expected();
-        // Compares as `wake` does, so that a call at that time takes something out.
-        let late = |w: &mut Waiting| w.ticket.deadline <= latest;
-        self.waiting
-            .extract_if(.., late)
-            .map(|w| Refusal {
-                ticket: w.ticket,
-                reason: reason::Reason::Deadline,
-                retry: None,
-            })
-            .collect()
     }
 
     fn dispatch(&mut self, now: id::Time) -> Option<Ticket> {
         if self.running.len() >= self.limits.slots {
             return None;
         }
-        let class = self.next_class()?;
-        let at = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(_, w)| w.ticket.priority == class)
-            .min_by_key(|(_, w)| w.order())
-            .map(|(at, _)| at)?;
-        let next = self.waiting.swap_remove(at);
-        self.turns[class as usize] = self.turns[class as usize].max(next.turn);
-        self.start(next.ticket.request, now);
-        Some(next.ticket)
+        let ticket = self.waiting.pop()?;
+        self.start(ticket.request, now);
+        Some(ticket)
     }
+}
 
-    /// The highest waiting class, unless another has been passed over too often.
-    fn next_class(&mut self) -> Option<Priority> {
-        let waits = |class: Priority| self.waiting.iter().any(|w| w.ticket.priority == class);
-        let classes: Vec<Priority> = Priority::ALL.into_iter().filter(|c| waits(*c)).collect();
-        let neglected = |class: &&Priority| self.passed[**class as usize] >= PATIENCE;
-        let chosen = *classes.iter().find(neglected).or(classes.first())?;
-        for class in Priority::ALL {
-            let passed = &mut self.passed[class as usize];
-            let skipped = class != chosen && classes.contains(&class);
-            *passed = if skipped { *passed + 1 } else { 0 };
-        }
-        Some(chosen)
+fn late(ticket: Ticket) -> Refusal {
+    Refusal {
+        ticket,
+        reason: reason::Reason::Deadline,
+        retry: None,
     }
 }
 
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -6,11 +6,18 @@
 use proptest::prelude::*;
 
 use crate::admission;
+use crate::backlog;
 use crate::id;
 use crate::reason;
 
 const WAIT: admission::Verdict = admission::Verdict::Wait { displaced: None };
 
+const CLASSES: [admission::Priority; 3] = [
+    admission::Priority::Write,
+    admission::Priority::Fresh,
+    admission::Priority::Aged,
+];
+
 fn ms(count: u64) -> id::Time {
     time::Duration::from_millis(count)
 }
@@ -105,7 +112,7 @@
     }
     let order = drain(&mut queue, 0, ms(0));
     let turn = order.iter().position(|request| *request == 1).unwrap();
-    assert_eq!(turn, admission::PATIENCE as usize);
+    assert_eq!(turn, backlog::PATIENCE as usize);
 }
 
 #[test]
@@ -306,7 +313,7 @@
             match step {
                 Step::Offer { caller, class, patience } => {
                     offered += 1;
-                    let priority = admission::Priority::ALL[class];
+                    let priority = CLASSES[class];
                     let ticket = admission::Ticket { deadline: now + ms(patience), ..ticket(offered, caller, priority, 0) };
                     account.offered(offered, queue.offer(ticket, now));
                 }
@@ -347,10 +354,10 @@
         let mut queue = queue(1, 40, 10);
         queue.offer(write(0, 0, 1_000_000), ms(0));
         for request in 1..30 {
-            let priority = admission::Priority::ALL[random.usize(0..3)];
+            let priority = CLASSES[random.usize(0..3)];
             queue.offer(ticket(request, random.u64(1..6), priority, random.u64(1_000..2_000)), ms(0));
         }
-        let own = ticket(30, 999, admission::Priority::ALL[class], 999_999);
+        let own = ticket(30, 999, CLASSES[class], 999_999);
         queue.offer(own, ms(0));
         let mut running = 0;
         let mut starts = 0;
@@ -358,9 +365,9 @@
         while running != 30 {
             running = queue.release(running, ms(0)).run[0].request;
             starts += 1;
-            prop_assert!(starts <= 30 * (admission::PATIENCE + 2), "still waiting");
+            prop_assert!(starts <= 30 * (backlog::PATIENCE + 2), "still waiting");
             request += 1;
-            let priority = admission::Priority::ALL[random.usize(0..3)];
+            let priority = CLASSES[random.usize(0..3)];
             queue.offer(ticket(request, random.u64(1..200), priority, random.u64(1_000..2_000)), ms(0));
         }
     }
@@ -401,7 +408,7 @@
                 if next < END {
                     agenda.push(cmp::Reverse((next, Event::Arrival(request + 1))));
                 }
-                let priority = admission::Priority::ALL[random.usize(0..3)];
+                let priority = CLASSES[random.usize(0..3)];
                 let deadline = now + ms(PATIENCE_MS);
                 deadlines.insert(request, deadline);
                 let ticket = admission::Ticket {
--- a/src/member.rs
+++ b/src/member.rs
@@ -16,18 +16,13 @@
 
 use crate::catalog;
 use crate::database;
+use crate::evidence;
 use crate::id;
 use crate::placement;
 use crate::store;
 
 /// Silence after which other VMs are preferred.
 pub const SUSPECT_AFTER: time::Duration = time::Duration::from_millis(1_500);
-/// Silence after which a VM may be held for dead.
-pub const DEAD_AFTER: time::Duration = time::Duration::from_secs(5);
-/// Greatest lag of the platform's list.
-pub const LIST_LAG: time::Duration = time::Duration::from_secs(30);
-/// Age up to which a lease that was seen proves something.
-pub const LEASE_AGE: time::Duration = time::Duration::from_secs(15);
 /// Time after which a destroyed VM is forgotten.
 const FORGET_AFTER: time::Duration = time::Duration::from_mins(10);
 
@@ -90,70 +85,6 @@
     pub cause: Cause,
 }
 
-/// A heartbeat, or the lease entry, of a VM.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Sign {
-    /// Name of the VM.
-    pub vm: id::Vm,
-    /// Failure domain from its settings.
-    pub domain: id::Domain,
-    /// Its process.
-    pub incarnation: id::Incarnation,
-    /// True once the process shuts down.
-    pub draining: bool,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Lease {
-    Live(id::Time),
-    Gone(id::Time),
-}
-
-/// What the sources said about one VM, with the times at which they did.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    domain: id::Domain,
-    incarnation: Option<id::Incarnation>,
-    listed: bool,
-    /// Since when non-empty lists have not shown it, after one that did.
-    delisted: Option<id::Time>,
-    /// Last list that announced its going away.
-    announced: Option<id::Time>,
-    lease: Option<Lease>,
-    heard: Option<id::Time>,
-    /// First heartbeat missed since the last one heard.
-    missed: Option<id::Time>,
-    draining: bool,
-}
-
-impl Record {
-    fn take(&mut self, sign: &Sign) {
-        let same = self.incarnation == Some(sign.incarnation);
-        // A heartbeat that was overtaken must not take a draining process back.
-        self.draining = sign.draining || (same && self.draining);
-        self.incarnation = Some(sign.incarnation);
-        self.domain.clone_from(&sign.domain);
-    }
-
-    fn silent(&self, now: id::Time, limit: time::Duration) -> bool {
-        self.missed.is_some_and(|missed| missed + limit <= now)
-    }
-
-    fn leased(&self, now: id::Time) -> bool {
-        matches!(self.lease, Some(Lease::Live(at)) if now < at + LEASE_AGE)
-    }
-
-    fn lease_gone(&self, now: id::Time) -> bool {
-        matches!(self.lease, Some(Lease::Gone(at)) if now < at + LEASE_AGE)
-    }
-
-    fn destroyed(&self, now: id::Time) -> bool {
-        let heard = self.heard.is_some_and(|heard| now < heard + DEAD_AFTER);
-        let delisted = self.delisted.is_some_and(|since| since + LIST_LAG <= now);
-        delisted && !heard && !self.leased(now)
-    }
-}
-
 /// All VMs, as seen by one. Times are of its monotonic clock.
 ///
 /// ```
@@ -174,7 +105,7 @@
 #[derive(Debug)]
 pub struct View {
     vm: id::Vm,
-    records: collections::BTreeMap<id::Vm, Record>,
+    records: collections::BTreeMap<id::Vm, evidence::Evidence>,
     declared: Vec<id::Vm>,
 }
 
@@ -188,10 +119,7 @@
     /// ```
     #[must_use]
     pub fn new(vm: id::Vm, domain: id::Domain) -> Self {
-        let own = Record {
-            domain,
-            ..Record::default()
-        };
+        let own = evidence::Evidence::new(domain);
         Self {
             records: [(vm.clone(), own)].into(),
             vm,
@@ -205,19 +133,19 @@
             return;
         }
         let names: collections::HashSet<&id::Vm> = list.iter().map(|line| &line.vm).collect();
-        for (vm, record) in &mut self.records {
-            if record.listed && !names.contains(vm) {
-                record.listed = false;
-                record.delisted = Some(now);
-            }
+        let absent = self
+            .records
+            .iter_mut()
+            .filter(|(vm, _)| !names.contains(vm));
+        for (_, record) in absent {
+            record.unlist(now);
         }
         for line in list {
-            self.list(line, now);
+            self.record(&line.vm).list(line, now);
         }
         let own = self.vm.clone();
         self.records.retain(|vm, record| {
-            let since = record.delisted.filter(|_| record.destroyed(now));
-            *vm == own || since.is_none_or(|since| now < since + FORGET_AFTER)
+            *vm == own || !record.destroyed(now) || !record.delisted(now, FORGET_AFTER)
         });
     }
 
@@ -227,36 +155,31 @@
     }
 
     /// Takes in all live lease entries, as read now. Entries that are missing are gone.
-    pub fn leases(&mut self, signs: &[Sign], now: id::Time) {
+    pub fn leases(&mut self, signs: &[evidence::Sign], now: id::Time) {
         for record in self.records.values_mut() {
-            record.lease = Some(Lease::Gone(now));
+            record.lease_ended(now);
         }
         for sign in signs {
-            let record = self.record(&sign.vm);
-            record.take(sign);
-            record.lease = Some(Lease::Live(now));
+            self.record(&sign.vm).lease_seen(sign, now);
         }
     }
 
     /// Takes in a heartbeat.
-    pub fn heard(&mut self, sign: &Sign, now: id::Time) {
-        let record = self.record(&sign.vm);
-        record.take(sign);
-        record.heard = record.heard.max(Some(now));
-        record.missed = None;
+    pub fn heard(&mut self, sign: &evidence::Sign, now: id::Time) {
+        self.record(&sign.vm).hear(sign, now);
     }
 
     /// Notes that a heartbeat of this VM was due and did not come.
     pub fn missed(&mut self, vm: &id::Vm, now: id::Time) {
         if let Some(record) = self.records.get_mut(vm) {
-            record.missed.get_or_insert(now);
+            record.miss(now);
         }
     }
 
     /// Notes that this VM itself shuts down.
     pub fn drain(&mut self) {
         let vm = self.vm.clone();
-        self.record(&vm).draining = true;
+        self.record(&vm).drain();
     }
 
     /// All VMs with their states, by name.
@@ -268,7 +191,7 @@
                 let (state, cause) = self.judge(vm, record, now);
                 Member {
                     vm: vm.clone(),
-                    domain: record.domain.clone(),
+                    domain: record.domain().clone(),
                     state,
                     cause,
                 }
@@ -281,7 +204,7 @@
     /// the platform has told of do not count: upstreams may be among them.
     #[must_use]
     pub fn candidates(&self, now: id::Time) -> Vec<placement::Candidate> {
-        let proxy = |vm: &id::Vm| *vm == self.vm || self.records[vm].incarnation.is_some();
+        let proxy = |vm: &id::Vm| *vm == self.vm || self.records[vm].signed();
         self.members(now)
             .into_iter()
             .filter(|member| member.state != State::Dead && proxy(&member.vm))
@@ -308,30 +231,14 @@
     #[must_use]
     pub fn withdrawn(&self, instance: &database::Instance) -> bool {
         let record = self.records.get(&instance.name);
-        instance.leaving || record.is_some_and(|record| record.announced.is_some())
+        instance.leaving || record.is_some_and(evidence::Evidence::announced)
     }
 
-    fn record(&mut self, vm: &id::Vm) -> &mut Record {
+    fn record(&mut self, vm: &id::Vm) -> &mut evidence::Evidence {
         self.records.entry(vm.clone()).or_default()
     }
 
-    /// A list that lags may miss an announcement that an earlier one had; only after the
-    /// lag does "not leaving" mean that it was taken back.
-    fn list(&mut self, line: &store::Listing, now: id::Time) {
-        let record = self.record(&line.vm);
-        record.listed = true;
-        record.delisted = None;
-        if record.domain.is_empty() {
-            record.domain.clone_from(&line.domain);
-        }
-        record.announced = if line.leaving {
-            Some(now)
-        } else {
-            record.announced.filter(|at| now < *at + LIST_LAG)
-        };
-    }
-
-    fn judge(&self, vm: &id::Vm, record: &Record, now: id::Time) -> (State, Cause) {
+    fn judge(&self, vm: &id::Vm, record: &evidence::Evidence, now: id::Time) -> (State, Cause) {
         let leaving = self.leaving(vm, record);
         if *vm == self.vm {
             return leaving.unwrap_or((State::Live, Cause::Own));
@@ -342,22 +249,22 @@
             .unwrap_or((State::Live, proof(record, now)))
     }
 
-    fn leaving(&self, vm: &id::Vm, record: &Record) -> Option<(State, Cause)> {
+    fn leaving(&self, vm: &id::Vm, record: &evidence::Evidence) -> Option<(State, Cause)> {
         let withdrawn = !self.declared.is_empty() && !self.declared.contains(vm);
         let causes = [
-            (record.draining, Cause::Draining),
-            (record.announced.is_some(), Cause::Announced),
+            (record.draining(), Cause::Draining),
+            (record.announced(), Cause::Announced),
             (withdrawn, Cause::Withdrawn),
         ];
         let cause = causes.into_iter().find(|(holds, _)| *holds);
         cause.map(|(_, cause)| (State::Leaving, cause))
     }
 
-    fn dead(&self, record: &Record, now: id::Time) -> Option<(State, Cause)> {
+    fn dead(&self, record: &evidence::Evidence, now: id::Time) -> Option<(State, Cause)> {
         if record.destroyed(now) {
             return Some((State::Dead, Cause::Delisted));
         }
-        if !record.silent(now, DEAD_AFTER) || record.leased(now) {
+        if !record.silent(now, evidence::DEAD_AFTER) || record.leased(now) {
             return None;
         }
         if record.lease_gone(now) {
@@ -366,14 +273,14 @@
         (!self.isolated(now)).then_some((State::Dead, Cause::Silence))
     }
 
-    fn suspect(&self, record: &Record, now: id::Time) -> Option<(State, Cause)> {
+    fn suspect(&self, record: &evidence::Evidence, now: id::Time) -> Option<(State, Cause)> {
         let cause = if record.silent(now, SUSPECT_AFTER) {
             match (record.leased(now), self.isolated(now)) {
                 (true, _) => Cause::Unreachable,
                 (false, true) => Cause::Isolated,
                 (false, false) => Cause::Silence,
             }
-        } else if record.heard.is_none() && record.lease_gone(now) {
+        } else if !record.heard() && record.lease_gone(now) {
             Cause::LeaseGone
         } else {
             return None;
@@ -383,18 +290,16 @@
 
     /// Whether at least half of the VMs that heartbeats are exchanged with are silent.
     fn isolated(&self, now: id::Time) -> bool {
-        let probed = |record: &&Record| {
-            (record.heard.is_some() || record.missed.is_some()) && !record.destroyed(now)
-        };
-        let probed: Vec<&Record> = self.records.values().filter(probed).collect();
-        let silent = |record: &&&Record| record.silent(now, SUSPECT_AFTER);
+        let probed = |record: &&evidence::Evidence| record.probed() && !record.destroyed(now);
+        let probed: Vec<&evidence::Evidence> = self.records.values().filter(probed).collect();
+        let silent = |record: &&&evidence::Evidence| record.silent(now, SUSPECT_AFTER);
         let silent = probed.iter().filter(silent).count();
         silent * 2 >= probed.len()
     }
 }
 
-fn proof(record: &Record, now: id::Time) -> Cause {
-    if record.heard.is_some() {
+fn proof(record: &evidence::Evidence, now: id::Time) -> Cause {
+    if record.heard() {
         Cause::Heartbeat
     } else if record.leased(now) {
         Cause::Lease
--- a/src/member/tests.rs
+++ b/src/member/tests.rs
@@ -3,6 +3,7 @@
 
 use crate::catalog;
 use crate::database;
+use crate::evidence;
 use crate::id;
 use crate::member;
 use crate::store;
@@ -11,8 +12,8 @@
     time::Duration::from_secs(seconds)
 }
 
-fn sign(vm: &str) -> member::Sign {
-    member::Sign {
+fn sign(vm: &str) -> evidence::Sign {
+    evidence::Sign {
         vm: vm.into(),
         domain: "d".into(),
         incarnation: 1,
--- a/src/share.rs
+++ b/src/share.rs
@@ -18,6 +18,7 @@
 use crate::id;
 use crate::seat;
 use crate::store;
+use crate::suspect;
 use crate::witness;
 
 /// What to do next about the record of a group's seats.
@@ -66,13 +67,6 @@
     ready: id::Time,
 }
 
-/// A lease seen gone, and the witnesses that had contact after that.
-#[derive(Clone, Debug)]
-struct Suspect {
-    gone: id::Time,
-    contacts: collections::HashSet<id::Vm>,
-}
-
 /// One VM's view of the seats of one group. Times are of this VM's monotonic clock.
 ///
 /// ```
@@ -98,7 +92,7 @@
     record: Vec<seat::Seat>,
     mine: collections::BTreeMap<seat::Index, Mine>,
     proposals: Vec<Proposal>,
-    suspects: collections::HashMap<store::Lease, Suspect>,
+    suspects: collections::HashMap<store::Lease, suspect::Suspect>,
 }
 
 impl Book {
@@ -160,10 +154,7 @@
     pub fn gone(&mut self, lease: &store::Lease, answered: id::Time) {
         self.suspects
             .entry(lease.clone())
-            .or_insert_with(|| Suspect {
-                gone: answered,
-                contacts: collections::HashSet::new(),
-            });
+            .or_insert_with(|| suspect::Suspect::new(answered));
     }
 
     /// Notes a witness's testimony, asked for at `asked`.
@@ -172,20 +163,18 @@
             return;
         };
         if report.contacted {
-            self.suspects
-                .values_mut()
-                .filter(|suspect| contact >= suspect.gone)
-                .for_each(|suspect| {
-                    suspect.contacts.insert(vm.clone());
-                });
+            for suspect in self.suspects.values_mut() {
+                suspect.contact(vm, contact);
+            }
         }
     }
 
-    /// Notes that the platform has destroyed a VM; it will never testify again.
+    /// Notes that the platform has destroyed a VM; it will never testify again. Tell it
+    /// before each `decide`, as it counts for the leases seen gone so far.
     pub fn destroyed(&mut self, vm: &id::Vm) {
-        self.suspects.values_mut().for_each(|suspect| {
-            suspect.contacts.insert(vm.clone());
-        });
+        for suspect in self.suspects.values_mut() {
+            suspect.destroyed(vm);
+        }
     }
 
     /// Notes that nothing of this VM uses a seat any more that was to be drained.
@@ -323,7 +312,11 @@
             return self.propose(seat, now, witnesses, lease);
         }
         let foreign = |entry: &&seat::Seat| !self.owns(entry);
-        let lapsed = self.record.iter().filter(foreign).find(|e| self.lapsed(e));
+        let lapsed = |entry: &&seat::Seat| {
+            let suspect = self.suspects.get(&entry.lease);
+            suspect.is_some_and(|suspect| suspect.stops(&entry.witnesses))
+        };
+        let lapsed = self.record.iter().filter(foreign).find(lapsed);
         if let Some(seat) = lapsed.map(|entry| entry.seat) {
             let ready = now + self.limits.guard;
             return self.propose(seat, ready, witnesses, lease);
@@ -335,19 +328,6 @@
             .map_or(Step::Idle, |owner| Step::Check { owner })
     }
 
-    /// Whether the owner surely stops before a guard interval from now has passed.
-    fn lapsed(&self, entry: &seat::Seat) -> bool {
-        let Some(suspect) = self.suspects.get(&entry.lease) else {
-            return false;
-        };
-        let contacts = entry
-            .witnesses
-            .iter()
-            .filter(|vm| suspect.contacts.contains(*vm))
-            .count();
-        contacts >= entry.witnesses.len().div_ceil(2)
-    }
-
     /// Writes this VM into a seat; `ready` counts only if it is not its own already.
     fn propose(
         &mut self,
