Test late cancels, a drain behind a request, and hidden comments

Three rules could be broken without a test noticing: a cancel that comes after its statement, a request already in the socket when the drain begins, and a comment that opens inside an operator.

--- a/src/classify/tests.rs
+++ b/src/classify/tests.rs
@@ -93,6 +93,7 @@
         "SELECT 1 --\rDELETE FROM seats",
         "SELECT 1 --\r; DELETE FROM seats",
         "SELECT 1 !=-- ' \n 2; DELETE FROM seats; -- '",
+        "SELECT 1 ~-- ' \n 2; DELETE FROM seats; -- '",
         "SELECT\u{a0}1",
         "SELECT book\u{2003}(1)",
         "SELECT 1\u{b}",
--- a/src/sql/tests.rs
+++ b/src/sql/tests.rs
@@ -25,3 +25,9 @@
     let text = "CREATE FUNCTION f() RETURNS int BEGIN ATOMIC SELECT 1; SELECT 2; END";
     assert_eq!(count(text), 1);
 }
+
+#[test]
+fn comment_inside_an_operator_is_not_guessed_at() {
+    assert!(split("SELECT 1 ~-- ' \n 2; DELETE FROM seats; -- '").is_err());
+    assert!(split("SELECT 1 ~/* ' */ 2").is_err());
+}
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -686,3 +686,59 @@
     assert!(text(&error).contains("request was not completed"));
     server.stop();
 }
+
+#[test]
+fn cancel_that_comes_late_ends_nothing() {
+    // Symptom: a statement that nobody canceled is. Events: a cancel request arrives
+    // after the statement it was meant for has been answered. Cause, were it so: a
+    // cancel that waits for the next statement.
+    let server = Server::start(limits(), |batch| {
+        let reply = reply(batch);
+        let slow = async move {
+            async_io::Timer::after(time::Duration::from_millis(100)).await;
+            Ok(reply)
+        };
+        slow.boxed()
+    });
+    let mut socket = server.raw();
+    let hello = startup(&[("user", "desk"), ("database", "dome")]);
+    socket.write_all(&hello).unwrap();
+    let welcome = read_until(&mut socket, b'Z');
+    let key = welcome.iter().find(|frame| frame.tag == b'K').unwrap();
+    let mut cancel = server.raw();
+    let body = [&80_877_102_u32.to_be_bytes(), &key.body[..]].concat();
+    cancel.write_all(&packet(None, &body)).unwrap();
+    // The proxy closes the connection once it has handled the cancel request.
+    assert_matches!(read_frame(&mut cancel), Err(_));
+    socket.write_all(&query("DELETE FROM seats")).unwrap();
+    assert_eq!(tags(&read_until(&mut socket, b'Z')), "TDCZ");
+    server.stop();
+}
+
+#[test]
+fn request_that_arrived_before_the_drain_is_served() {
+    // Symptom: a caller is cut off with its request in flight. Events: the request is
+    // already in the socket when the process begins to drain, and is read afterwards.
+    // Cause, were it so: a session that looks for the drain before it reads.
+    let gate = sync::Arc::new(sync::Mutex::new(()));
+    let held = gate.clone();
+    let (entered, wait) = sync::mpsc::channel();
+    let server = Server::start(limits(), move |batch| {
+        if sql(batch).contains("held") {
+            // Holds the only thread of the executor, so no other session is polled.
+            entered.send(()).unwrap();
+            drop(held.lock().unwrap());
+        }
+        plain(batch)
+    });
+    let (mut first, mut second) = (server.open(), server.open());
+    let closed = gate.lock().unwrap();
+    first.write_all(&query("SELECT 1 FROM held")).unwrap();
+    wait.recv_timeout(PATIENCE).unwrap();
+    second.write_all(&query("SELECT 2 FROM shows")).unwrap();
+    server.drain.start();
+    drop(closed);
+    assert_eq!(tags(&read_until(&mut first, b'E')), "TDCZE");
+    assert_eq!(tags(&read_until(&mut second, b'E')), "TDCZE");
+    server.stop();
+}
