--- a/src/declaration/tests.rs
+++ b/src/declaration/tests.rs
@@ -173,6 +173,10 @@
 
 #[test]
 fn the_order_of_a_file_says_nothing() {
+    let second = GOOD.split("[age").next().unwrap();
+    let second = second.replace("dome", "hall").replace("0.1:", "0.2:");
+    let (before, after) = (format!("{second}{GOOD}"), format!("{GOOD}{second}"));
+    assert_eq!(parse(&before), parse(&after));
     let text = GOOD
         .replace("shows, calendar", "calendar, shows")
         .replace("v2, v1", "v1, v2");
