Compare and apply files from the command line

Cause: operators had no way to put a file in force. The apply names the revision that it was compared with, so that a file of another operator in between is a conflict and never overwritten unseen; an apply whose answer is lost is repeated with its own id, and when that does not settle it, the outcome is called unknown with an exit code of its own.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,8 +6,10 @@
 
 use bpaf::Bpaf;
 use bpaf::Parser;
+use compact_str::CompactString;
 
 use crate::exit;
+use crate::id;
 
 const PATIENCE: time::Duration = time::Duration::from_secs(5);
 const WIDTH: usize = 100;
@@ -28,6 +30,12 @@
     /// Check a file and print all its mistakes
     #[bpaf(command)]
     Check(#[bpaf(external(check))] Check),
+    /// Show what applying a file would change
+    #[bpaf(command)]
+    Diff(#[bpaf(external(diff))] Diff),
+    /// Put a whole file in force
+    #[bpaf(command)]
+    Apply(#[bpaf(external(apply))] Apply),
     /// Show the state of all proxies and groups
     #[bpaf(command)]
     Status(#[bpaf(external(status))] Status),
@@ -44,6 +52,40 @@
     pub file: path::PathBuf,
 }
 
+/// Arguments of `mangotray diff`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+pub struct Diff {
+    /// Where the platform's service listens.
+    #[bpaf(external(platform))]
+    pub platform: net::SocketAddr,
+    /// Longest wait for one call to the platform.
+    #[bpaf(external(timeout))]
+    pub timeout: time::Duration,
+    /// Operators' file.
+    #[bpaf(external(file))]
+    pub file: path::PathBuf,
+}
+
+/// Arguments of `mangotray apply`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+pub struct Apply {
+    /// Where the platform's service listens.
+    #[bpaf(external(platform))]
+    pub platform: net::SocketAddr,
+    /// Longest wait for one call to the platform.
+    #[bpaf(external(timeout))]
+    pub timeout: time::Duration,
+    /// Revision that the file starts from, as told by `diff`; another one in force is a conflict
+    #[bpaf(argument("REVISION"), optional)]
+    pub base: Option<id::Revision>,
+    /// Who applies, for other operators to read (default $USER)
+    #[bpaf(argument("NAME"), optional)]
+    pub by: Option<CompactString>,
+    /// Operators' file.
+    #[bpaf(external(file))]
+    pub file: path::PathBuf,
+}
+
 /// Arguments of `mangotray status`.
 #[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
 pub struct Status {
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -1,3 +1,5 @@
+use std::time;
+
 use assert_matches::assert_matches;
 
 use crate::cli;
@@ -13,10 +15,10 @@
 
 #[test]
 fn options_stand_before_or_after_the_file() {
-    let before = parse(&["explain", "--database", "d", "SELECT 1"]).unwrap();
-    let after = parse(&["explain", "SELECT 1", "--database", "d"]).unwrap();
+    let before = parse(&["diff", "--platform", "127.0.0.1:1", "a.ini"]).unwrap();
+    let after = parse(&["diff", "a.ini", "--platform", "127.0.0.1:1"]).unwrap();
     assert_eq!(before, after);
-    assert_matches!(before, cli::Command::Explain(e) if e.sql == "SELECT 1" && e.file.is_none());
+    assert_matches!(before, cli::Command::Diff(diff) if diff.timeout == time::Duration::from_secs(5));
 }
 
 #[test]
@@ -32,3 +34,11 @@
     let parsed = parse(&words).unwrap();
     assert_matches!(parsed, cli::Command::Status(s) if s.admin.len() == 2 && s.json && s.platform.is_none());
 }
+
+#[test]
+fn apply_needs_a_platform() {
+    assert_matches!(
+        parse(&["apply", "a.ini"]),
+        Err(bpaf::ParseFailure::Stderr(_))
+    );
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,7 +1,10 @@
 //! Runs one command of the operators' client.
 
 use std::fs;
+use std::net;
 use std::path;
+use std::sync;
+use std::time;
 
 use eyre::WrapErr;
 
@@ -10,14 +13,18 @@
 use crate::console;
 use crate::declaration;
 use crate::exit;
+use crate::platform;
 use crate::store;
 
+mod apply;
 mod check;
+mod diff;
 mod explain;
 mod status;
 
 /// An operators' file that was read and found valid.
 struct Source {
+    text: String,
     catalog: catalog::Catalog,
 }
 
@@ -35,11 +42,26 @@
 pub fn run(command: &cli::Command, console: &mut console::Console) -> eyre::Result<exit::Code> {
     match command {
         cli::Command::Check(arguments) => check::run(arguments, console),
+        cli::Command::Diff(arguments) => diff::run(arguments, console),
+        cli::Command::Apply(arguments) => apply::run(arguments, console),
         cli::Command::Explain(arguments) => explain::run(arguments, console),
         cli::Command::Status(arguments) => status::run(arguments, console),
     }
 }
 
+/// Runs a conversation with the platform's service to its end.
+fn with_store<T>(
+    address: net::SocketAddr,
+    timeout: time::Duration,
+    conversation: impl AsyncFnOnce(&dyn store::Store) -> T,
+) -> T {
+    let executor = sync::Arc::new(async_executor::Executor::new());
+    let mut options = platform::Options::new(address);
+    options.timeout = timeout;
+    let client = platform::Client::new(options, &executor);
+    async_io::block_on(executor.run(conversation(&client)))
+}
+
 /// Words of a failed call.
 fn reason(failure: &store::Failure) -> &str {
     match failure {
@@ -47,6 +69,37 @@
     }
 }
 
+/// Reports that the platform's service gave no answer.
+fn unreachable(
+    address: net::SocketAddr,
+    failure: &store::Failure,
+    console: &mut console::Console,
+) -> eyre::Result<exit::Code> {
+    let why = reason(failure);
+    console.error(&format!(
+        "platform at {address}: {why}; nothing was changed"
+    ))?;
+    Ok(exit::Code::Unreachable)
+}
+
+/// Catalog of the file in force; empty when there is none or it is of a form unknown here.
+fn in_force(
+    file: Option<&crate::apply::File>,
+    console: &mut console::Console,
+) -> eyre::Result<catalog::Catalog> {
+    let Some(file) = file else {
+        return Ok(catalog::Catalog::default());
+    };
+    if let Ok(declaration) = declaration::Declaration::parse(&file.text) {
+        return Ok(declaration.catalog);
+    }
+    let revision = file.revision;
+    console.warning(&format!(
+        "revision {revision} cannot be read by this version; all is shown as new"
+    ))?;
+    Ok(catalog::Catalog::default())
+}
+
 /// Reads a file; its mistakes are printed and end the command.
 fn source(
     file: &path::Path,
@@ -61,7 +114,7 @@
                 console.warning(&warning.located(&name))?;
             }
             let catalog = declaration.catalog;
-            Ok(Ok(Source { catalog }))
+            Ok(Ok(Source { text, catalog }))
         }
     }
 }
--- /dev/null
+++ b/src/command/apply/tests.rs
@@ -0,0 +1,91 @@
+use std::io;
+
+use assert_matches::assert_matches;
+use futures_lite::future;
+
+use crate::apply as file;
+use crate::cli;
+use crate::command::apply;
+use crate::console;
+use crate::exit;
+use crate::platform::fake;
+use crate::store;
+
+fn arguments() -> cli::Apply {
+    cli::Apply {
+        platform: ([127, 0, 0, 1], 1).into(),
+        timeout: std::time::Duration::from_secs(1),
+        base: None,
+        by: Some("asha".into()),
+        file: "system.ini".into(),
+    }
+}
+
+fn code(settled: &apply::Settled) -> exit::Code {
+    let mut console = console::Console {
+        out: Box::new(io::sink()),
+        err: Box::new(io::sink()),
+        colour: false,
+    };
+    apply::tell(&arguments(), settled, &mut console).unwrap()
+}
+
+// Symptom: an operator is told that the outcome is unknown, or that a rival has won, though
+// the file is in force. Events: every answer of one round is lost. Cause: no repeat, or
+// one with another id.
+#[test]
+fn an_apply_whose_answers_are_lost_is_repeated_with_its_id() {
+    let store = fake::Fake::new(&[fake::Fate::Dropped; 4]);
+    let request = apply::request(&arguments(), "text", 0);
+    let settled = future::block_on(apply::put(&*store, &request));
+    assert!(settled.doubt);
+    assert_matches!(settled.verdict, Ok(file::Verdict::Applied(1)));
+    assert_eq!(code(&settled), exit::Code::Success);
+}
+
+// Symptom: a script takes an apply for refused and applies an older file, over one that is
+// in force. Events: the answer to the swap is lost, then the store goes down. Cause: the
+// refusal of the read that follows hides that the swap was sent.
+#[test]
+fn an_outage_after_a_lost_answer_leaves_the_outcome_unknown() {
+    let store = fake::Fake::new(&[fake::Fate::Lost]);
+    let request = apply::request(&arguments(), "text", 0);
+    let outage = async {
+        future::yield_now().await;
+        store.state.lock().unwrap().down = true;
+    };
+    let (settled, ()) = future::block_on(future::zip(apply::put(&*store, &request), outage));
+    assert_matches!(settled.verdict, Err(store::Failure::NotRun(_)));
+    assert_eq!(code(&settled), exit::Code::Unknown);
+}
+
+#[test]
+fn a_refused_apply_is_unreachable() {
+    let store = fake::Fake::new(&[fake::Fate::Refused]);
+    let request = apply::request(&arguments(), "text", 0);
+    let settled = future::block_on(apply::put(&*store, &request));
+    assert_eq!(code(&settled), exit::Code::Unreachable);
+}
+
+#[test]
+fn each_verdict_has_its_code() {
+    let winner = || file::Winner {
+        revision: 2,
+        by: "binh".into(),
+        diff: String::new(),
+    };
+    let cases = [
+        (file::Verdict::Unchanged(1), exit::Code::Success),
+        (file::Verdict::Lost(winner()), exit::Code::Conflict),
+        (file::Verdict::Superseded(winner()), exit::Code::Conflict),
+        (
+            file::Verdict::TooLarge { length: 9 },
+            exit::Code::InvalidFile,
+        ),
+    ];
+    for (verdict, expected) in cases {
+        let verdict = Ok(verdict);
+        let doubt = false;
+        assert_eq!(code(&apply::Settled { verdict, doubt }), expected);
+    }
+}
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -1,7 +1,6 @@
 //! `mangotray status`.
 
 use std::net;
-use std::sync;
 use std::time;
 
 use compact_str::ToCompactString;
@@ -16,9 +15,7 @@
 use crate::exit;
 use crate::id;
 use crate::overview;
-use crate::platform;
 use crate::store;
-use crate::store::Store as _;
 
 /// Proxies that are asked at once.
 const CONCURRENCY: usize = 64;
@@ -46,9 +43,12 @@
         console.error("give --platform, --admin or both")?;
         return Ok(exit::Code::Usage);
     }
-    let executor = sync::Arc::new(async_executor::Executor::new());
-    let gathered = gather(arguments, &executor);
-    let (vms, failures) = async_io::block_on(executor.run(gathered));
+    let Listed { targets, failures } = gather(arguments);
+    let asked = futures_util::stream::iter(targets)
+        .map(|target| ask(target, arguments.timeout))
+        .buffer_unordered(CONCURRENCY)
+        .collect();
+    let vms = async_io::block_on(asked);
     for failure in &failures {
         console.error(failure)?;
     }
@@ -86,41 +86,26 @@
     Ok(())
 }
 
-async fn gather(
-    arguments: &cli::Status,
-    executor: &sync::Arc<async_executor::Executor<'static>>,
-) -> (Vec<overview::Vm>, Vec<String>) {
-    let Listed {
-        mut targets,
-        failures,
-    } = match arguments.platform {
-        Some(address) => list(address, arguments.timeout, executor).await,
-        None => Listed::default(),
-    };
+fn gather(arguments: &cli::Status) -> Listed {
+    let mut listed = arguments
+        .platform
+        .map(|address| list(address, arguments.timeout))
+        .unwrap_or_default();
     for admin in &arguments.admin {
-        if targets.iter().all(|target| target.admin != *admin) {
+        if listed.targets.iter().all(|target| target.admin != *admin) {
             let (name, admin) = (None, *admin);
-            targets.push(Target { name, admin });
+            listed.targets.push(Target { name, admin });
         }
     }
-    let vms = futures_util::stream::iter(targets)
-        .map(|target| ask(target, arguments.timeout))
-        .buffer_unordered(CONCURRENCY)
-        .collect()
-        .await;
-    (vms, failures)
+    listed
 }
 
-async fn list(
-    address: net::SocketAddr,
-    timeout: time::Duration,
-    executor: &sync::Arc<async_executor::Executor<'static>>,
-) -> Listed {
-    let mut options = platform::Options::new(address);
-    options.timeout = timeout;
-    let client = platform::Client::new(options, executor);
+fn list(address: net::SocketAddr, timeout: time::Duration) -> Listed {
+    let entries = command::with_store(address, timeout, async |store| {
+        store.list(enrol::PREFIX).await
+    });
     let mut listed = Listed::default();
-    match client.list(enrol::PREFIX).await {
+    match entries {
         Ok(entries) => entries.iter().for_each(|entry| listed.add(entry)),
         Err(failure) => {
             let why = command::reason(&failure);
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -18,7 +18,7 @@
     Usage = 2,
     /// The file has mistakes; all of them were printed.
     InvalidFile = 3,
-    /// Another file was applied at the same time; nothing was changed.
+    /// Another file is in force instead of the one to be applied.
     Conflict = 4,
     /// The platform's service or the proxies could not be reached; nothing was changed.
     Unreachable = 5,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -292,3 +292,130 @@
     let run = environment.client(&[&base[..], &["none", "--file", "system.ini"]].concat());
     assert_eq!(run.code, 3, "{run:?}");
 }
+
+#[test]
+fn an_applied_file_is_in_force_until_the_next() {
+    let platform = Platform::start();
+    let address = platform.address();
+    let environment = Environment::new()
+        .with("system.ini", CATALOG)
+        .with("next.ini", &CATALOG.replace("slots = 3", "slots = 4"));
+    let client =
+        |command: &str, file: &str| environment.client(&[command, file, "--platform", &address]);
+    let nothing = client("diff", "system.ini");
+    assert_eq!(nothing.out, "no file is in force\n+ group dome-1\n");
+    let first = client("apply", "system.ini");
+    assert_eq!((first.code, first.err.as_str()), (0, ""));
+    assert_eq!(
+        first.out,
+        "+ group dome-1\nsystem.ini is in force as revision 1\n"
+    );
+    let again = client("apply", "system.ini");
+    assert_eq!(
+        again.out,
+        "system.ini was in force already, as revision 1\n"
+    );
+    let changes = client("diff", "next.ini");
+    assert!(
+        changes.out.ends_with("~ group dome-1: slots 3 -> 4\n"),
+        "{changes:?}"
+    );
+    let second = client("apply", "next.ini");
+    assert!(
+        second.out.ends_with("next.ini is in force as revision 2\n"),
+        "{second:?}"
+    );
+    let same = client("diff", "next.ini");
+    assert!(same.out.ends_with("no change\n"), "{same:?}");
+}
+
+// Symptom: a file that nobody remembers being replaced. Events: two operators start from
+// revision 1; one applies, then the other. Cause: the second write goes over the first.
+#[test]
+fn an_apply_from_an_old_revision_is_a_conflict() {
+    let platform = Platform::start();
+    let address = platform.address();
+    let environment = Environment::new()
+        .with("one.ini", CATALOG)
+        .with("two.ini", &CATALOG.replace("slots = 3", "slots = 4"))
+        .with("three.ini", &CATALOG.replace("slots = 3", "slots = 5"));
+    let apply = |file: &str, by: &str, base: &str| {
+        let arguments = [
+            "apply",
+            file,
+            "--platform",
+            &address,
+            "--by",
+            by,
+            "--base",
+            base,
+        ];
+        environment.client(&arguments)
+    };
+    assert_eq!(apply("one.ini", "asha", "0").code, 0);
+    assert_eq!(apply("two.ini", "asha", "1").code, 0);
+    let lost = apply("three.ini", "binh", "1");
+    assert_eq!((lost.code, lost.out.as_str()), (4, ""), "{lost:?}");
+    let words = "revision 2 by asha is in force instead; nothing was changed";
+    assert!(lost.err.contains(words), "{lost:?}");
+    assert!(lost.err.contains("-slots = 4\n+slots = 5"), "{lost:?}");
+    let found = environment.client(&["diff", "two.ini", "--platform", &address]);
+    assert_eq!(found.out, "revision 2 by asha\nno change\n");
+}
+
+#[test]
+fn a_file_with_mistakes_is_not_applied() {
+    let platform = Platform::start();
+    let address = platform.address();
+    let environment = Environment::new()
+        .with("bad.ini", &CATALOG.replace("slots = 3", "slots = 0"))
+        .with("good.ini", CATALOG);
+    let refused = environment.client(&["apply", "bad.ini", "--platform", &address]);
+    assert_eq!(refused.code, 3, "{refused:?}");
+    let found = environment.client(&["diff", "good.ini", "--platform", &address]);
+    assert!(found.out.starts_with("no file is in force"), "{found:?}");
+}
+
+#[test]
+fn an_apply_in_an_outage_changes_nothing() {
+    let platform = Platform::start();
+    let address = platform.address();
+    let environment = Environment::new().with("system.ini", CATALOG);
+    let arguments = ["apply", "system.ini", "--platform", &address];
+    platform.service.set_outage(true);
+    let refused = environment.client(&arguments);
+    assert_eq!((refused.code, refused.out.as_str()), (5, ""), "{refused:?}");
+    assert!(refused.err.contains("nothing was changed"), "{refused:?}");
+    platform.service.set_outage(false);
+    let applied = environment.client(&arguments);
+    assert!(
+        applied.out.ends_with("in force as revision 1\n"),
+        "{applied:?}"
+    );
+}
+
+#[test]
+fn an_applied_file_reaches_a_running_proxy() {
+    let platform = Platform::start();
+    let proxy = platform.proxy("entry-1");
+    let admin = proxy.admin().to_string();
+    let environment = Environment::new().with("system.ini", CATALOG);
+    let applied = environment.client(&["apply", "system.ini", "--platform", &platform.address()]);
+    assert_eq!(applied.code, 0, "{applied:?}");
+    let reached = (0..TRIES).find_map(|_| {
+        let run = environment.client(&["status", "--admin", &admin]);
+        let reached = run.out.contains("group dome-1: ");
+        reached.then_some(run).or_else(|| {
+            thread::sleep(PAUSE);
+            None
+        })
+    });
+    proxy.crash();
+    // Nobody listens at the declared addresses.
+    let reached = reached.expect("the proxy follows the file");
+    assert_eq!(reached.code, 6, "{reached:?}");
+    assert!(
+        reached.err.contains("dome-1: no primary is known"),
+        "{reached:?}"
+    );
+}
