Describe the metrics that are emitted

Cause: six described metrics were emitted nowhere; one that was emitted, and the labels of others, were not described. Conclusion: the failover gap, queue depth, upstream connections and store calls are described but still wait for the code that emits them.

--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Logs and metrics of a process.
 //!
 //! Metric names stand here and nowhere else. Labels take their values from fixed sets
-//! (`source`, `outcome`, `reason`) or from the operators' file (`group`), never from
+//! (`source`, `class`, `outcome`, `result`) or from the operators' file (`group`), never from
 //! callers, so that the number of series stays bounded.
 
 use std::io::IsTerminal;
@@ -9,16 +9,16 @@
 
 use crate::settings;
 
-/// Requests answered or refused; label `outcome`.
+/// Requests answered or refused; labels `class` and `outcome`.
 pub const REQUESTS: &str = "mangotray_requests_total";
 /// Reads served; label `source` is [`REPLICA`] or [`PRIMARY`].
 pub const READS: &str = "mangotray_reads_total";
 /// Time from the loss of a primary to the first write of the next term.
 pub const FAILOVER_GAP: &str = "mangotray_failover_gap_seconds";
-/// Time from a request's arrival to the last byte of its answer.
-pub const REQUEST_TIME: &str = "mangotray_request_seconds";
 /// Caller connections open now.
 pub const CALLERS: &str = "mangotray_callers";
+/// Caller connections refused for want of room.
+pub const CALLERS_REFUSED: &str = "mangotray_callers_refused_total";
 /// Requests waiting for a connection now; label `group`.
 pub const QUEUE_DEPTH: &str = "mangotray_queue_depth";
 /// Connections open to upstreams now; label `group`.
@@ -29,16 +29,8 @@
 pub const PROMOTIONS: &str = "mangotray_promotions_total";
 /// Calls to the platform's service.
 pub const STORE_CALLS: &str = "mangotray_store_calls_total";
-/// Calls to the platform's service without a usable answer.
-pub const STORE_FAILURES: &str = "mangotray_store_failures_total";
-/// Status probes sent to instances.
-pub const PROBES: &str = "mangotray_probes_total";
-/// Requests forwarded to another proxy.
+/// Sessions offered to another proxy; label `result`.
 pub const FORWARDS: &str = "mangotray_forwards_total";
-/// Requests refused as not run; label `reason`.
-pub const REFUSALS: &str = "mangotray_refusals_total";
-/// Requests whose outcome stayed unknown; label `reason`.
-pub const UNKNOWNS: &str = "mangotray_unknown_outcomes_total";
 
 /// Value of label `source` for a read that a replica served.
 pub const REPLICA: &str = "replica";
@@ -46,7 +38,6 @@
 pub const PRIMARY: &str = "primary";
 
 const GAP_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 12.0, 30.0];
-const REQUEST_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
 
 static RECORDER: sync::OnceLock<Handle> = sync::OnceLock::new();
 
@@ -101,7 +92,6 @@
 
 fn recorder() -> metrics_exporter_prometheus::PrometheusRecorder {
     with_buckets(Builder::new(), FAILOVER_GAP, &GAP_BUCKETS)
-        .and_then(|builder| with_buckets(builder, REQUEST_TIME, &REQUEST_BUCKETS))
         .expect("bucket lists are not empty")
         .build_recorder()
 }
@@ -119,18 +109,18 @@
 
 fn describe_counters() {
     let counters = [
-        (REQUESTS, "Requests answered or refused, by outcome"),
+        (
+            REQUESTS,
+            "Requests answered or refused, by class and outcome",
+        ),
         (READS, "Reads served, by source"),
-        (PROMOTIONS, "Promotions that this process carried through"),
-        (STORE_CALLS, "Calls to the platform's service"),
         (
-            STORE_FAILURES,
-            "Calls to the platform's service without a usable answer",
+            CALLERS_REFUSED,
+            "Caller connections refused for want of room",
         ),
-        (PROBES, "Status probes sent to instances"),
-        (FORWARDS, "Requests forwarded to another proxy"),
-        (REFUSALS, "Requests refused as not run, by reason"),
-        (UNKNOWNS, "Requests whose outcome stayed unknown, by reason"),
+        (PROMOTIONS, "Promotions that this process carried through"),
+        (STORE_CALLS, "Calls to the platform's service"),
+        (FORWARDS, "Sessions offered to another proxy, by result"),
     ];
     for (name, text) in counters {
         metrics::describe_counter!(name, metrics::Unit::Count, text);
@@ -156,13 +146,10 @@
 }
 
 fn describe_histograms() {
-    let histograms = [
-        (
-            FAILOVER_GAP,
-            "Time from the loss of a primary to the first write of the next term",
-        ),
-        (REQUEST_TIME, "Time from a request's arrival to its answer"),
-    ];
+    let histograms = [(
+        FAILOVER_GAP,
+        "Time from the loss of a primary to the first write of the next term",
+    )];
     for (name, text) in histograms {
         metrics::describe_histogram!(name, metrics::Unit::Seconds, text);
     }
