Catch the daemon's signals before it serves

Cause: a SIGTERM between the first listening socket and the handler would kill the process with callers connected. A new test terminates a daemon as soon as it says that it serves; it could fail before.

Conclusion: the order alone closes the gap.

--- a/src/bin/mangotrayd.rs
+++ b/src/bin/mangotrayd.rs
@@ -39,22 +39,18 @@
         return Ok(exit::Code::Success);
     }
     telemetry::log(&settings.log)?;
+    // Signals are caught before anybody can know that the process runs: one that came
+    // earlier would kill it in place of draining it, with callers already connected.
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let proxy = daemon::Daemon::start(&settings, policy::Policy::Default)?;
     writeln!(console.out, "serving callers at {}", proxy.callers())?;
     let complete = async_io::block_on(async {
-        stop_signal().await?;
-        Ok::<_, eyre::Report>(proxy.drain().await)
-    })?;
+        signals.next().await;
+        proxy.drain().await
+    });
     Ok(if complete {
         exit::Code::Success
     } else {
         exit::Code::Degraded
     })
 }
-
-/// Waits for SIGTERM or SIGINT.
-async fn stop_signal() -> eyre::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    signals.next().await;
-    Ok(())
-}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,6 +1,8 @@
 //! Drives the real programs as an operator would.
 
 use std::fs;
+use std::io;
+use std::io::BufRead;
 use std::path;
 use std::process;
 use std::sync;
@@ -268,6 +270,33 @@
     assert_eq!(listed.expect("both proxies are registered").code, 6);
 }
 
+// Symptom: callers see cut connections at each restart. Events: the platform ends a VM with
+// SIGTERM. Cause: a process that dies of the signal instead of draining.
+#[test]
+fn a_terminated_daemon_drains_and_succeeds() {
+    let platform = Platform::start();
+    let environment = Environment::new().with("vm.ini", SETTINGS);
+    let mut daemon = process::Command::new(env!("CARGO_BIN_EXE_mangotrayd"))
+        .args(["--settings", "vm.ini", "--peers", "127.0.0.1:0"])
+        .args(["--admin", "127.0.0.1:0", "--platform", &platform.address()])
+        .current_dir(&environment.directory)
+        .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let mut out = io::BufReader::new(daemon.stdout.take().unwrap());
+    out.read_line(&mut line).unwrap();
+    let killed = process::Command::new("kill")
+        .args(["-TERM", &daemon.id().to_string()])
+        .status()
+        .unwrap();
+    let ended = daemon.wait().unwrap();
+    assert!(line.starts_with("serving callers at 127.0.0.1:"), "{line}");
+    assert!(killed.success());
+    assert_eq!(ended.code(), Some(0));
+}
+
 // Symptom: a status that hangs or looks healthy. Events: the platform's service is down.
 // Cause: a client that takes an empty list for the whole truth.
 #[test]
