Tell stale reads in full, and roam only to proxies that take connections

A stale or foreign read is now reported with its caller, proxy and statement, and a caller whose proxy is gone goes to another, as behind a balancer.

--- a/lab/src/caller.rs
+++ b/lab/src/caller.rs
@@ -74,7 +74,7 @@
     pub async fn step(&mut self) {
         let share = self.random.f64() * 2.0;
         tokio::time::sleep(self.plan.profile.pause.mul_f64(share)).await;
-        let proxy = self.random.usize(..self.links.len());
+        let proxy = self.roam().await;
         match self.plan.profile.mix.kind(self.random.u32(..100)) {
             profile::Kind::Book => {
                 let item = self.random.u32(1..=profile::ITEMS);
@@ -87,10 +87,23 @@
         }
     }
 
+    /// A proxy drawn among those that take connections, as a balancer would choose.
+    /// When none does, any one: the request is then counted as refused.
+    async fn roam(&mut self) -> usize {
+        let first = self.random.usize(..self.links.len());
+        for offset in 0..self.links.len() {
+            let proxy = (first + offset) % self.links.len();
+            if self.link(proxy).await.is_some() {
+                return proxy;
+            }
+        }
+        first
+    }
+
     /// Writes once to the prober's item, in one batch.
     pub async fn probe(&mut self) {
         let sent = time::Instant::now();
-        let proxy = self.random.usize(..self.links.len());
+        let proxy = self.roam().await;
         let told = self.book(proxy, profile::PROBER_ITEM, false).await;
         if told == ledger::Told::Confirmed {
             let confirmed = time::Instant::now();
@@ -216,9 +229,9 @@
             return;
         };
         let confirmed = self.confirmed.range(after + 1..).map(|(number, _)| *number);
-        let judged = parsed(&rows, own_row)
+        let judged = verdict::Own::parse(&rows)
             .map(|rows| verdict::Verdict::own(&rows, &request, &self.plan.name, confirmed));
-        self.judge(judged);
+        self.judge(proxy, &sql, judged);
     }
 
     async fn detail(&mut self, proxy: usize) {
@@ -229,9 +242,9 @@
             return;
         };
         let own = self.confirmed.values().filter(|it| **it == item).count();
-        let judged =
-            parsed(&rows, counter).map(|rows| verdict::Verdict::detail(&rows, &request, item, own));
-        self.judge(judged);
+        let judged = verdict::Counter::parse(&rows)
+            .map(|rows| verdict::Verdict::detail(&rows, &request, item, own));
+        self.judge(proxy, &sql, judged);
     }
 
     async fn list(&mut self, proxy: usize) {
@@ -242,9 +255,9 @@
             return;
         };
         let confirmed = |item| oldest.map_or(0, |at| self.plan.history.before(item, at));
-        let judged =
-            parsed(&rows, counter).map(|rows| verdict::Verdict::list(&rows, &request, confirmed));
-        self.judge(judged);
+        let judged = verdict::Counter::parse(&rows)
+            .map(|rows| verdict::Verdict::list(&rows, &request, confirmed));
+        self.judge(proxy, &sql, judged);
     }
 
     async fn read(
@@ -263,37 +276,11 @@
         Some(rows)
     }
 
-    fn judge(&mut self, judged: Option<verdict::Verdict>) {
+    fn judge(&mut self, proxy: usize, sql: &str, judged: Option<verdict::Verdict>) {
         let verdict = judged.unwrap_or(verdict::Verdict::FOREIGN);
-        self.note.foreign += usize::from(verdict.foreign);
-        self.note.stale += usize::from(verdict.stale);
+        let caller = &self.plan.name;
+        self.note.judge(verdict, || {
+            compact_str::format_compact!("{caller} at proxy {proxy}: {verdict:?}: {sql}")
+        });
     }
 }
-
-/// All rows, or `None` when one of them has not the columns asked for.
-fn parsed<T>(
-    rows: &[tokio_postgres::SimpleQueryRow],
-    parse: fn(&tokio_postgres::SimpleQueryRow) -> Option<T>,
-) -> Option<Vec<T>> {
-    rows.iter().map(parse).collect()
-}
-
-fn own_row(row: &tokio_postgres::SimpleQueryRow) -> Option<verdict::Own> {
-    Some(verdict::Own {
-        echo: text(row, "echo")?.into(),
-        caller: text(row, "caller")?.into(),
-        sequence: text(row, "sequence")?.parse().ok()?,
-    })
-}
-
-fn counter(row: &tokio_postgres::SimpleQueryRow) -> Option<verdict::Counter> {
-    Some(verdict::Counter {
-        echo: text(row, "echo")?.into(),
-        item: text(row, "item")?.parse().ok()?,
-        taken: text(row, "taken")?.parse().ok()?,
-    })
-}
-
-fn text<'a>(row: &'a tokio_postgres::SimpleQueryRow, column: &str) -> Option<&'a str> {
-    row.try_get(column).ok().flatten()
-}
--- a/lab/src/note.rs
+++ b/lab/src/note.rs
@@ -7,6 +7,10 @@
 
 use crate::ledger;
 use crate::profile;
+use crate::verdict;
+
+/// Violations that are told in full.
+const EXAMPLES: usize = 5;
 
 /// Latencies are kept to three significant digits.
 const DIGITS: u8 = 3;
@@ -26,6 +30,8 @@
     pub cut: usize,
     /// Reads that missed a write that they had to contain.
     pub stale: usize,
+    /// The first of those reads, told in full.
+    pub examples: Vec<CompactString>,
     /// Answers that belong to another request, or are incomplete.
     pub foreign: usize,
     /// Refusals by SQLSTATE and detail.
@@ -65,6 +71,7 @@
             latest: time::Duration::ZERO,
             cut: 0,
             stale: 0,
+            examples: Vec::new(),
             foreign: 0,
             refusals: collections::BTreeMap::new(),
             reads: 0,
@@ -94,6 +101,8 @@
         self.latest = self.latest.max(other.latest);
         self.cut += other.cut;
         self.stale += other.stale;
+        self.examples.extend(other.examples);
+        self.examples.truncate(EXAMPLES);
         self.foreign += other.foreign;
         for (refusal, count) in other.refusals {
             *self.refusals.entry(refusal).or_default() += count;
@@ -105,6 +114,22 @@
         self.write_latency.add(&other.write_latency).expect(resized);
     }
 
+    /// Counts what is wrong with an answer to a read, and keeps `told` as an example.
+    ///
+    /// ```
+    /// use mangotray_lab::{note::Note, verdict::Verdict};
+    /// let mut note = Note::new();
+    /// note.judge(Verdict::FOREIGN, || "row of another caller".into());
+    /// assert_eq!((note.foreign, note.stale, note.examples.len()), (1, 0, 1));
+    /// ```
+    pub fn judge(&mut self, verdict: verdict::Verdict, told: impl FnOnce() -> CompactString) {
+        self.foreign += usize::from(verdict.foreign);
+        self.stale += usize::from(verdict.stale);
+        if verdict != verdict::Verdict::default() && self.examples.len() < EXAMPLES {
+            self.examples.push(told());
+        }
+    }
+
     /// Compares the time that an answer took with its deadline.
     ///
     /// ```
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -63,6 +63,8 @@
     pub reads_refused: usize,
     /// Refusals of callers and probers by SQLSTATE and detail.
     pub refusals: collections::BTreeMap<CompactString, usize>,
+    /// Some stale and foreign reads, told in full.
+    pub examples: Vec<CompactString>,
     /// Callers' confirmed writes a second.
     pub writes_per_s: f64,
     /// Median latency of reads, as callers see it.
@@ -97,6 +99,7 @@
         self.foreign = note.foreign;
         self.reads_refused = note.reads_refused;
         self.refusals.clone_from(&note.refusals);
+        self.examples.clone_from(&note.examples);
         self.reads_per_s = per_second(note.reads, self.seconds);
         self.writes_per_s = per_second(self.confirmed, self.seconds);
         self.p50_ms = millis(&note.read_latency, 0.5);
--- a/lab/src/verdict.rs
+++ b/lab/src/verdict.rs
@@ -38,6 +38,40 @@
     pub taken: usize,
 }
 
+impl Own {
+    /// All rows of an answer, or `None` when one has not the columns asked for.
+    #[must_use]
+    pub fn parse(rows: &[tokio_postgres::SimpleQueryRow]) -> Option<Vec<Self>> {
+        let own = |row| {
+            Some(Self {
+                echo: text(row, "echo")?.into(),
+                caller: text(row, "caller")?.into(),
+                sequence: text(row, "sequence")?.parse().ok()?,
+            })
+        };
+        rows.iter().map(own).collect()
+    }
+}
+
+impl Counter {
+    /// All rows of an answer, or `None` when one has not the columns asked for.
+    #[must_use]
+    pub fn parse(rows: &[tokio_postgres::SimpleQueryRow]) -> Option<Vec<Self>> {
+        let counter = |row| {
+            Some(Self {
+                echo: text(row, "echo")?.into(),
+                item: text(row, "item")?.parse().ok()?,
+                taken: text(row, "taken")?.parse().ok()?,
+            })
+        };
+        rows.iter().map(counter).collect()
+    }
+}
+
+fn text<'a>(row: &'a tokio_postgres::SimpleQueryRow, column: &str) -> Option<&'a str> {
+    row.try_get(column).ok().flatten()
+}
+
 impl Verdict {
     /// An answer whose rows do not even have the columns asked for.
     pub const FOREIGN: Self = Self {
