--- a/lab/src/cluster.rs
+++ b/lab/src/cluster.rs
@@ -11,6 +11,7 @@
 use crate::instance;
 use crate::journal;
 use crate::stats;
+use crate::storage;
 
 /// Instances of a group.
 pub const SIZE: usize = 3;
@@ -211,7 +212,30 @@
     /// # Errors
     /// When the query is wrong.
     pub fn query(&self, index: id::Index, sql: &str) -> eyre::Result<Vec<Vec<Option<String>>>> {
-        crate::storage::audit(&self.instances[index].file().0, sql)
+        let mut results = self.queries(index, &[sql])?;
+        Ok(results.pop().unwrap_or_default())
+    }
+
+    /// Runs queries on one snapshot of an instance's data. Late writes may still
+    /// commit, so results of separate calls need not fit together.
+    ///
+    /// ```
+    /// use mangotray_lab::cluster;
+    /// let executor = std::sync::Arc::new(async_executor::Executor::new());
+    /// let group = cluster::Cluster::start(cluster::Options::default(), &executor).unwrap();
+    /// let results = group.queries(0, &["SELECT 1", "SELECT NULL"]).unwrap();
+    /// assert_eq!(results, [[[Some("1".to_owned())]], [[None]]]);
+    /// ```
+    ///
+    /// # Errors
+    /// When a query is wrong.
+    pub fn queries(
+        &self,
+        index: id::Index,
+        queries: &[&str],
+    ) -> eyre::Result<Vec<Vec<Vec<Option<String>>>>> {
+        let (path, _) = self.instances[index].file();
+        Ok(storage::audit(&path, queries)?)
     }
 
     /// Log of an instance.
--- a/lab/src/storage.rs
+++ b/lab/src/storage.rs
@@ -81,9 +81,20 @@
     prepared.query_one([], |row| Ok(stamp::Stamp::new(row.get(0)?, row.get(1)?)))
 }
 
-/// All rows of a query as text, for audits.
-pub(crate) fn audit(path: &path::Path, sql: &str) -> eyre::Result<Vec<Vec<Option<String>>>> {
+/// Rows of a query as text; `None` stands for NULL.
+pub(crate) type Rows = Vec<Vec<Option<String>>>;
+
+/// All rows of some queries on one snapshot, for audits.
+pub(crate) fn audit(path: &path::Path, queries: &[&str]) -> rusqlite::Result<Vec<Rows>> {
     let connection = connect(path)?;
+    connection.execute_batch("BEGIN")?;
+    queries
+        .iter()
+        .map(|sql| all_rows(&connection, sql))
+        .collect()
+}
+
+fn all_rows(connection: &rusqlite::Connection, sql: &str) -> rusqlite::Result<Rows> {
     let mut prepared = connection.prepare(sql)?;
     let width = prepared.column_count();
     let rows = prepared.query_map([], |row| {
@@ -92,7 +103,7 @@
             .map(|value| value.map(|value| optional_text(&value)))
             .collect()
     })?;
-    Ok(rows.collect::<Result<_, _>>()?)
+    rows.collect()
 }
 
 fn optional_text(value: &types::Value) -> Option<String> {
