Measure failovers, queues and connections where operators look

Cause: the status told of no promotion and no gap, as both were constants; the histogram of the gap and two gauges were described and never set; calls to the platform were counted under a name that nothing described; `answer_bytes` had no effect; links to instances asked for none of the settings that callers are told of.

The gap of a group now runs from the last sight of a primary that a replica follows to the first sight of the next term's (`gap::Meter`, a plain function of the board), counted with the promotions in `tally`. Gauges are read from the state when they are scraped; a group that is no longer served goes to 0. Metric names come from `telemetry` but for those in `path`, which is left.

--- /dev/null
+++ b/lab/tests/status.rs
@@ -0,0 +1,84 @@
+//! What operators see of a failover, with real proxies.
+
+use std::io::Read;
+use std::io::Write;
+use std::net;
+use std::time;
+
+use mangotray::admin;
+use mangotray::daemon;
+use mangotray::policy;
+use mangotray_lab::profile;
+use mangotray_lab::ready;
+use mangotray_lab::stage;
+
+const PATIENCE: time::Duration = time::Duration::from_mins(1);
+
+fn status(admin: net::SocketAddr) -> admin::Status {
+    async_io::block_on(admin::fetch(admin, PATIENCE)).unwrap()
+}
+
+fn metrics(admin: net::SocketAddr) -> String {
+    let mut stream = net::TcpStream::connect(admin).unwrap();
+    let request = b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+// Symptom: after a failover the status tells of no promotion and no gap.
+// Events: the primary's process ends, a proxy promotes another instance.
+// Cause: constants in place of what the proxy has seen.
+#[test]
+fn a_failover_is_told_and_measured() {
+    let profile = profile::Profile {
+        deadline: time::Duration::from_secs(5),
+        ..profile::Profile::tarapath()
+    };
+    let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    let options = stage::Options {
+        profile: profile.clone(),
+        groups: 1,
+        callers: vec![any, any],
+        policy: policy::Policy::Default,
+    };
+    let stage = stage::Stage::start(&options).unwrap();
+    ready::wait(&profile, &[profile.group(0)], &stage.callers, PATIENCE).unwrap();
+    let admins: Vec<_> = stage
+        .proxies
+        .iter()
+        .flatten()
+        .map(daemon::Daemon::admin)
+        .collect();
+    let groups = || {
+        let statuses = admins.iter().map(|admin| status(*admin));
+        statuses
+            .flat_map(|status| status.groups)
+            .collect::<Vec<_>>()
+    };
+    let promotions = || groups().iter().map(|group| group.promotions).sum::<u64>();
+    let before = promotions();
+
+    stage.clusters[0].crash(stage.primary(0).unwrap());
+    let told = || {
+        let measured = groups()
+            .iter()
+            .any(|group| group.last_failover_gap_ms > Some(0));
+        promotions() > before && measured
+    };
+    assert!(stage::wait_until(PATIENCE, told), "{:?}", groups());
+
+    let text = metrics(admins[0]);
+    let label = format!("{{group=\"{}\"", groups()[0].name);
+    for name in [
+        "mangotray_promotions_total",
+        "mangotray_failover_gap_seconds_count",
+        "mangotray_queue_depth",
+        "mangotray_upstream_connections",
+    ] {
+        assert!(text.contains(&format!("{name}{label}")), "{name}: {text}");
+    }
+    assert!(text.contains("mangotray_config_revision 1"), "{text}");
+    stage.stop();
+}
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -20,6 +20,10 @@
 pub trait Source: Send + Sync {
     /// State as of now.
     fn status(&self) -> Status;
+
+    /// Brings the gauges up to date that are read from the state; called before the
+    /// metrics are rendered.
+    fn measure(&self) {}
 }
 
 /// State of one proxy.
@@ -48,9 +52,9 @@
     pub term: id::Term,
     /// Instances in the order of the catalog.
     pub instances: Vec<Instance>,
-    /// Requests that wait for a connection.
+    /// Requests that run or wait before the instances.
     pub queue: usize,
-    /// Promotions that this proxy carried through.
+    /// Promotions that this proxy carried through since it serves the group.
     pub promotions: u64,
     /// Length of the last failover gap in milliseconds, when there was one.
     pub last_failover_gap_ms: Option<u64>,
@@ -73,7 +77,7 @@
     pub reachable: bool,
     /// Connections that this proxy holds open.
     pub connections: usize,
-    /// Connections among them that run a batch now.
+    /// Requests that run or wait before the instance now.
     pub busy: usize,
 }
 
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -138,7 +138,7 @@
             return answer(hyper::StatusCode::METHOD_NOT_ALLOWED, TEXT, "GET only\n");
         }
         match path {
-            "/metrics" => answer(hyper::StatusCode::OK, METRICS, self.metrics.render()),
+            "/metrics" => self.metrics(),
             "/status" => self.status(),
             "/healthz" => self.health(),
             _ => answer(
@@ -149,6 +149,11 @@
         }
     }
 
+    fn metrics(&self) -> Answer {
+        self.source.measure();
+        answer(hyper::StatusCode::OK, METRICS, self.metrics.render())
+    }
+
     fn status(&self) -> Answer {
         match serde_json::to_vec(&self.source.status()) {
             Ok(json) => answer(hyper::StatusCode::OK, JSON, json),
--- a/src/admin/tests.rs
+++ b/src/admin/tests.rs
@@ -16,6 +16,10 @@
     fn status(&self) -> admin::Status {
         self.0.clone()
     }
+
+    fn measure(&self) {
+        metrics::gauge!("test_measured").set(5.0);
+    }
 }
 
 fn status() -> admin::Status {
@@ -70,6 +74,7 @@
     let cases = [
         ("GET /healthz", "HTTP/1.1 503", "draining"),
         ("GET /metrics", "HTTP/1.1 200", "test_scraped 7"),
+        ("GET /metrics", "HTTP/1.1 200", "test_measured 5"),
         ("GET /other", "HTTP/1.1 404", "/status"),
         ("POST /status", "HTTP/1.1 405", "GET only"),
     ];
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -191,7 +191,7 @@
         store: store.clone(),
         clock: clock.clone(),
         policy,
-        control: control::Options::default(),
+        control: control(&settings.limits),
         peers: sync::Arc::new(peers),
         executor: executor.clone(),
     };
@@ -267,6 +267,12 @@
     })
 }
 
+fn control(limits: &settings::Limits) -> control::Options {
+    let mut options = control::Options::default();
+    options.link.limit = limits.answer_bytes;
+    options
+}
+
 fn spawn(
     executor: &sync::Arc<async_executor::Executor<'static>>,
     context: &sync::Arc<Context>,
@@ -313,3 +319,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/failover.rs
+++ b/src/failover.rs
@@ -9,11 +9,13 @@
 use crate::clock;
 use crate::database;
 use crate::detect;
+use crate::gap;
 use crate::id;
 use crate::lag;
 use crate::policy;
 use crate::probe;
 use crate::promote;
+use crate::tally;
 use crate::term;
 use crate::upstream;
 
@@ -48,6 +50,8 @@
     pub executor: sync::Arc<async_executor::Executor<'static>>,
     /// This proxy's place among those that may promote; 0 tries first.
     pub rank: sync::Arc<sync::atomic::AtomicU32>,
+    /// Counts for operators.
+    pub tally: sync::Arc<tally::Tally>,
 }
 
 impl Failover {
@@ -58,10 +62,12 @@
         let (sender, events) = async_channel::unbounded();
         let mut suspected = None;
         let mut lag = lag::Estimate::default();
+        let mut meter = gap::Meter::default();
         loop {
             lag.look(&self.watch.board(), self.clock.now());
             let event = self.next(&events, &mut suspected, &lag).await;
             let board = self.watch.board();
+            self.measure(meter.look(&board));
             machine.saw(board.highest_fence());
             machine.set_rank(self.rank.load(sync::atomic::Ordering::Relaxed));
             machine.avoid(board.leader().map(|leader| leader.index));
@@ -71,6 +77,13 @@
         }
     }
 
+    fn measure(&self, gap: Option<time::Duration>) {
+        let Some(gap) = gap else { return };
+        self.tally.failed_over(&self.group, gap);
+        tracing::info!(target: "mangotray::placement", group = %self.group,
+            gap_ms = self.tally.last_gap_ms(), "failover is over");
+    }
+
     async fn next(
         &self,
         events: &async_channel::Receiver<promote::Event>,
@@ -195,7 +208,7 @@
     }
 
     fn announce(&self, index: id::Index, term: id::Term) {
-        metrics::counter!("mangotray_promotions_total").increment(1);
+        self.tally.promoted(&self.group);
         tracing::warn!(target: "mangotray::placement", group = %self.group, term, index,
             "new primary");
         let terms = self.terms.clone();
--- /dev/null
+++ b/src/gap/tests.rs
@@ -0,0 +1,96 @@
+use std::time;
+
+use crate::board;
+use crate::gap;
+use crate::id;
+use crate::role;
+use crate::stamp;
+use crate::status;
+
+fn answer(board: &mut board::Board, index: id::Index, at: u64, term: u64, position: u64) {
+    let leads = index + 1 == usize::try_from(term).unwrap();
+    let status = status::Status {
+        stamp: stamp::Stamp::new(term, position),
+        fence: term,
+        role: if leads {
+            role::Role::Primary
+        } else {
+            role::Role::Replica
+        },
+        voter: true,
+        incarnation: 1,
+    };
+    let finished = time::Duration::from_millis(at);
+    let started = finished;
+    board.answered(
+        index,
+        board::Observation {
+            started,
+            finished,
+            status,
+        },
+    );
+}
+
+fn all(board: &mut board::Board, at: u64, term: u64) {
+    (0..3).for_each(|index| answer(board, index, at, term, 5));
+}
+
+// Symptom: a failover is reported as no gap, or with the time of the vacancy only.
+// Events: the primary of term 1 answers last at 100 ms, the others are fenced at term 2
+// at 600 ms, and the primary of term 2 is first seen at 900 ms.
+// Cause: the old primary's last answer, not the fencing, begins the gap.
+#[test]
+fn a_gap_runs_from_the_last_sight_to_the_next_leader() {
+    let mut board = board::Board::new(3);
+    let mut meter = gap::Meter::default();
+    all(&mut board, 100, 1);
+    assert_eq!(meter.look(&board), None);
+    for index in [1, 2] {
+        board.failed(0);
+        let mut fenced = board.status(index).unwrap();
+        fenced.fence = 2;
+        let at = time::Duration::from_millis(600);
+        board.answered(
+            index,
+            board::Observation {
+                started: at,
+                finished: at,
+                status: fenced,
+            },
+        );
+        assert_eq!(meter.look(&board), None);
+    }
+    answer(&mut board, 1, 900, 2, 6);
+    assert_eq!(meter.look(&board), Some(time::Duration::from_millis(800)));
+    assert_eq!(meter.look(&board), None);
+}
+
+// Symptom: a primary cut off from its replicas for seconds counts as a gap of one probe.
+// Events: its log grows at 200 ms and no replica follows, it answers until 1,900 ms and is
+// replaced at 2,000 ms.
+// Cause: it answers this proxy to the end, but confirms nothing after 200 ms.
+#[test]
+fn a_primary_without_followers_is_not_healthy() {
+    let mut board = board::Board::new(3);
+    let mut meter = gap::Meter::default();
+    all(&mut board, 100, 1);
+    for at in [200, 1_900] {
+        answer(&mut board, 0, at, 1, 9);
+        assert_eq!(meter.look(&board), None);
+    }
+    answer(&mut board, 1, 2_000, 2, 6);
+    assert_eq!(meter.look(&board), Some(time::Duration::from_millis(1_800)));
+}
+
+#[test]
+fn the_first_leader_and_a_leader_that_returns_end_no_gap() {
+    let mut board = board::Board::new(3);
+    let mut meter = gap::Meter::default();
+    assert_eq!(meter.look(&board), None);
+    all(&mut board, 100, 1);
+    assert_eq!(meter.look(&board), None);
+    board.failed(0);
+    all(&mut board, 5_000, 1);
+    assert_eq!(meter.look(&board), None);
+}
--- a/src/group.rs
+++ b/src/group.rs
@@ -18,6 +18,7 @@
 use crate::route;
 use crate::stamp;
 use crate::status;
+use crate::tally;
 use crate::term;
 use crate::upstream;
 
@@ -64,6 +65,7 @@
     limit: sync::Mutex<pool::Limit>,
     domain: id::Domain,
     rank: sync::Arc<atomic::AtomicU32>,
+    tally: sync::Arc<tally::Tally>,
     tasks: Vec<async_executor::Task<()>>,
 }
 
@@ -77,6 +79,7 @@
         let declaration = arc_swap::ArcSwap::from_pointee(parts.declaration.clone());
         let declaration = sync::Arc::new(declaration);
         let failover = succession(&parts, &watch, &rank, &declaration);
+        let tally = failover.tally.clone();
         let mut tasks = probes(&parts, &watch);
         tasks.push(parts.executor.spawn(failover.run()));
         tasks.push(parts.executor.spawn(reserve(parts.terms.clone())));
@@ -95,6 +98,7 @@
             pools,
             domain: parts.domain,
             rank,
+            tally,
             tasks,
         })
     }
@@ -232,8 +236,8 @@
             term: leader.map_or(0, |leader| leader.term),
             instances,
             queue: self.pools.iter().map(pool::Pool::load).sum(),
-            promotions: 0,
-            last_failover_gap_ms: None,
+            promotions: self.tally.promotions(),
+            last_failover_gap_ms: self.tally.last_gap_ms(),
         }
     }
 
@@ -305,6 +309,7 @@
         policy: parts.policy,
         executor: parts.executor.clone(),
         rank: rank.clone(),
+        tally: sync::Arc::default(),
     }
 }
 
--- a/src/link.rs
+++ b/src/link.rs
@@ -22,6 +22,7 @@
 use crate::assembly;
 use crate::frame;
 use crate::id;
+use crate::local;
 use crate::reply;
 use crate::upstream;
 use crate::wire;
@@ -251,12 +252,17 @@
     }
 }
 
+/// Asks for the settings that callers are told. Otherwise the instance's own defaults
+/// would apply, and a caller that relies on what it was told would misread its answer.
 fn greeting(user: &str, database: &str) -> bytes::BytesMut {
     let mut message = startup::Startup::new();
     message.parameters.insert("user".into(), user.into());
     message
         .parameters
         .insert("database".into(), database.into());
+    let in_force = local::IN_FORCE.iter();
+    let in_force = in_force.map(|(name, value)| ((*name).into(), (*value).into()));
+    message.parameters.extend(in_force);
     let mut buffer = bytes::BytesMut::new();
     pgwire::messages::Message::encode(&message, &mut buffer).expect("names within limits");
     buffer
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -201,3 +201,23 @@
         assert_eq!(reply.frames.len(), 4);
     });
 }
+
+// Symptom: times come back in the instance's own zone, though the caller was told UTC.
+// Events: the instance's default differs from what the proxy reports; a link is opened.
+// Cause: a link that asks for nothing gets the instance's defaults.
+#[test]
+fn a_link_asks_for_the_settings_that_callers_are_told() {
+    let packet = greeting("mangotray", "dome");
+    let words: Vec<_> = packet[8..].split(|byte| *byte == 0).collect();
+    let asked: Vec<_> = words
+        .chunks_exact(2)
+        .map(|pair| (pair[0], pair[1]))
+        .collect();
+    for (name, value) in local::IN_FORCE {
+        assert!(
+            asked.contains(&(name.as_bytes(), value.as_bytes())),
+            "{name}"
+        );
+    }
+    assert!(asked.contains(&(b"database", b"dome")));
+}
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -14,6 +14,7 @@
 
 use crate::refusal;
 use crate::session;
+use crate::telemetry;
 use crate::wire;
 use crate::writer;
 
@@ -129,7 +130,7 @@
                     .detach();
             }
             Err(error) => {
-                metrics::counter!("mangotray_callers_refused_total").increment(1);
+                metrics::counter!(telemetry::CALLERS_REFUSED).increment(1);
                 executor
                     .spawn(async move { writer::close(stream, &error).await })
                     .detach();
--- a/src/overview.rs
+++ b/src/overview.rs
@@ -48,9 +48,9 @@
     pub term: id::Term,
     /// Instances in the order of the catalog.
     pub instances: Vec<Instance>,
-    /// Requests that wait for a connection, on all proxies.
+    /// Requests that run or wait before the instances, on all proxies.
     pub queue: usize,
-    /// Promotions that the proxies carried through since they started.
+    /// Promotions that the proxies carried through since they serve the group.
     pub promotions: u64,
     /// Longest of the proxies' last failover gaps in milliseconds.
     pub last_failover_gap_ms: Option<u64>,
@@ -75,7 +75,7 @@
     pub known_by: usize,
     /// Connections, of all proxies.
     pub connections: usize,
-    /// Connections that run a batch, of all proxies.
+    /// Requests that run or wait before the instance, on all proxies.
     pub busy: usize,
 }
 
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -15,6 +15,7 @@
 use crate::consul;
 use crate::http;
 use crate::store;
+use crate::telemetry;
 
 /// Calls in flight at once, watches apart.
 const CONNECTIONS: usize = 8;
@@ -276,7 +277,7 @@
 
 fn count(kind: &'static str, answered: bool) {
     let outcome = if answered { "answered" } else { "failed" };
-    metrics::counter!("platform_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
+    metrics::counter!(telemetry::STORE_CALLS, "kind" => kind, "outcome" => outcome).increment(1);
 }
 
 #[cfg(test)]
--- a/src/report.rs
+++ b/src/report.rs
@@ -1,5 +1,6 @@
 //! State of this process, as operators see it.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 
@@ -7,6 +8,7 @@
 use crate::directory;
 use crate::drain;
 use crate::id;
+use crate::telemetry;
 
 /// Collects the state of one process.
 pub struct Report {
@@ -15,6 +17,8 @@
     revision: atomic::AtomicU64,
     directory: sync::Arc<directory::Directory>,
     drain: drain::Signal,
+    /// Groups whose gauges were set; those no longer served go to zero.
+    measured: sync::Mutex<collections::BTreeSet<id::Group>>,
 }
 
 impl Report {
@@ -32,6 +36,7 @@
             revision: atomic::AtomicU64::new(0),
             directory,
             drain,
+            measured: sync::Mutex::default(),
         }
     }
 
@@ -50,14 +55,22 @@
     /// Notes the revision in force; an earlier one changes nothing.
     pub fn adopted(&self, revision: id::Revision) {
         self.revision.fetch_max(revision, atomic::Ordering::AcqRel);
-        metrics::gauge!("mangotray_config_revision").set(as_float(revision));
+        metrics::gauge!(telemetry::CONFIG_REVISION).set(as_float(revision));
     }
 }
 
-/// Gauges are floating-point; revisions stay far below the first inexact integer.
+/// Sets the gauges of one group.
+fn publish(group: &id::Group, queue: usize, connections: usize) {
+    let label = || group.to_string();
+    metrics::gauge!(telemetry::QUEUE_DEPTH, "group" => label()).set(as_float(queue as u64));
+    metrics::gauge!(telemetry::UPSTREAM_CONNECTIONS, "group" => label())
+        .set(as_float(connections as u64));
+}
+
+/// Gauges are floating-point; what is counted stays far below the first inexact integer.
 #[allow(clippy::cast_precision_loss)]
-fn as_float(revision: id::Revision) -> f64 {
-    revision as f64
+fn as_float(count: u64) -> f64 {
+    count as f64
 }
 
 impl admin::Source for Report {
@@ -70,4 +83,19 @@
             groups: self.directory.status(),
         }
     }
+
+    fn measure(&self) {
+        let groups = self.directory.status();
+        for group in &groups {
+            let connections = group.instances.iter().map(|i| i.connections).sum();
+            publish(&group.name, group.queue, connections);
+        }
+        let served: collections::BTreeSet<_> = groups.into_iter().map(|g| g.name).collect();
+        let measured = self.measured.lock();
+        let mut measured = measured.unwrap_or_else(sync::PoisonError::into_inner);
+        measured
+            .difference(&served)
+            .for_each(|group| publish(group, 0, 0));
+        *measured = served;
+    }
 }
--- a/src/runner.rs
+++ b/src/runner.rs
@@ -17,6 +17,7 @@
 use crate::refusal;
 use crate::reply;
 use crate::session;
+use crate::telemetry;
 use crate::transaction;
 
 /// The side of a session that faces its database group.
@@ -203,8 +204,7 @@
         class::Class::Commit => "commit",
         class::Class::Rollback => "rollback",
     };
-    metrics::counter!("mangotray_requests_total", "class" => class, "outcome" => outcome)
-        .increment(1);
+    metrics::counter!(telemetry::REQUESTS, "class" => class, "outcome" => outcome).increment(1);
 }
 
 /// Part of a deadline that is kept for the way back: an answer that leaves the proxy at
--- a/src/session.rs
+++ b/src/session.rs
@@ -15,6 +15,7 @@
 use crate::reader;
 use crate::runner;
 use crate::startup;
+use crate::telemetry;
 use crate::verdict;
 use crate::wire;
 use crate::writer;
@@ -88,7 +89,7 @@
 
 /// Serves one caller until either side ends the connection.
 pub async fn serve(stream: wire::Stream, context: sync::Arc<Context>) {
-    metrics::gauge!("mangotray_callers").increment(1.0);
+    metrics::gauge!(telemetry::CALLERS).increment(1.0);
     let _counted = Counted;
     let (stream, stop) = attend(stream, &context).await;
     if let reader::Stop::Fatal(error) = stop {
@@ -102,7 +103,7 @@
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        metrics::gauge!("mangotray_callers").decrement(1.0);
+        metrics::gauge!(telemetry::CALLERS).decrement(1.0);
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Logs and metrics of a process.
 //!
 //! Metric names stand here and nowhere else. Labels take their values from fixed sets
-//! (`source`, `class`, `outcome`, `result`) or from the operators' file (`group`), never from
+//! (`source`, `class`, `outcome`, `result`, `kind`) or from the operators' file (`group`), never from
 //! callers, so that the number of series stays bounded.
 
 use std::io::IsTerminal;
@@ -13,21 +13,21 @@
 pub const REQUESTS: &str = "mangotray_requests_total";
 /// Reads served; label `source` is [`REPLICA`] or [`PRIMARY`].
 pub const READS: &str = "mangotray_reads_total";
-/// Time from the loss of a primary to the first write of the next term.
+/// Time from the last sight of a well primary to that of the next term's; label `group`.
 pub const FAILOVER_GAP: &str = "mangotray_failover_gap_seconds";
 /// Caller connections open now.
 pub const CALLERS: &str = "mangotray_callers";
 /// Caller connections refused for want of room.
 pub const CALLERS_REFUSED: &str = "mangotray_callers_refused_total";
-/// Requests waiting for a connection now; label `group`.
+/// Requests running or waiting before instances now; label `group`.
 pub const QUEUE_DEPTH: &str = "mangotray_queue_depth";
 /// Connections open to upstreams now; label `group`.
 pub const UPSTREAM_CONNECTIONS: &str = "mangotray_upstream_connections";
 /// Revision of the configuration in force.
 pub const CONFIG_REVISION: &str = "mangotray_config_revision";
-/// Promotions that this process carried through.
+/// Promotions that this process carried through; label `group`.
 pub const PROMOTIONS: &str = "mangotray_promotions_total";
-/// Calls to the platform's service.
+/// Calls to the platform's service; labels `kind` and `outcome`.
 pub const STORE_CALLS: &str = "mangotray_store_calls_total";
 /// Sessions offered to another proxy; label `result`.
 pub const FORWARDS: &str = "mangotray_forwards_total";
@@ -118,8 +118,14 @@
             CALLERS_REFUSED,
             "Caller connections refused for want of room",
         ),
-        (PROMOTIONS, "Promotions that this process carried through"),
-        (STORE_CALLS, "Calls to the platform's service"),
+        (
+            PROMOTIONS,
+            "Promotions that this process carried through, by group",
+        ),
+        (
+            STORE_CALLS,
+            "Calls to the platform's service, by kind and outcome",
+        ),
         (FORWARDS, "Sessions offered to another proxy, by result"),
     ];
     for (name, text) in counters {
@@ -132,7 +138,7 @@
         (CALLERS, "Caller connections open now"),
         (
             QUEUE_DEPTH,
-            "Requests waiting for a connection now, by group",
+            "Requests running or waiting before instances now, by group",
         ),
         (
             UPSTREAM_CONNECTIONS,
@@ -148,7 +154,7 @@
 fn describe_histograms() {
     let histograms = [(
         FAILOVER_GAP,
-        "Time from the loss of a primary to the first write of the next term",
+        "Time from the last sight of a well primary to that of the next term's, by group",
     )];
     for (name, text) in histograms {
         metrics::describe_histogram!(name, metrics::Unit::Seconds, text);
