Keep the fence of a stand-in that lost its log, and promote voters only

Cause: a wiped instance voted again when no other instance was fenced higher, so a fence that it alone had answered was forgotten and a replaced primary's commits could be confirmed and lost; and it could be promoted with an empty log.

--- a/lab/src/state.rs
+++ b/lab/src/state.rs
@@ -18,7 +18,9 @@
     pub(crate) cut: bool,
     pub(crate) running: bool,
     pub(crate) role: role::Role,
-    pub(crate) voter: bool,
+    /// `None` for a voter. An instance that lost its log keeps the highest fence it ever
+    /// had, and votes again once it holds a whole log of that term or a later one.
+    pub(crate) barrier: Option<id::Term>,
     pub(crate) incarnation: id::Incarnation,
     /// Grows whenever open write transactions lose their right to commit.
     pub(crate) reign: u64,
@@ -37,7 +39,7 @@
             stamp: self.journal.stamp(),
             fence: self.fence,
             role: self.role,
-            voter: self.voter,
+            voter: self.barrier.is_none(),
             incarnation: self.incarnation,
         }
     }
@@ -47,6 +49,25 @@
         self.fence == term && self.role == role::Role::Replica
     }
 
+    /// Loses log and fence, but not what it has promised: without the barrier, a copy of
+    /// a replaced primary's log would make it confirm that primary's commits again.
+    pub(crate) fn forget(&mut self) {
+        self.barrier = self.barrier.max(Some(self.fence));
+        self.journal.truncate(0);
+        self.fence = 0;
+    }
+
+    /// Votes again if the whole log of `length` records that it copied is late enough.
+    pub(crate) fn readmit(&mut self, term: id::Term, length: usize) {
+        let whole = self.follows(term) && self.journal.records().len() >= length;
+        let late = self
+            .barrier
+            .is_some_and(|barrier| self.journal.stamp().term >= barrier);
+        if whole && late {
+            self.barrier = None;
+        }
+    }
+
     pub(crate) fn demote(&mut self) {
         self.role = role::Role::Replica;
         self.reign += 1;
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -17,6 +17,11 @@
 }
 
 /// One instance, as the control path sees it. Control calls use no execution slot.
+///
+/// A fence and the records that an instance has reported outlive its process: a promise
+/// forgotten at a restart would let a replaced primary's commits be confirmed and lost.
+/// An instance that loses its log is no voter until it holds a primary's whole log whose
+/// term is at or above every fence that it ever answered.
 pub trait Upstream: Send + Sync {
     /// Asks for the instance's state; fails when no answer comes within the probe timeout.
     fn status(&self) -> future::BoxFuture<'_, Result<status::Status, Failure>>;
@@ -25,7 +30,8 @@
     /// afterwards. Refused (`Ok` with a higher fence) when it is already fenced higher.
     fn fence(&self, term: id::Term) -> future::BoxFuture<'_, Result<status::Status, Failure>>;
 
-    /// Makes an instance fenced at exactly `term` the primary of that term. Idempotent.
+    /// Makes a voter fenced at exactly `term` the primary of that term; idempotent. An
+    /// instance that is no voter refuses, since confirmed records may be missing from its log.
     fn promote(&self, term: id::Term) -> future::BoxFuture<'_, Result<status::Status, Failure>>;
 
     /// Opens a working connection; takes about 10 ms at today's databases.
