Run the lab's proxies as processes, and audit only what has come to rest

The audit read three tables one after the other while late writes still committed, which look doubled or mixed.

Daemon::crash says what it does not do.

--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -77,6 +77,7 @@
         backend.flush(&mut stream).await?;
         let mut stream = wire::established(stream, FRAME_LIMIT);
         while let Some(batch) = read_batch(&mut stream).await? {
+            let _batch = stats::Batch::count(&backend.instance);
             arrive(&backend.instance).await;
             backend.answer(batch).await;
             backend.flush(&mut stream).await?;
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -1,6 +1,7 @@
 //! Command-line arguments of the lab.
 
 use std::net;
+use std::path;
 
 use bpaf::Bpaf;
 
@@ -23,6 +24,9 @@
     /// Run the three stand-in instances of one database group, and print their declaration
     #[bpaf(command)]
     Group(#[bpaf(external(group))] Group),
+    /// Run one proxy; the lab starts its own so
+    #[bpaf(command, hide)]
+    Proxy(#[bpaf(external(proxy))] Proxy),
     /// Send a fault to the control port of a running `platform` or `group`
     #[bpaf(command)]
     Fault(#[bpaf(external(send))] Send),
@@ -97,6 +101,14 @@
     pub index: usize,
 }
 
+/// Arguments of a proxy process.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Proxy {
+    /// File of JSON with settings and policy
+    #[bpaf(argument("FILE"))]
+    pub setup: path::PathBuf,
+}
+
 /// Arguments of a fault for a running stand-in.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Send {
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -30,6 +30,7 @@
     let control = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, control_port));
     let listener = async_io::block_on(async_net::TcpListener::bind(control))?;
     let stage = stage::Stage::start(&stage::Options {
+        program: std::env::current_exe()?,
         profile: profile.clone(),
         groups: 1,
         callers: (port..control_port)
--- a/lab/src/inspect.rs
+++ b/lab/src/inspect.rs
@@ -16,13 +16,20 @@
     primary: mangotray::id::Index,
     profile: &profile::Profile,
 ) -> eyre::Result<ledger::Holding> {
-    let rows = |sql: &str| -> eyre::Result<Vec<ledger::Row>> {
-        cluster.query(primary, sql)?.iter().map(row).collect()
+    let sql = [
+        &profile.all_bookings(),
+        profile.all_entries(),
+        &profile.all_counters(),
+    ];
+    // One snapshot: with one for each table, a write that commits between two of them
+    // looks doubled or mixed.
+    let tables = cluster.queries(primary, &sql)?;
+    let [bookings, entries, counters] = tables.as_slice() else {
+        eyre::bail!("{} results of {} queries", tables.len(), sql.len());
     };
-    let counters = cluster.query(primary, &profile.all_counters())?;
     Ok(ledger::Holding {
-        bookings: rows(&profile.all_bookings())?,
-        entries: rows(profile.all_entries())?,
+        bookings: bookings.iter().map(row).collect::<Result<_, _>>()?,
+        entries: entries.iter().map(row).collect::<Result<_, _>>()?,
         taken: counters.iter().map(counter).collect::<Result<_, _>>()?,
         logs: (0..cluster::SIZE)
             .map(|index| log(cluster, index))
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod platform;
 mod prepared;
 pub mod profile;
+pub mod proxy;
 pub mod query;
 pub mod rate;
 pub mod ready;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 use mangotray_lab::cli;
 use mangotray_lab::control;
 use mangotray_lab::demo;
+use mangotray_lab::proxy;
 use mangotray_lab::run;
 use mangotray_lab::serve;
 use std::process;
@@ -25,6 +26,7 @@
         }
         cli::Command::Platform(arguments) => serve::platform(&arguments)?,
         cli::Command::Group(arguments) => serve::group(&arguments)?,
+        cli::Command::Proxy(arguments) => proxy::serve(&arguments.setup)?,
         cli::Command::Fault(arguments) => {
             let sending = control::send(arguments.control, &arguments.words);
             print!("{}", async_io::block_on(sending)?);
@@ -36,6 +38,7 @@
 /// Runs once; the exit code tells whether a promise was broken.
 fn measure(arguments: cli::Run) -> eyre::Result<process::ExitCode> {
     let run = run::Run {
+        program: std::env::current_exe()?,
         policy: arguments.policy.parse()?,
         profile: *arguments.profile,
         proxies: arguments.proxies,
--- /dev/null
+++ b/lab/src/proxy.rs
@@ -0,0 +1,104 @@
+//! Proxies as processes of the lab's own binary, so that a crash closes every socket.
+
+use std::fs;
+use std::io;
+use std::io::BufRead;
+use std::io::Write;
+use std::net;
+use std::path;
+use std::process;
+
+use mangotray::daemon;
+use mangotray::policy;
+use mangotray::settings;
+
+/// Line on its standard input that tells a proxy to shut down gracefully.
+const DRAIN: &str = "drain";
+
+/// What a proxy process is started with; the lab passes it in a file of JSON.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Setup {
+    /// Where it runs, and how it reaches the platform.
+    pub settings: settings::Settings,
+    /// Its rules, which the product's own daemon does not let anybody choose.
+    pub policy: policy::Policy,
+}
+
+/// A running proxy process; it ends abruptly when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    callers: net::SocketAddr,
+    child: process::Child,
+}
+
+impl Proxy {
+    /// Starts `program`, the lab's binary, and returns once the proxy listens; `file`
+    /// is written for it.
+    ///
+    /// # Errors
+    /// When the file cannot be written, or the process does not start to listen.
+    pub fn start(program: &path::Path, file: &path::Path, setup: &Setup) -> eyre::Result<Self> {
+        fs::write(file, serde_json::to_vec(setup)?)?;
+        let mut child = process::Command::new(program)
+            .args(["proxy", "--setup"])
+            .arg(file)
+            .stdin(process::Stdio::piped())
+            .stdout(process::Stdio::piped())
+            .spawn()?;
+        let mut line = String::new();
+        if let Some(output) = child.stdout.take() {
+            io::BufReader::new(output).read_line(&mut line)?;
+        }
+        Ok(Self {
+            callers: line.trim().parse()?,
+            child,
+        })
+    }
+
+    /// Where it listens for callers.
+    #[must_use]
+    pub const fn callers(&self) -> net::SocketAddr {
+        self.callers
+    }
+
+    /// Ends the process at once.
+    pub fn crash(self) {
+        drop(self);
+    }
+
+    /// Asks the process to shut down gracefully and waits for its end.
+    ///
+    /// # Errors
+    /// When the process is gone already.
+    pub fn drain(mut self) -> eyre::Result<()> {
+        if let Some(input) = self.child.stdin.as_mut() {
+            writeln!(input, "{DRAIN}")?;
+        }
+        self.child.wait()?;
+        Ok(())
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs a proxy until standard input says to drain; its end, as when the lab itself has
+/// ended, stops the proxy at once.
+///
+/// # Errors
+/// When the file is wrong or an address cannot be bound.
+pub fn serve(file: &path::Path) -> eyre::Result<()> {
+    let setup: Setup = serde_json::from_slice(&fs::read(file)?)?;
+    let proxy = daemon::Daemon::start(&setup.settings, setup.policy)?;
+    println!("{}", proxy.callers());
+    let mut line = String::new();
+    io::stdin().read_line(&mut line)?;
+    if line.trim() == DRAIN {
+        async_io::block_on(proxy.drain());
+    }
+    Ok(())
+}
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -1,6 +1,7 @@
 //! One measured run of a profile under faults.
 
 use std::net;
+use std::path;
 use std::sync;
 use std::thread;
 use std::time;
@@ -31,6 +32,8 @@
 /// A run as it was asked for.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// The lab's binary, which also runs the proxies.
+    pub program: path::PathBuf,
     /// Sizes, delays and statements.
     pub profile: profile::Profile,
     /// Proxies to start.
@@ -65,7 +68,7 @@
         let seconds = start.elapsed().as_secs_f64();
         let notes = workload.stop();
         load.look(&stage);
-        let settled = stage.settle(SETTLE_PATIENCE);
+        let settled = stage.settle(SETTLE_PATIENCE) && stage.quiesce(SETTLE_PATIENCE);
         let mut report = self.report(seconds, settled);
         report.add_audit(self.audit(&stage, &notes)?);
         report.add_gaps(&gaps(&troubles, &notes));
@@ -79,6 +82,7 @@
     fn stage(&self) -> stage::Options {
         let free = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         stage::Options {
+            program: self.program.clone(),
             profile: self.profile.clone(),
             groups: self.profile.groups,
             callers: vec![free; self.proxies],
--- a/lab/src/stage.rs
+++ b/lab/src/stage.rs
@@ -1,13 +1,14 @@
-//! Everything that a run or a demonstration needs, in one process.
+//! Everything that a run or a demonstration needs: stand-ins in this process, and
+//! proxies as processes of their own.
 
 use std::net;
+use std::path;
 use std::sync;
 use std::thread;
 use std::time;
 
 use mangotray::apply;
 use mangotray::catalog;
-use mangotray::daemon;
 use mangotray::id;
 use mangotray::policy;
 use mangotray::role;
@@ -18,6 +19,7 @@
 use crate::declare;
 use crate::platform;
 use crate::profile;
+use crate::proxy;
 use crate::remote;
 
 /// Threads that run the stand-ins.
@@ -37,6 +39,8 @@
 /// Settings of a stage.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// The lab's binary, which also runs the proxies.
+    pub program: path::PathBuf,
     /// Sizes, delays and tables.
     pub profile: profile::Profile,
     /// Groups to start, at most those of the profile.
@@ -54,10 +58,12 @@
     /// The stand-in groups, in the order of the profile.
     pub clusters: Vec<sync::Arc<cluster::Cluster>>,
     /// Running proxies; `None` once one has crashed or drained.
-    pub proxies: Vec<Option<daemon::Daemon>>,
+    pub proxies: Vec<Option<proxy::Proxy>>,
     /// Where the proxies listen for callers, also of those that are gone.
     pub callers: Vec<net::SocketAddr>,
     profile: profile::Profile,
+    /// Setups of the proxies.
+    directory: tempfile::TempDir,
     stop: async_channel::Sender<()>,
     threads: Vec<thread::JoinHandle<()>>,
 }
@@ -83,6 +89,7 @@
             proxies: Vec::new(),
             callers: Vec::new(),
             profile: options.profile.clone(),
+            directory: tempfile::tempdir()?,
             stop,
             threads,
         };
@@ -90,7 +97,7 @@
         stage.list_vms(options.callers.len());
         async_io::block_on(stage.apply(&executor))?;
         for (index, callers) in options.callers.iter().enumerate() {
-            stage.add_proxy(index, *callers, options.policy)?;
+            stage.add_proxy(index, *callers, options)?;
         }
         Ok(stage)
     }
@@ -138,33 +145,35 @@
 
     /// Ends a proxy abruptly; the platform's list still shows it for a while.
     pub fn crash_proxy(&mut self) {
-        if let Some(daemon) = self.take_proxy(false) {
-            daemon.crash();
+        if let Some(proxy) = self.take_proxy(false) {
+            proxy.crash();
         }
     }
 
     /// Shuts a proxy down gracefully, in the background.
     pub fn drain_proxy(&mut self) {
-        if let Some(daemon) = self.take_proxy(true) {
+        if let Some(proxy) = self.take_proxy(true) {
             self.threads.push(thread::spawn(move || {
-                async_io::block_on(daemon.drain());
+                if let Err(error) = proxy.drain() {
+                    tracing::warn!(%error, "proxy not drained");
+                }
             }));
         }
     }
 
     /// Takes the last proxy that still runs, but never the only one.
-    fn take_proxy(&mut self, announced: bool) -> Option<daemon::Daemon> {
+    fn take_proxy(&mut self, announced: bool) -> Option<proxy::Proxy> {
         let index = self.proxies.iter().rposition(Option::is_some)?;
         if index == 0 {
             return None;
         }
-        let daemon = self.proxies[index].take();
+        let proxy = self.proxies[index].take();
         let listings = (0..self.proxies.len()).filter_map(|vm| {
             let leaving = vm == index && announced;
             (leaving || self.proxies[vm].is_some()).then(|| self.listing(vm, leaving))
         });
         self.platform.set_vms(listings.collect());
-        daemon
+        proxy
     }
 
     fn list_vms(&self, proxies: usize) {
@@ -189,7 +198,7 @@
         &mut self,
         index: usize,
         callers: net::SocketAddr,
-        policy: policy::Policy,
+        options: &Options,
     ) -> eyre::Result<()> {
         let free = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         let settings = settings::Settings {
@@ -210,9 +219,14 @@
             limits: settings::Limits::default(),
             log: settings::Log::default(),
         };
-        let daemon = daemon::Daemon::start(&settings, policy)?;
-        self.callers.push(daemon.callers());
-        self.proxies.push(Some(daemon));
+        let setup = proxy::Setup {
+            settings,
+            policy: options.policy,
+        };
+        let file = self.directory.path().join(format!("{index}.json"));
+        let proxy = proxy::Proxy::start(&options.program, &file, &setup)?;
+        self.callers.push(proxy.callers());
+        self.proxies.push(Some(proxy));
         Ok(())
     }
 
@@ -224,6 +238,25 @@
         })
     }
 
+    /// Ends the proxies and waits until the instances are idle and agree. Requests that
+    /// callers have given up may commit until then, between two reads of an audit.
+    #[must_use]
+    pub fn quiesce(&mut self, patience: time::Duration) -> bool {
+        self.end_proxies();
+        wait_until(patience, || {
+            (0..self.clusters.len()).all(|group| self.is_idle(group) && self.is_settled(group))
+        })
+    }
+
+    fn is_idle(&self, group: usize) -> bool {
+        (0..cluster::SIZE).all(|index| self.clusters[group].stats(index).batches == 0)
+    }
+
+    fn end_proxies(&mut self) {
+        let running = self.proxies.iter_mut().filter_map(Option::take);
+        running.for_each(proxy::Proxy::crash);
+    }
+
     fn is_settled(&self, group: usize) -> bool {
         let states = (0..cluster::SIZE).map(|index| self.clusters[group].status(index));
         let states: Vec<_> = states.collect();
@@ -238,9 +271,7 @@
 
     /// Ends the proxies and the stand-ins.
     pub fn stop(mut self) {
-        for daemon in self.proxies.iter_mut().filter_map(Option::take) {
-            daemon.crash();
-        }
+        self.end_proxies();
         self.stop.close();
         for thread in self.threads {
             let _ = thread.join();
--- a/lab/src/stats.rs
+++ b/lab/src/stats.rs
@@ -19,6 +19,8 @@
     pub connections: usize,
     /// Slots in use now.
     pub busy: usize,
+    /// Batches arrived and not yet answered, those that wait for a slot included.
+    pub batches: usize,
 }
 
 /// Counts a connection for as long as it lives.
@@ -44,6 +46,22 @@
     }
 }
 
+/// Counts a batch from its arrival to its answer.
+pub(crate) struct Batch(Arc<instance::Instance>);
+
+impl Batch {
+    pub(crate) fn count(instance: &Arc<instance::Instance>) -> Self {
+        instance.stats().batches += 1;
+        Self(Arc::clone(instance))
+    }
+}
+
+impl Drop for Batch {
+    fn drop(&mut self) {
+        self.0.stats().batches -= 1;
+    }
+}
+
 /// Counts a busy slot.
 pub(crate) struct Busy<'a>(&'a instance::Instance);
 
--- a/lab/tests/roaming.rs
+++ b/lab/tests/roaming.rs
@@ -30,6 +30,7 @@
 fn stage() -> stage::Stage {
     let profile = profile();
     let stage = stage::Stage::start(&stage::Options {
+        program: env!("CARGO_BIN_EXE_mangotray-lab").into(),
         groups: profile.groups,
         callers: vec![net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)); 2],
         policy: policy::Policy::Default,
--- a/lab/tests/run.rs
+++ b/lab/tests/run.rs
@@ -10,6 +10,7 @@
 fn run(faults: &[&str]) -> mangotray_lab::report::Report {
     let faults = faults.iter().map(|text| text.parse::<fault::Fault>());
     let run = run::Run {
+        program: env!("CARGO_BIN_EXE_mangotray-lab").into(),
         profile: profile::Profile {
             groups: 1,
             callers: 6,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -106,7 +106,9 @@
         self.context.report.revision()
     }
 
-    /// Stops at once: every task and socket is dropped, as when the VM dies.
+    /// Stops at once: no task runs on. Sockets stay open until the process ends, since
+    /// tasks that are never run again still hold them; to see what callers see when a VM
+    /// dies, end a process.
     pub fn crash(self) {
         self.halt();
     }
