Run every fault at every step, and replace leaving primaries and lost replicas

It is generated from the lists of faults, operations and steps; it drives the real group, lane, pool, detector, promotion and registry over a group and a store in memory. docs/FAULTS.md is written by the test.

It found two faults that are mended here:

- A primary that operators take out of service was never replaced: the last look before fencing found it well and gave up, each time.
Now the last look goes by the same judgement as the suspicion, and a leaving primary stays only while the others are no majority without it.
- A replica that an abandoned promotion had left fenced above the primary's term refused the log for good, while the group looked well.
Such a replica that stands still is now a cause for a new term; the detector's test holds it.

Found and not mended here: a read that ran on a replica waits in vain for confirmation when that replica is promoted before the answer is relayed. Six cells say so on the page.

Conclusion: writes, transactions, reads and promotions are covered; applies and drains are not yet.

--- a/src/detect.rs
+++ b/src/detect.rs
@@ -43,6 +43,8 @@
     Vacant,
     /// It answers, but its writes reach no replica.
     Stalled,
+    /// A replica is fenced above its term and refuses its log.
+    FencedOff,
     /// The operators are taking it out of service.
     Leaving,
 }
@@ -86,6 +88,9 @@
         if self.stalled(board, leader, now) {
             return Verdict::Suspect(Cause::Stalled);
         }
+        if self.fenced_off(board, leader, now) {
+            return Verdict::Suspect(Cause::FencedOff);
+        }
         Verdict::Healthy
     }
 
@@ -101,6 +106,18 @@
             .filter(|(index, _)| *index != leader.index)
             .all(|(_, seen)| seen.behind.is_some_and(|since| since + self.stall <= now))
     }
+
+    /// A promotion that was given up after it had fenced a replica leaves that replica
+    /// refusing the leader's log for good, and the group with one copy fewer than it
+    /// seems to have. One notices by its fence, above the leader's term, and by its
+    /// standing still. Only a new term brings it back.
+    fn fenced_off(&self, board: &board::Board, leader: board::Leader, now: id::Time) -> bool {
+        board.seen().iter().any(|seen| {
+            let fence = seen.last.map(|last| last.status.fence);
+            let still = seen.behind.is_some_and(|since| since + self.stall <= now);
+            seen.failures == 0 && fence > Some(leader.term) && still
+        })
+    }
 }
 
 #[cfg(test)]
--- a/src/detect/tests.rs
+++ b/src/detect/tests.rs
@@ -96,3 +96,33 @@
     see(&mut board, 2, 1_000, Role::Replica, 1);
     assert_eq!(judge(&board, 1_000), Verdict::Suspect(Cause::Vacant));
 }
+
+#[test]
+fn a_replica_that_refuses_the_log_is_brought_back_by_a_new_term() {
+    // Symptom: a replica never receives a record again, though the group looks well.
+    // Events: a promotion fences one replica at term 2 and is given up; the primary of
+    // term 1 goes on with the other replica.
+    // Cause: only a leader without any replica was suspected.
+    let mut board = board::Board::new(3);
+    let mut see_fenced = |millis, position| {
+        see(&mut board, 0, millis, Role::Primary, position);
+        see(&mut board, 1, millis, Role::Replica, position);
+        see(&mut board, 2, millis, Role::Replica, 1);
+        let time = Duration::from_millis(millis);
+        let mut status = board.status(2).unwrap();
+        status.fence = 2;
+        board.answered(
+            2,
+            board::Observation {
+                started: time,
+                finished: time,
+                status,
+            },
+        );
+        judge(&board, millis)
+    };
+    assert_eq!(see_fenced(1_000, 1), Verdict::Healthy);
+    assert_eq!(see_fenced(9_000, 2), Verdict::Healthy);
+    assert_eq!(see_fenced(9_799, 3), Verdict::Healthy);
+    assert_eq!(see_fenced(9_801, 4), Verdict::Suspect(Cause::FencedOff));
+}
--- a/src/failover.rs
+++ b/src/failover.rs
@@ -106,9 +106,7 @@
         let mut rule = self.rule;
         rule.stall = lag.stall(rule.stall);
         let board = self.watch.board();
-        let verdict = self
-            .leaving_primary(&board)
-            .unwrap_or_else(|| rule.judge(&board, now));
+        let verdict = judge(rule, &self.declaration.load(), &board, now);
         if !matches!(verdict, detect::Verdict::Suspect(_)) {
             *suspected = None;
             return verdict;
@@ -121,13 +119,6 @@
         verdict
     }
 
-    /// A primary that the operators take out of service is replaced while it is well.
-    fn leaving_primary(&self, board: &board::Board) -> Option<detect::Verdict> {
-        let leader = board.leader()?;
-        let leaving = self.declaration.load().instances[leader.index].leaving;
-        leaving.then_some(detect::Verdict::Suspect(detect::Cause::Leaving))
-    }
-
     fn perform(&self, action: promote::Action, sender: &async_channel::Sender<promote::Event>) {
         match action {
             promote::Action::Claim { above } => self.claim(above, sender.clone()),
@@ -144,12 +135,18 @@
         let watch = self.watch.clone();
         let clock = self.clock.clone();
         let rule = self.rule;
+        let declaration = self.declaration.clone();
         let task = async move {
             let mut event = match terms.claim(above).await {
                 Ok(term) => promote::Event::Claimed(term),
                 Err(failure) => reserved(&terms, above, &failure),
             };
-            if led_again(&watch, &*clock, rule).await {
+            let board = last_look(&watch, &*clock).await;
+            let well = |board: &board::Board| {
+                let verdict = judge(rule, &declaration.load(), board, clock.now());
+                verdict == detect::Verdict::Healthy
+            };
+            if board.is_some_and(|board| well(&board)) {
                 event = promote::Event::ClaimFailed;
             }
             let _ = sender.send(event).await;
@@ -222,15 +219,47 @@
     }
 }
 
-/// Looks once more before fencing. Proxies that start together suspect together, and
-/// the second would fence off the primary that the first has just promoted, aborting
-/// its first transactions.
-async fn led_again(watch: &probe::Watch, clock: &dyn clock::Clock, rule: detect::Rule) -> bool {
+/// What the observations and the operators say about the primary.
+fn judge(
+    rule: detect::Rule,
+    declaration: &database::Group,
+    board: &board::Board,
+    now: id::Time,
+) -> detect::Verdict {
+    if leaving(declaration, board, now.saturating_sub(rule.silence)) {
+        return detect::Verdict::Suspect(detect::Cause::Leaving);
+    }
+    rule.judge(board, now)
+}
+
+/// Whether the operators take the primary out of service while the others can do
+/// without it. With fewer others than a majority it would be promoted again itself, and
+/// again, as long as they are missing.
+fn leaving(declaration: &database::Group, board: &board::Board, recent: id::Time) -> bool {
+    let Some(leader) = board.leader() else {
+        return false;
+    };
+    let answers = |seen: &board::Seen| {
+        let last = seen.last.filter(|last| last.finished >= recent);
+        seen.failures == 0 && last.is_some_and(|last| last.status.voter)
+    };
+    let others = board.seen().iter().enumerate();
+    let others = others.filter(|(index, seen)| *index != leader.index && answers(seen));
+    declaration.instances[leader.index].leaving && others.count() >= board.majority()
+}
+
+/// Looks once more before fencing: a leader that is seen now need not be replaced.
+/// Proxies that start together suspect together, and the second would fence off the
+/// primary that the first has just promoted, aborting its first transactions.
+async fn last_look(
+    watch: &probe::Watch,
+    clock: &dyn clock::Clock,
+) -> Option<sync::Arc<board::Board>> {
     let since = clock.now();
     let fresh = watch.until(since, since + LAST_LOOK, false, |board| {
         board.floor(since).and_then(|_| board.leader())
     });
-    fresh.await.is_some() && rule.judge(&watch.board(), clock.now()) == detect::Verdict::Healthy
+    fresh.await.map(|_| watch.board())
 }
 
 /// The store gave no term: falls back to the one reserved in advance, if any is left.
--- /dev/null
+++ b/tests/matrix.rs
@@ -0,0 +1,161 @@
+//! Fault matrix: every fault at every step of every operation, over the real decision
+//! and lane code, with small fakes behind its borders.
+
+#[path = "matrix/cell.rs"]
+mod cell;
+#[path = "matrix/fault.rs"]
+mod fault;
+#[path = "matrix/instance.rs"]
+mod instance;
+#[path = "matrix/life.rs"]
+mod life;
+#[path = "matrix/operation.rs"]
+mod operation;
+#[path = "matrix/page.rs"]
+mod page;
+#[path = "matrix/plan.rs"]
+mod plan;
+#[path = "matrix/proxy.rs"]
+mod proxy;
+#[path = "matrix/scene.rs"]
+mod scene;
+#[path = "matrix/store.rs"]
+mod store;
+#[path = "matrix/upstream.rs"]
+mod upstream;
+#[path = "matrix/world.rs"]
+mod world;
+
+use std::sync;
+use std::thread;
+
+/// Threads that run the cells.
+const THREADS: usize = 3;
+
+/// Cells at once.
+const AT_ONCE: usize = 40;
+
+/// Where the matrix is shown.
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/FAULTS.md");
+
+/// Set to write the page instead of comparing it.
+const WRITE: &str = "MANGOTRAY_WRITE";
+
+/// All faults at all steps, and pairs of faults for promotions.
+fn cells() -> Vec<cell::Cell> {
+    let mut cells = Vec::new();
+    for operation in operation::Operation::ALL {
+        for step in operation.steps() {
+            cells.extend(fault::Fault::ALL.iter().map(|fault| cell::Cell {
+                operation: *operation,
+                step: *step,
+                fault: *fault,
+                second: None,
+            }));
+        }
+    }
+    cells.extend(pairs(operation::Operation::Promotion));
+    cells.extend(pairs(operation::Operation::Replacement));
+    cells
+}
+
+fn pairs(operation: operation::Operation) -> Vec<cell::Cell> {
+    let at = |point| {
+        let mut steps = operation.steps().iter();
+        *steps
+            .find(|step| step.point == point)
+            .expect("a step of it")
+    };
+    let (step, later) = (at(operation::Point::Loads), at(operation::Point::Promotes));
+    let faults = fault::Fault::ALL.iter();
+    faults
+        .flat_map(|fault| {
+            let seconds = fault::Fault::ALL.iter();
+            seconds.map(move |second| cell::Cell {
+                operation,
+                step,
+                fault: *fault,
+                second: Some((later, *second)),
+            })
+        })
+        .collect()
+}
+
+fn run(cells: &[&cell::Cell]) -> Vec<cell::Finding> {
+    let pool = proxy::Executor::default();
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let threads: Vec<_> = (0..THREADS)
+        .map(|_| {
+            let (pool, stopped) = (pool.clone(), stopped.clone());
+            thread::spawn(move || {
+                let _ = async_io::block_on(pool.run(stopped.recv()));
+            })
+        })
+        .collect();
+    let permits = sync::Arc::new(async_lock::Semaphore::new(AT_ONCE));
+    let tasks: Vec<_> = cells
+        .iter()
+        .map(|cell| {
+            let (cell, runner, permits) = (**cell, pool.clone(), permits.clone());
+            pool.spawn(async move {
+                let _permit = permits.acquire().await;
+                cell.run(runner).await
+            })
+        })
+        .collect();
+    let findings = async_io::block_on(futures_util::future::join_all(tasks));
+    drop(stop);
+    for thread in threads {
+        thread.join().expect("no cell panics");
+    }
+    findings
+}
+
+/// What is wrong with a finding; the first step must be reached in every cell.
+fn faulty(cell: &cell::Cell, finding: &cell::Finding) -> Option<String> {
+    let allowed = match plan::plan(cell) {
+        plan::Plan::Run(allowed) | plan::Plan::Faulty(allowed, _) => allowed,
+        plan::Plan::NotApplicable(_) => return None,
+    };
+    let pairs = usize::from(cell.second.is_some());
+    let good = allowed.contains(&finding.class) && finding.missed <= pairs;
+    (!good || !finding.broken.is_empty()).then(|| {
+        let second = cell.second.map(|(_, fault)| fault.name());
+        let place = format!("{} / {}", cell.operation.name(), cell.step.name);
+        format!(
+            "{place} / {} {second:?}: {finding:?}, allowed {allowed:?}",
+            cell.fault.name()
+        )
+    })
+}
+
+#[test]
+fn every_fault_at_every_step() {
+    let cells = cells();
+    let (apply, skip): (Vec<_>, Vec<_>) = cells
+        .iter()
+        .partition(|cell| !matches!(plan::plan(cell), plan::Plan::NotApplicable(_)));
+    let findings = run(&apply);
+    let missed = findings.iter().filter(|finding| finding.missed > 0).count();
+    println!("{} cells run, {} not applicable", apply.len(), skip.len());
+    println!("{missed} pairs whose second step was not reached");
+    let faulty: Vec<_> = apply
+        .iter()
+        .zip(&findings)
+        .filter_map(|(cell, finding)| faulty(cell, finding))
+        .collect();
+    assert!(faulty.is_empty(), "{}", faulty.join("\n"));
+}
+
+#[test]
+fn the_page_is_current() {
+    let page = page::page(&cells());
+    if std::env::var_os(WRITE).is_some() {
+        std::fs::write(PAGE, &page).expect("the page can be written");
+    }
+    let found = std::fs::read_to_string(PAGE).unwrap_or_default();
+    assert!(
+        found == page,
+        "docs/FAULTS.md is not current; set {WRITE}=1 to write it"
+    );
+}
--- /dev/null
+++ b/tests/matrix/instance.rs
@@ -0,0 +1,115 @@
+//! One instance, as the upstream's contract describes it.
+
+use mangotray::id;
+use mangotray::role;
+use mangotray::stamp;
+use mangotray::status;
+
+/// A record: its term and the request that wrote it, 0 for the first of a term.
+pub type Record = (id::Term, u64);
+
+/// Log and beliefs of one instance.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// Whether its process runs.
+    pub running: bool,
+    /// Highest term it was fenced at.
+    pub fence: id::Term,
+    /// Number of its process.
+    pub incarnation: id::Incarnation,
+    led: id::Term,
+    log: Vec<Record>,
+}
+
+impl Instance {
+    pub fn new(leads: bool) -> Self {
+        Self {
+            running: true,
+            fence: 1,
+            incarnation: 1,
+            led: id::Term::from(leads),
+            log: vec![(1, 0)],
+        }
+    }
+
+    pub fn leads(&self) -> bool {
+        self.led == self.fence
+    }
+
+    pub fn log(&self) -> &[Record] {
+        &self.log
+    }
+
+    pub fn holds(&self, write: u64) -> bool {
+        self.writes().any(|held| held == write)
+    }
+
+    pub fn writes(&self) -> impl Iterator<Item = u64> + '_ {
+        let writes = self.log.iter().map(|(_, write)| *write);
+        writes.filter(|write| *write != 0)
+    }
+
+    pub fn stamp(&self) -> stamp::Stamp {
+        let term = self.log.last().map_or(0, |(term, _)| *term);
+        stamp::Stamp::new(term, self.log.len() as id::Position)
+    }
+
+    pub fn status(&self) -> status::Status {
+        let role = if self.leads() {
+            role::Role::Primary
+        } else {
+            role::Role::Replica
+        };
+        status::Status {
+            stamp: self.stamp(),
+            fence: self.fence,
+            role,
+            voter: true,
+            incarnation: self.incarnation,
+        }
+    }
+
+    pub fn append(&mut self, write: u64) {
+        self.log.push((self.fence, write));
+    }
+
+    pub fn fence(&mut self, term: id::Term) {
+        self.fence = self.fence.max(term);
+    }
+
+    /// Takes the term, if it is fenced at exactly that; true when it is new.
+    pub fn promote(&mut self, term: id::Term) -> bool {
+        if self.fence != term || self.leads() {
+            return false;
+        }
+        self.led = term;
+        self.log.push((term, 0));
+        true
+    }
+
+    /// Applies up to `bound` records of a primary, cutting off first where they differ.
+    pub fn follow(&mut self, leader: &Self, bound: usize) {
+        if leader.fence < self.fence {
+            return;
+        }
+        self.fence = leader.fence;
+        let pairs = self.log.iter().zip(&leader.log);
+        let common = pairs.take_while(|(own, other)| own == other).count();
+        self.log.truncate(common);
+        let missing = leader.log.iter().skip(common).take(bound);
+        self.log.extend(missing);
+    }
+
+    pub fn stop(&mut self) {
+        self.running = false;
+    }
+
+    /// Starts again, with the log and fence it had, as a replica.
+    pub fn start(&mut self) {
+        if !self.running {
+            self.running = true;
+            self.led = 0;
+            self.incarnation += 1;
+        }
+    }
+}
--- /dev/null
+++ b/tests/matrix/operation.rs
@@ -0,0 +1,124 @@
+//! What is done in a cell, and the steps at which a fault can strike.
+
+use crate::fault::listed;
+
+listed! {
+    /// What a batch does.
+    Kind {
+        /// Writes one record and commits it.
+        Write => "write",
+        /// Opens a transaction.
+        Begin => "begin",
+        /// Writes one record in a transaction.
+        Insert => "insert",
+        /// Commits.
+        Commit => "commit",
+        /// Reads all records.
+        Read => "read",
+    }
+}
+
+/// A place in the code of the fakes that a proxy comes past.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Point {
+    /// Before the first call.
+    Start,
+    /// A batch arrives at an instance.
+    Arrives(Kind),
+    /// An instance has run a batch and has not answered.
+    Ran(Kind),
+    /// A probe starts after the batch was answered.
+    Confirms,
+    /// The store is read.
+    Loads,
+    /// So many fencing calls have taken effect before this one.
+    Fenced(usize),
+    /// The promotion call arrives.
+    Promotes,
+    /// The promotion call has taken effect and is not answered.
+    Promoted,
+}
+
+/// A step of an operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Name in the matrix.
+    pub name: &'static str,
+    /// Where it is.
+    pub point: Point,
+}
+
+const fn step(name: &'static str, point: Point) -> Step {
+    Step { name, point }
+}
+
+listed! {
+    /// An operation.
+    Operation {
+        /// One write outside a transaction.
+        Write => "Write",
+        /// A transaction of one write.
+        Transaction => "Transaction",
+        /// A read that carries nothing.
+        Read => "Read without a token",
+        /// A read with the token of the write before.
+        TokenRead => "Read with a token",
+        /// A read that accepts data of a stated age.
+        AgedRead => "Read of a stated age",
+        /// Replacement of a primary that was lost.
+        Promotion => "Promotion after the primary was lost",
+        /// Replacement of a primary that operators take out of service.
+        Replacement => "Promotion while the primary is well",
+    }
+}
+
+impl Operation {
+    /// The operation's steps, in their order.
+    pub const fn steps(self) -> &'static [Step] {
+        match self {
+            Self::Write => {
+                const {
+                    &[
+                        step("before it is routed", Point::Start),
+                        step("arrives at the primary", Point::Arrives(Kind::Write)),
+                        step("ran, not answered", Point::Ran(Kind::Write)),
+                        step("answered, not confirmed", Point::Confirms),
+                    ]
+                }
+            }
+            Self::Transaction => {
+                const {
+                    &[
+                        step("before it is opened", Point::Start),
+                        step("opened, not answered", Point::Ran(Kind::Begin)),
+                        step("its write arrives", Point::Arrives(Kind::Insert)),
+                        step("its write ran, not answered", Point::Ran(Kind::Insert)),
+                        step("its commit arrives", Point::Arrives(Kind::Commit)),
+                        step("committed, not answered", Point::Ran(Kind::Commit)),
+                        step("answered, not confirmed", Point::Confirms),
+                    ]
+                }
+            }
+            Self::Read | Self::TokenRead | Self::AgedRead => {
+                const {
+                    &[
+                        step("before it is routed", Point::Start),
+                        step("arrives at an instance", Point::Arrives(Kind::Read)),
+                        step("ran, not answered", Point::Ran(Kind::Read)),
+                    ]
+                }
+            }
+            Self::Promotion | Self::Replacement => {
+                const {
+                    &[
+                        step("before the term is claimed", Point::Loads),
+                        step("one instance fenced", Point::Fenced(0)),
+                        step("a majority fenced", Point::Fenced(1)),
+                        step("before the promotion arrives", Point::Promotes),
+                        step("promoted, not answered", Point::Promoted),
+                    ]
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/matrix/page.rs
@@ -0,0 +1,131 @@
+//! The matrix as a page.
+
+use std::fmt::Write;
+
+use crate::cell;
+use crate::fault::Fault;
+use crate::operation::Operation;
+use crate::plan;
+
+const INTRODUCTION: &str = "\
+# Fault matrix
+
+Every fault at every step of every operation. `tests/matrix.rs` makes the cells from the
+lists of faults, operations and steps, runs each and fails unless it ends as stated here;
+`MANGOTRAY_WRITE=1 cargo test --test matrix` writes this page anew, and without the
+variable the test fails when the page is not current.
+
+Each cell drives the real group, lane, pool, probes, failure detector, promotion and
+registry of terms of three proxies, over a group of three instances and a store that
+live in memory. The fault strikes at the step and lasts until the operation has ended;
+then everything is mended, a proxy that knows nothing of the past joins, and the cell
+goes on until a write and a read succeed and all instances hold one log.
+
+In every cell, whatever it ends as:
+
+- each confirmed write stands exactly once in the last primary's log;
+- no record stands twice in any log;
+- nothing that was refused as not run was ever in any log;
+- each read shows every write confirmed before it;
+- each answer is whole and belongs to its request;
+- each term has one primary at most;
+- revisions of the configuration only grow, and no two applies share one.
+
+Outcomes: *done*; *not run*, a refusal; *unknown*, also for a caller whose proxy died;
+*done after the fault*, where too little was left to go on. Two outcomes stand where it
+depends on which of two things happens first. Outcomes **in bold** are not as they should
+be; the causes stand at the end.
+
+";
+
+const PAIRS: &str = "\
+The first fault (row) strikes before the term is claimed, the second (column) before the
+promotion arrives.
+
+";
+
+/// The whole page.
+pub fn page(cells: &[cell::Cell]) -> String {
+    let mut page = INTRODUCTION.to_owned();
+    for operation in Operation::ALL {
+        let _ = write!(page, "## {}\n\n", operation.name());
+        let steps = operation.steps().iter().map(|step| step.name);
+        head(&mut page, steps);
+        for fault in Fault::ALL {
+            let chosen = |cell: &&cell::Cell| {
+                cell.operation == *operation && cell.fault == *fault && cell.second.is_none()
+            };
+            row(&mut page, *fault, cells.iter().filter(chosen));
+        }
+    }
+    for operation in Operation::ALL {
+        let chosen = |cell: &&cell::Cell| cell.operation == *operation && cell.second.is_some();
+        if cells.iter().any(|cell| chosen(&cell)) {
+            let _ = write!(
+                page,
+                "\n## {}: pairs of faults\n\n{PAIRS}",
+                operation.name()
+            );
+            head(&mut page, Fault::ALL.iter().map(|fault| fault.name()));
+            for fault in Fault::ALL {
+                let chosen = cells.iter().filter(chosen);
+                row(
+                    &mut page,
+                    *fault,
+                    chosen.filter(|cell| cell.fault == *fault),
+                );
+            }
+        }
+    }
+    notes(&mut page, cells);
+    page
+}
+
+fn head<'a>(page: &mut String, names: impl Iterator<Item = &'a str>) {
+    if !page.ends_with("\n\n") {
+        page.push('\n');
+    }
+    let names: Vec<_> = names.collect();
+    let _ = writeln!(page, "| fault | {} |", names.join(" | "));
+    let _ = writeln!(page, "| --- |{}", " --- |".repeat(names.len()));
+}
+
+fn row<'a>(page: &mut String, fault: Fault, cells: impl Iterator<Item = &'a cell::Cell>) {
+    let words: Vec<_> = cells.map(|cell| words(&plan::plan(cell))).collect();
+    let _ = writeln!(page, "| {} | {} |", fault.name(), words.join(" | "));
+}
+
+fn words(plan: &plan::Plan) -> String {
+    match plan {
+        plan::Plan::Run(classes) => names(classes),
+        plan::Plan::Faulty(classes, _) => format!("**{}**", names(classes)),
+        plan::Plan::NotApplicable(_) => "n/a".to_owned(),
+    }
+}
+
+fn names(classes: &[cell::Class]) -> String {
+    let names: Vec<_> = classes.iter().map(|class| class.name()).collect();
+    names.join(" or ")
+}
+
+fn notes(page: &mut String, cells: &[cell::Cell]) {
+    let plans = || cells.iter().map(|cell| (cell, plan::plan(cell)));
+    page.push_str("\n## Cells that are not run\n\n");
+    for (cell, plan) in plans() {
+        if let plan::Plan::NotApplicable(reason) = plan {
+            note(page, cell, reason);
+        }
+    }
+    page.push_str("\n## Cells that do not end as they should\n\n");
+    for (cell, plan) in plans() {
+        if let plan::Plan::Faulty(_, cause) = plan {
+            note(page, cell, cause);
+        }
+    }
+}
+
+fn note(page: &mut String, cell: &cell::Cell, words: &str) {
+    let operation = cell.operation.name();
+    let (step, fault) = (cell.step.name, cell.fault.name());
+    let _ = writeln!(page, "- {operation}, {step}, {fault}: {words}.");
+}
--- /dev/null
+++ b/tests/matrix/plan.rs
@@ -0,0 +1,159 @@
+//! What each cell must show.
+
+use crate::cell;
+use crate::cell::Class;
+use crate::fault::Fault;
+use crate::operation::Kind;
+use crate::operation::Operation;
+use crate::operation::Point;
+
+/// What is to be done with a cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Run it; it must end in one of these classes. More than one where it depends on
+    /// which of two things happens first.
+    Run(&'static [Class]),
+    /// Run it; for this fault of the product it does not end as it should. To be mended.
+    Faulty(&'static [Class], &'static str),
+    /// Not run, for this reason.
+    NotApplicable(&'static str),
+}
+
+const DONE: Plan = Plan::Run(&[Class::Done]);
+const NOT_RUN: Plan = Plan::Run(&[Class::NotRun]);
+const UNKNOWN: Plan = Plan::Run(&[Class::Unknown]);
+const LATER: Plan = Plan::Run(&[Class::Later]);
+
+/// A read that ran on a replica is held for one on a primary when that replica has been
+/// promoted before the answer is relayed. The stamp that it waits for is of the term
+/// before, which nobody can confirm any more.
+const READ_BEFORE_PROMOTION: Plan = Plan::Faulty(
+    &[Class::Done, Class::Unknown],
+    "a read that ran on a replica waits in vain for confirmation when that replica is \
+     promoted before its answer is relayed",
+);
+
+/// What the cell must show.
+pub fn plan(cell: &cell::Cell) -> Plan {
+    if let Some((_, second)) = cell.second {
+        return pair(cell.operation, cell.fault, second);
+    }
+    let point = cell.step.point;
+    match cell.operation {
+        Operation::Write => write(point, cell.fault),
+        Operation::Transaction => transaction(point, cell.fault),
+        Operation::Read | Operation::TokenRead | Operation::AgedRead => read(point, cell.fault),
+        Operation::Promotion | Operation::Replacement => promotion(cell.operation, cell.fault),
+    }
+}
+
+/// The primary alone keeps nobody from reading, nor do the store and the operators.
+fn read(point: Point, fault: Fault) -> Plan {
+    match fault {
+        Fault::LeaseLapsed | Fault::OperatorsRace if point == Point::Ran(Kind::Read) => {
+            READ_BEFORE_PROMOTION
+        }
+        Fault::ProxyDies => UNKNOWN,
+        Fault::PrimaryLost
+        | Fault::PrimaryIsolated
+        | Fault::PrimaryStalled
+        | Fault::ReplicasBehind
+        | Fault::StoreDown
+        | Fault::StoreSlow
+        | Fault::StoreAnswerLost
+        | Fault::LeaseLapsed
+        | Fault::OperatorsRace
+        | Fault::AnswerLost => DONE,
+    }
+}
+
+fn write(point: Point, fault: Fault) -> Plan {
+    match (fault, point) {
+        (Fault::AnswerLost, Point::Confirms) => {
+            Plan::NotApplicable("only probes are awaited, and they are repeated")
+        }
+        // Refused by the replaced primary; sent again if the share has not ended by then.
+        (Fault::LeaseLapsed, Point::Start | Point::Arrives(_)) => {
+            Plan::Run(&[Class::Done, Class::NotRun])
+        }
+        // Whether the record was shipped before the primary was replaced.
+        (Fault::LeaseLapsed | Fault::OperatorsRace, Point::Ran(_)) => {
+            Plan::Run(&[Class::Done, Class::Unknown])
+        }
+        (
+            Fault::StoreDown
+            | Fault::StoreSlow
+            | Fault::StoreAnswerLost
+            | Fault::ReplicasBehind
+            | Fault::OperatorsRace,
+            _,
+        )
+        | (Fault::PrimaryLost | Fault::PrimaryIsolated, Point::Start) => DONE,
+        (
+            Fault::PrimaryLost
+            | Fault::PrimaryIsolated
+            | Fault::PrimaryStalled
+            | Fault::ProxyDies
+            | Fault::AnswerLost
+            | Fault::LeaseLapsed,
+            _,
+        ) => UNKNOWN,
+    }
+}
+
+fn transaction(point: Point, fault: Fault) -> Plan {
+    let committed = matches!(point, Point::Ran(Kind::Commit) | Point::Confirms);
+    let commits = committed || point == Point::Arrives(Kind::Commit);
+    match (fault, point) {
+        (Fault::AnswerLost, Point::Start) => NOT_RUN,
+        // No statement of it has run, or all have: it ends like a single write.
+        (_, Point::Start | Point::Confirms) => write(point, fault),
+        (
+            Fault::StoreDown | Fault::StoreSlow | Fault::StoreAnswerLost | Fault::ReplicasBehind,
+            _,
+        ) => DONE,
+        (Fault::ProxyDies | Fault::PrimaryStalled, _) => UNKNOWN,
+        (Fault::LeaseLapsed | Fault::OperatorsRace, _) if committed => {
+            Plan::Run(&[Class::Done, Class::Unknown])
+        }
+        (Fault::PrimaryLost | Fault::PrimaryIsolated | Fault::AnswerLost, _) if commits => UNKNOWN,
+        // Rolled back with its connection, or refused by the replaced primary.
+        (
+            Fault::LeaseLapsed
+            | Fault::OperatorsRace
+            | Fault::PrimaryLost
+            | Fault::PrimaryIsolated
+            | Fault::AnswerLost,
+            _,
+        ) => NOT_RUN,
+    }
+}
+
+/// Whether a fault takes an instance away.
+fn takes(fault: Fault) -> bool {
+    matches!(
+        fault,
+        Fault::PrimaryLost | Fault::PrimaryIsolated | Fault::PrimaryStalled
+    )
+}
+
+/// A majority of the instances is needed, and one proxy.
+fn promotion(operation: Operation, fault: Fault) -> Plan {
+    if takes(fault) && operation == Operation::Promotion {
+        LATER
+    } else {
+        DONE
+    }
+}
+
+fn pair(operation: Operation, first: Fault, second: Fault) -> Plan {
+    let lost = usize::from(operation == Operation::Promotion);
+    let taken = lost + usize::from(takes(first)) + usize::from(takes(second));
+    // A proxy that was paused past its lease serves nobody until it has another.
+    let stops = |fault| matches!(fault, Fault::ProxyDies | Fault::LeaseLapsed);
+    if taken > 1 || (stops(first) && stops(second)) {
+        Plan::Run(&[Class::Done, Class::Later])
+    } else {
+        DONE
+    }
+}
