--- a/lab/src/stage.rs
+++ b/lab/src/stage.rs
@@ -216,6 +216,7 @@
                 address: self.platform.address(),
                 timeout: PLATFORM_TIMEOUT,
             },
+            peers: settings::Peers::default(),
             limits: settings::Limits::default(),
             log: settings::Log::default(),
         };
--- a/src/apply.rs
+++ b/src/apply.rs
@@ -44,6 +44,22 @@
     pub text: CompactString,
 }
 
+impl File {
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    /// When it is not of this form.
+    ///
+    /// ```
+    /// let stored = br#"{"revision":1,"id":"a","by":"desk","text":"t"}"#;
+    /// assert_eq!(mangotray::apply::File::decode(stored).unwrap().revision, 1);
+    /// assert!(mangotray::apply::File::decode(b"{}").is_err());
+    /// ```
+    pub fn decode(value: &[u8]) -> serde_json::Result<Self> {
+        serde_json::from_slice(value)
+    }
+}
+
 /// Wish to put a file in force.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Request {
@@ -221,7 +237,7 @@
     let Some(entry) = store.get(KEY).await? else {
         return Ok((None, 0));
     };
-    let file = serde_json::from_slice(&entry.value)
+    let file = File::decode(&entry.value)
         .map_err(|error| store::Failure::NotRun(error.to_string().into()))?;
     Ok((Some(file), entry.version))
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::fleet;
 use crate::follow;
 use crate::forward;
+use crate::gossip;
 use crate::handler;
 use crate::hello;
 use crate::id;
@@ -62,7 +63,7 @@
     follower: follow::Follower,
     directory: sync::Arc<directory::Directory>,
     enrolment: sync::Arc<enrol::Enrolment>,
-    fleet: sync::Arc<fleet::Fleet>,
+    gossip: sync::Arc<gossip::Gossip>,
     drain: drain::Signal,
 }
 
@@ -235,12 +236,17 @@
         draining: false,
         lease: None,
     };
-    let enrolment = enrol::Enrolment::new(store.clone(), clock.clone(), record);
-    let enrolment = sync::Arc::new(enrolment);
+    let enrolment = enrolment(&store, &clock, record);
+    let fleet = fleet::Fleet::new(directory.clone(), enrolment.clone(), client);
+    let gossip = sync::Arc::new(gossip::Gossip::new(
+        enrolment.clone(),
+        sync::Arc::new(fleet),
+        report.clone(),
+        settings.peers.seeds,
+    ));
     let handler = handler::Handler {
         directory: directory.clone(),
-        enrolment: enrolment.clone(),
-        report: report.clone(),
+        gossip: gossip.clone(),
     };
     let server = accept::Server {
         handler: sync::Arc::new(handler),
@@ -251,14 +257,12 @@
     };
     let accepting = serve_peers(peer_listener, sync::Arc::new(server), executor.clone());
     executor.spawn(accepting).detach();
-    let fleet = fleet::Fleet::new(directory.clone(), enrolment.clone(), client);
-    let fleet = sync::Arc::new(fleet);
     let context = sync::Arc::new(Context {
-        follower: follow::Follower::new(store, fleet.clone(), report.clone()),
+        follower: follow::Follower::new(store, gossip.clone()),
         report,
         directory,
         enrolment,
-        fleet,
+        gossip,
         drain,
     });
     spawn(&executor, &context, &listener);
@@ -275,6 +279,15 @@
     options
 }
 
+fn enrolment(
+    store: &sync::Arc<dyn store::Store>,
+    clock: &sync::Arc<dyn clock::Clock>,
+    record: enrol::Record,
+) -> sync::Arc<enrol::Enrolment> {
+    let enrolment = enrol::Enrolment::new(store.clone(), clock.clone(), record);
+    sync::Arc::new(enrolment)
+}
+
 fn spawn(
     executor: &sync::Arc<async_executor::Executor<'static>>,
     context: &sync::Arc<Context>,
@@ -288,8 +301,8 @@
     executor
         .spawn(async move { follower.follower.run().await })
         .detach();
-    let fleet = context.fleet.clone();
-    executor.spawn(async move { fleet.run().await }).detach();
+    executor.spawn(context.gossip.clone().run()).detach();
+    executor.spawn(context.gossip.clone().poll()).detach();
     let listener = listener.clone();
     let tasks = executor.clone();
     executor
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::control;
 use crate::database;
 use crate::entry;
+use crate::evidence;
 use crate::forward;
 use crate::group;
 use crate::id;
@@ -123,13 +124,18 @@
         Some(news.witness)
     }
 
-    /// What this proxy tells its peers when it asks.
+    /// What this proxy tells its peers when it asks for their testimony alone.
     #[must_use]
     pub fn digest(&self) -> peer::Digest {
         peer::Digest {
-            vm: self.shared.vm.clone(),
-            incarnation: self.shared.incarnation,
-            revision: 0,
+            sign: evidence::Sign {
+                vm: self.shared.vm.clone(),
+                domain: self.shared.domain.clone(),
+                incarnation: self.shared.incarnation,
+                draining: false,
+            },
+            report: None,
+            roster: None,
         }
     }
 
--- a/src/enrol.rs
+++ b/src/enrol.rs
@@ -8,6 +8,7 @@
 use compact_str::format_compact;
 
 use crate::clock;
+use crate::evidence;
 use crate::grant;
 use crate::id;
 use crate::store;
@@ -46,6 +47,19 @@
     pub lease: Option<store::Lease>,
 }
 
+impl Record {
+    /// What the record shows about the VM's process.
+    #[must_use]
+    pub fn sign(&self) -> evidence::Sign {
+        evidence::Sign {
+            vm: self.vm.clone(),
+            domain: self.domain.clone(),
+            incarnation: self.incarnation,
+            draining: self.draining,
+        }
+    }
+}
+
 /// Keeps the lease and the record bound to it.
 pub struct Enrolment {
     store: sync::Arc<dyn store::Store>,
@@ -140,6 +154,12 @@
         lock(&self.witness).report(self.clock.now())
     }
 
+    /// What this VM shows its peers with each call.
+    #[must_use]
+    pub fn sign(&self) -> evidence::Sign {
+        self.lock_record().sign()
+    }
+
     /// Bounds that leases are reckoned with.
     #[must_use]
     pub fn limits(&self) -> &grant::Limits {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,7 @@
 //! This proxy as one of many: who else there is, and which groups fall to whom.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use crate::catalog;
@@ -8,29 +9,39 @@
 use crate::directory;
 use crate::enrol;
 use crate::entry;
+use crate::evidence;
 use crate::forward;
 use crate::id;
 use crate::keeper;
 use crate::placement;
 use crate::roster;
 use crate::store;
+use crate::tracker;
 
-/// Least time between two reads of the roster.
-const POLL_LEAST: time::Duration = time::Duration::from_secs(1);
+/// Time between two reads of the roster by a proxy whose turn it is.
+const POLL: time::Duration = time::Duration::from_secs(1);
 
-/// Time that each registered proxy adds to that, which bounds the calls of the whole
-/// fleet at 100 a second, whatever its size.
-const POLL_EACH: time::Duration = time::Duration::from_millis(20);
-
-/// Time between reads while the configuration or the roster is still empty.
+/// The same while no roster is known.
 const POLL_FIRST: time::Duration = time::Duration::from_millis(200);
 
+/// Longest wait after a failed read.
+const POLL_LONGEST: time::Duration = time::Duration::from_secs(4);
+
 /// Keeps the serving sets as the catalog and the roster say.
 pub struct Fleet {
     directory: sync::Arc<directory::Directory>,
     enrolment: sync::Arc<enrol::Enrolment>,
     inventory: sync::Arc<dyn store::Inventory>,
-    catalog: async_lock::Mutex<catalog::Catalog>,
+    tracker: sync::Mutex<tracker::Tracker>,
+    failures: atomic::AtomicU32,
+    known: async_lock::Mutex<Known>,
+}
+
+/// What the entries were last brought in line with.
+#[derive(Default)]
+struct Known {
+    catalog: catalog::Catalog,
+    candidates: Vec<placement::Candidate>,
 }
 
 impl Fleet {
@@ -41,64 +52,190 @@
         enrolment: sync::Arc<enrol::Enrolment>,
         inventory: sync::Arc<dyn store::Inventory>,
     ) -> Self {
+        let shared = directory.shared();
+        let now = shared.clock.now();
+        let tracker = tracker::Tracker::new(shared.vm.clone(), shared.domain.clone(), now);
         Self {
             directory,
             enrolment,
             inventory,
-            catalog: async_lock::Mutex::default(),
+            tracker: sync::Mutex::new(tracker),
+            failures: atomic::AtomicU32::new(0),
+            known: async_lock::Mutex::default(),
         }
     }
 
-    /// Follows the roster for ever. What was known stays while the store is down.
-    pub async fn run(&self) {
-        loop {
-            self.refresh().await;
-            async_io::Timer::after(enrol::jittered(self.pause())).await;
-        }
+    /// The groups that this keeps.
+    #[must_use]
+    pub fn directory(&self) -> &sync::Arc<directory::Directory> {
+        &self.directory
     }
 
     /// Puts a catalog in force.
     pub async fn install(&self, catalog: catalog::Catalog) {
-        let mut known = self.catalog.lock().await;
-        *known = catalog;
-        self.reconcile(&known);
+        let mut known = self.known.lock().await;
+        self.lock().declared(&catalog);
+        known.catalog = catalog;
+        self.settle(&mut known, true);
+    }
+
+    /// Reads the roster if it is this proxy's turn, and follows the passing of time.
+    /// True if the roster is a new one. What was known stays while the store is down.
+    pub async fn poll(&self) -> bool {
+        let fresh = self.due() && self.read().await;
+        self.follow().await;
+        fresh
+    }
+
+    /// Time until the next poll.
+    #[must_use]
+    pub fn pause(&self) -> time::Duration {
+        let failures = self.failures.load(atomic::Ordering::Relaxed);
+        let first = match self.lock().mark(id::Time::ZERO) {
+            Some(_) => POLL,
+            None => POLL_FIRST,
+        };
+        let doubled = first.saturating_mul(2_u32.saturating_pow(failures));
+        enrol::jittered(doubled.min(POLL_LONGEST))
+    }
+
+    /// Proxies that may be alive, this one among them.
+    #[must_use]
+    pub fn live(&self) -> Vec<id::Vm> {
+        self.lock().live(self.now())
+    }
+
+    /// Whether this proxy watches the store.
+    #[must_use]
+    pub fn watches(&self) -> bool {
+        self.lock().watches(self.now())
+    }
+
+    /// Proxies to be asked again soon.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<id::Vm> {
+        self.lock().suspects(self.now())
+    }
+
+    /// Which roster is held.
+    #[must_use]
+    pub fn mark(&self) -> Option<roster::Mark> {
+        self.lock().mark(self.now())
+    }
+
+    /// What a peer that holds that roster lacks.
+    #[must_use]
+    pub fn answer(&self, peer: Option<roster::Mark>) -> Option<roster::Update> {
+        self.lock().answer(peer, self.now())
     }
 
-    fn pause(&self) -> time::Duration {
-        let size = self.directory.roster().records.len();
-        match u32::try_from(size) {
-            Ok(0) => POLL_FIRST,
-            Ok(size) => POLL_LEAST.max(POLL_EACH * size),
-            Err(_) => POLL_LEAST,
+    /// Takes in a heartbeat.
+    pub async fn heard(&self, sign: &evidence::Sign) {
+        self.lock().heard(sign, self.now());
+        if sign.draining {
+            self.follow().await;
         }
     }
 
-    async fn refresh(&self) {
-        let store = &self.directory.shared().store;
-        let Ok(entries) = store.list(enrol::PREFIX).await else {
-            return;
+    /// Notes that a proxy did not answer.
+    pub fn missed(&self, vm: &id::Vm) {
+        self.lock().missed(vm, self.now());
+    }
+
+    /// Takes in a peer's answer to a question asked at that time; true if it is news.
+    pub async fn update(&self, update: roster::Update, asked: id::Time) -> bool {
+        let fresh = self.lock().update(update, asked);
+        if fresh {
+            self.follow().await;
+        }
+        fresh
+    }
+
+    /// Takes in a roster that a peer pushed; true if it is news.
+    pub async fn pushed(&self, update: roster::Update) -> bool {
+        let fresh = self.lock().pushed(update, self.now());
+        if fresh {
+            self.follow().await;
+        }
+        fresh
+    }
+
+    fn due(&self) -> bool {
+        let now = self.now();
+        let mut tracker = self.lock();
+        let due = tracker.due(now);
+        if due {
+            tracker.trying(now);
+        }
+        due
+    }
+
+    async fn read(&self) -> bool {
+        let started = self.now();
+        let Ok(entries) = self.directory.shared().store.list(enrol::PREFIX).await else {
+            self.failures.fetch_add(1, atomic::Ordering::Relaxed);
+            return false;
         };
-        let listings = self.inventory.vms().await.unwrap_or_default();
-        let roster = roster::Roster::new(&entries, &listings);
-        if roster == *self.directory.roster() {
+        self.failures.store(0, atomic::Ordering::Relaxed);
+        let listings = self.inventory.vms().await;
+        let mut tracker = self.lock();
+        let listings = listings.unwrap_or_else(|_| tracker.newest().listings.clone());
+        // Before anybody has registered there is nothing to tell.
+        if entries.is_empty() && tracker.mark(started).is_none() {
+            return false;
+        }
+        tracker.take(roster::Roster::new(&entries, &listings), started)
+    }
+
+    /// Brings the entries in line with what is now known of the proxies.
+    async fn follow(&self) {
+        let mut known = self.known.lock().await;
+        self.settle(&mut known, false);
+    }
+
+    fn settle(&self, known: &mut Known, always: bool) {
+        let (roster, candidates) = self.judge();
+        let changed = roster != *self.directory.roster() || candidates != known.candidates;
+        if !changed && !always {
             return;
         }
-        tracing::info!(target: "mangotray::placement", proxies = roster.records.len(),
-            leaving = roster.leaving.len(), "roster changed");
+        if changed {
+            let leaving = candidates.iter().filter(|candidate| candidate.leaving);
+            tracing::info!(target: "mangotray::placement", proxies = roster.records.len(),
+                leaving = leaving.count(), "roster changed");
+        }
+        known.candidates = candidates;
         self.directory.set_roster(roster);
-        let catalog = self.catalog.lock().await;
-        self.reconcile(&catalog);
+        self.reconcile(known);
+    }
+
+    fn judge(&self) -> (roster::Roster, Vec<placement::Candidate>) {
+        let now = self.now();
+        let mut tracker = self.lock();
+        if self.enrolment.sign().draining {
+            tracker.drain();
+        }
+        let roster = tracker.roster(now);
+        (roster, tracker.candidates(now))
+    }
+
+    fn now(&self) -> id::Time {
+        self.directory.shared().clock.now()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, tracker::Tracker> {
+        let guard = self.tracker.lock();
+        guard.unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Brings the entries in line with the catalog and the roster.
-    fn reconcile(&self, catalog: &catalog::Catalog) {
+    fn reconcile(&self, known: &Known) {
         let old = self.directory.entries();
         let roster = self.directory.roster();
-        let candidates = candidates(catalog, &roster);
         let mut new = directory::Entries::new();
-        for declared in &catalog.groups {
+        for declared in &known.catalog.groups {
             let entry = self.keep_or_start(&old, declared);
-            self.assign(&entry, &candidates, &roster);
+            self.assign(&entry, &known.candidates, &roster);
             new.insert(declared.database.clone(), entry);
         }
         for (database, entry) in old.iter() {
@@ -163,15 +300,6 @@
     }
 }
 
-/// Registered proxies that the operators let serve.
-fn candidates(catalog: &catalog::Catalog, roster: &roster::Roster) -> Vec<placement::Candidate> {
-    let allowed = |vm: &id::Vm| catalog.vms.is_empty() || catalog.vms.contains(vm);
-    let candidates = roster.candidates().into_iter();
-    candidates
-        .filter(|candidate| allowed(&candidate.vm))
-        .collect()
-}
-
 /// Whether the group's seats are cut as before; if not, they are given back first.
 fn same_seats(entry: &entry::Entry, declared: &database::Group) -> bool {
     let old = entry.declared.load();
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -1,94 +1,60 @@
-//! Follows the operators' configuration in the store and puts it in force.
+//! Follows the operators' configuration in the store, where this proxy watches it.
 
 use std::sync;
 use std::time;
 
-use crate::declaration;
-use crate::fleet;
-use crate::id;
-use crate::report;
+use crate::apply;
+use crate::enrol;
+use crate::gossip;
+use crate::spread;
 use crate::store;
 
-/// Longest wait of one watch on the configuration.
-const WATCH_PATIENCE: time::Duration = time::Duration::from_secs(20);
+/// First wait after a failed call to the store; doubles with each failure.
+const RETRY_FIRST: time::Duration = time::Duration::from_millis(500);
 
-/// Wait after a failed call to the store.
-const STORE_RETRY: time::Duration = time::Duration::from_millis(500);
+/// Longest such wait: proxies that know nobody all watch, and must not flood a store
+/// that comes back.
+const RETRY_LONGEST: time::Duration = time::Duration::from_secs(4);
 
-/// Key of the configuration in the store.
-const CONFIG_KEY: &str = "config";
-
-/// The part of the stored configuration document that a proxy needs.
-#[derive(serde::Deserialize)]
-struct Document {
-    revision: id::Revision,
-    text: String,
-}
-
-/// Keeps the newest configuration in force.
+/// Watches the configuration.
 pub struct Follower {
     store: sync::Arc<dyn store::Store>,
-    fleet: sync::Arc<fleet::Fleet>,
-    report: sync::Arc<report::Report>,
+    gossip: sync::Arc<gossip::Gossip>,
 }
 
 impl Follower {
     /// A follower that has seen nothing yet.
     #[must_use]
-    pub fn new(
-        store: sync::Arc<dyn store::Store>,
-        fleet: sync::Arc<fleet::Fleet>,
-        report: sync::Arc<report::Report>,
-    ) -> Self {
-        Self {
-            store,
-            fleet,
-            report,
-        }
+    pub fn new(store: sync::Arc<dyn store::Store>, gossip: sync::Arc<gossip::Gossip>) -> Self {
+        Self { store, gossip }
     }
 
-    /// Follows the configuration in the store for ever.
+    /// Watches for ever, whenever this proxy is one of those that do.
     pub async fn run(&self) {
         let mut seen = 0;
+        let mut failures = 0;
         loop {
-            match self.store.watch(CONFIG_KEY, seen, WATCH_PATIENCE).await {
-                Ok(Some(entry)) if entry.version != seen => {
-                    seen = entry.version;
-                    self.adopt(&entry.value).await;
+            if !self.gossip.watches() {
+                async_io::Timer::after(spread::INTERVAL).await;
+                continue;
+            }
+            match self.store.watch(apply::KEY, seen, spread::WAIT).await {
+                Ok(found) => {
+                    failures = 0;
+                    seen = found.as_ref().map_or(0, |entry| entry.version);
+                    self.gossip.stored(found.as_ref()).await;
                 }
-                Ok(Some(_)) => {}
-                Ok(None) => pause().await,
                 Err(failure) => {
                     tracing::warn!(?failure, "configuration not readable, the last one stays");
-                    pause().await;
+                    async_io::Timer::after(retry(failures)).await;
+                    failures += 1;
                 }
             }
         }
     }
-
-    async fn adopt(&self, value: &[u8]) {
-        let document: Document = match serde_json::from_slice(value) {
-            Ok(document) => document,
-            Err(error) => {
-                tracing::error!(%error, "stored configuration is not readable");
-                return;
-            }
-        };
-        if document.revision <= self.report.revision() {
-            return;
-        }
-        match declaration::Declaration::parse(&document.text) {
-            Ok(declared) => {
-                self.fleet.install(declared.catalog).await;
-                self.report.adopted(document.revision);
-                tracing::info!(target: "mangotray::placement", revision = document.revision,
-                    "configuration in force");
-            }
-            Err(faults) => tracing::error!(?faults, "stored configuration is refused"),
-        }
-    }
 }
 
-async fn pause() {
-    async_io::Timer::after(STORE_RETRY).await;
+fn retry(failures: u32) -> time::Duration {
+    let doubled = RETRY_FIRST.saturating_mul(2_u32.saturating_pow(failures));
+    enrol::jittered(doubled.min(RETRY_LONGEST))
 }
--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,295 @@
+//! Passes configuration, roster and heartbeats between the proxies.
+//!
+//! The decisions are in `spread` and `tracker`; this carries them out.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use crate::apply;
+use crate::declaration;
+use crate::directory;
+use crate::enrol;
+use crate::fleet;
+use crate::id;
+use crate::peer;
+use crate::report;
+use crate::revision;
+use crate::roster;
+use crate::spread;
+use crate::store;
+
+/// Silent peers that are asked again in each round, besides the round's own.
+const SUSPECTS: usize = 3;
+
+/// This proxy's part in the exchange with the others.
+pub struct Gossip {
+    directory: sync::Arc<directory::Directory>,
+    enrolment: sync::Arc<enrol::Enrolment>,
+    fleet: sync::Arc<fleet::Fleet>,
+    report: sync::Arc<report::Report>,
+    seeds: Vec<net::SocketAddr>,
+    round: atomic::AtomicUsize,
+    node: sync::Mutex<spread::Node>,
+    /// Held while a file is put in force, so that an older one never comes second.
+    installing: async_lock::Mutex<()>,
+}
+
+impl Gossip {
+    /// A part that has heard of nobody; `seeds` are asked while it has not.
+    #[must_use]
+    pub fn new(
+        enrolment: sync::Arc<enrol::Enrolment>,
+        fleet: sync::Arc<fleet::Fleet>,
+        report: sync::Arc<report::Report>,
+        seeds: Vec<net::SocketAddr>,
+    ) -> Self {
+        let directory = fleet.directory().clone();
+        let shared = directory.shared();
+        let node = spread::Node::new(shared.vm.clone(), shared.clock.now());
+        Self {
+            directory,
+            enrolment,
+            fleet,
+            report,
+            seeds,
+            round: atomic::AtomicUsize::new(0),
+            node: sync::Mutex::new(node),
+            installing: async_lock::Mutex::new(()),
+        }
+    }
+
+    /// Exchanges with peers for ever.
+    pub async fn run(self: sync::Arc<Self>) {
+        loop {
+            self.turn();
+            async_io::Timer::after(enrol::jittered(spread::INTERVAL)).await;
+        }
+    }
+
+    /// Reads the roster for ever, when it is this proxy's turn.
+    pub async fn poll(self: sync::Arc<Self>) {
+        loop {
+            if self.fleet.poll().await {
+                self.push_roster();
+            }
+            async_io::Timer::after(self.fleet.pause()).await;
+        }
+    }
+
+    /// Whether this proxy is one of the few that watch the store.
+    #[must_use]
+    pub fn watches(&self) -> bool {
+        self.fleet.watches()
+    }
+
+    /// Takes in what the store answered to a watch or a read of the configuration.
+    pub async fn stored(self: &sync::Arc<Self>, entry: Option<&store::Entry>) {
+        let file = entry.and_then(|entry| match apply::File::decode(&entry.value) {
+            Ok(file) => Some(revision::File {
+                revision: file.revision,
+                text: file.text,
+            }),
+            Err(error) => {
+                tracing::error!(%error, "stored configuration is not readable");
+                None
+            }
+        });
+        let live = self.fleet.live();
+        let actions = self.lock().heard(file.as_ref(), self.now(), &live);
+        self.act(actions);
+        self.install().await;
+    }
+
+    /// Answers a peer's question.
+    pub async fn asked(&self, digest: peer::Digest) -> peer::News {
+        self.fleet.heard(&digest.sign).await;
+        let now = self.now();
+        let Some(report) = digest.report else {
+            let report = self.lock().report(now);
+            return self.news(spread::Answer { report, file: None }, None);
+        };
+        let answer = self.lock().asked(&report, now);
+        self.news(answer, self.fleet.answer(digest.roster))
+    }
+
+    /// Takes in what a peer pushed.
+    pub async fn announced(self: &sync::Arc<Self>, news: peer::News) {
+        self.fleet.heard(&news.sign).await;
+        let live = self.fleet.live();
+        let actions = {
+            let mut node = self.lock();
+            let _ = node.asked(&news.answer.report, self.now());
+            let file = news.answer.file.as_ref();
+            file.map_or_else(Vec::new, |file| node.learn(file, &live))
+        };
+        self.act(actions);
+        self.install().await;
+        if let Some(update) = news.roster
+            && self.fleet.pushed(update).await
+        {
+            self.push_roster();
+        }
+    }
+
+    fn turn(self: &sync::Arc<Self>) {
+        let live = self.fleet.live();
+        let actions = self.lock().tick(self.now(), &live);
+        self.act(actions);
+        let suspects = self.fleet.suspects().into_iter().take(SUSPECTS);
+        self.act(suspects.map(spread::Action::Exchange).collect());
+        let lonely = live.len() == 1 || self.lock().state().file().is_none();
+        if lonely && let Some(seed) = self.seed() {
+            let gossip = self.clone();
+            self.spawn(async move { gossip.exchange(seed, None).await });
+        }
+    }
+
+    fn seed(&self) -> Option<net::SocketAddr> {
+        let round = self.round.fetch_add(1, atomic::Ordering::Relaxed);
+        let place = round.checked_rem(self.seeds.len())?;
+        self.seeds.get(place).copied()
+    }
+
+    fn act(self: &sync::Arc<Self>, actions: Vec<spread::Action>) {
+        for action in actions {
+            let gossip = self.clone();
+            self.spawn(async move { gossip.perform(action).await });
+        }
+    }
+
+    async fn perform(self: sync::Arc<Self>, action: spread::Action) {
+        match action {
+            spread::Action::Push(vm) => self.push(&vm).await,
+            spread::Action::Exchange(vm) => {
+                if let Some(member) = self.directory.roster().member(&vm) {
+                    self.exchange(member.address, Some(&vm)).await;
+                }
+            }
+            spread::Action::Read => {
+                if let Ok(found) = self.directory.shared().store.get(apply::KEY).await {
+                    self.stored(found.as_ref()).await;
+                }
+            }
+        }
+    }
+
+    async fn push(&self, vm: &id::Vm) {
+        let answer = {
+            let node = self.lock();
+            spread::Answer {
+                report: node.report(self.now()),
+                file: node.state().file().cloned(),
+            }
+        };
+        self.announce(vm, self.news(answer, None)).await;
+    }
+
+    /// Pushes a roster of new content on, down a tree as with the configuration.
+    fn push_roster(self: &sync::Arc<Self>) {
+        let now = self.now();
+        let Some(update) = self.fleet.answer(None) else {
+            return;
+        };
+        let live = self.fleet.live();
+        let report = self.lock().report(now);
+        let answer = spread::Answer { report, file: None };
+        let vm = &self.directory.shared().vm;
+        for target in spread::targets(vm, &live, update.mark.checksum) {
+            let news = self.news(answer.clone(), Some(update.clone()));
+            let gossip = self.clone();
+            self.spawn(async move { gossip.announce(&target, news).await });
+        }
+    }
+
+    async fn announce(&self, vm: &id::Vm, news: peer::News) {
+        let Some(member) = self.directory.roster().member(vm) else {
+            return;
+        };
+        let endpoint = self.directory.shared().peers.endpoint(member.address);
+        let told = match endpoint.connection().await {
+            Some(connection) => connection.announce(news).await.is_ok(),
+            None => false,
+        };
+        if !told {
+            self.fleet.missed(vm);
+        }
+    }
+
+    async fn exchange(self: &sync::Arc<Self>, address: net::SocketAddr, vm: Option<&id::Vm>) {
+        let asked = self.now();
+        let digest = peer::Digest {
+            sign: self.enrolment.sign(),
+            report: Some(self.lock().report(asked)),
+            roster: self.fleet.mark(),
+        };
+        let endpoint = self.directory.shared().peers.endpoint(address);
+        let news = match endpoint.connection().await {
+            Some(connection) => connection.exchange(digest).await.ok(),
+            None => None,
+        };
+        match (news, vm) {
+            (Some(news), _) => self.told(news, asked).await,
+            (None, Some(vm)) => self.fleet.missed(vm),
+            (None, None) => tracing::warn!(%address, "seed does not answer"),
+        }
+    }
+
+    async fn told(self: &sync::Arc<Self>, news: peer::News, asked: id::Time) {
+        self.fleet.heard(&news.sign).await;
+        // First, so that what follows has members to go to.
+        if let Some(update) = news.roster
+            && self.fleet.update(update, asked).await
+        {
+            self.push_roster();
+        }
+        let live = self.fleet.live();
+        let actions = self
+            .lock()
+            .answered(&news.sign.vm, &news.answer, self.now(), &live);
+        self.act(actions);
+        self.install().await;
+    }
+
+    /// Puts the newest file held in force.
+    async fn install(&self) {
+        let _guard = self.installing.lock().await;
+        let held = self.lock().state().file().cloned();
+        let Some(file) = held.filter(|file| file.revision > self.report.revision()) else {
+            return;
+        };
+        match declaration::Declaration::parse(&file.text) {
+            Ok(declared) => {
+                self.fleet.install(declared.catalog).await;
+                self.report.adopted(file.revision);
+                tracing::info!(target: "mangotray::placement", revision = file.revision,
+                    "configuration in force");
+            }
+            Err(faults) => tracing::error!(?faults, "stored configuration is refused"),
+        }
+    }
+
+    fn news(&self, answer: spread::Answer, roster: Option<roster::Update>) -> peer::News {
+        peer::News {
+            sign: self.enrolment.sign(),
+            answer,
+            roster,
+            primaries: Vec::new(),
+            witness: self.enrolment.report(),
+            suspects: Vec::new(),
+        }
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.directory.shared().executor.spawn(task).detach();
+    }
+
+    fn now(&self) -> id::Time {
+        self.directory.shared().clock.now()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, spread::Node> {
+        let guard = self.node.lock();
+        guard.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- a/src/handler.rs
+++ b/src/handler.rs
@@ -7,34 +7,16 @@
 
 use crate::detect;
 use crate::directory;
-use crate::enrol;
+use crate::gossip;
 use crate::lane;
 use crate::peer;
-use crate::report;
 
 /// Answers the calls of other proxies.
 pub struct Handler {
     /// Groups served here.
     pub directory: sync::Arc<directory::Directory>,
-    /// Contact with the store.
-    pub enrolment: sync::Arc<enrol::Enrolment>,
-    /// Revision in force.
-    pub report: sync::Arc<report::Report>,
-}
-
-impl Handler {
-    fn news(&self) -> peer::News {
-        let shared = self.directory.shared();
-        peer::News {
-            vm: shared.vm.clone(),
-            incarnation: shared.incarnation,
-            revision: self.report.revision(),
-            text: None,
-            primaries: Vec::new(),
-            witness: self.enrolment.report(),
-            suspects: Vec::new(),
-        }
-    }
+    /// Exchange of configuration and roster.
+    pub gossip: sync::Arc<gossip::Gossip>,
 }
 
 impl peer::Handler for Handler {
@@ -42,12 +24,12 @@
         sync::Arc::new(directory::Here(self.directory.clone()))
     }
 
-    fn exchange(&self, _digest: peer::Digest) -> future::BoxFuture<'_, peer::News> {
-        future::ready(self.news()).boxed()
+    fn exchange(&self, digest: peer::Digest) -> future::BoxFuture<'_, peer::News> {
+        self.gossip.asked(digest).boxed()
     }
 
-    fn announce(&self, _news: peer::News) -> future::BoxFuture<'_, ()> {
-        future::ready(()).boxed()
+    fn announce(&self, news: peer::News) -> future::BoxFuture<'_, ()> {
+        self.gossip.announced(news).boxed()
     }
 
     fn suspects(&self, suspect: &peer::Suspect) -> bool {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -9,11 +9,14 @@
 
 use crate::batch;
 use crate::class;
+use crate::evidence;
 use crate::frame;
 use crate::id;
 use crate::lane;
 use crate::outcome;
 use crate::reply;
+use crate::roster;
+use crate::spread;
 use crate::stamp;
 use crate::witness;
 
@@ -201,25 +204,23 @@
 /// What a proxy says about itself when it asks for news.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Digest {
-    /// Name of the asking VM.
-    pub vm: id::Vm,
-    /// Start of its process.
-    pub incarnation: id::Incarnation,
-    /// Configuration revision in force there.
-    pub revision: id::Revision,
+    /// The asking process; the question is a heartbeat.
+    pub sign: evidence::Sign,
+    /// Configuration held there; `None` when only the testimony is asked for.
+    pub report: Option<spread::Report>,
+    /// Roster held there, if any.
+    pub roster: Option<roster::Mark>,
 }
 
 /// What a proxy knows that its peers may want to know.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct News {
-    /// Name of the telling VM.
-    pub vm: id::Vm,
-    /// Start of its process.
-    pub incarnation: id::Incarnation,
-    /// Configuration revision in force there.
-    pub revision: id::Revision,
-    /// Text of that revision, when the receiver lacks it.
-    pub text: Option<CompactString>,
+    /// The telling process; the news is a heartbeat.
+    pub sign: evidence::Sign,
+    /// Configuration held there, with the text when the receiver lacks it.
+    pub answer: spread::Answer,
+    /// Roster held there, if it is fresher than the receiver's.
+    pub roster: Option<roster::Update>,
     /// Primaries that it knows.
     pub primaries: Vec<Primary>,
     /// What the sender testifies about its contact with the platform's store.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -1,6 +1,7 @@
-//! The proxies that are registered, and which of them are leaving.
+//! The proxies that are registered and the platform's list, as read from the store.
 
 use std::collections;
+use std::time;
 
 use crate::enrol;
 use crate::forward;
@@ -8,13 +9,34 @@
 use crate::placement;
 use crate::store;
 
-/// Registered proxies and the platform's list, as last read.
+/// Fingerprint of a roster's content, the same on every proxy.
+pub type Checksum = u64;
+
+/// Registered proxies and the platform's list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Roster {
     /// Registrations, by VM.
     pub records: collections::BTreeMap<id::Vm, enrol::Record>,
-    /// VMs that the platform has announced as leaving.
-    pub leaving: collections::BTreeSet<id::Vm>,
+    /// The platform's list, by VM.
+    pub listings: Vec<store::Listing>,
+}
+
+/// Short form of a roster, for exchange between proxies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Mark {
+    /// Time since the read of the store that gave it was started.
+    pub age: time::Duration,
+    /// Fingerprint of its content.
+    pub checksum: Checksum,
+}
+
+/// A roster on its way to another proxy.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Update {
+    /// Which roster it is.
+    pub mark: Mark,
+    /// Its content, when the receiver lacks it.
+    pub content: Option<Roster>,
 }
 
 impl Roster {
@@ -22,7 +44,7 @@
     ///
     /// ```
     /// let roster = mangotray::roster::Roster::new(&[], &[]);
-    /// assert!(roster.candidates().is_empty());
+    /// assert!(roster.records.is_empty());
     /// ```
     #[must_use]
     pub fn new(entries: &[store::Entry], listings: &[store::Listing]) -> Self {
@@ -31,25 +53,30 @@
             .filter_map(|entry| serde_json::from_slice::<enrol::Record>(&entry.value).ok())
             .map(|record| (record.vm.clone(), record))
             .collect();
-        let leaving = listings
-            .iter()
-            .filter(|listing| listing.leaving)
-            .map(|listing| listing.vm.clone())
-            .collect();
-        Self { records, leaving }
+        let mut listings = listings.to_vec();
+        listings.sort_by(|a, b| a.vm.cmp(&b.vm));
+        Self { records, listings }
     }
 
-    /// Candidates for serving sets.
+    /// Fingerprint of the content.
+    ///
+    /// # Panics
+    /// Never: a roster is plain data.
+    ///
+    /// ```
+    /// let empty = mangotray::roster::Roster::default();
+    /// let mut other = empty.clone();
+    /// other.listings.push(mangotray::store::Listing {
+    ///     vm: "entry-1".into(),
+    ///     domain: "patan-hall".into(),
+    ///     leaving: true,
+    /// });
+    /// assert_ne!(empty.checksum(), other.checksum());
+    /// ```
     #[must_use]
-    pub fn candidates(&self) -> Vec<placement::Candidate> {
-        self.records
-            .values()
-            .map(|record| placement::Candidate {
-                vm: record.vm.clone(),
-                domain: record.domain.clone(),
-                leaving: record.draining || self.leaving.contains(&record.vm),
-            })
-            .collect()
+    pub fn checksum(&self) -> Checksum {
+        let text = serde_json::to_string(self).expect("a roster is plain data");
+        placement::score("roster", &text)
     }
 
     /// Where a proxy accepts other proxies.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 //! | | `admin` | IP of `callers`, port 9633 |
 //! | `[platform]` | `address` | required, `IP:PORT` |
 //! | | `timeout` | `1s`; for one call |
+//! | `[peers]` | `seeds` | none; `IP:PORT, ...` where other proxies accept peers, asked first while no proxy is known, such as in an outage of the platform |
 //! | `[limits]` | `callers` | `2000` connections at once |
 //! | | `callers_per_address` | the same as `callers`, as a balancer may hide all callers behind one IP |
 //! | | `message_bytes` | `1MiB`; largest message of a caller |
@@ -45,6 +46,8 @@
     pub listen: Listen,
     /// How it reaches the platform.
     pub platform: Platform,
+    /// Other proxies known beforehand.
+    pub peers: Peers,
     /// Bounds on what callers may use.
     pub limits: Limits,
     /// What it logs.
@@ -86,6 +89,14 @@
     pub timeout: time::Duration,
 }
 
+/// Other proxies that are known without the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Where some of them accept peers.
+    pub seeds: Vec<net::SocketAddr>,
+}
+
 /// Bounds on what callers may use.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -11,7 +11,7 @@
 use crate::settings;
 use crate::value;
 
-const SECTIONS: [&str; 5] = ["vm", "listen", "platform", "limits", "log"];
+const SECTIONS: [&str; 6] = ["vm", "listen", "platform", "peers", "limits", "log"];
 const REGION: &str = "default";
 const PEERS_PORT: u16 = 6433;
 const ADMIN_PORT: u16 = 9633;
@@ -43,12 +43,14 @@
     let vm = vm(&section("vm"), faults);
     let listen = listen(&section("listen"), faults);
     let platform = platform(&section("platform"), faults);
+    let peers = peers(&section("peers"), faults);
     let limits = limits(&section("limits"), faults);
     let log = log(&section("log"), faults);
     Some(settings::Settings {
         vm: vm?,
         listen: listen?,
         platform: platform?,
+        peers,
         limits,
         log,
     })
@@ -164,6 +166,14 @@
     }
 }
 
+fn peers(section: &section::Section, faults: &mut Vec<fault::Fault>) -> settings::Peers {
+    section.known(&["seeds"], faults);
+    let seeds = section.optional("seeds", value::list(value::remote), faults);
+    settings::Peers {
+        seeds: seeds.unwrap_or_default(),
+    }
+}
+
 fn log(section: &section::Section, faults: &mut Vec<fault::Fault>) -> settings::Log {
     section.known(&["format", "filter"], faults);
     let default = settings::Log::default();
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -124,3 +124,14 @@
         ..ProptestConfig::default()
     }
 }
+
+#[test]
+fn peers_may_be_known_beforehand() {
+    let text = |seeds: &str| format!("{LEAST}[peers]\nseeds = {seeds}\n");
+    let settings = settings::Settings::parse(&text("127.0.0.1:1, 127.0.0.1:2")).unwrap();
+    assert_eq!(settings.peers.seeds.len(), 2);
+    for wrong in ["127.0.0.1:0", "0.0.0.0:1", "127.0.0.1:1,,", "entry-1:6433"] {
+        let faults = settings::Settings::parse(&text(wrong)).unwrap_err();
+        assert_eq!(faults[0].key, "[peers] seeds");
+    }
+}
--- /dev/null
+++ b/src/tracker/tests.rs
@@ -0,0 +1,164 @@
+use std::net;
+use std::time;
+
+use crate::catalog;
+use crate::enrol;
+use crate::evidence;
+use crate::id;
+use crate::roster;
+use crate::spread;
+use crate::store;
+use crate::tracker;
+
+fn at(seconds: u64) -> id::Time {
+    time::Duration::from_secs(seconds)
+}
+
+fn record(vm: &str) -> enrol::Record {
+    let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 1));
+    enrol::Record {
+        vm: vm.into(),
+        domain: "d".into(),
+        incarnation: 1,
+        callers: address,
+        peers: address,
+        admin: address,
+        draining: false,
+        lease: None,
+    }
+}
+
+fn roster(vms: &[&str], leaving: &[&str]) -> roster::Roster {
+    let listings = leaving.iter().map(|vm| store::Listing {
+        vm: (*vm).into(),
+        domain: "d".into(),
+        leaving: true,
+    });
+    roster::Roster {
+        records: vms.iter().map(|vm| ((*vm).into(), record(vm))).collect(),
+        listings: listings.collect(),
+    }
+}
+
+fn tracker(vm: &str) -> tracker::Tracker {
+    tracker::Tracker::new(vm.into(), "d".into(), at(0))
+}
+
+/// Proxies that new work may go to.
+fn staying(tracker: &tracker::Tracker, now: u64) -> Vec<id::Vm> {
+    let candidates = tracker.candidates(at(now)).into_iter();
+    candidates
+        .filter(|candidate| !candidate.leaving)
+        .map(|candidate| candidate.vm)
+        .collect()
+}
+
+// Symptom: no group is served after an outage of the platform.
+// Events: all leases end in the outage; the store comes back with no registration.
+// Cause: who is not registered at the moment was taken for gone.
+#[test]
+fn an_empty_store_or_list_strikes_nobody_out() {
+    let mut tracker = tracker("a");
+    assert!(tracker.take(roster(&["a", "b", "c"], &[]), at(1)));
+    tracker.heard(&record("b").sign(), at(59));
+    assert!(tracker.take(roster(&[], &[]), at(60)));
+    assert_eq!(staying(&tracker, 60), ["a", "b", "c"]);
+    assert_eq!(tracker.roster(at(60)).records.len(), 3);
+    // The one that is silent as well is gone.
+    assert_eq!(tracker.suspects(at(60)), ["c"]);
+    tracker.missed(&"c".into(), at(61));
+    assert_eq!(staying(&tracker, 66), ["a", "b"]);
+    assert_eq!(tracker.roster(at(66)).records.len(), 2);
+}
+
+#[test]
+fn a_leaving_vm_gets_no_new_work_at_once() {
+    let mut tracker = tracker("a");
+    tracker.take(roster(&["a", "b", "c"], &[]), at(1));
+    assert!(tracker.take(roster(&["a", "b", "c"], &["b"]), at(2)));
+    assert_eq!(staying(&tracker, 2), ["a", "c"]);
+    let draining = evidence::Sign {
+        draining: true,
+        ..record("c").sign()
+    };
+    tracker.heard(&draining, at(2));
+    assert_eq!(staying(&tracker, 2), ["a"]);
+}
+
+#[test]
+fn only_declared_vms_serve() {
+    let mut tracker = tracker("a");
+    tracker.take(roster(&["a", "b"], &[]), at(1));
+    tracker.declared(&catalog::Catalog {
+        vms: vec!["b".into()],
+        ..catalog::Catalog::default()
+    });
+    assert_eq!(staying(&tracker, 1), ["b"]);
+}
+
+// Symptom: groups move to a proxy that cannot serve them.
+// Events: a proxy starts while the store is out, and greets the others.
+// Cause: it was chosen though it can get no seats.
+#[test]
+fn who_was_never_registered_serves_nothing() {
+    let mut tracker = tracker("a");
+    tracker.take(roster(&["a"], &[]), at(1));
+    tracker.heard(&record("late").sign(), at(2));
+    assert_eq!(staying(&tracker, 2), ["a"]);
+    let mut late = self::tracker("late");
+    let update = tracker.answer(None, at(2)).unwrap();
+    assert!(late.update(update, at(2)));
+    assert_eq!(staying(&late, 2), ["a"]);
+}
+
+#[test]
+fn rosters_pass_by_content_once_and_never_back() {
+    let (mut a, mut b) = (tracker("a"), tracker("b"));
+    assert!(a.take(roster(&["a", "b"], &[]), at(1)));
+    let old = a.answer(None, at(2)).unwrap();
+    assert!(b.update(old.clone(), at(2)));
+    assert!(!b.update(old.clone(), at(2)), "known already");
+    assert!(a.answer(b.mark(at(3)), at(3)).is_none(), "as fresh");
+    assert!(!a.take(roster(&["a", "b"], &[]), at(5)), "same content");
+    let fresher = a.answer(b.mark(at(6)), at(6)).unwrap();
+    assert_eq!(fresher.content, None);
+    assert!(!b.update(fresher, at(6)));
+    assert_eq!(b.mark(at(6)).unwrap().age, at(1));
+    assert!(a.take(roster(&["a", "b", "c"], &[]), at(7)));
+    assert!(b.update(a.answer(b.mark(at(8)), at(8)).unwrap(), at(8)));
+    assert!(!b.pushed(old, at(3)), "an older one");
+    assert_eq!(b.roster(at(8)).records.len(), 3);
+}
+
+/// Reads of the store a second by a whole fleet, over two minutes in virtual time.
+fn reads(nodes: u32) -> f64 {
+    let live: Vec<id::Vm> = (0..nodes)
+        .map(|node| compact_str::format_compact!("vm-{node}"))
+        .collect();
+    let mut read = vec![at(0); live.len()];
+    let mut tried = read.clone();
+    let mut count = 0;
+    let seconds = 120;
+    for second in 1..=seconds {
+        let now = at(second);
+        for node in 0..live.len() {
+            if tracker::due(&live[node], &live, Some(read[node]), tried[node], now) {
+                tried[node] = now;
+                read[node] = now;
+                count += 1;
+            }
+            let partner = spread::partner(&live[node], &live, second).unwrap();
+            let partner = live.iter().position(|vm| *vm == partner).unwrap();
+            read[node] = read[node].max(read[partner]);
+        }
+    }
+    f64::from(count) / at(seconds).as_secs_f64()
+}
+
+#[test]
+fn reads_of_the_store_do_not_grow_with_the_fleet() {
+    let (small, large) = (reads(8), reads(690));
+    println!("{small} reads a second at 8 proxies, {large} at 690");
+    let watchers = f64::from(u32::try_from(spread::WATCHERS).unwrap());
+    assert!(small <= watchers && large <= watchers);
+}
--- a/tests/environment/mod.rs
+++ b/tests/environment/mod.rs
@@ -12,8 +12,10 @@
 use std::thread;
 use std::time;
 
+use mangotray::apply;
 use mangotray::catalog;
 use mangotray::declaration;
+use mangotray::enrol;
 use mangotray::store;
 use mangotray::store::Store;
 use mangotray_lab::cluster;
@@ -69,26 +71,63 @@
 
     /// Puts the group in force.
     pub fn apply(&self) {
-        let catalog = catalog::Catalog {
-            groups: vec![self.cluster.declaration()],
-            vms: Vec::new(),
-        };
-        let text = declaration::render(&catalog);
-        let document = serde_json::json!({ "revision": 1, "id": 1, "by": "test", "text": text });
+        let text = self.text();
+        let document = serde_json::json!({ "revision": 1, "id": "1", "by": "test", "text": text });
         let options = mangotray::platform::Options::new(self.platform.address());
         let client = mangotray::platform::Client::new(options, &self.executor);
         let stored = client.swap("config", document.to_string().into(), 0, None);
         assert_eq!(async_io::block_on(stored), Ok(store::Swap::Stored));
     }
 
+    /// The file that declares the group.
+    pub fn text(&self) -> String {
+        let catalog = catalog::Catalog {
+            groups: vec![self.cluster.declaration()],
+            vms: Vec::new(),
+        };
+        declaration::render(&catalog)
+    }
+
+    /// Writes a file of its own for this test.
+    #[allow(dead_code)]
+    pub fn write(&self, name: &str, text: &str) -> path::PathBuf {
+        let file = self.directory.join(name);
+        fs::write(&file, text).unwrap();
+        file
+    }
+
+    /// The operators' file as the platform holds it.
+    #[allow(dead_code)]
+    pub fn stored(&self) -> apply::File {
+        let entries = self.platform.entries();
+        let entry = entries.iter().find(|entry| entry.key == apply::KEY);
+        apply::File::decode(&entry.unwrap().value).unwrap()
+    }
+
+    /// Registrations of the proxies that are running.
+    #[allow(dead_code)]
+    pub fn records(&self) -> Vec<enrol::Record> {
+        let entries = self.platform.entries().into_iter();
+        entries
+            .filter(|entry| entry.key.starts_with(enrol::PREFIX))
+            .map(|entry| serde_json::from_slice(&entry.value).unwrap())
+            .collect()
+    }
+
     /// Starts one more proxy process.
     pub fn spawn(&self, index: usize) -> Proxy {
+        self.spawn_with(index, &[])
+    }
+
+    /// Starts one more proxy process that knows some peers beforehand.
+    pub fn spawn_with(&self, index: usize, seeds: &[net::SocketAddr]) -> Proxy {
         let domain = &self.cluster.declaration().instances[index % 3].domain;
         let settings = format!(
             "[vm]\nname = entry-{index}\nfailure_domain = {domain}\n\
              [listen]\ncallers = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-             [platform]\naddress = {}\n[log]\nfilter = warn\n",
-            self.platform.address()
+             [platform]\naddress = {}\n[log]\nfilter = warn\n{}",
+            self.platform.address(),
+            peers(seeds)
         );
         let file = self.directory.join(format!("entry-{index}.ini"));
         fs::write(&file, settings).unwrap();
@@ -106,6 +145,7 @@
     }
 
     /// Index of the instance that leads at the highest term.
+    #[allow(dead_code)]
     pub fn primary(&self) -> Option<usize> {
         (0..3)
             .map(|index| (index, self.cluster.status(index)))
@@ -117,6 +157,7 @@
 
 impl Proxy {
     /// Asks the process to drain and waits for its end.
+    #[allow(dead_code)]
     pub fn terminate(&mut self) -> process::ExitStatus {
         let id = self.child.id().to_string();
         process::Command::new("kill")
@@ -144,6 +185,15 @@
     }
 }
 
+/// Section of the settings that names peers.
+fn peers(seeds: &[net::SocketAddr]) -> String {
+    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    match seeds.as_slice() {
+        [] => String::new(),
+        seeds => format!("[peers]\nseeds = {}\n", seeds.join(", ")),
+    }
+}
+
 fn drive(
     executor: &sync::Arc<async_executor::Executor<'static>>,
     stopped: &async_channel::Receiver<()>,
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -17,7 +17,8 @@
 use mangotray::outcome::Outcome;
 use mangotray::reason::Reason;
 use mangotray::{
-    accept, batch, class, clock, dial, endpoint, forward, frame, hello, peer, reply, transaction,
+    accept, batch, class, clock, dial, endpoint, evidence, forward, frame, hello, peer, reply,
+    revision, spread, transaction,
 };
 
 const KEY: &str = "key of the installation";
@@ -131,7 +132,7 @@
     }
 
     fn exchange(&self, digest: peer::Digest) -> BoxFuture<'_, peer::News> {
-        Box::pin(async move { news(digest.revision + 1) })
+        Box::pin(async move { news(digest.report.unwrap().digest.revision + 1) })
     }
 
     fn announce(&self, news: peer::News) -> BoxFuture<'_, ()> {
@@ -144,12 +145,36 @@
     }
 }
 
+fn sign(vm: &str, incarnation: u64) -> evidence::Sign {
+    evidence::Sign {
+        vm: vm.into(),
+        domain: "patan-hall".into(),
+        incarnation,
+        draining: false,
+    }
+}
+
+fn report(revision: u64) -> spread::Report {
+    spread::Report {
+        digest: revision::Digest {
+            revision,
+            checksum: 1,
+        },
+        age: Duration::ZERO,
+    }
+}
+
 fn news(revision: u64) -> peer::News {
     peer::News {
-        vm: "entry-1".into(),
-        incarnation: 11,
-        revision,
-        text: Some("{}".into()),
+        sign: sign("entry-1", 11),
+        answer: spread::Answer {
+            report: report(revision),
+            file: Some(revision::File {
+                revision,
+                text: "{}".into(),
+            }),
+        },
+        roster: None,
         primaries: vec![peer::Primary {
             group: "dome-sched-1".into(),
             instance: 2,
@@ -647,9 +672,9 @@
         let (entry, a) = (Entry::start(KEY), Proxy::start("a"));
         let connection = entry.connection(a.address, LONG).await;
         let digest = peer::Digest {
-            vm: "entry-2".into(),
-            incarnation: 3,
-            revision: 8,
+            sign: sign("entry-2", 3),
+            report: Some(report(8)),
+            roster: None,
         };
         assert_eq!(connection.exchange(digest).await, Ok(news(9)));
         assert_eq!(connection.announce(news(10)).await, Ok(()));
--- /dev/null
+++ b/tests/spread.rs
@@ -0,0 +1,156 @@
+//! Configuration and roster on their way through real processes.
+
+mod environment;
+
+use std::net;
+use std::process;
+use std::thread;
+use std::time;
+
+use mangotray_lab::cluster;
+
+use environment::Environment;
+use environment::block_on;
+use environment::connect;
+
+const DATABASE: &str = "dome_sched";
+const PATIENCE: time::Duration = time::Duration::from_secs(30);
+const PAUSE: time::Duration = time::Duration::from_millis(20);
+
+fn options() -> cluster::Options {
+    let schema = "CREATE TABLE bookings (id TEXT PRIMARY KEY, seat INTEGER NOT NULL)";
+    cluster::Options {
+        schema: vec![schema.to_owned()],
+        ..cluster::Options::default()
+    }
+}
+
+fn wait<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let give_up = time::Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = found() {
+            return found;
+        }
+        assert!(time::Instant::now() < give_up, "{what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Registered addresses for operators.
+fn admins(system: &Environment) -> Vec<net::SocketAddr> {
+    let all = || Some(system.records()).filter(|records| records.len() == system.proxies.len());
+    let records = wait("all proxies register", all);
+    records.iter().map(|record| record.admin).collect()
+}
+
+/// Revision in force at a proxy.
+fn revision(admin: net::SocketAddr) -> u64 {
+    let status = async_io::block_on(mangotray::admin::fetch(admin, PATIENCE));
+    status.expect("status of a running proxy").revision
+}
+
+/// Applies a file through the operators' program.
+fn apply(system: &Environment, name: &str, text: &str) -> process::Child {
+    let file = system.write(name, text);
+    process::Command::new(env!("CARGO_BIN_EXE_mangotray"))
+        .arg("apply")
+        .arg(file)
+        .args(["--platform", &system.platform.address().to_string()])
+        .stdout(process::Stdio::null())
+        .stderr(process::Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+#[test]
+fn an_applied_file_is_in_force_on_all_proxies() {
+    let system = Environment::start(5, options());
+    let admins = admins(&system);
+    for wanted in 1..4 {
+        wait("the revision is in force everywhere", || {
+            let reached = admins.iter().all(|admin| revision(*admin) == wanted);
+            reached.then_some(())
+        });
+        let text = format!("{}# {wanted}\n", system.text());
+        assert!(apply(&system, "next.ini", &text).wait().unwrap().success());
+    }
+}
+
+// Symptom: a VM that is replaced in an outage of the platform refuses all callers.
+// Events: the platform goes out; a proxy starts, which knows nobody.
+// Cause: configuration and roster were to be had from the platform alone.
+#[test]
+fn a_proxy_that_starts_in_an_outage_serves_after_learning_from_peers() {
+    let mut system = Environment::start(3, options());
+    admins(&system);
+    let seeds: Vec<_> = system.records().iter().map(|record| record.peers).collect();
+    block_on(async {
+        let here = connect(system.proxies[0].callers, DATABASE).await;
+        here.execute("INSERT INTO bookings VALUES ('a', 1)", &[])
+            .await
+            .unwrap();
+    });
+    system.platform.set_outage(true);
+    let late = system.spawn_with(3, &seeds);
+    let callers = late.callers;
+    system.proxies.push(late);
+    block_on(async {
+        let there = connect(callers, DATABASE).await;
+        let give_up = time::Instant::now() + PATIENCE;
+        let rows = loop {
+            match there.query("SELECT seat FROM bookings", &[]).await {
+                Ok(rows) => break rows,
+                Err(error) => assert!(time::Instant::now() < give_up, "{error}"),
+            }
+            tokio::time::sleep(PAUSE).await;
+        };
+        assert_eq!(rows.len(), 1);
+    });
+}
+
+// Symptom: proxies route by different files, or go back to an earlier one.
+// Events: operators apply different files at one moment; the platform loses answers to
+// changes that took effect.
+// Cause: an apply whose answer is lost is repeated over another's, or a proxy takes
+// whatever file comes last.
+#[test]
+fn racing_applies_never_take_a_revision_back() {
+    let system = Environment::start(3, options());
+    let admins = admins(&system);
+    system.platform.lose_answers(0.3, 7);
+    let text = system.text();
+    let mut seen = vec![0; admins.len()];
+    for round in 0..3 {
+        let mut racing: Vec<_> = (0..3)
+            .map(|operator| {
+                let text = format!("{text}# {round} {operator}\n");
+                apply(&system, &format!("{operator}.ini"), &text)
+            })
+            .collect();
+        wait("the applies end", || {
+            look(&admins, &mut seen);
+            let ended = racing
+                .iter_mut()
+                .all(|child| child.try_wait().unwrap().is_some());
+            ended.then_some(())
+        });
+    }
+    system.platform.lose_answers(0.0, 7);
+    let stored = system.stored();
+    assert!(stored.revision > 1, "no apply succeeded");
+    wait("the newest file is in force everywhere", || {
+        look(&admins, &mut seen);
+        seen.iter()
+            .all(|seen| *seen == stored.revision)
+            .then_some(())
+    });
+}
+
+/// Notes each proxy's revision, which must not have fallen.
+fn look(admins: &[net::SocketAddr], seen: &mut [u64]) {
+    for (admin, seen) in admins.iter().zip(seen) {
+        let now = revision(*admin);
+        assert!(now >= *seen, "{now} after {seen} at {admin}");
+        *seen = now;
+    }
+}
