--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -12,9 +12,12 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(command))]
 pub enum Command {
-    /// Run a profile's workload through proxies in this process and print one line of JSON
+    /// Run a profile's workload through proxies and print one line of JSON
     #[bpaf(command)]
     Run(#[bpaf(external(run))] Run),
+    /// Run both profiles, every fault and every policy, and print a table of the figures
+    #[bpaf(command)]
+    Sweep(#[bpaf(external(sweep))] Sweep),
     /// Serve one group through two proxies until interrupted, to try with psql
     #[bpaf(command)]
     Demo(#[bpaf(external(demo))] Demo),
@@ -53,6 +56,20 @@
     /// Rules of the proxies: default, primary-only, token-only, unsafe-ack or lease-expiry
     #[bpaf(argument("POLICY"), fallback("default".to_owned()), display_fallback)]
     pub policy: String,
+    /// Replication delay to each replica, such as 20ms, in place of the profile's
+    #[bpaf(argument("TIME"), optional)]
+    pub lag: Option<humantime::Duration>,
+}
+
+/// Arguments of a sweep.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Sweep {
+    /// Seed of each run
+    #[bpaf(argument("K"), fallback(3), display_fallback)]
+    pub seed: u64,
+    /// Run only what has this text in its command
+    #[bpaf(argument("TEXT"), fallback(String::new()))]
+    pub only: String,
 }
 
 /// Arguments of the demonstration.
--- a/lab/src/cluster.rs
+++ b/lab/src/cluster.rs
@@ -183,6 +183,11 @@
         self.instances[index].notify();
     }
 
+    /// Gives an instance its usual replication delay again.
+    pub fn restore_lag(&self, index: id::Index) {
+        self.set_lag(index, self.options.lag);
+    }
+
     /// Fences all instances at `term` and promotes one, for tests that need no proxy.
     ///
     /// # Errors
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -40,6 +40,7 @@
 mod statement;
 pub mod stats;
 mod storage;
+pub mod sweep;
 mod token;
 pub mod trouble;
 mod value;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use mangotray_lab::proxy;
 use mangotray_lab::run;
 use mangotray_lab::serve;
+use mangotray_lab::sweep;
 use std::process;
 use std::time;
 
@@ -21,6 +22,11 @@
         .init();
     match command {
         cli::Command::Run(arguments) => return measure(arguments),
+        cli::Command::Sweep(arguments) => {
+            let program = std::env::current_exe()?;
+            let bad = sweep::execute(&program, arguments.seed, &arguments.only);
+            return Ok(code(bad > 0));
+        }
         cli::Command::Demo(arguments) => {
             demo::serve(arguments.port, arguments.lasts.map(Into::into))?;
         }
@@ -37,10 +43,12 @@
 
 /// Runs once; the exit code tells whether a promise was broken.
 fn measure(arguments: cli::Run) -> eyre::Result<process::ExitCode> {
+    let mut profile = *arguments.profile;
+    profile.lag = arguments.lag.map_or(profile.lag, Into::into);
     let run = run::Run {
         program: std::env::current_exe()?,
         policy: arguments.policy.parse()?,
-        profile: *arguments.profile,
+        profile,
         proxies: arguments.proxies,
         lasts: time::Duration::from_secs(arguments.seconds),
         seed: arguments.seed,
@@ -48,9 +56,13 @@
     };
     let report = run.execute()?;
     println!("{}", serde_json::to_string(&report)?);
-    Ok(if report.is_violated() {
+    Ok(code(report.is_violated()))
+}
+
+fn code(bad: bool) -> process::ExitCode {
+    if bad {
         process::ExitCode::FAILURE
     } else {
         process::ExitCode::SUCCESS
-    })
+    }
 }
--- a/lab/src/profile.rs
+++ b/lab/src/profile.rs
@@ -40,6 +40,8 @@
     pub connect_cost: time::Duration,
     /// Time an instance spends on one statement; an assumption, no user stated it.
     pub statement_cost: time::Duration,
+    /// Replication delay to each replica.
+    pub lag: time::Duration,
     /// One-way delay between failure domains.
     pub delay: time::Duration,
     /// One-way delay between callers and proxies.
@@ -136,6 +138,7 @@
             connections: 20,
             connect_cost: time::Duration::from_millis(10),
             statement_cost: time::Duration::from_millis(1),
+            lag: time::Duration::from_millis(2),
             delay: time::Duration::from_micros(1500),
             reach: time::Duration::from_millis(3),
             callers: 24,
@@ -215,6 +218,7 @@
             connections: self.connections,
             connect_cost: self.connect_cost,
             statement_cost: self.statement_cost,
+            lag: self.lag,
             delay: self.delay,
             schema: self.schema(),
             ..cluster::Options::default()
--- a/lab/src/trouble.rs
+++ b/lab/src/trouble.rs
@@ -10,9 +10,6 @@
 /// Delay of replication to a replica that falls behind.
 const LAG: time::Duration = time::Duration::from_secs(4);
 
-/// Delay of replication otherwise.
-const USUAL_LAG: time::Duration = time::Duration::from_millis(2);
-
 /// Time that the platform's service takes for a call when it is slow.
 const SLOW: time::Duration = time::Duration::from_millis(800);
 
@@ -67,7 +64,7 @@
             fault::Kind::PrimaryCrash | fault::Kind::ReplicaCrash => cluster.restart(self.instance),
             fault::Kind::PrimaryPartition => cluster.cut(self.instance, false),
             fault::Kind::PrimaryPause => cluster.pause(self.instance, false),
-            fault::Kind::ReplicaLag => cluster.set_lag(self.instance, USUAL_LAG),
+            fault::Kind::ReplicaLag => cluster.restore_lag(self.instance),
             fault::Kind::ProxyCrash | fault::Kind::ProxyDrain => {}
             fault::Kind::PlatformOutage => stage.platform.set_outage(false),
             fault::Kind::PlatformSlow => stage.platform.set_delay(time::Duration::ZERO),
