--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -52,7 +52,11 @@
     for failure in &failures {
         console.error(failure)?;
     }
-    let overview = overview::Overview::new(vms);
+    let mut overview = overview::Overview::new(vms);
+    if !failures.is_empty() && overview.vms.is_empty() {
+        // That nobody is registered is not known when the list could not be read.
+        overview.problems.clear();
+    }
     show(arguments, &overview, console)?;
     Ok(code(&overview, !failures.is_empty()))
 }
--- a/src/reader.rs
+++ b/src/reader.rs
@@ -46,6 +46,7 @@
 const CALL: u8 = b'F';
 const TERMINATE: u8 = b'X';
 const HEADER_BYTES: usize = 5;
+const LENGTH_HINT: &str = "The operators bound messages by message_bytes in [limits].";
 
 /// Reads one frame.
 ///
@@ -97,14 +98,17 @@
         return Stop::Closed;
     }
     let head = stream.read_buffer();
-    let text = if error.get_ref().is_some() && head.len() >= HEADER_BYTES {
+    let (text, hint) = if error.get_ref().is_some() && head.len() >= HEADER_BYTES {
         let length = (&head[1..HEADER_BYTES]).get_u32();
         let tag = char::from(head[0]);
-        format_compact!("message of type {tag:?} has an invalid length of {length} bytes")
+        let text =
+            format_compact!("message of type {tag:?} has an invalid length of {length} bytes");
+        (text, Some(LENGTH_HINT.into()))
     } else {
-        "message is shorter than its own header".into()
+        ("message is shorter than its own header".into(), None)
     };
-    Stop::Fatal(refusal::Error::fatal(refusal::PROTOCOL_VIOLATION, text))
+    let error = refusal::Error::fatal(refusal::PROTOCOL_VIOLATION, text);
+    Stop::Fatal(refusal::Error { hint, ..error })
 }
 
 /// Reads the rest of the request that `first` opens, of at most `limit` bytes in all.
--- a/src/unsupported.rs
+++ b/src/unsupported.rs
@@ -14,6 +14,7 @@
 ///     unsupported::find(statement, &statement.words())
 /// };
 /// assert_eq!(find("LISTEN shows").as_deref(), Some("LISTEN"));
+/// assert_eq!(find("SET work_mem = 4").unwrap(), "SET work_mem outside a transaction's scope");
 /// assert_eq!(find("SELECT 1"), None);
 /// ```
 #[must_use]
@@ -48,12 +49,20 @@
             .any(|pair| pair[0] == "read" && pair[1] == "write");
     let own = words.iter().any(|word| word == "mangotray");
     match (scoped, access || own) {
-        (false, _) => Some("SET outside a transaction's scope".into()),
+        (false, _) => Some(format!("SET {}outside a transaction's scope", name(words))),
         (true, true) => Some("SET LOCAL of this setting".into()),
         (true, false) => None,
     }
 }
 
+/// The setting's name and a blank, as far as words tell it.
+fn name(words: &[String]) -> String {
+    let mut words = words.iter().skip(1).filter(|word| *word != "session");
+    words
+        .next()
+        .map_or(String::new(), |name| format!("{name} "))
+}
+
 fn end(words: &[String]) -> Option<String> {
     if words.get(1).is_some_and(|word| word == "prepared") {
         return Some("a prepared transaction".into());
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -304,6 +304,7 @@
     let run = Environment::new().client(&["status", "--platform", NOBODY]);
     assert_eq!(run.code, 5, "{run:?}");
     assert!(run.err.contains("cannot list the proxies"), "{run:?}");
+    assert!(!run.err.contains("no proxy is registered"), "{run:?}");
     let run = Environment::new().client(&["status"]);
     assert_eq!(run.code, 2, "{run:?}");
 }
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,80 @@
+//! The operators' handbook names everything that the code knows.
+
+use std::fs;
+
+use mangotray::declaration;
+use mangotray::fault;
+use mangotray::reason;
+use mangotray::route;
+use mangotray::settings;
+use serde::de;
+
+const KNOWN: &str = "known are: ";
+
+fn handbook() -> String {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATING.md");
+    fs::read_to_string(path).unwrap()
+}
+
+/// What the faults of a text list as known.
+fn known(faults: &[fault::Fault]) -> Vec<String> {
+    let lists = faults.iter().filter_map(|f| f.reason.split_once(KNOWN));
+    let names = lists.flat_map(|(_, list)| list.split(", "));
+    names.map(str::to_owned).collect()
+}
+
+/// Names of an enum's values, from the error about one that does not exist.
+fn variants<T: de::DeserializeOwned>() -> Vec<String> {
+    let error = serde_json::from_str::<T>("\"no such value\"")
+        .err()
+        .unwrap();
+    let words = error.to_string();
+    let quoted = words.split('`').skip(3).step_by(2);
+    quoted.map(str::to_owned).collect()
+}
+
+fn assert_row(handbook: &str, row: &str) {
+    assert!(handbook.contains(row), "docs/OPERATING.md has no row {row}");
+}
+
+#[test]
+fn every_setting_is_documented() {
+    let handbook = handbook();
+    let sections = known(&settings::Settings::parse("[unknown]\n").unwrap_err());
+    assert!(sections.len() >= 5, "{sections:?}");
+    for section in sections {
+        let faults = settings::Settings::parse(&format!("[{section}]\nunknown = 1\n"));
+        let keys = known(&faults.unwrap_err());
+        assert!(!keys.is_empty(), "{section}");
+        for key in keys {
+            assert_row(&handbook, &format!("| `[{section}]` | `{key}` |"));
+        }
+    }
+}
+
+#[test]
+fn every_key_of_the_operators_file_is_documented() {
+    let handbook = handbook();
+    let sections = known(&declaration::Declaration::parse("[unknown]\n").unwrap_err());
+    assert!(sections.len() >= 3, "{sections:?}");
+    for section in sections {
+        let faults = declaration::Declaration::parse(&format!("{section}\nunknown = 1\n"));
+        let keys = known(&faults.unwrap_err());
+        assert!(!keys.is_empty(), "{section}");
+        for key in keys {
+            assert_row(&handbook, &format!("| `{section}` | `{key}` |"));
+        }
+    }
+}
+
+#[test]
+fn every_cause_of_a_route_and_of_a_refusal_is_documented() {
+    let handbook = handbook();
+    let causes = [variants::<route::Why>(), variants::<reason::Reason>()];
+    for causes in &causes {
+        assert!(causes.len() >= 7, "{causes:?}");
+    }
+    for cause in causes.iter().flatten() {
+        assert_row(&handbook, &format!("| `{cause}` |"));
+    }
+}
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -547,7 +547,8 @@
     let mut oversized = vec![b'Q'];
     oversized.put_u32(2_000_000);
     let cases = [
-        (oversized, "type 'Q'"),
+        (oversized.clone(), "type 'Q'"),
+        (oversized, "message_bytes"),
         (vec![b'Q', 0, 0, 0, 1], "shorter than its own header"),
         (
             packet(Some(b'Q'), b"SELECT 1"),
