Mend what a review of the core found: commits within mixed texts, leaving primaries, drains

Cause: a fresh reading of the core decisions found sequences that break promises. - A text that commits and goes on (COMMIT; BEGIN, COMMIT; INSERT) was taken for an unfinished transaction: its commit was relayed unconfirmed, or called not run after a lost connection. Batches now tell that they mix transaction control. - A refusal with 25006 inside such a text was taken as proof that nothing ran, and the text was sent again. - A healthy primary that operators take out was never replaced: the last look before a promotion found it well. It is replaced when the others are a majority. - The instance to be replaced hurried the choice and could win again; promotions of one's own in quick succession are held back. - Reserved terms fell below the present one after anybody's promotion; the look that gave up wasted the reserved term. - A group without seats went on probing and could promote; a seat whose last step failed was never given back; open transactions lost their slot while a seat drained. - A drain cut forwarded requests and left new callers hanging in the backlog.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -16,6 +16,9 @@
     pub frames: Vec<frame::Frame>,
     /// What the statements need.
     pub class: class::Class,
+    /// Whether it opens or ends a transaction beside other statements, as in
+    /// `COMMIT; INSERT ...`: part of it may then be committed although it failed.
+    pub mixed: bool,
     /// Tables that the statements read, where the parser could tell; empty means unknown.
     pub tables: Vec<CompactString>,
     /// Stamp that the answer must include, when the caller carries a token for this group.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -37,6 +37,9 @@
 /// Threads that run the tasks of one process.
 const THREADS: usize = 4;
 
+/// Longest wait for the seats to be given back.
+const RELEASE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// Time between two looks at whether the seats are given back.
 const RELEASE_POLL: time::Duration = time::Duration::from_millis(50);
 
@@ -118,22 +121,26 @@
     /// True when every session ended within the timeout.
     pub async fn drain(self) -> bool {
         self.context.drain.start();
+        self.context.directory.drain();
         self.context.enrolment.drain().await;
-        let ended = async {
-            self.listener.ended().await;
-            self.released().await;
-            true
-        };
-        let timeout = async {
-            async_io::Timer::after(self.drain_timeout).await;
-            false
-        };
-        let complete = ended.or(timeout).await;
+        let complete = within(self.drain_timeout, self.idle()).await;
+        // Others get the seats at once; without it they wait for the lease to end.
+        within(RELEASE_TIMEOUT, self.released()).await;
         self.context.enrolment.leave().await;
         self.halt();
         complete
     }
 
+    /// Waits until neither callers nor peers have anything under way here.
+    async fn idle(&self) {
+        self.listener.ended().await;
+        while self.context.directory.busy() {
+            async_io::Timer::after(RELEASE_POLL).await;
+        }
+        // The last answers to peers are still on their way out.
+        async_io::Timer::after(RELEASE_POLL).await;
+    }
+
     /// Waits until this VM's seats are given back, so that others use them at once
     /// instead of after the end of the lease.
     async fn released(&self) {
@@ -306,7 +313,10 @@
     let listener = listener.clone();
     let tasks = executor.clone();
     executor
-        .spawn(async move { listener.run(&tasks).await })
+        .spawn(async move {
+            listener.run(&tasks).await;
+            listener.turn_away(&tasks).await;
+        })
         .detach();
 }
 
@@ -335,5 +345,18 @@
     }
 }
 
+/// Whether the task ended in time.
+async fn within(timeout: time::Duration, task: impl Future<Output = ()>) -> bool {
+    let done = async {
+        task.await;
+        true
+    };
+    let late = async {
+        async_io::Timer::after(timeout).await;
+        false
+    };
+    done.or(late).await
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -72,10 +72,12 @@
                 "the proxy's share of the instance has ended".into(),
             ));
         };
-        let commits = batch.class == class::Class::Commit;
+        let commits = batch.class == class::Class::Commit || batch.mixed;
         self.path.log(batch, index, route::Why::Pinned, None);
         match self.path.send(index, Some(guard), batch).await {
-            path::Sent::Answered(reply, _) if writes && read_only(&reply) => Err(replaced()),
+            path::Sent::Answered(reply, _) if writes && !batch.mixed && read_only(&reply) => {
+                Err(replaced())
+            }
             path::Sent::Answered(reply, guard) => {
                 self.settle(batch, index, writes, reply, guard).await
             }
@@ -93,8 +95,8 @@
             self.path.log(batch, index, route::Why::Primary, None);
             match self.path.send(index, None, batch).await {
                 path::Sent::Answered(reply, guard) if refused_by_replica(batch, &reply) => {
-                    // The instance proved that nothing ran: it leads no more.
-                    self.path.group.pool(index).put_back(guard);
+                    // A transaction may be open, and failed; it ends with the connection.
+                    drop(guard);
                     self.path.await_change(index, batch).await;
                 }
                 path::Sent::Answered(reply, guard) => {
@@ -142,7 +144,8 @@
         reply: reply::Reply,
         mut guard: pool::Guard,
     ) -> Answer {
-        if reply.transaction != transaction::State::Idle {
+        let open = reply.transaction != transaction::State::Idle;
+        if open {
             if !writes {
                 // Holds no locks that others wait for, so the slot is free meanwhile.
                 guard.slot = None;
@@ -153,10 +156,18 @@
                 parked,
                 writes,
             });
+        } else {
+            self.path.group.pool(index).put_back(guard);
+        }
+        // In a mixed batch a transaction may have ended before the open one began.
+        if open && !(batch.mixed && reply.stamp.is_some()) {
             return Ok(reply);
         }
-        self.path.group.pool(index).put_back(guard);
-        self.path.confirm(batch, index, writes, reply).await
+        let answer = self.path.confirm(batch, index, writes, reply).await;
+        if answer.is_err() {
+            self.pin = None;
+        }
+        answer
     }
 }
 
@@ -166,10 +177,18 @@
     }
 }
 
+/// Whether the instance proved that it leads no more and that nothing was committed.
 fn refused_by_replica(batch: &batch::Batch, reply: &reply::Reply) -> bool {
-    let alone = matches!(batch.class, class::Class::Write | class::Class::Begin);
+    let writes = matches!(batch.class, class::Class::Write | class::Class::Begin);
     let idle = reply.transaction == transaction::State::Idle;
-    alone && idle && read_only(reply)
+    // Within a mixed batch a transaction may have been committed before the refusal;
+    // its end would have been reported.
+    let nothing_ended = if batch.mixed {
+        reply.stamp.is_none()
+    } else {
+        idle
+    };
+    writes && nothing_ended && read_only(reply)
 }
 
 /// Whether the instance refused to write. Inside a transaction that was opened on a
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use compact_str::CompactString;
@@ -56,6 +57,8 @@
     shared: Shared,
     entries: arc_swap::ArcSwap<Entries>,
     roster: arc_swap::ArcSwap<roster::Roster>,
+    draining: atomic::AtomicBool,
+    forwarded: sync::Arc<()>,
 }
 
 impl Directory {
@@ -66,6 +69,8 @@
             shared,
             entries: arc_swap::ArcSwap::default(),
             roster: arc_swap::ArcSwap::default(),
+            draining: atomic::AtomicBool::new(false),
+            forwarded: sync::Arc::default(),
         }
     }
 
@@ -75,6 +80,29 @@
         &self.shared
     }
 
+    /// Takes no new work from peers from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, atomic::Ordering::Release);
+    }
+
+    /// Whether no new work of peers is taken.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.draining.load(atomic::Ordering::Acquire)
+    }
+
+    /// Counts work of a peer, or its open transaction, while the result lives.
+    #[must_use]
+    pub fn enter(&self) -> sync::Arc<()> {
+        self.forwarded.clone()
+    }
+
+    /// Whether work of peers is under way.
+    #[must_use]
+    pub fn busy(&self) -> bool {
+        sync::Arc::strong_count(&self.forwarded) > 1
+    }
+
     /// The groups in force.
     #[must_use]
     pub fn entries(&self) -> sync::Arc<Entries> {
--- a/src/failover.rs
+++ b/src/failover.rs
@@ -137,18 +137,16 @@
         let rule = self.rule;
         let declaration = self.declaration.clone();
         let task = async move {
-            let mut event = match terms.claim(above).await {
-                Ok(term) => promote::Event::Claimed(term),
-                Err(failure) => reserved(&terms, above, &failure),
-            };
             let board = last_look(&watch, &*clock).await;
             let well = |board: &board::Board| {
                 let verdict = judge(rule, &declaration.load(), board, clock.now());
                 verdict == detect::Verdict::Healthy
             };
-            if board.is_some_and(|board| well(&board)) {
-                event = promote::Event::ClaimFailed;
-            }
+            let event = if board.is_some_and(|board| well(&board)) {
+                promote::Event::ClaimFailed
+            } else {
+                claimed(&terms, above).await
+            };
             let _ = sender.send(event).await;
         };
         self.executor.spawn(task).detach();
@@ -248,7 +246,8 @@
     declaration.instances[leader.index].leaving && others.count() >= board.majority()
 }
 
-/// Looks once more before fencing: a leader that is seen now need not be replaced.
+/// Looks once more before a term is claimed: a leader that is seen now need not be
+/// replaced.
 /// Proxies that start together suspect together, and the second would fence off the
 /// primary that the first has just promoted, aborting its first transactions.
 async fn last_look(
@@ -262,6 +261,13 @@
     fresh.await.map(|_| watch.board())
 }
 
+async fn claimed(terms: &term::Registry, above: id::Term) -> promote::Event {
+    match terms.claim(above).await {
+        Ok(term) => promote::Event::Claimed(term),
+        Err(failure) => reserved(terms, above, &failure),
+    }
+}
+
 /// The store gave no term: falls back to the one reserved in advance, if any is left.
 fn reserved(
     terms: &term::Registry,
--- a/src/group.rs
+++ b/src/group.rs
@@ -22,8 +22,8 @@
 use crate::term;
 use crate::upstream;
 
-/// Wait after a failed reservation of a term.
-const RESERVE_RETRY: std::time::Duration = std::time::Duration::from_secs(5);
+/// Time between two looks at whether the reserved term is still of use.
+const RESERVE_EVERY: std::time::Duration = std::time::Duration::from_secs(2);
 
 /// Age of answers up to which an instance counts as reachable for routing.
 const REACHABLE_WITHIN: std::time::Duration = std::time::Duration::from_secs(1);
@@ -66,7 +66,7 @@
     domain: id::Domain,
     rank: sync::Arc<atomic::AtomicU32>,
     tally: sync::Arc<tally::Tally>,
-    tasks: Vec<async_executor::Task<()>>,
+    tasks: sync::Mutex<Vec<async_executor::Task<()>>>,
 }
 
 impl Group {
@@ -82,7 +82,11 @@
         let tally = failover.tally.clone();
         let mut tasks = probes(&parts, &watch);
         tasks.push(parts.executor.spawn(failover.run()));
-        tasks.push(parts.executor.spawn(reserve(parts.terms.clone())));
+        tasks.push(
+            parts
+                .executor
+                .spawn(reserve(parts.terms.clone(), watch.clone())),
+        );
         let pools = parts
             .upstreams
             .iter()
@@ -99,7 +103,7 @@
             domain: parts.domain,
             rank,
             tally,
-            tasks,
+            tasks: sync::Mutex::new(tasks),
         })
     }
 
@@ -153,6 +157,9 @@
     /// at `until`.
     pub fn revoke(&self) {
         self.until.store(0, atomic::Ordering::Release);
+        // Sessions may hold the group for long; without seats it must neither probe nor
+        // promote.
+        lock(&self.tasks).clear();
         self.pools.iter().for_each(pool::Pool::revoke);
     }
 
@@ -175,12 +182,6 @@
         detect::Rule::default().judge(&self.watch.board(), self.clock.now())
     }
 
-    /// Number of tasks that keep the group fresh.
-    #[must_use]
-    pub fn tasks(&self) -> usize {
-        self.tasks.len()
-    }
-
     /// Age that a batch's data may have, when all its tables are declared so.
     #[must_use]
     pub fn age_limit(&self, batch: &batch::Batch) -> Option<std::time::Duration> {
@@ -313,9 +314,20 @@
     }
 }
 
-/// Reserves the term that a promotion needs while the store is down.
-async fn reserve(terms: sync::Arc<term::Registry>) {
-    while terms.reserve(0).await.is_err() {
-        async_io::Timer::after(enrol::jittered(RESERVE_RETRY)).await;
+/// Keeps a term above all known ones reserved, for promotions while the store is down.
+/// After a promotion by anybody the old reservation is of no use.
+async fn reserve(terms: sync::Arc<term::Registry>, watch: sync::Arc<probe::Watch>) {
+    loop {
+        let known = watch.board().highest_fence();
+        if terms.held().is_none_or(|held| held <= known)
+            && let Err(failure) = terms.reserve(known).await
+        {
+            tracing::info!(?failure, "no term could be reserved in advance");
+        }
+        async_io::Timer::after(enrol::jittered(RESERVE_EVERY)).await;
     }
 }
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -82,13 +82,12 @@
     }
 
     fn finished(&self) -> bool {
-        let empty = self.book.held().next().is_none() && self.draining.is_none();
-        self.entry.retired() && empty
+        self.entry.retired() && self.book.is_empty()
     }
 
     async fn turn(&mut self) {
         let wanted = self.entry.wanted(&self.directory.shared().vm, self.seats);
-        let idle = wanted == 0 && self.book.held().next().is_none() && self.draining.is_none();
+        let idle = wanted == 0 && self.book.is_empty();
         if idle {
             self.entry.set_runtime(None);
             return;
@@ -266,7 +265,11 @@
         let until = held.iter().chain(&ending).map(|(_, until)| *until).min();
         let seats: Vec<_> = held.iter().map(|(seat, _)| *seat).collect();
         let declared = self.entry.declared.load();
-        let limit = entry::limit(declared.connections, declared.slots, self.seats, &seats);
+        let mut limit = entry::limit(declared.connections, declared.slots, self.seats, &seats);
+        // Open transactions need the slots of a seat until they have ended.
+        let ending: Vec<_> = ending.iter().map(|(seat, _)| *seat).collect();
+        limit.slots +=
+            entry::limit(declared.connections, declared.slots, self.seats, &ending).slots;
         let rank = self.entry.rank(&self.directory.shared().vm);
         self.directory
             .serve(&self.entry, limit, until, rank.unwrap_or(usize::MAX));
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -108,6 +108,21 @@
         }
     }
 
+    /// Tells callers that come during the drain to go elsewhere; run it after `run`.
+    /// Left in the socket's backlog they would hang until the process ends.
+    pub async fn turn_away(&self, executor: &sync::Arc<Executor<'static>>) {
+        loop {
+            match self.socket.accept().await {
+                Ok((socket, _)) => {
+                    let stream = wire::stream(Box::new(socket));
+                    let refusal = async move { writer::close(stream, &writer::shutdown()).await };
+                    executor.spawn(refusal).detach();
+                }
+                Err(error) => self.pause(&error).await,
+            }
+        }
+    }
+
     /// An accept fails when the process is out of descriptors; trying again at once
     /// would keep a core busy until one is free.
     async fn pause(&self, error: &io::Error) {
--- a/src/path.rs
+++ b/src/path.rs
@@ -145,7 +145,9 @@
             .leader()
             .is_some_and(|leader| leader.index == index);
         let needed = (writes || led) && self.group.policy != policy::Policy::UnsafeAck;
-        let Some(stamp) = reply.stamp.filter(|_| needed && reply.error.is_none()) else {
+        // A failed batch has changed nothing, unless it committed something before.
+        let shown = reply.error.is_none() || batch.mixed;
+        let Some(stamp) = reply.stamp.filter(|_| needed && shown) else {
             return Ok(reply);
         };
         let since = self.group.clock.now();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -91,6 +91,8 @@
     pub frames: Vec<frame::Frame>,
     /// What the statements need.
     pub class: class::Class,
+    /// Whether it mixes transaction control with other statements.
+    pub mixed: bool,
     /// Tables that the statements read.
     pub tables: Vec<CompactString>,
     /// Stamp that the answer must include.
@@ -106,6 +108,7 @@
     /// use std::time::Duration;
     /// use mangotray::{batch, class, peer};
     /// let batch = batch::Batch {
+    ///     mixed: false,
     ///     request: 1, frames: vec![], class: class::Class::Read, tables: vec![], token: None,
     ///     arrived: Duration::from_secs(100), deadline: Duration::from_secs(103),
     /// };
@@ -124,6 +127,7 @@
             request: batch.request,
             frames: batch.frames.clone(),
             class: batch.class,
+            mixed: batch.mixed,
             tables: batch.tables.clone(),
             token: batch.token,
             mark: Mark::default(),
@@ -134,6 +138,7 @@
     #[must_use]
     pub fn batch(self, now: id::Time) -> batch::Batch {
         batch::Batch {
+            mixed: self.mixed,
             request: self.request,
             frames: self.frames,
             class: self.class,
--- a/src/promote.rs
+++ b/src/promote.rs
@@ -35,6 +35,9 @@
 /// First wait after a failed try; doubles up to `BACKOFF_LIMIT`.
 pub const BACKOFF: time::Duration = time::Duration::from_millis(200);
 
+/// Time after a promotion of its own during which the next one is held back.
+pub const QUIET: time::Duration = time::Duration::from_secs(20);
+
 /// Longest wait between tries.
 pub const BACKOFF_LIMIT: time::Duration = time::Duration::from_secs(3);
 
@@ -135,6 +138,8 @@
     tries: u32,
     highest: id::Term,
     avoid: Option<id::Index>,
+    recent: u32,
+    quiet: id::Time,
 }
 
 impl Machine {
@@ -155,6 +160,8 @@
             tries: 0,
             highest: 0,
             avoid: None,
+            recent: 0,
+            quiet: id::Time::ZERO,
         }
     }
 
@@ -212,7 +219,7 @@
     fn tick(&mut self, now: id::Time, verdict: detect::Verdict) -> Vec<Action> {
         match (&self.phase, verdict) {
             (Phase::Idle, detect::Verdict::Suspect(_)) => {
-                let until = now + PATIENCE + RANK_DELAY * self.rank;
+                let until = now + PATIENCE + RANK_DELAY * self.rank + self.damping(now);
                 self.phase = Phase::Waiting { until };
                 Vec::new()
             }
@@ -260,6 +267,7 @@
     fn fenced(&mut self, now: id::Time, index: id::Index, status: status::Status) -> Vec<Action> {
         self.saw(status.fence);
         let majority = self.majority();
+        let avoid = self.avoid;
         let Phase::Fencing {
             term,
             fenced,
@@ -277,7 +285,9 @@
         if status.fence == *term && status.voter {
             fenced[index] = Some(status);
         }
-        if fenced.iter().flatten().count() >= majority {
+        // The instance to be replaced is no reason to hurry: without the others it would
+        // have to be chosen again.
+        if stamps(fenced, avoid).len() >= majority {
             *until = (*until).min(now + FENCE_GRACE);
         }
         if *open == 0 {
@@ -339,6 +349,8 @@
             return self.back_off(now);
         }
         self.rest();
+        self.recent += 1;
+        self.quiet = now + QUIET;
         vec![Action::Announce { index, term }]
     }
 
@@ -352,6 +364,19 @@
         }
     }
 
+    /// Extra wait after promotions of its own shortly before. Where proxies see different
+    /// instances, each could replace the other's choice for ever, and every round ends
+    /// the open transactions.
+    fn damping(&mut self, now: id::Time) -> time::Duration {
+        if now >= self.quiet {
+            self.recent = 0;
+        }
+        match self.recent {
+            0 => time::Duration::ZERO,
+            recent => (BACKOFF * 2u32.saturating_pow(recent.min(8))).min(BACKOFF_LIMIT),
+        }
+    }
+
     fn rest(&mut self) -> Vec<Action> {
         self.phase = Phase::Idle;
         self.avoid = None;
--- a/src/promote/tests.rs
+++ b/src/promote/tests.rs
@@ -167,3 +167,39 @@
     let actions = machine.step(at(1_003), Event::Fenced(2, status(2, 1, 5, Role::Replica)));
     assert_eq!(actions, vec![Action::Promote { index: 1, term: 2 }]);
 }
+
+#[test]
+fn a_promotion_soon_after_ones_own_is_held_back() {
+    // Symptom: promotions follow each other within milliseconds, each ending all open
+    //   transactions.
+    // Events: two proxies see different instances; each replaces the other's choice.
+    // Cause: a success made the next try start without any wait.
+    let mut machine = fencing(2);
+    machine.step(at(1_002), Event::FenceFailed(0));
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    machine.step(at(1_003), Event::Fenced(2, status(2, 1, 9, Role::Replica)));
+    machine.step(at(1_004), Event::Promoted(status(2, 2, 10, Role::Primary)));
+    machine.step(at(1_010), SUSPECT);
+    assert!(machine.step(at(1_300), SUSPECT).is_empty());
+    assert_eq!(
+        machine.step(at(1_500), SUSPECT),
+        vec![Action::Claim { above: 2 }]
+    );
+}
+
+#[test]
+fn the_instance_to_be_replaced_does_not_end_the_wait_for_the_others() {
+    // Symptom: a leaving primary is promoted again whenever a replica answers late.
+    // Events: the primary and one replica are fenced at once, the other after 100 ms.
+    // Cause: the primary's own answer completed the majority and started the short wait.
+    let mut machine = Machine::new(3, 0);
+    machine.avoid(Some(0));
+    machine.step(at(0), SUSPECT);
+    machine.step(at(1_000), SUSPECT);
+    machine.step(at(1_001), Event::Claimed(2));
+    machine.step(at(1_002), Event::Fenced(0, status(2, 1, 99, Role::Replica)));
+    machine.step(at(1_002), Event::Fenced(1, status(2, 1, 7, Role::Replica)));
+    assert!(machine.step(at(1_100), SUSPECT).is_empty());
+    let actions = machine.step(at(1_101), Event::Fenced(2, status(2, 1, 5, Role::Replica)));
+    assert_eq!(actions, vec![Action::Promote { index: 1, term: 2 }]);
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -44,6 +44,7 @@
     reach: Reach,
     way: Option<Way>,
     open: bool,
+    forwarded: Option<sync::Arc<()>>,
 }
 
 type Answer = Result<reply::Reply, outcome::Outcome>;
@@ -58,10 +59,17 @@
             reach,
             way: None,
             open: false,
+            forwarded: None,
         }
     }
 
     async fn relay(&mut self, batch: batch::Batch) -> Answer {
+        if self.reach == Reach::Here {
+            if !self.open && self.directory.draining() {
+                return Err(draining());
+            }
+            self.forwarded.get_or_insert_with(|| self.directory.enter());
+        }
         if !self.open {
             self.choose();
             self.await_start(&batch).await;
@@ -79,6 +87,9 @@
             self.way = None;
         }
         self.open = open;
+        if !open {
+            self.forwarded = None;
+        }
         answer
     }
 
@@ -134,3 +145,8 @@
     let detail = "the group is not served here".into();
     outcome::Outcome::not_run(reason::Reason::NoServer, detail, None)
 }
+
+fn draining() -> outcome::Outcome {
+    let detail = "the proxy is shutting down".into();
+    outcome::Outcome::not_run(reason::Reason::Draining, detail, None)
+}
--- a/src/runner.rs
+++ b/src/runner.rs
@@ -114,6 +114,7 @@
             request: self.context.request(),
             frames,
             class: verdict.class,
+            mixed: verdict.mixed,
             tables: verdict.tables.clone(),
             token: self.settings.bound(),
             arrived,
--- a/src/share.rs
+++ b/src/share.rs
@@ -194,6 +194,17 @@
             .map(|(seat, _)| *seat)
     }
 
+    /// Whether no seat is this VM's in any way, also none that is yet to be given back.
+    ///
+    /// ```
+    /// let limits = mangotray::grant::Limits::default();
+    /// assert!(mangotray::share::Book::new("entry-1".into(), 7, 3, limits).is_empty());
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.mine.is_empty()
+    }
+
     /// VMs whose testimony matters to this book, to be asked while an outage lasts or
     /// a lease is gone.
     #[must_use]
--- a/tests/environment/mod.rs
+++ b/tests/environment/mod.rs
@@ -16,8 +16,6 @@
 use mangotray::catalog;
 use mangotray::declaration;
 use mangotray::enrol;
-use mangotray::store;
-use mangotray::store::Store;
 use mangotray_lab::cluster;
 use mangotray_lab::platform;
 
@@ -29,7 +27,6 @@
     pub cluster: sync::Arc<cluster::Cluster>,
     pub proxies: Vec<Proxy>,
     directory: path::PathBuf,
-    executor: sync::Arc<async_executor::Executor<'static>>,
     stop: async_channel::Sender<()>,
     threads: Vec<thread::JoinHandle<()>>,
 }
@@ -57,7 +54,6 @@
             cluster,
             proxies: Vec::new(),
             directory,
-            executor,
             stop,
             threads,
         };
@@ -69,14 +65,30 @@
         environment
     }
 
-    /// Puts the group in force.
+    /// Puts the group in force through the operators' client.
     pub fn apply(&self) {
-        let text = self.text();
-        let document = serde_json::json!({ "revision": 1, "id": "1", "by": "test", "text": text });
-        let options = mangotray::platform::Options::new(self.platform.address());
-        let client = mangotray::platform::Client::new(options, &self.executor);
-        let stored = client.swap("config", document.to_string().into(), 0, None);
-        assert_eq!(async_io::block_on(stored), Ok(store::Swap::Stored));
+        self.apply_leaving(None);
+    }
+
+    /// Puts the group in force, with one instance marked as leaving.
+    pub fn apply_leaving(&self, leaving: Option<usize>) {
+        let mut declaration = self.cluster.declaration();
+        if let Some(index) = leaving {
+            declaration.instances[index].leaving = true;
+        }
+        let catalog = catalog::Catalog {
+            groups: vec![declaration],
+            vms: Vec::new(),
+        };
+        let file = self.directory.join("catalog.ini");
+        fs::write(&file, declaration::render(&catalog)).unwrap();
+        let output = process::Command::new(env!("CARGO_BIN_EXE_mangotray"))
+            .arg("apply")
+            .arg(&file)
+            .args(["--platform", &self.platform.address().to_string()])
+            .output()
+            .unwrap();
+        assert!(output.status.success(), "apply: {output:?}");
     }
 
     /// The file that declares the group.
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -312,6 +312,7 @@
     fn batch(&self, class: class::Class, text: &str, patience: Duration) -> batch::Batch {
         let now = self.clock.now();
         batch::Batch {
+            mixed: false,
             request: 1,
             frames: vec![frame::Frame {
                 tag: b'Q',
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -137,3 +137,55 @@
         .unwrap();
     assert_eq!(rows.len(), 1);
 }
+
+#[test]
+fn a_text_that_ends_one_transaction_and_begins_another_is_confirmed() {
+    // Symptom: a booking that was confirmed is not seen through another proxy.
+    // Events: one text commits a transaction and opens the next; the answer says "open".
+    // Cause: only an answer without an open transaction was taken for a commit.
+    let system = Environment::start(2, options());
+    block_on(async {
+        let here = connect(system.proxies[0].callers, DATABASE).await;
+        let there = connect(system.proxies[1].callers, DATABASE).await;
+        for round in 0..10 {
+            let first = format!("BEGIN; INSERT INTO bookings VALUES ('a-{round}', 1)");
+            here.batch_execute(&first).await.unwrap();
+            here.batch_execute("COMMIT; BEGIN").await.unwrap();
+            let query = "SELECT count(*) FROM bookings WHERE seat = 1";
+            let row = there.query_one(query, &[]).await.unwrap();
+            assert_eq!(row.get::<_, i64>(0), round + 1);
+            here.batch_execute("ROLLBACK").await.unwrap();
+        }
+    });
+}
+
+#[test]
+fn a_primary_that_is_leaving_is_replaced_while_it_is_well() {
+    // Symptom: an instance that the operators take out of service keeps all the writes.
+    // Events: a file that marks the primary as leaving is applied.
+    // Cause: the last look before a promotion found the primary healthy and gave up.
+    let system = Environment::start(2, options());
+    block_on(async {
+        let here = connect(system.proxies[0].callers, DATABASE).await;
+        here.batch_execute("INSERT INTO bookings VALUES ('before', 1)")
+            .await
+            .unwrap();
+        let leaving = system.primary().unwrap();
+        system.apply_leaving(Some(leaving));
+        let give_up = time::Instant::now() + time::Duration::from_secs(30);
+        while system.primary() == Some(leaving) {
+            assert!(time::Instant::now() < give_up, "still the primary");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        let insert = "INSERT INTO bookings VALUES ('after', 2)";
+        while let Err(error) = here.batch_execute(insert).await {
+            assert!(time::Instant::now() < give_up, "no write since: {error}");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        let row = here
+            .query_one("SELECT count(*) FROM bookings", &[])
+            .await
+            .unwrap();
+        assert_eq!(row.get::<_, i64>(0), 2);
+    });
+}
