Measure slopes of capacity and multiply them out to the target

Cause: the design is for 690 proxies before 1,400 groups, and no page said what one proxy needs there. `mangotray-lab capacity` measures memory, processor time, bytes and calls at several sizes, fits a line to each and prints it; docs/CAPACITY.md multiplies out.

--- /dev/null
+++ b/lab/src/capacity/peers.rs
@@ -0,0 +1,121 @@
+//! What connections between proxies cost while nothing is forwarded over them.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use mangotray::dial;
+use mangotray::dial::Connector;
+use mangotray::enrol;
+use mangotray::hello;
+
+use crate::capacity;
+use crate::capacity::bench;
+use crate::capacity::fit;
+use crate::capacity::relay;
+use crate::capacity::usage;
+
+const SIZES: [usize; 4] = [100, 200, 400, 800];
+
+/// Fewer, as each takes two threads of the relay.
+const COUNTED: [usize; 3] = [25, 50, 100];
+
+/// Greeting of the daemons.
+const KEY: &str = "mangotray";
+
+/// Measures both ends of a connection together: a proxy has as many of one as of the other.
+pub fn measure(options: &capacity::Options) -> eyre::Result<Vec<fit::Series>> {
+    let bench = bench::Bench::start(bench::Options {
+        proxies: 1,
+        groups: 1,
+        ..bench::Options::default()
+    })?;
+    let entries = bench.platform.entries();
+    let entry = entries
+        .iter()
+        .find(|entry| entry.key.starts_with(enrol::PREFIX));
+    let entry = entry.ok_or_else(|| eyre::eyre!("the proxy is not registered"))?;
+    let record: enrol::Record = serde_json::from_slice(&entry.value)?;
+    let (mut memory, mut load) = (Vec::new(), Vec::new());
+    let empty = usage::memory()?;
+    let mut peers = Peers::start()?;
+    for size in SIZES {
+        peers.connect(record.peers, size)?;
+        let spent = usage::load(options.window)?;
+        let size = usage::float(size);
+        load.push((size, spent));
+        memory.push((size, usage::memory()? - empty));
+    }
+    drop(peers);
+    let count = sync::Arc::default();
+    let relay = relay::start(record.peers, &count)?;
+    let (mut bytes, mut packets) = (Vec::new(), Vec::new());
+    let mut peers = Peers::start()?;
+    for size in COUNTED {
+        peers.connect(relay, size)?;
+        let before = (count.bytes(), count.chunks());
+        thread::sleep(options.window);
+        let rate =
+            |now: usize, before: usize| usage::float(now - before) / options.window.as_secs_f64();
+        let size = usage::float(size);
+        bytes.push((size, rate(count.bytes(), before.0)));
+        packets.push((size, rate(count.chunks(), before.1)));
+    }
+    drop(peers);
+    count.stop();
+    bench.stop();
+    let series = |measure: &str, unit, points| {
+        fit::Series::new(measure, "idle peer connections", unit, points)
+    };
+    Ok(vec![
+        series("resident memory, both ends", "kB", memory),
+        series("processor, both ends", "% of a core", load),
+        series("bytes both ways", "B/s", bytes),
+        series("packets with them", "1/s", packets),
+    ])
+}
+
+/// The connecting ends.
+struct Peers {
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    connections: Vec<dial::Connection>,
+    /// Closed, and the thread with it, when this is dropped.
+    _stop: async_channel::Sender<()>,
+}
+
+impl Peers {
+    fn start() -> eyre::Result<Self> {
+        let executor = sync::Arc::new(async_executor::Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let driven = sync::Arc::clone(&executor);
+        thread::Builder::new()
+            .name(usage::PROXIES.to_owned())
+            .spawn(move || async_io::block_on(driven.run(stopped.recv())))?;
+        Ok(Self {
+            executor,
+            connections: Vec::new(),
+            _stop: stop,
+        })
+    }
+
+    /// Opens connections until there are `size`.
+    fn connect(&mut self, address: net::SocketAddr, size: usize) -> eyre::Result<()> {
+        while self.connections.len() < size {
+            let executor = sync::Arc::clone(&self.executor);
+            let opening = async {
+                let stream = dial::Tcp.connect(address).await?;
+                let hello = hello::Hello::new(KEY);
+                dial::Connection::open(stream, &hello, executor, dial::SILENCE).await
+            };
+            self.connections.push(async_io::block_on(opening)?);
+        }
+        thread::sleep(SETTLED);
+        let alive = self.connections.iter().all(dial::Connection::alive);
+        eyre::ensure!(alive, "a connection to the proxy has ended");
+        Ok(())
+    }
+}
+
+/// Time after the last connection before anything is measured.
+const SETTLED: time::Duration = time::Duration::from_secs(1);
--- a/lab/src/cli.rs
+++ b/lab/src/cli.rs
@@ -33,6 +33,9 @@
     /// Send a fault to the control port of a running `platform` or `group`
     #[bpaf(command)]
     Fault(#[bpaf(external(send))] Send),
+    /// Measure what a proxy costs as sizes grow; the figures of docs/CAPACITY.md
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity))] Capacity),
 }
 
 /// Arguments of one measured run.
@@ -136,3 +139,15 @@
     #[bpaf(positional("WORD"), some("what to do is missing"))]
     pub words: Vec<String>,
 }
+
+/// Arguments of the capacity measurements.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Capacity {
+    /// How long each cost that accrues over time is watched
+    #[bpaf(argument("SECONDS"), fallback(10), display_fallback)]
+    pub window: u64,
+    /// Sections to measure, all without it: callers, statements, control, documents,
+    /// store, decisions, promotions
+    #[bpaf(positional("SECTION"), many)]
+    pub sections: Vec<String>,
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 mod backend;
 pub mod call;
 pub mod caller;
+pub mod capacity;
 pub mod cli;
 pub mod cluster;
 mod column;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Entry point of the lab.
 
+use mangotray_lab::capacity;
 use mangotray_lab::cli;
 use mangotray_lab::control;
 use mangotray_lab::demo;
@@ -33,6 +34,10 @@
         cli::Command::Platform(arguments) => serve::platform(&arguments)?,
         cli::Command::Group(arguments) => serve::group(&arguments)?,
         cli::Command::Proxy(arguments) => proxy::serve(&arguments.setup)?,
+        cli::Command::Capacity(arguments) => capacity::run(&capacity::Options {
+            sections: arguments.sections,
+            window: time::Duration::from_secs(arguments.window),
+        })?,
         cli::Command::Fault(arguments) => {
             let sending = control::send(arguments.control, &arguments.words);
             print!("{}", async_io::block_on(sending)?);
