Let a fleet that leaves as a whole go on, and tell winners of racing applies apart

Cause: a platform that announces the end of every VM left no proxy to choose for any group. Until others have come, those that were only announced go on; ones that drain or that the operators' file leaves out still take nothing. The test of racing applies did not look at the revisions that the applies report; it now fails when two files claim one revision.

--- a/src/tracker.rs
+++ b/src/tracker.rs
@@ -220,11 +220,28 @@
 
     /// Proxies to choose serving sets from. Only who was registered counts: one that
     /// started while the store is out can get no seats, and must not take them from others.
+    ///
+    /// A list that says of all of them that they leave would empty the fleet; until others
+    /// have come, those that still run go on.
     #[must_use]
     pub fn candidates(&self, now: id::Time) -> Vec<placement::Candidate> {
-        let candidates = self.view.candidates(now).into_iter();
+        let mut candidates = self.view.candidates(now);
+        candidates.retain(|candidate| self.known.contains_key(&candidate.vm));
+        if candidates.iter().all(|candidate| candidate.leaving) {
+            let announced = self.announced(now);
+            for candidate in &mut candidates {
+                candidate.leaving = !announced.contains(&candidate.vm);
+            }
+        }
         candidates
-            .filter(|candidate| self.known.contains_key(&candidate.vm))
+    }
+
+    /// Proxies that leave for no other reason than that the platform says so.
+    fn announced(&self, now: id::Time) -> collections::BTreeSet<id::Vm> {
+        let members = self.view.members(now).into_iter();
+        members
+            .filter(|member| member.cause == member::Cause::Announced)
+            .map(|member| member.vm)
             .collect()
     }
 
--- a/src/tracker/tests.rs
+++ b/src/tracker/tests.rs
@@ -85,6 +85,18 @@
     assert_eq!(staying(&tracker, 2), ["a"]);
 }
 
+// Symptom: no group is served by anybody.
+// Events: the platform replaces the whole fleet and says so before the new VMs run.
+// Cause: nobody was left to choose.
+#[test]
+fn a_fleet_that_leaves_as_a_whole_serves_until_others_come() {
+    let mut tracker = tracker("a");
+    tracker.take(roster(&["a", "b"], &["a", "b"]), at(1));
+    assert_eq!(staying(&tracker, 1), ["a", "b"]);
+    tracker.take(roster(&["a", "b", "c"], &["a", "b"]), at(2));
+    assert_eq!(staying(&tracker, 2), ["c"]);
+}
+
 #[test]
 fn only_declared_vms_serve() {
     let mut tracker = tracker("a");
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -2,6 +2,7 @@
 
 mod environment;
 
+use std::collections;
 use std::net;
 use std::process;
 use std::thread;
@@ -56,7 +57,7 @@
         .arg("apply")
         .arg(file)
         .args(["--platform", &system.platform.address().to_string()])
-        .stdout(process::Stdio::null())
+        .stdout(process::Stdio::piped())
         .stderr(process::Stdio::null())
         .spawn()
         .unwrap()
@@ -120,6 +121,7 @@
     system.platform.lose_answers(0.3, 7);
     let text = system.text();
     let mut seen = vec![0; admins.len()];
+    let mut won = collections::BTreeSet::new();
     for round in 0..3 {
         let mut racing: Vec<_> = (0..3)
             .map(|operator| {
@@ -134,10 +136,14 @@
                 .all(|child| child.try_wait().unwrap().is_some());
             ended.then_some(())
         });
+        for revision in racing.into_iter().filter_map(winner) {
+            assert!(won.insert(revision), "two files won revision {revision}");
+        }
     }
     system.platform.lose_answers(0.0, 7);
     let stored = system.stored();
-    assert!(stored.revision > 1, "no apply succeeded");
+    assert!(!won.is_empty(), "no apply succeeded");
+    assert!(won.last() <= Some(&stored.revision));
     wait("the newest file is in force everywhere", || {
         look(&admins, &mut seen);
         seen.iter()
@@ -146,6 +152,14 @@
     });
 }
 
+/// Revision that an apply reports as its own.
+fn winner(apply: process::Child) -> Option<u64> {
+    let output = apply.wait_with_output().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    let (_, revision) = text.split_once("is in force as revision ")?;
+    revision.trim().parse().ok()
+}
+
 /// Notes each proxy's revision, which must not have fallen.
 fn look(admins: &[net::SocketAddr], seen: &mut [u64]) {
     for (admin, seen) in admins.iter().zip(seen) {
