--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -5,6 +5,8 @@
 mod cell;
 #[path = "matrix/fault.rs"]
 mod fault;
+#[path = "matrix/follower.rs"]
+mod follower;
 #[path = "matrix/instance.rs"]
 mod instance;
 #[path = "matrix/life.rs"]
@@ -15,10 +17,16 @@
 mod page;
 #[path = "matrix/plan.rs"]
 mod plan;
+#[path = "matrix/pool.rs"]
+mod pool;
 #[path = "matrix/proxy.rs"]
 mod proxy;
+#[path = "matrix/repair.rs"]
+mod repair;
 #[path = "matrix/scene.rs"]
 mod scene;
+#[path = "matrix/shutdown.rs"]
+mod shutdown;
 #[path = "matrix/store.rs"]
 mod store;
 #[path = "matrix/upstream.rs"]
@@ -27,10 +35,6 @@
 mod world;
 
 use std::sync;
-use std::thread;
-
-/// Threads that run the cells.
-const THREADS: usize = 3;
 
 /// Cells at once.
 const AT_ONCE: usize = 40;
@@ -82,33 +86,18 @@
 }
 
 fn run(cells: &[&cell::Cell]) -> Vec<cell::Finding> {
-    let pool = proxy::Executor::default();
-    let (stop, stopped) = async_channel::bounded::<()>(1);
-    let threads: Vec<_> = (0..THREADS)
-        .map(|_| {
-            let (pool, stopped) = (pool.clone(), stopped.clone());
-            thread::spawn(move || {
-                let _ = async_io::block_on(pool.run(stopped.recv()));
-            })
-        })
-        .collect();
-    let permits = sync::Arc::new(async_lock::Semaphore::new(AT_ONCE));
-    let tasks: Vec<_> = cells
-        .iter()
-        .map(|cell| {
+    pool::block_on(|pool| async move {
+        let permits = sync::Arc::new(async_lock::Semaphore::new(AT_ONCE));
+        let tasks = cells.iter().map(|cell| {
             let (cell, runner, permits) = (**cell, pool.clone(), permits.clone());
             pool.spawn(async move {
                 let _permit = permits.acquire().await;
                 cell.run(runner).await
             })
-        })
-        .collect();
-    let findings = async_io::block_on(futures_util::future::join_all(tasks));
-    drop(stop);
-    for thread in threads {
-        thread.join().expect("no cell panics");
-    }
-    findings
+        });
+        let tasks: Vec<_> = tasks.collect();
+        futures_util::future::join_all(tasks).await
+    })
 }
 
 /// What is wrong with a finding; the first step must be reached in every cell.
--- a/tests/matrix/cell.rs
+++ b/tests/matrix/cell.rs
@@ -4,19 +4,24 @@
 use std::sync;
 use std::time;
 
+use futures_util::future;
 use mangotray::apply;
 use mangotray::clock::Clock;
+use mangotray::enrol;
 use mangotray::id;
 use mangotray::outcome;
 use mangotray::stamp;
+use mangotray::store as border;
 
 use crate::fault;
+use crate::follower;
 use crate::instance;
 use crate::operation;
 use crate::operation::Kind;
 use crate::operation::Operation;
 use crate::proxy;
 use crate::scene;
+use crate::shutdown;
 use crate::upstream;
 
 /// Time for one batch of the operation.
@@ -37,6 +42,12 @@
 /// The request that the operation makes.
 const OWN: u64 = 100;
 
+/// The file that the operation puts in force.
+const FILE: &str = "own";
+
+/// Time that a write takes while a proxy shuts down under it.
+const EFFORT: time::Duration = time::Duration::from_millis(150);
+
 /// The replica that has missed the last write before a read.
 const STALE: id::Index = 2;
 
@@ -99,14 +110,23 @@
     /// Stamp of the last confirmed write.
     token: stamp::Stamp,
     next: u64,
+    /// Records that reads have shown.
+    shown: collections::BTreeSet<u64>,
+    followed: sync::Arc<follower::Pair>,
+    /// Registration of the proxy that is to shut down.
+    enrolled: Option<sync::Arc<enrol::Enrolment>>,
 }
 
 impl Cell {
     /// Runs the cell.
     pub async fn run(self, pool: proxy::Executor) -> Finding {
+        let scene = scene::Scene::new(&pool);
         let mut run = Run {
             cell: self,
-            scene: scene::Scene::new(&pool),
+            followed: scene.follow(),
+            shown: collections::BTreeSet::new(),
+            enrolled: None,
+            scene,
             attempts: Vec::new(),
             broken: Vec::new(),
             token: stamp::Stamp::default(),
@@ -147,6 +167,9 @@
         if self.write(&proxies[1], RECOVERY).await != Class::Done {
             self.broken.push("the first write failed".to_owned());
         }
+        if self.cell.operation == Operation::Drain {
+            self.enrol().await;
+        }
         if self.cell.operation == Operation::AgedRead {
             async_io::Timer::after(proxy::AGE).await;
         }
@@ -181,6 +204,8 @@
                 proxies.for_each(|proxy| proxy.declare(Some(0)));
                 self.promotion().await
             }
+            Operation::Apply => self.apply(&proxy).await,
+            Operation::Drain => self.drain(&proxy).await,
         }
     }
 
@@ -205,6 +230,71 @@
         unreachable!("the commit returns")
     }
 
+    async fn apply(&mut self, proxy: &sync::Arc<proxy::Proxy>) -> Class {
+        let client = self.scene.client(proxy.number);
+        let put = async move { apply::put(&client, &scene::request(FILE)).await };
+        let run = async { Some(proxy.life.work(put).await) };
+        let end = async {
+            proxy.life.ended().await;
+            None
+        };
+        let answer = futures_lite::future::or(run, end).await;
+        let files = self.scene.service.files();
+        let held = files.iter().find(|file| file.id == FILE);
+        match answer {
+            Some(Ok(apply::Verdict::Applied(revision))) => {
+                if held.is_none_or(|file| file.revision != revision) {
+                    self.broken.push(format!("the apply is not in {files:?}"));
+                }
+                Class::Done
+            }
+            Some(Ok(apply::Verdict::Lost(_)) | Err(border::Failure::NotRun(_))) => {
+                if held.is_some() {
+                    self.broken
+                        .push(format!("an apply that was lost is in {files:?}"));
+                }
+                Class::NotRun
+            }
+            _ => Class::Unknown,
+        }
+    }
+
+    /// As the daemon does: tells the others, lets the work end, gives its lease back.
+    async fn drain(&mut self, proxy: &sync::Arc<proxy::Proxy>) -> Class {
+        let enrolment = self.enrolled.take().expect("prepared");
+        let patience = DEADLINE;
+        let mut session = proxy.session();
+        let batch = session.batch(Kind::Write, OWN, patience);
+        let telling = enrolment.clone();
+        let tell = proxy.life.work(async move { telling.drain().await });
+        let tell = futures_lite::future::or(tell, proxy.life.ended());
+        let (answer, ()) = future::join(session.run(batch, false), tell).await;
+        let class = self.class(answer, Kind::Write, OWN);
+        let leave = proxy.life.work(async move { enrolment.leave().await });
+        futures_lite::future::or(leave, proxy.life.ended()).await;
+        if !proxy.life.gone() {
+            let left = !self.scene.service.holds(&shutdown::key(proxy));
+            if !left && self.cell.fault != fault::Fault::StoreDown {
+                self.broken.push("the lease was not given back".to_owned());
+            }
+            proxy.group.revoke();
+            let settled = || proxy.group.settled();
+            self.wait("the end of all work", RECOVERY, settled).await;
+            proxy.life.end();
+        }
+        self.note(OWN, class)
+    }
+
+    async fn enrol(&mut self) {
+        let proxy = self.scene.proxies()[0].clone();
+        let enrolment = shutdown::enrolment(&self.scene, &proxy);
+        let (service, key) = (self.scene.service.clone(), shutdown::key(&proxy));
+        self.wait("the registration", RECOVERY, || service.holds(&key))
+            .await;
+        self.enrolled = Some(enrolment);
+        self.scene.world.lock().effort = EFFORT;
+    }
+
     async fn write(&mut self, proxy: &sync::Arc<proxy::Proxy>, patience: time::Duration) -> Class {
         let request = self.next;
         self.next += 1;
@@ -235,6 +325,7 @@
         let answer = session.run(batch, started).await;
         if let Some(Ok(reply)) = &answer {
             let rows = upstream::rows(reply, Kind::Read, OWN).unwrap_or_default();
+            self.shown.extend(&rows);
             let missing: Vec<_> = before.iter().filter(|held| !rows.contains(held)).collect();
             if !missing.is_empty() {
                 self.broken.push(format!("a read lacks {missing:?}"));
@@ -281,6 +372,15 @@
             self.broken
                 .push("no read succeeds after the fault".to_owned());
         }
+        let (nodes, service) = (self.followed.clone(), self.scene.service.clone());
+        let current = || {
+            let newest = service.files().last().map(|file| file.revision);
+            let adopted = nodes.adopted();
+            adopted
+                .iter()
+                .all(|adopted| adopted.last().copied() == newest)
+        };
+        self.wait("the file in force", RECOVERY, current).await;
         let world = self.scene.world.clone();
         let converged = || world.lock().converged();
         self.wait("one log", RECOVERY, converged).await;
@@ -315,6 +415,14 @@
         if distinct.len() != log.len() || !state.doubled.is_empty() {
             broken.push(format!("records stand twice: {:?}", state.doubled));
         }
+        let vanished: Vec<_> = self
+            .shown
+            .iter()
+            .filter(|shown| !log.contains(shown))
+            .collect();
+        if !vanished.is_empty() {
+            broken.push(format!("reads showed {vanished:?}, which are gone"));
+        }
         for (term, instances) in &state.reigns {
             if instances.len() > 1 {
                 broken.push(format!("term {term} has primaries {instances:?}"));
@@ -326,10 +434,18 @@
     }
 
     fn check_revisions(&mut self) {
-        let revisions = self.scene.service.revisions();
-        if !revisions.is_sorted_by(|before, after| before < after) {
+        let files = self.scene.service.files();
+        let revisions: Vec<_> = files.iter().map(|file| file.revision).collect();
+        let rises = |revisions: &[id::Revision]| revisions.is_sorted_by(|one, two| one < two);
+        if !rises(&revisions) {
             self.broken.push(format!("revisions went {revisions:?}"));
         }
+        for adopted in self.followed.adopted() {
+            if !rises(&adopted) || adopted.last() != revisions.last() {
+                let words = format!("a node adopted {adopted:?} of {revisions:?}");
+                self.broken.push(words);
+            }
+        }
         let applied = scene::lock(&self.scene.applied);
         let in_force = |answer: &&scene::Applied| matches!(answer, Ok(apply::Verdict::Applied(_)));
         let count = applied.iter().filter(in_force).count();
--- /dev/null
+++ b/tests/matrix/follower.rs
@@ -0,0 +1,66 @@
+//! Two nodes that follow the configuration, from the store or from each other.
+
+use std::sync;
+use std::time;
+
+use mangotray::apply;
+use mangotray::id;
+use mangotray::revision;
+
+use crate::scene;
+use crate::store;
+
+/// Time between two looks.
+const LOOK_EVERY: time::Duration = time::Duration::from_millis(15);
+
+#[derive(Default)]
+struct Node {
+    state: revision::State,
+    adopted: Vec<id::Revision>,
+}
+
+impl Node {
+    fn offer(&mut self, file: &revision::File) {
+        if self.state.offer(file.revision, &file.text) == revision::Offer::Adopted {
+            self.adopted.push(file.revision);
+        }
+    }
+}
+
+/// The two nodes.
+#[derive(Default)]
+pub struct Pair([sync::Mutex<Node>; 2]);
+
+impl Pair {
+    /// Follows for ever. The first node reads the store, the second hears of it from the
+    /// first and offers back what it holds.
+    pub async fn run(&self, client: &store::Client) {
+        loop {
+            if let Ok(Some(file)) = apply::current(client).await {
+                scene::lock(&self.0[0]).offer(&revision::File {
+                    revision: file.revision,
+                    text: file.text,
+                });
+            }
+            self.exchange(0, 1);
+            self.exchange(1, 0);
+            async_io::Timer::after(LOOK_EVERY).await;
+        }
+    }
+
+    fn exchange(&self, from: usize, to: usize) {
+        let digest = scene::lock(&self.0[to]).state.digest();
+        let newer = scene::lock(&self.0[from]).state.newer(&digest).cloned();
+        if let Some(file) = newer {
+            scene::lock(&self.0[to]).offer(&file);
+        }
+    }
+
+    /// Revisions that each node has put in force, in that order.
+    pub fn adopted(&self) -> Vec<Vec<id::Revision>> {
+        let nodes = self.0.iter();
+        nodes
+            .map(|node| scene::lock(node).adopted.clone())
+            .collect()
+    }
+}
--- a/tests/matrix/operation.rs
+++ b/tests/matrix/operation.rs
@@ -31,6 +31,14 @@
     Confirms,
     /// The store is read.
     Loads,
+    /// A change of the store arrives.
+    Swaps,
+    /// A change of the store has taken effect and is not answered.
+    Swapped,
+    /// The end of a lease arrives at the store.
+    Revokes,
+    /// A lease has ended and the store has not answered.
+    Revoked,
     /// So many fencing calls have taken effect before this one.
     Fenced(usize),
     /// The promotion call arrives.
@@ -69,6 +77,10 @@
         Promotion => "Promotion after the primary was lost",
         /// Replacement of a primary that operators take out of service.
         Replacement => "Promotion while the primary is well",
+        /// Putting an operators' file in force.
+        Apply => "Apply",
+        /// Graceful shutdown of a proxy with a write in flight.
+        Drain => "Drain of a proxy",
     }
 }
 
@@ -119,6 +131,26 @@
                     ]
                 }
             }
+            Self::Apply => {
+                const {
+                    &[
+                        step("before the file in force is read", Point::Loads),
+                        step("before the swap", Point::Swaps),
+                        step("swapped, not answered", Point::Swapped),
+                    ]
+                }
+            }
+            Self::Drain => {
+                const {
+                    &[
+                        step("with a write on its way", Point::Arrives(Kind::Write)),
+                        step("before the others are told", Point::Swaps),
+                        step("told, not answered", Point::Swapped),
+                        step("before the lease is given back", Point::Revokes),
+                        step("given back, not answered", Point::Revoked),
+                    ]
+                }
+            }
         }
     }
 }
--- a/tests/matrix/page.rs
+++ b/tests/matrix/page.rs
@@ -29,7 +29,10 @@
 - each read shows every write confirmed before it;
 - each answer is whole and belongs to its request;
 - each term has one primary at most;
-- revisions of the configuration only grow, and no two applies share one.
+- revisions of the configuration only grow, no two applies share one, and two nodes that
+  follow the store, or each other, put them in force in that order and end with the last;
+- a file that was told lost was never in force, and one told applied is there;
+- no read shows a record that is gone afterwards.
 
 Outcomes: *done*; *not run*, a refusal; *unknown*, also for a caller whose proxy died;
 *done after the fault*, where too little was left to go on. Two outcomes stand where it
@@ -48,7 +51,7 @@
 pub fn page(cells: &[cell::Cell]) -> String {
     let mut page = INTRODUCTION.to_owned();
     for operation in Operation::ALL {
-        let _ = write!(page, "## {}\n\n", operation.name());
+        title(&mut page, operation.name());
         let steps = operation.steps().iter().map(|step| step.name);
         head(&mut page, steps);
         for fault in Fault::ALL {
@@ -61,11 +64,8 @@
     for operation in Operation::ALL {
         let chosen = |cell: &&cell::Cell| cell.operation == *operation && cell.second.is_some();
         if cells.iter().any(|cell| chosen(&cell)) {
-            let _ = write!(
-                page,
-                "\n## {}: pairs of faults\n\n{PAIRS}",
-                operation.name()
-            );
+            title(&mut page, &format!("{}: pairs of faults", operation.name()));
+            page.push_str(PAIRS);
             head(&mut page, Fault::ALL.iter().map(|fault| fault.name()));
             for fault in Fault::ALL {
                 let chosen = cells.iter().filter(chosen);
@@ -81,10 +81,14 @@
     page
 }
 
-fn head<'a>(page: &mut String, names: impl Iterator<Item = &'a str>) {
+fn title(page: &mut String, title: &str) {
     if !page.ends_with("\n\n") {
         page.push('\n');
     }
+    let _ = write!(page, "## {title}\n\n");
+}
+
+fn head<'a>(page: &mut String, names: impl Iterator<Item = &'a str>) {
     let names: Vec<_> = names.collect();
     let _ = writeln!(page, "| fault | {} |", names.join(" | "));
     let _ = writeln!(page, "| --- |{}", " --- |".repeat(names.len()));
@@ -110,13 +114,13 @@
 
 fn notes(page: &mut String, cells: &[cell::Cell]) {
     let plans = || cells.iter().map(|cell| (cell, plan::plan(cell)));
-    page.push_str("\n## Cells that are not run\n\n");
+    title(page, "Cells that are not run");
     for (cell, plan) in plans() {
         if let plan::Plan::NotApplicable(reason) = plan {
             note(page, cell, reason);
         }
     }
-    page.push_str("\n## Cells that do not end as they should\n\n");
+    title(page, "Cells that do not end as they should");
     for (cell, plan) in plans() {
         if let plan::Plan::Faulty(_, cause) = plan {
             note(page, cell, cause);
--- a/tests/matrix/plan.rs
+++ b/tests/matrix/plan.rs
@@ -43,6 +43,8 @@
         Operation::Write => write(point, cell.fault),
         Operation::Transaction => transaction(point, cell.fault),
         Operation::Read | Operation::TokenRead | Operation::AgedRead => read(point, cell.fault),
+        Operation::Apply => apply(point, cell.fault),
+        Operation::Drain => drain(point, cell.fault),
         Operation::Promotion | Operation::Replacement => promotion(cell.operation, cell.fault),
     }
 }
@@ -157,3 +159,47 @@
         DONE
     }
 }
+
+/// Only the store, rivals and the applying process itself matter to an apply.
+fn apply(point: Point, fault: Fault) -> Plan {
+    match (fault, point) {
+        (Fault::ProxyDies, _) | (Fault::StoreDown, Point::Swapped) => UNKNOWN,
+        (Fault::StoreDown, _) | (Fault::OperatorsRace, Point::Swaps) => NOT_RUN,
+        (
+            Fault::PrimaryLost
+            | Fault::PrimaryIsolated
+            | Fault::PrimaryStalled
+            | Fault::ReplicasBehind
+            | Fault::StoreSlow
+            | Fault::StoreAnswerLost
+            | Fault::LeaseLapsed
+            | Fault::OperatorsRace
+            | Fault::AnswerLost,
+            _,
+        ) => DONE,
+    }
+}
+
+/// What becomes of the write in flight; it has ended before the lease is given back.
+fn drain(point: Point, fault: Fault) -> Plan {
+    match (fault, point) {
+        (_, Point::Revokes | Point::Revoked)
+        | (
+            Fault::StoreDown | Fault::StoreSlow | Fault::StoreAnswerLost | Fault::ReplicasBehind,
+            _,
+        )
+        | (Fault::OperatorsRace, Point::Arrives(_)) => DONE,
+        // Whether the record was shipped before the primary was replaced.
+        (Fault::OperatorsRace, _) => Plan::Run(&[Class::Done, Class::Unknown]),
+        // Refused by the replaced primary, and sent again or not when the share has ended.
+        (Fault::LeaseLapsed, _) => Plan::Run(&[Class::NotRun, Class::Unknown]),
+        (
+            Fault::PrimaryLost
+            | Fault::PrimaryIsolated
+            | Fault::PrimaryStalled
+            | Fault::ProxyDies
+            | Fault::AnswerLost,
+            _,
+        ) => UNKNOWN,
+    }
+}
--- a/tests/matrix/scene.rs
+++ b/tests/matrix/scene.rs
@@ -9,6 +9,7 @@
 use mangotray::store as border;
 
 use crate::fault;
+use crate::follower;
 use crate::instance;
 use crate::proxy;
 use crate::store;
@@ -24,8 +25,8 @@
 /// change of the primary that follows.
 const HELD_UP: time::Duration = time::Duration::from_millis(300);
 
-/// Number by which the operators meet the store.
-const OPERATORS: usize = 9;
+/// Number by which racing operators meet the store.
+const OPERATORS: usize = store::BYSTANDER;
 
 /// What became of an apply.
 pub type Applied = Result<apply::Verdict, border::Failure>;
@@ -143,22 +144,28 @@
     }
 
     /// Puts a file in force.
-    pub async fn apply(&self, name: &str) -> Applied {
-        let client = store::Client {
+    async fn apply(&self, name: &str) -> Applied {
+        apply::put(&self.client(OPERATORS), &request(name)).await
+    }
+
+    /// A way to the store.
+    pub fn client(&self, proxy: usize) -> store::Client {
+        store::Client {
             service: self.service.clone(),
             world: self.world.clone(),
-            proxy: OPERATORS,
-        };
-        let request = apply::Request {
-            id: name.into(),
-            by: name.into(),
-            text: name.into(),
-            base: None,
-        };
-        apply::put(&client, &request).await
+            proxy,
+        }
+    }
+
+    /// Lets two nodes follow the configuration; what each has adopted, in that order.
+    pub fn follow(self: &sync::Arc<Self>) -> sync::Arc<follower::Pair> {
+        let pair = sync::Arc::new(follower::Pair::default());
+        let (nodes, client) = (pair.clone(), self.client(OPERATORS));
+        self.spawn(async move { nodes.run(&client).await });
+        pair
     }
 
-    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         lock(&self.tasks).push(self.pool.spawn(task));
     }
 
@@ -184,6 +191,16 @@
     }
 }
 
+/// An operator's wish to put a file in force.
+pub fn request(name: &str) -> apply::Request {
+    apply::Request {
+        id: name.into(),
+        by: name.into(),
+        text: name.into(),
+        base: None,
+    }
+}
+
 /// How long the call that meets the fault is held up.
 fn delay(fault: fault::Fault) -> time::Duration {
     match fault {
--- a/tests/matrix/store.rs
+++ b/tests/matrix/store.rs
@@ -8,7 +8,6 @@
 use futures_util::FutureExt;
 use futures_util::future;
 use mangotray::apply;
-use mangotray::id;
 use mangotray::store;
 
 use crate::operation;
@@ -20,6 +19,9 @@
 /// Time of a call that is refused.
 const REFUSED: time::Duration = time::Duration::from_millis(10);
 
+/// Number from which on clients spring no trap.
+pub const BYSTANDER: usize = 8;
+
 /// What the store does to calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mood {
@@ -38,7 +40,8 @@
     /// Whether the next change loses its answer.
     lose: bool,
     entries: collections::BTreeMap<CompactString, store::Entry>,
-    revisions: Vec<id::Revision>,
+    files: Vec<apply::File>,
+    leases: u64,
 }
 
 /// The service itself.
@@ -62,9 +65,14 @@
         state.lose = false;
     }
 
-    /// Revisions of the configuration in the order in which they were stored.
-    pub fn revisions(&self) -> Vec<id::Revision> {
-        self.lock().revisions.clone()
+    /// Every file that was in force, in that order.
+    pub fn files(&self) -> Vec<apply::File> {
+        self.lock().files.clone()
+    }
+
+    /// Whether a key is there.
+    pub fn holds(&self, key: &str) -> bool {
+        self.lock().entries.contains_key(key)
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
@@ -93,27 +101,34 @@
         key: &str,
         value: bytes::Bytes,
         expect: store::Version,
-    ) -> Result<store::Swap, store::Failure> {
+        lease: Option<&str>,
+    ) -> store::Swap {
         let mut state = self.lock();
         let version = state.entries.get(key).map_or(0, |entry| entry.version);
         if version != expect {
-            return Ok(store::Swap::Conflict);
+            return store::Swap::Conflict;
         }
         if key == apply::KEY {
-            let file: apply::File = serde_json::from_slice(&value).expect("a file");
-            state.revisions.push(file.revision);
+            let file = serde_json::from_slice(&value).expect("a file");
+            state.files.push(file);
         }
         let entry = store::Entry {
             key: key.into(),
             value,
             version: version + 1,
-            lease: None,
+            lease: lease.map(Into::into),
         };
         state.entries.insert(key.into(), entry);
-        if std::mem::take(&mut state.lose) {
+        store::Swap::Stored
+    }
+
+    /// Fails when the answer of a change that took effect does not come.
+    fn answer(&self) -> Result<(), store::Failure> {
+        let mut state = self.lock();
+        if std::mem::take(&mut state.lose) || state.mood == Mood::Down {
             return Err(store::Failure::Unknown("the answer was lost".into()));
         }
-        Ok(store::Swap::Stored)
+        Ok(())
     }
 }
 
@@ -124,12 +139,20 @@
     pub proxy: usize,
 }
 
+impl Client {
+    async fn reach(&self, point: operation::Point) {
+        if self.proxy < BYSTANDER {
+            self.world.reach(self.proxy, point).await;
+        }
+    }
+}
+
 type Answer<'a, T> = future::BoxFuture<'a, Result<T, store::Failure>>;
 
 impl store::Store for Client {
     fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<store::Entry>> {
         async move {
-            self.world.reach(self.proxy, operation::Point::Loads).await;
+            self.reach(operation::Point::Loads).await;
             self.service.call().await?;
             Ok(self.service.lock().entries.get(key).cloned())
         }
@@ -145,11 +168,15 @@
         key: &'a str,
         value: bytes::Bytes,
         expect: store::Version,
-        _: Option<&'a str>,
+        lease: Option<&'a str>,
     ) -> Answer<'a, store::Swap> {
         async move {
+            self.reach(operation::Point::Swaps).await;
             self.service.call().await?;
-            self.service.swap(key, value, expect)
+            let swap = self.service.swap(key, value, expect, lease);
+            self.reach(operation::Point::Swapped).await;
+            self.service.answer()?;
+            Ok(swap)
         }
         .boxed()
     }
@@ -164,14 +191,32 @@
     }
 
     fn grant(&self, _: time::Duration) -> Answer<'_, store::Lease> {
-        unreachable!("nothing in the matrix opens a lease")
+        async move {
+            self.service.call().await?;
+            let mut state = self.service.lock();
+            state.leases += 1;
+            Ok(compact_str::format_compact!("l{}", state.leases))
+        }
+        .boxed()
     }
 
     fn renew<'a>(&'a self, _: &'a str) -> Answer<'a, bool> {
-        unreachable!("nothing in the matrix renews a lease")
+        async move {
+            self.service.call().await?;
+            Ok(true)
+        }
+        .boxed()
     }
 
-    fn revoke<'a>(&'a self, _: &'a str) -> Answer<'a, ()> {
-        unreachable!("nothing in the matrix ends a lease")
+    fn revoke<'a>(&'a self, lease: &'a str) -> Answer<'a, ()> {
+        async move {
+            self.reach(operation::Point::Revokes).await;
+            self.service.call().await?;
+            let bound = |entry: &store::Entry| entry.lease.as_deref() == Some(lease);
+            self.service.lock().entries.retain(|_, entry| !bound(entry));
+            self.reach(operation::Point::Revoked).await;
+            self.service.answer()
+        }
+        .boxed()
     }
 }
--- a/tests/matrix/upstream.rs
+++ b/tests/matrix/upstream.rs
@@ -182,6 +182,11 @@
         let (kind, request) = decode(frame);
         self.upstream.reach(operation::Point::Arrives(kind)).await;
         self.alive().await?;
+        let effort = self.upstream.world.lock().effort;
+        if kind == Kind::Write {
+            async_io::Timer::after(effort).await;
+            self.alive().await?;
+        }
         let reply = self.execute(kind, request);
         self.upstream.reach(operation::Point::Ran(kind)).await;
         self.alive().await?;
--- a/tests/matrix/world.rs
+++ b/tests/matrix/world.rs
@@ -59,6 +59,8 @@
     pub deaf: collections::BTreeSet<usize>,
     /// Whether the awaited batch has been answered by an instance.
     pub answered: bool,
+    /// Time that an instance takes for a write.
+    pub effort: time::Duration,
     /// Whether the awaited batch has committed.
     pub ran: bool,
     traps: Vec<Trap>,
@@ -90,6 +92,7 @@
             deaf: collections::BTreeSet::new(),
             answered: false,
             ran: false,
+            effort: time::Duration::ZERO,
             traps: Vec::new(),
             fences: 0,
             shipped: time::Duration::ZERO,
