Keep one keeper for a group's seats, and claim only under a lease the record names

Cause: reviewed sequences in which a seat could have two users: a changed number of seats started a second keeper beside the first under the same identity; an unreadable or late registration was taken for a lease that is gone. A drain whose mark could not be stored was never marked again. Ruled out: shorter reads of settled records alone; they narrow the window only.

--- a/src/enrol.rs
+++ b/src/enrol.rs
@@ -69,6 +69,7 @@
     grants: sync::Mutex<Vec<grant::Grant>>,
     witness: sync::Mutex<witness::Witness>,
     registered: async_lock::Mutex<bool>,
+    announced: sync::Mutex<Option<store::Lease>>,
 }
 
 impl Enrolment {
@@ -88,6 +89,7 @@
             grants: sync::Mutex::default(),
             witness: sync::Mutex::new(witness::Witness::new(now)),
             registered: async_lock::Mutex::new(false),
+            announced: sync::Mutex::default(),
         }
     }
 
@@ -110,6 +112,8 @@
         self.lock_record().draining = true;
         if let Err(failure) = self.register().await {
             tracing::warn!(?failure, "peers could not be told of the drain");
+            // The next renewal tries again.
+            *self.registered.lock().await = false;
         }
     }
 
@@ -128,6 +132,13 @@
         grants.first().map(|grant| grant.lease().clone())
     }
 
+    /// The lease that the stored record names. Others take a lease for gone that the
+    /// record does not name, so seats must not be claimed under a newer one before.
+    #[must_use]
+    pub fn announced(&self) -> Option<store::Lease> {
+        lock(&self.announced).clone()
+    }
+
     /// The leases under which seats may stand, newest first.
     #[must_use]
     pub fn grants(&self) -> Vec<grant::Grant> {
@@ -207,7 +218,10 @@
         let value = serde_json::to_vec(&record).expect("a record is plain data");
         let swap = self.store.swap(&key, value.into(), version, Some(&lease));
         match swap.await? {
-            store::Swap::Stored => Ok(()),
+            store::Swap::Stored => {
+                *lock(&self.announced) = Some(lease);
+                Ok(())
+            }
             store::Swap::Conflict => Err(store::Failure::NotRun("the record changed".into())),
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,6 +21,7 @@
     pub members: arc_swap::ArcSwap<Vec<forward::Member>>,
     local: arc_swap::ArcSwapOption<group::Group>,
     retired: sync::atomic::AtomicBool,
+    finished: sync::atomic::AtomicBool,
 }
 
 impl Entry {
@@ -34,6 +35,7 @@
             members: arc_swap::ArcSwap::default(),
             local: arc_swap::ArcSwapOption::empty(),
             retired: sync::atomic::AtomicBool::new(false),
+            finished: sync::atomic::AtomicBool::new(false),
         }
     }
 
@@ -91,6 +93,17 @@
         self.retired.store(true, sync::atomic::Ordering::Release);
     }
 
+    /// Notes that the last seat was given back.
+    pub fn finish(&self) {
+        self.finished.store(true, sync::atomic::Ordering::Release);
+    }
+
+    /// Whether no seat is held under this entry any more.
+    #[must_use]
+    pub fn finished(&self) -> bool {
+        self.finished.load(sync::atomic::Ordering::Acquire)
+    }
+
     /// Whether the group was given up.
     #[must_use]
     pub fn retired(&self) -> bool {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -35,6 +35,7 @@
     tracker: sync::Mutex<tracker::Tracker>,
     failures: atomic::AtomicU32,
     known: async_lock::Mutex<Known>,
+    retired: sync::Mutex<Vec<sync::Arc<entry::Entry>>>,
 }
 
 /// What the entries were last brought in line with.
@@ -62,6 +63,7 @@
             tracker: sync::Mutex::new(tracker),
             failures: atomic::AtomicU32::new(0),
             known: async_lock::Mutex::default(),
+            retired: sync::Mutex::default(),
         }
     }
 
@@ -270,11 +272,28 @@
         self.directory
             .shared()
             .executor
-            .spawn(keeper.run())
+            .spawn(keeper.run(self.predecessors(old, declared)))
             .detach();
         entry
     }
 
+    /// Entries of the same group that may still hold seats.
+    fn predecessors(
+        &self,
+        old: &directory::Entries,
+        declared: &database::Group,
+    ) -> Vec<sync::Arc<entry::Entry>> {
+        let mut retired = self
+            .retired
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        retired.retain(|entry| !entry.finished());
+        let old = old.values().filter(|entry| entry.name == declared.name);
+        retired.extend(old.cloned());
+        let same = retired.iter().filter(|entry| entry.name == declared.name);
+        same.cloned().collect()
+    }
+
     fn assign(
         &self,
         entry: &entry::Entry,
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -73,12 +73,19 @@
     }
 
     /// Keeps the seats until the group is given up and its last seat given back.
-    pub async fn run(mut self) {
+    ///
+    /// Two keepers of one VM would take each other's seats for their own: one could give
+    /// a seat back that the other still uses. So it waits for those before it.
+    pub async fn run(mut self, before: Vec<sync::Arc<entry::Entry>>) {
+        while !before.iter().all(|entry| entry.finished()) {
+            async_io::Timer::after(TICK).await;
+        }
         while !self.finished() {
             self.turn().await;
             async_io::Timer::after(TICK).await;
         }
         self.entry.set_runtime(None);
+        self.entry.finish();
     }
 
     fn finished(&self) -> bool {
@@ -130,7 +137,7 @@
 
     /// Takes the next step; true when the record has changed and another may follow.
     async fn advance(&mut self, wanted: usize) -> bool {
-        let Some(lease) = self.enrolment.lease() else {
+        let Some(lease) = self.enrolment.announced() else {
             return false;
         };
         if self.clock.now() < self.next_step {
@@ -176,8 +183,13 @@
         let Ok(found) = self.store.get(&enrol::key(&owner.vm)).await else {
             return;
         };
-        let record = found.and_then(|entry| serde_json::from_slice(&entry.value).ok());
-        let lease = record.and_then(|record: enrol::Record| record.lease);
+        let record = found.map(|entry| serde_json::from_slice::<enrol::Record>(&entry.value));
+        let lease = match record {
+            Some(Ok(record)) => record.lease,
+            // Nothing follows from a record that cannot be read.
+            Some(Err(_)) => return,
+            None => None,
+        };
         if lease.as_ref() != Some(&owner.lease) {
             tracing::warn!(target: "mangotray::placement", vm = %owner.vm, seat = owner.seat,
                 group = %self.entry.name, "the lease of a seat's owner is gone");
