Judge a stall by the time in which no replica moved

Now: the time in which every answering replica stood still, capped at 5 s. Conclusion: one replica that follows is enough to confirm writes.

--- a/src/lag.rs
+++ b/src/lag.rs
@@ -14,10 +14,17 @@
 /// Waits that a stall must last, as a multiple of the estimate.
 const FACTOR: u32 = 4;
 
-/// Running estimate of the longest wait of any replica.
+/// Longest stall limit, whatever the replicas' lag: a primary that is cut off has to be
+/// replaced within the users' 12 s all the same.
+const LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Running estimate of the longest time during which no replica moved.
+///
+/// One replica that follows is enough to confirm writes, so a single slow or restarted
+/// one must not lengthen the limit.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Estimate {
-    behind: Vec<Option<id::Time>>,
+    standing: Option<id::Time>,
     longest: time::Duration,
 }
 
@@ -32,26 +39,30 @@
     /// assert_eq!(estimate.stall(Duration::from_secs(1)), Duration::from_secs(1));
     /// ```
     pub fn look(&mut self, board: &board::Board, now: id::Time) {
-        let seen: Vec<_> = board.seen().iter().map(|seen| seen.behind).collect();
-        let ended = self
-            .behind
-            .iter()
-            .zip(&seen)
-            .filter(|(old, new)| old != new);
-        let waits = ended.filter_map(|(old, _)| old.map(|since| now.saturating_sub(since)));
-        for wait in waits {
+        let standing = standing(board);
+        if let Some(since) = self.standing.filter(|_| self.standing != standing) {
+            let wait = now.saturating_sub(since);
             self.longest = wait.max(self.longest.mul_f64(DECAY));
         }
-        self.behind = seen;
+        self.standing = standing;
     }
 
     /// Stand-still that counts as a stall: at least `least`, more where replicas
     /// are known to be slower.
     #[must_use]
     pub fn stall(&self, least: time::Duration) -> time::Duration {
-        least.max(self.longest * FACTOR)
+        least.max((self.longest * FACTOR).min(LIMIT))
     }
 }
 
+/// Since when every replica that answers has stood still behind the leader.
+fn standing(board: &board::Board) -> Option<id::Time> {
+    let leader = board.leader()?.index;
+    let seen = board.seen().iter().enumerate();
+    let followers = seen.filter(|(index, seen)| *index != leader && seen.failures == 0);
+    let since: Option<Vec<_>> = followers.map(|(_, seen)| seen.behind).collect();
+    since?.into_iter().max()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/lag/tests.rs
+++ b/src/lag/tests.rs
@@ -60,3 +60,24 @@
     }
     assert_eq!(estimate.stall(least), least);
 }
+
+#[test]
+fn one_slow_replica_does_not_lengthen_the_limit() {
+    // Symptom: a primary cut off from its replicas is not replaced for many seconds.
+    // Events: one replica was restarted and stood still for long while the other went on.
+    // Cause: the limit followed the longest wait of any single replica.
+    let mut board = board::Board::new(3);
+    let mut estimate = Estimate::default();
+    see(&mut board, 2, 1_000, 0);
+    for step in 0..100 {
+        let start = 1_000 + step * 100;
+        see(&mut board, 0, start, step + 1);
+        estimate.look(&board, Duration::from_millis(start));
+        see(&mut board, 1, start + 2, step + 1);
+        estimate.look(&board, Duration::from_millis(start + 2));
+    }
+    see(&mut board, 2, 12_000, 100);
+    estimate.look(&board, Duration::from_secs(12));
+    let least = Duration::from_millis(800);
+    assert_eq!(estimate.stall(least), least);
+}
