--- a/src/slots.rs
+++ b/src/slots.rs
@@ -82,7 +82,7 @@
 /// use mangotray::{admission, batch, class, slots};
 /// let batch = batch::Batch {
 ///     request: 1, caller: 7, frames: vec![], class: class::Class::Write, mixed: false, tables: vec![],
-///     token: None, arrived: Duration::ZERO, deadline: Duration::from_secs(3),
+///     token: None, own: None, arrived: Duration::ZERO, deadline: Duration::from_secs(3),
 /// };
 /// let ticket = slots::ticket(&batch, false, false);
 /// assert_eq!(ticket.priority, admission::Priority::Write);
