Replace primaries from the one node that holds the promoter's seat

Cause: nothing replaced a lost or leaving primary. Change: seat (a key under a lease, its revision the fence, confirmed before each order), succession (plain rules of when and by whom), promoter (holds all replicas, picks the furthest, orders, demotes the old one).

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -163,7 +163,13 @@
             tracing::info!(group = %self.name, instance = %id, "instance is no longer listed");
             now
         });
-        if now.saturating_sub(since) > LEAVING_USE {
+        // One that had announced its end before has ended.
+        let ended = self
+            .pools
+            .borrow()
+            .get(id)
+            .is_some_and(|pool| pool.instance.borrow().draining);
+        if ended || now.saturating_sub(since) > LEAVING_USE {
             leaving.remove(id);
             if let Some(pool) = self.pools.borrow_mut().remove(id) {
                 pool.clear();
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -78,6 +78,7 @@
     number: cell::Cell<u64>,
     blocked: cell::Cell<id::Time>,
     down: cell::Cell<id::Time>,
+    closed: cell::Cell<bool>,
     applied: cell::Cell<stamp::Stamp>,
     behind: cell::Cell<id::Time>,
     answered: cell::Cell<id::Time>,
@@ -104,6 +105,7 @@
             number: cell::Cell::default(),
             blocked: cell::Cell::default(),
             down: cell::Cell::default(),
+            closed: cell::Cell::default(),
             applied: cell::Cell::default(),
             behind: cell::Cell::default(),
             answered: cell::Cell::default(),
@@ -154,6 +156,12 @@
         boot::now() < self.down.get()
     }
 
+    /// Whether the instance's address refused the last connection: its process is gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
     /// Notes that the instance refused a read for being behind.
     pub fn note_behind(&self) {
         self.behind.set(boot::now());
@@ -238,6 +246,7 @@
         let refusal = match result {
             Some(Ok((link, stamp))) => {
                 place.keep();
+                self.closed.set(false);
                 metrics::counter!("mangotray_upstream_dials_total", "result" => "open")
                     .increment(1);
                 self.answered.set(boot::now());
@@ -262,6 +271,7 @@
             self.blocked.set(boot::now() + FULL_PAUSE);
             return Err(Shortage::Full);
         }
+        self.closed.set(refusal == upstream::Refusal::Closed);
         self.down.set(boot::now() + DOWN_PAUSE);
         Err(Shortage::Down)
     }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -1,1 +1,370 @@
-//! Placeholder.
+//! Replaces primaries, on the one node that holds the seat.
+
+use std::rc;
+use std::time;
+
+use mangotray::id;
+use mangotray::role;
+
+use crate::boot;
+use crate::duty;
+use crate::group;
+use crate::node;
+use crate::pool;
+use crate::sampler;
+use crate::seat;
+use crate::succession;
+use crate::upstream;
+use crate::wait;
+
+/// Pause between rounds of looks at a calm group. Three groups cost about ten looks a
+/// second, of which most are answered by traffic.
+const CALM: time::Duration = time::Duration::from_millis(300);
+
+/// Pause between rounds while something is amiss.
+const UNEASY: time::Duration = time::Duration::from_millis(100);
+
+/// A primary that answered a request this recently needs no look.
+const ANSWERED: time::Duration = time::Duration::from_millis(250);
+
+/// Longest wait for one look at a primary, above the slowest answers under load.
+const LOOK: time::Duration = time::Duration::from_millis(250);
+
+/// Longest wait for the answer to one hold.
+const HOLD: time::Duration = time::Duration::from_millis(300);
+
+/// A promotion whose replicas cannot all be held in this time is given up for now.
+const PATIENCE: time::Duration = time::Duration::from_secs(4);
+
+/// Longest wait for an ordered candidate to lead; promotions take 300 to 600 ms.
+const LEADING: time::Duration = time::Duration::from_millis(1800);
+
+/// Pause between looks at a candidate.
+const POLL: time::Duration = time::Duration::from_millis(40);
+
+/// An old primary is told this often, for this long, that it no longer leads.
+const DEMOTE: time::Duration = time::Duration::from_millis(300);
+const DEMOTE_FOR: time::Duration = time::Duration::from_secs(15);
+
+/// Replaces primaries while the seat is held.
+pub struct Promoter {
+    node: rc::Rc<node::Node>,
+    seat: rc::Rc<seat::Seat>,
+    duty: rc::Rc<dyn duty::Duty>,
+}
+
+/// One replacement under way.
+struct Plan {
+    group: rc::Rc<group::Group>,
+    old: Option<rc::Rc<pool::Pool>>,
+    cause: succession::Cause,
+    term: id::Term,
+    began: id::Time,
+}
+
+impl Promoter {
+    /// A promoter that does nothing yet.
+    #[must_use]
+    pub fn new(
+        node: rc::Rc<node::Node>,
+        seat: rc::Rc<seat::Seat>,
+        duty: rc::Rc<dyn duty::Duty>,
+    ) -> rc::Rc<Self> {
+        rc::Rc::new(Self { node, seat, duty })
+    }
+
+    /// Watches over all groups, for ever.
+    pub async fn run(self: rc::Rc<Self>) {
+        let mut watched = std::collections::BTreeSet::new();
+        loop {
+            for group in self.node.groups() {
+                if watched.insert(group.name.clone()) {
+                    let promoter = rc::Rc::clone(&self);
+                    self.node.executor().spawn(promoter.guard(group)).detach();
+                }
+            }
+            wait::sleep(CALM).await;
+        }
+    }
+
+    async fn guard(self: rc::Rc<Self>, group: rc::Rc<group::Group>) {
+        let mut watch = succession::Watch::default();
+        let mut led = None;
+        loop {
+            let pause = if watch.is_uneasy() { UNEASY } else { CALM };
+            wait::sleep(pause).await;
+            if self.seat.held().is_none() {
+                watch = succession::Watch::default();
+                continue;
+            }
+            if let Some(lead) = group.lead()
+                && led.as_ref() != Some(&lead)
+            {
+                watch = succession::Watch::default();
+                led = Some(lead);
+            }
+            let Some(lead) = &led else {
+                group.search();
+                continue;
+            };
+            let round = self.look(&group, lead, watch.is_uneasy()).await;
+            let Some(cause) = watch.judge(&round) else {
+                continue;
+            };
+            tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
+                received = ?round.received, "replacing the primary");
+            let done = self.replace(&group, lead, cause).await;
+            watch = succession::Watch::default();
+            if !done {
+                wait::sleep(UNEASY).await;
+            }
+        }
+    }
+
+    async fn look(
+        &self,
+        group: &rc::Rc<group::Group>,
+        lead: &sampler::Lead,
+        uneasy: bool,
+    ) -> succession::Round {
+        let started = boot::now();
+        let (primary, others) = split(group, &lead.id);
+        let dialer = group.dialer();
+        let reach = match &primary {
+            Some(pool) => reach(pool, dialer, uneasy).await,
+            None => succession::Reach::Silent,
+        };
+        let looks = sampler::look_at_all(&others, dialer, LOOK).await;
+        let held = looks
+            .iter()
+            .any(|look| sampler::overtakes(&look.status, lead.term));
+        succession::Round {
+            started,
+            primary: reach,
+            leaving: primary.is_some_and(|pool| pool.instance.borrow().draining),
+            received: looks.iter().map(|look| look.status.received).max(),
+            held,
+        }
+    }
+
+    async fn replace(
+        &self,
+        group: &rc::Rc<group::Group>,
+        lead: &sampler::Lead,
+        cause: succession::Cause,
+    ) -> bool {
+        let (old, others) = split(group, &lead.id);
+        let plan = Plan {
+            group: rc::Rc::clone(group),
+            old,
+            cause,
+            term: group.term().max(lead.term) + 1,
+            began: boot::now(),
+        };
+        if cause == succession::Cause::Planned && !self.order(&plan, &lead.id).await {
+            tracing::warn!(group = %group.name, "promotions are not possible now; the leaving primary stays");
+            return false;
+        }
+        let Some(held) = self.hold(&plan, others.len()).await else {
+            return false;
+        };
+        if cause.lives() {
+            plan.demote_once().await;
+        }
+        let Some(candidate) = succession::candidate(&held, |id| group.is_leaving(id)) else {
+            return false;
+        };
+        let received: Vec<_> = held
+            .iter()
+            .map(|look| (&look.id, look.status.received))
+            .collect();
+        tracing::info!(group = %group.name, %candidate, term = plan.term, ?received, "candidate chosen");
+        while !self.order(&plan, &candidate).await {
+            if boot::now() > plan.began + PATIENCE || self.seat.held().is_none() {
+                return false;
+            }
+            wait::sleep(UNEASY).await;
+        }
+        self.finish(plan, &candidate).await
+    }
+
+    /// Holds all replicas for the new term.
+    ///
+    /// Any of them may be the only one besides the old primary that has an acknowledged
+    /// commit; promoting without it would lose a booking that somebody was promised.
+    async fn hold(&self, plan: &Plan, expected: usize) -> Option<Vec<sampler::Look>> {
+        let old = plan.old.as_ref().map(|pool| pool.id());
+        loop {
+            let pools: Vec<_> = plan
+                .group
+                .pools()
+                .into_iter()
+                .filter(|pool| Some(pool.id()) != old)
+                .collect();
+            let command = upstream::Command::Hold(plan.term);
+            let holds = pools
+                .iter()
+                .map(|pool| tell(pool, &command, plan.group.dialer()));
+            let answers: Vec<_> = futures_util::future::join_all(holds).await;
+            let looks: Vec<_> = answers.into_iter().flatten().collect();
+            let held = |look: &sampler::Look| {
+                look.status.role == role::Role::Replica && look.status.held >= plan.term
+            };
+            if !looks.is_empty() && looks.len() == pools.len() && looks.iter().all(held) {
+                return Some(looks);
+            }
+            let led = looks
+                .iter()
+                .any(|look| look.status.role == role::Role::Primary);
+            let late = boot::now() > plan.began + PATIENCE;
+            let returned = !plan.cause.lives() && plan.old_answers().await;
+            if led || late || returned || self.seat.held().is_none() {
+                tracing::warn!(group = %plan.group.name, term = plan.term, expected,
+                    answers = looks.len(), led, late, returned, "promotion given up");
+                self.resume(plan, &pools).await;
+                return None;
+            }
+            wait::sleep(POLL).await;
+        }
+    }
+
+    async fn resume(&self, plan: &Plan, pools: &[rc::Rc<pool::Pool>]) {
+        let dialer = plan.group.dialer();
+        let resumes = pools
+            .iter()
+            .map(|pool| tell(pool, &upstream::Command::Resume, dialer));
+        futures_util::future::join_all(resumes).await;
+    }
+
+    async fn order(&self, plan: &Plan, candidate: &upstream::Id) -> bool {
+        let Some(held) = self.seat.confirm().await else {
+            tracing::warn!(group = %plan.group.name, "the seat is not confirmed, no order");
+            return false;
+        };
+        let order = duty::Order {
+            group: plan.group.name.clone(),
+            candidate: candidate.clone(),
+            holder: self.node.name.clone(),
+            fence: held.fence,
+        };
+        let outcome = self.duty.promote(&order).await;
+        tracing::info!(group = %order.group, candidate = %order.candidate, fence = order.fence,
+            ?outcome, "promotion ordered");
+        match outcome {
+            duty::Outcome::Accepted => true,
+            duty::Outcome::Refused(_) => false,
+            // It may have worked, or may yet: the candidate itself will tell.
+            duty::Outcome::Unknown(_) => plan.leads(candidate, LEADING).await,
+        }
+    }
+
+    async fn finish(&self, plan: Plan, candidate: &upstream::Id) -> bool {
+        let leads = plan.leads(candidate, LEADING).await;
+        plan.group.search();
+        tracing::info!(group = %plan.group.name, %candidate, term = plan.term, leads,
+            cause = ?plan.cause, took_ms = (boot::now() - plan.began).as_millis(), "promotion over");
+        if leads {
+            metrics::counter!("mangotray_promotions_total").increment(1);
+            let candidate = candidate.clone();
+            let settle = async move { plan.settle(&candidate).await };
+            self.node.executor().spawn(settle).detach();
+        }
+        leads
+    }
+}
+
+impl Plan {
+    async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
+        let deadline = boot::now() + limit;
+        while boot::now() < deadline {
+            let pools = self.group.pools();
+            let Some(pool) = pools.iter().find(|pool| pool.id() == *candidate) else {
+                return false;
+            };
+            let look = sampler::look(pool, self.group.dialer(), HOLD).await;
+            if look.is_some_and(|look| look.status.role == role::Role::Primary) {
+                return true;
+            }
+            wait::sleep(POLL).await;
+        }
+        false
+    }
+
+    async fn old_answers(&self) -> bool {
+        let Some(old) = &self.old else { return false };
+        let look = sampler::look(old, self.group.dialer(), HOLD).await;
+        look.is_some_and(|look| look.status.role == role::Role::Primary)
+    }
+
+    async fn demote_once(&self) -> bool {
+        let Some(old) = &self.old else { return true };
+        let command = upstream::Command::Demote(self.term);
+        let look = tell(old, &command, self.group.dialer()).await;
+        look.is_some_and(|look| look.status.role == role::Role::Replica)
+    }
+
+    // Ends the old primary's belief that it leads, then frees replicas that are still held:
+    // in this order, as a freed replica would acknowledge commits of the old primary.
+    async fn settle(&self, candidate: &upstream::Id) {
+        let deadline = boot::now() + DEMOTE_FOR;
+        while !self.demote_once().await && boot::now() < deadline {
+            wait::sleep(DEMOTE).await;
+        }
+        for pool in self.group.pools() {
+            if pool.id() != *candidate {
+                let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
+                if look.is_some_and(|look| look.status.held > 0) {
+                    tell(&pool, &upstream::Command::Resume, self.group.dialer()).await;
+                }
+            }
+        }
+    }
+}
+
+type Split = (Option<rc::Rc<pool::Pool>>, Vec<rc::Rc<pool::Pool>>);
+
+fn split(group: &group::Group, primary: &upstream::Id) -> Split {
+    let (mut old, others): (Vec<_>, Vec<_>) = group
+        .pools()
+        .into_iter()
+        .partition(|pool| pool.id() == *primary);
+    (old.pop(), others)
+}
+
+async fn reach(
+    pool: &rc::Rc<pool::Pool>,
+    dialer: &dyn upstream::Dialer,
+    uneasy: bool,
+) -> succession::Reach {
+    let fresh = boot::now().saturating_sub(pool.answered()) < ANSWERED;
+    if fresh && !uneasy {
+        return succession::Reach::Answered(pool.applied());
+    }
+    match sampler::look(pool, dialer, LOOK).await {
+        Some(look) => succession::Reach::Answered(look.status.received),
+        None if pool.is_closed() => succession::Reach::Closed,
+        None => succession::Reach::Silent,
+    }
+}
+
+async fn tell(
+    pool: &rc::Rc<pool::Pool>,
+    command: &upstream::Command,
+    dialer: &dyn upstream::Dialer,
+) -> Option<sampler::Look> {
+    let deadline = boot::now() + HOLD;
+    let mut lent = pool
+        .lend(0, &std::collections::BTreeMap::new(), deadline)
+        .await
+        .ok()?;
+    let replies = lent
+        .run(std::slice::from_ref(command), deadline)
+        .await
+        .ok()?;
+    let status = dialer.status(replies.first()?);
+    tracing::info!(instance = %pool.id(), ?command, ?status, "instance told");
+    Some(sampler::Look {
+        id: pool.id(),
+        status: status?,
+    })
+}
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -1,1 +1,184 @@
-//! Placeholder.
+//! The promoter's seat: one node of the fleet at a time replaces primaries.
+//!
+//! The seat is a key in the platform's store under a lease. Its revision orders the
+//! holders and goes along with each promotion.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use mangotray::id;
+use mangotray::store;
+
+use crate::boot;
+use crate::duty;
+use crate::wait;
+
+/// Key of the seat.
+const KEY: &str = "mangotray/promoter";
+
+/// Lease of the seat. A killed holder is succeeded after this time at most; a store that
+/// is slow for a moment does not cost a calm holder the seat.
+const LEASE: time::Duration = time::Duration::from_millis(2000);
+
+/// Pause between renewals: three may fail before the lease ends. Each is priced at a tenth
+/// of a call.
+const RENEW: time::Duration = time::Duration::from_millis(500);
+
+/// Longest wait of one watch on the seat. Only a successor that missed the end of a lease
+/// on a silent connection waits for it in vain; the other nodes do not.
+const PATIENCE: time::Duration = time::Duration::from_secs(8);
+
+/// Nodes that see the seat empty wait up to this long, so that not all of them claim it.
+const SPREAD_MS: u64 = 150;
+
+/// Pause after the store failed to answer.
+const PAUSE: time::Duration = time::Duration::from_millis(300);
+
+/// A new holder waits this long. A predecessor that confirmed its seat just before losing
+/// it sends its last order within [`CONFIRMED`].
+const SETTLE: time::Duration = time::Duration::from_millis(400);
+
+/// An order must leave this soon after the store confirmed the seat.
+pub const CONFIRMED: time::Duration = time::Duration::from_millis(200);
+
+/// A held seat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The holder's number.
+    pub fence: duty::Fence,
+    /// The lease surely lasts until then.
+    pub until: id::Time,
+    /// No order before this.
+    pub from: id::Time,
+    lease: store::Lease,
+}
+
+/// This node's part in holding the seat.
+pub struct Seat {
+    store: rc::Rc<dyn store::Store>,
+    /// Unlike the VM's name it differs after a restart: what a former process of this VM
+    /// still has under way is not this one's.
+    token: CompactString,
+    held: cell::RefCell<Option<Held>>,
+    stopping: cell::Cell<bool>,
+}
+
+impl Seat {
+    /// A seat that is not held.
+    #[must_use]
+    pub fn new(store: rc::Rc<dyn store::Store>, vm: &id::Vm) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            store,
+            token: format_compact!("{vm} {:016x}", fastrand::u64(..)),
+            held: cell::RefCell::default(),
+            stopping: cell::Cell::default(),
+        })
+    }
+
+    /// The seat, if this node surely holds it now and may act.
+    #[must_use]
+    pub fn held(&self) -> Option<Held> {
+        let now = boot::now();
+        let held = self.held.borrow().clone();
+        held.filter(|held| held.from <= now && now < held.until)
+    }
+
+    /// Asks the store whether this node still holds the seat.
+    ///
+    /// A lease that is ended from outside, or a pause of this VM, can make somebody else
+    /// the holder while this node still believes in its lease; two promoters that take
+    /// turns would each promote an instance. Orders go out only right after a confirmation.
+    pub async fn confirm(&self) -> Option<Held> {
+        let held = self.held()?;
+        let started = boot::now();
+        let entry = self.store.get(KEY).await.ok().flatten()?;
+        let mine = entry.version == held.fence && entry.value == self.token.as_bytes();
+        (mine && boot::now() < started + CONFIRMED).then_some(held)
+    }
+
+    /// Tries to take the seat and keeps it, for ever.
+    pub async fn keep(self: rc::Rc<Self>) {
+        while !self.stopping.get() {
+            let held = self.held.borrow().clone();
+            match held {
+                Some(held) => self.renew(held).await,
+                None => self.claim().await,
+            }
+        }
+    }
+
+    /// Gives the seat up, so that a successor need not wait for the lease to end.
+    pub async fn leave(&self) {
+        self.stopping.set(true);
+        let held = self.held.take();
+        if let Some(held) = held {
+            let left = self.store.revoke(&held.lease).await;
+            tracing::info!(fence = held.fence, ?left, "promoter's seat left");
+        }
+    }
+
+    async fn renew(&self, held: Held) {
+        wait::sleep(RENEW).await;
+        let started = boot::now();
+        match self.store.renew(&held.lease).await {
+            Ok(true) => {
+                if let Some(held) = &mut *self.held.borrow_mut() {
+                    held.until = started + LEASE;
+                }
+            }
+            Ok(false) => {
+                tracing::warn!(
+                    fence = held.fence,
+                    "promoter's seat lost: the lease has ended"
+                );
+                self.held.replace(None);
+            }
+            Err(failure) => {
+                tracing::warn!(fence = held.fence, ?failure, "promoter's lease not renewed");
+            }
+        }
+    }
+
+    async fn claim(&self) {
+        let entry = match self.store.get(KEY).await {
+            Ok(entry) => entry,
+            Err(_) => return wait::sleep(PAUSE).await,
+        };
+        if let Some(entry) = entry {
+            // A failure here shows again, and is paused for, in the next round's look.
+            let _ = self.store.watch(KEY, entry.version, PATIENCE).await;
+            return wait::sleep(time::Duration::from_millis(fastrand::u64(..SPREAD_MS))).await;
+        }
+        if let Err(failure) = self.take().await {
+            tracing::info!(?failure, "promoter's seat not taken");
+            wait::sleep(PAUSE).await;
+        }
+    }
+
+    async fn take(&self) -> Result<(), store::Failure> {
+        let started = boot::now();
+        let lease = self.store.grant(LEASE).await?;
+        let value = bytes::Bytes::copy_from_slice(self.token.as_bytes());
+        // Whatever the answer says, or if none comes: the entry tells who holds the seat.
+        let swapped = self.store.swap(KEY, value, 0, Some(&lease)).await;
+        let entry = self.store.get(KEY).await?;
+        let mine = entry.filter(|entry| entry.value == self.token.as_bytes());
+        let Some(entry) = mine else {
+            return match swapped {
+                Ok(_) => Ok(()),
+                Err(failure) => Err(failure),
+            };
+        };
+        tracing::info!(fence = entry.version, "promoter's seat taken");
+        self.held.replace(Some(Held {
+            fence: entry.version,
+            until: started + LEASE,
+            from: boot::now() + SETTLE,
+            lease,
+        }));
+        Ok(())
+    }
+}
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -1,1 +1,178 @@
-//! Placeholder.
+//! When a primary is to be replaced, and by whom.
+//!
+//! Plain functions of what was seen and when; the [`crate::promoter`] looks and acts.
+
+use std::time;
+
+use mangotray::id;
+use mangotray::stamp;
+
+use crate::sampler;
+use crate::upstream;
+
+/// A primary that does not answer for this long is replaced, unless the replicas show that
+/// it goes on working for others. Twenty commits a second reach a group of today's
+/// smaller user: without any for this long, chance is one in a hundred thousand.
+const SILENT: time::Duration = time::Duration::from_millis(600);
+
+/// The same for a primary whose address refuses connections: its process is gone.
+const CLOSED: time::Duration = time::Duration::from_millis(150);
+
+/// A primary that holds records which no replica receives for this long has lost its
+/// replicas: it acknowledges nothing any more, and its callers wait in vain.
+const STALLED: time::Duration = time::Duration::from_millis(700);
+
+/// How the primary answered a look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// It answered, with what it has received.
+    Answered(stamp::Stamp),
+    /// It did not answer in time.
+    Silent,
+    /// Its address refuses connections.
+    Closed,
+}
+
+/// One round of looks at a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Round {
+    /// When the round began.
+    pub started: id::Time,
+    /// The primary's answer.
+    pub primary: Reach,
+    /// It has announced its end.
+    pub leaving: bool,
+    /// Furthest position that any replica has received; none if none answered.
+    pub received: Option<stamp::Stamp>,
+    /// Some replica is held for a term above the primary's.
+    pub held: bool,
+}
+
+/// Why a primary is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Cause {
+    /// It announced its end.
+    Planned,
+    /// It does not answer.
+    Silent,
+    /// Its process is gone.
+    Crashed,
+    /// It has lost its replicas.
+    Stalled,
+    /// An earlier promotion was left half done.
+    Unfinished,
+}
+
+impl Cause {
+    /// Whether the old primary still works and is to be told that it no longer leads.
+    ///
+    /// ```
+    /// use mangotray_desk::succession;
+    /// assert!(succession::Cause::Planned.lives());
+    /// ```
+    #[must_use]
+    pub const fn lives(self) -> bool {
+        matches!(self, Self::Planned | Self::Stalled)
+    }
+}
+
+/// What is known of one primary over time.
+///
+/// ```
+/// use mangotray::stamp::Stamp;
+/// use mangotray_desk::succession::{Cause, Reach, Round, Watch};
+/// use std::time::Duration;
+/// let round = |millis, primary| Round {
+///     started: Duration::from_millis(millis),
+///     primary,
+///     leaving: false,
+///     received: Some(Stamp::new(1, 5)),
+///     held: false,
+/// };
+/// let mut watch = Watch::default();
+/// assert_eq!(watch.judge(&round(0, Reach::Answered(Stamp::new(1, 5)))), None);
+/// assert_eq!(watch.judge(&round(100, Reach::Silent)), None);
+/// assert_eq!(watch.judge(&round(800, Reach::Silent)), Some(Cause::Silent));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    received: Option<stamp::Stamp>,
+    moved: id::Time,
+    silent: Option<id::Time>,
+    closed: Option<id::Time>,
+    ahead: Option<id::Time>,
+}
+
+impl Watch {
+    /// Takes one round in and says whether the primary is to be replaced.
+    pub fn judge(&mut self, round: &Round) -> Option<Cause> {
+        self.note(round);
+        if round.held {
+            return Some(Cause::Unfinished);
+        }
+        if round.leaving {
+            return Some(Cause::Planned);
+        }
+        let over = |since: Option<id::Time>, limit| {
+            since.is_some_and(|since| {
+                let still = since.max(self.moved);
+                round.started >= still + limit
+            })
+        };
+        // Only with a word from the replicas: a node that reaches nobody knows nothing.
+        round.received?;
+        if over(self.closed, CLOSED) {
+            return Some(Cause::Crashed);
+        }
+        if over(self.silent, SILENT) {
+            return Some(Cause::Silent);
+        }
+        over(self.ahead, STALLED).then_some(Cause::Stalled)
+    }
+
+    /// Whether something is amiss, so that the next round should come soon.
+    #[must_use]
+    pub const fn is_uneasy(&self) -> bool {
+        self.silent.is_some() || self.closed.is_some() || self.ahead.is_some()
+    }
+
+    fn note(&mut self, round: &Round) {
+        let now = round.started;
+        if round.received > self.received {
+            self.received = round.received;
+            self.moved = now;
+        }
+        let began = |old: Option<id::Time>, holds: bool| holds.then(|| old.unwrap_or(now));
+        self.silent = began(self.silent, !matches!(round.primary, Reach::Answered(_)));
+        self.closed = began(self.closed, round.primary == Reach::Closed);
+        let ahead = matches!((round.primary, round.received), (Reach::Answered(own), Some(theirs)) if own > theirs);
+        self.ahead = began(self.ahead, ahead);
+    }
+}
+
+/// The instance that takes over: the one that has received most.
+///
+/// All that may hold an acknowledged commit must have answered, held for the new term.
+/// Among equals one that stays goes before one that leaves.
+///
+/// ```
+/// use mangotray::{role::Role, stamp::Stamp};
+/// use mangotray_desk::{sampler::Look, succession, upstream::Status};
+/// let look = |id: &str, position| Look {
+///     id: id.into(),
+///     status: Status { role: Role::Replica, term: 1, received: Stamp::new(1, position), held: 2 },
+/// };
+/// let looks = [look("a", 4), look("b", 9)];
+/// assert_eq!(succession::candidate(&looks, |_| false), Some("b".into()));
+/// ```
+#[must_use]
+pub fn candidate(
+    held: &[sampler::Look],
+    leaves: impl Fn(&upstream::Id) -> bool,
+) -> Option<upstream::Id> {
+    let best = held
+        .iter()
+        .max_by_key(|look| (look.status.received, !leaves(&look.id)));
+    best.map(|look| look.id.clone())
+}
