--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -5,6 +5,7 @@
 
 use mangotray::id;
 use mangotray::role;
+use mangotray::stamp;
 
 use crate::boot;
 use crate::duty;
@@ -91,7 +92,11 @@
         let mut watch = succession::Watch::default();
         let mut led = None;
         loop {
-            let pause = if watch.is_uneasy() { UNEASY } else { CALM };
+            let pause = if watch.is_uneasy(boot::now()) {
+                UNEASY
+            } else {
+                CALM
+            };
             wait::sleep(pause).await;
             if self.seat.held().is_none() {
                 watch = succession::Watch::default();
@@ -107,7 +112,7 @@
                 group.search();
                 continue;
             };
-            let round = self.look(&group, lead, watch.is_uneasy()).await;
+            let round = self.look(&group, lead, watch.is_uneasy(boot::now())).await;
             let Some(cause) = watch.judge(&round) else {
                 continue;
             };
@@ -134,15 +139,20 @@
             Some(pool) => reach(pool, dialer, uneasy).await,
             None => succession::Reach::Silent,
         };
-        let looks = sampler::look_at_all(&others, dialer, LOOK).await;
-        let held = looks
-            .iter()
-            .any(|look| sampler::overtakes(&look.status, lead.term));
+        let calm = matches!(reach, succession::Reach::Answered(_)) && !uneasy;
+        let (received, held) = if calm && group.lead().is_some() {
+            (applied(&others), false)
+        } else {
+            let looks = sampler::look_at_all(&others, dialer, LOOK).await;
+            let held = |look: &sampler::Look| sampler::overtakes(&look.status, lead.term);
+            let received = looks.iter().map(|look| look.status.received).max();
+            (received, looks.iter().any(held))
+        };
         succession::Round {
             started,
             primary: reach,
             leaving: primary.is_some_and(|pool| pool.instance.borrow().draining),
-            received: looks.iter().map(|look| look.status.received).max(),
+            received,
             held,
         }
     }
@@ -321,6 +331,12 @@
     }
 }
 
+// What the replicas told along with their answers to reads: free, and a little behind
+// what they have received, so that it only serves to raise a doubt.
+fn applied(pools: &[rc::Rc<pool::Pool>]) -> Option<stamp::Stamp> {
+    pools.iter().map(|pool| pool.applied()).max()
+}
+
 type Split = (Option<rc::Rc<pool::Pool>>, Vec<rc::Rc<pool::Pool>>);
 
 fn split(group: &group::Group, primary: &upstream::Id) -> Split {
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -17,7 +17,7 @@
 use crate::wait;
 
 /// Key of the seat.
-const KEY: &str = "mangotray/promoter";
+pub const KEY: &str = "mangotray/promoter";
 
 /// Lease of the seat. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
@@ -27,9 +27,9 @@
 /// of a call.
 const RENEW: time::Duration = time::Duration::from_millis(500);
 
-/// Longest wait of one watch on the seat. Only a successor that missed the end of a lease
-/// on a silent connection waits for it in vain; the other nodes do not.
-const PATIENCE: time::Duration = time::Duration::from_secs(8);
+/// A node that was told of no change for this long looks at the seat itself, in case the
+/// news was lost.
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
 
 /// Nodes that see the seat empty wait up to this long, so that not all of them claim it.
 const SPREAD_MS: u64 = 150;
@@ -63,6 +63,7 @@
     /// still has under way is not this one's.
     token: CompactString,
     held: cell::RefCell<Option<Held>>,
+    vacated: event_listener::Event,
     stopping: cell::Cell<bool>,
 }
 
@@ -74,6 +75,7 @@
             store,
             token: format_compact!("{vm} {:016x}", fastrand::u64(..)),
             held: cell::RefCell::default(),
+            vacated: event_listener::Event::new(),
             stopping: cell::Cell::default(),
         })
     }
@@ -99,6 +101,11 @@
         (mine && boot::now() < started + CONFIRMED).then_some(held)
     }
 
+    /// Notes that the seat may be empty, as its key was removed or the store is back.
+    pub fn vacated(&self) {
+        self.vacated.notify(usize::MAX);
+    }
+
     /// Tries to take the seat and keeps it, for ever.
     pub async fn keep(self: rc::Rc<Self>) {
         while !self.stopping.get() {
@@ -143,13 +150,13 @@
     }
 
     async fn claim(&self) {
+        let vacated = self.vacated.listen();
         let entry = match self.store.get(KEY).await {
             Ok(entry) => entry,
             Err(_) => return wait::sleep(PAUSE).await,
         };
-        if let Some(entry) = entry {
-            // A failure here shows again, and is paused for, in the next round's look.
-            let _ = self.store.watch(KEY, entry.version, PATIENCE).await;
+        if entry.is_some() {
+            wait::within(PATIENCE, vacated).await;
             return wait::sleep(time::Duration::from_millis(fastrand::u64(..SPREAD_MS))).await;
         }
         if let Err(failure) = self.take().await {
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -22,6 +22,10 @@
 /// replicas: it acknowledges nothing any more, and its callers wait in vain.
 const STALLED: time::Duration = time::Duration::from_millis(700);
 
+/// Replicas that seem not to move for this long are looked at; those that are only slow
+/// to apply are seen to receive, well before [`STALLED`].
+const DOUBTED: time::Duration = time::Duration::from_millis(400);
+
 /// How the primary answered a look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -133,8 +137,11 @@
 
     /// Whether something is amiss, so that the next round should come soon.
     #[must_use]
-    pub const fn is_uneasy(&self) -> bool {
-        self.silent.is_some() || self.closed.is_some() || self.ahead.is_some()
+    pub fn is_uneasy(&self, now: id::Time) -> bool {
+        let ahead = self
+            .ahead
+            .is_some_and(|since| now >= since.max(self.moved) + DOUBTED);
+        self.silent.is_some() || self.closed.is_some() || ahead
     }
 
     fn note(&mut self, round: &Round) {
