--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -22,10 +22,10 @@
 const MOST: usize = 5;
 
 /// Idle connections that a node keeps; those above it are given back after [`SPARE_IDLE`].
-const KEPT: usize = 2;
+const KEPT: usize = 1;
 
 /// A borrowed connection that nobody used for this long is given back.
-const SPARE_IDLE: time::Duration = time::Duration::from_millis(1500);
+const SPARE_IDLE: time::Duration = time::Duration::from_millis(700);
 
 /// An instance that said it is full is not asked again for this long.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(300);
