--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -20,6 +20,10 @@
 /// and the grain of timers.
 const AGE_MARGIN: time::Duration = time::Duration::from_millis(60);
 
+/// A floor is renewed once it has used up this part of a read's bound. The rest is what a
+/// replica may lag behind; looks at instances are priced, and a shorter part costs more.
+const RENEWAL_PERCENT: u32 = 70;
+
 /// Pause between looks for a primary; a gap of one second then costs about ten looks.
 const SEARCH_PAUSE: time::Duration = time::Duration::from_millis(120);
 
@@ -500,8 +504,8 @@
                 let floors = self.floors.borrow();
                 (floors.since(moment), floors.newest())
             };
-            let half = need.arrived.saturating_sub(age / 2);
-            if newest.is_none_or(|newest| newest < half) {
+            let renewal = need.arrived.saturating_sub(age * RENEWAL_PERCENT / 100);
+            if newest.is_none_or(|newest| newest < renewal) {
                 self.refresh_soon();
             }
             if let Some(floor) = floor {
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -28,11 +28,12 @@
 const RENEW: time::Duration = time::Duration::from_millis(500);
 
 /// A node that was told of no change for this long looks at the seat itself, in case the
-/// news was lost.
-const PATIENCE: time::Duration = time::Duration::from_secs(10);
+/// news was lost; rarely, as each look of each node is a priced call.
+const PATIENCE: time::Duration = time::Duration::from_secs(60);
 
-/// Nodes that see the seat empty wait up to this long, so that not all of them claim it.
-const SPREAD_MS: u64 = 150;
+/// Nodes that see the seat empty wait up to this long, so that not all of them claim it:
+/// of eight the first waits 40 ms in the mean, and the others hear of it before their turn.
+const SPREAD_MS: u64 = 300;
 
 /// Pause after the store failed to answer.
 const PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -64,6 +65,7 @@
     token: CompactString,
     held: cell::RefCell<Option<Held>>,
     vacated: event_listener::Event,
+    occupied: cell::Cell<bool>,
     stopping: cell::Cell<bool>,
 }
 
@@ -76,6 +78,7 @@
             token: format_compact!("{vm} {:016x}", fastrand::u64(..)),
             held: cell::RefCell::default(),
             vacated: event_listener::Event::new(),
+            occupied: cell::Cell::new(true),
             stopping: cell::Cell::default(),
         })
     }
@@ -103,9 +106,15 @@
 
     /// Notes that the seat may be empty, as its key was removed or the store is back.
     pub fn vacated(&self) {
+        self.occupied.set(false);
         self.vacated.notify(usize::MAX);
     }
 
+    /// Notes that somebody holds the seat.
+    pub fn occupied(&self) {
+        self.occupied.set(true);
+    }
+
     /// Tries to take the seat and keeps it, for ever.
     pub async fn keep(self: rc::Rc<Self>) {
         while !self.stopping.get() {
@@ -151,15 +160,25 @@
 
     async fn claim(&self) {
         let vacated = self.vacated.listen();
-        let entry = match self.store.get(KEY).await {
-            Ok(entry) => entry,
-            Err(_) => return wait::sleep(PAUSE).await,
-        };
-        if entry.is_some() {
-            wait::within(PATIENCE, vacated).await;
-            return wait::sleep(time::Duration::from_millis(fastrand::u64(..SPREAD_MS))).await;
+        if self.occupied.get() {
+            if wait::within(PATIENCE, vacated).await.is_none() {
+                self.occupied.set(false);
+            }
+            return;
         }
-        if let Err(failure) = self.take().await {
+        wait::sleep(time::Duration::from_millis(fastrand::u64(..SPREAD_MS))).await;
+        if self.occupied.get() || self.stopping.get() {
+            return;
+        }
+        let found = match self.store.get(KEY).await {
+            Ok(Some(_)) => {
+                self.occupied.set(true);
+                return;
+            }
+            Ok(None) => self.take().await,
+            Err(failure) => Err(failure),
+        };
+        if let Err(failure) = found {
             tracing::info!(?failure, "promoter's seat not taken");
             wait::sleep(PAUSE).await;
         }
@@ -174,6 +193,7 @@
         let entry = self.store.get(KEY).await?;
         let mine = entry.filter(|entry| entry.value == self.token.as_bytes());
         let Some(entry) = mine else {
+            self.occupied.set(swapped.is_ok());
             return match swapped {
                 Ok(_) => Ok(()),
                 Err(failure) => Err(failure),
