Finish promotions that were left half done, and find a primary never seen to lead

Cause: a test of a promotion whose holder died after the holds: its successor gave the promotion up because the old primary answers, although the order may already be under way; and a holder that never saw a primary watched nobody. Change: such a promotion is finished, never given up; where no primary was seen, the holder watches the instance that should be one. Tests of the promoter and of its seat: nine.

--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -108,10 +108,10 @@
                 watch = succession::Watch::default();
                 led = Some(lead);
             }
-            let Some(lead) = &led else {
-                group.search();
-                continue;
-            };
+            if led.is_none() {
+                led = guess(&group).await;
+            }
+            let Some(lead) = &led else { continue };
             let round = self.look(&group, lead, watch.is_uneasy(boot::now())).await;
             let Some(cause) = watch.judge(&round) else {
                 continue;
@@ -337,6 +337,35 @@
     pools.iter().map(|pool| pool.applied()).max()
 }
 
+/// Whom to watch where no primary was ever seen to lead.
+///
+/// After a loss of all nodes in the middle of a promotion, or together with a primary,
+/// nobody remembers who led. Waiting for a primary to show itself would then be waiting
+/// for ever.
+async fn guess(group: &rc::Rc<group::Group>) -> Option<sampler::Lead> {
+    let pools = group.pools();
+    let looks = sampler::look_at_all(&pools, group.dialer(), LOOK).await;
+    let term = looks.iter().map(|look| look.status.term).max()?;
+    let primaries = looks
+        .iter()
+        .filter(|look| look.status.role == role::Role::Primary);
+    if let Some(look) = primaries.max_by_key(|look| look.status.term) {
+        let id = look.id.clone();
+        return Some(sampler::Lead {
+            id,
+            term: look.status.term,
+        });
+    }
+    let silent = pools
+        .iter()
+        .filter(|pool| looks.iter().all(|look| look.id != pool.id()))
+        .max_by_key(|pool| pool.instance.borrow().leads)?;
+    Some(sampler::Lead {
+        id: silent.id(),
+        term,
+    })
+}
+
 type Split = (Option<rc::Rc<pool::Pool>>, Vec<rc::Rc<pool::Pool>>);
 
 fn split(group: &group::Group, primary: &upstream::Id) -> Split {
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -69,7 +69,11 @@
 }
 
 impl Cause {
-    /// Whether the old primary still works and is to be told that it no longer leads.
+    /// Whether the old primary may still work and is to be told that it no longer leads.
+    ///
+    /// Its being well is no reason to give such a promotion up. One that was left half
+    /// done may have been ordered already: it is finished, as its order may take effect
+    /// at any moment.
     ///
     /// ```
     /// use mangotray_desk::succession;
@@ -77,7 +81,7 @@
     /// ```
     #[must_use]
     pub const fn lives(self) -> bool {
-        matches!(self, Self::Planned | Self::Stalled)
+        matches!(self, Self::Planned | Self::Stalled | Self::Unfinished)
     }
 }
 
--- /dev/null
+++ b/desk/tests/promoter.rs
@@ -0,0 +1,367 @@
+//! One holder replaces primaries, and loses nothing on the way.
+
+mod stage;
+
+use std::cell;
+use std::rc;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future;
+use mangotray::role;
+use mangotray::store;
+use mangotray_desk::duty;
+use mangotray_desk::promoter;
+use mangotray_desk::seat;
+use mangotray_desk::wait;
+
+/// More than any promotion on stage takes; tests wait for its end, not for this long.
+const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Long enough for a promoter to act wrongly if it would.
+const LONG: time::Duration = time::Duration::from_millis(1500);
+
+#[derive(Default)]
+struct Entries {
+    entry: Option<store::Entry>,
+    revision: u64,
+    /// The next changes take effect, their answers are lost.
+    lose: usize,
+    /// Calls are refused.
+    down: bool,
+}
+
+/// A store with one key.
+#[derive(Clone, Default)]
+struct Store(sync::Arc<sync::Mutex<Entries>>);
+
+impl Store {
+    fn at(&self) -> sync::MutexGuard<'_, Entries> {
+        self.0.lock().expect("no test panics with it")
+    }
+
+    fn up(&self) -> Result<sync::MutexGuard<'_, Entries>, store::Failure> {
+        let entries = self.at();
+        match entries.down {
+            true => Err(store::Failure::NotRun("down".into())),
+            false => Ok(entries),
+        }
+    }
+}
+
+impl store::Store for Store {
+    fn get<'a>(
+        &'a self,
+        _key: &'a str,
+    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
+        async { Ok(self.up()?.entry.clone()) }.boxed()
+    }
+
+    fn list<'a>(
+        &'a self,
+        _prefix: &'a str,
+    ) -> future::BoxFuture<'a, Result<Vec<store::Entry>, store::Failure>> {
+        async { Ok(self.up()?.entry.iter().cloned().collect()) }.boxed()
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        value: Bytes,
+        expect: store::Version,
+        lease: Option<&'a str>,
+    ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
+        async move {
+            let mut entries = self.up()?;
+            if entries.entry.as_ref().map_or(0, |entry| entry.version) != expect {
+                return Ok(store::Swap::Conflict);
+            }
+            entries.revision += 1;
+            entries.entry = Some(store::Entry {
+                key: key.into(),
+                value,
+                version: entries.revision,
+                lease: lease.map(Into::into),
+            });
+            if entries.lose > 0 {
+                entries.lose -= 1;
+                return Err(store::Failure::Unknown("lost".into()));
+            }
+            Ok(store::Swap::Stored)
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _key: &'a str,
+        _seen: store::Version,
+        _patience: time::Duration,
+    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
+        future::pending().boxed()
+    }
+
+    fn grant(
+        &self,
+        _ttl: time::Duration,
+    ) -> future::BoxFuture<'_, Result<store::Lease, store::Failure>> {
+        async {
+            self.up()?;
+            Ok("lease".into())
+        }
+        .boxed()
+    }
+
+    fn renew<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
+        async { Ok(self.up()?.entry.is_some()) }.boxed()
+    }
+
+    fn revoke<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<(), store::Failure>> {
+        async {
+            self.up()?.entry = None;
+            Ok(())
+        }
+        .boxed()
+    }
+}
+
+/// Carries orders out on stage at once.
+struct Duty {
+    world: stage::Shared,
+    orders: cell::RefCell<Vec<duty::Order>>,
+    /// The next orders are carried out, their answers are lost.
+    lose: cell::Cell<usize>,
+}
+
+impl duty::Duty for Duty {
+    fn promote<'a>(&'a self, order: &'a duty::Order) -> future::LocalBoxFuture<'a, duty::Outcome> {
+        async move {
+            self.orders.borrow_mut().push(order.clone());
+            let mut world = self.world.borrow_mut();
+            if world.at(&order.candidate).role == role::Role::Replica {
+                world.promote(&order.candidate);
+            }
+            if self.lose.get() > 0 {
+                self.lose.set(self.lose.get() - 1);
+                return duty::Outcome::Unknown("lost".into());
+            }
+            duty::Outcome::Accepted
+        }
+        .boxed_local()
+    }
+}
+
+struct Play {
+    stage: stage::Stage,
+    store: Store,
+    seat: rc::Rc<seat::Seat>,
+    duty: rc::Rc<Duty>,
+}
+
+fn play() -> Play {
+    play_on(stage::Stage::new())
+}
+
+fn play_on(stage: stage::Stage) -> Play {
+    let store = Store::default();
+    let shared: rc::Rc<dyn store::Store> = rc::Rc::new(store.clone());
+    let seat = seat::Seat::new(shared, &"vm".into());
+    let duty = rc::Rc::new(Duty {
+        world: rc::Rc::clone(&stage.world),
+        orders: cell::RefCell::default(),
+        lose: cell::Cell::default(),
+    });
+    let ordered: rc::Rc<dyn duty::Duty> = rc::Rc::<Duty>::clone(&duty);
+    let promoter =
+        promoter::Promoter::new(rc::Rc::clone(&stage.node), rc::Rc::clone(&seat), ordered);
+    stage.executor.spawn(rc::Rc::clone(&seat).keep()).detach();
+    stage.executor.spawn(promoter.run()).detach();
+    seat.vacated();
+    Play {
+        stage,
+        store,
+        seat,
+        duty,
+    }
+}
+
+impl Play {
+    /// Waits until the group has settled on a primary of at least `term`.
+    async fn led(&self, term: u64) {
+        let group = self.stage.node.group(&stage::GROUP.into());
+        let settled = async {
+            while group.lead().is_none_or(|lead| lead.term < term) || self.seat.held().is_none() {
+                wait::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        wait::within(LIMIT, settled).await.expect("a primary leads");
+    }
+
+    fn leader(&self) -> Vec<String> {
+        let world = self.stage.world.borrow();
+        let up = world.instances.iter().filter(|(_, instance)| instance.up);
+        let leads = up.filter(|(_, instance)| instance.role == role::Role::Primary);
+        leads.map(|(id, _)| id.to_string()).collect()
+    }
+}
+
+#[test]
+fn a_crashed_primary_is_replaced_by_the_furthest_replica() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("c").position = 12;
+        play.stage.world.borrow_mut().at("a").up = false;
+        play.led(2).await;
+    });
+    assert_eq!(play.leader(), ["c"]);
+    assert_eq!(play.duty.orders.borrow().len(), 1);
+}
+
+/// Symptom: an acknowledged booking is gone after a change of primary.
+/// Events: a commit is acknowledged with one replica's receipt; that replica stops
+/// answering; the primary crashes; the other replica is promoted.
+/// Cause: the promotion did not wait for every replica that could hold the commit.
+#[test]
+fn no_promotion_while_a_replica_is_missing() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        for id in ["a", "b"] {
+            play.stage.world.borrow_mut().at(id).up = false;
+        }
+        wait::sleep(LONG).await;
+        assert!(play.duty.orders.borrow().is_empty());
+        play.stage.world.borrow_mut().at("b").position = 15;
+        play.stage.world.borrow_mut().at("b").up = true;
+        play.led(2).await;
+    });
+    assert_eq!(play.leader(), ["b"]);
+}
+
+#[test]
+fn a_leaving_primary_hands_over_and_is_told() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").draining = true;
+        play.stage.relist();
+        play.led(2).await;
+    });
+    assert_eq!(play.leader().len(), 1);
+    assert_ne!(play.leader(), ["a"]);
+}
+
+/// Symptom: two instances are promoted one after the other for one crash.
+/// Events: the order to promote is carried out, its answer is lost.
+/// Cause: the order was repeated for another candidate without asking the first.
+#[test]
+fn an_order_whose_answer_is_lost_is_settled_at_the_candidate() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.lose.set(1);
+        play.stage.world.borrow_mut().at("a").up = false;
+        play.led(2).await;
+    });
+    let orders = play.duty.orders.borrow();
+    assert!(
+        orders
+            .windows(2)
+            .all(|pair| pair[0].candidate == pair[1].candidate)
+    );
+    assert_eq!(play.leader().len(), 1);
+}
+
+/// Symptom: two nodes order promotions in turns.
+/// Events: the holder's lease is ended from outside and somebody else takes the seat; the
+/// old holder has not noticed; a primary crashes.
+/// Cause: the old holder acted on its lease without asking the store.
+#[test]
+fn a_holder_that_lost_its_seat_unawares_orders_nothing() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        {
+            let mut entries = play.store.at();
+            let entry = entries.entry.as_mut().expect("the seat is held");
+            entry.value = Bytes::from_static(b"another");
+            entry.version += 1;
+        }
+        play.stage.world.borrow_mut().at("a").up = false;
+        wait::sleep(LONG).await;
+    });
+    assert!(play.duty.orders.borrow().is_empty());
+}
+
+/// Symptom: nobody ever promotes.
+/// Events: the claim of the seat takes effect, its answer is lost.
+/// Cause: the claimant did not look whose entry it is.
+#[test]
+fn a_claim_whose_answer_is_lost_is_settled_by_reading() {
+    let play = play();
+    play.store.at().lose = 1;
+    play.stage.run(async { play.led(1).await });
+    assert!(play.seat.held().is_some());
+}
+
+#[test]
+fn a_later_holder_has_a_higher_number() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        let first = play.seat.held().expect("held").fence;
+        play.seat.leave().await;
+        let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
+        let other = seat::Seat::new(shared, &"other".into());
+        play.stage
+            .executor
+            .spawn(rc::Rc::clone(&other).keep())
+            .detach();
+        other.vacated();
+        let taken = async {
+            while other.held().is_none() {
+                wait::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        wait::within(LIMIT, taken).await.expect("the seat is taken");
+        assert!(other.held().expect("held").fence > first);
+    });
+}
+
+/// Symptom: a group has no primary for ever.
+/// Events: a holder holds all replicas and dies before it orders; the primary lives.
+/// Cause: its successor waited for a primary that nobody can prove while replicas are held.
+#[test]
+fn a_promotion_left_half_done_is_finished_by_the_next_holder() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        for id in ["b", "c"] {
+            play.stage.world.borrow_mut().at(id).held = 2;
+        }
+        play.stage.node.group(&stage::GROUP.into()).doubt(1, "test");
+        play.led(2).await;
+    });
+    assert_eq!(play.duty.orders.borrow().len(), 1);
+}
+
+/// Symptom: after a loss of all nodes a group has no primary for ever.
+/// Events: all nodes are lost in the middle of a promotion; they come back and find the
+/// replicas held and the primary gone.
+/// Cause: a holder watched only over primaries that it had seen to lead.
+#[test]
+fn a_holder_that_never_saw_a_primary_finds_one() {
+    let stage = stage::Stage::new();
+    {
+        let mut world = stage.world.borrow_mut();
+        world.at("a").up = false;
+        world.at("b").held = 2;
+        world.at("c").held = 2;
+    }
+    let play = play_on(stage);
+    play.stage.run(async { play.led(2).await });
+    assert_eq!(play.leader().len(), 1);
+}
