--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -159,7 +159,11 @@
         tracing::info!(group = %self.name, instance = %instance.id, domain = %instance.domain,
             leads = instance.leads, "instance appeared");
         let id = instance.id.clone();
-        let pool = rc::Rc::new(pool::Pool::new(instance, rc::Rc::clone(&self.dialer)));
+        let pool = rc::Rc::new(pool::Pool::new(
+            instance,
+            rc::Rc::clone(&self.dialer),
+            pool::MOST,
+        ));
         pools.insert(id, pool);
     }
 
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -11,6 +11,7 @@
 
 use crate::catalog;
 use crate::group;
+use crate::router;
 use crate::upstream;
 
 /// The configuration in force and the groups.
@@ -18,7 +19,7 @@
     /// Name of this VM.
     pub name: id::Vm,
     domain: id::Domain,
-    dialer: rc::Rc<dyn upstream::Dialer>,
+    router: rc::Rc<router::Router>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     catalog: ArcSwap<catalog::Catalog>,
     groups: cell::RefCell<collections::BTreeMap<id::Group, rc::Rc<group::Group>>>,
@@ -32,13 +33,13 @@
     pub fn new(
         name: id::Vm,
         domain: id::Domain,
-        dialer: rc::Rc<dyn upstream::Dialer>,
+        router: rc::Rc<router::Router>,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     ) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             name,
             domain,
-            dialer,
+            router,
             executor,
             catalog: ArcSwap::default(),
             groups: cell::RefCell::default(),
@@ -68,6 +69,7 @@
         for service in &catalog.services {
             self.group(&service.group);
         }
+        self.router.apply(&catalog);
         self.catalog.store(sync::Arc::new(catalog));
         true
     }
@@ -102,6 +104,13 @@
         for group in self.groups.borrow().values() {
             group.tidy(|id| listed.contains(id));
         }
+        self.router.tidy(|id| listed.contains(id));
+    }
+
+    /// How this node reaches instances.
+    #[must_use]
+    pub const fn router(&self) -> &rc::Rc<router::Router> {
+        &self.router
     }
 
     /// The configuration in force.
@@ -130,7 +139,7 @@
             group::Group::new(
                 name.clone(),
                 self.domain.clone(),
-                rc::Rc::clone(&self.dialer),
+                rc::Rc::<router::Router>::clone(&self.router),
                 rc::Rc::clone(&self.executor),
             )
         });
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -19,7 +19,7 @@
 /// Connections to one instance that a node holds at most. Eight nodes share the 23
 /// connections of today's smaller instances; who needs more than an equal part borrows
 /// what others leave free, and the instance refuses what is too much.
-const MOST: usize = 5;
+pub const MOST: usize = 5;
 
 /// Idle connections that a node keeps; those above it are given back after [`SPARE_IDLE`].
 const KEPT: usize = 1;
@@ -71,6 +71,7 @@
 pub struct Pool {
     /// The instance, as the list of instances has it now.
     pub instance: cell::RefCell<catalog::Instance>,
+    most: usize,
     dialer: rc::Rc<dyn upstream::Dialer>,
     idle: cell::RefCell<Vec<Kept>>,
     open: cell::Cell<usize>,
@@ -93,11 +94,16 @@
 }
 
 impl Pool {
-    /// An empty pool.
+    /// An empty pool that opens `most` connections at most.
     #[must_use]
-    pub fn new(instance: catalog::Instance, dialer: rc::Rc<dyn upstream::Dialer>) -> Self {
+    pub fn new(
+        instance: catalog::Instance,
+        dialer: rc::Rc<dyn upstream::Dialer>,
+        most: usize,
+    ) -> Self {
         Self {
             instance: cell::RefCell::new(instance),
+            most,
             dialer,
             idle: cell::RefCell::default(),
             open: cell::Cell::default(),
@@ -185,7 +191,7 @@
             if now < self.down.get() {
                 return Err(Shortage::Down);
             }
-            if self.open.get() < MOST && now >= self.blocked.get() {
+            if self.open.get() < self.most && now >= self.blocked.get() {
                 match self.dial(deadline).await {
                     Ok(lent) => return Ok(lent),
                     Err(Shortage::Full) if self.open.get() > 0 => {}
@@ -318,6 +324,7 @@
             address: instance.address,
             group: instance.group.clone(),
             id: instance.id.clone(),
+            domain: instance.domain.clone(),
         }
     }
 
--- /dev/null
+++ b/desk/src/relay.rs
@@ -0,0 +1,337 @@
+//! One node's connections, lent to another.
+//!
+//! A relayed connection looks like one to the instance. The lending node keeps what was
+//! set and prepared on it, and takes a connection of its own only while statements run or
+//! a transaction is open: hundreds of relayed connections share a handful.
+
+use std::cell;
+use std::collections;
+use std::io;
+use std::rc;
+use std::time;
+
+use async_net::TcpStream;
+use compact_str::CompactString;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::future as poll;
+use futures_util::FutureExt;
+use futures_util::future;
+use mangotray::stamp;
+
+use crate::boot;
+use crate::pool;
+use crate::reply;
+use crate::statement;
+use crate::upstream;
+use crate::wait;
+
+/// Longest message between nodes; a caller's statement has one MiB at most.
+const LONGEST: usize = 4 << 20;
+
+/// Longest wait of a relayed statement for a connection. Then it is refused as not run,
+/// while its caller still has time to go elsewhere.
+const LEND_LIMIT: time::Duration = time::Duration::from_millis(250);
+
+/// Longest time of one exchange with the instance; callers give up before.
+const RUN_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Place of relayed statements in the queue for a connection.
+const PRIORITY: u8 = 1;
+
+/// A lending node's answer to the opening of a relayed connection.
+pub type Opened = Result<Option<stamp::Stamp>, upstream::Refusal>;
+
+/// A lending node's answer to commands.
+type Answer = Result<Vec<reply::Reply>, upstream::Failure>;
+
+/// What one relayed connection has set, and the connection that it is on, if any.
+pub struct Lender {
+    pool: rc::Rc<pool::Pool>,
+    values: collections::BTreeMap<statement::Name, CompactString>,
+    prepared: collections::BTreeMap<CompactString, statement::Shape>,
+    pinned: Option<pool::Lent>,
+}
+
+impl Lender {
+    /// A relayed connection on which nothing is set.
+    #[must_use]
+    pub const fn new(pool: rc::Rc<pool::Pool>) -> Self {
+        Self {
+            pool,
+            values: collections::BTreeMap::new(),
+            prepared: collections::BTreeMap::new(),
+            pinned: None,
+        }
+    }
+
+    /// Whether the instance can be reached, and where its log stands.
+    ///
+    /// # Errors
+    /// When this node cannot reach the instance either.
+    pub async fn open(&self) -> Opened {
+        let deadline = boot::now() + LEND_LIMIT;
+        match self.pool.lend(PRIORITY, &self.values, deadline).await {
+            Ok(_) | Err(pool::Shortage::Late) => Ok(Some(self.pool.applied())),
+            Err(pool::Shortage::Full) => Err(upstream::Refusal::Full),
+            Err(pool::Shortage::Down) if self.pool.is_closed() => Err(upstream::Refusal::Closed),
+            Err(pool::Shortage::Down) => Err(upstream::Refusal::Silent("out of reach".into())),
+        }
+    }
+
+    /// Runs commands as an instance would.
+    ///
+    /// # Errors
+    /// When the instance's answer is lost, or no connection was free.
+    pub async fn run(&mut self, commands: &[upstream::Command]) -> Answer {
+        let mut replies = Vec::with_capacity(commands.len());
+        for command in commands {
+            replies.push(self.one(command).await?);
+        }
+        Ok(replies)
+    }
+
+    async fn one(
+        &mut self,
+        command: &upstream::Command,
+    ) -> Result<reply::Reply, upstream::Failure> {
+        match command {
+            upstream::Command::Set { name, value } => {
+                self.values.insert(name.clone(), value.clone());
+            }
+            upstream::Command::Prepare { handle, shape } => {
+                self.prepared.insert(handle.clone(), shape.clone());
+            }
+            upstream::Command::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+            }
+            _ => return self.pass(command).await,
+        }
+        let inside = self.pinned.is_some();
+        let state = if inside {
+            reply::State::Open
+        } else {
+            reply::State::Idle
+        };
+        Ok(reply::Reply::done(state))
+    }
+
+    async fn pass(
+        &mut self,
+        command: &upstream::Command,
+    ) -> Result<reply::Reply, upstream::Failure> {
+        let inside = self.pinned.is_some();
+        let mut lent = match self.pinned.take() {
+            Some(lent) => lent,
+            None => match self.lend().await {
+                Ok(lent) => lent,
+                Err(failure) => return Err(failure),
+            },
+        };
+        let shape = match command {
+            upstream::Command::Execute { handle, .. } => {
+                self.prepared.get(handle).map(|shape| (handle, shape))
+            }
+            _ => None,
+        };
+        let mut commands = lent.prelude(&self.values, shape, inside);
+        commands.push(command.clone());
+        let mut replies = lent.run(&commands, boot::now() + RUN_LIMIT).await?;
+        let reply = replies.pop().ok_or_else(|| upstream::Failure {
+            sent: true,
+            detail: "no answer".into(),
+        })?;
+        if reply.code() == Some(&reply::Code::NoStatement) {
+            lent.forget();
+        }
+        if reply.state != reply::State::Idle {
+            self.pinned = Some(lent);
+        }
+        Ok(reply)
+    }
+
+    async fn lend(&self) -> Result<pool::Lent, upstream::Failure> {
+        let deadline = boot::now() + LEND_LIMIT;
+        let lent = self.pool.lend(PRIORITY, &self.values, deadline).await;
+        lent.map_err(|shortage| upstream::Failure {
+            sent: false,
+            detail: compact_str::format_compact!(
+                "the lending node has no connection: {shortage:?}"
+            ),
+        })
+    }
+}
+
+impl Drop for Lender {
+    // The far end is gone in the middle of a transaction: closing the connection rolls back.
+    fn drop(&mut self) {
+        if let Some(lent) = &mut self.pinned {
+            lent.discard();
+        }
+    }
+}
+
+/// A relayed connection within this process.
+pub struct Local(pub Lender);
+
+impl upstream::Connection for Local {
+    fn run<'a>(
+        &'a mut self,
+        commands: &'a [upstream::Command],
+    ) -> future::LocalBoxFuture<'a, Answer> {
+        self.0.run(commands).boxed_local()
+    }
+
+    fn alive(&mut self) -> bool {
+        true
+    }
+}
+
+/// A relayed connection through another node.
+struct Remote(TcpStream);
+
+impl upstream::Connection for Remote {
+    fn run<'a>(
+        &'a mut self,
+        commands: &'a [upstream::Command],
+    ) -> future::LocalBoxFuture<'a, Answer> {
+        async move {
+            let exchange = async {
+                send(&mut self.0, &commands).await?;
+                receive::<Answer>(&mut self.0).await
+            };
+            exchange.await.unwrap_or_else(|error| {
+                Err(upstream::Failure {
+                    sent: true,
+                    detail: compact_str::format_compact!("lending node lost: {error}"),
+                })
+            })
+        }
+        .boxed_local()
+    }
+
+    fn alive(&mut self) -> bool {
+        let mut byte = [0];
+        // Nothing may come unasked: bytes or an end of stream both make it useless.
+        poll::block_on(poll::poll_once(self.0.peek(&mut byte))).is_none()
+    }
+}
+
+/// Opens a connection to an instance through the node at `address`.
+///
+/// # Errors
+/// When the node is not there, or cannot reach the instance.
+pub async fn dial(
+    address: std::net::SocketAddr,
+    target: &upstream::Target,
+) -> Result<upstream::Dialled, upstream::Refusal> {
+    let opening = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        send(&mut stream, target).await?;
+        let opened = receive::<Opened>(&mut stream).await?;
+        io::Result::Ok((stream, opened))
+    };
+    let (stream, opened) = opening
+        .await
+        .map_err(|error| upstream::Refusal::Silent(compact_str::format_compact!("{error}")))?;
+    Ok((Box::new(Remote(stream)), opened?))
+}
+
+/// Lends connections to other nodes.
+pub struct Server {
+    find: Box<dyn Fn(&upstream::Target) -> rc::Rc<pool::Pool>>,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    busy: cell::Cell<usize>,
+}
+
+impl Server {
+    /// A server that lends from the pools that `find` gives.
+    #[must_use]
+    pub fn new(
+        find: impl Fn(&upstream::Target) -> rc::Rc<pool::Pool> + 'static,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    ) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            find: Box::new(find),
+            executor,
+            busy: cell::Cell::default(),
+        })
+    }
+
+    /// Relayed connections on which a statement runs now.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    /// Binds the address and serves for ever.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn serve(self: rc::Rc<Self>, address: std::net::SocketAddr) -> io::Result<()> {
+        /// Pause after a failed accept, which mostly means that descriptors ran out.
+        const PAUSE: time::Duration = time::Duration::from_millis(50);
+        let listener = async_net::TcpListener::bind(address).await?;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let server = rc::Rc::clone(&self);
+                    self.executor.spawn(server.talk(stream)).detach();
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "node not accepted");
+                    wait::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn talk(self: rc::Rc<Self>, mut stream: TcpStream) {
+        if let Err(error) = self.lend(&mut stream).await
+            && error.kind() != io::ErrorKind::UnexpectedEof
+        {
+            tracing::debug!(%error, "relayed connection ended");
+        }
+    }
+
+    async fn lend(&self, stream: &mut TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let target: upstream::Target = receive(stream).await?;
+        let mut lender = Lender::new((self.find)(&target));
+        let opened = lender.open().await;
+        send(stream, &opened).await?;
+        if opened.is_err() {
+            return Ok(());
+        }
+        loop {
+            let commands: Vec<upstream::Command> = receive(stream).await?;
+            self.busy.set(self.busy.get() + 1);
+            let answer = lender.run(&commands).await;
+            self.busy.set(self.busy.get() - 1);
+            send(stream, &answer).await?;
+        }
+    }
+}
+
+async fn send(stream: &mut TcpStream, value: &impl serde::Serialize) -> io::Result<()> {
+    let body = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
+    let mut message = Vec::with_capacity(body.len() + 4);
+    message.extend_from_slice(&length.to_le_bytes());
+    message.extend_from_slice(&body);
+    stream.write_all(&message).await
+}
+
+async fn receive<T: serde::de::DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > LONGEST {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    postcard::from_bytes(&body).map_err(io::Error::other)
+}
--- a/desk/src/reply.rs
+++ b/desk/src/reply.rs
@@ -4,7 +4,7 @@
 use mangotray::stamp;
 
 /// Why a statement failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Code {
     /// No capacity; not run.
     Busy,
@@ -57,7 +57,7 @@
 }
 
 /// How a statement ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum End {
     /// Done; the digest proves which instance did it, `-` where none was needed.
     Done(CompactString),
@@ -71,7 +71,7 @@
 }
 
 /// State of a session or connection between two statements.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum State {
     /// No transaction.
     Idle,
@@ -82,7 +82,7 @@
 }
 
 /// A whole answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Reply {
     /// The rows, unchanged.
     pub rows: Vec<CompactString>,
--- /dev/null
+++ b/desk/src/router.rs
@@ -0,0 +1,185 @@
+//! Reaches each instance directly or through another node.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use futures_util::FutureExt;
+use futures_util::future;
+use mangotray::id;
+
+use crate::boot;
+use crate::catalog;
+use crate::member;
+use crate::pool;
+use crate::relay;
+use crate::reply;
+use crate::serving;
+use crate::upstream;
+use crate::wait;
+
+/// Nodes that are asked for a connection before the instance is dialled directly.
+const ASKED: usize = 2;
+
+/// Longest wait for another node to lend a connection.
+const LIMIT: time::Duration = time::Duration::from_millis(350);
+
+/// A node that could not lend one, or is starting again, is not asked for this long.
+const PAUSE: time::Duration = time::Duration::from_millis(700);
+
+/// A node that did not answer at all is dark, or gone for good: it is not asked for this
+/// long, as each question costs its caller [`LIMIT`].
+const SILENT_PAUSE: time::Duration = time::Duration::from_secs(5);
+
+/// A dialer that knows the fleet.
+pub struct Router {
+    name: id::Vm,
+    direct: rc::Rc<dyn upstream::Dialer>,
+    members: cell::RefCell<Vec<member::Member>>,
+    connections: cell::RefCell<collections::BTreeMap<id::Group, usize>>,
+    pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
+    avoided: cell::RefCell<collections::BTreeMap<id::Vm, id::Time>>,
+}
+
+impl Router {
+    /// A router of the node `name` that knows no other node.
+    #[must_use]
+    pub fn new(name: id::Vm, direct: rc::Rc<dyn upstream::Dialer>) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            name,
+            direct,
+            members: cell::RefCell::default(),
+            connections: cell::RefCell::default(),
+            pools: cell::RefCell::default(),
+            avoided: cell::RefCell::default(),
+        })
+    }
+
+    /// Takes a new list of members.
+    pub fn meet(&self, members: Vec<member::Member>) {
+        if *self.members.borrow() != members {
+            tracing::info!(members = members.len(), "fleet changed");
+            self.members.replace(members);
+        }
+    }
+
+    /// Takes the limits of a new configuration.
+    pub fn apply(&self, catalog: &catalog::Catalog) {
+        let limits = catalog.services.iter();
+        let limits = limits.map(|service| (service.group.clone(), service.connections));
+        self.connections.replace(limits.collect());
+    }
+
+    /// This node's own connections to an instance, for itself and for those that it serves.
+    pub fn pool(&self, target: &upstream::Target) -> rc::Rc<pool::Pool> {
+        let most = match self.way(target) {
+            serving::Way::Direct => pool::MOST,
+            serving::Way::Through { each, .. } => each,
+        };
+        let mut pools = self.pools.borrow_mut();
+        let made = pools.entry(target.id.clone()).or_insert_with(|| {
+            let instance = catalog::Instance {
+                id: target.id.clone(),
+                group: target.group.clone(),
+                address: target.address,
+                domain: target.domain.clone(),
+                draining: false,
+                leads: false,
+            };
+            rc::Rc::new(pool::Pool::new(instance, rc::Rc::clone(&self.direct), most))
+        });
+        rc::Rc::clone(made)
+    }
+
+    /// Gives spare connections back and forgets instances that are gone.
+    pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
+        self.pools.borrow_mut().retain(|id, pool| {
+            pool.trim();
+            listed(id) || pool.load() > 0
+        });
+    }
+
+    fn way(&self, target: &upstream::Target) -> serving::Way {
+        let connections = self.connections.borrow().get(&target.group).copied();
+        serving::way(connections.unwrap_or_default(), self.members.borrow().len())
+    }
+
+    // The nodes to ask, in order; this node itself where it is one of the serving ones.
+    fn servers(&self, target: &upstream::Target) -> Vec<member::Member> {
+        let serving::Way::Through { nodes, .. } = self.way(target) else {
+            return Vec::new();
+        };
+        let now = boot::now();
+        let avoided = self.avoided.borrow();
+        let members = self.members.borrow();
+        let order = serving::order(&members, &target.id, &target.domain);
+        let well =
+            |member: &&&member::Member| avoided.get(&member.name).is_none_or(|until| *until < now);
+        let mut serving: Vec<_> = order
+            .iter()
+            .filter(well)
+            .take(nodes)
+            .copied()
+            .cloned()
+            .collect();
+        match serving.iter().position(|member| member.name == self.name) {
+            Some(own) => serving = vec![serving.swap_remove(own)],
+            None => fastrand::shuffle(&mut serving),
+        }
+        serving
+    }
+
+    async fn route(
+        &self,
+        target: &upstream::Target,
+    ) -> Result<upstream::Dialled, upstream::Refusal> {
+        let servers = self.servers(target);
+        if servers.is_empty() {
+            return self.direct.dial(target).await;
+        }
+        let mut refusal = upstream::Refusal::Silent("no node lends a connection".into());
+        for server in servers.into_iter().take(ASKED) {
+            if server.name == self.name {
+                let lender = relay::Lender::new(self.pool(target));
+                let stamp = lender.open().await?;
+                return Ok((Box::new(relay::Local(lender)), stamp));
+            }
+            let dialled = wait::within(LIMIT, relay::dial(server.address, target)).await;
+            let pause = if dialled.is_none() {
+                SILENT_PAUSE
+            } else {
+                PAUSE
+            };
+            match dialled {
+                Some(Ok(dialled)) => return Ok(dialled),
+                Some(Err(found)) => refusal = found,
+                None => {}
+            }
+            tracing::info!(node = %server.name, instance = %target.id, ?refusal, "node does not lend");
+            if !matches!(refusal, upstream::Refusal::Closed | upstream::Refusal::Full) {
+                self.avoided
+                    .borrow_mut()
+                    .insert(server.name, boot::now() + pause);
+            }
+        }
+        match refusal {
+            upstream::Refusal::Closed | upstream::Refusal::Full => Err(refusal),
+            // No serving node is there: better one connection too many than none.
+            _ => self.direct.dial(target).await,
+        }
+    }
+}
+
+impl upstream::Dialer for Router {
+    fn dial<'a>(
+        &'a self,
+        target: &'a upstream::Target,
+    ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
+        self.route(target).boxed_local()
+    }
+
+    fn status(&self, reply: &reply::Reply) -> Option<upstream::Status> {
+        self.direct.status(reply)
+    }
+}
--- /dev/null
+++ b/desk/src/serving.rs
@@ -0,0 +1,98 @@
+//! Which nodes hold the connections to an instance.
+//!
+//! Where an instance takes enough connections, every node has its own. Where the fleet is
+//! larger than that, a few nodes in the instance's failure domain hold them all and serve
+//! the others; a change of the fleet moves few instances.
+
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use mangotray::id;
+
+use crate::member;
+use crate::upstream;
+
+/// Part of an instance's connections that is used; the rest is for those of nodes that
+/// died, which an instance drops only after some seconds, and for the promoter.
+const USED_PERCENT: usize = 75;
+
+/// Connections for each node below which a node is better served by another: with fewer
+/// than one and a half, nodes refuse each other's second connection all the time.
+const ENOUGH_TENTHS: usize = 15;
+
+/// Connections that each serving node holds: enough for a transaction at rest beside three
+/// statements at work, few enough for several serving nodes.
+const EACH: usize = 6;
+
+/// How an instance is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Every node has its own connections.
+    Direct,
+    /// This many nodes hold this many connections each.
+    Through {
+        /// Serving nodes.
+        nodes: usize,
+        /// Connections of each.
+        each: usize,
+    },
+}
+
+/// How an instance that takes `connections` is reached from a fleet of `nodes`.
+///
+/// ```
+/// use mangotray_desk::serving;
+/// assert_eq!(serving::way(23, 8), serving::Way::Direct);
+/// assert_eq!(serving::way(34, 71), serving::Way::Through { nodes: 4, each: 6 });
+/// ```
+#[must_use]
+pub const fn way(connections: usize, nodes: usize) -> Way {
+    let used = connections * USED_PERCENT / 100;
+    if connections == 0 || used * 10 >= nodes * ENOUGH_TENTHS {
+        return Way::Direct;
+    }
+    let serving = used / EACH;
+    if serving == 0 {
+        return Way::Through {
+            nodes: 1,
+            each: if used == 0 { 1 } else { used },
+        };
+    }
+    Way::Through {
+        nodes: serving,
+        each: EACH,
+    }
+}
+
+/// The members in the order in which they serve an instance: those of its failure domain
+/// first, and among them an order that depends on both names.
+///
+/// ```
+/// use mangotray_desk::{member, serving};
+/// let member = |name: &str, domain: &str| member::Member {
+///     name: name.into(),
+///     domain: domain.into(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+/// };
+/// let members = [member("a", "far"), member("b", "near")];
+/// let order = serving::order(&members, &"i-1".into(), &"near".into());
+/// assert_eq!(order[0].name, "b");
+/// ```
+#[must_use]
+pub fn order<'a>(
+    members: &'a [member::Member],
+    instance: &upstream::Id,
+    domain: &id::Domain,
+) -> Vec<&'a member::Member> {
+    let mut order: Vec<_> = members.iter().collect();
+    order.sort_by_cached_key(|member| (member.domain != *domain, rank(member, instance)));
+    order
+}
+
+fn rank(member: &member::Member, instance: &upstream::Id) -> u64 {
+    // Keys are fixed, so that all nodes compute the same order.
+    let mut hasher = hash::DefaultHasher::new();
+    (member.name.as_str(), instance.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -18,6 +18,8 @@
     pub callers: net::SocketAddr,
     /// Address for readiness and metrics.
     pub health: net::SocketAddr,
+    /// Address for the other nodes.
+    pub peers: net::SocketAddr,
     /// Address of the platform's store.
     pub store: net::SocketAddr,
     /// Shortest lease that the store grants.
@@ -53,7 +55,7 @@
     /// ```
     /// use mangotray_desk::settings;
     /// let text = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:1\n\
-    ///     health = 127.0.0.1:2\n[store]\naddress = 127.0.0.1:3\nlease_least_ms = 1000\n\
+    ///     health = 127.0.0.1:2\npeers = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:3\nlease_least_ms = 1000\n\
     ///     [duty]\naddress =\n[stop]\ngrace_s = 6\n[limits]\ndescriptors = 4200\n";
     /// assert_eq!(settings::Settings::parse(text).unwrap().duty, None);
     /// assert!(settings::Settings::parse("[vm]\n").is_err());
@@ -67,6 +69,7 @@
             domain: text_of(&file, "vm", "domain")?.into(),
             callers: value(&file, "listen", "callers")?,
             health: value(&file, "listen", "health")?,
+            peers: value(&file, "listen", "peers")?,
             store: value(&file, "store", "address")?,
             lease_least: time::Duration::from_millis(value(&file, "store", "lease_least_ms")?),
             duty: match duty {
--- a/desk/src/statement.rs
+++ b/desk/src/statement.rs
@@ -9,7 +9,9 @@
 pub type Name = CompactString;
 
 /// Whether a prepared statement reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub enum Access {
     /// Reads one item.
     Read,
@@ -18,7 +20,9 @@
 }
 
 /// What a prepared statement does, whatever its caller named it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub struct Shape {
     /// Whether it reads or writes.
     pub access: Access,
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -15,7 +15,7 @@
 pub type Id = CompactString;
 
 /// Where and whom to call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Target {
     /// Address of the instance.
     pub address: net::SocketAddr,
@@ -23,10 +23,12 @@
     pub group: id::Group,
     /// Its id, so that a newcomer at a used address refuses the connection.
     pub id: Id,
+    /// Its failure domain.
+    pub domain: id::Domain,
 }
 
 /// One command to an instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// A caller's statement, unchanged, optionally only at or after a position.
     Run {
@@ -97,7 +99,7 @@
 }
 
 /// Why an exchange gave no whole answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Failure {
     /// Some byte of the commands may have arrived.
     pub sent: bool,
@@ -106,7 +108,7 @@
 }
 
 /// Why no connection came about.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Refusal {
     /// All connections of the instance are taken.
     Full,
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -18,6 +18,7 @@
 use mangotray_desk::catalog;
 use mangotray_desk::node;
 use mangotray_desk::reply;
+use mangotray_desk::router;
 use mangotray_desk::session;
 use mangotray_desk::statement;
 use mangotray_desk::upstream;
@@ -390,7 +391,8 @@
         let world = world();
         let executor = rc::Rc::new(async_executor::LocalExecutor::new());
         let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&world)));
-        let node = node::Node::new("vm".into(), "here".into(), dialer, rc::Rc::clone(&executor));
+        let router = router::Router::new("vm".into(), dialer);
+        let node = node::Node::new("vm".into(), "here".into(), router, rc::Rc::clone(&executor));
         node.apply(catalog());
         node.update(world.borrow().list(), boot::now());
         Self {
