--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -162,6 +162,7 @@
         let pool = rc::Rc::new(pool::Pool::new(
             instance,
             rc::Rc::clone(&self.dialer),
+            rc::Rc::clone(&self.executor),
             pool::MOST,
         ));
         pools.insert(id, pool);
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -34,6 +34,10 @@
 /// requests fail over at once in place of waiting for a dead address one after the other.
 const DOWN_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Connections that one node opens to one instance at the same time: each takes one of its
+/// three slots for 12 ms.
+const DIALS: usize = 2;
+
 /// Longest wait for a new connection; one takes 12 ms and its slot on a calm day.
 const DIAL_LIMIT: time::Duration = time::Duration::from_millis(700);
 
@@ -73,6 +77,8 @@
     pub instance: cell::RefCell<catalog::Instance>,
     most: usize,
     dialer: rc::Rc<dyn upstream::Dialer>,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    dialling: cell::Cell<usize>,
     idle: cell::RefCell<Vec<Kept>>,
     open: cell::Cell<usize>,
     waiting: cell::RefCell<Vec<Waiter>>,
@@ -99,12 +105,15 @@
     pub fn new(
         instance: catalog::Instance,
         dialer: rc::Rc<dyn upstream::Dialer>,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
         most: usize,
     ) -> Self {
         Self {
             instance: cell::RefCell::new(instance),
             most,
             dialer,
+            executor,
+            dialling: cell::Cell::default(),
             idle: cell::RefCell::default(),
             open: cell::Cell::default(),
             waiting: cell::RefCell::default(),
@@ -128,7 +137,8 @@
     /// Connections on loan and requests that wait for one.
     #[must_use]
     pub fn load(&self) -> usize {
-        let lent = self.open.get().saturating_sub(self.idle.borrow().len());
+        let busy = self.idle.borrow().len() + self.dialling.get();
+        let lent = self.open.get().saturating_sub(busy);
         lent + self.waiting.borrow().len()
     }
 
@@ -191,16 +201,10 @@
             if now < self.down.get() {
                 return Err(Shortage::Down);
             }
-            if self.open.get() < self.most && now >= self.blocked.get() {
-                match self.dial(deadline).await {
-                    Ok(lent) => return Ok(lent),
-                    Err(Shortage::Full) if self.open.get() > 0 => {}
-                    Err(shortage) => return Err(shortage),
-                }
-            }
-            if self.open.get() == 0 {
+            if self.open.get() == 0 && now < self.blocked.get() {
                 return Err(Shortage::Full);
             }
+            self.grow();
             self.wait(priority, deadline).await?;
         }
     }
@@ -215,6 +219,13 @@
         }
     }
 
+    /// Notes that the instance left a request without an answer: its other connections
+    /// are as silent, and each would cost a caller as long to find out.
+    pub fn suspect(&self) {
+        self.down.set(boot::now() + DOWN_PAUSE);
+        self.clear();
+    }
+
     /// Forgets all idle connections, as after the instance was lost.
     pub fn clear(&self) {
         let count = self.idle.borrow_mut().drain(..).count();
@@ -242,44 +253,65 @@
         }
     }
 
-    async fn dial(self: &rc::Rc<Self>, deadline: id::Time) -> Result<Lent, Shortage> {
+    // Opens one more connection in the background, if one is missing.
+    //
+    // Whoever waits may give up before it is there. Were the dial given up as well, the
+    // instance would have spent its time for nothing, and the next request would begin
+    // anew: after a restart of many nodes, most of what an overloaded instance does would
+    // then be greetings that nobody awaits.
+    fn grow(self: &rc::Rc<Self>) {
+        let wanted = self.waiting.borrow().len() + 1;
+        let enough = self.dialling.get() >= wanted.min(DIALS);
+        if enough || self.open.get() >= self.most || boot::now() < self.blocked.get() {
+            return;
+        }
+        let place = Place::new(rc::Rc::clone(self));
+        let pool = rc::Rc::clone(self);
+        self.executor
+            .spawn(async move { pool.dial(place).await })
+            .detach();
+    }
+
+    async fn dial(self: rc::Rc<Self>, place: Place) {
         let started = boot::now();
-        let limit = DIAL_LIMIT.min(deadline.saturating_sub(started));
-        // Counted before the first wait, so that two requests never open one too many.
-        let place = Place::new(self);
         let target = self.target();
-        let result = wait::within(limit, self.dialer.dial(&target)).await;
+        let result = wait::within(DIAL_LIMIT, self.dialer.dial(&target)).await;
         let refusal = match result {
             Some(Ok((link, stamp))) => {
+                self.opened(link, stamp);
                 place.keep();
-                self.closed.set(false);
-                metrics::counter!("mangotray_upstream_dials_total", "result" => "open")
-                    .increment(1);
-                self.answered.set(boot::now());
-                if let Some(stamp) = stamp {
-                    self.applied.set(self.applied.get().max(stamp));
-                }
-                return Ok(self.loan(Kept {
-                    link,
-                    values: Values::new(),
-                    handles: collections::BTreeSet::new(),
-                    used: boot::now(),
-                }));
+                self.wake();
+                return;
             }
             Some(Err(refusal)) => refusal,
             None => upstream::Refusal::Silent("no connection in time".into()),
         };
-        drop(place);
         metrics::counter!("mangotray_upstream_dials_total", "result" => "refused").increment(1);
         tracing::info!(instance = %target.id, ?refusal, waited = ?(boot::now() - started),
             "upstream refused a connection");
         if refusal == upstream::Refusal::Full {
             self.blocked.set(boot::now() + FULL_PAUSE);
-            return Err(Shortage::Full);
+        } else {
+            self.closed.set(refusal == upstream::Refusal::Closed);
+            self.down.set(boot::now() + DOWN_PAUSE);
         }
-        self.closed.set(refusal == upstream::Refusal::Closed);
-        self.down.set(boot::now() + DOWN_PAUSE);
-        Err(Shortage::Down)
+        drop(place);
+        self.wake_all();
+    }
+
+    fn opened(&self, link: Box<dyn upstream::Connection>, stamp: Option<stamp::Stamp>) {
+        metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
+        self.closed.set(false);
+        self.answered.set(boot::now());
+        if let Some(stamp) = stamp {
+            self.applied.set(self.applied.get().max(stamp));
+        }
+        self.idle.borrow_mut().push(Kept {
+            link,
+            values: Values::new(),
+            handles: collections::BTreeSet::new(),
+            used: boot::now(),
+        });
     }
 
     async fn wait(&self, priority: u8, deadline: id::Time) -> Result<(), Shortage> {
@@ -318,6 +350,13 @@
         }
     }
 
+    fn wake_all(&self) {
+        for waiter in self.waiting.take() {
+            // The receiver is gone only when its request was dropped; nobody is owed then.
+            let _ = waiter.wake.try_send(());
+        }
+    }
+
     fn target(&self) -> upstream::Target {
         let instance = self.instance.borrow();
         upstream::Target {
@@ -340,25 +379,27 @@
     }
 }
 
-/// A counted place for one connection, freed unless it is kept.
-struct Place<'a>(Option<&'a Pool>);
+/// A counted place for one connection that is being opened, freed unless it is kept.
+struct Place(rc::Rc<Pool>, bool);
 
-impl<'a> Place<'a> {
-    fn new(pool: &'a Pool) -> Self {
+impl Place {
+    fn new(pool: rc::Rc<Pool>) -> Self {
         pool.open.set(pool.open.get() + 1);
-        Self(Some(pool))
+        pool.dialling.set(pool.dialling.get() + 1);
+        Self(pool, false)
     }
 
     fn keep(mut self) {
-        self.0 = None;
+        self.1 = true;
     }
 }
 
-impl Drop for Place<'_> {
+impl Drop for Place {
     fn drop(&mut self) {
-        if let Some(pool) = self.0 {
+        let pool = &self.0;
+        pool.dialling.set(pool.dialling.get() - 1);
+        if !self.1 {
             pool.open.set(pool.open.get() - 1);
-            pool.wake();
         }
     }
 }
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -36,6 +36,7 @@
 pub struct Router {
     name: id::Vm,
     direct: rc::Rc<dyn upstream::Dialer>,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     members: cell::RefCell<Vec<member::Member>>,
     connections: cell::RefCell<collections::BTreeMap<id::Group, usize>>,
     pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
@@ -45,10 +46,15 @@
 impl Router {
     /// A router of the node `name` that knows no other node.
     #[must_use]
-    pub fn new(name: id::Vm, direct: rc::Rc<dyn upstream::Dialer>) -> rc::Rc<Self> {
+    pub fn new(
+        name: id::Vm,
+        direct: rc::Rc<dyn upstream::Dialer>,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    ) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             name,
             direct,
+            executor,
             members: cell::RefCell::default(),
             connections: cell::RefCell::default(),
             pools: cell::RefCell::default(),
@@ -87,7 +93,9 @@
                 draining: false,
                 leads: false,
             };
-            rc::Rc::new(pool::Pool::new(instance, rc::Rc::clone(&self.direct), most))
+            let dialer = rc::Rc::clone(&self.direct);
+            let executor = rc::Rc::clone(&self.executor);
+            rc::Rc::new(pool::Pool::new(instance, dialer, executor, most))
         });
         rc::Rc::clone(made)
     }
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -13,8 +13,9 @@
 use crate::upstream;
 use crate::wait;
 
-/// Longest wait for one look: twice the 41 ms that 99 of 100 looks take under load.
-pub const LOOK_LIMIT: time::Duration = time::Duration::from_millis(90);
+/// Longest wait for one look: four times the 41 ms that 99 of 100 looks take under load. A
+/// shorter one is repeated while the first is still at work, and doubles the load.
+pub const LOOK_LIMIT: time::Duration = time::Duration::from_millis(160);
 
 /// Priority of a look in a pool's queue: before all callers, as one look serves many.
 const PRIORITY: u8 = 0;
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -27,9 +27,16 @@
 /// Pause before a statement that was refused as not run is offered again.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(15);
 
-/// Instances that one read is offered to at most.
+/// Instances that one read-only transaction is offered to before any is offered it again.
 const ATTEMPTS: usize = 4;
 
+/// Longest wait of a read for a connection to one instance; then another is asked.
+const LEND_LIMIT: time::Duration = time::Duration::from_millis(120);
+
+/// Part of a read's timeout that one instance gets; the rest is for another, where this
+/// one has gone silent. Above the longest work (220 ms) and a full queue (160 ms).
+const ATTEMPT_PERCENT: u32 = 50;
+
 /// Time for a transaction's rollback in the background.
 const ROLLBACK_LIMIT: time::Duration = time::Duration::from_millis(500);
 
@@ -279,43 +286,66 @@
         let need = self.need(route, arrived, arrived);
         let mut tried = Vec::new();
         let mut code = reply::Code::Busy;
-        while tried.len() < ATTEMPTS {
+        loop {
             let Some(source) = group.source(&need, &tried).await else {
+                // All were tried, or none is fresh enough: again from the start, if the
+                // reason may pass while the caller still waits.
+                if code == reply::Code::Busy
+                    && !tried.is_empty()
+                    && pause_before(need.deadline).await
+                {
+                    tried.clear();
+                    continue;
+                }
                 break;
             };
             tried.push(source.pool.id());
-            let wait = need.deadline.max(boot::now() + RETRY_PAUSE);
-            let Ok(mut lent) = source.pool.lend(route.priority, &self.values, wait).await else {
-                continue;
-            };
-            let commands = work.commands(&mut lent, &self.values, source.after, false);
-            let sent = boot::now();
-            let Ok(mut replies) = lent.run(&commands, deadline).await else {
-                self.lost(&group, &source);
-                code = reply::Code::Aborted;
-                continue;
-            };
-            let Some(reply) = replies.pop() else { continue };
-            if let Some(term) = source.leads {
-                group.saw_position(term, sent, reply.position);
-            }
-            match reply.code() {
-                None => {
-                    count_read(source.leads.is_some());
-                    return Outcome::Answered(reply);
-                }
-                Some(reply::Code::Behind) => source.pool.note_behind(),
-                Some(reply::Code::NoStatement) => lent.forget(),
-                Some(found) => {
-                    code = found.clone();
-                    metrics::counter!("mangotray_read_retries_total").increment(1);
-                }
+            match self.read_at(work, route, &group, &source, deadline).await {
+                Ok(reply) => return Outcome::Answered(reply),
+                Err(Some(found)) => code = found,
+                Err(None) => {}
             }
         }
         // A read leaves nothing behind, so that refusing it is true wherever it ran.
         Outcome::Refused(refusal(code), "no instance could serve this read".into())
     }
 
+    /// One attempt of a read; the error tells why another instance may do better.
+    async fn read_at(
+        &self,
+        work: &Work,
+        route: &catalog::Route,
+        group: &rc::Rc<group::Group>,
+        source: &group::Source,
+        deadline: id::Time,
+    ) -> Result<reply::Reply, Option<reply::Code>> {
+        let wait = deadline.min(boot::now() + LEND_LIMIT);
+        let lent = source.pool.lend(route.priority, &self.values, wait).await;
+        let mut lent = lent.map_err(|_| Some(reply::Code::Busy))?;
+        let commands = work.commands(&mut lent, &self.values, source.after, false);
+        let sent = boot::now();
+        let limit = deadline.min(sent + route.timeout * ATTEMPT_PERCENT / 100);
+        let Ok(mut replies) = lent.run(&commands, limit).await else {
+            self.lost(group, source);
+            return Err(Some(reply::Code::Aborted));
+        };
+        let reply = replies.pop().ok_or(None)?;
+        if let Some(term) = source.leads {
+            group.saw_position(term, sent, reply.position);
+        }
+        let Some(code) = reply.code() else {
+            count_read(source.leads.is_some());
+            return Ok(reply);
+        };
+        metrics::counter!("mangotray_read_retries_total").increment(1);
+        match code {
+            reply::Code::Behind => source.pool.note_behind(),
+            reply::Code::NoStatement => lent.forget(),
+            code => return Err(Some(code.clone())),
+        }
+        Err(None)
+    }
+
     async fn write(
         &mut self,
         work: &Work,
@@ -399,6 +429,7 @@
     fn lost(&self, group: &rc::Rc<group::Group>, source: &group::Source) {
         tracing::info!(group = %group.name, instance = %source.pool.id(),
             "an answer to a read was lost");
+        source.pool.suspect();
         if let Some(term) = source.leads {
             group.doubt(term, "a read was not answered");
         }
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -391,7 +391,7 @@
         let world = world();
         let executor = rc::Rc::new(async_executor::LocalExecutor::new());
         let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&world)));
-        let router = router::Router::new("vm".into(), dialer);
+        let router = router::Router::new("vm".into(), dialer, rc::Rc::clone(&executor));
         let node = node::Node::new("vm".into(), "here".into(), router, rc::Rc::clone(&executor));
         node.apply(catalog());
         node.update(world.borrow().list(), boot::now());
