Reach a silent instance through another node, and notice silence early

Cause: a node cut off from an instance sent request after request into the cut, each until its timeout; its callers had no way round although other nodes reach the instance. Change: an instance that answers nothing for 330 ms while a request waits is suspected; one that does not greet within 180 ms is also dialled through three other nodes.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -38,6 +38,10 @@
 /// three slots for 12 ms.
 const DIALS: usize = 2;
 
+/// An instance that has answered nothing for this long while a request waits is suspected.
+/// Above its longest work (220 ms) and most of a full queue (160 ms).
+const SILENCE: time::Duration = time::Duration::from_millis(330);
+
 /// Longest wait for a new connection; one takes 12 ms and its slot on a calm day.
 const DIAL_LIMIT: time::Duration = time::Duration::from_millis(700);
 
@@ -219,6 +223,16 @@
         }
     }
 
+    // The request goes on waiting, but no other one is sent after it until the instance
+    // has answered a new connection.
+    fn doubt(&self, sent: id::Time) {
+        if self.answered.get() < sent {
+            tracing::info!(instance = %self.id(), "instance is silent");
+            metrics::counter!("mangotray_upstream_silences_total").increment(1);
+            self.suspect();
+        }
+    }
+
     /// Notes that the instance left a request without an answer: its other connections
     /// are as silent, and each would cost a caller as long to find out.
     pub fn suspect(&self) {
@@ -469,7 +483,13 @@
         // Broken until proven whole: a request that is dropped half way leaves an answer
         // on the connection that the next one would take for its own.
         self.broken = true;
-        let result = wait::until(deadline, kept.link.run(commands)).await;
+        let silence = time::Duration::min(SILENCE, deadline.saturating_sub(sent));
+        let mut exchange = kept.link.run(commands);
+        let mut result = wait::within(silence, &mut exchange).await;
+        if result.is_none() {
+            self.pool.doubt(sent);
+            result = wait::until(deadline, exchange).await;
+        }
         let replies = result.unwrap_or_else(|| {
             Err(upstream::Failure {
                 sent: true,
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -17,6 +17,7 @@
 use futures_lite::future as poll;
 use futures_util::FutureExt;
 use futures_util::future;
+use mangotray::id;
 use mangotray::stamp;
 
 use crate::boot;
@@ -72,10 +73,14 @@
     pub async fn open(&self) -> Opened {
         let deadline = boot::now() + LEND_LIMIT;
         match self.pool.lend(PRIORITY, &self.values, deadline).await {
-            Ok(_) | Err(pool::Shortage::Late) => Ok(Some(self.pool.applied())),
+            Ok(_) => Ok(Some(self.pool.applied())),
+            // All connections are busy; the instance is well if it answers on them.
+            Err(pool::Shortage::Late) if self.pool.answered() + LEND_LIMIT > boot::now() => {
+                Ok(Some(self.pool.applied()))
+            }
             Err(pool::Shortage::Full) => Err(upstream::Refusal::Full),
-            Err(pool::Shortage::Down) if self.pool.is_closed() => Err(upstream::Refusal::Closed),
-            Err(pool::Shortage::Down) => Err(upstream::Refusal::Silent("out of reach".into())),
+            Err(_) if self.pool.is_closed() => Err(upstream::Refusal::Closed),
+            Err(_) => Err(upstream::Refusal::Silent("out of reach".into())),
         }
     }
 
@@ -188,8 +193,11 @@
     }
 }
 
-/// A relayed connection through another node.
-struct Remote(TcpStream);
+/// A relayed connection through another node, of use until a time if one is set.
+struct Remote {
+    stream: TcpStream,
+    until: Option<id::Time>,
+}
 
 impl upstream::Connection for Remote {
     fn run<'a>(
@@ -198,8 +206,8 @@
     ) -> future::LocalBoxFuture<'a, Answer> {
         async move {
             let exchange = async {
-                send(&mut self.0, &commands).await?;
-                receive::<Answer>(&mut self.0).await
+                send(&mut self.stream, &commands).await?;
+                receive::<Answer>(&mut self.stream).await
             };
             exchange.await.unwrap_or_else(|error| {
                 Err(upstream::Failure {
@@ -213,18 +221,20 @@
 
     fn alive(&mut self) -> bool {
         let mut byte = [0];
+        let fresh = self.until.is_none_or(|until| boot::now() < until);
         // Nothing may come unasked: bytes or an end of stream both make it useless.
-        poll::block_on(poll::poll_once(self.0.peek(&mut byte))).is_none()
+        fresh && poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none()
     }
 }
 
-/// Opens a connection to an instance through the node at `address`.
+/// Opens a connection to an instance through the node at `address`, of use for `lifetime`.
 ///
 /// # Errors
 /// When the node is not there, or cannot reach the instance.
 pub async fn dial(
     address: std::net::SocketAddr,
     target: &upstream::Target,
+    lifetime: Option<time::Duration>,
 ) -> Result<upstream::Dialled, upstream::Refusal> {
     let opening = async {
         let mut stream = TcpStream::connect(address).await?;
@@ -236,7 +246,8 @@
     let (stream, opened) = opening
         .await
         .map_err(|error| upstream::Refusal::Silent(compact_str::format_compact!("{error}")))?;
-    Ok((Box::new(Remote(stream)), opened?))
+    let until = lifetime.map(|lifetime| boot::now() + lifetime);
+    Ok((Box::new(Remote { stream, until }), opened?))
 }
 
 /// Lends connections to other nodes.
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -32,6 +32,21 @@
 /// long, as each question costs its caller [`LIMIT`].
 const SILENT_PAUSE: time::Duration = time::Duration::from_secs(5);
 
+/// An instance that has not greeted after this long is also tried through other nodes. A
+/// greeting takes 12 ms, and up to 160 ms where it waits for a slot.
+const PATIENCE: time::Duration = time::Duration::from_millis(180);
+
+/// Nodes that are tried at once when an instance is silent: where half of the nodes are cut
+/// off from it, one of three reaches it seven times in eight.
+const DETOURS: usize = 3;
+
+/// An instance that was silent is tried through other nodes at once for this long.
+const DARK: time::Duration = time::Duration::from_secs(2);
+
+/// A connection through another node is given up after this long, in favour of one of
+/// this node's own if the link is well again.
+const DETOUR_LIFE: time::Duration = time::Duration::from_secs(3);
+
 /// A dialer that knows the fleet.
 pub struct Router {
     name: id::Vm,
@@ -41,6 +56,7 @@
     connections: cell::RefCell<collections::BTreeMap<id::Group, usize>>,
     pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
     avoided: cell::RefCell<collections::BTreeMap<id::Vm, id::Time>>,
+    dark: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
 }
 
 impl Router {
@@ -59,6 +75,7 @@
             connections: cell::RefCell::default(),
             pools: cell::RefCell::default(),
             avoided: cell::RefCell::default(),
+            dark: cell::RefCell::default(),
         })
     }
 
@@ -106,6 +123,8 @@
             pool.trim();
             listed(id) || pool.load() > 0
         });
+        let now = boot::now();
+        self.dark.borrow_mut().retain(|_, until| now < *until);
     }
 
     fn way(&self, target: &upstream::Target) -> serving::Way {
@@ -138,13 +157,10 @@
         serving
     }
 
-    async fn route(
-        &self,
-        target: &upstream::Target,
-    ) -> Result<upstream::Dialled, upstream::Refusal> {
+    async fn route(&self, target: &upstream::Target) -> Dialled {
         let servers = self.servers(target);
         if servers.is_empty() {
-            return self.direct.dial(target).await;
+            return self.straight(target).await;
         }
         let mut refusal = upstream::Refusal::Silent("no node lends a connection".into());
         for server in servers.into_iter().take(ASKED) {
@@ -153,32 +169,107 @@
                 let stamp = lender.open().await?;
                 return Ok((Box::new(relay::Local(lender)), stamp));
             }
-            let dialled = wait::within(LIMIT, relay::dial(server.address, target)).await;
-            let pause = if dialled.is_none() {
-                SILENT_PAUSE
-            } else {
-                PAUSE
-            };
-            match dialled {
-                Some(Ok(dialled)) => return Ok(dialled),
-                Some(Err(found)) => refusal = found,
-                None => {}
-            }
-            tracing::info!(node = %server.name, instance = %target.id, ?refusal, "node does not lend");
-            if !matches!(refusal, upstream::Refusal::Closed | upstream::Refusal::Full) {
-                self.avoided
-                    .borrow_mut()
-                    .insert(server.name, boot::now() + pause);
+            match self.ask(&server, target, None).await {
+                Ok(dialled) => return Ok(dialled),
+                Err(found) => refusal = found,
             }
         }
         match refusal {
             upstream::Refusal::Closed | upstream::Refusal::Full => Err(refusal),
             // No serving node is there: better one connection too many than none.
-            _ => self.direct.dial(target).await,
+            _ => self.straight(target).await,
+        }
+    }
+
+    async fn ask(
+        &self,
+        server: &member::Member,
+        target: &upstream::Target,
+        lifetime: Option<time::Duration>,
+    ) -> Dialled {
+        let dialled = wait::within(LIMIT, relay::dial(server.address, target, lifetime)).await;
+        let pause = if dialled.is_none() {
+            SILENT_PAUSE
+        } else {
+            PAUSE
+        };
+        let refusal = match dialled {
+            Some(Ok(dialled)) => return Ok(dialled),
+            Some(Err(refusal)) => refusal,
+            None => upstream::Refusal::Silent("the node does not answer".into()),
+        };
+        tracing::info!(node = %server.name, instance = %target.id, ?refusal, "node does not lend");
+        let elsewhere = matches!(refusal, upstream::Refusal::Silent(_));
+        if elsewhere && lifetime.is_none() {
+            let until = boot::now() + pause;
+            self.avoided.borrow_mut().insert(server.name.clone(), until);
+        }
+        Err(refusal)
+    }
+
+    /// Dials the instance itself, and goes through another node when it stays silent.
+    ///
+    /// A link between this node and an instance can be cut while both are well. The
+    /// instance is not lost then, and no reason to replace a primary; but all callers of
+    /// this node would wait for it in vain.
+    async fn straight(&self, target: &upstream::Target) -> Dialled {
+        let dark = self.is_dark(&target.id);
+        let patience = if dark { time::Duration::ZERO } else { PATIENCE };
+        let mut direct = self.direct.dial(target);
+        if let Some(dialled) = wait::within(patience, &mut direct).await {
+            self.mark(target, &dialled);
+            return dialled;
+        }
+        if let Some(dialled) = self.detour(target).await {
+            let until = boot::now() + DARK;
+            self.dark.borrow_mut().insert(target.id.clone(), until);
+            return Ok(dialled);
+        }
+        let dialled = direct.await;
+        self.mark(target, &dialled);
+        dialled
+    }
+
+    async fn detour(&self, target: &upstream::Target) -> Option<upstream::Dialled> {
+        let now = boot::now();
+        let avoided = self.avoided.borrow().clone();
+        let mut others = self.members.borrow().clone();
+        others.retain(|member| {
+            let well = avoided.get(&member.name).is_none_or(|until| *until < now);
+            well && member.name != self.name
+        });
+        fastrand::shuffle(&mut others);
+        others.truncate(DETOURS);
+        let asked = others
+            .iter()
+            .map(|other| self.ask(other, target, Some(DETOUR_LIFE)).boxed_local());
+        let asked: Vec<_> = asked.collect();
+        if asked.is_empty() {
+            return None;
+        }
+        let (dialled, _) = future::select_ok(asked).await.ok()?;
+        tracing::info!(instance = %target.id, "instance reached through another node");
+        Some(dialled)
+    }
+
+    fn is_dark(&self, id: &upstream::Id) -> bool {
+        let dark = self.dark.borrow();
+        dark.get(id).is_some_and(|until| boot::now() < *until)
+    }
+
+    fn mark(&self, target: &upstream::Target, dialled: &Dialled) {
+        let mut dark = self.dark.borrow_mut();
+        if matches!(dialled, Err(upstream::Refusal::Silent(_))) {
+            dark.insert(target.id.clone(), boot::now() + DARK);
+        } else {
+            dark.remove(&target.id);
         }
     }
 }
 
+/// A connection to an instance, or why there is none.
+type Dialled = Result<upstream::Dialled, upstream::Refusal>;
+
 impl upstream::Dialer for Router {
     fn dial<'a>(
         &'a self,
