Let five nodes hold an instance's connections wherever a restart would exhaust them

Cause: after a loss of power the old connections of 87 nodes lingered beside the new ones and filled instances of 185 connections for three seconds. Change: fewer than two connections a node leads through serving nodes, five at most with twelve each; relayed connections are suspected later, as the wait for one counts in.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -38,10 +38,6 @@
 /// three slots for 12 ms.
 const DIALS: usize = 2;
 
-/// An instance that has answered nothing for this long while a request waits is suspected.
-/// Above its longest work (220 ms) and most of a full queue (160 ms).
-const SILENCE: time::Duration = time::Duration::from_millis(330);
-
 /// Longest wait for a new connection; one takes 12 ms and its slot on a calm day.
 const DIAL_LIMIT: time::Duration = time::Duration::from_millis(700);
 
@@ -483,7 +479,7 @@
         // Broken until proven whole: a request that is dropped half way leaves an answer
         // on the connection that the next one would take for its own.
         self.broken = true;
-        let silence = time::Duration::min(SILENCE, deadline.saturating_sub(sent));
+        let silence = time::Duration::min(kept.link.silence(), deadline.saturating_sub(sent));
         let mut exchange = kept.link.run(commands);
         let mut result = wait::within(silence, &mut exchange).await;
         if result.is_none() {
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -34,6 +34,10 @@
 /// while its caller still has time to go elsewhere.
 const LEND_LIMIT: time::Duration = time::Duration::from_millis(250);
 
+/// A relayed connection is suspected after this long without an answer: the wait for a
+/// connection comes on top of what an instance itself may take.
+const SILENCE: time::Duration = time::Duration::from_millis(650);
+
 /// Longest time of one exchange with the instance; callers give up before.
 const RUN_LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -191,6 +195,10 @@
     fn alive(&mut self) -> bool {
         true
     }
+
+    fn silence(&self) -> time::Duration {
+        SILENCE
+    }
 }
 
 /// A relayed connection through another node, of use until a time if one is set.
@@ -225,6 +233,10 @@
         // Nothing may come unasked: bytes or an end of stream both make it useless.
         fresh && poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none()
     }
+
+    fn silence(&self) -> time::Duration {
+        SILENCE
+    }
 }
 
 /// Opens a connection to an instance through the node at `address`, of use for `lifetime`.
--- a/desk/src/serving.rs
+++ b/desk/src/serving.rs
@@ -17,13 +17,22 @@
 /// died, which an instance drops only after some seconds, and for the promoter.
 const USED_PERCENT: usize = 75;
 
-/// Connections for each node below which a node is better served by another: with fewer
-/// than one and a half, nodes refuse each other's second connection all the time.
-const ENOUGH_TENTHS: usize = 15;
+/// Connections for each node below which a node is better served by another. After a loss
+/// of power an instance keeps the old connections for three seconds while every node opens
+/// a new one: with fewer than two for each, the fleet would lock itself out.
+const ENOUGH: usize = 2;
 
-/// Connections that each serving node holds: enough for a transaction at rest beside three
-/// statements at work, few enough for several serving nodes.
-const EACH: usize = 6;
+/// Connections that a serving node needs at least: for a transaction at rest beside three
+/// statements at work.
+const EACH_LEAST: usize = 6;
+
+/// Connections of a serving node where the instance takes many: more only lie idle, and
+/// linger after a loss.
+const EACH_MOST: usize = 12;
+
+/// Serving nodes where the instance takes many connections. One that is lost or paused
+/// takes a fifth of the instance's work with it for a moment.
+const NODES_MOST: usize = 5;
 
 /// How an instance is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,23 +54,28 @@
 /// use mangotray_desk::serving;
 /// assert_eq!(serving::way(23, 8), serving::Way::Direct);
 /// assert_eq!(serving::way(34, 71), serving::Way::Through { nodes: 4, each: 6 });
+/// assert_eq!(serving::way(185, 87), serving::Way::Through { nodes: 5, each: 12 });
 /// ```
 #[must_use]
 pub const fn way(connections: usize, nodes: usize) -> Way {
     let used = connections * USED_PERCENT / 100;
-    if connections == 0 || used * 10 >= nodes * ENOUGH_TENTHS {
+    if connections == 0 || used >= nodes * ENOUGH {
         return Way::Direct;
     }
-    let serving = used / EACH;
-    if serving == 0 {
-        return Way::Through {
-            nodes: 1,
-            each: if used == 0 { 1 } else { used },
-        };
-    }
+    let serving = within(used / EACH_LEAST, 1, NODES_MOST);
     Way::Through {
         nodes: serving,
-        each: EACH,
+        each: within(used / serving, 1, EACH_MOST),
+    }
+}
+
+const fn within(value: usize, least: usize, most: usize) -> usize {
+    if value < least {
+        least
+    } else if value > most {
+        most
+    } else {
+        value
     }
 }
 
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Border to the instances of a group.
 
 use std::net;
+use std::time;
 
 use compact_str::CompactString;
 use futures_util::future;
@@ -133,6 +134,9 @@
 
     /// Whether the far end is still there, as far as a look without waiting can tell.
     fn alive(&mut self) -> bool;
+
+    /// How long the instance may answer nothing before it is suspected.
+    fn silence(&self) -> time::Duration;
 }
 
 /// A fresh connection and where the instance's log stood.
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -196,6 +196,10 @@
         .boxed_local()
     }
 
+    fn silence(&self) -> time::Duration {
+        time::Duration::from_secs(1)
+    }
+
     fn alive(&mut self) -> bool {
         self.world
             .borrow()
