--- a/desk/src/enrol.rs
+++ b/desk/src/enrol.rs
@@ -15,6 +15,9 @@
 ///
 /// The entry outlives the process: a node that comes back finds it and writes nothing, so
 /// that a restart of the whole fleet costs the store no call.
+///
+/// # Panics
+/// Never: a member is plain text.
 pub async fn enrol(
     store: rc::Rc<dyn store::Store>,
     member: member::Member,
--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -33,7 +33,7 @@
     term: id::Term,
     led: Option<id::Time>,
     positions: collections::VecDeque<(id::Time, stamp::Stamp)>,
-    floors: collections::VecDeque<(id::Time, stamp::Stamp)>,
+    known: collections::VecDeque<(id::Time, stamp::Stamp)>,
 }
 
 impl Floors {
@@ -76,7 +76,7 @@
     /// The lowest floor that covers all commits acknowledged before `moment`.
     #[must_use]
     pub fn since(&self, moment: id::Time) -> Option<stamp::Stamp> {
-        let found = self.floors.iter().find(|(time, _)| *time >= moment);
+        let found = self.known.iter().find(|(time, _)| *time >= moment);
         found.map(|(_, stamp)| *stamp)
     }
 
@@ -91,7 +91,7 @@
     /// When the newest floor was true.
     #[must_use]
     pub fn newest(&self) -> Option<id::Time> {
-        self.floors.back().map(|(time, _)| *time)
+        self.known.back().map(|(time, _)| *time)
     }
 
     /// Last moment at which the primary was proven to lead.
@@ -112,17 +112,17 @@
 
     fn add(&mut self, time: id::Time, stamp: stamp::Stamp) {
         let crowded = self.crowded();
-        match self.floors.back_mut() {
+        match self.known.back_mut() {
             Some((last, _)) if time < *last => {}
             // The same moment: the lower position covers it as well.
             Some((last, kept)) if time == *last => *kept = (*kept).min(stamp),
             Some(last) if crowded => *last = (time, stamp),
-            _ => self.floors.push_back((time, stamp)),
+            _ => self.known.push_back((time, stamp)),
         }
     }
 
     fn crowded(&self) -> bool {
-        let mut newest = self.floors.iter().rev().map(|(time, _)| *time);
+        let mut newest = self.known.iter().rev().map(|(time, _)| *time);
         match (newest.next(), newest.next()) {
             (Some(last), Some(before)) => last < before + SPACING,
             _ => false,
@@ -131,7 +131,7 @@
 
     fn forget(&mut self, now: id::Time) {
         let oldest = now.saturating_sub(KEEP);
-        self.floors.retain(|(time, _)| *time >= oldest);
+        self.known.retain(|(time, _)| *time >= oldest);
         self.positions.retain(|(time, _)| *time >= oldest);
     }
 }
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -528,9 +528,10 @@
         floor: stamp::Stamp,
     ) -> Option<Source> {
         let lead = self.lead();
-        let led = self.floors.borrow().led().is_some_and(|led| led >= moment);
+        let proven = self.floors.borrow().led();
+        let recent = proven.is_some_and(|proven| proven >= moment);
         let own_term = need.own.map_or(0, |own| own.term);
-        let proven = lead.filter(|lead| led && lead.term >= own_term);
+        let proven = lead.filter(|lead| recent && lead.term >= own_term);
         let mut best: Option<(u64, Source)> = None;
         for pool in self.pools() {
             let id = pool.id();
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -297,7 +297,7 @@
             None => upstream::Refusal::Silent("no connection in time".into()),
         };
         metrics::counter!("mangotray_upstream_dials_total", "result" => "refused").increment(1);
-        tracing::info!(instance = %target.id, ?refusal, waited = ?(boot::now() - started),
+        tracing::info!(instance = %target.id, ?refusal, waited = ?boot::now().saturating_sub(started),
             "upstream refused a connection");
         if refusal == upstream::Refusal::Full {
             self.blocked.set(boot::now() + FULL_PAUSE);
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -90,7 +90,7 @@
 
     async fn guard(self: rc::Rc<Self>, group: rc::Rc<group::Group>) {
         let mut watch = succession::Watch::default();
-        let mut led = None;
+        let mut watched = None;
         loop {
             let pause = if watch.is_uneasy(boot::now()) {
                 UNEASY
@@ -103,15 +103,15 @@
                 continue;
             }
             if let Some(lead) = group.lead()
-                && led.as_ref() != Some(&lead)
+                && watched.as_ref() != Some(&lead)
             {
                 watch = succession::Watch::default();
-                led = Some(lead);
+                watched = Some(lead);
             }
-            if led.is_none() {
-                led = guess(&group).await;
+            if watched.is_none() {
+                watched = guess(&group).await;
             }
-            let Some(lead) = &led else { continue };
+            let Some(lead) = &watched else { continue };
             let round = self.look(&group, lead, watch.is_uneasy(boot::now())).await;
             let Some(cause) = watch.judge(&round) else {
                 continue;
@@ -272,7 +272,7 @@
         let leads = plan.leads(candidate, LEADING).await;
         plan.group.search();
         tracing::info!(group = %plan.group.name, %candidate, term = plan.term, leads,
-            cause = ?plan.cause, took_ms = (boot::now() - plan.began).as_millis(), "promotion over");
+            cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
         if leads {
             metrics::counter!("mangotray_promotions_total").increment(1);
             let candidate = candidate.clone();
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -262,9 +262,12 @@
     Ok((Box::new(Remote { stream, until }), opened?))
 }
 
+/// Finds the pool of an instance.
+type Find = dyn Fn(&upstream::Target) -> rc::Rc<pool::Pool>;
+
 /// Lends connections to other nodes.
 pub struct Server {
-    find: Box<dyn Fn(&upstream::Target) -> rc::Rc<pool::Pool>>,
+    find: Box<Find>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     busy: cell::Cell<usize>,
 }
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -21,7 +21,7 @@
 
 /// Lease of the seat. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
-const LEASE: time::Duration = time::Duration::from_millis(2000);
+const LEASE: time::Duration = time::Duration::from_secs(2);
 
 /// Pause between renewals: three may fail before the lease ends. Each is priced at a tenth
 /// of a call.
@@ -29,7 +29,7 @@
 
 /// A node that was told of no change for this long looks at the seat itself, in case the
 /// news was lost; rarely, as each look of each node is a priced call.
-const PATIENCE: time::Duration = time::Duration::from_secs(60);
+const PATIENCE: time::Duration = time::Duration::from_mins(1);
 
 /// Nodes that see the seat empty wait up to this long, so that not all of them claim it:
 /// of eight the first waits 40 ms in the mean, and the others hear of it before their turn.
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -326,7 +326,7 @@
         let sent = boot::now();
         let limit = deadline.min(sent + route.timeout * ATTEMPT_PERCENT / 100);
         let Ok(mut replies) = lent.run(&commands, limit).await else {
-            self.lost(group, source);
+            Self::lost(group, source);
             return Err(Some(reply::Code::Aborted));
         };
         let reply = replies.pop().ok_or(None)?;
@@ -426,7 +426,7 @@
         }
     }
 
-    fn lost(&self, group: &rc::Rc<group::Group>, source: &group::Source) {
+    fn lost(group: &rc::Rc<group::Group>, source: &group::Source) {
         tracing::info!(group = %group.name, instance = %source.pool.id(),
             "an answer to a read was lost");
         source.pool.suspect();
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -44,10 +44,10 @@
 
     fn up(&self) -> Result<sync::MutexGuard<'_, Entries>, store::Failure> {
         let entries = self.at();
-        match entries.down {
-            true => Err(store::Failure::NotRun("down".into())),
-            false => Ok(entries),
+        if entries.down {
+            return Err(store::Failure::NotRun("down".into()));
         }
+        Ok(entries)
     }
 }
 
@@ -107,11 +107,7 @@
         &self,
         _ttl: time::Duration,
     ) -> future::BoxFuture<'_, Result<store::Lease, store::Failure>> {
-        async {
-            self.up()?;
-            Ok("lease".into())
-        }
-        .boxed()
+        async { self.up().map(|_| "lease".into()) }.boxed()
     }
 
     fn renew<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
