Bind evidence of leadership to its term

The trace also showed floors renewed every 2.4 ms while the primary alone answered, and that a demoted primary and one replica were taken for all that could hold a commit. Change: the time a primary was last proven to lead is asked for by term; a look that shows a later term ends the belief at once; without a known primary all instances but the last one must answer; renewals keep 60 ms apart.

--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -94,10 +94,10 @@
         self.known.back().map(|(time, _)| *time)
     }
 
-    /// Last moment at which the primary was proven to lead.
+    /// Last moment at which the primary of `term` was proven to lead.
     #[must_use]
-    pub const fn led(&self) -> Option<id::Time> {
-        self.led
+    pub fn led(&self, term: id::Term) -> Option<id::Time> {
+        self.led.filter(|_| term == self.term)
     }
 
     fn enter(&mut self, term: id::Term) -> bool {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -24,6 +24,9 @@
 /// replica may lag behind; looks at instances are priced, and a shorter part costs more.
 const RENEWAL_PERCENT: u32 = 70;
 
+/// Least time between two attempts to renew a floor.
+const REFRESH_PAUSE: time::Duration = time::Duration::from_millis(60);
+
 /// Pause between looks for a primary; a gap of one second then costs about ten looks.
 const SEARCH_PAUSE: time::Duration = time::Duration::from_millis(120);
 
@@ -73,6 +76,7 @@
     pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
     leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     lead: cell::RefCell<Option<sampler::Lead>>,
+    last: cell::RefCell<Option<upstream::Id>>,
     term: cell::Cell<id::Term>,
     floors: cell::RefCell<floor::Floors>,
     changed: event_listener::Event,
@@ -99,6 +103,7 @@
             pools: cell::RefCell::default(),
             leaving: cell::RefCell::default(),
             lead: cell::RefCell::default(),
+            last: cell::RefCell::default(),
             term: cell::Cell::default(),
             floors: cell::RefCell::default(),
             changed: event_listener::Event::new(),
@@ -305,7 +310,7 @@
             .detach();
     }
 
-    async fn discover(&self) -> bool {
+    async fn discover(self: &rc::Rc<Self>) -> bool {
         let started = boot::now();
         let looks = sampler::look_at_all(&self.pools(), &*self.dialer, sampler::LOOK_LIMIT).await;
         self.learn(started, &looks);
@@ -317,19 +322,26 @@
             tracing::info!(group = %self.name, primary = %lead.id, term = lead.term,
                 answers = looks.len(), "primary found");
         }
+        self.last.replace(Some(lead.id.clone()));
         self.lead.replace(Some(lead));
         self.changed.notify(usize::MAX);
         true
     }
 
     // Turns answers to looks that began at `started` into evidence.
-    fn learn(&self, started: id::Time, looks: &[sampler::Look]) {
+    fn learn(self: &rc::Rc<Self>, started: id::Time, looks: &[sampler::Look]) {
         let highest = looks.iter().map(|look| look.status.term).max();
         self.term
             .set(self.term.get().max(highest.unwrap_or_default()));
         let Some(lead) = sampler::leader(looks) else {
             return;
         };
+        if self
+            .lead()
+            .is_some_and(|believed| believed.term < lead.term)
+        {
+            self.doubt(lead.term - 1, "another instance leads a later term");
+        }
         let mut floors = self.floors.borrow_mut();
         let (primary, others): (Vec<_>, Vec<_>) = looks.iter().partition(|look| look.id == lead.id);
         if let Some(primary) = primary.first() {
@@ -429,16 +441,16 @@
         }
     }
 
+    // Only the instance that was last seen to lead need not answer: if any other is silent,
+    // it may be the one that leads by now.
     async fn refresh_without_primary(&self) {
-        let lead = self.lead().map(|lead| lead.id);
+        let last = self.last.borrow().clone();
         let mut pools = self.pools();
-        // Without a known primary all but one must speak, whoever that one is.
-        let others = pools.len().saturating_sub(1);
-        pools.retain(|pool| Some(pool.id()) != lead);
+        pools.retain(|pool| Some(pool.id()) != last);
         let started = boot::now();
         let looks = sampler::look_at_all(&pools, &*self.dialer, sampler::LOOK_LIMIT).await;
         let term = self.term.get();
-        if let Some(stamp) = sampler::received(&looks, others, term) {
+        if let Some(stamp) = sampler::received(&looks, pools.len(), term) {
             let mut floors = self.floors.borrow_mut();
             floors.saw_position(term, started, stamp);
             floors.saw_leading(term, started);
@@ -453,6 +465,10 @@
         self.executor
             .spawn(async move {
                 group.refresh().await;
+                group.changed.notify(usize::MAX);
+                // Whoever still lacks a floor asks again at once: without a pause, a group
+                // whose primary alone answers is looked at hundreds of times a second.
+                wait::sleep(REFRESH_PAUSE).await;
                 group.refreshing.set(false);
                 group.changed.notify(usize::MAX);
             })
@@ -528,10 +544,13 @@
         floor: stamp::Stamp,
     ) -> Option<Source> {
         let lead = self.lead();
-        let proven = self.floors.borrow().led();
-        let recent = proven.is_some_and(|proven| proven >= moment);
+        let recent = |lead: &sampler::Lead| {
+            // Evidence of a later term says nothing for this primary, rather the contrary.
+            let proven = self.floors.borrow().led(lead.term);
+            proven.is_some_and(|proven| proven >= moment)
+        };
         let own_term = need.own.map_or(0, |own| own.term);
-        let proven = lead.filter(|lead| recent && lead.term >= own_term);
+        let proven = lead.filter(|lead| recent(lead) && lead.term >= own_term);
         let mut best: Option<(u64, Source)> = None;
         for pool in self.pools() {
             let id = pool.id();
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -8,6 +8,7 @@
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
 use mangotray_desk::group;
+use mangotray_desk::wait;
 
 const AGE: time::Duration = time::Duration::from_millis(1500);
 const LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -110,3 +111,47 @@
         assert_ne!(source.pool.id(), "a");
     });
 }
+
+/// Symptom: a read that accepts some age runs on the log of a replaced primary.
+/// Events: this node reaches only the old primary; then also the new one, and looks at
+/// both to renew its floor; a read arrives before the node has changed its mind.
+/// Cause: the new primary's evidence was taken for proof that the old one leads.
+#[test]
+fn evidence_of_a_later_term_proves_nothing_for_the_old_primary() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let bounded = need(catalog::Freshness::Bounded(AGE));
+        assert!(group.source(&bounded, &[]).await.is_some());
+        stage.world.borrow_mut().promote("b");
+        stage.world.borrow_mut().at("c").up = false;
+        wait::sleep(time::Duration::from_millis(100)).await;
+        let tight = need(catalog::Freshness::Bounded(time::Duration::from_millis(70)));
+        let tried = ["b".into(), "c".into()];
+        let source = group.source(&tight, &tried).await;
+        let trusted =
+            source.is_some_and(|source| source.pool.id() == "a" && source.after.is_none());
+        assert!(!trusted, "the old primary is trusted");
+    });
+}
+
+/// Symptom: as before.
+/// Events: no primary is known; the old one, demoted, and one replica answer; the third,
+/// which leads by now, is out of reach.
+/// Cause: any two of three were taken for all that could hold a commit.
+#[test]
+fn a_silent_instance_may_be_the_one_that_leads() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let mut world = stage.world.borrow_mut();
+        world.at("a").role = mangotray::role::Role::Replica;
+        world.promote("b");
+        world.at("b").up = false;
+        drop(world);
+        group.doubt(1, "test");
+        let mut tight = need(catalog::Freshness::Bounded(time::Duration::from_millis(70)));
+        tight.deadline = boot::now() + time::Duration::from_millis(600);
+        assert!(group.source(&tight, &[]).await.is_none());
+    });
+}
