Let serving nodes queue by urgency, and tell their refusals from silence

Cause: at 88 % of the slots in use a booking waited in an instance's queue behind every report; a lending node that had no connection in time was taken for a silent instance, so that its pool was dropped and the primary doubted. Change: statements carry route priority and due time; a serving node lets an instance work on two at once and queues the rest by urgency; refusals are told from losses.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -169,6 +169,7 @@
             rc::Rc::clone(&self.dialer),
             rc::Rc::clone(&self.executor),
             pool::MOST,
+            pool::MOST,
         ));
         pools.insert(id, pool);
     }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -11,9 +11,11 @@
 
 use crate::boot;
 use crate::catalog;
+use crate::queue;
 use crate::reply;
 use crate::statement;
 use crate::upstream;
+use crate::urgency;
 use crate::wait;
 
 /// Connections to one instance that a node holds at most. Eight nodes share the 23
@@ -65,24 +67,20 @@
     used: id::Time,
 }
 
-struct Waiter {
-    priority: u8,
-    number: u64,
-    wake: async_channel::Sender<()>,
-}
-
 /// The shared connections to one instance, and what their answers told about it.
 pub struct Pool {
     /// The instance, as the list of instances has it now.
     pub instance: cell::RefCell<catalog::Instance>,
     most: usize,
+    abreast: usize,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     dialling: cell::Cell<usize>,
     idle: cell::RefCell<Vec<Kept>>,
     open: cell::Cell<usize>,
-    waiting: cell::RefCell<Vec<Waiter>>,
-    number: cell::Cell<u64>,
+    waiting: queue::Queue,
+    turns: queue::Queue,
+    working: cell::Cell<usize>,
     blocked: cell::Cell<id::Time>,
     down: cell::Cell<id::Time>,
     closed: cell::Cell<bool>,
@@ -95,29 +93,33 @@
 /// A connection on loan; given back when dropped.
 pub struct Lent {
     pool: rc::Rc<Pool>,
+    urgency: urgency::Urgency,
     kept: Option<Kept>,
     broken: bool,
 }
 
 impl Pool {
-    /// An empty pool that opens `most` connections at most.
+    /// An empty pool that opens `most` connections at most, of which `abreast` work at once.
     #[must_use]
     pub fn new(
         instance: catalog::Instance,
         dialer: rc::Rc<dyn upstream::Dialer>,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
         most: usize,
+        abreast: usize,
     ) -> Self {
         Self {
             instance: cell::RefCell::new(instance),
             most,
+            abreast,
             dialer,
             executor,
             dialling: cell::Cell::default(),
             idle: cell::RefCell::default(),
             open: cell::Cell::default(),
-            waiting: cell::RefCell::default(),
-            number: cell::Cell::default(),
+            waiting: queue::Queue::default(),
+            turns: queue::Queue::default(),
+            working: cell::Cell::default(),
             blocked: cell::Cell::default(),
             down: cell::Cell::default(),
             closed: cell::Cell::default(),
@@ -139,7 +141,7 @@
     pub fn load(&self) -> usize {
         let busy = self.idle.borrow().len() + self.dialling.get();
         let lent = self.open.get().saturating_sub(busy);
-        lent + self.waiting.borrow().len()
+        lent + self.waiting.len()
     }
 
     /// Last position that the instance is known to have applied.
@@ -189,13 +191,13 @@
     /// When there is none until `deadline`.
     pub async fn lend(
         self: &rc::Rc<Self>,
-        priority: u8,
+        urgency: urgency::Urgency,
         values: &Values,
         deadline: id::Time,
     ) -> Result<Lent, Shortage> {
         loop {
             if let Some(kept) = self.take(values) {
-                return Ok(self.loan(kept));
+                return Ok(self.loan(kept, urgency));
             }
             let now = boot::now();
             if now < self.down.get() {
@@ -205,7 +207,9 @@
                 return Err(Shortage::Full);
             }
             self.grow();
-            self.wait(priority, deadline).await?;
+            if !self.waiting.wait(urgency, deadline).await {
+                return Err(Shortage::Late);
+            }
         }
     }
 
@@ -255,8 +259,9 @@
         }
     }
 
-    fn loan(self: &rc::Rc<Self>, kept: Kept) -> Lent {
+    fn loan(self: &rc::Rc<Self>, kept: Kept, urgency: urgency::Urgency) -> Lent {
         Lent {
+            urgency,
             pool: rc::Rc::clone(self),
             kept: Some(kept),
             broken: false,
@@ -270,7 +275,7 @@
     // anew: after a restart of many nodes, most of what an overloaded instance does would
     // then be greetings that nobody awaits.
     fn grow(self: &rc::Rc<Self>) {
-        let wanted = self.waiting.borrow().len() + 1;
+        let wanted = self.waiting.len() + 1;
         let enough = self.dialling.get() >= wanted.min(DIALS);
         if enough || self.open.get() >= self.most || boot::now() < self.blocked.get() {
             return;
@@ -290,7 +295,7 @@
             Some(Ok((link, stamp))) => {
                 self.opened(link, stamp);
                 place.keep();
-                self.wake();
+                self.waiting.wake();
                 return;
             }
             Some(Err(refusal)) => refusal,
@@ -306,7 +311,7 @@
             self.down.set(boot::now() + DOWN_PAUSE);
         }
         drop(place);
-        self.wake_all();
+        self.waiting.wake_all();
     }
 
     fn opened(&self, link: Box<dyn upstream::Connection>, stamp: Option<stamp::Stamp>) {
@@ -324,47 +329,19 @@
         });
     }
 
-    async fn wait(&self, priority: u8, deadline: id::Time) -> Result<(), Shortage> {
-        let (wake, woken) = async_channel::bounded(1);
-        let number = self.number.get();
-        self.number.set(number + 1);
-        self.waiting.borrow_mut().push(Waiter {
-            priority,
-            number,
-            wake,
-        });
-        let result = wait::until(deadline, woken.recv()).await;
-        self.waiting
-            .borrow_mut()
-            .retain(|waiter| waiter.number != number);
-        if result.is_none() {
-            // A wake-up that came too late for this one belongs to the next.
-            if woken.try_recv().is_ok() {
-                self.wake();
+    /// A turn to let the instance work, where only so many statements may at once.
+    async fn turn(
+        self: &rc::Rc<Self>,
+        urgency: urgency::Urgency,
+        deadline: id::Time,
+    ) -> Option<Turn> {
+        while self.working.get() >= self.abreast {
+            if !self.turns.wait(urgency, deadline).await {
+                return None;
             }
-            return Err(Shortage::Late);
-        }
-        Ok(())
-    }
-
-    fn wake(&self) {
-        let mut waiting = self.waiting.borrow_mut();
-        let next = (0..waiting.len()).min_by_key(|index| {
-            let waiter = &waiting[*index];
-            (waiter.priority, waiter.number)
-        });
-        if let Some(index) = next {
-            let waiter = waiting.swap_remove(index);
-            // The receiver is gone only when its request was dropped; nobody is owed then.
-            let _ = waiter.wake.try_send(());
-        }
-    }
-
-    fn wake_all(&self) {
-        for waiter in self.waiting.take() {
-            // The receiver is gone only when its request was dropped; nobody is owed then.
-            let _ = waiter.wake.try_send(());
         }
+        self.working.set(self.working.get() + 1);
+        Some(Turn(rc::Rc::clone(self)))
     }
 
     fn target(&self) -> upstream::Target {
@@ -414,6 +391,16 @@
     }
 }
 
+/// A statement at work, or about to be.
+struct Turn(rc::Rc<Pool>);
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.0.working.set(self.0.working.get() - 1);
+        self.0.turns.wake();
+    }
+}
+
 impl Lent {
     /// The pool that it came from.
     #[must_use]
@@ -421,6 +408,11 @@
         &self.pool
     }
 
+    /// Sets the urgency of the next commands.
+    pub const fn urge(&mut self, urgency: urgency::Urgency) {
+        self.urgency = urgency;
+    }
+
     /// Commands that bring the connection to a session's values and one prepared shape.
     ///
     /// `inside` tells that a transaction is open, in which the connection cannot be cleared.
@@ -469,30 +461,33 @@
         commands: &[upstream::Command],
         deadline: id::Time,
     ) -> Result<Vec<reply::Reply>, upstream::Failure> {
+        let urgency = self.urgency;
+        let Some(_turn) = self.pool.turn(urgency, deadline).await else {
+            return Err(unsent("no turn in time"));
+        };
         let Some(kept) = &mut self.kept else {
-            return Err(upstream::Failure {
-                sent: false,
-                detail: "the connection is gone".into(),
-            });
+            return Err(unsent("the connection is gone"));
         };
         let sent = boot::now();
         // Broken until proven whole: a request that is dropped half way leaves an answer
         // on the connection that the next one would take for its own.
         self.broken = true;
         let silence = time::Duration::min(kept.link.silence(), deadline.saturating_sub(sent));
-        let mut exchange = kept.link.run(commands);
+        let mut exchange = kept.link.run(commands, urgency);
         let mut result = wait::within(silence, &mut exchange).await;
         if result.is_none() {
             self.pool.doubt(sent);
             result = wait::until(deadline, exchange).await;
         }
-        let replies = result.unwrap_or_else(|| {
+        let result = result.unwrap_or_else(|| {
             Err(upstream::Failure {
                 sent: true,
                 detail: "no answer in time".into(),
             })
-        })?;
-        self.broken = false;
+        });
+        // Another node that could not run them has answered so in full.
+        self.broken = result.as_ref().is_err_and(|failure| failure.sent);
+        let replies = result?;
         kept.used = boot::now();
         self.pool.heard(sent, &replies);
         Ok(replies)
@@ -517,6 +512,13 @@
             Some(kept) if !self.broken => self.pool.idle.borrow_mut().push(kept),
             _ => self.pool.open.set(self.pool.open.get() - 1),
         }
-        self.pool.wake();
+        self.pool.waiting.wake();
+    }
+}
+
+fn unsent(detail: &str) -> upstream::Failure {
+    upstream::Failure {
+        sent: false,
+        detail: detail.into(),
     }
 }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -16,6 +16,7 @@
 use crate::seat;
 use crate::succession;
 use crate::upstream;
+use crate::urgency;
 use crate::wait;
 
 /// Pause between rounds of looks at a calm group. Three groups cost about ten looks a
@@ -399,7 +400,11 @@
 ) -> Option<sampler::Look> {
     let deadline = boot::now() + HOLD;
     let mut lent = pool
-        .lend(0, &std::collections::BTreeMap::new(), deadline)
+        .lend(
+            urgency::Urgency::now(),
+            &std::collections::BTreeMap::new(),
+            deadline,
+        )
         .await
         .ok()?;
     let replies = lent
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::reply;
 use crate::statement;
 use crate::upstream;
+use crate::urgency;
 use crate::wait;
 
 /// Longest message between nodes; a caller's statement has one MiB at most.
@@ -41,12 +42,12 @@
 /// Longest time of one exchange with the instance; callers give up before.
 const RUN_LIMIT: time::Duration = time::Duration::from_secs(30);
 
-/// Place of relayed statements in the queue for a connection.
-const PRIORITY: u8 = 1;
-
 /// A lending node's answer to the opening of a relayed connection.
 pub type Opened = Result<Option<stamp::Stamp>, upstream::Refusal>;
 
+/// What a lending node is asked to run.
+type Work = (urgency::Urgency, Vec<upstream::Command>);
+
 /// A lending node's answer to commands.
 type Answer = Result<Vec<reply::Reply>, upstream::Failure>;
 
@@ -76,7 +77,11 @@
     /// When this node cannot reach the instance either.
     pub async fn open(&self) -> Opened {
         let deadline = boot::now() + LEND_LIMIT;
-        match self.pool.lend(PRIORITY, &self.values, deadline).await {
+        match self
+            .pool
+            .lend(urgency::Urgency::now(), &self.values, deadline)
+            .await
+        {
             Ok(_) => Ok(Some(self.pool.applied())),
             // All connections are busy; the instance is well if it answers on them.
             Err(pool::Shortage::Late) if self.pool.answered() + LEND_LIMIT > boot::now() => {
@@ -92,10 +97,14 @@
     ///
     /// # Errors
     /// When the instance's answer is lost, or no connection was free.
-    pub async fn run(&mut self, commands: &[upstream::Command]) -> Answer {
+    pub async fn run(
+        &mut self,
+        commands: &[upstream::Command],
+        urgency: urgency::Urgency,
+    ) -> Answer {
         let mut replies = Vec::with_capacity(commands.len());
         for command in commands {
-            replies.push(self.one(command).await?);
+            replies.push(self.one(command, urgency).await?);
         }
         Ok(replies)
     }
@@ -103,6 +112,7 @@
     async fn one(
         &mut self,
         command: &upstream::Command,
+        urgency: urgency::Urgency,
     ) -> Result<reply::Reply, upstream::Failure> {
         match command {
             upstream::Command::Set { name, value } => {
@@ -115,7 +125,7 @@
                 self.values.clear();
                 self.prepared.clear();
             }
-            _ => return self.pass(command).await,
+            _ => return self.pass(command, urgency).await,
         }
         let inside = self.pinned.is_some();
         let state = if inside {
@@ -129,11 +139,12 @@
     async fn pass(
         &mut self,
         command: &upstream::Command,
+        urgency: urgency::Urgency,
     ) -> Result<reply::Reply, upstream::Failure> {
         let inside = self.pinned.is_some();
         let mut lent = match self.pinned.take() {
             Some(lent) => lent,
-            None => match self.lend().await {
+            None => match self.lend(urgency).await {
                 Ok(lent) => lent,
                 Err(failure) => return Err(failure),
             },
@@ -144,6 +155,7 @@
             }
             _ => None,
         };
+        lent.urge(urgency);
         let mut commands = lent.prelude(&self.values, shape, inside);
         commands.push(command.clone());
         let mut replies = lent.run(&commands, boot::now() + RUN_LIMIT).await?;
@@ -160,9 +172,9 @@
         Ok(reply)
     }
 
-    async fn lend(&self) -> Result<pool::Lent, upstream::Failure> {
+    async fn lend(&self, urgency: urgency::Urgency) -> Result<pool::Lent, upstream::Failure> {
         let deadline = boot::now() + LEND_LIMIT;
-        let lent = self.pool.lend(PRIORITY, &self.values, deadline).await;
+        let lent = self.pool.lend(urgency, &self.values, deadline).await;
         lent.map_err(|shortage| upstream::Failure {
             sent: false,
             detail: compact_str::format_compact!(
@@ -188,8 +200,9 @@
     fn run<'a>(
         &'a mut self,
         commands: &'a [upstream::Command],
+        urgency: urgency::Urgency,
     ) -> future::LocalBoxFuture<'a, Answer> {
-        self.0.run(commands).boxed_local()
+        self.0.run(commands, urgency).boxed_local()
     }
 
     fn alive(&mut self) -> bool {
@@ -211,10 +224,11 @@
     fn run<'a>(
         &'a mut self,
         commands: &'a [upstream::Command],
+        urgency: urgency::Urgency,
     ) -> future::LocalBoxFuture<'a, Answer> {
         async move {
             let exchange = async {
-                send(&mut self.stream, &commands).await?;
+                send(&mut self.stream, &(urgency.leave(), commands)).await?;
                 receive::<Answer>(&mut self.stream).await
             };
             exchange.await.unwrap_or_else(|error| {
@@ -332,9 +346,9 @@
             return Ok(());
         }
         loop {
-            let commands: Vec<upstream::Command> = receive(stream).await?;
+            let (urgency, commands): Work = receive(stream).await?;
             self.busy.set(self.busy.get() + 1);
-            let answer = lender.run(&commands).await;
+            let answer = lender.run(&commands, urgency.arrive()).await;
             self.busy.set(self.busy.get() - 1);
             send(stream, &answer).await?;
         }
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -19,6 +19,11 @@
 use crate::upstream;
 use crate::wait;
 
+/// Statements that a serving node lets an instance work on at once. Four or five nodes
+/// then keep its three slots busy, and the rest waits where the urgent go first: in the
+/// instance's own queue of 24 a booking would wait behind every report.
+const ABREAST: usize = 2;
+
 /// Nodes that are asked for a connection before the instance is dialled directly.
 const ASKED: usize = 2;
 
@@ -96,9 +101,9 @@
 
     /// This node's own connections to an instance, for itself and for those that it serves.
     pub fn pool(&self, target: &upstream::Target) -> rc::Rc<pool::Pool> {
-        let most = match self.way(target) {
-            serving::Way::Direct => pool::MOST,
-            serving::Way::Through { each, .. } => each,
+        let (most, abreast) = match self.way(target) {
+            serving::Way::Direct => (pool::MOST, pool::MOST),
+            serving::Way::Through { each, .. } => (each, ABREAST.min(each)),
         };
         let mut pools = self.pools.borrow_mut();
         let made = pools.entry(target.id.clone()).or_insert_with(|| {
@@ -112,7 +117,7 @@
             };
             let dialer = rc::Rc::clone(&self.direct);
             let executor = rc::Rc::clone(&self.executor);
-            rc::Rc::new(pool::Pool::new(instance, dialer, executor, most))
+            rc::Rc::new(pool::Pool::new(instance, dialer, executor, most, abreast))
         });
         rc::Rc::clone(made)
     }
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -11,15 +11,13 @@
 use crate::boot;
 use crate::pool;
 use crate::upstream;
+use crate::urgency;
 use crate::wait;
 
 /// Longest wait for one look: four times the 41 ms that 99 of 100 looks take under load. A
 /// shorter one is repeated while the first is still at work, and doubles the load.
 pub const LOOK_LIMIT: time::Duration = time::Duration::from_millis(160);
 
-/// Priority of a look in a pool's queue: before all callers, as one look serves many.
-const PRIORITY: u8 = 0;
-
 /// The instance that leads, and in which term.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lead {
@@ -46,7 +44,11 @@
 ) -> Option<Look> {
     let deadline = boot::now() + limit;
     let mut lent = pool
-        .lend(PRIORITY, &std::collections::BTreeMap::new(), deadline)
+        .lend(
+            urgency::Urgency::now(),
+            &std::collections::BTreeMap::new(),
+            deadline,
+        )
         .await
         .ok()?;
     metrics::counter!("mangotray_upstream_looks_total").increment(1);
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -17,6 +17,7 @@
 use crate::reply;
 use crate::statement;
 use crate::upstream;
+use crate::urgency;
 use crate::wait;
 
 /// Part of a statement's timeout for which it may wait without having been offered to an
@@ -27,6 +28,10 @@
 /// Pause before a statement that was refused as not run is offered again.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(15);
 
+/// Pause before a read that all instances refused is offered to them again: a replica that
+/// is behind applies a few more commits meanwhile, and a full queue of 24 shrinks by six.
+const ROUND_PAUSE: time::Duration = time::Duration::from_millis(40);
+
 /// Instances that one read-only transaction is offered to before any is offered it again.
 const ATTEMPTS: usize = 4;
 
@@ -290,10 +295,8 @@
             let Some(source) = group.source(&need, &tried).await else {
                 // All were tried, or none is fresh enough: again from the start, if the
                 // reason may pass while the caller still waits.
-                if code == reply::Code::Busy
-                    && !tried.is_empty()
-                    && pause_before(need.deadline).await
-                {
+                let again = code == reply::Code::Busy && !tried.is_empty();
+                if again && pause(ROUND_PAUSE, need.deadline).await {
                     tried.clear();
                     continue;
                 }
@@ -320,15 +323,18 @@
         deadline: id::Time,
     ) -> Result<reply::Reply, Option<reply::Code>> {
         let wait = deadline.min(boot::now() + LEND_LIMIT);
-        let lent = source.pool.lend(route.priority, &self.values, wait).await;
+        let lent = source.pool.lend(urgency(route), &self.values, wait).await;
         let mut lent = lent.map_err(|_| Some(reply::Code::Busy))?;
         let commands = work.commands(&mut lent, &self.values, source.after, false);
         let sent = boot::now();
         let limit = deadline.min(sent + route.timeout * ATTEMPT_PERCENT / 100);
-        let Ok(mut replies) = lent.run(&commands, limit).await else {
+        let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
+            if !failure.sent {
+                return Some(reply::Code::Busy);
+            }
             Self::lost(group, source);
-            return Err(Some(reply::Code::Aborted));
-        };
+            Some(reply::Code::Aborted)
+        })?;
         let reply = replies.pop().ok_or(None)?;
         if let Some(term) = source.leads {
             group.saw_position(term, sent, reply.position);
@@ -359,7 +365,7 @@
             let Some((pool, term)) = group.primary(wait).await else {
                 return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
             };
-            let mut lent = match pool.lend(route.priority, &self.values, wait).await {
+            let mut lent = match pool.lend(urgency(route), &self.values, wait).await {
                 Ok(lent) => lent,
                 Err(pool::Shortage::Late) => {
                     return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
@@ -383,15 +389,16 @@
             {
                 Ok(Some(reply)) => reply,
                 Ok(None) => return unsure("no answer"),
-                Err(failure) => {
+                Err(failure) if failure.sent => {
                     group.doubt(term, "a write was not answered");
-                    if !failure.sent && boot::now() < wait {
+                    return unsure(&failure.detail);
+                }
+                Err(failure) => {
+                    drop(lent);
+                    if pause_before(wait).await {
                         continue;
                     }
-                    if !failure.sent {
-                        return Outcome::Refused(reply::Code::Busy, failure.detail);
-                    }
-                    return unsure(&failure.detail);
+                    return Outcome::Refused(reply::Code::Busy, failure.detail);
                 }
             };
             group.saw_position(term, sent, reply.position);
@@ -450,6 +457,7 @@
         let Some(pinned) = &mut transaction.pinned else {
             return self.error(reply::Code::Aborted, "the transaction has no connection");
         };
+        pinned.lent.urge(urgency(&transaction.route));
         let commands = work.commands(&mut pinned.lent, &self.values, None, true);
         let sent = boot::now();
         let result = pinned.lent.run(&commands, deadline).await;
@@ -519,11 +527,8 @@
         transaction: &Transaction,
         need: &group::Need,
     ) -> Option<Pinned> {
-        let priority = transaction.route.priority;
-        let lent = source
-            .pool
-            .lend(priority, &self.values, need.deadline)
-            .await;
+        let urgency = urgency(&transaction.route);
+        let lent = source.pool.lend(urgency, &self.values, need.deadline).await;
         let mut lent = match (lent, source.leads) {
             (Ok(lent), _) => lent,
             (Err(pool::Shortage::Down), Some(term)) => {
@@ -683,6 +688,13 @@
     format_compact!("{access}x{}", words.concat())
 }
 
+fn urgency(route: &catalog::Route) -> urgency::Urgency {
+    urgency::Urgency {
+        priority: route.priority,
+        due: boot::now() + route.objective,
+    }
+}
+
 fn is_idle(replies: &[reply::Reply]) -> bool {
     replies
         .last()
@@ -709,9 +721,13 @@
 }
 
 async fn pause_before(deadline: id::Time) -> bool {
-    if boot::now() + RETRY_PAUSE >= deadline {
+    pause(RETRY_PAUSE, deadline).await
+}
+
+async fn pause(pause: time::Duration, deadline: id::Time) -> bool {
+    if boot::now() + pause >= deadline {
         return false;
     }
-    wait::sleep(RETRY_PAUSE).await;
+    wait::sleep(pause).await;
     true
 }
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -11,6 +11,7 @@
 
 use crate::reply;
 use crate::statement;
+use crate::urgency;
 
 /// Id of an instance; a replacement at the same address has another one.
 pub type Id = CompactString;
@@ -123,13 +124,15 @@
 
 /// An open connection to an instance.
 pub trait Connection {
-    /// Sends all commands in one write and awaits all answers.
+    /// Sends all commands in one write and awaits all answers. The urgency matters where
+    /// another node runs the commands and has a queue of its own.
     ///
     /// # Errors
     /// When the connection broke before the last answer was whole.
     fn run<'a>(
         &'a mut self,
         commands: &'a [Command],
+        urgency: urgency::Urgency,
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, Failure>>;
 
     /// Whether the far end is still there, as far as a look without waiting can tell.
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -22,6 +22,7 @@
 use mangotray_desk::session;
 use mangotray_desk::statement;
 use mangotray_desk::upstream;
+use mangotray_desk::urgency;
 
 /// Name of the only group.
 pub const GROUP: &str = "bookings";
@@ -188,6 +189,7 @@
     fn run<'a>(
         &'a mut self,
         commands: &'a [upstream::Command],
+        _urgency: urgency::Urgency,
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, upstream::Failure>> {
         async move {
             let replies: Vec<_> = commands.iter().map(|command| self.one(command)).collect();
