--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -1,5 +1,7 @@
 //! Replaces primaries, on the one node that holds the seat.
 
+use std::cell;
+use std::collections;
 use std::rc;
 use std::time;
 
@@ -53,6 +55,9 @@
     node: rc::Rc<node::Node>,
     seat: rc::Rc<seat::Seat>,
     duty: rc::Rc<dyn duty::Duty>,
+    /// Candidates whose order may yet take effect. Another candidate beside one of them
+    /// could lead first, take commits, and then be replaced by the one that lacks them.
+    pending: cell::RefCell<collections::BTreeMap<id::Group, upstream::Id>>,
 }
 
 /// One replacement under way.
@@ -72,12 +77,17 @@
         seat: rc::Rc<seat::Seat>,
         duty: rc::Rc<dyn duty::Duty>,
     ) -> rc::Rc<Self> {
-        rc::Rc::new(Self { node, seat, duty })
+        rc::Rc::new(Self {
+            node,
+            seat,
+            duty,
+            pending: cell::RefCell::default(),
+        })
     }
 
     /// Watches over all groups, for ever.
     pub async fn run(self: rc::Rc<Self>) {
-        let mut watched = std::collections::BTreeSet::new();
+        let mut watched = collections::BTreeSet::new();
         loop {
             for group in self.node.groups() {
                 if watched.insert(group.name.clone()) {
@@ -172,17 +182,14 @@
             term: group.term().max(lead.term) + 1,
             began: boot::now(),
         };
-        if cause == succession::Cause::Planned && !self.order(&plan, &lead.id).await {
-            tracing::warn!(group = %group.name, "promotions are not possible now; the leaving primary stays");
-            return false;
-        }
         let Some(held) = self.hold(&plan, others.len()).await else {
             return false;
         };
-        if cause.lives() {
-            plan.demote_once().await;
-        }
-        let Some(candidate) = succession::candidate(&held, |id| group.is_leaving(id)) else {
+        let pending = self.pending.borrow().get(&group.name).cloned();
+        let Some(candidate) = pending
+            .filter(|pending| held.iter().any(|look| look.id == *pending))
+            .or_else(|| succession::candidate(&held, |id| group.is_leaving(id)))
+        else {
             return false;
         };
         let received: Vec<_> = held
@@ -190,15 +197,30 @@
             .map(|look| (&look.id, look.status.received))
             .collect();
         tracing::info!(group = %group.name, %candidate, term = plan.term, ?received, "candidate chosen");
-        while !self.order(&plan, &candidate).await {
-            if boot::now() > plan.began + PATIENCE || self.seat.held().is_none() {
-                return false;
-            }
-            wait::sleep(UNEASY).await;
+        let outcome = self.order(&plan, &candidate).await;
+        if let duty::Outcome::Refused(_) = outcome {
+            self.withdraw(&plan).await;
+            return false;
+        }
+        self.pending
+            .borrow_mut()
+            .insert(group.name.clone(), candidate.clone());
+        if cause.lives() {
+            plan.demote_once().await;
         }
         self.finish(plan, &candidate).await
     }
 
+    // An order that was surely not carried out: a primary that lives goes on, in place of
+    // waiting for replicas that are held until promotions are possible again.
+    async fn withdraw(&self, plan: &Plan) {
+        let pending = self.pending.borrow().contains_key(&plan.group.name);
+        let alone = plan.cause.lives() && plan.cause != succession::Cause::Unfinished;
+        if alone && !pending {
+            self.resume(plan, &plan.group.pools()).await;
+        }
+    }
+
     /// Holds all replicas for the new term.
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
@@ -247,10 +269,10 @@
         futures_util::future::join_all(resumes).await;
     }
 
-    async fn order(&self, plan: &Plan, candidate: &upstream::Id) -> bool {
+    async fn order(&self, plan: &Plan, candidate: &upstream::Id) -> duty::Outcome {
         let Some(held) = self.seat.confirm().await else {
             tracing::warn!(group = %plan.group.name, "the seat is not confirmed, no order");
-            return false;
+            return duty::Outcome::Refused("the seat is not confirmed".into());
         };
         let order = duty::Order {
             group: plan.group.name.clone(),
@@ -261,12 +283,7 @@
         let outcome = self.duty.promote(&order).await;
         tracing::info!(group = %order.group, candidate = %order.candidate, fence = order.fence,
             ?outcome, "promotion ordered");
-        match outcome {
-            duty::Outcome::Accepted => true,
-            duty::Outcome::Refused(_) => false,
-            // It may have worked, or may yet: the candidate itself will tell.
-            duty::Outcome::Unknown(_) => plan.leads(candidate, LEADING).await,
-        }
+        outcome
     }
 
     async fn finish(&self, plan: Plan, candidate: &upstream::Id) -> bool {
@@ -275,6 +292,7 @@
         tracing::info!(group = %plan.group.name, %candidate, term = plan.term, leads,
             cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
         if leads {
+            self.pending.borrow_mut().remove(&plan.group.name);
             metrics::counter!("mangotray_promotions_total").increment(1);
             let candidate = candidate.clone();
             let settle = async move { plan.settle(&candidate).await };
@@ -402,7 +420,7 @@
     let mut lent = pool
         .lend(
             urgency::Urgency::now(),
-            &std::collections::BTreeMap::new(),
+            &collections::BTreeMap::new(),
             deadline,
         )
         .await
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -129,12 +129,17 @@
     orders: cell::RefCell<Vec<duty::Order>>,
     /// The next orders are carried out, their answers are lost.
     lose: cell::Cell<usize>,
+    /// Orders are refused.
+    refuse: cell::Cell<bool>,
 }
 
 impl duty::Duty for Duty {
     fn promote<'a>(&'a self, order: &'a duty::Order) -> future::LocalBoxFuture<'a, duty::Outcome> {
         async move {
             self.orders.borrow_mut().push(order.clone());
+            if self.refuse.get() {
+                return duty::Outcome::Refused("not now".into());
+            }
             let mut world = self.world.borrow_mut();
             if world.at(&order.candidate).role == role::Role::Replica {
                 world.promote(&order.candidate);
@@ -168,6 +173,7 @@
         world: rc::Rc::clone(&stage.world),
         orders: cell::RefCell::default(),
         lose: cell::Cell::default(),
+        refuse: cell::Cell::default(),
     });
     let ordered: rc::Rc<dyn duty::Duty> = rc::Rc::<Duty>::clone(&duty);
     let promoter =
@@ -250,6 +256,57 @@
     assert_ne!(play.leader(), ["a"]);
 }
 
+/// Symptom: an acknowledged booking is gone after a planned change of primary.
+/// Events: the holder orders the leaving primary itself, to see whether promotions are
+/// possible; then it holds the replicas, demotes the primary and orders a replica; the
+/// first order takes effect late, and the old primary leads once more.
+/// Cause: an order that names the present primary is no question without consequence.
+#[test]
+fn a_leaving_primary_is_never_ordered_to_lead() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").draining = true;
+        play.stage.relist();
+        play.led(2).await;
+    });
+    let orders = play.duty.orders.borrow();
+    assert!(
+        orders.iter().all(|order| order.candidate != "a"),
+        "{orders:?}"
+    );
+}
+
+/// Symptom: writes wait for many seconds although the primary is well.
+/// Events: a primary announces its end; the replicas are held; promotions are refused.
+/// Cause: the replicas stayed held until promotions were possible again.
+#[test]
+fn a_refused_order_frees_the_replicas_of_a_primary_that_lives() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.refuse.set(true);
+        play.stage.world.borrow_mut().at("a").draining = true;
+        play.stage.relist();
+        let asked = async {
+            while play.duty.orders.borrow().len() < 2 {
+                wait::sleep(time::Duration::from_millis(5)).await;
+            }
+        };
+        wait::within(LIMIT, asked).await.expect("orders are tried");
+        let freed = async {
+            while play.stage.world.borrow_mut().at("b").held > 0 {
+                wait::sleep(time::Duration::from_millis(5)).await;
+            }
+        };
+        wait::within(LIMIT, freed)
+            .await
+            .expect("the replicas are freed");
+        play.duty.refuse.set(false);
+        play.led(2).await;
+    });
+}
+
 /// Symptom: two instances are promoted one after the other for one crash.
 /// Events: the order to promote is carried out, its answer is lost.
 /// Cause: the order was repeated for another candidate without asking the first.
