--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -64,6 +64,8 @@
     link: Box<dyn upstream::Connection>,
     values: Values,
     handles: collections::BTreeSet<CompactString>,
+    /// Commands were made for it that never left: it is not known what is set.
+    dirty: bool,
     used: id::Time,
 }
 
@@ -96,6 +98,8 @@
     urgency: urgency::Urgency,
     kept: Option<Kept>,
     broken: bool,
+    /// A transaction is open on it.
+    open: bool,
 }
 
 impl Pool {
@@ -265,6 +269,7 @@
             pool: rc::Rc::clone(self),
             kept: Some(kept),
             broken: false,
+            open: false,
         }
     }
 
@@ -325,6 +330,7 @@
             link,
             values: Values::new(),
             handles: collections::BTreeSet::new(),
+            dirty: false,
             used: boot::now(),
         });
     }
@@ -427,10 +433,11 @@
         };
         let mut commands = Vec::new();
         let foreign = kept.values.keys().any(|name| !values.contains_key(name));
-        if !inside && (foreign || kept.handles.len() >= HANDLES) {
+        if !inside && (foreign || kept.dirty || kept.handles.len() >= HANDLES) {
             commands.push(upstream::Command::Reset);
             kept.values.clear();
             kept.handles.clear();
+            kept.dirty = false;
         }
         for (name, value) in values {
             if kept.values.get(name) != Some(value) {
@@ -463,6 +470,11 @@
     ) -> Result<Vec<reply::Reply>, upstream::Failure> {
         let urgency = self.urgency;
         let Some(_turn) = self.pool.turn(urgency, deadline).await else {
+            // What [`Lent::prelude`] noted as set was not sent either: the next user's
+            // statements would run with values that are not there.
+            if let Some(kept) = &mut self.kept {
+                kept.dirty = true;
+            }
             return Err(unsent("no turn in time"));
         };
         let Some(kept) = &mut self.kept else {
@@ -488,6 +500,9 @@
         // Another node that could not run them has answered so in full.
         self.broken = result.as_ref().is_err_and(|failure| failure.sent);
         let replies = result?;
+        self.open = replies
+            .last()
+            .is_some_and(|reply| reply.state != reply::State::Idle);
         kept.used = boot::now();
         self.pool.heard(sent, &replies);
         Ok(replies)
@@ -509,7 +524,9 @@
 impl Drop for Lent {
     fn drop(&mut self) {
         match self.kept.take() {
-            Some(kept) if !self.broken => self.pool.idle.borrow_mut().push(kept),
+            // A request dropped between two statements leaves its transaction open: the next
+            // user's statements would run inside it.
+            Some(kept) if !self.broken && !self.open => self.pool.idle.borrow_mut().push(kept),
             _ => self.pool.open.set(self.pool.open.get() - 1),
         }
         self.pool.waiting.wake();
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -147,7 +147,11 @@
         let (primary, others) = split(group, &lead.id);
         let dialer = group.dialer();
         let reach = match &primary {
-            Some(pool) => reach(pool, dialer, uneasy).await,
+            Some(pool) => {
+                // Answers to reads show that it leads only while this node believes so.
+                let doubted = uneasy || group.lead().as_ref() != Some(lead);
+                reach(pool, dialer, doubted).await
+            }
             None => succession::Reach::Silent,
         };
         let calm = matches!(reach, succession::Reach::Answered(_)) && !uneasy;
@@ -342,7 +346,10 @@
         for pool in self.group.pools() {
             if pool.id() != *candidate {
                 let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
-                if look.is_some_and(|look| look.status.held > 0) {
+                // Holds for a later term belong to a later promotion: freeing them would let
+                // commits pass by its candidate.
+                let own = |look: &sampler::Look| (1..=self.term).contains(&look.status.held);
+                if look.as_ref().is_some_and(own) && self.group.term() <= self.term {
                     tell(&pool, &upstream::Command::Resume, self.group.dialer()).await;
                 }
             }
@@ -360,7 +367,7 @@
 ///
 /// After a loss of all nodes in the middle of a promotion, or together with a primary,
 /// nobody remembers who led. Waiting for a primary to show itself would then be waiting
-/// for ever.
+/// for ever. Where all answer and none leads, the id is empty.
 async fn guess(group: &rc::Rc<group::Group>) -> Option<sampler::Lead> {
     let pools = group.pools();
     let looks = sampler::look_at_all(&pools, group.dialer(), LOOK).await;
@@ -378,9 +385,9 @@
     let silent = pools
         .iter()
         .filter(|pool| looks.iter().all(|look| look.id != pool.id()))
-        .max_by_key(|pool| pool.instance.borrow().leads)?;
+        .max_by_key(|pool| pool.instance.borrow().leads);
     Some(sampler::Lead {
-        id: silent.id(),
+        id: silent.map(|pool| pool.id()).unwrap_or_default(),
         term,
     })
 }
@@ -405,7 +412,11 @@
         return succession::Reach::Answered(pool.applied());
     }
     match sampler::look(pool, dialer, LOOK).await {
-        Some(look) => succession::Reach::Answered(look.status.received),
+        Some(look) if look.status.role == role::Role::Primary => {
+            succession::Reach::Answered(look.status.received)
+        }
+        // It answers, but leads no more: callers are as badly off as with a silent one.
+        Some(_) => succession::Reach::Silent,
         None if pool.is_closed() => succession::Reach::Closed,
         None => succession::Reach::Silent,
     }
--- /dev/null
+++ b/desk/tests/pool.rs
@@ -0,0 +1,63 @@
+//! Connections that are shared, and what is known of them.
+
+mod stage;
+
+use std::collections;
+use std::rc;
+use std::time;
+
+use mangotray_desk::boot;
+use mangotray_desk::pool;
+use mangotray_desk::upstream;
+use mangotray_desk::urgency;
+use mangotray_desk::wait;
+
+type Values = collections::BTreeMap<compact_str::CompactString, compact_str::CompactString>;
+
+const LIMIT: time::Duration = time::Duration::from_secs(5);
+const SHORT: time::Duration = time::Duration::from_millis(40);
+
+/// A pool to the primary whose instance works on one statement at once.
+fn pool(stage: &stage::Stage) -> rc::Rc<pool::Pool> {
+    let instance = stage.world.borrow().list().remove(0);
+    let dialer = rc::Rc::new(stage::Dialer(rc::Rc::clone(&stage.world)));
+    let executor = rc::Rc::clone(&stage.executor);
+    rc::Rc::new(pool::Pool::new(instance, dialer, executor, 2, 1))
+}
+
+async fn lend(pool: &rc::Rc<pool::Pool>, values: &Values) -> pool::Lent {
+    let lent = pool
+        .lend(urgency::Urgency::now(), values, boot::now() + LIMIT)
+        .await;
+    lent.expect("a connection")
+}
+
+/// Symptom: a statement runs with other session values than its caller set.
+/// Events: a statement waits for its turn at the instance and gives up; its connection is
+/// lent to the next, whose session has the same values.
+/// Cause: the values were noted as set though the commands that set them never left.
+#[test]
+fn values_that_were_never_sent_are_sent_to_the_next() {
+    let stage = stage::Stage::new();
+    let pool = pool(&stage);
+    stage.run(async {
+        let values = Values::from([("tint".into(), "red".into())]);
+        let mut first = lend(&pool, &Values::new()).await;
+        let mut second = lend(&pool, &values).await;
+        stage.world.borrow_mut().stalled = true;
+        let busy = stage.executor.spawn(async move {
+            let status = [upstream::Command::Status];
+            first.run(&status, boot::now() + LIMIT).await.map(|_| first)
+        });
+        wait::sleep(SHORT).await;
+        let prelude = second.prelude(&values, None, false);
+        assert!(second.run(&prelude, boot::now() + SHORT).await.is_err());
+        drop(second);
+        stage.world.borrow_mut().stalled = false;
+        let _busy = busy.await.expect("an answer");
+        let mut third = lend(&pool, &values).await;
+        let prelude = third.prelude(&values, None, false);
+        let sets = |command: &upstream::Command| matches!(command, upstream::Command::Set { .. });
+        assert!(prelude.iter().any(sets), "{prelude:?}");
+    });
+}
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -110,8 +110,16 @@
         async { self.up().map(|_| "lease".into()) }.boxed()
     }
 
-    fn renew<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
-        async { Ok(self.up()?.entry.is_some()) }.boxed()
+    fn renew<'a>(&'a self, lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
+        async move {
+            let entries = self.up()?;
+            let held = entries
+                .entry
+                .as_ref()
+                .and_then(|entry| entry.lease.as_deref());
+            Ok(held == Some(lease))
+        }
+        .boxed()
     }
 
     fn revoke<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<(), store::Failure>> {
@@ -418,3 +426,70 @@
     play.stage.run(async { play.led(2).await });
     assert_eq!(play.leader().len(), 1);
 }
+
+/// Symptom: a group has no primary for ever though all its instances are well.
+/// Events: the old primary is demoted; the order for its successor is lost.
+/// Cause: a holder took an answer of a demoted primary for a sign that it leads, and its
+/// successor found nobody that was silent.
+#[test]
+fn a_group_in_which_nobody_leads_gets_a_primary() {
+    for seen in [true, false] {
+        let stage = stage::Stage::new();
+        if !seen {
+            stage.world.borrow_mut().at("a").role = role::Role::Replica;
+        }
+        let play = play_on(stage);
+        play.stage.run(async {
+            if seen {
+                play.led(1).await;
+                play.stage.world.borrow_mut().at("a").role = role::Role::Replica;
+                play.stage.node.group(&stage::GROUP.into()).doubt(1, "test");
+            }
+            play.led(2).await;
+        });
+        assert_eq!(play.leader().len(), 1);
+    }
+}
+
+/// Symptom: an acknowledged booking is gone after a change of primary.
+/// Events: after a promotion the old primary cannot be told for a while; a second
+/// promotion holds the replicas for a later term; the old primary is told, and the first
+/// promotion's end frees the replicas; they take commits that the candidate lacks.
+/// Cause: the end of a promotion freed holds that were not its own.
+#[test]
+fn the_end_of_a_promotion_frees_only_its_own_holds() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").up = false;
+        play.led(2).await;
+        // From here on this holder acts no more, but for the end of its promotion.
+        {
+            let mut entries = play.store.at();
+            let entry = entries.entry.as_mut().expect("the seat is held");
+            entry.value = Bytes::from_static(b"another");
+            entry.lease = None;
+        }
+        let lost = async {
+            while play.seat.held().is_some() {
+                wait::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        wait::within(LIMIT, lost).await.expect("the seat is lost");
+        for id in ["b", "c"] {
+            play.stage.world.borrow_mut().at(id).held = 7;
+        }
+        play.stage.world.borrow_mut().at("a").up = true;
+        let told = async {
+            while play.stage.world.borrow_mut().at("a").role == role::Role::Primary {
+                wait::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        wait::within(LIMIT, told)
+            .await
+            .expect("the old primary is told");
+        wait::sleep(LONG).await;
+    });
+    let mut world = play.stage.world.borrow_mut();
+    assert_eq!((world.at("b").held, world.at("c").held), (7, 7));
+}
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -3,7 +3,10 @@
 mod stage;
 
 use assert_matches::assert_matches;
+use mangotray_desk::boot;
 use mangotray_desk::reply;
+use mangotray_desk::upstream;
+use mangotray_desk::urgency;
 
 #[test]
 fn values_of_one_session_never_reach_another() {
@@ -150,3 +153,33 @@
     });
     assert!(!stage.world.borrow().texts("a").contains(&"COMMIT".into()));
 }
+
+/// Symptom: a statement runs inside somebody else's transaction.
+/// Events: a caller leaves while the next statement of its transaction waits.
+/// Cause: the connection went back with the transaction open.
+#[test]
+fn a_connection_with_an_open_transaction_is_never_lent_again() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let (pool, _) = group.primary(deadline()).await.expect("a primary");
+        let values = std::collections::BTreeMap::new();
+        let mut lent = pool
+            .lend(urgency::Urgency::now(), &values, deadline())
+            .await
+            .expect("a connection");
+        let begin = upstream::Command::Begin {
+            read_only: false,
+            after: None,
+        };
+        lent.run(&[begin], deadline()).await.expect("an answer");
+        drop(lent);
+        let mut other = stage.session("current");
+        assert!(other.handle(&stage::request("WRITE y 1")).await.is_done());
+    });
+    assert!(stage.world.borrow().ran.iter().all(|ran| !ran.inside));
+}
+
+fn deadline() -> mangotray::id::Time {
+    boot::now() + std::time::Duration::from_secs(5)
+}
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -23,6 +23,7 @@
 use mangotray_desk::statement;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
+use mangotray_desk::wait;
 
 /// Name of the only group.
 pub const GROUP: &str = "bookings";
@@ -60,6 +61,8 @@
     pub ran: Vec<Ran>,
     pub connections: u64,
     pub looks: usize,
+    /// Nothing is answered.
+    pub stalled: bool,
 }
 
 pub type Shared = rc::Rc<cell::RefCell<World>>;
@@ -192,6 +195,9 @@
         _urgency: urgency::Urgency,
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, upstream::Failure>> {
         async move {
+            while self.world.borrow().stalled {
+                wait::sleep(time::Duration::from_millis(5)).await;
+            }
             let replies: Vec<_> = commands.iter().map(|command| self.one(command)).collect();
             replies.into_iter().collect()
         }
