Watch primaries through an outage of the store, and leave used addresses alone

Change: a holder keeps watching while its lease is unsure and renews it as soon as the store is back; an address with another instance is left alone for 4 s. A new test covers the outage; it was not run against the old code.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -36,6 +36,10 @@
 /// requests fail over at once in place of waiting for a dead address one after the other.
 const DOWN_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// An address at which another instance answers is not tried again for this long: the one
+/// that was meant has ended, and its entry goes within three heartbeats.
+const GONE_PAUSE: time::Duration = time::Duration::from_secs(4);
+
 /// Connections that one node opens to one instance at the same time: each takes one of its
 /// three slots for 12 ms.
 const DIALS: usize = 2;
@@ -312,8 +316,11 @@
         if refusal == upstream::Refusal::Full {
             self.blocked.set(boot::now() + FULL_PAUSE);
         } else {
-            self.closed.set(refusal == upstream::Refusal::Closed);
-            self.down.set(boot::now() + DOWN_PAUSE);
+            let wrong = refusal == upstream::Refusal::Wrong;
+            self.closed
+                .set(wrong || refusal == upstream::Refusal::Closed);
+            let pause = if wrong { GONE_PAUSE } else { DOWN_PAUSE };
+            self.down.set(boot::now() + pause);
         }
         drop(place);
         self.waiting.wake_all();
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -109,7 +109,7 @@
                 CALM
             };
             wait::sleep(pause).await;
-            if self.seat.held().is_none() {
+            if !self.seat.had() {
                 watch = succession::Watch::default();
                 continue;
             }
@@ -127,6 +127,9 @@
             let Some(cause) = watch.judge(&round) else {
                 continue;
             };
+            if self.seat.held().is_none() {
+                continue;
+            }
             tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
                 received = ?round.received, "replacing the primary");
             let done = self.replace(&group, lead, cause).await;
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -65,6 +65,7 @@
     token: CompactString,
     held: cell::RefCell<Option<Held>>,
     vacated: event_listener::Event,
+    nudged: event_listener::Event,
     occupied: cell::Cell<bool>,
     stopping: cell::Cell<bool>,
 }
@@ -78,6 +79,7 @@
             token: format_compact!("{vm} {:016x}", fastrand::u64(..)),
             held: cell::RefCell::default(),
             vacated: event_listener::Event::new(),
+            nudged: event_listener::Event::new(),
             occupied: cell::Cell::new(true),
             stopping: cell::Cell::default(),
         })
@@ -110,6 +112,20 @@
         self.vacated.notify(usize::MAX);
     }
 
+    /// Notes that the store is back, so that a lease is renewed at once.
+    pub fn store_is_back(&self) {
+        self.nudged.notify(usize::MAX);
+    }
+
+    /// Whether this node had the seat when it last heard of it, be the lease sure or not.
+    ///
+    /// Such a node goes on watching the primaries while the store is away: it need not
+    /// begin anew to wonder whether one is lost when it may act again.
+    #[must_use]
+    pub fn had(&self) -> bool {
+        self.held.borrow().is_some()
+    }
+
     /// Notes that somebody holds the seat.
     pub fn occupied(&self) {
         self.occupied.set(true);
@@ -137,7 +153,8 @@
     }
 
     async fn renew(&self, held: Held) {
-        wait::sleep(RENEW).await;
+        let nudged = self.nudged.listen();
+        wait::within(RENEW, nudged).await;
         let started = boot::now();
         match self.store.renew(&held.lease).await {
             Ok(true) => {
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -427,6 +427,36 @@
     assert_eq!(play.leader().len(), 1);
 }
 
+/// Symptom: after an outage of the store a primary lost during it is replaced later than
+/// one lost on a calm day.
+/// Events: the store goes away until the holder's lease is no longer sure; the primary
+/// crashes; the store comes back and the lease still stands.
+/// Cause: the holder forgot what it had seen when it could not act.
+#[test]
+fn a_primary_lost_in_an_outage_is_replaced_when_the_store_is_back() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.store.at().down = true;
+        let unsure = async {
+            while play.seat.held().is_some() {
+                wait::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        wait::within(LIMIT, unsure)
+            .await
+            .expect("the lease is unsure");
+        assert!(play.seat.had());
+        play.stage.world.borrow_mut().at("a").up = false;
+        wait::sleep(LONG).await;
+        assert!(play.duty.orders.borrow().is_empty());
+        play.store.at().down = false;
+        play.seat.store_is_back();
+        play.led(2).await;
+    });
+    assert_eq!(play.duty.orders.borrow().len(), 1);
+}
+
 /// Symptom: a group has no primary for ever though all its instances are well.
 /// Events: the old primary is demoted; the order for its successor is lost.
 /// Cause: a holder took an answer of a demoted primary for a sign that it leads, and its
