Send a statement only after its session's values are set, and trace requests in logs

Change: commands that set values go ahead and must succeed; the statement follows. Every attempt of a request is logged with its id; mangotray trace prints a request's lines from the nodes' logs with what happened to its group and the store around them. Three walks from a failed request's id to its cause are replayed from logs of an incident.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -467,6 +467,7 @@
     }
 
     /// Runs commands until `deadline`; the connection is of no further use after a failure.
+    /// Answers to commands that set values may be left out.
     ///
     /// # Errors
     /// When not all answers came.
@@ -488,11 +489,20 @@
             return Err(unsent("the connection is gone"));
         };
         let sent = boot::now();
+        let (values, work) = commands.split_at(split(&*kept.link, commands));
         // Broken until proven whole: a request that is dropped half way leaves an answer
         // on the connection that the next one would take for its own.
         self.broken = true;
+        if !values.is_empty() {
+            let set = wait::until(deadline, kept.link.run(values, urgency)).await;
+            let set =
+                set.is_some_and(|set| set.is_ok_and(|set| set.iter().all(reply::Reply::is_done)));
+            if !set {
+                return Err(unsent("the session's values could not be set"));
+            }
+        }
         let silence = time::Duration::min(kept.link.silence(), deadline.saturating_sub(sent));
-        let mut exchange = kept.link.run(commands, urgency);
+        let mut exchange = kept.link.run(work, urgency);
         let mut result = wait::within(silence, &mut exchange).await;
         if result.is_none() {
             self.pool.doubt(sent);
@@ -540,6 +550,22 @@
     }
 }
 
+// How many of the commands set values, and must have succeeded before the rest is sent. An
+// instance that fails part of its requests may fail these too, and would then run the
+// statement behind them with somebody else's values.
+fn split(link: &dyn upstream::Connection, commands: &[upstream::Command]) -> usize {
+    if link.sets_surely() {
+        return 0;
+    }
+    let sets = |command: &upstream::Command| {
+        matches!(
+            command,
+            upstream::Command::Set { .. } | upstream::Command::Reset
+        )
+    };
+    commands.iter().rposition(sets).map_or(0, |last| last + 1)
+}
+
 fn unsent(detail: &str) -> upstream::Failure {
     upstream::Failure {
         sent: false,
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -209,6 +209,11 @@
         true
     }
 
+    // The lending node notes values, and sets them before it runs a statement.
+    fn sets_surely(&self) -> bool {
+        true
+    }
+
     fn silence(&self) -> time::Duration {
         SILENCE
     }
@@ -248,6 +253,11 @@
         fresh && poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none()
     }
 
+    // The lending node notes values, and sets them before it runs a statement.
+    fn sets_surely(&self) -> bool {
+        true
+    }
+
     fn silence(&self) -> time::Duration {
         SILENCE
     }
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -329,6 +329,8 @@
         let sent = boot::now();
         let limit = deadline.min(sent + route.timeout * ATTEMPT_PERCENT / 100);
         let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
+            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+                sent = failure.sent, detail = %failure.detail, "read not answered");
             if !failure.sent {
                 return Some(reply::Code::Busy);
             }
@@ -341,9 +343,15 @@
         }
         let Some(code) = reply.code() else {
             count_read(source.leads.is_some());
+            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+                term = source.leads, after = source.after.map(tracing::field::display),
+                took_ms = boot::now().saturating_sub(sent).as_millis(), "read served");
             return Ok(reply);
         };
         metrics::counter!("mangotray_read_retries_total").increment(1);
+        tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+            ?code, applied = %source.pool.applied(),
+            after = source.after.map(tracing::field::display), "read not served here");
         match code {
             reply::Code::Behind => source.pool.note_behind(),
             reply::Code::NoStatement => lent.forget(),
@@ -404,6 +412,8 @@
             group.saw_position(term, sent, reply.position);
             match reply.code() {
                 None => {
+                    tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(),
+                        term, took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
                     self.own = self.own.max(reply.position);
                     return Outcome::Answered(reply);
                 }
@@ -413,6 +423,8 @@
                 Some(_) => return Outcome::Answered(reply),
             }
             metrics::counter!("mangotray_write_retries_total").increment(1);
+            tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(), term,
+                code = ?reply.code(), "write not run");
             drop(lent);
             if !pause_before(wait).await {
                 return Outcome::Answered(reply);
@@ -620,8 +632,12 @@
         metrics::counter!("mangotray_statements_total", "outcome" => outcome).increment(1);
         metrics::histogram!("mangotray_statement_seconds").record(took.as_secs_f64());
         if let reply::End::Error { code, text } = &reply.end {
-            tracing::warn!(request = %request.id, database = %self.database, ?code, %text,
-                took_ms = took.as_millis(), "statement failed");
+            let group = self
+                .node
+                .route(&self.database)
+                .map(|route| route.group.clone());
+            tracing::warn!(request = %request.id, database = %self.database,
+                group = group.map(tracing::field::display), ?code, %text, took_ms = took.as_millis(), "statement failed");
         }
     }
 }
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -138,6 +138,11 @@
     /// Whether the far end is still there, as far as a look without waiting can tell.
     fn alive(&mut self) -> bool;
 
+    /// Whether commands that set values cannot fail on their own.
+    fn sets_surely(&self) -> bool {
+        false
+    }
+
     /// How long the instance may answer nothing before it is suspected.
     fn silence(&self) -> time::Duration;
 }
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -29,6 +29,28 @@
     }
 }
 
+/// Symptom: a statement runs with other session values than its caller set.
+/// Events: an instance fails part of its requests; it fails the command that sets a
+/// session's value and runs the statement behind it.
+/// Cause: the statement was sent without waiting for the value to be set.
+#[test]
+fn a_statement_waits_until_its_values_are_set() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        stage.world.borrow_mut().fail_sets = 2;
+        let mut session = stage.session("own");
+        session.handle(&stage::request("SET colour red")).await;
+        for text in ["READ x", "WRITE x 1", "READ x"] {
+            session.handle(&stage::request(text)).await;
+        }
+    });
+    let world = stage.world.borrow();
+    assert!(!world.ran.is_empty());
+    for ran in &world.ran {
+        assert_eq!(ran.values.len(), 1, "{ran:?}");
+    }
+}
+
 #[test]
 fn equal_names_mean_each_sessions_own_shape() {
     let stage = stage::Stage::new();
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -63,6 +63,8 @@
     pub looks: usize,
     /// Nothing is answered.
     pub stalled: bool,
+    /// The next commands that set a value fail.
+    pub fail_sets: usize,
 }
 
 pub type Shared = rc::Rc<cell::RefCell<World>>;
@@ -259,6 +261,10 @@
                 self.inside = false;
                 Ok(self.done(&world, Vec::new()))
             }
+            upstream::Command::Set { .. } if world.fail_sets > 0 => {
+                world.fail_sets -= 1;
+                Ok(self.fail(&world, reply::Code::Failed))
+            }
             upstream::Command::Set { name, value } => {
                 self.values.insert(name.clone(), value.clone());
                 Ok(self.done(&world, Vec::new()))
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,6 +42,9 @@
     /// Tell how a statement is treated, and why
     #[bpaf(command)]
     Explain(#[bpaf(external(explain))] Explain),
+    /// Tell from the nodes' logs what became of one request
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace))] Trace),
 }
 
 /// Arguments of `mangotray check`.
@@ -116,6 +119,17 @@
     pub sql: String,
 }
 
+/// Arguments of `mangotray trace`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+pub struct Trace {
+    /// Id that the caller gave to the request
+    #[bpaf(positional("REQUEST"))]
+    pub request: String,
+    /// Logs of the nodes, one JSON line each; words before the JSON are kept
+    #[bpaf(positional("LOG"))]
+    pub logs: Vec<path::PathBuf>,
+}
+
 fn file() -> impl Parser<path::PathBuf> {
     bpaf::positional("FILE")
         .help("Operators' file")
--- a/src/command.rs
+++ b/src/command.rs
@@ -21,6 +21,7 @@
 mod diff;
 mod explain;
 mod status;
+pub mod trace;
 
 /// An operators' file that was read and found valid.
 struct Source {
@@ -46,6 +47,7 @@
         cli::Command::Apply(arguments) => apply::run(arguments, console),
         cli::Command::Explain(arguments) => explain::run(arguments, console),
         cli::Command::Status(arguments) => status::run(arguments, console),
+        cli::Command::Trace(arguments) => trace::run(arguments, console),
     }
 }
 
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -12,7 +12,7 @@
 const KNOWN: &str = "known are: ";
 
 fn handbook() -> String {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATING.md");
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATIONS.md");
     fs::read_to_string(path).unwrap()
 }
 
@@ -34,7 +34,10 @@
 }
 
 fn assert_row(handbook: &str, row: &str) {
-    assert!(handbook.contains(row), "docs/OPERATING.md has no row {row}");
+    assert!(
+        handbook.contains(row),
+        "docs/OPERATIONS.md has no row {row}"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,66 @@
+//! From the id of a failed request to its cause, with nothing but the nodes' logs.
+//!
+//! The logs are those of a run in which the platform's store and a primary were away.
+
+use mangotray::command::trace;
+
+fn walk(log: &str, request: &str) -> Vec<String> {
+    let path = trace::path(log, request);
+    assert!(!path.is_empty(), "no line about {request}");
+    path
+}
+
+/// Positions of the first line with each of `texts`, which must come in this order.
+fn in_order(path: &[String], texts: &[&str]) {
+    let mut from = 0;
+    for text in texts {
+        let found = path[from..].iter().position(|line| line.contains(text));
+        let found = found.unwrap_or_else(|| panic!("no {text:?} in order in {path:#?}"));
+        from += found;
+    }
+}
+
+#[test]
+fn a_refused_read_leads_to_the_instance_that_lost_its_answer() {
+    let log = include_str!("logs/refused-read.log");
+    let path = walk(log, "00b63cd6f26b2d50");
+    in_order(
+        &path,
+        &[
+            "- store lost",
+            "read not answered",
+            "- primary in doubt",
+            "statement failed code=Aborted",
+        ],
+    );
+}
+
+#[test]
+fn an_unknown_outcome_leads_to_the_primary_that_was_replaced_after_it() {
+    let log = include_str!("logs/unknown-outcome.log");
+    let path = walk(log, "52bc144bcdeda6ce");
+    in_order(
+        &path,
+        &[
+            "- primary in doubt",
+            "statement failed code=Unsure",
+            "- replacing the primary cause=Silent",
+            "- promotion over",
+        ],
+    );
+}
+
+#[test]
+fn a_refused_write_leads_to_the_outage_in_which_nobody_could_promote() {
+    let log = include_str!("logs/no-primary.log");
+    let path = walk(log, "5b2f6e75f9302ca0");
+    in_order(
+        &path,
+        &[
+            "- primary in doubt",
+            "statement failed code=Busy",
+            "- store regained",
+            "- promotion over",
+        ],
+    );
+}
