--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -494,10 +494,10 @@
         // on the connection that the next one would take for its own.
         self.broken = true;
         if !values.is_empty() {
-            let set = wait::until(deadline, kept.link.run(values, urgency)).await;
-            let set =
-                set.is_some_and(|set| set.is_ok_and(|set| set.iter().all(reply::Reply::is_done)));
-            if !set {
+            let replies = wait::until(deadline, kept.link.run(values, urgency)).await;
+            let done = |replies: Vec<reply::Reply>| replies.iter().all(reply::Reply::is_done);
+            let equipped = replies.is_some_and(|replies| replies.is_ok_and(done));
+            if !equipped {
                 return Err(unsent("the session's values could not be set"));
             }
         }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -418,10 +418,9 @@
         Some(look) if look.status.role == role::Role::Primary => {
             succession::Reach::Answered(look.status.received)
         }
-        // It answers, but leads no more: callers are as badly off as with a silent one.
-        Some(_) => succession::Reach::Silent,
         None if pool.is_closed() => succession::Reach::Closed,
-        None => succession::Reach::Silent,
+        // One that answers, but leads no more, is as bad for callers as a silent one.
+        Some(_) | None => succession::Reach::Silent,
     }
 }
 
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -144,11 +144,9 @@
     let stage = stage::Stage::new();
     stage.run(async {
         let group = stage.node.group(&stage::GROUP.into());
-        let mut world = stage.world.borrow_mut();
-        world.at("a").role = mangotray::role::Role::Replica;
-        world.promote("b");
-        world.at("b").up = false;
-        drop(world);
+        stage.world.borrow_mut().at("a").role = mangotray::role::Role::Replica;
+        stage.world.borrow_mut().promote("b");
+        stage.world.borrow_mut().at("b").up = false;
         group.doubt(1, "test");
         let mut tight = need(catalog::Freshness::Bounded(time::Duration::from_millis(70)));
         tight.deadline = boot::now() + time::Duration::from_millis(600);
