--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -104,6 +104,8 @@
     broken: bool,
     /// A transaction is open on it.
     open: bool,
+    /// [`Lent::prelude`] noted values as set that have not been sent.
+    unsent: bool,
 }
 
 impl Pool {
@@ -274,6 +276,7 @@
             kept: Some(kept),
             broken: false,
             open: false,
+            unsent: false,
         }
     }
 
@@ -463,6 +466,7 @@
                 shape: shape.clone(),
             });
         }
+        self.unsent |= !commands.is_empty();
         commands
     }
 
@@ -478,11 +482,6 @@
     ) -> Result<Vec<reply::Reply>, upstream::Failure> {
         let urgency = self.urgency;
         let Some(_turn) = self.pool.turn(urgency, deadline).await else {
-            // What [`Lent::prelude`] noted as set was not sent either: the next user's
-            // statements would run with values that are not there.
-            if let Some(kept) = &mut self.kept {
-                kept.dirty = true;
-            }
             return Err(unsent("no turn in time"));
         };
         let Some(kept) = &mut self.kept else {
@@ -517,6 +516,7 @@
         // Another node that could not run them has answered so in full.
         self.broken = result.as_ref().is_err_and(|failure| failure.sent);
         let replies = result?;
+        self.unsent = false;
         self.open = replies
             .last()
             .is_some_and(|reply| reply.state != reply::State::Idle);
@@ -540,6 +540,11 @@
 
 impl Drop for Lent {
     fn drop(&mut self) {
+        if let Some(kept) = &mut self.kept {
+            // A request can be dropped, or give up, while it waits for its turn. The next
+            // user's statements would run with values that were never set.
+            kept.dirty |= self.unsent;
+        }
         match self.kept.take() {
             // A request dropped between two statements leaves its transaction open: the next
             // user's statements would run inside it.
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -33,11 +33,16 @@
 }
 
 /// Symptom: a statement runs with other session values than its caller set.
-/// Events: a statement waits for its turn at the instance and gives up; its connection is
-/// lent to the next, whose session has the same values.
+/// Events: a statement waits for its turn at the instance and gives up, or its caller
+/// leaves; its connection is lent to the next, whose session has the same values.
 /// Cause: the values were noted as set though the commands that set them never left.
 #[test]
 fn values_that_were_never_sent_are_sent_to_the_next() {
+    play(false);
+    play(true);
+}
+
+fn play(dropped: bool) {
     let stage = stage::Stage::new();
     let pool = pool(&stage);
     stage.run(async {
@@ -51,7 +56,10 @@
         });
         wait::sleep(SHORT).await;
         let prelude = second.prelude(&values, None, false);
-        assert!(second.run(&prelude, boot::now() + SHORT).await.is_err());
+        let limit = if dropped { LIMIT } else { SHORT };
+        let run = second.run(&prelude, boot::now() + limit);
+        let ended = wait::within(2 * SHORT, run).await;
+        assert_eq!(ended.is_none(), dropped);
         drop(second);
         stage.world.borrow_mut().stalled = false;
         let _busy = busy.await.expect("an answer");
