Part pool, session and promoter into files of one type each

Cause: three files had grown to 450 to 750 lines with several types. Change: moves only: lent, kept, work and plan get files of their own. Conclusion: no behaviour changed.

--- /dev/null
+++ b/desk/src/lent.rs
@@ -0,0 +1,207 @@
+//! A connection on loan from a pool.
+
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use mangotray::id;
+
+use crate::boot;
+use crate::kept;
+use crate::pool;
+use crate::reply;
+use crate::statement;
+use crate::upstream;
+use crate::urgency;
+use crate::wait;
+
+/// Prepared statements that one connection keeps before it is cleared; bounds its memory.
+const HANDLES: usize = 256;
+
+/// A connection on loan; given back when dropped.
+pub struct Lent {
+    pool: rc::Rc<pool::Pool>,
+    urgency: urgency::Urgency,
+    kept: Option<kept::Kept>,
+    broken: bool,
+    /// A transaction is open on it.
+    open: bool,
+    /// [`Lent::prelude`] noted values as set that have not been sent.
+    unsent: bool,
+}
+
+impl Lent {
+    /// Lends `kept` until the loan is dropped.
+    #[must_use]
+    pub(crate) const fn new(
+        pool: rc::Rc<pool::Pool>,
+        kept: kept::Kept,
+        urgency: urgency::Urgency,
+    ) -> Self {
+        Self {
+            pool,
+            urgency,
+            kept: Some(kept),
+            broken: false,
+            open: false,
+            unsent: false,
+        }
+    }
+
+    /// The pool that it came from.
+    #[must_use]
+    pub const fn pool(&self) -> &rc::Rc<pool::Pool> {
+        &self.pool
+    }
+
+    /// Sets the urgency of the next commands.
+    pub const fn urge(&mut self, urgency: urgency::Urgency) {
+        self.urgency = urgency;
+    }
+
+    /// Commands that bring the connection to a session's values and one prepared shape.
+    ///
+    /// `inside` tells that a transaction is open, in which the connection cannot be cleared.
+    pub fn prelude(
+        &mut self,
+        values: &kept::Values,
+        shape: Option<(&CompactString, &statement::Shape)>,
+        inside: bool,
+    ) -> Vec<upstream::Command> {
+        let Some(kept) = &mut self.kept else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        let foreign = kept.values.keys().any(|name| !values.contains_key(name));
+        if !inside && (foreign || kept.dirty || kept.handles.len() >= HANDLES) {
+            commands.push(upstream::Command::Reset);
+            kept.values.clear();
+            kept.handles.clear();
+            kept.dirty = false;
+        }
+        for (name, value) in values {
+            if kept.values.get(name) != Some(value) {
+                kept.values.insert(name.clone(), value.clone());
+                commands.push(upstream::Command::Set {
+                    name: name.clone(),
+                    value: value.clone(),
+                });
+            }
+        }
+        if let Some((handle, shape)) = shape
+            && kept.handles.insert(handle.clone())
+        {
+            commands.push(upstream::Command::Prepare {
+                handle: handle.clone(),
+                shape: shape.clone(),
+            });
+        }
+        self.unsent |= !commands.is_empty();
+        commands
+    }
+
+    /// Runs commands until `deadline`; the connection is of no further use after a failure.
+    /// Answers to commands that set values may be left out.
+    ///
+    /// # Errors
+    /// When not all answers came.
+    pub async fn run(
+        &mut self,
+        commands: &[upstream::Command],
+        deadline: id::Time,
+    ) -> Result<Vec<reply::Reply>, upstream::Failure> {
+        let urgency = self.urgency;
+        let Some(_turn) = self.pool.turn(urgency, deadline).await else {
+            return Err(unsent("no turn in time"));
+        };
+        let Some(kept) = &mut self.kept else {
+            return Err(unsent("the connection is gone"));
+        };
+        let sent = boot::now();
+        let (values, work) = commands.split_at(split(&*kept.link, commands));
+        // Broken until proven whole: a request that is dropped half way leaves an answer
+        // on the connection that the next one would take for its own.
+        self.broken = true;
+        if !values.is_empty() {
+            let replies = wait::until(deadline, kept.link.run(values, urgency)).await;
+            let done = |replies: Vec<reply::Reply>| replies.iter().all(reply::Reply::is_done);
+            let equipped = replies.is_some_and(|replies| replies.is_ok_and(done));
+            if !equipped {
+                return Err(unsent("the session's values could not be set"));
+            }
+        }
+        let silence = time::Duration::min(kept.link.silence(), deadline.saturating_sub(sent));
+        let mut exchange = kept.link.run(work, urgency);
+        let mut result = wait::within(silence, &mut exchange).await;
+        if result.is_none() {
+            self.pool.doubt(sent);
+            result = wait::until(deadline, exchange).await;
+        }
+        let result = result.unwrap_or_else(|| {
+            Err(upstream::Failure {
+                sent: true,
+                detail: "no answer in time".into(),
+            })
+        });
+        // Another node that could not run them has answered so in full.
+        self.broken = result.as_ref().is_err_and(|failure| failure.sent);
+        let replies = result?;
+        self.unsent = false;
+        self.open = replies
+            .last()
+            .is_some_and(|reply| reply.state != reply::State::Idle);
+        kept.used = boot::now();
+        self.pool.heard(sent, &replies);
+        Ok(replies)
+    }
+
+    /// Forgets what was prepared here, as after the instance no longer knew a name.
+    pub fn forget(&mut self) {
+        if let Some(kept) = &mut self.kept {
+            kept.handles.clear();
+        }
+    }
+
+    /// Marks the connection as of no further use.
+    pub fn discard(&mut self) {
+        self.broken = true;
+    }
+}
+
+impl Drop for Lent {
+    fn drop(&mut self) {
+        let Some(mut kept) = self.kept.take() else {
+            return;
+        };
+        // A request can be dropped, or give up, while it waits for its turn. The next
+        // user's statements would run with values that were never set.
+        kept.dirty |= self.unsent;
+        // A request dropped between two statements leaves its transaction open: the next
+        // user's statements would run inside it.
+        let whole = !self.broken && !self.open;
+        self.pool.give_back(whole.then_some(kept));
+    }
+}
+
+// How many of the commands set values, and must have succeeded before the rest is sent. An
+// instance that fails part of its requests may fail these too, and would then run the
+// statement behind them with somebody else's values.
+fn split(link: &dyn upstream::Connection, commands: &[upstream::Command]) -> usize {
+    if link.sets_surely() {
+        return 0;
+    }
+    let sets = |command: &upstream::Command| {
+        matches!(
+            command,
+            upstream::Command::Set { .. } | upstream::Command::Reset
+        )
+    };
+    commands.iter().rposition(sets).map_or(0, |last| last + 1)
+}
+
+fn unsent(detail: &str) -> upstream::Failure {
+    upstream::Failure {
+        sent: false,
+        detail: detail.into(),
+    }
+}
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -2,7 +2,7 @@
 //! commits themselves.
 //!
 //! Sessions belong to callers, connections to everybody: a [`session::Session`] keeps what
-//! its caller set and prepared, and a [`pool::Lent`] connection is brought to that state
+//! its caller set and prepared, and a [`lent::Lent`] connection is brought to that state
 //! before a statement runs on it. A [`group::Group`] knows which instance leads, how fresh
 //! the others are, and proves both before a read depends on it. One node of the fleet, the
 //! [`promoter`], replaces primaries.
@@ -13,9 +13,12 @@
 pub mod enrol;
 pub mod floor;
 pub mod group;
+pub mod kept;
+pub mod lent;
 pub mod log;
 pub mod member;
 pub mod node;
+pub mod plan;
 pub mod pool;
 pub mod promoter;
 pub mod queue;
@@ -32,3 +35,4 @@
 pub mod upstream;
 pub mod urgency;
 pub mod wait;
+pub mod work;
--- /dev/null
+++ b/desk/src/plan.rs
@@ -0,0 +1,125 @@
+//! One replacement of a primary.
+
+use std::collections;
+use std::rc;
+use std::time;
+
+use mangotray::id;
+use mangotray::role;
+
+use crate::boot;
+use crate::group;
+use crate::pool;
+use crate::sampler;
+use crate::succession;
+use crate::upstream;
+use crate::urgency;
+use crate::wait;
+
+/// Longest wait for the answer to one hold.
+const HOLD: time::Duration = time::Duration::from_millis(300);
+
+/// Longest wait for an ordered candidate to lead; promotions take 300 to 600 ms.
+pub const LEADING: time::Duration = time::Duration::from_millis(1800);
+
+/// Pause between looks at a candidate.
+pub const POLL: time::Duration = time::Duration::from_millis(40);
+
+/// An old primary is told this often, for this long, that it no longer leads.
+const DEMOTE: time::Duration = time::Duration::from_millis(300);
+const DEMOTE_FOR: time::Duration = time::Duration::from_secs(15);
+
+/// One replacement under way.
+pub struct Plan {
+    /// The group.
+    pub group: rc::Rc<group::Group>,
+    /// The primary that is replaced, if it is still listed.
+    pub old: Option<rc::Rc<pool::Pool>>,
+    /// Why.
+    pub cause: succession::Cause,
+    /// Term for which replicas are held.
+    pub term: id::Term,
+    /// When it began.
+    pub began: id::Time,
+}
+
+impl Plan {
+    /// Whether the candidate comes to lead within `limit`.
+    pub async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
+        let deadline = boot::now() + limit;
+        while boot::now() < deadline {
+            let pools = self.group.pools();
+            let Some(pool) = pools.iter().find(|pool| pool.id() == *candidate) else {
+                return false;
+            };
+            let look = sampler::look(pool, self.group.dialer(), HOLD).await;
+            if look.is_some_and(|look| look.status.role == role::Role::Primary) {
+                return true;
+            }
+            wait::sleep(POLL).await;
+        }
+        false
+    }
+
+    /// Whether the old primary answers and still leads.
+    pub async fn old_answers(&self) -> bool {
+        let Some(old) = &self.old else { return false };
+        let look = sampler::look(old, self.group.dialer(), HOLD).await;
+        look.is_some_and(|look| look.status.role == role::Role::Primary)
+    }
+
+    /// Tells the old primary that it no longer leads; `true` once it knows.
+    pub async fn demote_once(&self) -> bool {
+        let Some(old) = &self.old else { return true };
+        let command = upstream::Command::Demote(self.term);
+        let look = tell(old, &command, self.group.dialer()).await;
+        look.is_some_and(|look| look.status.role == role::Role::Replica)
+    }
+
+    /// Ends the old primary's belief that it leads, then frees replicas that are still held:
+    /// in this order, as a freed replica would acknowledge commits of the old primary.
+    pub async fn settle(&self, candidate: &upstream::Id) {
+        let deadline = boot::now() + DEMOTE_FOR;
+        while !self.demote_once().await && boot::now() < deadline {
+            wait::sleep(DEMOTE).await;
+        }
+        for pool in self.group.pools() {
+            if pool.id() != *candidate {
+                let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
+                // Holds for a later term belong to a later promotion: freeing them would let
+                // commits pass by its candidate.
+                let own = |look: &sampler::Look| (1..=self.term).contains(&look.status.held);
+                if look.as_ref().is_some_and(own) && self.group.term() <= self.term {
+                    tell(&pool, &upstream::Command::Resume, self.group.dialer()).await;
+                }
+            }
+        }
+    }
+}
+
+/// Sends one order to an instance and reads what it says of itself then.
+pub async fn tell(
+    pool: &rc::Rc<pool::Pool>,
+    command: &upstream::Command,
+    dialer: &dyn upstream::Dialer,
+) -> Option<sampler::Look> {
+    let deadline = boot::now() + HOLD;
+    let mut lent = pool
+        .lend(
+            urgency::Urgency::now(),
+            &collections::BTreeMap::new(),
+            deadline,
+        )
+        .await
+        .ok()?;
+    let replies = lent
+        .run(std::slice::from_ref(command), deadline)
+        .await
+        .ok()?;
+    let status = dialer.status(replies.first()?);
+    tracing::info!(instance = %pool.id(), ?command, ?status, "instance told");
+    Some(sampler::Look {
+        id: pool.id(),
+        status: status?,
+    })
+}
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -5,15 +5,15 @@
 use std::rc;
 use std::time;
 
-use compact_str::CompactString;
 use mangotray::id;
 use mangotray::stamp;
 
 use crate::boot;
 use crate::catalog;
+use crate::kept;
+use crate::lent;
 use crate::queue;
 use crate::reply;
-use crate::statement;
 use crate::upstream;
 use crate::urgency;
 use crate::wait;
@@ -47,9 +47,6 @@
 /// Longest wait for a new connection; one takes 12 ms and its slot on a calm day.
 const DIAL_LIMIT: time::Duration = time::Duration::from_millis(700);
 
-/// Prepared statements that one connection keeps before it is cleared; bounds its memory.
-const HANDLES: usize = 256;
-
 /// Why no connection was lent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
@@ -61,18 +58,6 @@
     Full,
 }
 
-type Values = collections::BTreeMap<statement::Name, CompactString>;
-
-/// A connection and what was set on it.
-struct Kept {
-    link: Box<dyn upstream::Connection>,
-    values: Values,
-    handles: collections::BTreeSet<CompactString>,
-    /// Commands were made for it that never left: it is not known what is set.
-    dirty: bool,
-    used: id::Time,
-}
-
 /// The shared connections to one instance, and what their answers told about it.
 pub struct Pool {
     /// The instance, as the list of instances has it now.
@@ -82,7 +67,7 @@
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     dialling: cell::Cell<usize>,
-    idle: cell::RefCell<Vec<Kept>>,
+    idle: cell::RefCell<Vec<kept::Kept>>,
     open: cell::Cell<usize>,
     waiting: queue::Queue,
     turns: queue::Queue,
@@ -96,18 +81,6 @@
     delay: cell::Cell<time::Duration>,
 }
 
-/// A connection on loan; given back when dropped.
-pub struct Lent {
-    pool: rc::Rc<Pool>,
-    urgency: urgency::Urgency,
-    kept: Option<Kept>,
-    broken: bool,
-    /// A transaction is open on it.
-    open: bool,
-    /// [`Lent::prelude`] noted values as set that have not been sent.
-    unsent: bool,
-}
-
 impl Pool {
     /// An empty pool that opens `most` connections at most, of which `abreast` work at once.
     #[must_use]
@@ -202,9 +175,9 @@
     pub async fn lend(
         self: &rc::Rc<Self>,
         urgency: urgency::Urgency,
-        values: &Values,
+        values: &kept::Values,
         deadline: id::Time,
-    ) -> Result<Lent, Shortage> {
+    ) -> Result<lent::Lent, Shortage> {
         loop {
             if let Some(kept) = self.take(values) {
                 return Ok(self.loan(kept, urgency));
@@ -235,7 +208,7 @@
 
     // The request goes on waiting, but no other one is sent after it until the instance
     // has answered a new connection.
-    fn doubt(&self, sent: id::Time) {
+    pub(crate) fn doubt(&self, sent: id::Time) {
         if self.answered.get() < sent {
             tracing::info!(instance = %self.id(), "instance is silent");
             metrics::counter!("mangotray_upstream_silences_total").increment(1);
@@ -256,7 +229,7 @@
         self.open.set(self.open.get() - count);
     }
 
-    fn take(&self, values: &Values) -> Option<Kept> {
+    fn take(&self, values: &kept::Values) -> Option<kept::Kept> {
         loop {
             let mut idle = self.idle.borrow_mut();
             let fits = idle.iter().rposition(|kept| kept.values == *values);
@@ -269,15 +242,17 @@
         }
     }
 
-    fn loan(self: &rc::Rc<Self>, kept: Kept, urgency: urgency::Urgency) -> Lent {
-        Lent {
-            urgency,
-            pool: rc::Rc::clone(self),
-            kept: Some(kept),
-            broken: false,
-            open: false,
-            unsent: false,
+    fn loan(self: &rc::Rc<Self>, kept: kept::Kept, urgency: urgency::Urgency) -> lent::Lent {
+        lent::Lent::new(rc::Rc::clone(self), kept, urgency)
+    }
+
+    /// Takes a connection back, or notes that it is gone.
+    pub(crate) fn give_back(&self, kept: Option<kept::Kept>) {
+        match kept {
+            Some(kept) => self.idle.borrow_mut().push(kept),
+            None => self.open.set(self.open.get() - 1),
         }
+        self.waiting.wake();
     }
 
     // Opens one more connection in the background, if one is missing.
@@ -336,9 +311,9 @@
         if let Some(stamp) = stamp {
             self.applied.set(self.applied.get().max(stamp));
         }
-        self.idle.borrow_mut().push(Kept {
+        self.idle.borrow_mut().push(kept::Kept {
             link,
-            values: Values::new(),
+            values: kept::Values::new(),
             handles: collections::BTreeSet::new(),
             dirty: false,
             used: boot::now(),
@@ -346,7 +321,7 @@
     }
 
     /// A turn to let the instance work, where only so many statements may at once.
-    async fn turn(
+    pub(crate) async fn turn(
         self: &rc::Rc<Self>,
         urgency: urgency::Urgency,
         deadline: id::Time,
@@ -370,7 +345,7 @@
         }
     }
 
-    fn heard(&self, sent: id::Time, replies: &[reply::Reply]) {
+    pub(crate) fn heard(&self, sent: id::Time, replies: &[reply::Reply]) {
         let now = boot::now();
         self.answered.set(now);
         let took = now.saturating_sub(sent);
@@ -408,7 +383,7 @@
 }
 
 /// A statement at work, or about to be.
-struct Turn(rc::Rc<Pool>);
+pub(crate) struct Turn(rc::Rc<Pool>);
 
 impl Drop for Turn {
     fn drop(&mut self) {
@@ -416,164 +391,3 @@
         self.0.turns.wake();
     }
 }
-
-impl Lent {
-    /// The pool that it came from.
-    #[must_use]
-    pub const fn pool(&self) -> &rc::Rc<Pool> {
-        &self.pool
-    }
-
-    /// Sets the urgency of the next commands.
-    pub const fn urge(&mut self, urgency: urgency::Urgency) {
-        self.urgency = urgency;
-    }
-
-    /// Commands that bring the connection to a session's values and one prepared shape.
-    ///
-    /// `inside` tells that a transaction is open, in which the connection cannot be cleared.
-    pub fn prelude(
-        &mut self,
-        values: &Values,
-        shape: Option<(&CompactString, &statement::Shape)>,
-        inside: bool,
-    ) -> Vec<upstream::Command> {
-        let Some(kept) = &mut self.kept else {
-            return Vec::new();
-        };
-        let mut commands = Vec::new();
-        let foreign = kept.values.keys().any(|name| !values.contains_key(name));
-        if !inside && (foreign || kept.dirty || kept.handles.len() >= HANDLES) {
-            commands.push(upstream::Command::Reset);
-            kept.values.clear();
-            kept.handles.clear();
-            kept.dirty = false;
-        }
-        for (name, value) in values {
-            if kept.values.get(name) != Some(value) {
-                kept.values.insert(name.clone(), value.clone());
-                commands.push(upstream::Command::Set {
-                    name: name.clone(),
-                    value: value.clone(),
-                });
-            }
-        }
-        if let Some((handle, shape)) = shape
-            && kept.handles.insert(handle.clone())
-        {
-            commands.push(upstream::Command::Prepare {
-                handle: handle.clone(),
-                shape: shape.clone(),
-            });
-        }
-        self.unsent |= !commands.is_empty();
-        commands
-    }
-
-    /// Runs commands until `deadline`; the connection is of no further use after a failure.
-    /// Answers to commands that set values may be left out.
-    ///
-    /// # Errors
-    /// When not all answers came.
-    pub async fn run(
-        &mut self,
-        commands: &[upstream::Command],
-        deadline: id::Time,
-    ) -> Result<Vec<reply::Reply>, upstream::Failure> {
-        let urgency = self.urgency;
-        let Some(_turn) = self.pool.turn(urgency, deadline).await else {
-            return Err(unsent("no turn in time"));
-        };
-        let Some(kept) = &mut self.kept else {
-            return Err(unsent("the connection is gone"));
-        };
-        let sent = boot::now();
-        let (values, work) = commands.split_at(split(&*kept.link, commands));
-        // Broken until proven whole: a request that is dropped half way leaves an answer
-        // on the connection that the next one would take for its own.
-        self.broken = true;
-        if !values.is_empty() {
-            let replies = wait::until(deadline, kept.link.run(values, urgency)).await;
-            let done = |replies: Vec<reply::Reply>| replies.iter().all(reply::Reply::is_done);
-            let equipped = replies.is_some_and(|replies| replies.is_ok_and(done));
-            if !equipped {
-                return Err(unsent("the session's values could not be set"));
-            }
-        }
-        let silence = time::Duration::min(kept.link.silence(), deadline.saturating_sub(sent));
-        let mut exchange = kept.link.run(work, urgency);
-        let mut result = wait::within(silence, &mut exchange).await;
-        if result.is_none() {
-            self.pool.doubt(sent);
-            result = wait::until(deadline, exchange).await;
-        }
-        let result = result.unwrap_or_else(|| {
-            Err(upstream::Failure {
-                sent: true,
-                detail: "no answer in time".into(),
-            })
-        });
-        // Another node that could not run them has answered so in full.
-        self.broken = result.as_ref().is_err_and(|failure| failure.sent);
-        let replies = result?;
-        self.unsent = false;
-        self.open = replies
-            .last()
-            .is_some_and(|reply| reply.state != reply::State::Idle);
-        kept.used = boot::now();
-        self.pool.heard(sent, &replies);
-        Ok(replies)
-    }
-
-    /// Forgets what was prepared here, as after the instance no longer knew a name.
-    pub fn forget(&mut self) {
-        if let Some(kept) = &mut self.kept {
-            kept.handles.clear();
-        }
-    }
-
-    /// Marks the connection as of no further use.
-    pub fn discard(&mut self) {
-        self.broken = true;
-    }
-}
-
-impl Drop for Lent {
-    fn drop(&mut self) {
-        if let Some(kept) = &mut self.kept {
-            // A request can be dropped, or give up, while it waits for its turn. The next
-            // user's statements would run with values that were never set.
-            kept.dirty |= self.unsent;
-        }
-        match self.kept.take() {
-            // A request dropped between two statements leaves its transaction open: the next
-            // user's statements would run inside it.
-            Some(kept) if !self.broken && !self.open => self.pool.idle.borrow_mut().push(kept),
-            _ => self.pool.open.set(self.pool.open.get() - 1),
-        }
-        self.pool.waiting.wake();
-    }
-}
-
-// How many of the commands set values, and must have succeeded before the rest is sent. An
-// instance that fails part of its requests may fail these too, and would then run the
-// statement behind them with somebody else's values.
-fn split(link: &dyn upstream::Connection, commands: &[upstream::Command]) -> usize {
-    if link.sets_surely() {
-        return 0;
-    }
-    let sets = |command: &upstream::Command| {
-        matches!(
-            command,
-            upstream::Command::Set { .. } | upstream::Command::Reset
-        )
-    };
-    commands.iter().rposition(sets).map_or(0, |last| last + 1)
-}
-
-fn unsent(detail: &str) -> upstream::Failure {
-    upstream::Failure {
-        sent: false,
-        detail: detail.into(),
-    }
-}
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -13,12 +13,12 @@
 use crate::duty;
 use crate::group;
 use crate::node;
+use crate::plan;
 use crate::pool;
 use crate::sampler;
 use crate::seat;
 use crate::succession;
 use crate::upstream;
-use crate::urgency;
 use crate::wait;
 
 /// Pause between rounds of looks at a calm group. Three groups cost about ten looks a
@@ -34,22 +34,9 @@
 /// Longest wait for one look at a primary, above the slowest answers under load.
 const LOOK: time::Duration = time::Duration::from_millis(250);
 
-/// Longest wait for the answer to one hold.
-const HOLD: time::Duration = time::Duration::from_millis(300);
-
 /// A promotion whose replicas cannot all be held in this time is given up for now.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
 
-/// Longest wait for an ordered candidate to lead; promotions take 300 to 600 ms.
-const LEADING: time::Duration = time::Duration::from_millis(1800);
-
-/// Pause between looks at a candidate.
-const POLL: time::Duration = time::Duration::from_millis(40);
-
-/// An old primary is told this often, for this long, that it no longer leads.
-const DEMOTE: time::Duration = time::Duration::from_millis(300);
-const DEMOTE_FOR: time::Duration = time::Duration::from_secs(15);
-
 /// Replaces primaries while the seat is held.
 pub struct Promoter {
     node: rc::Rc<node::Node>,
@@ -60,15 +47,6 @@
     pending: cell::RefCell<collections::BTreeMap<id::Group, upstream::Id>>,
 }
 
-/// One replacement under way.
-struct Plan {
-    group: rc::Rc<group::Group>,
-    old: Option<rc::Rc<pool::Pool>>,
-    cause: succession::Cause,
-    term: id::Term,
-    began: id::Time,
-}
-
 impl Promoter {
     /// A promoter that does nothing yet.
     #[must_use]
@@ -182,7 +160,7 @@
         cause: succession::Cause,
     ) -> bool {
         let (old, others) = split(group, &lead.id);
-        let plan = Plan {
+        let plan = plan::Plan {
             group: rc::Rc::clone(group),
             old,
             cause,
@@ -220,7 +198,7 @@
 
     // An order that was surely not carried out: a primary that lives goes on, in place of
     // waiting for replicas that are held until promotions are possible again.
-    async fn withdraw(&self, plan: &Plan) {
+    async fn withdraw(&self, plan: &plan::Plan) {
         let pending = self.pending.borrow().contains_key(&plan.group.name);
         let alone = plan.cause.lives() && plan.cause != succession::Cause::Unfinished;
         if alone && !pending {
@@ -232,7 +210,7 @@
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
     /// commit; promoting without it would lose a booking that somebody was promised.
-    async fn hold(&self, plan: &Plan, expected: usize) -> Option<Vec<sampler::Look>> {
+    async fn hold(&self, plan: &plan::Plan, expected: usize) -> Option<Vec<sampler::Look>> {
         let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
             let pools: Vec<_> = plan
@@ -244,7 +222,7 @@
             let command = upstream::Command::Hold(plan.term);
             let holds = pools
                 .iter()
-                .map(|pool| tell(pool, &command, plan.group.dialer()));
+                .map(|pool| plan::tell(pool, &command, plan.group.dialer()));
             let answers: Vec<_> = futures_util::future::join_all(holds).await;
             let looks: Vec<_> = answers.into_iter().flatten().collect();
             let held = |look: &sampler::Look| {
@@ -264,19 +242,19 @@
                 self.resume(plan, &pools).await;
                 return None;
             }
-            wait::sleep(POLL).await;
+            wait::sleep(plan::POLL).await;
         }
     }
 
-    async fn resume(&self, plan: &Plan, pools: &[rc::Rc<pool::Pool>]) {
+    async fn resume(&self, plan: &plan::Plan, pools: &[rc::Rc<pool::Pool>]) {
         let dialer = plan.group.dialer();
         let resumes = pools
             .iter()
-            .map(|pool| tell(pool, &upstream::Command::Resume, dialer));
+            .map(|pool| plan::tell(pool, &upstream::Command::Resume, dialer));
         futures_util::future::join_all(resumes).await;
     }
 
-    async fn order(&self, plan: &Plan, candidate: &upstream::Id) -> duty::Outcome {
+    async fn order(&self, plan: &plan::Plan, candidate: &upstream::Id) -> duty::Outcome {
         let Some(held) = self.seat.confirm().await else {
             tracing::warn!(group = %plan.group.name, "the seat is not confirmed, no order");
             return duty::Outcome::Refused("the seat is not confirmed".into());
@@ -293,8 +271,8 @@
         outcome
     }
 
-    async fn finish(&self, plan: Plan, candidate: &upstream::Id) -> bool {
-        let leads = plan.leads(candidate, LEADING).await;
+    async fn finish(&self, plan: plan::Plan, candidate: &upstream::Id) -> bool {
+        let leads = plan.leads(candidate, plan::LEADING).await;
         plan.group.search();
         tracing::info!(group = %plan.group.name, %candidate, term = plan.term, leads,
             cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
@@ -309,57 +287,6 @@
     }
 }
 
-impl Plan {
-    async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
-        let deadline = boot::now() + limit;
-        while boot::now() < deadline {
-            let pools = self.group.pools();
-            let Some(pool) = pools.iter().find(|pool| pool.id() == *candidate) else {
-                return false;
-            };
-            let look = sampler::look(pool, self.group.dialer(), HOLD).await;
-            if look.is_some_and(|look| look.status.role == role::Role::Primary) {
-                return true;
-            }
-            wait::sleep(POLL).await;
-        }
-        false
-    }
-
-    async fn old_answers(&self) -> bool {
-        let Some(old) = &self.old else { return false };
-        let look = sampler::look(old, self.group.dialer(), HOLD).await;
-        look.is_some_and(|look| look.status.role == role::Role::Primary)
-    }
-
-    async fn demote_once(&self) -> bool {
-        let Some(old) = &self.old else { return true };
-        let command = upstream::Command::Demote(self.term);
-        let look = tell(old, &command, self.group.dialer()).await;
-        look.is_some_and(|look| look.status.role == role::Role::Replica)
-    }
-
-    // Ends the old primary's belief that it leads, then frees replicas that are still held:
-    // in this order, as a freed replica would acknowledge commits of the old primary.
-    async fn settle(&self, candidate: &upstream::Id) {
-        let deadline = boot::now() + DEMOTE_FOR;
-        while !self.demote_once().await && boot::now() < deadline {
-            wait::sleep(DEMOTE).await;
-        }
-        for pool in self.group.pools() {
-            if pool.id() != *candidate {
-                let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
-                // Holds for a later term belong to a later promotion: freeing them would let
-                // commits pass by its candidate.
-                let own = |look: &sampler::Look| (1..=self.term).contains(&look.status.held);
-                if look.as_ref().is_some_and(own) && self.group.term() <= self.term {
-                    tell(&pool, &upstream::Command::Resume, self.group.dialer()).await;
-                }
-            }
-        }
-    }
-}
-
 // What the replicas told along with their answers to reads: free, and a little behind
 // what they have received, so that it only serves to raise a doubt.
 fn applied(pools: &[rc::Rc<pool::Pool>]) -> Option<stamp::Stamp> {
@@ -423,29 +350,3 @@
         Some(_) | None => succession::Reach::Silent,
     }
 }
-
-async fn tell(
-    pool: &rc::Rc<pool::Pool>,
-    command: &upstream::Command,
-    dialer: &dyn upstream::Dialer,
-) -> Option<sampler::Look> {
-    let deadline = boot::now() + HOLD;
-    let mut lent = pool
-        .lend(
-            urgency::Urgency::now(),
-            &collections::BTreeMap::new(),
-            deadline,
-        )
-        .await
-        .ok()?;
-    let replies = lent
-        .run(std::slice::from_ref(command), deadline)
-        .await
-        .ok()?;
-    let status = dialer.status(replies.first()?);
-    tracing::info!(instance = %pool.id(), ?command, ?status, "instance told");
-    Some(sampler::Look {
-        id: pool.id(),
-        status: status?,
-    })
-}
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -21,6 +21,7 @@
 use mangotray::stamp;
 
 use crate::boot;
+use crate::lent;
 use crate::pool;
 use crate::reply;
 use crate::statement;
@@ -56,7 +57,7 @@
     pool: rc::Rc<pool::Pool>,
     values: collections::BTreeMap<statement::Name, CompactString>,
     prepared: collections::BTreeMap<CompactString, statement::Shape>,
-    pinned: Option<pool::Lent>,
+    pinned: Option<lent::Lent>,
 }
 
 impl Lender {
@@ -172,7 +173,7 @@
         Ok(reply)
     }
 
-    async fn lend(&self, urgency: urgency::Urgency) -> Result<pool::Lent, upstream::Failure> {
+    async fn lend(&self, urgency: urgency::Urgency) -> Result<lent::Lent, upstream::Failure> {
         let deadline = boot::now() + LEND_LIMIT;
         let lent = self.pool.lend(urgency, &self.values, deadline).await;
         lent.map_err(|shortage| upstream::Failure {
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -5,13 +5,14 @@
 use std::time;
 
 use compact_str::CompactString;
-use compact_str::format_compact;
 use mangotray::id;
 use mangotray::stamp;
 
 use crate::boot;
 use crate::catalog;
 use crate::group;
+use crate::kept;
+use crate::lent;
 use crate::node;
 use crate::pool;
 use crate::reply;
@@ -19,6 +20,7 @@
 use crate::upstream;
 use crate::urgency;
 use crate::wait;
+use crate::work;
 
 /// Part of a statement's timeout for which it may wait without having been offered to an
 /// instance. A caller that is refused early can still ask another node in time; one that
@@ -45,11 +47,6 @@
 /// Time for a transaction's rollback in the background.
 const ROLLBACK_LIMIT: time::Duration = time::Duration::from_millis(500);
 
-/// Longest name of a prepared statement that is made of its text.
-const HANDLE_TEXT: usize = 48;
-
-type Values = collections::BTreeMap<statement::Name, CompactString>;
-
 /// A transaction as its caller sees it.
 struct Transaction {
     read_only: bool,
@@ -60,7 +57,7 @@
 }
 
 struct Pinned {
-    lent: pool::Lent,
+    lent: lent::Lent,
     group: rc::Rc<group::Group>,
     /// Term of the primary that it runs on; none on a replica.
     leads: Option<id::Term>,
@@ -84,7 +81,7 @@
 pub struct Session {
     node: rc::Rc<node::Node>,
     database: CompactString,
-    values: Values,
+    values: kept::Values,
     prepared: collections::BTreeMap<statement::Name, statement::Shape>,
     phase: Phase,
     own: Option<stamp::Stamp>,
@@ -97,7 +94,7 @@
         Self {
             node,
             database,
-            values: Values::new(),
+            values: kept::Values::new(),
             prepared: collections::BTreeMap::new(),
             phase: Phase::Idle,
             own: None,
@@ -256,7 +253,7 @@
         }
     }
 
-    fn work(&self, request: &statement::Request) -> Result<Work, reply::Reply> {
+    fn work(&self, request: &statement::Request) -> Result<work::Work, reply::Reply> {
         let (access, prepared) = match &request.statement {
             statement::Statement::Read => (statement::Access::Read, None),
             statement::Statement::Execute { name, arguments } => {
@@ -264,7 +261,7 @@
                     let text = "no prepared statement of that name";
                     return Err(self.error(reply::Code::NoStatement, text));
                 };
-                let handle = handle(shape);
+                let handle = work::handle(shape);
                 (
                     shape.access,
                     Some((handle, shape.clone(), arguments.clone())),
@@ -272,7 +269,7 @@
             }
             _ => (statement::Access::Write, None),
         };
-        Ok(Work {
+        Ok(work::Work {
             id: request.id.clone(),
             text: request.text.clone(),
             access,
@@ -282,7 +279,7 @@
 
     async fn read(
         &mut self,
-        work: &Work,
+        work: &work::Work,
         route: &catalog::Route,
         arrived: id::Time,
         deadline: id::Time,
@@ -316,7 +313,7 @@
     /// One attempt of a read; the error tells why another instance may do better.
     async fn read_at(
         &self,
-        work: &Work,
+        work: &work::Work,
         route: &catalog::Route,
         group: &rc::Rc<group::Group>,
         source: &group::Source,
@@ -362,7 +359,7 @@
 
     async fn write(
         &mut self,
-        work: &Work,
+        work: &work::Work,
         route: &catalog::Route,
         arrived: id::Time,
         deadline: id::Time,
@@ -454,7 +451,7 @@
         }
     }
 
-    async fn run_inside(&mut self, work: &Work, arrived: id::Time) -> reply::Reply {
+    async fn run_inside(&mut self, work: &work::Work, arrived: id::Time) -> reply::Reply {
         let Phase::Open(mut transaction) = std::mem::replace(&mut self.phase, Phase::Failed) else {
             return self.error(reply::Code::Bad, "no transaction");
         };
@@ -648,62 +645,6 @@
     }
 }
 
-/// A statement that needs an instance.
-struct Work {
-    id: statement::Id,
-    text: CompactString,
-    access: statement::Access,
-    prepared: Option<(CompactString, statement::Shape, CompactString)>,
-}
-
-impl Work {
-    fn commands(
-        &self,
-        lent: &mut pool::Lent,
-        values: &Values,
-        after: Option<stamp::Stamp>,
-        inside: bool,
-    ) -> Vec<upstream::Command> {
-        let shape = self
-            .prepared
-            .as_ref()
-            .map(|(handle, shape, _)| (handle, shape));
-        let mut commands = lent.prelude(values, shape, inside);
-        commands.push(match &self.prepared {
-            Some((handle, _, arguments)) => upstream::Command::Execute {
-                id: self.id.clone(),
-                handle: handle.clone(),
-                arguments: arguments.clone(),
-                after,
-            },
-            None => upstream::Command::Run {
-                id: self.id.clone(),
-                text: self.text.clone(),
-                after,
-            },
-        });
-        commands
-    }
-}
-
-/// One name for a shape on all connections, so that sessions share what is prepared.
-fn handle(shape: &statement::Shape) -> CompactString {
-    let access = match shape.access {
-        statement::Access::Read => 'r',
-        statement::Access::Write => 'w',
-    };
-    let plain = shape.text.len() <= HANDLE_TEXT && !shape.text.contains(char::is_whitespace);
-    if plain {
-        return format_compact!("{access}_{}", shape.text);
-    }
-    let words: Vec<_> = shape
-        .text
-        .bytes()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
-    format_compact!("{access}x{}", words.concat())
-}
-
 fn urgency(route: &catalog::Route) -> urgency::Urgency {
     urgency::Urgency {
         priority: route.priority,
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use mangotray_desk::boot;
+use mangotray_desk::lent;
 use mangotray_desk::pool;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
@@ -25,7 +26,7 @@
     rc::Rc::new(pool::Pool::new(instance, dialer, executor, 2, 1))
 }
 
-async fn lend(pool: &rc::Rc<pool::Pool>, values: &Values) -> pool::Lent {
+async fn lend(pool: &rc::Rc<pool::Pool>, values: &Values) -> lent::Lent {
     let lent = pool
         .lend(urgency::Urgency::now(), values, boot::now() + LIMIT)
         .await;
