Carry a sender's limits with each relayed statement

Cause: a lending node kept a relayed statement for up to thirty seconds, also after its sender had given up. Under overload it ran statements whose callers had been refused, and a lost answer kept one of the five turns at the instance for half a minute: a few of them shut the instance for all that it serves. Change: the limits for beginning and for awaiting the answer travel with the statement, as time left. A commit that never began is answered as aborted instead of unknown.

--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -110,8 +110,11 @@
         commands: &[upstream::Command],
         deadline: id::Time,
     ) -> Result<Vec<reply::Reply>, upstream::Failure> {
-        let urgency = self.urgency;
-        let Some(_turn) = self.pool.turn(urgency, deadline).await else {
+        let urgency = urgency::Urgency {
+            awaited: deadline,
+            ..self.urgency
+        };
+        let Some(_turn) = self.pool.turn(urgency, deadline.min(urgency.until)).await else {
             return Err(unsent("no turn in time"));
         };
         let Some(kept) = &mut self.kept else {
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -106,7 +106,7 @@
     let deadline = boot::now() + HOLD;
     let mut lent = pool
         .lend(
-            urgency::Urgency::now(),
+            urgency::Urgency::now(deadline),
             &collections::BTreeMap::new(),
             deadline,
         )
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -32,17 +32,13 @@
 /// Longest message between nodes; a caller's statement has one MiB at most.
 const LONGEST: usize = 4 << 20;
 
-/// Longest wait of a relayed statement for a connection. Then it is refused as not run,
-/// while its caller still has time to go elsewhere.
-const LEND_LIMIT: time::Duration = time::Duration::from_millis(250);
+/// Longest wait for a connection that shows that the instance can be reached.
+const OPEN_LIMIT: time::Duration = time::Duration::from_millis(250);
 
 /// A relayed connection is suspected after this long without an answer: the wait for a
 /// connection comes on top of what an instance itself may take.
 const SILENCE: time::Duration = time::Duration::from_millis(650);
 
-/// Longest time of one exchange with the instance; callers give up before.
-const RUN_LIMIT: time::Duration = time::Duration::from_secs(30);
-
 /// A lending node's answer to the opening of a relayed connection.
 pub type Opened = Result<Option<stamp::Stamp>, upstream::Refusal>;
 
@@ -77,15 +73,15 @@
     /// # Errors
     /// When this node cannot reach the instance either.
     pub async fn open(&self) -> Opened {
-        let deadline = boot::now() + LEND_LIMIT;
+        let deadline = boot::now() + OPEN_LIMIT;
         match self
             .pool
-            .lend(urgency::Urgency::now(), &self.values, deadline)
+            .lend(urgency::Urgency::now(deadline), &self.values, deadline)
             .await
         {
             Ok(_) => Ok(Some(self.pool.applied())),
             // All connections are busy; the instance is well if it answers on them.
-            Err(pool::Shortage::Late) if self.pool.answered() + LEND_LIMIT > boot::now() => {
+            Err(pool::Shortage::Late) if self.pool.answered() + OPEN_LIMIT > boot::now() => {
                 Ok(Some(self.pool.applied()))
             }
             Err(pool::Shortage::Full) => Err(upstream::Refusal::Full),
@@ -94,27 +90,40 @@
         }
     }
 
-    /// Runs commands as an instance would.
+    /// Runs commands as an instance would, as long as somebody awaits their answers.
+    ///
+    /// Whoever asked gives up, and asks elsewhere. A statement that still waited here would
+    /// take an instance's slot for nothing, and one whose answer was lost would keep its
+    /// turn: a few lost answers then shut the instance for all that this node serves.
     ///
     /// # Errors
-    /// When the instance's answer is lost, or no connection was free.
+    /// When the instance's answer is lost, or the commands could not begin in time.
     pub async fn run(
         &mut self,
         commands: &[upstream::Command],
         urgency: urgency::Urgency,
     ) -> Answer {
         let mut replies = Vec::with_capacity(commands.len());
+        let mut begun = false;
         for command in commands {
-            replies.push(self.one(command, urgency).await?);
+            let reply = match self.note(command) {
+                Some(reply) => reply,
+                None => self
+                    .pass(command, urgency)
+                    .await
+                    .map_err(|failure| upstream::Failure {
+                        sent: failure.sent || begun,
+                        ..failure
+                    })?,
+            };
+            begun |= !command.equips();
+            replies.push(reply);
         }
         Ok(replies)
     }
 
-    async fn one(
-        &mut self,
-        command: &upstream::Command,
-        urgency: urgency::Urgency,
-    ) -> Result<reply::Reply, upstream::Failure> {
+    // Answers a command that sets something, which is done when a statement needs it.
+    fn note(&mut self, command: &upstream::Command) -> Option<reply::Reply> {
         match command {
             upstream::Command::Set { name, value } => {
                 self.values.insert(name.clone(), value.clone());
@@ -126,7 +135,7 @@
                 self.values.clear();
                 self.prepared.clear();
             }
-            _ => return self.pass(command, urgency).await,
+            _ => return None,
         }
         let inside = self.pinned.is_some();
         let state = if inside {
@@ -134,7 +143,7 @@
         } else {
             reply::State::Idle
         };
-        Ok(reply::Reply::done(state))
+        Some(reply::Reply::done(state))
     }
 
     async fn pass(
@@ -159,7 +168,7 @@
         lent.urge(urgency);
         let mut commands = lent.prelude(&self.values, shape, inside);
         commands.push(command.clone());
-        let mut replies = lent.run(&commands, boot::now() + RUN_LIMIT).await?;
+        let mut replies = lent.run(&commands, urgency.awaited).await?;
         let reply = replies.pop().ok_or_else(|| upstream::Failure {
             sent: true,
             detail: "no answer".into(),
@@ -174,8 +183,7 @@
     }
 
     async fn lend(&self, urgency: urgency::Urgency) -> Result<lent::Lent, upstream::Failure> {
-        let deadline = boot::now() + LEND_LIMIT;
-        let lent = self.pool.lend(urgency, &self.values, deadline).await;
+        let lent = self.pool.lend(urgency, &self.values, urgency.until).await;
         lent.map_err(|shortage| upstream::Failure {
             sent: false,
             detail: compact_str::format_compact!(
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -45,7 +45,7 @@
     let deadline = boot::now() + limit;
     let mut lent = pool
         .lend(
-            urgency::Urgency::now(),
+            urgency::Urgency::now(deadline),
             &std::collections::BTreeMap::new(),
             deadline,
         )
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -219,6 +219,7 @@
         };
         let rollback = async move {
             let deadline = boot::now() + ROLLBACK_LIMIT;
+            pinned.lent.urge(urgency::Urgency::now(deadline));
             let result = pinned
                 .lent
                 .run(&[upstream::Command::Rollback], deadline)
@@ -286,6 +287,7 @@
     ) -> Outcome {
         let group = self.node.group(&route.group);
         let need = self.need(route, arrived, arrived);
+        let urgency = urgency(route, arrived, need.deadline);
         let mut tried = Vec::new();
         let mut code = reply::Code::Busy;
         loop {
@@ -300,7 +302,10 @@
                 break;
             };
             tried.push(source.pool.id());
-            match self.read_at(work, route, &group, &source, deadline).await {
+            match self
+                .read_at(work, route, &group, &source, deadline, urgency)
+                .await
+            {
                 Ok(reply) => return Outcome::Answered(reply),
                 Err(Some(found)) => code = found,
                 Err(None) => {}
@@ -318,9 +323,10 @@
         group: &rc::Rc<group::Group>,
         source: &group::Source,
         deadline: id::Time,
+        urgency: urgency::Urgency,
     ) -> Result<reply::Reply, Option<reply::Code>> {
         let wait = deadline.min(boot::now() + LEND_LIMIT);
-        let lent = source.pool.lend(urgency(route), &self.values, wait).await;
+        let lent = source.pool.lend(urgency, &self.values, wait).await;
         let mut lent = lent.map_err(|_| Some(reply::Code::Busy))?;
         let commands = work.commands(&mut lent, &self.values, source.after, false);
         let sent = boot::now();
@@ -366,11 +372,12 @@
     ) -> Outcome {
         let group = self.node.group(&route.group);
         let wait = arrived + route.timeout * WAIT_PERCENT / 100;
+        let urgency = urgency(route, arrived, wait);
         loop {
             let Some((pool, term)) = group.primary(wait).await else {
                 return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
             };
-            let mut lent = match pool.lend(urgency(route), &self.values, wait).await {
+            let mut lent = match pool.lend(urgency, &self.values, wait).await {
                 Ok(lent) => lent,
                 Err(pool::Shortage::Late) => {
                     return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
@@ -466,7 +473,9 @@
         let Some(pinned) = &mut transaction.pinned else {
             return self.error(reply::Code::Aborted, "the transaction has no connection");
         };
-        pinned.lent.urge(urgency(&transaction.route));
+        pinned
+            .lent
+            .urge(urgency(&transaction.route, arrived, deadline));
         let commands = work.commands(&mut pinned.lent, &self.values, None, true);
         let sent = boot::now();
         let result = pinned.lent.run(&commands, deadline).await;
@@ -536,7 +545,7 @@
         transaction: &Transaction,
         need: &group::Need,
     ) -> Option<Pinned> {
-        let urgency = urgency(&transaction.route);
+        let urgency = urgency(&transaction.route, boot::now(), need.deadline);
         let lent = source.pool.lend(urgency, &self.values, need.deadline).await;
         let mut lent = match (lent, source.leads) {
             (Ok(lent), _) => lent,
@@ -594,8 +603,15 @@
         };
         let sent = boot::now();
         let deadline = arrived + transaction.route.timeout;
+        pinned
+            .lent
+            .urge(urgency(&transaction.route, arrived, deadline));
         let reply = match pinned.lent.run(&[command], deadline).await {
             Ok(mut replies) => replies.pop(),
+            // The connection is closed with the transaction open, which rolls it back.
+            Err(failure) if !failure.sent => {
+                return self.error(reply::Code::Aborted, failure.detail);
+            }
             Err(failure) => {
                 if let Some(term) = pinned.leads {
                     pinned.group.doubt(term, "a commit was not answered");
@@ -645,10 +661,12 @@
     }
 }
 
-fn urgency(route: &catalog::Route) -> urgency::Urgency {
+fn urgency(route: &catalog::Route, arrived: id::Time, until: id::Time) -> urgency::Urgency {
     urgency::Urgency {
         priority: route.priority,
-        due: boot::now() + route.objective,
+        due: arrived + route.objective,
+        until,
+        awaited: arrived + route.timeout,
     }
 }
 
--- a/desk/src/urgency.rs
+++ b/desk/src/urgency.rs
@@ -11,8 +11,9 @@
 /// ```
 /// use mangotray_desk::urgency;
 /// use std::time::Duration;
-/// let soon = urgency::Urgency { priority: 1, due: Duration::from_millis(150) };
-/// let later = urgency::Urgency { priority: 1, due: Duration::from_millis(500) };
+/// let until = Duration::from_millis(800);
+/// let soon = urgency::Urgency { priority: 1, due: Duration::from_millis(150), until, awaited: until };
+/// let later = urgency::Urgency { priority: 1, due: Duration::from_millis(500), until, awaited: until };
 /// assert!(soon < later);
 /// ```
 #[derive(
@@ -23,23 +24,32 @@
     pub priority: u8,
     /// When the statement should be answered, on this node's clock.
     pub due: id::Time,
+    /// No use to begin later than this, on this node's clock: whoever asked has given up.
+    pub until: id::Time,
+    /// Nobody awaits the answer after this, on this node's clock.
+    pub awaited: id::Time,
 }
 
 impl Urgency {
     /// That of a look at an instance, or an order to it: one serves many statements.
     #[must_use]
-    pub fn now() -> Self {
+    pub fn now(until: id::Time) -> Self {
         Self {
             priority: 0,
             due: boot::now(),
+            until,
+            awaited: until,
         }
     }
 
-    /// The same with the time that is left in place of a time, for another node's clock.
+    /// The same with the time that is left in place of times, for another node's clock.
     #[must_use]
     pub fn leave(self) -> Self {
+        let now = boot::now();
         Self {
-            due: self.due.saturating_sub(boot::now()),
+            due: self.due.saturating_sub(now),
+            until: self.until.saturating_sub(now),
+            awaited: self.awaited.saturating_sub(now),
             ..self
         }
     }
@@ -47,8 +57,11 @@
     /// What [`Urgency::leave`] was given, on this node's clock.
     #[must_use]
     pub fn arrive(self) -> Self {
+        let now = boot::now();
         Self {
-            due: boot::now() + self.due,
+            due: now.saturating_add(self.due),
+            until: now.saturating_add(self.until),
+            awaited: now.saturating_add(self.awaited),
             ..self
         }
     }
@@ -59,6 +72,8 @@
         Self {
             priority: u8::MAX,
             due: time::Duration::MAX,
+            until: time::Duration::MAX,
+            awaited: time::Duration::MAX,
         }
     }
 }
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -27,8 +27,9 @@
 }
 
 async fn lend(pool: &rc::Rc<pool::Pool>, values: &Values) -> lent::Lent {
+    let deadline = boot::now() + LIMIT;
     let lent = pool
-        .lend(urgency::Urgency::now(), values, boot::now() + LIMIT)
+        .lend(urgency::Urgency::now(deadline), values, deadline)
         .await;
     lent.expect("a connection")
 }
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -187,7 +187,7 @@
         let (pool, _) = group.primary(deadline()).await.expect("a primary");
         let values = std::collections::BTreeMap::new();
         let mut lent = pool
-            .lend(urgency::Urgency::now(), &values, deadline())
+            .lend(urgency::Urgency::now(deadline()), &values, deadline())
             .await
             .expect("a connection");
         let begin = upstream::Command::Begin {
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -65,6 +65,8 @@
     pub stalled: bool,
     /// The next commands that set a value fail.
     pub fail_sets: usize,
+    /// The instance that has run this many statements of all ends.
+    pub die_after: Option<usize>,
 }
 
 pub type Shared = rc::Rc<cell::RefCell<World>>;
@@ -332,6 +334,9 @@
             values: self.values.clone(),
             inside: self.inside,
         });
+        if world.die_after == Some(world.ran.len()) {
+            world.at(&self.instance).up = false;
+        }
         if text == "COMMIT" {
             self.inside = false;
         }
