Let the number of statements at an instance follow its answers, newest first in standing queues

Cause: an overloaded instance kept a queue of up to 25 statements in order of arrival, in which nothing urgent overtakes, and the nodes' own queues served the longest waiting first, so that nearly every answer was late. After a loss of all nodes each one opened as many connections as it had statements waiting, 12 ms of an instance's slots each. Change: a window of one to five statements for each node and instance that shrinks while exchanges take more than 70 ms on average; no more connections than the window and open transactions can use; once the oldest request of a queue has waited 80 ms, the newest goes first. Reads and writes log how long they waited.

--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -133,31 +133,27 @@
                 return Err(unsent("the session's values could not be set"));
             }
         }
-        let silence = time::Duration::min(kept.link.silence(), deadline.saturating_sub(sent));
-        let mut exchange = kept.link.run(work, urgency);
-        let mut result = wait::within(silence, &mut exchange).await;
-        if result.is_none() {
-            self.pool.doubt(sent);
-            result = wait::until(deadline, exchange).await;
-        }
-        let result = result.unwrap_or_else(|| {
-            Err(upstream::Failure {
-                sent: true,
-                detail: "no answer in time".into(),
-            })
-        });
+        let result = exchange(kept, &self.pool, work, urgency).await;
         // Another node that could not run them has answered so in full.
         self.broken = result.as_ref().is_err_and(|failure| failure.sent);
         let replies = result?;
         self.unsent = false;
-        self.open = replies
-            .last()
-            .is_some_and(|reply| reply.state != reply::State::Idle);
         kept.used = boot::now();
         self.pool.heard(sent, &replies);
+        self.note_state(replies.last());
         Ok(replies)
     }
 
+    fn note_state(&mut self, reply: Option<&reply::Reply>) {
+        let open = reply.is_some_and(|reply| reply.state != reply::State::Idle);
+        match (self.open, open) {
+            (false, true) => self.pool.pin(),
+            (true, false) => self.pool.unpin(),
+            _ => {}
+        }
+        self.open = open;
+    }
+
     /// Forgets what was prepared here, as after the instance no longer knew a name.
     pub fn forget(&mut self) {
         if let Some(kept) = &mut self.kept {
@@ -182,10 +178,38 @@
         // A request dropped between two statements leaves its transaction open: the next
         // user's statements would run inside it.
         let whole = !self.broken && !self.open;
+        if self.open {
+            self.pool.unpin();
+        }
         self.pool.give_back(whole.then_some(kept));
     }
 }
 
+// Sends commands and awaits the answers; an instance that stays silent is suspected before
+// the time is over.
+async fn exchange(
+    kept: &mut kept::Kept,
+    pool: &rc::Rc<pool::Pool>,
+    commands: &[upstream::Command],
+    urgency: urgency::Urgency,
+) -> Result<Vec<reply::Reply>, upstream::Failure> {
+    let sent = boot::now();
+    let left = urgency.awaited.saturating_sub(sent);
+    let silence = time::Duration::min(kept.link.silence(), left);
+    let mut exchange = kept.link.run(commands, urgency);
+    let mut result = wait::within(silence, &mut exchange).await;
+    if result.is_none() {
+        pool.doubt(sent);
+        result = wait::until(urgency.awaited, exchange).await;
+    }
+    result.unwrap_or_else(|| {
+        Err(upstream::Failure {
+            sent: true,
+            detail: "no answer in time".into(),
+        })
+    })
+}
+
 // How many of the commands set values, and must have succeeded before the rest is sent. An
 // instance that fails part of its requests may fail these too, and would then run the
 // statement behind them with somebody else's values.
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod upstream;
 pub mod urgency;
 pub mod wait;
+pub mod window;
 pub mod work;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::upstream;
 use crate::urgency;
 use crate::wait;
+use crate::window;
 
 /// Connections to one instance that a node holds at most. Eight nodes share the 23
 /// connections of today's smaller instances; who needs more than an equal part borrows
@@ -63,7 +64,7 @@
     /// The instance, as the list of instances has it now.
     pub instance: cell::RefCell<catalog::Instance>,
     most: usize,
-    abreast: usize,
+    window: cell::Cell<window::Window>,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     dialling: cell::Cell<usize>,
@@ -72,6 +73,7 @@
     waiting: queue::Queue,
     turns: queue::Queue,
     working: cell::Cell<usize>,
+    pinned: cell::Cell<usize>,
     blocked: cell::Cell<id::Time>,
     down: cell::Cell<id::Time>,
     closed: cell::Cell<bool>,
@@ -94,7 +96,7 @@
         Self {
             instance: cell::RefCell::new(instance),
             most,
-            abreast,
+            window: cell::Cell::new(window::Window::new(abreast)),
             dialer,
             executor,
             dialling: cell::Cell::default(),
@@ -103,6 +105,7 @@
             waiting: queue::Queue::default(),
             turns: queue::Queue::default(),
             working: cell::Cell::default(),
+            pinned: cell::Cell::default(),
             blocked: cell::Cell::default(),
             down: cell::Cell::default(),
             closed: cell::Cell::default(),
@@ -264,7 +267,7 @@
     fn grow(self: &rc::Rc<Self>) {
         let wanted = self.waiting.len() + 1;
         let enough = self.dialling.get() >= wanted.min(DIALS);
-        if enough || self.open.get() >= self.most || boot::now() < self.blocked.get() {
+        if enough || self.open.get() >= self.room() || boot::now() < self.blocked.get() {
             return;
         }
         let place = Place::new(rc::Rc::clone(self));
@@ -274,6 +277,30 @@
             .detach();
     }
 
+    // Connections that can be of use now: those of open transactions, one for each statement
+    // in the window, and one for the next. More would only be held by statements that wait.
+    fn room(&self) -> usize {
+        let useful = self.pinned.get() + self.window.get().size() + 1;
+        useful.min(self.most)
+    }
+
+    fn grow_if_awaited(self: &rc::Rc<Self>) {
+        if !self.waiting.is_empty() {
+            self.grow();
+        }
+    }
+
+    /// Counts connections on which a transaction is open.
+    pub(crate) fn pin(self: &rc::Rc<Self>) {
+        self.pinned.set(self.pinned.get() + 1);
+        self.grow_if_awaited();
+    }
+
+    /// The reverse of [`Pool::pin`].
+    pub(crate) fn unpin(&self) {
+        self.pinned.set(self.pinned.get() - 1);
+    }
+
     async fn dial(self: rc::Rc<Self>, place: Place) {
         let started = boot::now();
         let target = self.target();
@@ -326,7 +353,7 @@
         urgency: urgency::Urgency,
         deadline: id::Time,
     ) -> Option<Turn> {
-        while self.working.get() >= self.abreast {
+        while self.working.get() >= self.window.get().size() {
             if !self.turns.wait(urgency, deadline).await {
                 return None;
             }
@@ -335,6 +362,18 @@
         Some(Turn(rc::Rc::clone(self)))
     }
 
+    // Takes note of an exchange's time; a window that has grown has room for one more.
+    fn widen(self: &rc::Rc<Self>, took: time::Duration) {
+        let mut window = self.window.get();
+        let before = window.size();
+        window.answered(took, self.working.get() >= before);
+        self.window.set(window);
+        if window.size() > before {
+            self.turns.wake();
+            self.grow_if_awaited();
+        }
+    }
+
     fn target(&self) -> upstream::Target {
         let instance = self.instance.borrow();
         upstream::Target {
@@ -345,10 +384,11 @@
         }
     }
 
-    pub(crate) fn heard(&self, sent: id::Time, replies: &[reply::Reply]) {
+    pub(crate) fn heard(self: &rc::Rc<Self>, sent: id::Time, replies: &[reply::Reply]) {
         let now = boot::now();
         self.answered.set(now);
         let took = now.saturating_sub(sent);
+        self.widen(took);
         self.delay.set((self.delay.get() * 7 + took) / 8);
         let last = replies.iter().rev().find_map(|reply| reply.position);
         if let Some(stamp) = last {
--- a/desk/src/queue.rs
+++ b/desk/src/queue.rs
@@ -1,18 +1,40 @@
 //! Requests that wait for something scarce, the most urgent first.
+//!
+//! Once a queue stands, serving it in order makes everybody late: those that are served
+//! have waited the longest, and those that come wait as long. The newest go first then:
+//! as many are served, most of them in time, and the others are refused early.
 
 use std::cell;
+use std::time;
 
 use mangotray::id;
 
+use crate::boot;
 use crate::urgency;
 use crate::wait;
 
+/// A queue whose oldest request has waited this long stands: it is half of the time in which
+/// a booking is due, and longer than a burst of a few requests takes.
+const STANDING: time::Duration = time::Duration::from_millis(80);
+
 struct Waiter {
     urgency: urgency::Urgency,
     number: u64,
+    since: id::Time,
     wake: async_channel::Sender<()>,
 }
 
+impl Waiter {
+    fn rank(&self, newest_first: bool) -> (u8, Option<urgency::Urgency>, u64) {
+        let priority = self.urgency.priority;
+        if newest_first {
+            (priority, None, u64::MAX - self.number)
+        } else {
+            (priority, Some(self.urgency), self.number)
+        }
+    }
+}
+
 /// A queue.
 #[derive(Default)]
 pub struct Queue {
@@ -41,6 +63,7 @@
         self.waiting.borrow_mut().push(Waiter {
             urgency,
             number,
+            since: boot::now(),
             wake,
         });
         let place = Place(self, number);
@@ -56,10 +79,9 @@
     /// Wakes the most urgent.
     pub fn wake(&self) {
         let mut waiting = self.waiting.borrow_mut();
-        let next = (0..waiting.len()).min_by_key(|index| {
-            let waiter = &waiting[*index];
-            (waiter.urgency, waiter.number)
-        });
+        let oldest = waiting.iter().map(|waiter| waiter.since).min();
+        let stands = oldest.is_some_and(|since| boot::now().saturating_sub(since) > STANDING);
+        let next = (0..waiting.len()).min_by_key(|index| waiting[*index].rank(stands));
         if let Some(index) = next {
             let waiter = waiting.swap_remove(index);
             // The receiver is gone only when its request was dropped; nobody is owed then.
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -183,7 +183,10 @@
         match refusal {
             upstream::Refusal::Closed | upstream::Refusal::Full => Err(refusal),
             // No serving node is there: better one connection too many than none.
-            _ => self.straight(target).await,
+            _ => {
+                tracing::info!(instance = %target.id, "no node lends, dialling the instance");
+                self.straight(target).await
+            }
         }
     }
 
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -233,20 +233,19 @@
     }
 
     async fn run(&mut self, request: &statement::Request, arrived: id::Time) -> reply::Reply {
-        let work = match self.work(request) {
+        let work = match self.work(request, arrived) {
             Ok(work) => work,
             Err(reply) => return reply,
         };
         if matches!(self.phase, Phase::Open(_)) {
-            return self.run_inside(&work, arrived).await;
+            return self.run_inside(&work).await;
         }
         let Some(route) = self.node.route(&self.database) else {
             return self.error(reply::Code::NoDatabase, "no such database");
         };
-        let deadline = arrived + route.timeout;
         let outcome = match work.access {
-            statement::Access::Read => self.read(&work, &route, arrived, deadline).await,
-            statement::Access::Write => self.write(&work, &route, arrived, deadline).await,
+            statement::Access::Read => self.read(&work, &route).await,
+            statement::Access::Write => self.write(&work, &route).await,
         };
         match outcome {
             Outcome::Answered(reply) => reply,
@@ -254,7 +253,11 @@
         }
     }
 
-    fn work(&self, request: &statement::Request) -> Result<work::Work, reply::Reply> {
+    fn work(
+        &self,
+        request: &statement::Request,
+        arrived: id::Time,
+    ) -> Result<work::Work, reply::Reply> {
         let (access, prepared) = match &request.statement {
             statement::Statement::Read => (statement::Access::Read, None),
             statement::Statement::Execute { name, arguments } => {
@@ -272,22 +275,17 @@
         };
         Ok(work::Work {
             id: request.id.clone(),
+            arrived,
             text: request.text.clone(),
             access,
             prepared,
         })
     }
 
-    async fn read(
-        &mut self,
-        work: &work::Work,
-        route: &catalog::Route,
-        arrived: id::Time,
-        deadline: id::Time,
-    ) -> Outcome {
+    async fn read(&mut self, work: &work::Work, route: &catalog::Route) -> Outcome {
         let group = self.node.group(&route.group);
-        let need = self.need(route, arrived, arrived);
-        let urgency = urgency(route, arrived, need.deadline);
+        let need = self.need(route, work.arrived, work.arrived);
+        let urgency = urgency(route, work.arrived, need.deadline);
         let mut tried = Vec::new();
         let mut code = reply::Code::Busy;
         loop {
@@ -302,10 +300,7 @@
                 break;
             };
             tried.push(source.pool.id());
-            match self
-                .read_at(work, route, &group, &source, deadline, urgency)
-                .await
-            {
+            match self.read_at(work, route, &group, &source, urgency).await {
                 Ok(reply) => return Outcome::Answered(reply),
                 Err(Some(found)) => code = found,
                 Err(None) => {}
@@ -322,15 +317,16 @@
         route: &catalog::Route,
         group: &rc::Rc<group::Group>,
         source: &group::Source,
-        deadline: id::Time,
         urgency: urgency::Urgency,
     ) -> Result<reply::Reply, Option<reply::Code>> {
-        let wait = deadline.min(boot::now() + LEND_LIMIT);
+        let wait = urgency.awaited.min(boot::now() + LEND_LIMIT);
         let lent = source.pool.lend(urgency, &self.values, wait).await;
         let mut lent = lent.map_err(|_| Some(reply::Code::Busy))?;
         let commands = work.commands(&mut lent, &self.values, source.after, false);
         let sent = boot::now();
-        let limit = deadline.min(sent + route.timeout * ATTEMPT_PERCENT / 100);
+        let limit = urgency
+            .awaited
+            .min(sent + route.timeout * ATTEMPT_PERCENT / 100);
         let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
             tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
                 sent = failure.sent, detail = %failure.detail, "read not answered");
@@ -348,6 +344,7 @@
             count_read(source.leads.is_some());
             tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
                 term = source.leads, after = source.after.map(tracing::field::display),
+                waited_ms = sent.saturating_sub(work.arrived).as_millis(),
                 took_ms = boot::now().saturating_sub(sent).as_millis(), "read served");
             return Ok(reply);
         };
@@ -363,16 +360,10 @@
         Err(None)
     }
 
-    async fn write(
-        &mut self,
-        work: &work::Work,
-        route: &catalog::Route,
-        arrived: id::Time,
-        deadline: id::Time,
-    ) -> Outcome {
+    async fn write(&mut self, work: &work::Work, route: &catalog::Route) -> Outcome {
         let group = self.node.group(&route.group);
-        let wait = arrived + route.timeout * WAIT_PERCENT / 100;
-        let urgency = urgency(route, arrived, wait);
+        let wait = work.arrived + route.timeout * WAIT_PERCENT / 100;
+        let urgency = urgency(route, work.arrived, wait);
         loop {
             let Some((pool, term)) = group.primary(wait).await else {
                 return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
@@ -395,7 +386,7 @@
             let commands = work.commands(&mut lent, &self.values, None, false);
             let sent = boot::now();
             let reply = match lent
-                .run(&commands, deadline)
+                .run(&commands, urgency.awaited)
                 .await
                 .map(|mut replies| replies.pop())
             {
@@ -417,7 +408,8 @@
             match reply.code() {
                 None => {
                     tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(),
-                        term, took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
+                        term, waited_ms = sent.saturating_sub(work.arrived).as_millis(),
+                        took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
                     self.own = self.own.max(reply.position);
                     return Outcome::Answered(reply);
                 }
@@ -458,7 +450,7 @@
         }
     }
 
-    async fn run_inside(&mut self, work: &work::Work, arrived: id::Time) -> reply::Reply {
+    async fn run_inside(&mut self, work: &work::Work) -> reply::Reply {
         let Phase::Open(mut transaction) = std::mem::replace(&mut self.phase, Phase::Failed) else {
             return self.error(reply::Code::Bad, "no transaction");
         };
@@ -466,16 +458,16 @@
             self.abandon(*transaction);
             return self.error(reply::Code::ReadOnly, "the transaction only reads");
         }
-        if let Err((code, text)) = self.pin(&mut transaction, arrived).await {
+        if let Err((code, text)) = self.pin(&mut transaction, work.arrived).await {
             return self.error(code, text);
         }
-        let deadline = arrived + transaction.route.timeout;
+        let deadline = work.arrived + transaction.route.timeout;
         let Some(pinned) = &mut transaction.pinned else {
             return self.error(reply::Code::Aborted, "the transaction has no connection");
         };
         pinned
             .lent
-            .urge(urgency(&transaction.route, arrived, deadline));
+            .urge(urgency(&transaction.route, work.arrived, deadline));
         let commands = work.commands(&mut pinned.lent, &self.values, None, true);
         let sent = boot::now();
         let result = pinned.lent.run(&commands, deadline).await;
--- a/desk/src/work.rs
+++ b/desk/src/work.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use compact_str::format_compact;
+use mangotray::id;
 use mangotray::stamp;
 
 use crate::kept;
@@ -16,6 +17,8 @@
 pub struct Work {
     /// The caller's id.
     pub id: statement::Id,
+    /// When it arrived.
+    pub arrived: id::Time,
     /// The caller's words.
     pub text: CompactString,
     /// Whether it reads or writes.
--- /dev/null
+++ b/desk/tests/queue.rs
@@ -0,0 +1,67 @@
+//! The order in which waiting requests go.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use mangotray_desk::boot;
+use mangotray_desk::queue;
+use mangotray_desk::urgency;
+use mangotray_desk::wait;
+
+const LONG: time::Duration = time::Duration::from_secs(5);
+/// Well beyond the time after which a queue stands.
+const STANDING: time::Duration = time::Duration::from_millis(200);
+
+/// Queues requests with a priority and the time in which each is due, lets them wait, and
+/// tells the order in which they are woken.
+fn order(requests: &[(u8, u64)], waited: time::Duration) -> Vec<usize> {
+    let executor = async_executor::LocalExecutor::new();
+    let queue = rc::Rc::new(queue::Queue::default());
+    let woken = rc::Rc::new(cell::RefCell::new(Vec::new()));
+    async_io::block_on(executor.run(async {
+        for (index, (priority, due)) in requests.iter().enumerate() {
+            let urgency = urgency::Urgency {
+                priority: *priority,
+                due: boot::now() + time::Duration::from_millis(*due),
+                until: boot::now() + LONG,
+                awaited: boot::now() + LONG,
+            };
+            let (waiting, woken) = (rc::Rc::clone(&queue), rc::Rc::clone(&woken));
+            let wait = async move {
+                if waiting.wait(urgency, boot::now() + LONG).await {
+                    woken.borrow_mut().push(index);
+                }
+            };
+            executor.spawn(wait).detach();
+            while queue.len() <= index {
+                futures_lite::future::yield_now().await;
+            }
+        }
+        wait::sleep(waited).await;
+        for index in 0..requests.len() {
+            queue.wake();
+            while woken.borrow().len() <= index {
+                futures_lite::future::yield_now().await;
+            }
+        }
+    }));
+    woken.take()
+}
+
+#[test]
+fn a_short_queue_is_served_by_priority_and_then_by_when_each_is_due() {
+    let requests = [(2, 500), (2, 250), (1, 900)];
+    assert_eq!(order(&requests, time::Duration::ZERO), [2, 1, 0]);
+}
+
+/// Symptom: after all nodes were restarted, nearly every answer of the next two seconds is
+/// late, though the instances work at full speed.
+/// Events: the requests of the dark seconds come all at once; those that come afterwards
+/// queue behind them, and are as late.
+/// Cause: a standing queue was served in the order of arrival.
+#[test]
+fn in_a_standing_queue_the_newest_go_first() {
+    let requests = [(2, 250), (2, 260), (1, 900), (2, 270)];
+    assert_eq!(order(&requests, STANDING), [2, 3, 1, 0]);
+}
