--- a/desk/src/window.rs
+++ b/desk/src/window.rs
@@ -14,10 +14,6 @@
 /// is at its least after about fifteen exchanges, a third of a second under full load.
 const SHRINK: f32 = 0.9;
 
-/// Window of a fresh pool. When all nodes start again, every one that finds a wide window
-/// opens as many connections, and each takes a slot of the instance for 12 ms.
-const FIRST: f32 = 2.0;
-
 /// A window is never smaller: the nodes that share an instance cannot see whether it has
 /// slots left over, and one statement of each is the least that finds out.
 const LEAST: f32 = 1.0;
@@ -51,17 +47,13 @@
 }
 
 impl Window {
-    /// A fresh window, which never grows beyond `most`.
+    /// A window that is as wide as it may be.
     #[must_use]
     #[allow(clippy::cast_precision_loss)] // A dozen connections at most.
     pub const fn new(most: usize) -> Self {
         Self {
             most: most as f32,
-            size: if (most as f32) < FIRST {
-                most as f32
-            } else {
-                FIRST
-            },
+            size: most as f32,
             took: time::Duration::ZERO,
         }
     }
