--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -18,6 +18,12 @@
 /// Prepared statements that one connection keeps before it is cleared; bounds its memory.
 const HANDLES: usize = 256;
 
+/// An answer that did not come within less than this tells nothing about the instance. A
+/// statement that has waited here has little time left; taking its end for silence would
+/// close the connections to an instance that is merely busy, and shut it for 200 ms.
+/// Above the longest work (220 ms) and half of a full queue (160 ms).
+const TELLING: time::Duration = time::Duration::from_millis(300);
+
 /// A connection on loan; given back when dropped.
 pub struct Lent {
     pool: rc::Rc<pool::Pool>,
@@ -199,7 +205,9 @@
     let mut exchange = kept.link.run(commands, urgency);
     let mut result = wait::within(silence, &mut exchange).await;
     if result.is_none() {
-        pool.doubt(sent);
+        if silence >= TELLING {
+            pool.doubt(sent);
+        }
         result = wait::until(urgency.awaited, exchange).await;
     }
     result.unwrap_or_else(|| {
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -154,6 +154,12 @@
         self.delay.get()
     }
 
+    /// Statements that this node lets the instance work on at once.
+    #[must_use]
+    pub fn window(&self) -> usize {
+        self.window.get().size()
+    }
+
     /// Whether the instance did not take a connection a moment ago.
     #[must_use]
     pub fn is_down(&self) -> bool {
@@ -362,11 +368,17 @@
         Some(Turn(rc::Rc::clone(self)))
     }
 
-    // Takes note of an exchange's time; a window that has grown has room for one more.
-    fn widen(self: &rc::Rc<Self>, took: time::Duration) {
+    // Fits the window to an answer; one that has grown has room for one more.
+    fn adapt(self: &rc::Rc<Self>, reply: &reply::Reply, took: time::Duration) {
+        let now = boot::now();
         let mut window = self.window.get();
         let before = window.size();
-        window.answered(took, self.working.get() >= before);
+        match reply.code() {
+            None => window.answered(now, took, self.working.get() >= before),
+            Some(reply::Code::Busy) => window.refused(now),
+            // Refused for another reason, which tells nothing about the instance's load.
+            Some(_) => return,
+        }
         self.window.set(window);
         if window.size() > before {
             self.turns.wake();
@@ -388,7 +400,9 @@
         let now = boot::now();
         self.answered.set(now);
         let took = now.saturating_sub(sent);
-        self.widen(took);
+        if let Some(last) = replies.last() {
+            self.adapt(last, took);
+        }
         self.delay.set((self.delay.get() * 7 + took) / 8);
         let last = replies.iter().rev().find_map(|reply| reply.position);
         if let Some(stamp) = last {
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -274,25 +274,24 @@
 
 /// Opens a connection to an instance through the node at `address`, of use for `lifetime`.
 ///
+/// The inner result is what that node answered.
+///
 /// # Errors
-/// When the node is not there, or cannot reach the instance.
+/// When the node itself is not there.
 pub async fn dial(
     address: std::net::SocketAddr,
     target: &upstream::Target,
     lifetime: Option<time::Duration>,
-) -> Result<upstream::Dialled, upstream::Refusal> {
-    let opening = async {
-        let mut stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        send(&mut stream, target).await?;
-        let opened = receive::<Opened>(&mut stream).await?;
-        io::Result::Ok((stream, opened))
-    };
-    let (stream, opened) = opening
-        .await
-        .map_err(|error| upstream::Refusal::Silent(compact_str::format_compact!("{error}")))?;
+) -> io::Result<Result<upstream::Dialled, upstream::Refusal>> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    send(&mut stream, target).await?;
+    let opened = receive::<Opened>(&mut stream).await?;
     let until = lifetime.map(|lifetime| boot::now() + lifetime);
-    Ok((Box::new(Remote { stream, until }), opened?))
+    Ok(opened.map(|stamp| {
+        let remote: Box<dyn upstream::Connection> = Box::new(Remote { stream, until });
+        (remote, stamp)
+    }))
 }
 
 /// Finds the pool of an instance.
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -25,15 +25,21 @@
 /// bookings wait in the instance's own queue of 24 behind every report.
 const ABREAST: usize = 5;
 
-/// Nodes that are asked for a connection before the instance is dialled directly.
-const ASKED: usize = 2;
+/// Nodes that are asked at once for a connection after the first has failed. Where a cut
+/// parts most nodes from an instance, one in four reaches it; asking one after the other
+/// would take longer than callers wait.
+const ABREAST_ASKED: usize = 3;
 
 /// Longest wait for another node to lend a connection.
 const LIMIT: time::Duration = time::Duration::from_millis(350);
 
-/// A node that could not lend one, or is starting again, is not asked for this long.
+/// A node that is starting again is not asked for this long.
 const PAUSE: time::Duration = time::Duration::from_millis(700);
 
+/// A node that could not reach an instance is not asked for this one for this long. It may
+/// reach all others: links are cut one by one, and a cut lasts some seconds.
+const APART: time::Duration = time::Duration::from_secs(3);
+
 /// A node that did not answer at all is dark, or gone for good: it is not asked for this
 /// long, as each question costs its caller [`LIMIT`].
 const SILENT_PAUSE: time::Duration = time::Duration::from_secs(5);
@@ -62,6 +68,7 @@
     connections: cell::RefCell<collections::BTreeMap<id::Group, usize>>,
     pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
     avoided: cell::RefCell<collections::BTreeMap<id::Vm, id::Time>>,
+    apart: cell::RefCell<collections::BTreeMap<(id::Vm, upstream::Id), id::Time>>,
     dark: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
 }
 
@@ -81,6 +88,7 @@
             connections: cell::RefCell::default(),
             pools: cell::RefCell::default(),
             avoided: cell::RefCell::default(),
+            apart: cell::RefCell::default(),
             dark: cell::RefCell::default(),
         })
     }
@@ -131,6 +139,7 @@
         });
         let now = boot::now();
         self.dark.borrow_mut().retain(|_, until| now < *until);
+        self.apart.borrow_mut().retain(|_, until| now < *until);
     }
 
     fn way(&self, target: &upstream::Target) -> serving::Way {
@@ -143,19 +152,12 @@
         let serving::Way::Through { nodes, .. } = self.way(target) else {
             return Vec::new();
         };
-        let now = boot::now();
-        let avoided = self.avoided.borrow();
         let members = self.members.borrow();
         let order = serving::order(&members, &target.id, &target.domain);
-        let well =
-            |member: &&&member::Member| avoided.get(&member.name).is_none_or(|until| *until < now);
-        let mut serving: Vec<_> = order
-            .iter()
-            .filter(well)
-            .take(nodes)
-            .copied()
-            .cloned()
-            .collect();
+        let well = order
+            .into_iter()
+            .filter(|member| self.may_lend(&member.name, &target.id));
+        let mut serving: Vec<_> = well.take(nodes).cloned().collect();
         match serving.iter().position(|member| member.name == self.name) {
             Some(own) => serving = vec![serving.swap_remove(own)],
             None => fastrand::shuffle(&mut serving),
@@ -163,31 +165,57 @@
         serving
     }
 
+    fn may_lend(&self, name: &id::Vm, instance: &upstream::Id) -> bool {
+        let now = boot::now();
+        let past = |until: &id::Time| *until < now;
+        let avoided = self.avoided.borrow();
+        let apart = self.apart.borrow();
+        avoided.get(name).is_none_or(past)
+            && apart
+                .get(&(name.clone(), instance.clone()))
+                .is_none_or(past)
+    }
+
     async fn route(&self, target: &upstream::Target) -> Dialled {
         let servers = self.servers(target);
         if servers.is_empty() {
             return self.straight(target).await;
         }
-        let mut refusal = upstream::Refusal::Silent("no node lends a connection".into());
-        for server in servers.into_iter().take(ASKED) {
-            if server.name == self.name {
-                let lender = relay::Lender::new(self.pool(target));
-                let stamp = lender.open().await?;
-                return Ok((Box::new(relay::Local(lender)), stamp));
-            }
-            match self.ask(&server, target, None).await {
-                Ok(dialled) => return Ok(dialled),
-                Err(found) => refusal = found,
-            }
+        match self.borrow(target, &servers).await {
+            Err(upstream::Refusal::Silent(_)) => {}
+            known => return known,
         }
-        match refusal {
-            upstream::Refusal::Closed | upstream::Refusal::Full => Err(refusal),
-            // No serving node is there: better one connection too many than none.
-            _ => {
-                tracing::info!(instance = %target.id, "no node lends, dialling the instance");
-                self.straight(target).await
-            }
+        let others = self.servers(target);
+        if others.iter().any(|other| other.name == self.name) {
+            return self.borrow(target, &others).await;
+        }
+        let others = others.iter().take(ABREAST_ASKED);
+        let asked = others.map(|other| self.ask(other, target, None).boxed_local());
+        let asked: Vec<_> = asked.collect();
+        if !asked.is_empty()
+            && let Ok((dialled, _)) = future::select_ok(asked).await
+        {
+            return Ok(dialled);
+        }
+        // No serving node is there: better one connection too many than none.
+        tracing::info!(instance = %target.id, "no node lends, dialling the instance");
+        self.straight(target).await
+    }
+
+    // From the first of these nodes, which may be this one.
+    async fn borrow(&self, target: &upstream::Target, servers: &[member::Member]) -> Dialled {
+        let Some(server) = servers.first() else {
+            return Err(upstream::Refusal::Silent("no node to ask".into()));
+        };
+        if server.name != self.name {
+            return self.ask(server, target, None).await;
         }
+        let lender = relay::Lender::new(self.pool(target));
+        let opened = lender.open().await;
+        if let Err(refusal) = &opened {
+            self.note(&self.name, target, refusal);
+        }
+        Ok((Box::new(relay::Local(lender)), opened?))
     }
 
     async fn ask(
@@ -197,25 +225,38 @@
         lifetime: Option<time::Duration>,
     ) -> Dialled {
         let dialled = wait::within(LIMIT, relay::dial(server.address, target, lifetime)).await;
-        let pause = if dialled.is_none() {
-            SILENT_PAUSE
-        } else {
-            PAUSE
-        };
         let refusal = match dialled {
-            Some(Ok(dialled)) => return Ok(dialled),
-            Some(Err(refusal)) => refusal,
-            None => upstream::Refusal::Silent("the node does not answer".into()),
+            Some(Ok(Ok(dialled))) => return Ok(dialled),
+            Some(Ok(Err(refusal))) => {
+                self.note(&server.name, target, &refusal);
+                refusal
+            }
+            Some(Err(error)) => {
+                self.avoid(&server.name, PAUSE);
+                upstream::Refusal::Silent(compact_str::format_compact!("{error}"))
+            }
+            None => {
+                self.avoid(&server.name, SILENT_PAUSE);
+                upstream::Refusal::Silent("the node does not answer".into())
+            }
         };
         tracing::info!(node = %server.name, instance = %target.id, ?refusal, "node does not lend");
-        let elsewhere = matches!(refusal, upstream::Refusal::Silent(_));
-        if elsewhere && lifetime.is_none() {
-            let until = boot::now() + pause;
-            self.avoided.borrow_mut().insert(server.name.clone(), until);
-        }
         Err(refusal)
     }
 
+    fn avoid(&self, name: &id::Vm, pause: time::Duration) {
+        let until = boot::now() + pause;
+        self.avoided.borrow_mut().insert(name.clone(), until);
+    }
+
+    // Notes that a node was not able to reach an instance.
+    fn note(&self, name: &id::Vm, target: &upstream::Target, refusal: &upstream::Refusal) {
+        if matches!(refusal, upstream::Refusal::Silent(_)) {
+            let pair = (name.clone(), target.id.clone());
+            self.apart.borrow_mut().insert(pair, boot::now() + APART);
+        }
+    }
+
     /// Dials the instance itself, and goes through another node when it stays silent.
     ///
     /// A link between this node and an instance can be cut while both are well. The
@@ -240,13 +281,8 @@
     }
 
     async fn detour(&self, target: &upstream::Target) -> Option<upstream::Dialled> {
-        let now = boot::now();
-        let avoided = self.avoided.borrow().clone();
         let mut others = self.members.borrow().clone();
-        others.retain(|member| {
-            let well = avoided.get(&member.name).is_none_or(|until| *until < now);
-            well && member.name != self.name
-        });
+        others.retain(|member| member.name != self.name && self.may_lend(&member.name, &target.id));
         fastrand::shuffle(&mut others);
         others.truncate(DETOURS);
         let asked = others
--- a/desk/src/window.rs
+++ b/desk/src/window.rs
@@ -2,21 +2,26 @@
 
 use std::time;
 
+use mangotray::id;
+
 /// Exchanges that take longer than this on average have waited inside the instance, where
 /// urgent ones cannot overtake. A read's work takes 18 to 30 ms, and the instance works on
-/// three at once: six more then wait before it.
-const CROWDED: time::Duration = time::Duration::from_millis(70);
+/// three at once: eight or more then wait before it.
+const CROWDED: time::Duration = time::Duration::from_millis(90);
 
 /// Weight of a new exchange in the average: one in this many.
 const SMOOTHING: u32 = 6;
 
-/// Part of the window that stays after an exchange on a crowded instance. A window of five
-/// is at its least after about fifteen exchanges, a third of a second under full load.
-const SHRINK: f32 = 0.9;
+/// Part of the window that stays after a step down.
+const SHRINK: f32 = 0.8;
+
+/// Least time between two steps down: a step shows only in the answers of statements that
+/// were sent after it. Stepping down with every answer left slots idle in a burst.
+const STEP: time::Duration = time::Duration::from_millis(90);
 
-/// A window is never smaller: the nodes that share an instance cannot see whether it has
-/// slots left over, and one statement of each is the least that finds out.
-const LEAST: f32 = 1.0;
+/// A window is never smaller: with one statement of each node, slots lie idle while answers
+/// and the next statements are on their way.
+const LEAST: f32 = 2.0;
 
 /// A window that shrinks while the instance answers slowly, and grows while it is in use
 /// and the instance answers fast.
@@ -30,20 +35,24 @@
 /// use mangotray_desk::window;
 /// use std::time::Duration;
 /// let mut window = window::Window::new(5);
-/// for _ in 0..40 {
-///     window.answered(Duration::from_millis(150), true);
+/// let second = Duration::from_secs(1);
+/// for count in 1..40 {
+///     window.answered(count * second, Duration::from_millis(150), true);
 /// }
-/// assert_eq!(window.size(), 1);
-/// for _ in 0..40 {
-///     window.answered(Duration::from_millis(20), true);
+/// assert_eq!(window.size(), 2);
+/// for count in 40..80 {
+///     window.answered(count * second, Duration::from_millis(20), true);
 /// }
 /// assert_eq!(window.size(), 5);
+/// window.refused(80 * second);
+/// assert_eq!(window.size(), 4);
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Window {
     most: f32,
     size: f32,
     took: time::Duration,
+    stepped: id::Time,
 }
 
 impl Window {
@@ -55,6 +64,7 @@
             most: most as f32,
             size: most as f32,
             took: time::Duration::ZERO,
+            stepped: time::Duration::ZERO,
         }
     }
 
@@ -65,11 +75,20 @@
         self.size as usize
     }
 
-    /// Notes that the instance took `took` for an exchange, and whether the window was full.
-    pub fn answered(&mut self, took: time::Duration, full: bool) {
+    /// Notes that the instance had no room for a statement, which it says at once: counted
+    /// as a fast answer, it would widen the window of an instance that is full.
+    pub fn refused(&mut self, now: id::Time) {
+        if now >= self.stepped + STEP {
+            self.stepped = now;
+            self.size = (self.size * SHRINK).max(LEAST.min(self.most));
+        }
+    }
+
+    /// Notes that the instance took `took` to run a statement, and whether the window was full.
+    pub fn answered(&mut self, now: id::Time, took: time::Duration, full: bool) {
         self.took = (self.took * (SMOOTHING - 1) + took) / SMOOTHING;
         if self.took > CROWDED {
-            self.size = (self.size * SHRINK).max(LEAST);
+            self.refused(now);
         } else if full {
             self.size = (self.size + 1.0 / self.size).min(self.most);
         }
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -71,3 +71,49 @@
         assert!(prelude.iter().any(sets), "{prelude:?}");
     });
 }
+
+/// Symptom: an overloaded primary refuses two statements of three, and those that it takes
+/// wait behind a full queue.
+/// Events: its queue is full; it refuses at once; the nodes send it more.
+/// Cause: the quick refusals counted as quick answers, and widened the window.
+#[test]
+fn a_full_instance_is_sent_less() {
+    let stage = stage::Stage::new();
+    let instance = stage.world.borrow().list().remove(0);
+    let dialer = rc::Rc::new(stage::Dialer(rc::Rc::clone(&stage.world)));
+    let executor = rc::Rc::clone(&stage.executor);
+    let pool = rc::Rc::new(pool::Pool::new(instance, dialer, executor, 5, 5));
+    stage.run(async {
+        let read = upstream::Command::Run {
+            id: "read".into(),
+            text: "READ 1".into(),
+            after: None,
+        };
+        stage.world.borrow_mut().at("a").refuse = 30;
+        let mut lent = lend(&pool, &Values::new()).await;
+        for _ in 0..30 {
+            let replies = lent.run(std::slice::from_ref(&read), boot::now() + LIMIT);
+            replies.await.expect("an answer");
+            wait::sleep(time::Duration::from_millis(10)).await;
+        }
+        assert!(pool.window() < 5);
+    });
+}
+
+/// Symptom: an overloaded instance is taken for a silent one, and its connections are closed.
+/// Events: a statement waits for its turn until little of its time is left, and is sent;
+/// its time is over before the instance answers.
+/// Cause: however short the time, its end was taken for the instance's silence.
+#[test]
+fn a_statement_with_little_time_left_raises_no_suspicion() {
+    let stage = stage::Stage::new();
+    let pool = pool(&stage);
+    stage.run(async {
+        let mut lent = lend(&pool, &Values::new()).await;
+        stage.world.borrow_mut().stalled = true;
+        let status = [upstream::Command::Status];
+        let result = lent.run(&status, boot::now() + SHORT).await;
+        assert!(result.expect_err("no answer").sent);
+        assert!(!pool.is_down());
+    });
+}
