--- a/desk/src/queue.rs
+++ b/desk/src/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Once a queue stands, serving it in order makes everybody late: those that are served
 //! have waited the longest, and those that come wait as long. The newest go first then:
-//! as many are served, most of them in time, and the others are refused early.
+//! as many are served, most of them in time. Routes with the shorter objective go before
+//! those whose callers are still served well a second later.
 
 use std::cell;
 use std::time;
@@ -25,12 +26,12 @@
 }
 
 impl Waiter {
-    fn rank(&self, newest_first: bool) -> (u8, Option<urgency::Urgency>, u64) {
-        let priority = self.urgency.priority;
+    fn rank(&self, newest_first: bool) -> (u8, time::Duration, u64) {
+        let urgency = &self.urgency;
         if newest_first {
-            (priority, None, u64::MAX - self.number)
+            (urgency.priority, urgency.objective, u64::MAX - self.number)
         } else {
-            (priority, Some(self.urgency), self.number)
+            (urgency.priority, urgency.due, self.number)
         }
     }
 }
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -656,6 +656,7 @@
 fn urgency(route: &catalog::Route, arrived: id::Time, until: id::Time) -> urgency::Urgency {
     urgency::Urgency {
         priority: route.priority,
+        objective: route.objective,
         due: arrived + route.objective,
         until,
         awaited: arrived + route.timeout,
--- a/desk/src/urgency.rs
+++ b/desk/src/urgency.rs
@@ -11,9 +11,8 @@
 /// ```
 /// use mangotray_desk::urgency;
 /// use std::time::Duration;
-/// let until = Duration::from_millis(800);
-/// let soon = urgency::Urgency { priority: 1, due: Duration::from_millis(150), until, awaited: until };
-/// let later = urgency::Urgency { priority: 1, due: Duration::from_millis(500), until, awaited: until };
+/// let soon = urgency::Urgency { due: Duration::from_millis(150), ..urgency::Urgency::default() };
+/// let later = urgency::Urgency { due: Duration::from_millis(500), ..urgency::Urgency::default() };
 /// assert!(soon < later);
 /// ```
 #[derive(
@@ -24,6 +23,8 @@
     pub priority: u8,
     /// When the statement should be answered, on this node's clock.
     pub due: id::Time,
+    /// Time in which requests of its route are to be answered.
+    pub objective: time::Duration,
     /// No use to begin later than this, on this node's clock: whoever asked has given up.
     pub until: id::Time,
     /// Nobody awaits the answer after this, on this node's clock.
@@ -36,6 +37,7 @@
     pub fn now(until: id::Time) -> Self {
         Self {
             priority: 0,
+            objective: time::Duration::ZERO,
             due: boot::now(),
             until,
             awaited: until,
@@ -71,6 +73,7 @@
     fn default() -> Self {
         Self {
             priority: u8::MAX,
+            objective: time::Duration::MAX,
             due: time::Duration::MAX,
             until: time::Duration::MAX,
             awaited: time::Duration::MAX,
--- a/desk/tests/queue.rs
+++ b/desk/tests/queue.rs
@@ -23,6 +23,7 @@
         for (index, (priority, due)) in requests.iter().enumerate() {
             let urgency = urgency::Urgency {
                 priority: *priority,
+                objective: time::Duration::from_millis(*due),
                 due: boot::now() + time::Duration::from_millis(*due),
                 until: boot::now() + LONG,
                 awaited: boot::now() + LONG,
@@ -62,6 +63,6 @@
 /// Cause: a standing queue was served in the order of arrival.
 #[test]
 fn in_a_standing_queue_the_newest_go_first() {
-    let requests = [(2, 250), (2, 260), (1, 900), (2, 270)];
-    assert_eq!(order(&requests, STANDING), [2, 3, 1, 0]);
+    let requests = [(2, 250), (2, 250), (1, 900), (2, 250), (2, 500)];
+    assert_eq!(order(&requests, STANDING), [2, 3, 1, 0, 4]);
 }
