--- /dev/null
+++ b/desk/tests/router.rs
@@ -0,0 +1,122 @@
+//! How a node reaches instances through others.
+
+mod stage;
+
+use std::net;
+use std::rc;
+use std::time;
+
+use futures_util::FutureExt;
+use futures_util::future;
+use mangotray_desk::catalog;
+use mangotray_desk::member;
+use mangotray_desk::relay;
+use mangotray_desk::reply;
+use mangotray_desk::router;
+use mangotray_desk::upstream;
+use mangotray_desk::upstream::Dialer;
+use mangotray_desk::wait;
+
+/// Longer than a lending node looks for a connection.
+const SHORT: time::Duration = time::Duration::from_millis(450);
+const LONG: time::Duration = time::Duration::from_secs(5);
+
+type Local = rc::Rc<async_executor::LocalExecutor<'static>>;
+
+/// A dialer that reaches one instance at most; from all others there is silence.
+struct Narrow(Option<(upstream::Id, stage::Dialer)>);
+
+impl upstream::Dialer for Narrow {
+    fn dial<'a>(
+        &'a self,
+        target: &'a upstream::Target,
+    ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
+        match &self.0 {
+            Some((id, dialer)) if *id == target.id => dialer.dial(target),
+            _ => future::pending().boxed_local(),
+        }
+    }
+
+    fn status(&self, _reply: &reply::Reply) -> Option<upstream::Status> {
+        None
+    }
+}
+
+/// A router in a fleet of which no node has connections of its own to every instance.
+fn router(
+    name: &str,
+    dialer: rc::Rc<dyn upstream::Dialer>,
+    executor: &Local,
+) -> rc::Rc<router::Router> {
+    let router = router::Router::new(name.into(), dialer, rc::Rc::clone(executor));
+    router.apply(&catalog::Catalog {
+        version: 1,
+        services: vec![catalog::Service {
+            group: stage::GROUP.into(),
+            connections: 4,
+            sync: 1,
+        }],
+        ..catalog::Catalog::default()
+    });
+    router
+}
+
+/// A port that was free a moment ago.
+fn address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+fn target(id: &str) -> upstream::Target {
+    upstream::Target {
+        address: address(),
+        group: stage::GROUP.into(),
+        id: id.into(),
+        domain: "near".into(),
+    }
+}
+
+fn member(name: &str, domain: &str) -> member::Member {
+    member::Member {
+        name: name.into(),
+        domain: domain.into(),
+        address: address(),
+    }
+}
+
+/// Symptom: a group is refused for most of a second at a node that could borrow connections.
+/// Events: a link between a lending node and one instance is cut; it says that it cannot
+/// reach that one; a request for another instance follows, which it reaches.
+/// Cause: the lending node was avoided for all instances.
+#[test]
+fn a_node_that_cannot_reach_one_instance_still_lends_for_others() {
+    let stage = stage::Stage::new();
+    let executor = &stage.executor;
+    let (own, lending) = (member("own", "far"), member("lending", "near"));
+    let reaches = Narrow(Some((
+        "b".into(),
+        stage::Dialer(rc::Rc::clone(&stage.world)),
+    )));
+    let lending_address = lending.address;
+    let lender = router(&lending.name, rc::Rc::new(reaches), executor);
+    let server = relay::Server::new(move |target| lender.pool(target), rc::Rc::clone(executor));
+    let serve = server.serve(lending_address);
+    executor
+        .spawn(async move { serve.await.expect("a port") })
+        .detach();
+    let router = router(&own.name, rc::Rc::new(Narrow(None)), executor);
+    router.meet(vec![own, lending]);
+    stage.run(async {
+        // Until the lending node listens.
+        while async_net::TcpStream::connect(lending_address)
+            .await
+            .is_err()
+        {
+            wait::sleep(time::Duration::from_millis(5)).await;
+        }
+        let cut = wait::within(SHORT, router.dial(&target("a"))).await;
+        assert!(cut.is_none_or(|dialled| dialled.is_err()));
+        let open = wait::within(LONG, router.dial(&target("b"))).await;
+        open.expect("an answer").expect("a connection");
+    });
+}
