Wait short behind others, longer for an instance to be reached

Cause: a statement waited up to 40 percent of its timeout (320 ms) whatever the reason. In an overloaded group a caller with one second and three tries then sees it end in the middle of the third, and each of these costs as much as the whole request is worth. Change: reasons of a failed try are a type; behind others, or where no instance of a group was reached for a second, a statement waits 22 percent, for anything else 40 percent as before. Statements of an open transaction keep their place.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -227,6 +227,13 @@
         self.leaving.borrow().contains_key(id)
     }
 
+    /// Whether this node has reached none of the instances for a while.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        let pools = self.pools.borrow();
+        !pools.is_empty() && pools.values().all(|pool| pool.is_lost())
+    }
+
     /// Border to the instances.
     #[must_use]
     pub fn dialer(&self) -> &dyn upstream::Dialer {
--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -121,7 +121,10 @@
             ..self.urgency
         };
         let Some(_turn) = self.pool.turn(urgency, deadline.min(urgency.until)).await else {
-            return Err(unsent("no turn in time"));
+            return Err(upstream::Failure {
+                crowded: true,
+                ..unsent("no turn in time")
+            });
         };
         let Some(kept) = &mut self.kept else {
             return Err(unsent("the connection is gone"));
@@ -213,6 +216,7 @@
     result.unwrap_or_else(|| {
         Err(upstream::Failure {
             sent: true,
+            crowded: false,
             detail: "no answer in time".into(),
         })
     })
@@ -237,6 +241,7 @@
 fn unsent(detail: &str) -> upstream::Failure {
     upstream::Failure {
         sent: false,
+        crowded: false,
         detail: detail.into(),
     }
 }
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lent;
 pub mod log;
 pub mod member;
+pub mod miss;
 pub mod node;
 pub mod plan;
 pub mod pool;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -48,11 +48,17 @@
 /// Longest wait for a new connection; one takes 12 ms and its slot on a calm day.
 const DIAL_LIMIT: time::Duration = time::Duration::from_millis(700);
 
+/// An instance to which no connection came about for this long is lost for this node; what
+/// passes by itself, as a restart of the nodes that lend connections, is over sooner.
+const LOST: time::Duration = time::Duration::from_secs(1);
+
 /// Why no connection was lent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
     /// The time was over before a connection was free.
     Late,
+    /// The time was over before the first connection was open.
+    Opening,
     /// The instance cannot be reached.
     Down,
     /// The instance has no connection left and this node none of its own.
@@ -77,6 +83,7 @@
     blocked: cell::Cell<id::Time>,
     down: cell::Cell<id::Time>,
     closed: cell::Cell<bool>,
+    failing: cell::Cell<Option<id::Time>>,
     applied: cell::Cell<stamp::Stamp>,
     behind: cell::Cell<id::Time>,
     answered: cell::Cell<id::Time>,
@@ -109,6 +116,7 @@
             blocked: cell::Cell::default(),
             down: cell::Cell::default(),
             closed: cell::Cell::default(),
+            failing: cell::Cell::default(),
             applied: cell::Cell::default(),
             behind: cell::Cell::default(),
             answered: cell::Cell::default(),
@@ -166,6 +174,13 @@
         boot::now() < self.down.get()
     }
 
+    /// Whether no connection to the instance came about for a while.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        let since = self.failing.get();
+        since.is_some_and(|since| boot::now() > since + LOST)
+    }
+
     /// Whether the instance's address refused the last connection: its process is gone.
     #[must_use]
     pub fn is_closed(&self) -> bool {
@@ -200,7 +215,12 @@
             }
             self.grow();
             if !self.waiting.wait(urgency, deadline).await {
-                return Err(Shortage::Late);
+                let opening = self.open.get() <= self.dialling.get();
+                return Err(if opening {
+                    Shortage::Opening
+                } else {
+                    Shortage::Late
+                });
             }
         }
     }
@@ -333,6 +353,8 @@
             let pause = if wrong { GONE_PAUSE } else { DOWN_PAUSE };
             self.down.set(boot::now() + pause);
         }
+        self.failing
+            .set(Some(self.failing.get().unwrap_or(started)));
         drop(place);
         self.waiting.wake_all();
     }
@@ -340,6 +362,7 @@
     fn opened(&self, link: Box<dyn upstream::Connection>, stamp: Option<stamp::Stamp>) {
         metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
         self.closed.set(false);
+        self.failing.set(None);
         self.answered.set(boot::now());
         if let Some(stamp) = stamp {
             self.applied.set(self.applied.get().max(stamp));
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -171,6 +171,7 @@
         let mut replies = lent.run(&commands, urgency.awaited).await?;
         let reply = replies.pop().ok_or_else(|| upstream::Failure {
             sent: true,
+            crowded: false,
             detail: "no answer".into(),
         })?;
         if reply.code() == Some(&reply::Code::NoStatement) {
@@ -186,6 +187,7 @@
         let lent = self.pool.lend(urgency, &self.values, urgency.until).await;
         lent.map_err(|shortage| upstream::Failure {
             sent: false,
+            crowded: shortage == pool::Shortage::Late,
             detail: compact_str::format_compact!(
                 "the lending node has no connection: {shortage:?}"
             ),
@@ -248,6 +250,7 @@
             exchange.await.unwrap_or_else(|error| {
                 Err(upstream::Failure {
                     sent: true,
+                    crowded: false,
                     detail: compact_str::format_compact!("lending node lost: {error}"),
                 })
             })
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -13,6 +13,7 @@
 use crate::group;
 use crate::kept;
 use crate::lent;
+use crate::miss;
 use crate::node;
 use crate::pool;
 use crate::reply;
@@ -22,11 +23,16 @@
 use crate::wait;
 use crate::work;
 
-/// Part of a statement's timeout for which it may wait without having been offered to an
-/// instance. A caller that is refused early can still ask another node in time; one that
-/// is kept waiting to the end cannot.
+/// Part of a statement's timeout for which it may wait for an instance to be reached. A
+/// caller that is refused early can still ask another node in time; one that is kept
+/// waiting to the end cannot.
 const WAIT_PERCENT: u32 = 40;
 
+/// Part of a statement's timeout for which it may wait behind others. Where more is asked
+/// than the instances can do, waiting longer serves nobody else instead, and callers with
+/// one second and three tries would see it end in the middle of the third.
+const QUEUE_PERCENT: u32 = 22;
+
 /// Pause before a statement that was refused as not run is offered again.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -285,15 +291,16 @@
     async fn read(&mut self, work: &work::Work, route: &catalog::Route) -> Outcome {
         let group = self.node.group(&route.group);
         let need = self.need(route, work.arrived, work.arrived);
-        let urgency = urgency(route, work.arrived, need.deadline);
+        let urgency = urgency(route, work.arrived);
         let mut tried = Vec::new();
-        let mut code = reply::Code::Busy;
+        let mut reason = miss::Miss::Unreachable;
         loop {
             let Some(source) = group.source(&need, &tried).await else {
                 // All were tried, or none is fresh enough: again from the start, if the
                 // reason may pass while the caller still waits.
-                let again = code == reply::Code::Busy && !tried.is_empty();
-                if again && pause(ROUND_PAUSE, need.deadline).await {
+                let limit = patience(&reason, &group, &urgency, need.deadline);
+                let passes = !tried.is_empty() && !matches!(reason, miss::Miss::Failed(_));
+                if passes && pause(ROUND_PAUSE, limit).await {
                     tried.clear();
                     continue;
                 }
@@ -302,12 +309,12 @@
             tried.push(source.pool.id());
             match self.read_at(work, route, &group, &source, urgency).await {
                 Ok(reply) => return Outcome::Answered(reply),
-                Err(Some(found)) => code = found,
-                Err(None) => {}
+                Err(miss::Miss::Elsewhere) => {}
+                Err(found) => reason = found,
             }
         }
         // A read leaves nothing behind, so that refusing it is true wherever it ran.
-        Outcome::Refused(refusal(code), "no instance could serve this read".into())
+        Outcome::Refused(refusal(reason), "no instance could serve this read".into())
     }
 
     /// One attempt of a read; the error tells why another instance may do better.
@@ -318,10 +325,10 @@
         group: &rc::Rc<group::Group>,
         source: &group::Source,
         urgency: urgency::Urgency,
-    ) -> Result<reply::Reply, Option<reply::Code>> {
+    ) -> Result<reply::Reply, miss::Miss> {
         let wait = urgency.awaited.min(boot::now() + LEND_LIMIT);
         let lent = source.pool.lend(urgency, &self.values, wait).await;
-        let mut lent = lent.map_err(|_| Some(reply::Code::Busy))?;
+        let mut lent = lent.map_err(miss::Miss::of_shortage)?;
         let commands = work.commands(&mut lent, &self.values, source.after, false);
         let sent = boot::now();
         let limit = urgency
@@ -331,12 +338,12 @@
             tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
                 sent = failure.sent, detail = %failure.detail, "read not answered");
             if !failure.sent {
-                return Some(reply::Code::Busy);
+                return miss::Miss::of_unsent(&failure);
             }
             Self::lost(group, source);
-            Some(reply::Code::Aborted)
+            miss::Miss::Failed(reply::Code::Aborted)
         })?;
-        let reply = replies.pop().ok_or(None)?;
+        let reply = replies.pop().ok_or(miss::Miss::Elsewhere)?;
         if let Some(term) = source.leads {
             group.saw_position(term, sent, reply.position);
         }
@@ -355,20 +362,20 @@
         match code {
             reply::Code::Behind => source.pool.note_behind(),
             reply::Code::NoStatement => lent.forget(),
-            code => return Err(Some(code.clone())),
+            _ => {}
         }
-        Err(None)
+        Err(miss::Miss::of_code(code))
     }
 
     async fn write(&mut self, work: &work::Work, route: &catalog::Route) -> Outcome {
         let group = self.node.group(&route.group);
         let wait = work.arrived + route.timeout * WAIT_PERCENT / 100;
-        let urgency = urgency(route, work.arrived, wait);
+        let urgency = urgency(route, work.arrived);
         loop {
             let Some((pool, term)) = group.primary(wait).await else {
                 return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
             };
-            let mut lent = match pool.lend(urgency, &self.values, wait).await {
+            let mut lent = match pool.lend(urgency, &self.values, urgency.until).await {
                 Ok(lent) => lent,
                 Err(pool::Shortage::Late) => {
                     return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
@@ -377,7 +384,8 @@
                     if shortage == pool::Shortage::Down {
                         group.doubt(term, "no connection to the primary");
                     }
-                    if !pause_before(wait).await {
+                    let reason = miss::Miss::of_shortage(shortage);
+                    if !pause_before(patience(&reason, &group, &urgency, wait)).await {
                         return Outcome::Refused(reply::Code::Busy, "primary out of reach".into());
                     }
                     continue;
@@ -398,7 +406,8 @@
                 }
                 Err(failure) => {
                     drop(lent);
-                    if pause_before(wait).await {
+                    let reason = miss::Miss::of_unsent(&failure);
+                    if pause_before(patience(&reason, &group, &urgency, wait)).await {
                         continue;
                     }
                     return Outcome::Refused(reply::Code::Busy, failure.detail);
@@ -418,11 +427,14 @@
                 Some(code) if code.not_run() => {}
                 Some(_) => return Outcome::Answered(reply),
             }
+            let reason = reply
+                .code()
+                .map_or(miss::Miss::Elsewhere, miss::Miss::of_code);
             metrics::counter!("mangotray_write_retries_total").increment(1);
             tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(), term,
                 code = ?reply.code(), "write not run");
             drop(lent);
-            if !pause_before(wait).await {
+            if !pause_before(patience(&reason, &group, &urgency, wait)).await {
                 return Outcome::Answered(reply);
             }
         }
@@ -465,9 +477,7 @@
         let Some(pinned) = &mut transaction.pinned else {
             return self.error(reply::Code::Aborted, "the transaction has no connection");
         };
-        pinned
-            .lent
-            .urge(urgency(&transaction.route, work.arrived, deadline));
+        pinned.lent.urge(inside(&transaction.route, work.arrived));
         let commands = work.commands(&mut pinned.lent, &self.values, None, true);
         let sent = boot::now();
         let result = pinned.lent.run(&commands, deadline).await;
@@ -506,6 +516,7 @@
         if !transaction.read_only {
             need.freshness = catalog::Freshness::Current;
         }
+        let urgency = urgency(&transaction.route, arrived);
         let mut tried = Vec::new();
         loop {
             let Some(source) = group.source(&need, &tried).await else {
@@ -514,14 +525,17 @@
                     "no instance could open the transaction".into(),
                 ));
             };
-            if let Some(pinned) = self.open(&group, &source, transaction, &need).await {
-                transaction.pinned = Some(pinned);
-                return Ok(());
-            }
+            let reason = match self.open(&group, &source, transaction, &urgency).await {
+                Ok(pinned) => {
+                    transaction.pinned = Some(pinned);
+                    return Ok(());
+                }
+                Err(reason) => reason,
+            };
             if transaction.read_only && tried.len() + 1 < ATTEMPTS {
                 tried.push(source.pool.id());
             }
-            if !pause_before(need.deadline).await {
+            if !pause_before(patience(&reason, &group, &urgency, need.deadline)).await {
                 return Err((
                     reply::Code::Busy,
                     "no instance opened the transaction in time".into(),
@@ -535,18 +549,18 @@
         group: &rc::Rc<group::Group>,
         source: &group::Source,
         transaction: &Transaction,
-        need: &group::Need,
-    ) -> Option<Pinned> {
-        let urgency = urgency(&transaction.route, boot::now(), need.deadline);
-        let lent = source.pool.lend(urgency, &self.values, need.deadline).await;
-        let mut lent = match (lent, source.leads) {
-            (Ok(lent), _) => lent,
-            (Err(pool::Shortage::Down), Some(term)) => {
+        urgency: &urgency::Urgency,
+    ) -> Result<Pinned, miss::Miss> {
+        let lent = source
+            .pool
+            .lend(*urgency, &self.values, urgency.until)
+            .await;
+        let mut lent = lent.map_err(|shortage| {
+            if let (pool::Shortage::Down, Some(term)) = (shortage, source.leads) {
                 group.doubt(term, "no connection to the primary");
-                return None;
             }
-            (Err(_), _) => return None,
-        };
+            miss::Miss::of_shortage(shortage)
+        })?;
         let mut commands = lent.prelude(&self.values, None, false);
         commands.push(upstream::Command::Begin {
             read_only: transaction.read_only,
@@ -555,10 +569,17 @@
         // Alone, without the first statement: were this refused, a statement behind it
         // would run outside of any transaction.
         let deadline = boot::now() + transaction.route.timeout;
-        let reply = lent.run(&commands, deadline).await.ok()?.pop()?;
+        let mut replies = lent.run(&commands, deadline).await.map_err(|failure| {
+            if failure.sent {
+                miss::Miss::Unreachable
+            } else {
+                miss::Miss::of_unsent(&failure)
+            }
+        })?;
+        let reply = replies.pop().ok_or(miss::Miss::Elsewhere)?;
         match reply.code() {
             None if reply.state == reply::State::Open => {
-                return Some(Pinned {
+                return Ok(Pinned {
                     lent,
                     group: rc::Rc::clone(group),
                     leads: source.leads,
@@ -575,7 +596,9 @@
         if reply.state != reply::State::Idle {
             lent.discard();
         }
-        None
+        Err(reply
+            .code()
+            .map_or(miss::Miss::Elsewhere, miss::Miss::of_code))
     }
 
     async fn commit(&mut self, request: &statement::Request, arrived: id::Time) -> reply::Reply {
@@ -595,9 +618,7 @@
         };
         let sent = boot::now();
         let deadline = arrived + transaction.route.timeout;
-        pinned
-            .lent
-            .urge(urgency(&transaction.route, arrived, deadline));
+        pinned.lent.urge(inside(&transaction.route, arrived));
         let reply = match pinned.lent.run(&[command], deadline).await {
             Ok(mut replies) => replies.pop(),
             // The connection is closed with the transaction open, which rolls it back.
@@ -653,12 +674,31 @@
     }
 }
 
-fn urgency(route: &catalog::Route, arrived: id::Time, until: id::Time) -> urgency::Urgency {
+// How long a statement may still wait for another try.
+fn patience(
+    reason: &miss::Miss,
+    group: &group::Group,
+    urgency: &urgency::Urgency,
+    limit: id::Time,
+) -> id::Time {
+    reason.patience(group.is_lost(), urgency.until, limit)
+}
+
+// The urgency of a statement inside a transaction. It has had its place: were it refused,
+// all the work that the transaction has done would be lost.
+fn inside(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
+    urgency::Urgency {
+        until: arrived + route.timeout,
+        ..urgency(route, arrived)
+    }
+}
+
+fn urgency(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
     urgency::Urgency {
         priority: route.priority,
         objective: route.objective,
         due: arrived + route.objective,
-        until,
+        until: arrived + route.timeout * QUEUE_PERCENT / 100,
         awaited: arrived + route.timeout,
     }
 }
@@ -676,10 +716,11 @@
 
 // What a caller is told of a read that no instance served: codes that promise that
 // nothing is kept, so that it may come back at once.
-fn refusal(code: reply::Code) -> reply::Code {
-    match code {
-        reply::Code::Aborted | reply::Code::Busy | reply::Code::Behind => code,
-        _ => reply::Code::Aborted,
+fn refusal(reason: miss::Miss) -> reply::Code {
+    match reason {
+        miss::Miss::Crowded | miss::Miss::Unreachable | miss::Miss::Elsewhere => reply::Code::Busy,
+        miss::Miss::Failed(code @ (reply::Code::Aborted | reply::Code::Behind)) => code,
+        miss::Miss::Failed(_) => reply::Code::Aborted,
     }
 }
 
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -113,6 +113,8 @@
 pub struct Failure {
     /// Some byte of the commands may have arrived.
     pub sent: bool,
+    /// They waited behind others until their time to begin was over.
+    pub crowded: bool,
     /// For a human.
     pub detail: CompactString,
 }
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -398,6 +398,7 @@
 fn lost() -> upstream::Failure {
     upstream::Failure {
         sent: true,
+        crowded: false,
         detail: "the connection was lost".into(),
     }
 }
