Part a statement's tries from the session, and take small leftovers away

Change: attempt, pinned and candidate hold tries, an open transaction's connection and the cost of an instance; the seat's lease is as long as the store's shortest; unused lookups and parameters are gone.

--- /dev/null
+++ b/desk/src/attempt.rs
@@ -0,0 +1,399 @@
+//! Finds an instance for one statement, and tries again where that may help.
+
+use std::rc;
+use std::time;
+
+use compact_str::CompactString;
+use mangotray::id;
+use mangotray::stamp;
+
+use crate::boot;
+use crate::catalog;
+use crate::group;
+use crate::kept;
+use crate::miss;
+use crate::pinned;
+use crate::pool;
+use crate::reply;
+use crate::upstream;
+use crate::urgency;
+use crate::wait;
+use crate::work;
+
+/// Part of a statement's timeout for which it may wait for an instance to be reached. A
+/// caller that is refused early can still ask another node in time; one that is kept
+/// waiting to the end cannot.
+const WAIT_PERCENT: u32 = 40;
+
+/// Part of a statement's timeout for which it may wait behind others. Where more is asked
+/// than the instances can do, waiting longer serves nobody else instead, and callers with
+/// one second and three tries would see it end in the middle of the third.
+const QUEUE_PERCENT: u32 = 22;
+
+/// Pause before a statement that was refused as not run is offered again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(15);
+
+/// Pause before a read that all instances refused is offered to them again: a replica that
+/// is behind applies a few more commits meanwhile, and a full queue of 24 shrinks by six.
+const ROUND_PAUSE: time::Duration = time::Duration::from_millis(40);
+
+/// Instances that one read-only transaction is offered to before any is offered it again.
+const ATTEMPTS: usize = 4;
+
+/// Longest wait of a read for a connection to one instance; then another is asked.
+const LEND_LIMIT: time::Duration = time::Duration::from_millis(120);
+
+/// Part of a read's timeout that one instance gets; the rest is for another, where this
+/// one has gone silent. Above the longest work (220 ms) and a full queue (160 ms).
+const ATTEMPT_PERCENT: u32 = 50;
+
+/// What became of one statement.
+pub enum Outcome {
+    /// An instance's answer, or that none came.
+    Answered(reply::Reply),
+    /// Proven not run, and not worth another try.
+    Refused(reply::Code, CompactString),
+}
+
+/// What one statement's tries have in common.
+pub struct Attempt<'a> {
+    /// Group that the route leads to.
+    pub group: rc::Rc<group::Group>,
+    /// Route of the session's database.
+    pub route: &'a catalog::Route,
+    /// The session's values.
+    pub values: &'a kept::Values,
+    /// The session's own last commit.
+    pub own: Option<stamp::Stamp>,
+}
+
+impl Attempt<'_> {
+    /// Reads from an instance that is provably fresh enough.
+    pub async fn read(&self, work: &work::Work) -> Outcome {
+        let need = self.need(work.arrived, work.arrived);
+        let urgency = urgency(self.route, work.arrived);
+        let mut tried = Vec::new();
+        let mut reason = miss::Miss::Unreachable;
+        loop {
+            let Some(source) = self.group.source(&need, &tried).await else {
+                // All were tried, or none is fresh enough: again from the start, if the
+                // reason may pass while the caller still waits.
+                let limit = self.patience(&reason, &urgency, need.deadline);
+                let passes = !tried.is_empty() && !matches!(reason, miss::Miss::Failed(_));
+                if passes && pause(ROUND_PAUSE, limit).await {
+                    tried.clear();
+                    continue;
+                }
+                break;
+            };
+            tried.push(source.pool.id());
+            match self.read_at(work, &source, urgency).await {
+                Ok(reply) => return Outcome::Answered(reply),
+                Err(miss::Miss::Elsewhere) => {}
+                Err(found) => reason = found,
+            }
+        }
+        // A read leaves nothing behind, so that refusing it is true wherever it ran.
+        Outcome::Refused(refusal(reason), "no instance could serve this read".into())
+    }
+
+    /// One attempt of a read; the error tells why another instance may do better.
+    async fn read_at(
+        &self,
+        work: &work::Work,
+        source: &group::Source,
+        urgency: urgency::Urgency,
+    ) -> Result<reply::Reply, miss::Miss> {
+        let (group, route) = (&self.group, self.route);
+        let wait = urgency.awaited.min(boot::now() + LEND_LIMIT);
+        let lent = source.pool.lend(urgency, self.values, wait).await;
+        let mut lent = lent.map_err(miss::Miss::of_shortage)?;
+        let commands = work.commands(&mut lent, self.values, source.after, false);
+        let sent = boot::now();
+        let limit = urgency
+            .awaited
+            .min(sent + route.timeout * ATTEMPT_PERCENT / 100);
+        let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
+            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+                sent = failure.sent, detail = %failure.detail, "read not answered");
+            if !failure.sent {
+                return miss::Miss::of_unsent(&failure);
+            }
+            self.lost(source);
+            miss::Miss::Failed(reply::Code::Aborted)
+        })?;
+        let reply = replies.pop().ok_or(miss::Miss::Elsewhere)?;
+        if let Some(term) = source.leads {
+            group.saw_position(term, sent, reply.position);
+        }
+        let Some(code) = reply.code() else {
+            count_read(source.leads.is_some());
+            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+                term = source.leads, after = source.after.map(tracing::field::display),
+                waited_ms = sent.saturating_sub(work.arrived).as_millis(),
+                took_ms = boot::now().saturating_sub(sent).as_millis(), "read served");
+            return Ok(reply);
+        };
+        metrics::counter!("mangotray_read_retries_total").increment(1);
+        tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+            ?code, applied = %source.pool.applied(),
+            after = source.after.map(tracing::field::display), "read not served here");
+        match code {
+            reply::Code::Behind => source.pool.note_behind(),
+            reply::Code::NoStatement => lent.forget(),
+            _ => {}
+        }
+        Err(miss::Miss::of_code(code))
+    }
+
+    /// Writes at the primary; another try only where nothing was sent, or the instance says
+    /// that it did not run.
+    pub async fn write(&self, work: &work::Work) -> Outcome {
+        let group = &self.group;
+        let wait = work.arrived + self.route.timeout * WAIT_PERCENT / 100;
+        let urgency = urgency(self.route, work.arrived);
+        loop {
+            let Some((pool, term)) = group.primary(wait).await else {
+                return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
+            };
+            let mut lent = match pool.lend(urgency, self.values, urgency.until).await {
+                Ok(lent) => lent,
+                Err(pool::Shortage::Late) => {
+                    return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
+                }
+                Err(shortage) => {
+                    if shortage == pool::Shortage::Down {
+                        group.doubt(term, "no connection to the primary");
+                    }
+                    let reason = miss::Miss::of_shortage(shortage);
+                    if !pause_before(self.patience(&reason, &urgency, wait)).await {
+                        return Outcome::Refused(reply::Code::Busy, "primary out of reach".into());
+                    }
+                    continue;
+                }
+            };
+            let commands = work.commands(&mut lent, self.values, None, false);
+            let sent = boot::now();
+            let reply = match lent
+                .run(&commands, urgency.awaited)
+                .await
+                .map(|mut replies| replies.pop())
+            {
+                Ok(Some(reply)) => reply,
+                Ok(None) => return unsure("no answer"),
+                Err(failure) if failure.sent => {
+                    group.doubt(term, "a write was not answered");
+                    return unsure(&failure.detail);
+                }
+                Err(failure) => {
+                    drop(lent);
+                    let reason = miss::Miss::of_unsent(&failure);
+                    if pause_before(self.patience(&reason, &urgency, wait)).await {
+                        continue;
+                    }
+                    return Outcome::Refused(reply::Code::Busy, failure.detail);
+                }
+            };
+            group.saw_position(term, sent, reply.position);
+            match reply.code() {
+                None => {
+                    tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(),
+                        term, waited_ms = sent.saturating_sub(work.arrived).as_millis(),
+                        took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
+                    return Outcome::Answered(reply);
+                }
+                Some(reply::Code::ReadOnly) => group.doubt(term, "the primary refused a write"),
+                Some(reply::Code::NoStatement) => lent.forget(),
+                Some(code) if code.not_run() => {}
+                Some(_) => return Outcome::Answered(reply),
+            }
+            let reason = reply
+                .code()
+                .map_or(miss::Miss::Elsewhere, miss::Miss::of_code);
+            metrics::counter!("mangotray_write_retries_total").increment(1);
+            tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(), term,
+                code = ?reply.code(), "write not run");
+            drop(lent);
+            if !pause_before(self.patience(&reason, &urgency, wait)).await {
+                return Outcome::Answered(reply);
+            }
+        }
+    }
+    fn need(&self, first: id::Time, arrived: id::Time) -> group::Need {
+        let route = self.route;
+        let own = match route.freshness {
+            catalog::Freshness::Own(_) => self.own,
+            _ => None,
+        };
+        group::Need {
+            arrived: first,
+            freshness: route.freshness,
+            own,
+            deadline: arrived + route.timeout * WAIT_PERCENT / 100,
+        }
+    }
+    fn lost(&self, source: &group::Source) {
+        tracing::info!(group = %self.group.name, instance = %source.pool.id(),
+            "an answer to a read was lost");
+        source.pool.suspect();
+        if let Some(term) = source.leads {
+            self.group.doubt(term, "a read was not answered");
+        }
+    }
+    /// Opens a transaction that began at `began` for a statement that arrived at `arrived`.
+    ///
+    /// # Errors
+    /// What the caller is told when no instance opened it in time.
+    pub async fn open(
+        &self,
+        read_only: bool,
+        began: id::Time,
+        arrived: id::Time,
+    ) -> Result<pinned::Pinned, (reply::Code, CompactString)> {
+        let mut need = self.need(began, arrived);
+        if !read_only {
+            need.freshness = catalog::Freshness::Current;
+        }
+        let urgency = urgency(self.route, arrived);
+        let mut tried = Vec::new();
+        loop {
+            let Some(source) = self.group.source(&need, &tried).await else {
+                return Err((
+                    reply::Code::Busy,
+                    "no instance could open the transaction".into(),
+                ));
+            };
+            let reason = match self.open_at(&source, read_only, &urgency).await {
+                Ok(pinned) => return Ok(pinned),
+                Err(reason) => reason,
+            };
+            if read_only && tried.len() + 1 < ATTEMPTS {
+                tried.push(source.pool.id());
+            }
+            if !pause_before(self.patience(&reason, &urgency, need.deadline)).await {
+                return Err((
+                    reply::Code::Busy,
+                    "no instance opened the transaction in time".into(),
+                ));
+            }
+        }
+    }
+
+    async fn open_at(
+        &self,
+        source: &group::Source,
+        read_only: bool,
+        urgency: &urgency::Urgency,
+    ) -> Result<pinned::Pinned, miss::Miss> {
+        let group = &self.group;
+        let lent = source.pool.lend(*urgency, self.values, urgency.until).await;
+        let mut lent = lent.map_err(|shortage| {
+            if let (pool::Shortage::Down, Some(term)) = (shortage, source.leads) {
+                group.doubt(term, "no connection to the primary");
+            }
+            miss::Miss::of_shortage(shortage)
+        })?;
+        let mut commands = lent.prelude(self.values, None, false);
+        commands.push(upstream::Command::Begin {
+            read_only,
+            after: source.after,
+        });
+        // Alone, without the first statement: were this refused, a statement behind it
+        // would run outside of any transaction.
+        let deadline = boot::now() + self.route.timeout;
+        let mut replies = lent.run(&commands, deadline).await.map_err(|failure| {
+            if failure.sent {
+                miss::Miss::Unreachable
+            } else {
+                miss::Miss::of_unsent(&failure)
+            }
+        })?;
+        let reply = replies.pop().ok_or(miss::Miss::Elsewhere)?;
+        match reply.code() {
+            None if reply.state == reply::State::Open => {
+                return Ok(pinned::Pinned {
+                    lent,
+                    group: rc::Rc::clone(group),
+                    leads: source.leads,
+                });
+            }
+            Some(reply::Code::Behind) => source.pool.note_behind(),
+            Some(reply::Code::ReadOnly) => {
+                if let Some(term) = source.leads {
+                    group.doubt(term, "the primary refused a transaction");
+                }
+            }
+            _ => {}
+        }
+        if reply.state != reply::State::Idle {
+            lent.discard();
+        }
+        Err(reply
+            .code()
+            .map_or(miss::Miss::Elsewhere, miss::Miss::of_code))
+    }
+
+    // How long the statement may still wait for another try.
+    fn patience(
+        &self,
+        reason: &miss::Miss,
+        urgency: &urgency::Urgency,
+        limit: id::Time,
+    ) -> id::Time {
+        if *reason == miss::Miss::Crowded {
+            metrics::counter!("mangotray_crowded_total").increment(1);
+        }
+        reason.patience(self.group.is_lost(), urgency.until, limit)
+    }
+}
+
+/// The urgency of a statement inside a transaction. It has had its place: were it refused,
+/// all the work that the transaction has done would be lost.
+#[must_use]
+pub fn inside(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
+    urgency::Urgency {
+        until: arrived + route.timeout,
+        ..urgency(route, arrived)
+    }
+}
+
+fn urgency(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
+    urgency::Urgency {
+        priority: route.priority,
+        objective: route.objective,
+        due: arrived + route.objective,
+        until: arrived + route.timeout * QUEUE_PERCENT / 100,
+        awaited: arrived + route.timeout,
+    }
+}
+fn unsure(detail: &str) -> Outcome {
+    let reply = reply::Reply::error(reply::Code::Unsure, detail, reply::State::Idle);
+    Outcome::Answered(reply)
+}
+
+// What a caller is told of a read that no instance served: codes that promise that
+// nothing is kept, so that it may come back at once.
+fn refusal(reason: miss::Miss) -> reply::Code {
+    match reason {
+        miss::Miss::Crowded | miss::Miss::Unreachable | miss::Miss::Elsewhere => reply::Code::Busy,
+        miss::Miss::Failed(code @ (reply::Code::Aborted | reply::Code::Behind)) => code,
+        miss::Miss::Failed(_) => reply::Code::Aborted,
+    }
+}
+
+fn count_read(primary: bool) {
+    let source = if primary { "primary" } else { "replica" };
+    metrics::counter!("mangotray_reads_total", "source" => source).increment(1);
+}
+
+async fn pause_before(deadline: id::Time) -> bool {
+    pause(RETRY_PAUSE, deadline).await
+}
+
+async fn pause(pause: time::Duration, deadline: id::Time) -> bool {
+    if boot::now() + pause >= deadline {
+        return false;
+    }
+    wait::sleep(pause).await;
+    true
+}
--- /dev/null
+++ b/desk/src/candidate.rs
@@ -0,0 +1,59 @@
+//! How well an instance would serve a read now.
+
+use std::time;
+
+/// A read's work in microseconds, measured mean of the two kinds that replicas serve.
+const WORK: u64 = 20_000;
+
+/// Way there and back between failure domains, and the price of the bytes.
+const FAR: u64 = 8_000;
+
+/// The primary's slots are wanted by writes, which have nowhere else to go.
+const PRIMARY: u64 = 10_000;
+
+/// More than any queue: tried only when nothing else is left.
+const LAST: u64 = 10_000_000;
+
+/// What is known of an instance that may serve a read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Candidate {
+    /// This node's connections to it that are in use, and requests that wait for one.
+    pub load: usize,
+    /// Smoothed time of an exchange with it.
+    pub delay: time::Duration,
+    /// It is in another failure domain.
+    pub far: bool,
+    /// It is the primary.
+    pub leads: bool,
+    /// It refused a read for being behind a moment ago, and has not been seen to catch up.
+    pub behind: bool,
+    /// It has announced its end, or is no longer listed.
+    pub leaving: bool,
+    /// It did not take a connection a moment ago.
+    pub down: bool,
+}
+
+impl Candidate {
+    /// Expected cost of a read there, in microseconds of waiting.
+    ///
+    /// ```
+    /// use mangotray_desk::candidate::Candidate;
+    /// let near = Candidate::default();
+    /// let far = Candidate { far: true, ..near };
+    /// let busy = Candidate { load: 1, ..near };
+    /// let behind = Candidate { behind: true, ..near };
+    /// assert!(near.cost() < far.cost() && far.cost() < busy.cost());
+    /// assert!(busy.cost() < behind.cost());
+    /// ```
+    #[must_use]
+    pub fn cost(&self) -> u64 {
+        let delay = u64::try_from(self.delay.as_micros()).unwrap_or(u64::MAX) / 2;
+        let load = u64::try_from(self.load).unwrap_or(u64::MAX);
+        load.saturating_mul(WORK)
+            + delay
+            + u64::from(self.far) * FAR
+            + u64::from(self.leads) * PRIMARY
+            + u64::from(self.behind || self.leaving) * LAST
+            + u64::from(self.down) * 2 * LAST
+    }
+}
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -9,6 +9,7 @@
 use mangotray::stamp;
 
 use crate::boot;
+use crate::candidate;
 use crate::catalog;
 use crate::floor;
 use crate::pool;
@@ -574,7 +575,7 @@
             if tried.contains(&id) || !self.usable(&id) || (believed && leads.is_none()) {
                 continue;
             }
-            let cost = self.cost(&pool, floor, leads.is_some());
+            let cost = self.candidate(&pool, floor, leads.is_some()).cost();
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let after = leads.is_none().then_some(floor);
                 best = Some((cost, Source { pool, after, leads }));
@@ -583,26 +584,21 @@
         best.map(|(_, source)| source)
     }
 
-    // Expected cost of a read at an instance, in microseconds of waiting.
-    fn cost(&self, pool: &rc::Rc<pool::Pool>, floor: stamp::Stamp, leads: bool) -> u64 {
-        /// A read's work, measured mean of the two kinds that replicas serve.
-        const WORK: u64 = 20_000;
-        /// Way there and back between failure domains, and the price of the bytes.
-        const FAR: u64 = 8_000;
-        /// The primary's slots are wanted by writes, which have nowhere else to go.
-        const PRIMARY: u64 = 10_000;
-        /// More than any queue: tried only when nothing else is left.
-        const LAST: u64 = 10_000_000;
-        let far = pool.instance.borrow().domain != self.domain;
+    fn candidate(
+        &self,
+        pool: &rc::Rc<pool::Pool>,
+        floor: stamp::Stamp,
+        leads: bool,
+    ) -> candidate::Candidate {
         let late = boot::now().saturating_sub(pool.behind()) < BEHIND_PAUSE;
-        let behind = !leads && late && pool.applied() < floor;
-        let delay = u64::try_from(pool.delay().as_micros()).unwrap_or(u64::MAX) / 2;
-        let load = u64::try_from(pool.load()).unwrap_or(u64::MAX);
-        load.saturating_mul(WORK)
-            + delay
-            + u64::from(far) * FAR
-            + u64::from(leads) * PRIMARY
-            + u64::from(behind || self.is_leaving(&pool.id())) * LAST
-            + u64::from(pool.is_down()) * 2 * LAST
+        candidate::Candidate {
+            load: pool.load(),
+            delay: pool.delay(),
+            far: pool.instance.borrow().domain != self.domain,
+            leads,
+            behind: !leads && late && pool.applied() < floor,
+            leaving: self.is_leaving(&pool.id()),
+            down: pool.is_down(),
+        }
     }
 }
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -7,7 +7,9 @@
 //! the others are, and proves both before a read depends on it. One node of the fleet, the
 //! [`promoter`], replaces primaries.
 
+pub mod attempt;
 pub mod boot;
+pub mod candidate;
 pub mod catalog;
 pub mod duty;
 pub mod enrol;
@@ -19,6 +21,7 @@
 pub mod member;
 pub mod miss;
 pub mod node;
+pub mod pinned;
 pub mod plan;
 pub mod pool;
 pub mod promoter;
--- a/desk/src/log.rs
+++ b/desk/src/log.rs
@@ -10,10 +10,11 @@
 use std::sync::atomic;
 use std::sync::mpsc;
 use std::thread;
-use std::time;
 
 use tracing_subscriber::fmt;
 
+use crate::boot;
+
 /// Lines that wait for the reader; at 300 bytes a line about 150 KB.
 const QUEUE: usize = 512;
 
@@ -144,7 +145,7 @@
 
 impl Drop for Line<'_> {
     fn drop(&mut self) {
-        let second = uptime().as_secs();
+        let second = boot::now().as_secs();
         let allowed = self
             .writer
             .budget
@@ -156,7 +157,3 @@
         }
     }
 }
-
-fn uptime() -> time::Duration {
-    crate::boot::now()
-}
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -159,7 +159,7 @@
         lead: &sampler::Lead,
         cause: succession::Cause,
     ) -> bool {
-        let (old, others) = split(group, &lead.id);
+        let (old, _) = split(group, &lead.id);
         let plan = plan::Plan {
             group: rc::Rc::clone(group),
             old,
@@ -167,7 +167,7 @@
             term: group.term().max(lead.term) + 1,
             began: boot::now(),
         };
-        let Some(held) = self.hold(&plan, others.len()).await else {
+        let Some(held) = self.hold(&plan).await else {
             return false;
         };
         let pending = self.pending.borrow().get(&group.name).cloned();
@@ -210,7 +210,7 @@
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
     /// commit; promoting without it would lose a booking that somebody was promised.
-    async fn hold(&self, plan: &plan::Plan, expected: usize) -> Option<Vec<sampler::Look>> {
+    async fn hold(&self, plan: &plan::Plan) -> Option<Vec<sampler::Look>> {
         let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
             let pools: Vec<_> = plan
@@ -237,8 +237,8 @@
             let late = boot::now() > plan.began + PATIENCE;
             let returned = !plan.cause.lives() && plan.old_answers().await;
             if led || late || returned || self.seat.held().is_none() {
-                tracing::warn!(group = %plan.group.name, term = plan.term, expected,
-                    answers = looks.len(), led, late, returned, "promotion given up");
+                tracing::warn!(group = %plan.group.name, term = plan.term,
+                    expected = pools.len(), answers = looks.len(), led, late, returned, "promotion given up");
                 self.resume(plan, &pools).await;
                 return None;
             }
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -19,7 +19,7 @@
 /// Key of the seat.
 pub const KEY: &str = "mangotray/promoter";
 
-/// Lease of the seat. A killed holder is succeeded after this time at most; a store that
+/// Lease of the seat, where the store grants leases as short. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
 const LEASE: time::Duration = time::Duration::from_secs(2);
 
@@ -63,6 +63,7 @@
     /// Unlike the VM's name it differs after a restart: what a former process of this VM
     /// still has under way is not this one's.
     token: CompactString,
+    lease: time::Duration,
     held: cell::RefCell<Option<Held>>,
     vacated: event_listener::Event,
     nudged: event_listener::Event,
@@ -71,12 +72,17 @@
 }
 
 impl Seat {
-    /// A seat that is not held.
+    /// A seat that is not held, of a store whose shortest lease is `least`.
     #[must_use]
-    pub fn new(store: rc::Rc<dyn store::Store>, vm: &id::Vm) -> rc::Rc<Self> {
+    pub fn new(
+        store: rc::Rc<dyn store::Store>,
+        vm: &id::Vm,
+        least: time::Duration,
+    ) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             store,
             token: format_compact!("{vm} {:016x}", fastrand::u64(..)),
+            lease: LEASE.max(least),
             held: cell::RefCell::default(),
             vacated: event_listener::Event::new(),
             nudged: event_listener::Event::new(),
@@ -159,7 +165,7 @@
         match self.store.renew(&held.lease).await {
             Ok(true) => {
                 if let Some(held) = &mut *self.held.borrow_mut() {
-                    held.until = started + LEASE;
+                    held.until = started + self.lease;
                 }
             }
             Ok(false) => {
@@ -203,7 +209,7 @@
 
     async fn take(&self) -> Result<(), store::Failure> {
         let started = boot::now();
-        let lease = self.store.grant(LEASE).await?;
+        let lease = self.store.grant(self.lease).await?;
         let value = bytes::Bytes::copy_from_slice(self.token.as_bytes());
         // Whatever the answer says, or if none comes: the entry tells who holds the seat.
         let swapped = self.store.swap(KEY, value, 0, Some(&lease)).await;
@@ -219,7 +225,7 @@
         tracing::info!(fence = entry.version, "promoter's seat taken");
         self.held.replace(Some(Held {
             fence: entry.version,
-            until: started + LEASE,
+            until: started + self.lease,
             from: boot::now() + SETTLE,
             lease,
         }));
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -8,48 +8,18 @@
 use mangotray::id;
 use mangotray::stamp;
 
+use crate::attempt;
 use crate::boot;
 use crate::catalog;
-use crate::group;
 use crate::kept;
-use crate::lent;
-use crate::miss;
 use crate::node;
-use crate::pool;
+use crate::pinned;
 use crate::reply;
 use crate::statement;
 use crate::upstream;
 use crate::urgency;
-use crate::wait;
 use crate::work;
 
-/// Part of a statement's timeout for which it may wait for an instance to be reached. A
-/// caller that is refused early can still ask another node in time; one that is kept
-/// waiting to the end cannot.
-const WAIT_PERCENT: u32 = 40;
-
-/// Part of a statement's timeout for which it may wait behind others. Where more is asked
-/// than the instances can do, waiting longer serves nobody else instead, and callers with
-/// one second and three tries would see it end in the middle of the third.
-const QUEUE_PERCENT: u32 = 22;
-
-/// Pause before a statement that was refused as not run is offered again.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(15);
-
-/// Pause before a read that all instances refused is offered to them again: a replica that
-/// is behind applies a few more commits meanwhile, and a full queue of 24 shrinks by six.
-const ROUND_PAUSE: time::Duration = time::Duration::from_millis(40);
-
-/// Instances that one read-only transaction is offered to before any is offered it again.
-const ATTEMPTS: usize = 4;
-
-/// Longest wait of a read for a connection to one instance; then another is asked.
-const LEND_LIMIT: time::Duration = time::Duration::from_millis(120);
-
-/// Part of a read's timeout that one instance gets; the rest is for another, where this
-/// one has gone silent. Above the longest work (220 ms) and a full queue (160 ms).
-const ATTEMPT_PERCENT: u32 = 50;
-
 /// Time for a transaction's rollback in the background.
 const ROLLBACK_LIMIT: time::Duration = time::Duration::from_millis(500);
 
@@ -59,14 +29,7 @@
     arrived: id::Time,
     route: rc::Rc<catalog::Route>,
     /// The connection that it runs on, from its first statement on.
-    pinned: Option<Pinned>,
-}
-
-struct Pinned {
-    lent: lent::Lent,
-    group: rc::Rc<group::Group>,
-    /// Term of the primary that it runs on; none on a replica.
-    leads: Option<id::Term>,
+    pinned: Option<pinned::Pinned>,
 }
 
 enum Phase {
@@ -76,13 +39,6 @@
     Failed,
 }
 
-/// What became of one statement.
-enum Outcome {
-    Answered(reply::Reply),
-    /// Proven not run, and not worth another try.
-    Refused(reply::Code, CompactString),
-}
-
 /// One caller's session with one database.
 pub struct Session {
     node: rc::Rc<node::Node>,
@@ -249,13 +205,19 @@
         let Some(route) = self.node.route(&self.database) else {
             return self.error(reply::Code::NoDatabase, "no such database");
         };
+        let attempt = self.attempt(&route);
         let outcome = match work.access {
-            statement::Access::Read => self.read(&work, &route).await,
-            statement::Access::Write => self.write(&work, &route).await,
+            statement::Access::Read => attempt.read(&work).await,
+            statement::Access::Write => attempt.write(&work).await,
         };
         match outcome {
-            Outcome::Answered(reply) => reply,
-            Outcome::Refused(code, text) => self.error(code, text),
+            attempt::Outcome::Answered(reply) => {
+                if work.access == statement::Access::Write && reply.is_done() {
+                    self.own = self.own.max(reply.position);
+                }
+                reply
+            }
+            attempt::Outcome::Refused(code, text) => self.error(code, text),
         }
     }
 
@@ -288,180 +250,6 @@
         })
     }
 
-    async fn read(&mut self, work: &work::Work, route: &catalog::Route) -> Outcome {
-        let group = self.node.group(&route.group);
-        let need = self.need(route, work.arrived, work.arrived);
-        let urgency = urgency(route, work.arrived);
-        let mut tried = Vec::new();
-        let mut reason = miss::Miss::Unreachable;
-        loop {
-            let Some(source) = group.source(&need, &tried).await else {
-                // All were tried, or none is fresh enough: again from the start, if the
-                // reason may pass while the caller still waits.
-                let limit = patience(&reason, &group, &urgency, need.deadline);
-                let passes = !tried.is_empty() && !matches!(reason, miss::Miss::Failed(_));
-                if passes && pause(ROUND_PAUSE, limit).await {
-                    tried.clear();
-                    continue;
-                }
-                break;
-            };
-            tried.push(source.pool.id());
-            match self.read_at(work, route, &group, &source, urgency).await {
-                Ok(reply) => return Outcome::Answered(reply),
-                Err(miss::Miss::Elsewhere) => {}
-                Err(found) => reason = found,
-            }
-        }
-        // A read leaves nothing behind, so that refusing it is true wherever it ran.
-        Outcome::Refused(refusal(reason), "no instance could serve this read".into())
-    }
-
-    /// One attempt of a read; the error tells why another instance may do better.
-    async fn read_at(
-        &self,
-        work: &work::Work,
-        route: &catalog::Route,
-        group: &rc::Rc<group::Group>,
-        source: &group::Source,
-        urgency: urgency::Urgency,
-    ) -> Result<reply::Reply, miss::Miss> {
-        let wait = urgency.awaited.min(boot::now() + LEND_LIMIT);
-        let lent = source.pool.lend(urgency, &self.values, wait).await;
-        let mut lent = lent.map_err(miss::Miss::of_shortage)?;
-        let commands = work.commands(&mut lent, &self.values, source.after, false);
-        let sent = boot::now();
-        let limit = urgency
-            .awaited
-            .min(sent + route.timeout * ATTEMPT_PERCENT / 100);
-        let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
-            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
-                sent = failure.sent, detail = %failure.detail, "read not answered");
-            if !failure.sent {
-                return miss::Miss::of_unsent(&failure);
-            }
-            Self::lost(group, source);
-            miss::Miss::Failed(reply::Code::Aborted)
-        })?;
-        let reply = replies.pop().ok_or(miss::Miss::Elsewhere)?;
-        if let Some(term) = source.leads {
-            group.saw_position(term, sent, reply.position);
-        }
-        let Some(code) = reply.code() else {
-            count_read(source.leads.is_some());
-            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
-                term = source.leads, after = source.after.map(tracing::field::display),
-                waited_ms = sent.saturating_sub(work.arrived).as_millis(),
-                took_ms = boot::now().saturating_sub(sent).as_millis(), "read served");
-            return Ok(reply);
-        };
-        metrics::counter!("mangotray_read_retries_total").increment(1);
-        tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
-            ?code, applied = %source.pool.applied(),
-            after = source.after.map(tracing::field::display), "read not served here");
-        match code {
-            reply::Code::Behind => source.pool.note_behind(),
-            reply::Code::NoStatement => lent.forget(),
-            _ => {}
-        }
-        Err(miss::Miss::of_code(code))
-    }
-
-    async fn write(&mut self, work: &work::Work, route: &catalog::Route) -> Outcome {
-        let group = self.node.group(&route.group);
-        let wait = work.arrived + route.timeout * WAIT_PERCENT / 100;
-        let urgency = urgency(route, work.arrived);
-        loop {
-            let Some((pool, term)) = group.primary(wait).await else {
-                return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
-            };
-            let mut lent = match pool.lend(urgency, &self.values, urgency.until).await {
-                Ok(lent) => lent,
-                Err(pool::Shortage::Late) => {
-                    return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
-                }
-                Err(shortage) => {
-                    if shortage == pool::Shortage::Down {
-                        group.doubt(term, "no connection to the primary");
-                    }
-                    let reason = miss::Miss::of_shortage(shortage);
-                    if !pause_before(patience(&reason, &group, &urgency, wait)).await {
-                        return Outcome::Refused(reply::Code::Busy, "primary out of reach".into());
-                    }
-                    continue;
-                }
-            };
-            let commands = work.commands(&mut lent, &self.values, None, false);
-            let sent = boot::now();
-            let reply = match lent
-                .run(&commands, urgency.awaited)
-                .await
-                .map(|mut replies| replies.pop())
-            {
-                Ok(Some(reply)) => reply,
-                Ok(None) => return unsure("no answer"),
-                Err(failure) if failure.sent => {
-                    group.doubt(term, "a write was not answered");
-                    return unsure(&failure.detail);
-                }
-                Err(failure) => {
-                    drop(lent);
-                    let reason = miss::Miss::of_unsent(&failure);
-                    if pause_before(patience(&reason, &group, &urgency, wait)).await {
-                        continue;
-                    }
-                    return Outcome::Refused(reply::Code::Busy, failure.detail);
-                }
-            };
-            group.saw_position(term, sent, reply.position);
-            match reply.code() {
-                None => {
-                    tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(),
-                        term, waited_ms = sent.saturating_sub(work.arrived).as_millis(),
-                        took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
-                    self.own = self.own.max(reply.position);
-                    return Outcome::Answered(reply);
-                }
-                Some(reply::Code::ReadOnly) => group.doubt(term, "the primary refused a write"),
-                Some(reply::Code::NoStatement) => lent.forget(),
-                Some(code) if code.not_run() => {}
-                Some(_) => return Outcome::Answered(reply),
-            }
-            let reason = reply
-                .code()
-                .map_or(miss::Miss::Elsewhere, miss::Miss::of_code);
-            metrics::counter!("mangotray_write_retries_total").increment(1);
-            tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(), term,
-                code = ?reply.code(), "write not run");
-            drop(lent);
-            if !pause_before(patience(&reason, &group, &urgency, wait)).await {
-                return Outcome::Answered(reply);
-            }
-        }
-    }
-
-    fn need(&self, route: &catalog::Route, first: id::Time, arrived: id::Time) -> group::Need {
-        let own = match route.freshness {
-            catalog::Freshness::Own(_) => self.own,
-            _ => None,
-        };
-        group::Need {
-            arrived: first,
-            freshness: route.freshness,
-            own,
-            deadline: arrived + route.timeout * WAIT_PERCENT / 100,
-        }
-    }
-
-    fn lost(group: &rc::Rc<group::Group>, source: &group::Source) {
-        tracing::info!(group = %group.name, instance = %source.pool.id(),
-            "an answer to a read was lost");
-        source.pool.suspect();
-        if let Some(term) = source.leads {
-            group.doubt(term, "a read was not answered");
-        }
-    }
-
     async fn run_inside(&mut self, work: &work::Work) -> reply::Reply {
         let Phase::Open(mut transaction) = std::mem::replace(&mut self.phase, Phase::Failed) else {
             return self.error(reply::Code::Bad, "no transaction");
@@ -477,7 +265,9 @@
         let Some(pinned) = &mut transaction.pinned else {
             return self.error(reply::Code::Aborted, "the transaction has no connection");
         };
-        pinned.lent.urge(inside(&transaction.route, work.arrived));
+        pinned
+            .lent
+            .urge(attempt::inside(&transaction.route, work.arrived));
         let commands = work.commands(&mut pinned.lent, &self.values, None, true);
         let sent = boot::now();
         let result = pinned.lent.run(&commands, deadline).await;
@@ -502,103 +292,27 @@
         reply
     }
 
-    /// Opens the transaction at an instance, with its first statement.
+    // Opens the transaction at an instance, with its first statement.
     async fn pin(
         &self,
         transaction: &mut Transaction,
         arrived: id::Time,
     ) -> Result<(), (reply::Code, CompactString)> {
-        if transaction.pinned.is_some() {
-            return Ok(());
-        }
-        let group = self.node.group(&transaction.route.group);
-        let mut need = self.need(&transaction.route, transaction.arrived, arrived);
-        if !transaction.read_only {
-            need.freshness = catalog::Freshness::Current;
-        }
-        let urgency = urgency(&transaction.route, arrived);
-        let mut tried = Vec::new();
-        loop {
-            let Some(source) = group.source(&need, &tried).await else {
-                return Err((
-                    reply::Code::Busy,
-                    "no instance could open the transaction".into(),
-                ));
-            };
-            let reason = match self.open(&group, &source, transaction, &urgency).await {
-                Ok(pinned) => {
-                    transaction.pinned = Some(pinned);
-                    return Ok(());
-                }
-                Err(reason) => reason,
-            };
-            if transaction.read_only && tried.len() + 1 < ATTEMPTS {
-                tried.push(source.pool.id());
-            }
-            if !pause_before(patience(&reason, &group, &urgency, need.deadline)).await {
-                return Err((
-                    reply::Code::Busy,
-                    "no instance opened the transaction in time".into(),
-                ));
-            }
+        if transaction.pinned.is_none() {
+            let attempt = self.attempt(&transaction.route);
+            let opened = attempt.open(transaction.read_only, transaction.arrived, arrived);
+            transaction.pinned = Some(opened.await?);
         }
+        Ok(())
     }
 
-    async fn open(
-        &self,
-        group: &rc::Rc<group::Group>,
-        source: &group::Source,
-        transaction: &Transaction,
-        urgency: &urgency::Urgency,
-    ) -> Result<Pinned, miss::Miss> {
-        let lent = source
-            .pool
-            .lend(*urgency, &self.values, urgency.until)
-            .await;
-        let mut lent = lent.map_err(|shortage| {
-            if let (pool::Shortage::Down, Some(term)) = (shortage, source.leads) {
-                group.doubt(term, "no connection to the primary");
-            }
-            miss::Miss::of_shortage(shortage)
-        })?;
-        let mut commands = lent.prelude(&self.values, None, false);
-        commands.push(upstream::Command::Begin {
-            read_only: transaction.read_only,
-            after: source.after,
-        });
-        // Alone, without the first statement: were this refused, a statement behind it
-        // would run outside of any transaction.
-        let deadline = boot::now() + transaction.route.timeout;
-        let mut replies = lent.run(&commands, deadline).await.map_err(|failure| {
-            if failure.sent {
-                miss::Miss::Unreachable
-            } else {
-                miss::Miss::of_unsent(&failure)
-            }
-        })?;
-        let reply = replies.pop().ok_or(miss::Miss::Elsewhere)?;
-        match reply.code() {
-            None if reply.state == reply::State::Open => {
-                return Ok(Pinned {
-                    lent,
-                    group: rc::Rc::clone(group),
-                    leads: source.leads,
-                });
-            }
-            Some(reply::Code::Behind) => source.pool.note_behind(),
-            Some(reply::Code::ReadOnly) => {
-                if let Some(term) = source.leads {
-                    group.doubt(term, "the primary refused a transaction");
-                }
-            }
-            _ => {}
-        }
-        if reply.state != reply::State::Idle {
-            lent.discard();
+    fn attempt<'a>(&'a self, route: &'a catalog::Route) -> attempt::Attempt<'a> {
+        attempt::Attempt {
+            group: self.node.group(&route.group),
+            route,
+            values: &self.values,
+            own: self.own,
         }
-        Err(reply
-            .code()
-            .map_or(miss::Miss::Elsewhere, miss::Miss::of_code))
     }
 
     async fn commit(&mut self, request: &statement::Request, arrived: id::Time) -> reply::Reply {
@@ -618,7 +332,9 @@
         };
         let sent = boot::now();
         let deadline = arrived + transaction.route.timeout;
-        pinned.lent.urge(inside(&transaction.route, arrived));
+        pinned
+            .lent
+            .urge(attempt::inside(&transaction.route, arrived));
         let reply = match pinned.lent.run(&[command], deadline).await {
             Ok(mut replies) => replies.pop(),
             // The connection is closed with the transaction open, which rolls it back.
@@ -674,69 +390,8 @@
     }
 }
 
-// How long a statement may still wait for another try.
-fn patience(
-    reason: &miss::Miss,
-    group: &group::Group,
-    urgency: &urgency::Urgency,
-    limit: id::Time,
-) -> id::Time {
-    reason.patience(group.is_lost(), urgency.until, limit)
-}
-
-// The urgency of a statement inside a transaction. It has had its place: were it refused,
-// all the work that the transaction has done would be lost.
-fn inside(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
-    urgency::Urgency {
-        until: arrived + route.timeout,
-        ..urgency(route, arrived)
-    }
-}
-
-fn urgency(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
-    urgency::Urgency {
-        priority: route.priority,
-        objective: route.objective,
-        due: arrived + route.objective,
-        until: arrived + route.timeout * QUEUE_PERCENT / 100,
-        awaited: arrived + route.timeout,
-    }
-}
-
 fn is_idle(replies: &[reply::Reply]) -> bool {
     replies
         .last()
         .is_some_and(|reply| reply.state == reply::State::Idle)
 }
-
-fn unsure(detail: &str) -> Outcome {
-    let reply = reply::Reply::error(reply::Code::Unsure, detail, reply::State::Idle);
-    Outcome::Answered(reply)
-}
-
-// What a caller is told of a read that no instance served: codes that promise that
-// nothing is kept, so that it may come back at once.
-fn refusal(reason: miss::Miss) -> reply::Code {
-    match reason {
-        miss::Miss::Crowded | miss::Miss::Unreachable | miss::Miss::Elsewhere => reply::Code::Busy,
-        miss::Miss::Failed(code @ (reply::Code::Aborted | reply::Code::Behind)) => code,
-        miss::Miss::Failed(_) => reply::Code::Aborted,
-    }
-}
-
-fn count_read(primary: bool) {
-    let source = if primary { "primary" } else { "replica" };
-    metrics::counter!("mangotray_reads_total", "source" => source).increment(1);
-}
-
-async fn pause_before(deadline: id::Time) -> bool {
-    pause(RETRY_PAUSE, deadline).await
-}
-
-async fn pause(pause: time::Duration, deadline: id::Time) -> bool {
-    if boot::now() + pause >= deadline {
-        return false;
-    }
-    wait::sleep(pause).await;
-    true
-}
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -23,6 +23,10 @@
 /// Long enough for a promoter to act wrongly if it would.
 const LONG: time::Duration = time::Duration::from_millis(1500);
 
+/// Shortest lease that the store grants; longer than the promoter would choose. With the
+/// promoter's own choice no node ever takes the seat, and no primary is ever replaced.
+const SHORTEST: time::Duration = time::Duration::from_secs(5);
+
 #[derive(Default)]
 struct Entries {
     entry: Option<store::Entry>,
@@ -105,9 +109,15 @@
 
     fn grant(
         &self,
-        _ttl: time::Duration,
+        ttl: time::Duration,
     ) -> future::BoxFuture<'_, Result<store::Lease, store::Failure>> {
-        async { self.up().map(|_| "lease".into()) }.boxed()
+        async move {
+            if ttl < SHORTEST {
+                return Err(store::Failure::NotRun("too short a lease".into()));
+            }
+            self.up().map(|_| "lease".into())
+        }
+        .boxed()
     }
 
     fn renew<'a>(&'a self, lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
@@ -176,7 +186,7 @@
 fn play_on(stage: stage::Stage) -> Play {
     let store = Store::default();
     let shared: rc::Rc<dyn store::Store> = rc::Rc::new(store.clone());
-    let seat = seat::Seat::new(shared, &"vm".into());
+    let seat = seat::Seat::new(shared, &"vm".into(), SHORTEST);
     let duty = rc::Rc::new(Duty {
         world: rc::Rc::clone(&stage.world),
         orders: cell::RefCell::default(),
@@ -376,7 +386,7 @@
         let first = play.seat.held().expect("held").fence;
         play.seat.leave().await;
         let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
-        let other = seat::Seat::new(shared, &"other".into());
+        let other = seat::Seat::new(shared, &"other".into(), SHORTEST);
         play.stage
             .executor
             .spawn(rc::Rc::clone(&other).keep())
