Wait for a leaving primary's successor to be listed before it is replaced

Cause: an instance receives records, and lets commits be acknowledged, before the list shows it. The listed replicas were held at once when a primary announced its end; a commit that only the unlisted newcomer had received was lost with the promotion. Change: a planned promotion waits until no instance was added for 800 ms, three seconds at most, and is withdrawn where the held primary has records that the candidate lacks. Conclusion: an instance that starts within the last 800 ms before the hold can still be missed; a silent or crashed primary is replaced at once as before.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -79,6 +79,7 @@
     lead: cell::RefCell<Option<sampler::Lead>>,
     last: cell::RefCell<Option<upstream::Id>>,
     term: cell::Cell<id::Term>,
+    added: cell::Cell<id::Time>,
     floors: cell::RefCell<floor::Floors>,
     changed: event_listener::Event,
     searching: cell::Cell<bool>,
@@ -106,6 +107,7 @@
             lead: cell::RefCell::default(),
             last: cell::RefCell::default(),
             term: cell::Cell::default(),
+            added: cell::Cell::default(),
             floors: cell::RefCell::default(),
             changed: event_listener::Event::new(),
             searching: cell::Cell::default(),
@@ -173,6 +175,7 @@
             pool::MOST,
         ));
         pools.insert(id, pool);
+        self.added.set(boot::now());
     }
 
     // An entry that vanished means that the instance left, or that it cannot reach the
@@ -235,6 +238,12 @@
         !pools.is_empty() && pools.values().all(|pool| pool.is_lost())
     }
 
+    /// When an instance was last added to the list.
+    #[must_use]
+    pub fn added(&self) -> id::Time {
+        self.added.get()
+    }
+
     /// Border to the instances.
     #[must_use]
     pub fn dialer(&self) -> &dyn upstream::Dialer {
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -68,6 +68,20 @@
         look.is_some_and(|look| look.status.role == role::Role::Primary)
     }
 
+    /// Whether the old primary has records that the candidate lacks.
+    ///
+    /// The replicas are held, so that it can have acknowledged them only if an instance that
+    /// is not listed yet has received them.
+    pub async fn is_ahead_of(&self, candidate: &upstream::Id, held: &[sampler::Look]) -> bool {
+        let Some(old) = &self.old else { return false };
+        let look = sampler::look(old, self.group.dialer(), HOLD).await;
+        let received = held
+            .iter()
+            .find(|look| look.id == *candidate)
+            .map(|look| look.status.received);
+        look.is_some_and(|look| Some(look.status.received) > received)
+    }
+
     /// Tells the old primary that it no longer leads; `true` once it knows.
     pub async fn demote_once(&self) -> bool {
         let Some(old) = &self.old else { return true };
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -148,6 +148,7 @@
             started,
             primary: reach,
             leaving: primary.is_some_and(|pool| pool.instance.borrow().draining),
+            added: group.added(),
             received,
             held,
         }
@@ -182,6 +183,11 @@
             .map(|look| (&look.id, look.status.received))
             .collect();
         tracing::info!(group = %group.name, %candidate, term = plan.term, ?received, "candidate chosen");
+        if cause == succession::Cause::Planned && plan.is_ahead_of(&candidate, &held).await {
+            tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
+            self.withdraw(&plan).await;
+            return false;
+        }
         let outcome = self.order(&plan, &candidate).await;
         if let duty::Outcome::Refused(_) = outcome {
             self.withdraw(&plan).await;
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -26,6 +26,16 @@
 /// to apply are seen to receive, well before [`STALLED`].
 const DOUBTED: time::Duration = time::Duration::from_millis(400);
 
+/// A primary that announced its end is replaced once no instance was added to its group for
+/// this long. An instance receives records, and lets commits be acknowledged, up to 170 ms
+/// before the list shows it. Replicas that are held do not; if the newcomer alone has a
+/// commit and cannot be held, as nobody knows it, the commit is lost with the promotion.
+const NEWCOMER: time::Duration = time::Duration::from_millis(800);
+
+/// It is replaced at the latest this long after its announcement, of the seven seconds that
+/// it goes on working.
+const LATEST: time::Duration = time::Duration::from_secs(3);
+
 /// How the primary answered a look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -46,6 +56,8 @@
     pub primary: Reach,
     /// It has announced its end.
     pub leaving: bool,
+    /// When an instance was last added to the group.
+    pub added: id::Time,
     /// Furthest position that any replica has received; none if none answered.
     pub received: Option<stamp::Stamp>,
     /// Some replica is held for a term above the primary's.
@@ -95,6 +107,7 @@
 ///     started: Duration::from_millis(millis),
 ///     primary,
 ///     leaving: false,
+///     added: Duration::ZERO,
 ///     received: Some(Stamp::new(1, 5)),
 ///     held: false,
 /// };
@@ -109,6 +122,7 @@
     moved: id::Time,
     silent: Option<id::Time>,
     closed: Option<id::Time>,
+    leaving: Option<id::Time>,
     ahead: Option<id::Time>,
 }
 
@@ -119,8 +133,10 @@
         if round.held {
             return Some(Cause::Unfinished);
         }
-        if round.leaving {
-            return Some(Cause::Planned);
+        if let Some(since) = self.leaving {
+            let quiet = round.started >= since.max(round.added) + NEWCOMER;
+            let late = round.started >= since + LATEST;
+            return (quiet || late).then_some(Cause::Planned);
         }
         let over = |since: Option<id::Time>, limit| {
             since.is_some_and(|since| {
@@ -157,6 +173,7 @@
         let began = |old: Option<id::Time>, holds: bool| holds.then(|| old.unwrap_or(now));
         self.silent = began(self.silent, !matches!(round.primary, Reach::Answered(_)));
         self.closed = began(self.closed, round.primary == Reach::Closed);
+        self.leaving = began(self.leaving, round.leaving);
         let ahead = matches!((round.primary, round.received), (Reach::Answered(own), Some(theirs)) if own > theirs);
         self.ahead = began(self.ahead, ahead);
     }
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -533,3 +533,24 @@
     let mut world = play.stage.world.borrow_mut();
     assert_eq!((world.at("b").held, world.at("c").held), (7, 7));
 }
+
+/// Symptom: an acknowledged booking is gone after a planned change of primary.
+/// Events: the successor of a leaving primary has started, but is not listed yet; the listed
+/// replicas are held; a commit is acknowledged with the successor's receipt; a held replica
+/// is promoted.
+/// Cause: the promoter took the listed replicas for all that can have a commit.
+#[test]
+fn no_replica_takes_over_from_a_primary_that_has_more() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").position = 11;
+        play.stage.world.borrow_mut().at("a").draining = true;
+        play.stage.relist();
+        wait::sleep(2 * LONG).await;
+        assert!(play.duty.orders.borrow().is_empty());
+        play.stage.world.borrow_mut().at("c").position = 11;
+        play.led(2).await;
+    });
+    assert_eq!(play.leader(), ["c"]);
+}
