--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -91,7 +91,13 @@
                 watch = succession::Watch::default();
                 continue;
             }
-            if let Some(lead) = group.lead()
+            // A belief older than the last promotion would have it taken for one left undone.
+            let older = |lead: &sampler::Lead| {
+                watched
+                    .as_ref()
+                    .is_some_and(|watched: &sampler::Lead| lead.term < watched.term)
+            };
+            if let Some(lead) = group.lead().filter(|lead| !older(lead))
                 && watched.as_ref() != Some(&lead)
             {
                 watch = succession::Watch::default();
@@ -112,8 +118,9 @@
                 received = ?round.received, "replacing the primary");
             let done = self.replace(&group, lead, cause).await;
             watch = succession::Watch::default();
-            if !done {
-                wait::sleep(UNEASY).await;
+            match done {
+                Some(lead) => watched = Some(lead),
+                None => wait::sleep(UNEASY).await,
             }
         }
     }
@@ -159,7 +166,7 @@
         group: &rc::Rc<group::Group>,
         lead: &sampler::Lead,
         cause: succession::Cause,
-    ) -> bool {
+    ) -> Option<sampler::Lead> {
         let (old, _) = split(group, &lead.id);
         let plan = plan::Plan {
             group: rc::Rc::clone(group),
@@ -168,16 +175,11 @@
             term: group.term().max(lead.term) + 1,
             began: boot::now(),
         };
-        let Some(held) = self.hold(&plan).await else {
-            return false;
-        };
+        let held = self.hold(&plan).await?;
         let pending = self.pending.borrow().get(&group.name).cloned();
-        let Some(candidate) = pending
+        let candidate = pending
             .filter(|pending| held.iter().any(|look| look.id == *pending))
-            .or_else(|| succession::candidate(&held, |id| group.is_leaving(id)))
-        else {
-            return false;
-        };
+            .or_else(|| succession::candidate(&held, |id| group.is_leaving(id)))?;
         let received: Vec<_> = held
             .iter()
             .map(|look| (&look.id, look.status.received))
@@ -186,12 +188,12 @@
         if cause == succession::Cause::Planned && plan.is_ahead_of(&candidate, &held).await {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
             self.withdraw(&plan).await;
-            return false;
+            return None;
         }
         let outcome = self.order(&plan, &candidate).await;
         if let duty::Outcome::Refused(_) = outcome {
             self.withdraw(&plan).await;
-            return false;
+            return None;
         }
         self.pending
             .borrow_mut()
@@ -199,7 +201,12 @@
         if cause.lives() {
             plan.demote_once().await;
         }
-        self.finish(plan, &candidate).await
+        let term = plan.term;
+        let leads = self.finish(plan, &candidate).await;
+        leads.then_some(sampler::Lead {
+            id: candidate,
+            term,
+        })
     }
 
     // An order that was surely not carried out: a primary that lives goes on, in place of
