Refuse at once what a node cannot reach at all

Cause: where a node reached no instance of a group, each statement still waited 176 to 320 ms for connections that did not come, while its caller's next try would have gone to another node. Change: an instance without a connection for a second is dialled in the background and nobody waits for it; where that is so of the whole group, a statement waits a fifth of its objective.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -25,6 +25,11 @@
 /// waiting to the end cannot.
 const WAIT_PERCENT: u32 = 40;
 
+/// Part of a route's objective for which a statement waits where this node has reached no
+/// instance of the group for a second. Its caller's next try goes to another node, which may
+/// stand on the other side of the cut; the sooner, the better.
+const LOST_PERCENT: u32 = 20;
+
 /// Part of a statement's timeout for which it may wait behind others. Where more is asked
 /// than the instances can do, waiting longer serves nobody else instead, and callers with
 /// one second and three tries would see it end in the middle of the third.
@@ -78,7 +83,7 @@
             let Some(source) = self.group.source(&need, &tried).await else {
                 // All were tried, or none is fresh enough: again from the start, if the
                 // reason may pass while the caller still waits.
-                let limit = self.patience(&reason, &urgency, need.deadline);
+                let limit = patience(&reason, &urgency, need.deadline);
                 let passes = !tried.is_empty() && !matches!(reason, miss::Miss::Failed(_));
                 if passes && pause(ROUND_PAUSE, limit).await {
                     tried.clear();
@@ -150,7 +155,7 @@
     /// that it did not run.
     pub async fn write(&self, work: &work::Work) -> Outcome {
         let group = &self.group;
-        let wait = work.arrived + self.route.timeout * WAIT_PERCENT / 100;
+        let wait = self.limit(work.arrived);
         let urgency = urgency(self.route, work.arrived);
         loop {
             let Some((pool, term)) = group.primary(wait).await else {
@@ -166,7 +171,7 @@
                         group.doubt(term, "no connection to the primary");
                     }
                     let reason = miss::Miss::of_shortage(shortage);
-                    if !pause_before(self.patience(&reason, &urgency, wait)).await {
+                    if !pause_before(patience(&reason, &urgency, wait)).await {
                         return Outcome::Refused(reply::Code::Busy, "primary out of reach".into());
                     }
                     continue;
@@ -188,7 +193,7 @@
                 Err(failure) => {
                     drop(lent);
                     let reason = miss::Miss::of_unsent(&failure);
-                    if pause_before(self.patience(&reason, &urgency, wait)).await {
+                    if pause_before(patience(&reason, &urgency, wait)).await {
                         continue;
                     }
                     return Outcome::Refused(reply::Code::Busy, failure.detail);
@@ -214,7 +219,7 @@
             tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(), term,
                 code = ?reply.code(), "write not run");
             drop(lent);
-            if !pause_before(self.patience(&reason, &urgency, wait)).await {
+            if !pause_before(patience(&reason, &urgency, wait)).await {
                 return Outcome::Answered(reply);
             }
         }
@@ -229,7 +234,7 @@
             arrived: first,
             freshness: route.freshness,
             own,
-            deadline: arrived + route.timeout * WAIT_PERCENT / 100,
+            deadline: self.limit(arrived),
         }
     }
     fn lost(&self, source: &group::Source) {
@@ -270,7 +275,7 @@
             if read_only && tried.len() + 1 < ATTEMPTS {
                 tried.push(source.pool.id());
             }
-            if !pause_before(self.patience(&reason, &urgency, need.deadline)).await {
+            if !pause_before(patience(&reason, &urgency, need.deadline)).await {
                 return Err((
                     reply::Code::Busy,
                     "no instance opened the transaction in time".into(),
@@ -333,20 +338,24 @@
             .map_or(miss::Miss::Elsewhere, miss::Miss::of_code))
     }
 
-    // How long the statement may still wait for another try.
-    fn patience(
-        &self,
-        reason: &miss::Miss,
-        urgency: &urgency::Urgency,
-        limit: id::Time,
-    ) -> id::Time {
-        if *reason == miss::Miss::Crowded {
-            metrics::counter!("mangotray_crowded_total").increment(1);
+    // How long a statement may wait for an instance.
+    fn limit(&self, arrived: id::Time) -> id::Time {
+        if self.group.is_lost() {
+            arrived + self.route.objective * LOST_PERCENT / 100
+        } else {
+            arrived + self.route.timeout * WAIT_PERCENT / 100
         }
-        reason.patience(self.group.is_lost(), urgency.until, limit)
     }
 }
 
+// How long a statement may still wait for another try.
+fn patience(reason: &miss::Miss, urgency: &urgency::Urgency, limit: id::Time) -> id::Time {
+    if *reason == miss::Miss::Crowded {
+        metrics::counter!("mangotray_crowded_total").increment(1);
+    }
+    reason.patience(urgency.until, limit)
+}
+
 /// The urgency of a statement inside a transaction. It has had its place: were it refused,
 /// all the work that the transaction has done would be lost.
 #[must_use]
--- a/desk/src/candidate.rs
+++ b/desk/src/candidate.rs
@@ -14,6 +14,18 @@
 /// More than any queue: tried only when nothing else is left.
 const LAST: u64 = 10_000_000;
 
+/// How likely an instance is to serve a read at all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    #[default]
+    Well,
+    /// It refused a read for being behind a moment ago, or is leaving.
+    Doubtful,
+    /// It did not take a connection a moment ago.
+    Down,
+}
+
 /// What is known of an instance that may serve a read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Candidate {
@@ -25,23 +37,20 @@
     pub far: bool,
     /// It is the primary.
     pub leads: bool,
-    /// It refused a read for being behind a moment ago, and has not been seen to catch up.
-    pub behind: bool,
-    /// It has announced its end, or is no longer listed.
-    pub leaving: bool,
-    /// It did not take a connection a moment ago.
-    pub down: bool,
+    /// Whether it is likely to serve at all.
+    pub standing: Standing,
 }
 
 impl Candidate {
     /// Expected cost of a read there, in microseconds of waiting.
     ///
     /// ```
-    /// use mangotray_desk::candidate::Candidate;
-    /// let near = Candidate::default();
-    /// let far = Candidate { far: true, ..near };
-    /// let busy = Candidate { load: 1, ..near };
-    /// let behind = Candidate { behind: true, ..near };
+    /// use mangotray_desk::candidate;
+    /// let near = candidate::Candidate::default();
+    /// let far = candidate::Candidate { far: true, ..near };
+    /// let busy = candidate::Candidate { load: 1, ..near };
+    /// let standing = candidate::Standing::Doubtful;
+    /// let behind = candidate::Candidate { standing, ..near };
     /// assert!(near.cost() < far.cost() && far.cost() < busy.cost());
     /// assert!(busy.cost() < behind.cost());
     /// ```
@@ -53,7 +62,10 @@
             + delay
             + u64::from(self.far) * FAR
             + u64::from(self.leads) * PRIMARY
-            + u64::from(self.behind || self.leaving) * LAST
-            + u64::from(self.down) * 2 * LAST
+            + match self.standing {
+                Standing::Well => 0,
+                Standing::Doubtful => LAST,
+                Standing::Down => 2 * LAST,
+            }
     }
 }
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -600,14 +600,19 @@
         leads: bool,
     ) -> candidate::Candidate {
         let late = boot::now().saturating_sub(pool.behind()) < BEHIND_PAUSE;
+        let behind = !leads && late && pool.applied() < floor;
         candidate::Candidate {
             load: pool.load(),
             delay: pool.delay(),
             far: pool.instance.borrow().domain != self.domain,
             leads,
-            behind: !leads && late && pool.applied() < floor,
-            leaving: self.is_leaving(&pool.id()),
-            down: pool.is_down(),
+            standing: if pool.is_down() {
+                candidate::Standing::Down
+            } else if behind || self.is_leaving(&pool.id()) {
+                candidate::Standing::Doubtful
+            } else {
+                candidate::Standing::Well
+            },
         }
     }
 }
--- a/desk/src/miss.rs
+++ b/desk/src/miss.rs
@@ -42,21 +42,19 @@
     }
 
     /// Until when another try makes sense, of a statement that may queue until `queue` and
-    /// wait until `limit`; `lost` tells that this node has reached no instance for a while.
+    /// wait until `limit`.
     ///
     /// ```
     /// use mangotray_desk::miss;
     /// use std::time::Duration;
     /// let (queue, limit) = (Duration::from_millis(176), Duration::from_millis(320));
-    /// assert_eq!(miss::Miss::Crowded.patience(false, queue, limit), queue);
-    /// assert_eq!(miss::Miss::Unreachable.patience(false, queue, limit), limit);
-    /// assert_eq!(miss::Miss::Unreachable.patience(true, queue, limit), queue);
+    /// assert_eq!(miss::Miss::Crowded.patience(queue, limit), queue);
+    /// assert_eq!(miss::Miss::Unreachable.patience(queue, limit), limit);
     /// ```
     #[must_use]
-    pub fn patience(&self, lost: bool, queue: id::Time, limit: id::Time) -> id::Time {
+    pub fn patience(&self, queue: id::Time, limit: id::Time) -> id::Time {
         match self {
             Self::Crowded => limit.min(queue),
-            Self::Unreachable if lost => limit.min(queue),
             Self::Unreachable | Self::Elsewhere | Self::Failed(_) => limit,
         }
     }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -194,6 +194,8 @@
 
     /// Lends a connection, the one whose values fit best where several are free.
     ///
+    /// A lost instance is dialled in the background; nobody waits for it meanwhile.
+    ///
     /// # Errors
     /// When there is none until `deadline`.
     pub async fn lend(
@@ -214,6 +216,9 @@
                 return Err(Shortage::Full);
             }
             self.grow();
+            if self.is_lost() {
+                return Err(Shortage::Down);
+            }
             if !self.waiting.wait(urgency, deadline).await {
                 let opening = self.open.get() <= self.dialling.get();
                 return Err(if opening {
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -2,11 +2,14 @@
 
 mod stage;
 
+use std::time;
+
 use assert_matches::assert_matches;
 use mangotray_desk::boot;
 use mangotray_desk::reply;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
+use mangotray_desk::wait;
 
 #[test]
 fn values_of_one_session_never_reach_another() {
@@ -205,3 +208,32 @@
 fn deadline() -> mangotray::id::Time {
     boot::now() + std::time::Duration::from_secs(5)
 }
+
+/// Symptom: a node keeps callers waiting that another node would serve at once.
+/// Events: a cut parts this node from all instances of a group; its callers come with
+/// requests, wait for the better part of their time, and are refused.
+/// Cause: the node waited for each request as if the first connection were on its way.
+#[test]
+fn a_group_that_is_lost_to_a_node_is_refused_at_once() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        for id in ["a", "b", "c"] {
+            stage.world.borrow_mut().at(id).up = false;
+        }
+        let group = stage.node.group(&stage::GROUP.into());
+        let mut session = stage.session("bounded");
+        let lost = async {
+            while !group.is_lost() {
+                session.handle(&stage::request("READ 1")).await;
+            }
+        };
+        wait::within(time::Duration::from_secs(20), lost)
+            .await
+            .expect("a lost group");
+        let request = stage::request("READ 2");
+        let reply = session.handle(&request);
+        // It would wait two seconds for an instance that may come, and 50 ms here.
+        let soon = wait::within(time::Duration::from_millis(1500), reply).await;
+        assert_eq!(soon.expect("a refusal").code(), Some(&reply::Code::Busy));
+    });
+}
