--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -224,6 +224,7 @@
             }
         }
     }
+
     fn need(&self, first: id::Time, arrived: id::Time) -> group::Need {
         let route = self.route;
         let own = match route.freshness {
@@ -237,6 +238,7 @@
             deadline: self.limit(arrived),
         }
     }
+
     fn lost(&self, source: &group::Source) {
         tracing::info!(group = %self.group.name, instance = %source.pool.id(),
             "an answer to a read was lost");
@@ -245,6 +247,7 @@
             self.group.doubt(term, "a read was not answered");
         }
     }
+
     /// Opens a transaction that began at `began` for a statement that arrived at `arrived`.
     ///
     /// # Errors
@@ -375,6 +378,7 @@
         awaited: arrived + route.timeout,
     }
 }
+
 fn unsure(detail: &str) -> Outcome {
     let reply = reply::Reply::error(reply::Code::Unsure, detail, reply::State::Idle);
     Outcome::Answered(reply)
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -28,7 +28,7 @@
 /// Nodes that are asked at once for a connection after the first has failed. Where a cut
 /// parts most nodes from an instance, one in four reaches it; asking one after the other
 /// would take longer than callers wait.
-const ABREAST_ASKED: usize = 3;
+const TOGETHER: usize = 3;
 
 /// Longest wait for another node to lend a connection.
 const LIMIT: time::Duration = time::Duration::from_millis(350);
@@ -181,15 +181,15 @@
         if servers.is_empty() {
             return self.straight(target).await;
         }
-        match self.borrow(target, &servers).await {
+        match self.lend_from(target, &servers).await {
             Err(upstream::Refusal::Silent(_)) => {}
             known => return known,
         }
         let others = self.servers(target);
         if others.iter().any(|other| other.name == self.name) {
-            return self.borrow(target, &others).await;
+            return self.lend_from(target, &others).await;
         }
-        let others = others.iter().take(ABREAST_ASKED);
+        let others = others.iter().take(TOGETHER);
         let asked = others.map(|other| self.ask(other, target, None).boxed_local());
         let asked: Vec<_> = asked.collect();
         if !asked.is_empty()
@@ -203,7 +203,7 @@
     }
 
     // From the first of these nodes, which may be this one.
-    async fn borrow(&self, target: &upstream::Target, servers: &[member::Member]) -> Dialled {
+    async fn lend_from(&self, target: &upstream::Target, servers: &[member::Member]) -> Dialled {
         let Some(server) = servers.first() else {
             return Err(upstream::Refusal::Silent("no node to ask".into()));
         };
