--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -120,7 +120,7 @@
             awaited: deadline,
             ..self.urgency
         };
-        let Some(_turn) = self.pool.turn(urgency, deadline.min(urgency.until)).await else {
+        let Some(_turn) = self.pool.turn(urgency).await else {
             return Err(upstream::Failure {
                 crowded: true,
                 ..unsent("no turn in time")
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -1,6 +1,5 @@
 //! One replacement of a primary.
 
-use std::collections;
 use std::rc;
 use std::time;
 
@@ -13,7 +12,6 @@
 use crate::sampler;
 use crate::succession;
 use crate::upstream;
-use crate::urgency;
 use crate::wait;
 
 /// Longest wait for the answer to one hold.
@@ -118,14 +116,7 @@
     dialer: &dyn upstream::Dialer,
 ) -> Option<sampler::Look> {
     let deadline = boot::now() + HOLD;
-    let mut lent = pool
-        .lend(
-            urgency::Urgency::now(deadline),
-            &collections::BTreeMap::new(),
-            deadline,
-        )
-        .await
-        .ok()?;
+    let mut lent = sampler::connection(pool, deadline).await?;
     let replies = lent
         .run(std::slice::from_ref(command), deadline)
         .await
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -383,11 +383,8 @@
     }
 
     /// A turn to let the instance work, where only so many statements may at once.
-    pub(crate) async fn turn(
-        self: &rc::Rc<Self>,
-        urgency: urgency::Urgency,
-        deadline: id::Time,
-    ) -> Option<Turn> {
+    pub(crate) async fn turn(self: &rc::Rc<Self>, urgency: urgency::Urgency) -> Option<Turn> {
+        let deadline = urgency.until.min(urgency.awaited);
         while self.working.get() >= self.window.get().size() {
             if !self.turns.wait(urgency, deadline).await {
                 return None;
@@ -398,8 +395,7 @@
     }
 
     // Fits the window to an answer; one that has grown has room for one more.
-    fn adapt(self: &rc::Rc<Self>, reply: &reply::Reply, took: time::Duration) {
-        let now = boot::now();
+    fn adapt(self: &rc::Rc<Self>, now: id::Time, reply: &reply::Reply, took: time::Duration) {
         let mut window = self.window.get();
         let before = window.size();
         match reply.code() {
@@ -430,7 +426,7 @@
         self.answered.set(now);
         let took = now.saturating_sub(sent);
         if let Some(last) = replies.last() {
-            self.adapt(last, took);
+            self.adapt(now, last, took);
         }
         self.delay.set((self.delay.get() * 7 + took) / 8);
         let last = replies.iter().rev().find_map(|reply| reply.position);
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -8,6 +8,7 @@
 use mangotray::id;
 use mangotray::role;
 use mangotray::stamp;
+use mangotray::telemetry;
 
 use crate::boot;
 use crate::duty;
@@ -92,12 +93,8 @@
                 continue;
             }
             // A belief older than the last promotion would have it taken for one left undone.
-            let older = |lead: &sampler::Lead| {
-                watched
-                    .as_ref()
-                    .is_some_and(|watched: &sampler::Lead| lead.term < watched.term)
-            };
-            if let Some(lead) = group.lead().filter(|lead| !older(lead))
+            let term = watched.as_ref().map_or(0, |lead: &sampler::Lead| lead.term);
+            if let Some(lead) = group.lead().filter(|lead| lead.term >= term)
                 && watched.as_ref() != Some(&lead)
             {
                 watch = succession::Watch::default();
@@ -291,7 +288,7 @@
             cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
         if leads {
             self.pending.borrow_mut().remove(&plan.group.name);
-            metrics::counter!("mangotray_promotions_total").increment(1);
+            metrics::counter!(telemetry::PROMOTIONS).increment(1);
             let candidate = candidate.clone();
             let settle = async move { plan.settle(&candidate).await };
             self.node.executor().spawn(settle).detach();
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -106,17 +106,16 @@
         let mut replies = Vec::with_capacity(commands.len());
         let mut begun = false;
         for command in commands {
-            let reply = match self.note(command) {
-                Some(reply) => reply,
-                None => self
-                    .pass(command, urgency)
-                    .await
-                    .map_err(|failure| upstream::Failure {
-                        sent: failure.sent || begun,
-                        ..failure
-                    })?,
-            };
-            begun |= !command.equips();
+            if let Some(reply) = self.note(command) {
+                replies.push(reply);
+                continue;
+            }
+            let passed = self.pass(command, urgency).await;
+            let reply = passed.map_err(|failure| upstream::Failure {
+                sent: failure.sent || begun,
+                ..failure
+            })?;
+            begun = true;
             replies.push(reply);
         }
         Ok(replies)
@@ -154,10 +153,7 @@
         let inside = self.pinned.is_some();
         let mut lent = match self.pinned.take() {
             Some(lent) => lent,
-            None => match self.lend(urgency).await {
-                Ok(lent) => lent,
-                Err(failure) => return Err(failure),
-            },
+            None => self.lend(urgency).await?,
         };
         let shape = match command {
             upstream::Command::Execute { handle, .. } => {
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -9,6 +9,8 @@
 use mangotray::stamp;
 
 use crate::boot;
+use crate::kept;
+use crate::lent;
 use crate::pool;
 use crate::upstream;
 use crate::urgency;
@@ -36,6 +38,13 @@
     pub status: upstream::Status,
 }
 
+/// A connection for a command of this node's own, before all statements of callers.
+pub async fn connection(pool: &rc::Rc<pool::Pool>, deadline: id::Time) -> Option<lent::Lent> {
+    let urgency = urgency::Urgency::now(deadline);
+    let lent = pool.lend(urgency, &kept::Values::new(), deadline).await;
+    lent.ok()
+}
+
 /// Asks one instance for its status.
 pub async fn look(
     pool: &rc::Rc<pool::Pool>,
@@ -43,14 +52,7 @@
     limit: time::Duration,
 ) -> Option<Look> {
     let deadline = boot::now() + limit;
-    let mut lent = pool
-        .lend(
-            urgency::Urgency::now(deadline),
-            &std::collections::BTreeMap::new(),
-            deadline,
-        )
-        .await
-        .ok()?;
+    let mut lent = connection(pool, deadline).await?;
     metrics::counter!("mangotray_upstream_looks_total").increment(1);
     let replies = lent
         .run(&[upstream::Command::Status], deadline)
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -87,14 +87,6 @@
     Demote(id::Term),
 }
 
-impl Command {
-    /// Whether it only prepares a connection for the statements of a session.
-    #[must_use]
-    pub const fn equips(&self) -> bool {
-        matches!(self, Self::Set { .. } | Self::Prepare { .. } | Self::Reset)
-    }
-}
-
 /// What an instance tells about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Status {
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -18,14 +18,6 @@
 const LIMIT: time::Duration = time::Duration::from_secs(5);
 const SHORT: time::Duration = time::Duration::from_millis(40);
 
-/// A pool to the primary whose instance works on one statement at once.
-fn pool(stage: &stage::Stage) -> rc::Rc<pool::Pool> {
-    let instance = stage.world.borrow().list().remove(0);
-    let dialer = rc::Rc::new(stage::Dialer(rc::Rc::clone(&stage.world)));
-    let executor = rc::Rc::clone(&stage.executor);
-    rc::Rc::new(pool::Pool::new(instance, dialer, executor, 2, 1))
-}
-
 async fn lend(pool: &rc::Rc<pool::Pool>, values: &Values) -> lent::Lent {
     let deadline = boot::now() + LIMIT;
     let lent = pool
@@ -46,7 +38,7 @@
 
 fn play(dropped: bool) {
     let stage = stage::Stage::new();
-    let pool = pool(&stage);
+    let pool = stage.pool(2, 1);
     stage.run(async {
         let values = Values::from([("tint".into(), "red".into())]);
         let mut first = lend(&pool, &Values::new()).await;
@@ -79,20 +71,13 @@
 #[test]
 fn a_full_instance_is_sent_less() {
     let stage = stage::Stage::new();
-    let instance = stage.world.borrow().list().remove(0);
-    let dialer = rc::Rc::new(stage::Dialer(rc::Rc::clone(&stage.world)));
-    let executor = rc::Rc::clone(&stage.executor);
-    let pool = rc::Rc::new(pool::Pool::new(instance, dialer, executor, 5, 5));
+    let pool = stage.pool(5, 5);
     stage.run(async {
-        let read = upstream::Command::Run {
-            id: "read".into(),
-            text: "READ 1".into(),
-            after: None,
-        };
+        let read = stage::read("read");
         stage.world.borrow_mut().at("a").refuse = 30;
         let mut lent = lend(&pool, &Values::new()).await;
         for _ in 0..30 {
-            let replies = lent.run(std::slice::from_ref(&read), boot::now() + LIMIT);
+            let replies = lent.run(&read, boot::now() + LIMIT);
             replies.await.expect("an answer");
             wait::sleep(time::Duration::from_millis(10)).await;
         }
@@ -107,7 +92,7 @@
 #[test]
 fn a_statement_with_little_time_left_raises_no_suspicion() {
     let stage = stage::Stage::new();
-    let pool = pool(&stage);
+    let pool = stage.pool(2, 1);
     stage.run(async {
         let mut lent = lend(&pool, &Values::new()).await;
         stage.world.borrow_mut().stalled = true;
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -17,9 +17,6 @@
 use mangotray_desk::seat;
 use mangotray_desk::wait;
 
-/// More than any promotion on stage takes; tests wait for its end, not for this long.
-const LIMIT: time::Duration = time::Duration::from_secs(20);
-
 /// Long enough for a promoter to act wrongly if it would.
 const LONG: time::Duration = time::Duration::from_millis(1500);
 
@@ -211,12 +208,10 @@
     /// Waits until the group has settled on a primary of at least `term`.
     async fn led(&self, term: u64) {
         let group = self.stage.node.group(&stage::GROUP.into());
-        let settled = async {
-            while group.lead().is_none_or(|lead| lead.term < term) || self.seat.held().is_none() {
-                wait::sleep(time::Duration::from_millis(10)).await;
-            }
-        };
-        wait::within(LIMIT, settled).await.expect("a primary leads");
+        stage::until("a primary leads", || {
+            group.lead().is_some_and(|lead| lead.term >= term) && self.seat.held().is_some()
+        })
+        .await;
     }
 
     fn leader(&self) -> Vec<String> {
@@ -306,20 +301,11 @@
         play.duty.refuse.set(true);
         play.stage.world.borrow_mut().at("a").draining = true;
         play.stage.relist();
-        let asked = async {
-            while play.duty.orders.borrow().len() < 2 {
-                wait::sleep(time::Duration::from_millis(5)).await;
-            }
-        };
-        wait::within(LIMIT, asked).await.expect("orders are tried");
-        let freed = async {
-            while play.stage.world.borrow_mut().at("b").held > 0 {
-                wait::sleep(time::Duration::from_millis(5)).await;
-            }
-        };
-        wait::within(LIMIT, freed)
-            .await
-            .expect("the replicas are freed");
+        stage::until("orders are tried", || play.duty.orders.borrow().len() >= 2).await;
+        stage::until("the replicas are freed", || {
+            play.stage.world.borrow_mut().at("b").held == 0
+        })
+        .await;
         play.duty.refuse.set(false);
         play.led(2).await;
     });
@@ -392,12 +378,7 @@
             .spawn(rc::Rc::clone(&other).keep())
             .detach();
         other.vacated();
-        let taken = async {
-            while other.held().is_none() {
-                wait::sleep(time::Duration::from_millis(10)).await;
-            }
-        };
-        wait::within(LIMIT, taken).await.expect("the seat is taken");
+        stage::until("the seat is taken", || other.held().is_some()).await;
         assert!(other.held().expect("held").fence > first);
     });
 }
@@ -448,14 +429,7 @@
     play.stage.run(async {
         play.led(1).await;
         play.store.at().down = true;
-        let unsure = async {
-            while play.seat.held().is_some() {
-                wait::sleep(time::Duration::from_millis(10)).await;
-            }
-        };
-        wait::within(LIMIT, unsure)
-            .await
-            .expect("the lease is unsure");
+        stage::until("the lease is unsure", || play.seat.held().is_none()).await;
         assert!(play.seat.had());
         play.stage.world.borrow_mut().at("a").up = false;
         wait::sleep(LONG).await;
@@ -510,24 +484,15 @@
             entry.value = Bytes::from_static(b"another");
             entry.lease = None;
         }
-        let lost = async {
-            while play.seat.held().is_some() {
-                wait::sleep(time::Duration::from_millis(10)).await;
-            }
-        };
-        wait::within(LIMIT, lost).await.expect("the seat is lost");
+        stage::until("the seat is lost", || play.seat.held().is_none()).await;
         for id in ["b", "c"] {
             play.stage.world.borrow_mut().at(id).held = 7;
         }
         play.stage.world.borrow_mut().at("a").up = true;
-        let told = async {
-            while play.stage.world.borrow_mut().at("a").role == role::Role::Primary {
-                wait::sleep(time::Duration::from_millis(10)).await;
-            }
-        };
-        wait::within(LIMIT, told)
-            .await
-            .expect("the old primary is told");
+        stage::until("the old primary is told", || {
+            play.stage.world.borrow_mut().at("a").role != role::Role::Primary
+        })
+        .await;
         wait::sleep(LONG).await;
     });
     let mut world = play.stage.world.borrow_mut();
--- a/desk/tests/relay.rs
+++ b/desk/tests/relay.rs
@@ -6,31 +6,13 @@
 use std::time;
 
 use mangotray_desk::boot;
-use mangotray_desk::pool;
 use mangotray_desk::relay;
-use mangotray_desk::upstream;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
 
 const SHORT: time::Duration = time::Duration::from_millis(40);
 const LONG: time::Duration = time::Duration::from_secs(5);
 
-/// A pool to the primary whose instance works on one statement at once.
-fn pool(stage: &stage::Stage) -> rc::Rc<pool::Pool> {
-    let instance = stage.world.borrow().list().remove(0);
-    let dialer = rc::Rc::new(stage::Dialer(rc::Rc::clone(&stage.world)));
-    let executor = rc::Rc::clone(&stage.executor);
-    rc::Rc::new(pool::Pool::new(instance, dialer, executor, 3, 1))
-}
-
-fn read(id: &str) -> Vec<upstream::Command> {
-    vec![upstream::Command::Run {
-        id: id.into(),
-        text: "READ 1".into(),
-        after: None,
-    }]
-}
-
 /// Symptom: an overloaded primary runs reads whose callers were refused long before, and
 /// serves a third of what it could.
 /// Events: a relayed statement waits for its turn at the lending node; its sender gives up
@@ -40,7 +22,7 @@
 #[test]
 fn a_statement_that_nobody_awaits_any_more_is_not_run() {
     let stage = stage::Stage::new();
-    let pool = pool(&stage);
+    let pool = stage.pool(3, 1);
     stage.run(async {
         let mut first = relay::Lender::new(rc::Rc::clone(&pool));
         let mut second = relay::Lender::new(pool);
@@ -48,11 +30,11 @@
         stage.world.borrow_mut().stalled = true;
         let busy = stage.executor.spawn(async move {
             let urgency = urgency::Urgency::now(boot::now() + LONG);
-            first.run(&read("first"), urgency).await
+            first.run(&stage::read("first"), urgency).await
         });
         wait::sleep(SHORT).await;
         let urgency = urgency::Urgency::now(boot::now() + SHORT);
-        let waiting = wait::within(LONG, second.run(&read("second"), urgency)).await;
+        let waiting = wait::within(LONG, second.run(&stage::read("second"), urgency)).await;
         let failure = waiting.expect("an answer").expect_err("a refusal");
         assert!(!failure.sent, "{failure:?}");
         stage.world.borrow_mut().stalled = false;
@@ -71,13 +53,13 @@
 #[test]
 fn a_lost_answer_does_not_keep_its_turn() {
     let stage = stage::Stage::new();
-    let pool = pool(&stage);
+    let pool = stage.pool(3, 1);
     stage.run(async {
         let mut lender = relay::Lender::new(pool);
         lender.open().await.expect("an instance in reach");
         stage.world.borrow_mut().stalled = true;
         let urgency = urgency::Urgency::now(boot::now() + SHORT);
-        let run = wait::within(LONG, lender.run(&read("lost"), urgency)).await;
+        let run = wait::within(LONG, lender.run(&stage::read("lost"), urgency)).await;
         let failure = run.expect("an answer").expect_err("a failure");
         assert!(failure.sent, "{failure:?}");
     });
@@ -90,11 +72,11 @@
 #[test]
 fn a_batch_that_has_begun_is_not_reported_as_unsent() {
     let stage = stage::Stage::new();
-    let pool = pool(&stage);
+    let pool = stage.pool(3, 1);
     stage.run(async {
         let mut lender = relay::Lender::new(pool);
         let until = boot::now() + SHORT;
-        let batch = [read("one"), read("two")].concat();
+        let batch = [stage::read("one"), stage::read("two")].concat();
         lender.open().await.expect("an instance in reach");
         stage.world.borrow_mut().die_after = Some(1);
         let result = lender.run(&batch, urgency::Urgency::now(until)).await;
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -17,6 +17,7 @@
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
 use mangotray_desk::node;
+use mangotray_desk::pool;
 use mangotray_desk::reply;
 use mangotray_desk::router;
 use mangotray_desk::session;
@@ -403,6 +404,28 @@
     }
 }
 
+/// More than anything on stage takes; tests wait for its end, not for this long.
+pub const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Waits until `holds`; fails the test, telling what it waited for, if that never comes.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let held = async {
+        while !holds() {
+            wait::sleep(time::Duration::from_millis(5)).await;
+        }
+    };
+    wait::within(LIMIT, held).await.expect(what);
+}
+
+/// A read as an instance is sent it.
+pub fn read(id: &str) -> Vec<upstream::Command> {
+    vec![upstream::Command::Run {
+        id: id.into(),
+        text: "READ 1".into(),
+        after: None,
+    }]
+}
+
 /// A node before these instances, with one route of each kind.
 pub struct Stage {
     pub world: Shared,
@@ -431,6 +454,14 @@
         async_io::block_on(self.executor.run(test))
     }
 
+    /// A pool to the primary of `most` connections, of which `abreast` work at once.
+    pub fn pool(&self, most: usize, abreast: usize) -> rc::Rc<pool::Pool> {
+        let instance = self.world.borrow().list().remove(0);
+        let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&self.world)));
+        let executor = rc::Rc::clone(&self.executor);
+        rc::Rc::new(pool::Pool::new(instance, dialer, executor, most, abreast))
+    }
+
     pub fn session(&self, database: &str) -> session::Session {
         session::Session::new(rc::Rc::clone(&self.node), database.into())
     }
