Take an announcement found at the start of a node for old

Cause: a node that starts has heard nothing before, but dated what its first list says to its own start. An instance that had announced its end ten seconds earlier was sent callers' work for 5.5 s more. Change: the time that news may date back to is unknown until a watch has answered; what is found leaving then gets no callers' work. The last moment of use is kept in place of the time of the announcement.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -75,6 +75,7 @@
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
+    /// Until when those that leave may be sent callers' work.
     leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     lead: cell::RefCell<Option<sampler::Lead>>,
     last: cell::RefCell<Option<upstream::Id>>,
@@ -122,7 +123,9 @@
     /// What it says anew may have been so since `since`: after an outage of the list, an
     /// instance that is found leaving may have announced it long ago, and would be sent
     /// work after its time if its announcement were taken for fresh.
-    pub fn update(self: &rc::Rc<Self>, instances: Vec<catalog::Instance>, since: id::Time) {
+    /// A node that has just started knows no such time: an announcement that it finds may be
+    /// of any age.
+    pub fn update(self: &rc::Rc<Self>, instances: Vec<catalog::Instance>, since: Option<id::Time>) {
         let now = boot::now();
         let mut surprise = false;
         let listed: collections::BTreeSet<_> = instances
@@ -132,7 +135,7 @@
         for instance in instances {
             let leads = self.lead.borrow().as_ref().map(|lead| lead.id.clone());
             surprise |= instance.leads != (leads.as_ref() == Some(&instance.id));
-            self.enter(instance, since.min(now));
+            self.enter(instance, since.map(|since| since.min(now)));
         }
         let gone: Vec<_> = self
             .pools
@@ -149,12 +152,13 @@
         }
     }
 
-    fn enter(&self, instance: catalog::Instance, since: id::Time) {
+    fn enter(&self, instance: catalog::Instance, since: Option<id::Time>) {
         let mut leaving = self.leaving.borrow_mut();
         if instance.draining {
             leaving.entry(instance.id.clone()).or_insert_with(|| {
-                tracing::info!(group = %self.name, instance = %instance.id, "instance is leaving");
-                since
+                tracing::info!(group = %self.name, instance = %instance.id,
+                    fresh = since.is_some(), "instance is leaving");
+                since.map_or(id::Time::ZERO, |since| since + LEAVING_USE)
             });
         } else {
             leaving.remove(&instance.id);
@@ -182,9 +186,9 @@
     // list. It is used as one that leaves: it may be healthy, but not for long.
     fn leave(&self, id: &upstream::Id, now: id::Time) {
         let mut leaving = self.leaving.borrow_mut();
-        let since = *leaving.entry(id.clone()).or_insert_with(|| {
+        let until = *leaving.entry(id.clone()).or_insert_with(|| {
             tracing::info!(group = %self.name, instance = %id, "instance is no longer listed");
-            now
+            now + LEAVING_USE
         });
         // One that had announced its end before has ended.
         let ended = self
@@ -192,7 +196,7 @@
             .borrow()
             .get(id)
             .is_some_and(|pool| pool.instance.borrow().draining);
-        if ended || now.saturating_sub(since) > LEAVING_USE {
+        if ended || now > until {
             leaving.remove(id);
             if let Some(pool) = self.pools.borrow_mut().remove(id) {
                 pool.clear();
@@ -262,16 +266,19 @@
         self.term.get()
     }
 
-    fn usable(&self, id: &upstream::Id) -> bool {
-        let since = self.leaving.borrow().get(id).copied();
-        since.is_none_or(|since| boot::now().saturating_sub(since) < LEAVING_USE)
+    /// Whether the instance may be sent callers' work: one that announced its end may for a
+    /// while, counted from the announcement.
+    #[must_use]
+    pub fn is_usable(&self, id: &upstream::Id) -> bool {
+        let until = self.leaving.borrow().get(id).copied();
+        until.is_none_or(|until| boot::now() < until)
     }
 
     fn pool(&self, id: &upstream::Id) -> Option<rc::Rc<pool::Pool>> {
         self.pools
             .borrow()
             .get(id)
-            .filter(|_| self.usable(id))
+            .filter(|_| self.is_usable(id))
             .cloned()
     }
 
@@ -581,7 +588,7 @@
                 .borrow()
                 .as_ref()
                 .is_some_and(|lead| lead.id == id);
-            if tried.contains(&id) || !self.usable(&id) || (believed && leads.is_none()) {
+            if tried.contains(&id) || !self.is_usable(&id) || (believed && leads.is_none()) {
                 continue;
             }
             let cost = self.candidate(&pool, floor, leads.is_some()).cost();
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -74,8 +74,9 @@
         true
     }
 
-    /// Takes a new list of instances, of which the news may date back to `since`.
-    pub fn update(&self, instances: Vec<catalog::Instance>, since: id::Time) {
+    /// Takes a new list of instances, of which the news may date back to `since`, or be of
+    /// any age without one.
+    pub fn update(&self, instances: Vec<catalog::Instance>, since: Option<id::Time>) {
         let listed = instances
             .iter()
             .map(|instance| instance.id.clone())
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -48,7 +48,7 @@
         stage.world.borrow_mut().at("c").draining = true;
         let list = stage.world.borrow().list();
         let long_ago = boot::now().saturating_sub(time::Duration::from_secs(6));
-        stage.node.update(list, long_ago);
+        stage.node.update(list, Some(long_ago));
         let bounded = need(catalog::Freshness::Bounded(AGE));
         let source = group.source(&bounded, &["a".into()]).await;
         assert!(source.is_none(), "both replicas are past their time");
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -441,7 +441,7 @@
         let router = router::Router::new("vm".into(), dialer, rc::Rc::clone(&executor));
         let node = node::Node::new("vm".into(), "here".into(), router, rc::Rc::clone(&executor));
         node.apply(catalog());
-        node.update(world.borrow().list(), boot::now());
+        node.update(world.borrow().list(), Some(boot::now()));
         Self {
             world,
             node,
@@ -469,7 +469,7 @@
     /// Tells the node the present list of instances.
     pub fn relist(&self) {
         let list = self.world.borrow().list();
-        self.node.update(list, boot::now());
+        self.node.update(list, Some(boot::now()));
     }
 }
 
