--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -344,7 +344,7 @@
 
     // How long a statement may wait for an instance.
     fn limit(&self, arrived: id::Time) -> id::Time {
-        if self.group.is_lost() {
+        if self.group.roster().is_lost() {
             arrived + self.route.objective * LOST_PERCENT / 100
         } else {
             arrived + self.route.timeout * WAIT_PERCENT / 100
--- a/desk/src/catalog.rs
+++ b/desk/src/catalog.rs
@@ -81,6 +81,8 @@
 pub struct Instance {
     /// Its id.
     pub id: upstream::Id,
+    /// When its process started.
+    pub born: upstream::Birth,
     /// Group that it belongs to.
     pub group: id::Group,
     /// Where it listens.
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -1,7 +1,6 @@
 //! One database group: its instances, who leads, and how fresh each of them is.
 
 use std::cell;
-use std::collections;
 use std::rc;
 use std::time;
 
@@ -13,6 +12,7 @@
 use crate::catalog;
 use crate::floor;
 use crate::pool;
+use crate::roster;
 use crate::sampler;
 use crate::upstream;
 use crate::wait;
@@ -38,10 +38,6 @@
 /// is seen to have caught up.
 const BEHIND_PAUSE: time::Duration = time::Duration::from_millis(150);
 
-/// An instance that has announced its end is used this long at most. Callers' work must
-/// not reach it after seven seconds; the rest is for the way and for queues.
-const LEAVING_USE: time::Duration = time::Duration::from_millis(5500);
-
 /// What one request needs of the instance that reads for it.
 #[derive(Clone, Debug)]
 pub struct Need {
@@ -74,13 +70,10 @@
     domain: id::Domain,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
-    pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
-    /// Until when those that leave may be sent callers' work.
-    leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
+    roster: roster::Roster,
     lead: cell::RefCell<Option<sampler::Lead>>,
     last: cell::RefCell<Option<upstream::Id>>,
     term: cell::Cell<id::Term>,
-    added: cell::Cell<id::Time>,
     floors: cell::RefCell<floor::Floors>,
     changed: event_listener::Event,
     searching: cell::Cell<bool>,
@@ -98,17 +91,20 @@
         dialer: rc::Rc<dyn upstream::Dialer>,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     ) -> rc::Rc<Self> {
+        let roster = roster::Roster::new(
+            name.clone(),
+            rc::Rc::clone(&dialer),
+            rc::Rc::clone(&executor),
+        );
         rc::Rc::new(Self {
             name,
             domain,
             dialer,
             executor,
-            pools: cell::RefCell::default(),
-            leaving: cell::RefCell::default(),
+            roster,
             lead: cell::RefCell::default(),
             last: cell::RefCell::default(),
             term: cell::Cell::default(),
-            added: cell::Cell::default(),
             floors: cell::RefCell::default(),
             changed: event_listener::Event::new(),
             searching: cell::Cell::default(),
@@ -126,126 +122,26 @@
     /// A node that has just started knows no such time: an announcement that it finds may be
     /// of any age.
     pub fn update(self: &rc::Rc<Self>, instances: Vec<catalog::Instance>, since: Option<id::Time>) {
-        let now = boot::now();
-        let mut surprise = false;
-        let listed: collections::BTreeSet<_> = instances
+        let lead = self.lead();
+        let leads = |id: &upstream::Id| lead.as_ref().is_some_and(|lead| lead.id == *id);
+        let surprise = instances
             .iter()
-            .map(|instance| instance.id.clone())
-            .collect();
-        for instance in instances {
-            let leads = self.lead.borrow().as_ref().map(|lead| lead.id.clone());
-            surprise |= instance.leads != (leads.as_ref() == Some(&instance.id));
-            self.enter(instance, since.map(|since| since.min(now)));
-        }
-        let gone: Vec<_> = self
-            .pools
-            .borrow()
-            .keys()
-            .filter(|id| !listed.contains(*id))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.leave(&id, now);
-        }
-        if surprise {
-            self.search();
-        }
-    }
-
-    fn enter(&self, instance: catalog::Instance, since: Option<id::Time>) {
-        let mut leaving = self.leaving.borrow_mut();
-        if instance.draining {
-            leaving.entry(instance.id.clone()).or_insert_with(|| {
-                tracing::info!(group = %self.name, instance = %instance.id,
-                    fresh = since.is_some(), "instance is leaving");
-                since.map_or(id::Time::ZERO, |since| since + LEAVING_USE)
-            });
-        } else {
-            leaving.remove(&instance.id);
-        }
-        let mut pools = self.pools.borrow_mut();
-        if let Some(pool) = pools.get(&instance.id) {
-            *pool.instance.borrow_mut() = instance;
-            return;
-        }
-        tracing::info!(group = %self.name, instance = %instance.id, domain = %instance.domain,
-            leads = instance.leads, "instance appeared");
-        let id = instance.id.clone();
-        let pool = rc::Rc::new(pool::Pool::new(
-            instance,
-            rc::Rc::clone(&self.dialer),
-            rc::Rc::clone(&self.executor),
-            pool::MOST,
-            pool::MOST,
-        ));
-        pools.insert(id, pool);
-        self.added.set(boot::now());
-    }
-
-    // An entry that vanished means that the instance left, or that it cannot reach the
-    // list. It is used as one that leaves: it may be healthy, but not for long.
-    fn leave(&self, id: &upstream::Id, now: id::Time) {
-        let mut leaving = self.leaving.borrow_mut();
-        let until = *leaving.entry(id.clone()).or_insert_with(|| {
-            tracing::info!(group = %self.name, instance = %id, "instance is no longer listed");
-            now + LEAVING_USE
-        });
-        // One that had announced its end before has ended.
-        let ended = self
-            .pools
-            .borrow()
-            .get(id)
-            .is_some_and(|pool| pool.instance.borrow().draining);
-        if ended || now > until {
-            leaving.remove(id);
-            if let Some(pool) = self.pools.borrow_mut().remove(id) {
-                pool.clear();
-            }
-            tracing::info!(group = %self.name, instance = %id, "instance forgotten");
-        }
-    }
-
-    /// Drops what is no longer listed and gives spare connections back; called now and then.
-    pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
+            .any(|instance| instance.leads != leads(&instance.id));
         let now = boot::now();
-        let gone: Vec<_> = self
-            .pools
-            .borrow()
-            .keys()
-            .filter(|id| !listed(id))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.leave(&id, now);
-        }
-        for pool in self.pools.borrow().values() {
-            pool.trim();
+        let reborn = self
+            .roster
+            .update(instances, since.map(|since| since.min(now)));
+        if let Some(lead) = lead.as_ref().filter(|lead| reborn.contains(&lead.id)) {
+            self.doubt(lead.term, "the primary has started again");
+        } else if surprise {
+            self.search();
         }
     }
 
-    /// All instances that may still be asked, leaving ones included.
-    #[must_use]
-    pub fn pools(&self) -> Vec<rc::Rc<pool::Pool>> {
-        self.pools.borrow().values().cloned().collect()
-    }
-
-    /// Whether the instance announced its end or is no longer listed.
-    #[must_use]
-    pub fn is_leaving(&self, id: &upstream::Id) -> bool {
-        self.leaving.borrow().contains_key(id)
-    }
-
-    /// Whether this node has reached none of the instances for a while.
-    #[must_use]
-    pub fn is_lost(&self) -> bool {
-        let pools = self.pools.borrow();
-        !pools.is_empty() && pools.values().all(|pool| pool.is_lost())
-    }
-
-    /// When an instance was last added to the list.
+    /// The instances.
     #[must_use]
-    pub fn added(&self) -> id::Time {
-        self.added.get()
+    pub const fn roster(&self) -> &roster::Roster {
+        &self.roster
     }
 
     /// Border to the instances.
@@ -266,22 +162,6 @@
         self.term.get()
     }
 
-    /// Whether the instance may be sent callers' work: one that announced its end may for a
-    /// while, counted from the announcement.
-    #[must_use]
-    pub fn is_usable(&self, id: &upstream::Id) -> bool {
-        let until = self.leaving.borrow().get(id).copied();
-        until.is_none_or(|until| boot::now() < until)
-    }
-
-    fn pool(&self, id: &upstream::Id) -> Option<rc::Rc<pool::Pool>> {
-        self.pools
-            .borrow()
-            .get(id)
-            .filter(|_| self.is_usable(id))
-            .cloned()
-    }
-
     /// The primary's connections, awaiting a primary until `deadline`.
     pub async fn primary(
         self: &rc::Rc<Self>,
@@ -290,7 +170,7 @@
         loop {
             let changed = self.changed.listen();
             if let Some(lead) = self.lead()
-                && let Some(pool) = self.pool(&lead.id)
+                && let Some(pool) = self.roster.pool(&lead.id)
             {
                 return Some((pool, lead.term));
             }
@@ -337,11 +217,12 @@
 
     async fn discover(self: &rc::Rc<Self>) -> bool {
         let started = boot::now();
-        let looks = sampler::look_at_all(&self.pools(), &*self.dialer, sampler::LOOK_LIMIT).await;
+        let looks =
+            sampler::look_at_all(&self.roster.pools(), &*self.dialer, sampler::LOOK_LIMIT).await;
         self.learn(started, &looks);
         let found = sampler::leader(&looks);
         let Some(lead) = found.filter(|lead| lead.term >= self.term.get()) else {
-            return self.pools.borrow().is_empty();
+            return self.roster.is_empty();
         };
         if self.lead().as_ref() != Some(&lead) {
             tracing::info!(group = %self.name, primary = %lead.id, term = lead.term,
@@ -367,12 +248,12 @@
         {
             self.doubt(lead.term - 1, "another instance leads a later term");
         }
+        let attested = self.is_attested(&lead, looks);
         let mut floors = self.floors.borrow_mut();
-        let (primary, others): (Vec<_>, Vec<_>) = looks.iter().partition(|look| look.id == lead.id);
-        if let Some(primary) = primary.first() {
+        if let Some(primary) = looks.iter().find(|look| look.id == lead.id) {
             floors.saw_position(lead.term, started, primary.status.received);
         }
-        if !others.is_empty() {
+        if attested {
             floors.saw_leading(lead.term, started);
         }
     }
@@ -412,23 +293,65 @@
             self.search();
             return None;
         };
-        for pool in self.witnesses(&lead.id).into_iter().take(2) {
+        let witnesses = self.witnesses(&lead.id);
+        let (reliable, newborn): (Vec<_>, Vec<_>) = witnesses
+            .iter()
+            .cloned()
+            .partition(|pool| self.is_reliable(pool, lead.term));
+        for pool in reliable.into_iter().take(2) {
             let started = boot::now();
             let look = sampler::look(&pool, &*self.dialer, sampler::LOOK_LIMIT).await;
-            let Some(look) = look else { continue };
-            if sampler::overtakes(&look.status, lead.term) {
-                self.doubt(lead.term, "a replica is held for, or knows, a later term");
-                return None;
+            if let Some(look) = look {
+                return self.judge(&lead, started, &[look]);
             }
+        }
+        if newborn.is_empty() {
+            return None;
+        }
+        let started = boot::now();
+        let looks = sampler::look_at_all(&witnesses, &*self.dialer, sampler::LOOK_LIMIT).await;
+        let whole = looks.len() == witnesses.len();
+        self.judge(&lead, started, &looks).filter(|_| whole)
+    }
+
+    // What looks at other instances that began at `started` say of the primary.
+    fn judge(
+        self: &rc::Rc<Self>,
+        lead: &sampler::Lead,
+        started: id::Time,
+        looks: &[sampler::Look],
+    ) -> Proof {
+        let overtaken = |look: &sampler::Look| sampler::overtakes(&look.status, lead.term);
+        if looks.iter().any(overtaken) {
+            self.doubt(lead.term, "a replica is held for, or knows, a later term");
+            return None;
+        }
+        if self.is_attested(lead, looks) {
             self.floors.borrow_mut().saw_leading(lead.term, started);
-            return Some(lead);
         }
-        None
+        Some(lead.clone())
+    }
+
+    // A replica that starts again has lost its hold, and what it knew of later terms: asked
+    // alone, it would vouch for a primary that was replaced meanwhile. It counts by itself
+    // once the primary was proven to lead after its start, and otherwise only together with
+    // all others, one of which would lead.
+    fn is_reliable(&self, pool: &pool::Pool, term: id::Term) -> bool {
+        let proven = self.floors.borrow().led(term);
+        pool.reborn().is_none_or(|reborn| proven > Some(reborn))
+    }
+
+    fn is_attested(&self, lead: &sampler::Lead, looks: &[sampler::Look]) -> bool {
+        let others = self.witnesses(&lead.id);
+        let answered = |pool: &rc::Rc<pool::Pool>| looks.iter().any(|look| look.id == pool.id());
+        let reliable =
+            |pool: &rc::Rc<pool::Pool>| answered(pool) && self.is_reliable(pool, lead.term);
+        others.iter().any(reliable) || (!others.is_empty() && others.iter().all(answered))
     }
 
     // Instances other than the primary, the nearest that answers first.
     fn witnesses(&self, primary: &upstream::Id) -> Vec<rc::Rc<pool::Pool>> {
-        let mut pools = self.pools();
+        let mut pools = self.roster.pools();
         pools.retain(|pool| pool.id() != *primary);
         pools.sort_by_key(|pool| {
             let near = pool.instance.borrow().domain == self.domain;
@@ -452,7 +375,7 @@
         if fresh && self.sample().await.is_some() {
             return;
         }
-        let Some(primary) = self.pool(&lead.id) else {
+        let Some(primary) = self.roster.pool(&lead.id) else {
             self.refresh_without_primary().await;
             return;
         };
@@ -470,11 +393,15 @@
     // it may be the one that leads by now.
     async fn refresh_without_primary(&self) {
         let last = self.last.borrow().clone();
-        let mut pools = self.pools();
+        let mut pools = self.roster.pools();
         pools.retain(|pool| Some(pool.id()) != last);
+        let term = self.term.get();
+        // One that has started again may have been the only replica with a commit.
+        if !pools.iter().all(|pool| self.is_reliable(pool, term)) {
+            return;
+        }
         let started = boot::now();
         let looks = sampler::look_at_all(&pools, &*self.dialer, sampler::LOOK_LIMIT).await;
-        let term = self.term.get();
         if let Some(stamp) = sampler::received(&looks, pools.len(), term) {
             let mut floors = self.floors.borrow_mut();
             floors.saw_position(term, started, stamp);
@@ -528,6 +455,7 @@
                 continue;
             };
             let pool = self
+                .roster
                 .pool(&lead.id)
                 .filter(|pool| !tried.contains(&pool.id()))?;
             return Some(Source {
@@ -577,7 +505,7 @@
         let own_term = need.own.map_or(0, |own| own.term);
         let proven = lead.filter(|lead| recent(lead) && lead.term >= own_term);
         let mut best: Option<(u64, Source)> = None;
-        for pool in self.pools() {
+        for pool in self.roster.pools() {
             let id = pool.id();
             let leads = proven
                 .as_ref()
@@ -588,7 +516,7 @@
                 .borrow()
                 .as_ref()
                 .is_some_and(|lead| lead.id == id);
-            if tried.contains(&id) || !self.is_usable(&id) || (believed && leads.is_none()) {
+            if tried.contains(&id) || !self.roster.is_usable(&id) || (believed && leads.is_none()) {
                 continue;
             }
             let cost = self.candidate(&pool, floor, leads.is_some()).cost();
@@ -615,7 +543,7 @@
             leads,
             standing: if pool.is_down() {
                 candidate::Standing::Down
-            } else if behind || self.is_leaving(&pool.id()) {
+            } else if behind || self.roster.is_leaving(&pool.id()) {
                 candidate::Standing::Doubtful
             } else {
                 candidate::Standing::Well
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod queue;
 pub mod relay;
 pub mod reply;
+pub mod roster;
 pub mod router;
 pub mod sampler;
 pub mod seat;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -25,6 +25,8 @@
     groups: cell::RefCell<collections::BTreeMap<id::Group, rc::Rc<group::Group>>>,
     listed: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     seen: cell::Cell<bool>,
+    /// Groups of instances that no configuration names; each is logged once.
+    unnamed: cell::RefCell<collections::BTreeSet<id::Group>>,
 }
 
 impl Node {
@@ -45,6 +47,7 @@
             groups: cell::RefCell::default(),
             listed: cell::RefCell::default(),
             seen: cell::Cell::default(),
+            unnamed: cell::RefCell::default(),
         })
     }
 
@@ -95,15 +98,29 @@
             parts.entry(name.clone()).or_default();
         }
         for (name, part) in parts {
-            self.group(&name).update(part, since);
+            if self.is_named(&name) {
+                self.group(&name).update(part, since);
+            } else if self.unnamed.borrow_mut().insert(name.clone()) {
+                tracing::warn!(group = %name, "instances of a group that no configuration names");
+            }
         }
     }
 
+    // Whether the configuration names the group. Before there is one, every group may be.
+    fn is_named(&self, group: &id::Group) -> bool {
+        let catalog = self.catalog.load();
+        let named = catalog
+            .services
+            .iter()
+            .any(|service| service.group == *group);
+        named || catalog.services.is_empty() || self.groups.borrow().contains_key(group)
+    }
+
     /// Housekeeping of all groups; called about once a second.
     pub fn tidy(&self) {
         let listed = self.listed.borrow();
         for group in self.groups.borrow().values() {
-            group.tidy(|id| listed.contains(id));
+            group.roster().tidy(|id| listed.contains(id));
         }
         self.router.tidy(|id| listed.contains(id));
     }
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -5,6 +5,7 @@
 
 use mangotray::id;
 use mangotray::role;
+use mangotray::stamp;
 
 use crate::boot;
 use crate::group;
@@ -39,14 +40,19 @@
     pub term: id::Term,
     /// When it began.
     pub began: id::Time,
+    /// Furthest position that any replica was ever seen to have received.
+    pub furthest: Option<stamp::Stamp>,
 }
 
+/// The lives of the replicas that were held.
+pub type Lives = Vec<(upstream::Id, upstream::Birth)>;
+
 impl Plan {
     /// Whether the candidate comes to lead within `limit`.
     pub async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
         let deadline = boot::now() + limit;
         while boot::now() < deadline {
-            let pools = self.group.pools();
+            let pools = self.group.roster().pools();
             let Some(pool) = pools.iter().find(|pool| pool.id() == *candidate) else {
                 return false;
             };
@@ -59,6 +65,31 @@
         false
     }
 
+    /// The replicas that there are, and which life of each.
+    #[must_use]
+    pub fn lives(&self) -> Lives {
+        let old = self.old.as_ref().map(|pool| pool.id());
+        let mut pools = self.group.roster().pools();
+        pools.retain(|pool| Some(pool.id()) != old);
+        pools.iter().map(|pool| (pool.id(), pool.born())).collect()
+    }
+
+    /// Whether these replicas may lack a commit that was acknowledged.
+    ///
+    /// A replica that starts again has lost its log. If it was the only one besides the
+    /// primary with some commit, those that are left would lead without it; the primary may
+    /// come back with its log. Once it is no longer listed nobody has the commit, and
+    /// waiting would leave the group without a primary for nothing.
+    #[must_use]
+    pub fn lacks_records(&self, held: &[sampler::Look]) -> bool {
+        let received = held.iter().map(|look| look.status.received).max();
+        let primary_may_return = self.old.as_ref().is_some_and(|old| {
+            let leaving = self.group.roster().is_leaving(&old.id());
+            !leaving || old.instance.borrow().draining
+        });
+        primary_may_return && received < self.furthest
+    }
+
     /// Whether the old primary answers and still leads.
     pub async fn old_answers(&self) -> bool {
         let Some(old) = &self.old else { return false };
@@ -88,14 +119,34 @@
         look.is_some_and(|look| look.status.role == role::Role::Replica)
     }
 
+    // A replica that starts again has lost its hold: it would receive from the old primary,
+    // which then acknowledges commits that the new one never gets.
+    async fn hold_again(&self, candidate: &upstream::Id, lives: &mut Lives) {
+        let now = self.lives();
+        for pool in self.group.roster().pools() {
+            let life = (pool.id(), pool.born());
+            if pool.id() != *candidate && now.contains(&life) && !lives.contains(&life) {
+                tell(
+                    &pool,
+                    &upstream::Command::Hold(self.term),
+                    self.group.dialer(),
+                )
+                .await;
+            }
+        }
+        *lives = now;
+    }
+
     /// Ends the old primary's belief that it leads, then frees replicas that are still held:
     /// in this order, as a freed replica would acknowledge commits of the old primary.
     pub async fn settle(&self, candidate: &upstream::Id) {
         let deadline = boot::now() + DEMOTE_FOR;
+        let mut lives = self.lives();
         while !self.demote_once().await && boot::now() < deadline {
+            self.hold_again(candidate, &mut lives).await;
             wait::sleep(DEMOTE).await;
         }
-        for pool in self.group.pools() {
+        for pool in self.group.roster().pools() {
             if pool.id() != *candidate {
                 let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
                 // Holds for a later term belong to a later promotion: freeing them would let
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -88,6 +88,7 @@
     applied: cell::Cell<stamp::Stamp>,
     behind: cell::Cell<id::Time>,
     answered: cell::Cell<id::Time>,
+    reborn: cell::Cell<Option<id::Time>>,
     delay: cell::Cell<time::Duration>,
 }
 
@@ -121,6 +122,7 @@
             applied: cell::Cell::default(),
             behind: cell::Cell::default(),
             answered: cell::Cell::default(),
+            reborn: cell::Cell::default(),
             delay: cell::Cell::default(),
         }
     }
@@ -131,6 +133,23 @@
         self.instance.borrow().id.clone()
     }
 
+    /// When the instance's process started, as the list has it.
+    #[must_use]
+    pub fn born(&self) -> upstream::Birth {
+        self.instance.borrow().born
+    }
+
+    /// When this node learnt that the instance had started again under its id, if it did.
+    #[must_use]
+    pub fn reborn(&self) -> Option<id::Time> {
+        self.reborn.get()
+    }
+
+    /// Notes that the instance has started again under its id.
+    pub fn note_rebirth(&self) {
+        self.reborn.set(Some(boot::now()));
+    }
+
     /// Connections on loan and requests that wait for one.
     #[must_use]
     pub fn load(&self) -> usize {
@@ -417,6 +436,7 @@
             address: instance.address,
             group: instance.group.clone(),
             id: instance.id.clone(),
+            born: instance.born,
             domain: instance.domain.clone(),
         }
     }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -113,7 +113,7 @@
             }
             tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
                 received = ?round.received, "replacing the primary");
-            let done = self.replace(&group, lead, cause).await;
+            let done = self.replace(&group, lead, cause, watch.furthest()).await;
             watch = succession::Watch::default();
             match done {
                 Some(lead) => watched = Some(lead),
@@ -152,7 +152,7 @@
             started,
             primary: reach,
             leaving: primary.is_some_and(|pool| pool.instance.borrow().draining),
-            added: group.added(),
+            added: group.roster().added(),
             received,
             held,
         }
@@ -163,6 +163,7 @@
         group: &rc::Rc<group::Group>,
         lead: &sampler::Lead,
         cause: succession::Cause,
+        furthest: Option<stamp::Stamp>,
     ) -> Option<sampler::Lead> {
         let (old, _) = split(group, &lead.id);
         let plan = plan::Plan {
@@ -171,12 +172,19 @@
             cause,
             term: group.term().max(lead.term) + 1,
             began: boot::now(),
+            furthest,
         };
-        let held = self.hold(&plan).await?;
+        let (held, lives) = self.hold(&plan).await?;
+        if plan.lacks_records(&held) {
+            tracing::warn!(group = %group.name, furthest = ?plan.furthest,
+                "no replica has all that one had received before it started again");
+            self.withdraw(&plan).await;
+            return None;
+        }
         let pending = self.pending.borrow().get(&group.name).cloned();
         let candidate = pending
             .filter(|pending| held.iter().any(|look| look.id == *pending))
-            .or_else(|| succession::candidate(&held, |id| group.is_leaving(id)))?;
+            .or_else(|| succession::candidate(&held, |id| group.roster().is_leaving(id)))?;
         let received: Vec<_> = held
             .iter()
             .map(|look| (&look.id, look.status.received))
@@ -187,7 +195,7 @@
             self.withdraw(&plan).await;
             return None;
         }
-        let outcome = self.order(&plan, &candidate).await;
+        let outcome = self.order(&plan, &candidate, &lives).await;
         if let duty::Outcome::Refused(_) = outcome {
             self.withdraw(&plan).await;
             return None;
@@ -212,7 +220,7 @@
         let pending = self.pending.borrow().contains_key(&plan.group.name);
         let alone = plan.cause.lives() && plan.cause != succession::Cause::Unfinished;
         if alone && !pending {
-            self.resume(plan, &plan.group.pools()).await;
+            self.resume(plan, &plan.group.roster().pools()).await;
         }
     }
 
@@ -220,15 +228,17 @@
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
     /// commit; promoting without it would lose a booking that somebody was promised.
-    async fn hold(&self, plan: &plan::Plan) -> Option<Vec<sampler::Look>> {
+    async fn hold(&self, plan: &plan::Plan) -> Option<(Vec<sampler::Look>, plan::Lives)> {
         let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
             let pools: Vec<_> = plan
                 .group
+                .roster()
                 .pools()
                 .into_iter()
                 .filter(|pool| Some(pool.id()) != old)
                 .collect();
+            let lives = plan.lives();
             let command = upstream::Command::Hold(plan.term);
             let holds = pools
                 .iter()
@@ -239,7 +249,7 @@
                 look.status.role == role::Role::Replica && look.status.held >= plan.term
             };
             if !looks.is_empty() && looks.len() == pools.len() && looks.iter().all(held) {
-                return Some(looks);
+                return Some((looks, lives));
             }
             let led = looks
                 .iter()
@@ -264,11 +274,21 @@
         futures_util::future::join_all(resumes).await;
     }
 
-    async fn order(&self, plan: &plan::Plan, candidate: &upstream::Id) -> duty::Outcome {
+    async fn order(
+        &self,
+        plan: &plan::Plan,
+        candidate: &upstream::Id,
+        lives: &plan::Lives,
+    ) -> duty::Outcome {
         let Some(held) = self.seat.confirm().await else {
             tracing::warn!(group = %plan.group.name, "the seat is not confirmed, no order");
             return duty::Outcome::Refused("the seat is not confirmed".into());
         };
+        // One that has started again since is not held, and one that was added never was.
+        if plan.lives() != *lives {
+            tracing::warn!(group = %plan.group.name, "a replica has started since it was held, no order");
+            return duty::Outcome::Refused("a replica has started since it was held".into());
+        }
         let order = duty::Order {
             group: plan.group.name.clone(),
             candidate: candidate.clone(),
@@ -309,7 +329,7 @@
 /// nobody remembers who led. Waiting for a primary to show itself would then be waiting
 /// for ever. Where all answer and none leads, the id is empty.
 async fn guess(group: &rc::Rc<group::Group>) -> Option<sampler::Lead> {
-    let pools = group.pools();
+    let pools = group.roster().pools();
     let looks = sampler::look_at_all(&pools, group.dialer(), LOOK).await;
     let term = looks.iter().map(|look| look.status.term).max()?;
     let primaries = looks
@@ -336,6 +356,7 @@
 
 fn split(group: &group::Group, primary: &upstream::Id) -> Split {
     let (mut old, others): (Vec<_>, Vec<_>) = group
+        .roster()
         .pools()
         .into_iter()
         .partition(|pool| pool.id() == *primary);
--- /dev/null
+++ b/desk/src/roster.rs
@@ -0,0 +1,218 @@
+//! The instances of one group, as the list of instances has them.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use mangotray::id;
+
+use crate::boot;
+use crate::catalog;
+use crate::pool;
+use crate::upstream;
+
+/// An instance that has announced its end is used this long at most. Callers' work must
+/// not reach it after seven seconds; the rest is for the way and for queues.
+const LEAVING_USE: time::Duration = time::Duration::from_millis(5500);
+
+/// The instances of a group and this node's connections to them.
+pub struct Roster {
+    group: id::Group,
+    dialer: rc::Rc<dyn upstream::Dialer>,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
+    /// Until when those that leave may be sent callers' work.
+    leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
+    added: cell::Cell<id::Time>,
+}
+
+impl Roster {
+    /// A group without instances.
+    #[must_use]
+    pub fn new(
+        group: id::Group,
+        dialer: rc::Rc<dyn upstream::Dialer>,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    ) -> Self {
+        Self {
+            group,
+            dialer,
+            executor,
+            pools: cell::RefCell::default(),
+            leaving: cell::RefCell::default(),
+            added: cell::Cell::default(),
+        }
+    }
+
+    /// Takes a new list, of which the news may date back to `since`, or be of any age; tells
+    /// which instances have started again.
+    pub fn update(
+        &self,
+        instances: Vec<catalog::Instance>,
+        since: Option<id::Time>,
+    ) -> Vec<upstream::Id> {
+        let listed: collections::BTreeSet<_> = instances
+            .iter()
+            .map(|instance| instance.id.clone())
+            .collect();
+        let enter = |instance: catalog::Instance| {
+            let id = instance.id.clone();
+            self.enter(instance, since).then_some(id)
+        };
+        let reborn = instances.into_iter().filter_map(enter).collect();
+        self.leave_unless(|id| listed.contains(id));
+        reborn
+    }
+
+    /// Drops what is no longer listed and gives spare connections back; called now and then.
+    pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
+        self.leave_unless(listed);
+        for pool in self.pools.borrow().values() {
+            pool.trim();
+        }
+    }
+
+    fn leave_unless(&self, listed: impl Fn(&upstream::Id) -> bool) {
+        let now = boot::now();
+        let gone: Vec<_> = self
+            .pools
+            .borrow()
+            .keys()
+            .filter(|id| !listed(id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.leave(&id, now);
+        }
+    }
+
+    // Whether the instance was known and has started again.
+    fn enter(&self, instance: catalog::Instance, since: Option<id::Time>) -> bool {
+        let reborn = self.end_life_before(&instance);
+        self.mark(&instance, since);
+        let mut pools = self.pools.borrow_mut();
+        if let Some(pool) = pools.get(&instance.id) {
+            *pool.instance.borrow_mut() = instance;
+            return false;
+        }
+        tracing::info!(group = %self.group, instance = %instance.id, domain = %instance.domain,
+            leads = instance.leads, born = instance.born, "instance appeared");
+        let id = instance.id.clone();
+        let pool = rc::Rc::new(pool::Pool::new(
+            instance,
+            rc::Rc::clone(&self.dialer),
+            rc::Rc::clone(&self.executor),
+            pool::MOST,
+            pool::MOST,
+        ));
+        if reborn {
+            pool.note_rebirth();
+        }
+        pools.insert(id, pool);
+        self.added.set(boot::now());
+        reborn
+    }
+
+    // An instance that starts again under its id holds and knows nothing of before. All that
+    // was seen of its earlier life, from positions to prepared statements, goes with the pool:
+    // a position that it no longer has would send it reads that it refuses, and a delay or
+    // an announced end that is over would keep work away from it.
+    fn end_life_before(&self, instance: &catalog::Instance) -> bool {
+        let known = self.pools.borrow().get(&instance.id).cloned();
+        let Some(pool) = known.filter(|pool| pool.born() < instance.born) else {
+            return false;
+        };
+        tracing::info!(group = %self.group, instance = %instance.id, before = pool.born(),
+            born = instance.born, "instance has started again");
+        pool.clear();
+        self.pools.borrow_mut().remove(&instance.id);
+        self.leaving.borrow_mut().remove(&instance.id);
+        true
+    }
+
+    fn mark(&self, instance: &catalog::Instance, since: Option<id::Time>) {
+        let mut leaving = self.leaving.borrow_mut();
+        if !instance.draining {
+            leaving.remove(&instance.id);
+            return;
+        }
+        leaving.entry(instance.id.clone()).or_insert_with(|| {
+            tracing::info!(group = %self.group, instance = %instance.id,
+                fresh = since.is_some(), "instance is leaving");
+            since.map_or(id::Time::ZERO, |since| since + LEAVING_USE)
+        });
+    }
+
+    // An entry that vanished means that the instance left, or that it cannot reach the
+    // list. It is used as one that leaves: it may be healthy, but not for long.
+    fn leave(&self, id: &upstream::Id, now: id::Time) {
+        let mut leaving = self.leaving.borrow_mut();
+        let until = *leaving.entry(id.clone()).or_insert_with(|| {
+            tracing::info!(group = %self.group, instance = %id, "instance is no longer listed");
+            now + LEAVING_USE
+        });
+        // One that had announced its end before has ended.
+        let ended = self
+            .pools
+            .borrow()
+            .get(id)
+            .is_some_and(|pool| pool.instance.borrow().draining);
+        if ended || now > until {
+            leaving.remove(id);
+            if let Some(pool) = self.pools.borrow_mut().remove(id) {
+                pool.clear();
+            }
+            tracing::info!(group = %self.group, instance = %id, "instance forgotten");
+        }
+    }
+
+    /// All instances that may still be asked, leaving ones included.
+    #[must_use]
+    pub fn pools(&self) -> Vec<rc::Rc<pool::Pool>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
+    /// The connections to an instance that may be sent callers' work.
+    #[must_use]
+    pub fn pool(&self, id: &upstream::Id) -> Option<rc::Rc<pool::Pool>> {
+        self.pools
+            .borrow()
+            .get(id)
+            .filter(|_| self.is_usable(id))
+            .cloned()
+    }
+
+    /// Whether there is no instance.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.pools.borrow().is_empty()
+    }
+
+    /// Whether the instance announced its end or is no longer listed.
+    #[must_use]
+    pub fn is_leaving(&self, id: &upstream::Id) -> bool {
+        self.leaving.borrow().contains_key(id)
+    }
+
+    /// Whether the instance may be sent callers' work: one that announced its end may for a
+    /// while, counted from the announcement.
+    #[must_use]
+    pub fn is_usable(&self, id: &upstream::Id) -> bool {
+        let until = self.leaving.borrow().get(id).copied();
+        until.is_none_or(|until| boot::now() < until)
+    }
+
+    /// Whether this node has reached none of the instances for a while.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        let pools = self.pools.borrow();
+        !pools.is_empty() && pools.values().all(|pool| pool.is_lost())
+    }
+
+    /// When an instance was last added to the list, or started again.
+    #[must_use]
+    pub fn added(&self) -> id::Time {
+        self.added.get()
+    }
+}
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -117,9 +117,12 @@
             serving::Way::Through { each, .. } => (each, ABREAST.min(each)),
         };
         let mut pools = self.pools.borrow_mut();
+        // What was seen of an instance's earlier life, and its connections, are over.
+        pools.retain(|id, pool| *id != target.id || pool.born() >= target.born);
         let made = pools.entry(target.id.clone()).or_insert_with(|| {
             let instance = catalog::Instance {
                 id: target.id.clone(),
+                born: target.born,
                 group: target.group.clone(),
                 address: target.address,
                 domain: target.domain.clone(),
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -155,6 +155,12 @@
         over(self.ahead, STALLED).then_some(Cause::Stalled)
     }
 
+    /// Furthest position that any replica was seen to have received.
+    #[must_use]
+    pub const fn furthest(&self) -> Option<stamp::Stamp> {
+        self.received
+    }
+
     /// Whether something is amiss, so that the next round should come soon.
     #[must_use]
     pub fn is_uneasy(&self, now: id::Time) -> bool {
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -16,6 +16,10 @@
 /// Id of an instance; a replacement at the same address has another one.
 pub type Id = CompactString;
 
+/// When an instance's process started, in Unix milliseconds; 0 where that is not told. One
+/// that starts again under its id holds and knows nothing of before.
+pub type Birth = u64;
+
 /// Where and whom to call.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Target {
@@ -25,6 +29,8 @@
     pub group: id::Group,
     /// Its id, so that a newcomer at a used address refuses the connection.
     pub id: Id,
+    /// When its process started.
+    pub born: Birth,
     /// Its failure domain.
     pub domain: id::Domain,
 }
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -8,9 +8,12 @@
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
 use mangotray_desk::group;
+use mangotray_desk::kept;
+use mangotray_desk::urgency;
 use mangotray_desk::wait;
 
 const AGE: time::Duration = time::Duration::from_millis(1500);
+const SOON: time::Duration = time::Duration::from_millis(600);
 const LIMIT: time::Duration = time::Duration::from_secs(5);
 
 fn need(freshness: catalog::Freshness) -> group::Need {
@@ -153,3 +156,124 @@
         assert!(group.source(&tight, &[]).await.is_none());
     });
 }
+
+/// Symptom: reads are sent to a replica that refuses them, and kept from one that is well.
+/// Events: a replica that had announced its end, with a long log, starts again under its
+/// id with an empty one.
+/// Cause: its applied position, its announcement and its connections were kept by id.
+#[test]
+fn nothing_seen_of_an_instance_outlives_its_process() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let find = || {
+            let mut pools = group.roster().pools();
+            pools.retain(|pool| pool.id() == "b");
+            pools.remove(0)
+        };
+        let before = find();
+        let deadline = boot::now() + LIMIT;
+        let urgency = urgency::Urgency::now(deadline);
+        drop(before.lend(urgency, &kept::Values::new(), deadline).await);
+        assert_eq!(before.applied().position, 10);
+        before.note_behind();
+        stage.world.borrow_mut().at("b").draining = true;
+        stage.relist();
+        assert!(group.roster().is_leaving(&"b".into()));
+        {
+            let mut world = stage.world.borrow_mut();
+            let instance = world.at("b");
+            instance.draining = false;
+            instance.born = 2;
+            instance.position = 0;
+        }
+        stage.relist();
+        let after = find();
+        assert_eq!((after.born(), after.applied().position), (2, 0));
+        assert_eq!(after.behind(), id::Time::ZERO);
+        assert!(!group.roster().is_leaving(&"b".into()));
+        assert!(after.reborn().is_some());
+    });
+}
+
+/// Symptom: a read of all commits misses one that the new primary has acknowledged.
+/// Events: a promotion holds both replicas and one of them takes over; the other starts
+/// again, and this node reaches just that one and the old primary.
+/// Cause: a replica that had lost its hold with its process vouched for the old primary.
+#[test]
+fn a_replica_that_started_again_proves_nothing_by_itself() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let current = need(catalog::Freshness::Current);
+        assert!(group.source(&current, &[]).await.is_some());
+        {
+            let mut world = stage.world.borrow_mut();
+            world.promote("b");
+            world.at("b").up = false;
+            world.at("c").born = 2;
+        }
+        stage.relist();
+        let now = boot::now();
+        let soon = group::Need {
+            arrived: now,
+            deadline: now + SOON,
+            ..need(catalog::Freshness::Current)
+        };
+        assert!(group.source(&soon, &[]).await.is_none());
+        stage.world.borrow_mut().at("b").up = true;
+        let current = need(catalog::Freshness::Current);
+        let source = group.source(&current, &[]).await.expect("a source");
+        assert_eq!(source.pool.id(), "b");
+    });
+}
+
+/// Symptom: a group serves nothing that needs all commits, though all its instances are well.
+/// Events: both replicas start again, one after the other.
+/// Cause: none, if all that do not lead are asked together.
+#[test]
+fn replicas_that_all_started_again_prove_together() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        for id in ["b", "c"] {
+            stage.world.borrow_mut().at(id).born = 2;
+        }
+        stage.relist();
+        let current = need(catalog::Freshness::Current);
+        let source = group.source(&current, &[]).await.expect("a source");
+        assert_eq!(source.pool.id(), "a");
+    });
+}
+
+/// Symptom: a read that accepts some age misses a commit that is older than that.
+/// Events: the primary is out of reach; the replica that alone had received the commit
+/// starts again; a floor is made of what the replicas have received.
+/// Cause: "the furthest of all replicas has every acknowledged commit" was believed of a
+/// replica with an empty log.
+#[test]
+fn no_floor_is_made_of_a_log_that_began_anew() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let current = need(catalog::Freshness::Current);
+        assert!(group.source(&current, &[]).await.is_some());
+        {
+            let mut world = stage.world.borrow_mut();
+            world.at("a").up = false;
+            world.at("b").born = 2;
+            world.at("b").position = 0;
+            world.at("c").position = 9;
+        }
+        stage.relist();
+        // Well after the floors of before, of which nothing may be left.
+        wait::sleep(SOON).await;
+        let now = boot::now();
+        let bounded = group::Need {
+            arrived: now,
+            deadline: now + SOON,
+            ..need(catalog::Freshness::Bounded(SOON / 2))
+        };
+        assert!(group.source(&bounded, &[]).await.is_none());
+    });
+}
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -11,10 +11,16 @@
 use futures_util::FutureExt;
 use futures_util::future;
 use mangotray::role;
+use mangotray::stamp;
 use mangotray::store;
+use mangotray_desk::boot;
 use mangotray_desk::duty;
+use mangotray_desk::plan;
 use mangotray_desk::promoter;
+use mangotray_desk::sampler;
 use mangotray_desk::seat;
+use mangotray_desk::succession;
+use mangotray_desk::upstream;
 use mangotray_desk::wait;
 
 /// Long enough for a promoter to act wrongly if it would.
@@ -519,3 +525,88 @@
     });
     assert_eq!(play.leader(), ["c"]);
 }
+
+fn plan(play: &Play) -> plan::Plan {
+    let group = play.stage.node.group(&stage::GROUP.into());
+    let mut pools = group.roster().pools();
+    plan::Plan {
+        old: Some(pools.remove(0)),
+        group,
+        cause: succession::Cause::Crashed,
+        term: 2,
+        began: boot::now(),
+        furthest: Some(stamp::Stamp::new(1, 11)),
+    }
+}
+
+fn held(id: &str, position: u64) -> sampler::Look {
+    sampler::Look {
+        id: id.into(),
+        status: upstream::Status {
+            role: role::Role::Replica,
+            term: 1,
+            received: stamp::Stamp::new(1, position),
+            held: 2,
+        },
+    }
+}
+
+/// Symptom: an acknowledged booking is gone after a crash.
+/// Events: one replica alone receives a commit; it starts again, with an empty log; the
+/// primary crashes, and would come back with its log.
+/// Cause: "all listed replicas are held" was taken for "all commits are among them".
+#[test]
+fn a_group_whose_records_were_lost_with_a_replica_waits_for_its_primary() {
+    let play = play();
+    play.stage.run(async {
+        let plan = plan(&play);
+        assert!(plan.lacks_records(&[held("b", 0), held("c", 10)]));
+        assert!(!plan.lacks_records(&[held("b", 11), held("c", 10)]));
+        // Nobody has the commit any more; without a primary the group would stay dark.
+        play.stage.world.borrow_mut().instances.remove("a");
+        play.stage.relist();
+        assert!(!plan.lacks_records(&[held("b", 0), held("c", 10)]));
+    });
+}
+
+/// Symptom: the old primary goes on acknowledging commits that its successor never gets.
+/// Events: both replicas are held; one of them starts again, and is held no more, before the
+/// order leaves; or one that nobody has held is added to the list.
+/// Cause: a hold was believed of an instance, not of its process.
+#[test]
+fn a_hold_is_over_once_a_replica_has_started_again() {
+    let play = play();
+    play.stage.run(async {
+        let plan = plan(&play);
+        let lives = plan.lives();
+        play.stage.relist();
+        assert_eq!(plan.lives(), lives);
+        play.stage.world.borrow_mut().at("c").born = 2;
+        play.stage.relist();
+        assert_ne!(plan.lives(), lives);
+    });
+}
+
+/// Symptom: as above, after the order.
+/// Events: a primary is replaced while it cannot be told; the other replica starts again.
+/// Cause: replicas were held once.
+#[test]
+fn a_replica_that_starts_again_is_held_again_until_the_old_primary_knows() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").up = false;
+        play.led(2).await;
+        let other = if play.leader() == ["b"] { "c" } else { "b" };
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.at(other).born = 2;
+            world.at(other).held = 0;
+        }
+        play.stage.relist();
+        stage::until("it is held again", || {
+            play.stage.world.borrow_mut().at(other).held == 2
+        })
+        .await;
+    });
+}
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -72,6 +72,7 @@
         address: address(),
         group: stage::GROUP.into(),
         id: id.into(),
+        born: 1,
         domain: "near".into(),
     }
 }
@@ -120,3 +121,22 @@
         open.expect("an answer").expect("a connection");
     });
 }
+
+/// Symptom: a node lends connections of a process that has ended.
+/// Events: an instance starts again under its id; a node that has heard of it asks one that
+/// lends its connections; then one asks that has not heard of it yet.
+/// Cause: the lent connections were found by id alone.
+#[test]
+fn connections_are_lent_for_one_life_of_an_instance() {
+    let executor = Local::default();
+    let router = router("vm", rc::Rc::new(Narrow(None)), &executor);
+    let first = target("i");
+    let second = upstream::Target {
+        born: 2,
+        ..first.clone()
+    };
+    assert_eq!(router.pool(&first).born(), 1);
+    let renewed = router.pool(&second);
+    assert_eq!(renewed.born(), 2);
+    assert!(rc::Rc::ptr_eq(&renewed, &router.pool(&first)));
+}
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -223,7 +223,7 @@
         let group = stage.node.group(&stage::GROUP.into());
         let mut session = stage.session("bounded");
         let lost = async {
-            while !group.is_lost() {
+            while !group.roster().is_lost() {
                 session.handle(&stage::request("READ 1")).await;
             }
         };
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -53,6 +53,8 @@
     pub lose_answers: usize,
     /// The next statements are refused as not run.
     pub refuse: usize,
+    /// When its process started.
+    pub born: upstream::Birth,
 }
 
 /// All instances, and what they ran.
@@ -94,6 +96,7 @@
         draining: false,
         lose_answers: 0,
         refuse: 0,
+        born: 1,
     };
     let mut world = World::default();
     world
@@ -119,6 +122,7 @@
     pub fn list(&self) -> Vec<catalog::Instance> {
         let entry = |(id, instance): (&upstream::Id, &Instance)| catalog::Instance {
             id: id.clone(),
+            born: instance.born,
             group: GROUP.into(),
             address: "127.0.0.1:1".parse().expect("an address"),
             domain: "here".into(),
