Let a primary change places with a stuck replica

Change: relief (a plain decision) and a cause of its own for promotions. The lag that an instance reports with each look is believed, so that the change is over before the first read is refused; a replica that receives nothing counts as useless too. A change that finds the primary ahead of the held replicas is tried again at once. An instance's slots are read from the list.

--- a/desk/src/catalog.rs
+++ b/desk/src/catalog.rs
@@ -61,6 +61,23 @@
 }
 
 impl Catalog {
+    /// Largest age of data that any route to a group accepts.
+    ///
+    /// ```
+    /// use mangotray_desk::catalog;
+    /// let catalog = catalog::Catalog::default();
+    /// assert!(catalog.oldest(&"bookings".into()).is_zero());
+    /// ```
+    #[must_use]
+    pub fn oldest(&self, group: &id::Group) -> time::Duration {
+        let routes = self.routes.iter().filter(|route| route.group == *group);
+        let ages = routes.map(|route| match route.freshness {
+            Freshness::Current => time::Duration::ZERO,
+            Freshness::Bounded(age) | Freshness::Own(age) => age,
+        });
+        ages.max().unwrap_or_default()
+    }
+
     /// The route of a database.
     ///
     /// ```
@@ -89,6 +106,8 @@
     pub address: net::SocketAddr,
     /// Its failure domain.
     pub domain: id::Domain,
+    /// Statements that it works on at once.
+    pub slots: usize,
     /// It is about to leave.
     pub draining: bool,
     /// It sees itself as primary.
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod promoter;
 pub mod queue;
 pub mod relay;
+pub mod relief;
 pub mod reply;
 pub mod roster;
 pub mod router;
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -172,10 +172,8 @@
         .run(std::slice::from_ref(command), deadline)
         .await
         .ok()?;
-    let status = dialer.status(replies.first()?);
+    let look = sampler::Look::read(pool.id(), replies.first()?, dialer);
+    let status = look.as_ref().map(|look| look.status);
     tracing::info!(instance = %pool.id(), ?command, ?status, "instance told");
-    Some(sampler::Look {
-        id: pool.id(),
-        status: status?,
-    })
+    look
 }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -87,6 +87,8 @@
     failing: cell::Cell<Option<id::Time>>,
     applied: cell::Cell<stamp::Stamp>,
     behind: cell::Cell<id::Time>,
+    /// When, by its last report, it will have applied what it has received.
+    caught_up: cell::Cell<id::Time>,
     answered: cell::Cell<id::Time>,
     reborn: cell::Cell<Option<id::Time>>,
     delay: cell::Cell<time::Duration>,
@@ -121,6 +123,7 @@
             failing: cell::Cell::default(),
             applied: cell::Cell::default(),
             behind: cell::Cell::default(),
+            caught_up: cell::Cell::default(),
             answered: cell::Cell::default(),
             reborn: cell::Cell::default(),
             delay: cell::Cell::default(),
@@ -212,6 +215,17 @@
         self.behind.set(boot::now());
     }
 
+    /// Takes note of what the instance said of itself in answer to a look.
+    pub fn note_load(&self, load: upstream::Load) {
+        self.caught_up.set(boot::now() + load.lag);
+    }
+
+    /// Time after which the instance will have applied what it has received, by its last report.
+    #[must_use]
+    pub fn lag(&self) -> time::Duration {
+        self.caught_up.get().saturating_sub(boot::now())
+    }
+
     /// Lends a connection, the one whose values fit best where several are free.
     ///
     /// A lost instance is dialled in the background; nobody waits for it meanwhile.
@@ -438,6 +452,7 @@
             id: instance.id.clone(),
             born: instance.born,
             domain: instance.domain.clone(),
+            slots: instance.slots,
         }
     }
 
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -16,6 +16,7 @@
 use crate::node;
 use crate::plan;
 use crate::pool;
+use crate::relief;
 use crate::sampler;
 use crate::seat;
 use crate::succession;
@@ -35,6 +36,13 @@
 /// Longest wait for one look at a primary, above the slowest answers under load.
 const LOOK: time::Duration = time::Duration::from_millis(250);
 
+/// Tries at one change of places, each of which may find that the primary has just taken a
+/// record which the held replicas lack; with ten writes a second one in four does.
+const TRIES: usize = 4;
+
+/// Pause between such tries, in which the replicas receive what they lack.
+const AGAIN: time::Duration = time::Duration::from_millis(60);
+
 /// A promotion whose replicas cannot all be held in this time is given up for now.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
 
@@ -81,8 +89,9 @@
     async fn guard(self: rc::Rc<Self>, group: rc::Rc<group::Group>) {
         let mut watch = succession::Watch::default();
         let mut watched = None;
+        let mut relief = relief::Relief::default();
         loop {
-            let pause = if watch.is_uneasy(boot::now()) {
+            let pause = if watch.is_uneasy(boot::now()) || relief.is_near() {
                 UNEASY
             } else {
                 CALM
@@ -105,16 +114,26 @@
             }
             let Some(lead) = &watched else { continue };
             let round = self.look(&group, lead, watch.is_uneasy(boot::now())).await;
-            let Some(cause) = watch.judge(&round) else {
-                continue;
+            let cause = match watch.judge(&round) {
+                Some(cause) => cause,
+                None if self.may_relieve(&group, lead, &mut relief).await => {
+                    succession::Cause::Relief
+                }
+                None => continue,
             };
             if self.seat.held().is_none() {
                 continue;
             }
             tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
                 received = ?round.received, "replacing the primary");
-            let done = self.replace(&group, lead, cause, watch.furthest()).await;
+            let mut done = self.replace(&group, lead, cause, watch.furthest()).await;
+            if cause == succession::Cause::Relief {
+                done = self.insist(&group, lead, done).await;
+            }
             watch = succession::Watch::default();
+            if cause == succession::Cause::Relief && done.is_some() {
+                relief.done(boot::now());
+            }
             match done {
                 Some(lead) => watched = Some(lead),
                 None => wait::sleep(UNEASY).await,
@@ -122,6 +141,73 @@
         }
     }
 
+    // Tries a change of places again that was withdrawn: the reason for it will last.
+    async fn insist(
+        &self,
+        group: &rc::Rc<group::Group>,
+        lead: &sampler::Lead,
+        mut done: Option<sampler::Lead>,
+    ) -> Option<sampler::Lead> {
+        for _ in 1..TRIES {
+            if done.is_some() || self.seat.held().is_none() {
+                break;
+            }
+            wait::sleep(AGAIN).await;
+            let cause = succession::Cause::Relief;
+            done = self.replace(group, lead, cause, None).await;
+        }
+        done
+    }
+
+    // Whether the primary should change places with a replica for relief.
+    async fn may_relieve(
+        &self,
+        group: &rc::Rc<group::Group>,
+        lead: &sampler::Lead,
+        relief: &mut relief::Relief,
+    ) -> bool {
+        let (Some(primary), others) = split(group, &lead.id) else {
+            return false;
+        };
+        let age = self.node.catalog().oldest(&group.name);
+        if !others.iter().any(|pool| relief::is_stuck(pool.lag(), age)) {
+            return false;
+        }
+        let Some(view) = self.view(group, &primary, &others).await else {
+            return false;
+        };
+        let due = relief.judge(&view);
+        tracing::info!(group = %group.name, primary = %lead.id, due, position = %view.position,
+            replicas = ?view.replicas, "replicas are behind");
+        due
+    }
+
+    async fn view(
+        &self,
+        group: &group::Group,
+        primary: &rc::Rc<pool::Pool>,
+        others: &[rc::Rc<pool::Pool>],
+    ) -> Option<relief::View> {
+        let now = boot::now();
+        let first = sampler::look(primary, group.dialer(), LOOK).await?;
+        let looks = sampler::look_at_all(others, group.dialer(), LOOK).await;
+        if looks.len() < others.len() || first.status.role != role::Role::Primary {
+            return None;
+        }
+        let replicas = looks.iter().map(|look| relief::Replica {
+            received: look.status.received,
+            applied: look.applied.unwrap_or_default(),
+            lag: look.status.load.lag,
+            leaving: group.roster().is_leaving(&look.id),
+        });
+        Some(relief::View {
+            now,
+            position: first.status.received,
+            replicas: replicas.collect(),
+            age: self.node.catalog().oldest(&group.name),
+        })
+    }
+
     async fn look(
         &self,
         group: &rc::Rc<group::Group>,
@@ -190,7 +276,11 @@
             .map(|look| (&look.id, look.status.received))
             .collect();
         tracing::info!(group = %group.name, %candidate, term = plan.term, ?received, "candidate chosen");
-        if cause == succession::Cause::Planned && plan.is_ahead_of(&candidate, &held).await {
+        let planned = matches!(
+            cause,
+            succession::Cause::Planned | succession::Cause::Relief
+        );
+        if planned && plan.is_ahead_of(&candidate, &held).await {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
             self.withdraw(&plan).await;
             return None;
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -126,6 +126,7 @@
                 group: target.group.clone(),
                 address: target.address,
                 domain: target.domain.clone(),
+                slots: target.slots,
                 draining: false,
                 leads: false,
             };
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -12,6 +12,7 @@
 use crate::kept;
 use crate::lent;
 use crate::pool;
+use crate::reply;
 use crate::upstream;
 use crate::urgency;
 use crate::wait;
@@ -36,6 +37,24 @@
     pub id: upstream::Id,
     /// What it said.
     pub status: upstream::Status,
+    /// Last record that it had applied.
+    pub applied: Option<stamp::Stamp>,
+}
+
+impl Look {
+    /// What an instance's answer to a command for its status says.
+    #[must_use]
+    pub fn read(
+        id: upstream::Id,
+        reply: &reply::Reply,
+        dialer: &dyn upstream::Dialer,
+    ) -> Option<Self> {
+        Some(Self {
+            id,
+            status: dialer.status(reply)?,
+            applied: reply.position,
+        })
+    }
 }
 
 /// A connection for a command of this node's own, before all statements of callers.
@@ -58,11 +77,9 @@
         .run(&[upstream::Command::Status], deadline)
         .await
         .ok()?;
-    let status = dialer.status(replies.first()?)?;
-    Some(Look {
-        id: pool.id(),
-        status,
-    })
+    let look = Look::read(pool.id(), replies.first()?, dialer)?;
+    pool.note_load(look.status.load);
+    Some(look)
 }
 
 /// Asks several instances at once; those that do not answer in time are left out.
@@ -86,8 +103,8 @@
 ///
 /// ```
 /// use mangotray::{role::Role, stamp::Stamp};
-/// use mangotray_desk::{sampler, upstream::Status};
-/// let status = Status { role: Role::Primary, term: 2, received: Stamp::new(2, 7), held: 0 };
+/// use mangotray_desk::{sampler, upstream::{Load, Status}};
+/// let status = Status { role: Role::Primary, term: 2, received: Stamp::new(2, 7), held: 0, load: Load::default() };
 /// let looks = [sampler::Look { id: "a".into(), status }];
 /// assert_eq!(sampler::leader(&looks).map(|lead| lead.term), Some(2));
 /// ```
@@ -109,8 +126,8 @@
 ///
 /// ```
 /// use mangotray::{role::Role, stamp::Stamp};
-/// use mangotray_desk::{sampler, upstream::Status};
-/// let held = Status { role: Role::Replica, term: 2, received: Stamp::new(2, 7), held: 3 };
+/// use mangotray_desk::{sampler, upstream::{Load, Status}};
+/// let held = Status { role: Role::Replica, term: 2, received: Stamp::new(2, 7), held: 3, load: Load::default() };
 /// assert!(sampler::overtakes(&held, 2));
 /// ```
 #[must_use]
@@ -126,10 +143,11 @@
 ///
 /// ```
 /// use mangotray::{role::Role, stamp::Stamp};
-/// use mangotray_desk::{sampler, upstream::Status};
+/// use mangotray_desk::{sampler, upstream::{Load, Status}};
 /// let look = |id: &str, position| sampler::Look {
 ///     id: id.into(),
-///     status: Status { role: Role::Replica, term: 2, received: Stamp::new(2, position), held: 0 },
+///     status: Status { role: Role::Replica, term: 2, received: Stamp::new(2, position), held: 0, load: Load::default() },
+///     applied: None,
 /// };
 /// let looks = [look("a", 5), look("b", 9)];
 /// assert_eq!(sampler::received(&looks, 2, 2), Some(Stamp::new(2, 9)));
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -78,6 +78,8 @@
     Stalled,
     /// An earlier promotion was left half done.
     Unfinished,
+    /// It does all the work of its group, as no replica is fresh enough.
+    Relief,
 }
 
 impl Cause {
@@ -93,7 +95,10 @@
     /// ```
     #[must_use]
     pub const fn lives(self) -> bool {
-        matches!(self, Self::Planned | Self::Stalled | Self::Unfinished)
+        matches!(
+            self,
+            Self::Planned | Self::Stalled | Self::Unfinished | Self::Relief
+        )
     }
 }
 
@@ -192,10 +197,11 @@
 ///
 /// ```
 /// use mangotray::{role::Role, stamp::Stamp};
-/// use mangotray_desk::{sampler::Look, succession, upstream::Status};
+/// use mangotray_desk::{sampler::Look, succession, upstream::{Load, Status}};
 /// let look = |id: &str, position| Look {
 ///     id: id.into(),
-///     status: Status { role: Role::Replica, term: 1, received: Stamp::new(1, position), held: 2 },
+///     status: Status { role: Role::Replica, term: 1, received: Stamp::new(1, position), held: 2, load: Load::default() },
+///     applied: None,
 /// };
 /// let looks = [look("a", 4), look("b", 9)];
 /// assert_eq!(succession::candidate(&looks, |_| false), Some("b".into()));
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -33,6 +33,8 @@
     pub born: Birth,
     /// Its failure domain.
     pub domain: id::Domain,
+    /// Statements that it works on at once.
+    pub slots: usize,
 }
 
 /// One command to an instance.
@@ -104,6 +106,18 @@
     pub received: stamp::Stamp,
     /// Term of the hold, 0 without one.
     pub held: id::Term,
+    /// How much it has to do.
+    pub load: Load,
+}
+
+/// How much an instance has to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Time after which it will have applied what it has received, as it reckons: it grows at
+    /// once when a record will take long, and counts down.
+    pub lag: time::Duration,
+    /// Statements at work or waiting.
+    pub busy: usize,
 }
 
 /// Why an exchange gave no whole answer.
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -526,7 +526,7 @@
     assert_eq!(play.leader(), ["c"]);
 }
 
-fn plan(play: &Play) -> plan::Plan {
+fn replacement(play: &Play) -> plan::Plan {
     let group = play.stage.node.group(&stage::GROUP.into());
     let mut pools = group.roster().pools();
     plan::Plan {
@@ -547,7 +547,9 @@
             term: 1,
             received: stamp::Stamp::new(1, position),
             held: 2,
+            load: upstream::Load::default(),
         },
+        applied: None,
     }
 }
 
@@ -559,13 +561,13 @@
 fn a_group_whose_records_were_lost_with_a_replica_waits_for_its_primary() {
     let play = play();
     play.stage.run(async {
-        let plan = plan(&play);
-        assert!(plan.lacks_records(&[held("b", 0), held("c", 10)]));
-        assert!(!plan.lacks_records(&[held("b", 11), held("c", 10)]));
+        let change = replacement(&play);
+        assert!(change.lacks_records(&[held("b", 0), held("c", 10)]));
+        assert!(!change.lacks_records(&[held("b", 11), held("c", 10)]));
         // Nobody has the commit any more; without a primary the group would stay dark.
         play.stage.world.borrow_mut().instances.remove("a");
         play.stage.relist();
-        assert!(!plan.lacks_records(&[held("b", 0), held("c", 10)]));
+        assert!(!change.lacks_records(&[held("b", 0), held("c", 10)]));
     });
 }
 
@@ -577,13 +579,13 @@
 fn a_hold_is_over_once_a_replica_has_started_again() {
     let play = play();
     play.stage.run(async {
-        let plan = plan(&play);
-        let lives = plan.lives();
+        let change = replacement(&play);
+        let lives = change.lives();
         play.stage.relist();
-        assert_eq!(plan.lives(), lives);
+        assert_eq!(change.lives(), lives);
         play.stage.world.borrow_mut().at("c").born = 2;
         play.stage.relist();
-        assert_ne!(plan.lives(), lives);
+        assert_ne!(change.lives(), lives);
     });
 }
 
@@ -610,3 +612,33 @@
         .await;
     });
 }
+
+/// Symptom: for as long as both replicas need for one slow record, the primary serves all
+/// reads alone.
+/// Events: both replicas receive a record that takes them nine seconds.
+/// Cause: a primary was replaced only for reasons of its own.
+#[test]
+fn a_group_whose_replicas_are_stuck_changes_its_primary_once() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        for id in ["b", "c"] {
+            let lag = time::Duration::from_secs(9);
+            play.stage.world.borrow_mut().at(id).lag = Some((lag, 5));
+        }
+        let group = play.stage.node.group(&stage::GROUP.into());
+        let deadline = boot::now() + stage::LIMIT;
+        assert!(group.prove(deadline).await.is_some());
+        play.led(2).await;
+        stage::until("the old primary knows", || {
+            play.stage.world.borrow_mut().at("a").role == role::Role::Replica
+        })
+        .await;
+        // Both follow the new primary from here on.
+        for id in ["a", "b", "c"] {
+            play.stage.world.borrow_mut().at(id).term = 2;
+        }
+        wait::sleep(LONG).await;
+        assert_eq!(play.duty.orders.borrow().len(), 1);
+    });
+}
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -74,6 +74,7 @@
         id: id.into(),
         born: 1,
         domain: "near".into(),
+        slots: 3,
     }
 }
 
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -55,6 +55,8 @@
     pub refuse: usize,
     /// When its process started.
     pub born: upstream::Birth,
+    /// Time until it will have applied what it has received, and what it has applied so far.
+    pub lag: Option<(time::Duration, id::Position)>,
 }
 
 /// All instances, and what they ran.
@@ -97,6 +99,7 @@
         lose_answers: 0,
         refuse: 0,
         born: 1,
+        lag: None,
     };
     let mut world = World::default();
     world
@@ -126,6 +129,7 @@
             group: GROUP.into(),
             address: "127.0.0.1:1".parse().expect("an address"),
             domain: "here".into(),
+            slots: 3,
             draining: instance.draining,
             leads: instance.role == role::Role::Primary,
         };
@@ -139,6 +143,7 @@
         instance.role = role::Role::Primary;
         instance.term = term.unwrap_or_default() + 1;
         instance.held = 0;
+        instance.lag = None;
     }
 
     /// The texts that an instance ran.
@@ -193,6 +198,10 @@
             term,
             received: stamp::Stamp::new(term, position),
             held: numbers.next()?,
+            load: upstream::Load {
+                lag: time::Duration::from_millis(numbers.next()?),
+                busy: 0,
+            },
         })
     }
 }
@@ -357,8 +366,9 @@
             role::Role::Primary => "primary",
             role::Role::Replica => "replica",
         };
+        let lag = instance.lag.map_or(0, |(lag, _)| lag.as_millis());
         let row = format_compact!(
-            "{role} {} {} {}",
+            "{role} {} {} {} {lag}",
             instance.term,
             instance.position,
             instance.held
@@ -397,7 +407,8 @@
 }
 
 fn place(instance: &Instance) -> stamp::Stamp {
-    stamp::Stamp::new(instance.term, instance.position)
+    let applied = instance.lag.map(|(_, applied)| applied);
+    stamp::Stamp::new(instance.term, applied.unwrap_or(instance.position))
 }
 
 fn lost() -> upstream::Failure {
