Let a loaded primary give up before its successor is ordered, and a new holder go on from what it saw

After the outage the nodes found the store up to 1.5 s late, the new holder wondered 600 ms anew whether the primary is silent, and twelve tries at a change of places found the loaded primary ahead of the held replicas (asking it took 60 to 200 ms, with twenty writes a second): never changed. Change: for relief the seat is confirmed, the primary demoted, and the successor ordered afterwards; where the primary was ahead, 500 ms are waited for an instance that is not listed yet, and the promotion begins anew if one appears. A watch resumes from the group's own search. A new test failed first: an instance listed late left the group without a primary for ever, as the promoter's own looks kept a demoted primary 'answered'.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use mangotray::id;
+use mangotray::role;
 use mangotray::stamp;
 
 use crate::boot;
@@ -14,6 +15,7 @@
 use crate::pool;
 use crate::roster;
 use crate::sampler;
+use crate::succession;
 use crate::upstream;
 use crate::wait;
 
@@ -76,6 +78,7 @@
     term: cell::Cell<id::Term>,
     floors: cell::RefCell<floor::Floors>,
     changed: event_listener::Event,
+    vacancy: cell::Cell<succession::Vacancy>,
     searching: cell::Cell<bool>,
     refreshing: cell::Cell<bool>,
     provers: cell::RefCell<Vec<async_channel::Sender<Proof>>>,
@@ -107,6 +110,7 @@
             term: cell::Cell::default(),
             floors: cell::RefCell::default(),
             changed: event_listener::Event::new(),
+            vacancy: cell::Cell::default(),
             searching: cell::Cell::default(),
             refreshing: cell::Cell::default(),
             provers: cell::RefCell::default(),
@@ -156,6 +160,12 @@
         self.lead.borrow().clone()
     }
 
+    /// What this node has seen of the group while it knew no primary.
+    #[must_use]
+    pub fn vacancy(&self) -> succession::Vacancy {
+        self.vacancy.get()
+    }
+
     /// Highest term that this node has heard of.
     #[must_use]
     pub fn term(&self) -> id::Term {
@@ -193,6 +203,10 @@
             tracing::info!(group = %self.name, primary = %lead.id, term = lead.term, reason,
                 "primary in doubt");
             self.lead.replace(None);
+            self.vacancy.set(succession::Vacancy {
+                since: Some(boot::now()),
+                ..self.vacancy.get()
+            });
         }
         self.search();
     }
@@ -229,6 +243,10 @@
                 answers = looks.len(), "primary found");
         }
         self.last.replace(Some(lead.id.clone()));
+        self.vacancy.set(succession::Vacancy {
+            since: None,
+            ..self.vacancy.get()
+        });
         self.lead.replace(Some(lead));
         self.changed.notify(usize::MAX);
         true
@@ -239,6 +257,7 @@
         let highest = looks.iter().map(|look| look.status.term).max();
         self.term
             .set(self.term.get().max(highest.unwrap_or_default()));
+        self.note_progress(looks);
         let Some(lead) = sampler::leader(looks) else {
             return;
         };
@@ -258,6 +277,21 @@
         }
     }
 
+    fn note_progress(&self, looks: &[sampler::Look]) {
+        let vacancy = self.vacancy.get();
+        let before = vacancy.received.map(|(received, _)| received);
+        let followers = looks
+            .iter()
+            .filter(|look| look.status.role == role::Role::Replica);
+        let received = followers.map(|look| look.status.received).max();
+        if received > before {
+            self.vacancy.set(succession::Vacancy {
+                received: received.map(|received| (received, boot::now())),
+                ..vacancy
+            });
+        }
+    }
+
     /// Proves that a primary leads at some moment after this call began.
     ///
     /// Calls that wait at the same time share one look at a replica.
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -18,6 +18,9 @@
 /// Longest wait for the answer to one hold.
 const HOLD: time::Duration = time::Duration::from_millis(300);
 
+/// Longest wait for a loaded primary to take a command: its queue of 24 takes 160 ms.
+const GIVE_UP: time::Duration = time::Duration::from_millis(600);
+
 /// Longest wait for an ordered candidate to lead; promotions take 300 to 600 ms.
 pub const LEADING: time::Duration = time::Duration::from_millis(1800);
 
@@ -137,6 +140,24 @@
         *lives = now;
     }
 
+    /// Tells the old primary to give up, before a successor is ordered. Nothing while it goes on
+    /// leading; else its last record, if it said so.
+    pub async fn give_up(&self) -> Option<Option<stamp::Stamp>> {
+        let old = self.old.as_ref()?;
+        let command = upstream::Command::Demote(self.term);
+        let dialer = self.group.dialer();
+        let told = tell_within(old, &command, dialer, GIVE_UP).await;
+        let look = match told {
+            Some(look) => Some(look),
+            // The answer may have been lost, or the command may still wait.
+            None => sampler::look(old, dialer, GIVE_UP).await,
+        };
+        let leads = look
+            .as_ref()
+            .is_some_and(|look| look.status.role == role::Role::Primary);
+        (!leads).then(|| look.map(|look| look.status.received))
+    }
+
     /// Ends the old primary's belief that it leads, then frees replicas that are still held:
     /// in this order, as a freed replica would acknowledge commits of the old primary.
     pub async fn settle(&self, candidate: &upstream::Id) {
@@ -166,7 +187,16 @@
     command: &upstream::Command,
     dialer: &dyn upstream::Dialer,
 ) -> Option<sampler::Look> {
-    let deadline = boot::now() + HOLD;
+    tell_within(pool, command, dialer, HOLD).await
+}
+
+async fn tell_within(
+    pool: &rc::Rc<pool::Pool>,
+    command: &upstream::Command,
+    dialer: &dyn upstream::Dialer,
+    limit: time::Duration,
+) -> Option<sampler::Look> {
+    let deadline = boot::now() + limit;
     let mut lent = sampler::connection(pool, deadline).await?;
     let replies = lent
         .run(std::slice::from_ref(command), deadline)
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -36,12 +36,9 @@
 /// Longest wait for one look at a primary, above the slowest answers under load.
 const LOOK: time::Duration = time::Duration::from_millis(250);
 
-/// Tries at one change of places, each of which may find that the primary has just taken a
-/// record which the held replicas lack; with ten writes a second one in four does.
-const TRIES: usize = 4;
-
-/// Pause between such tries, in which the replicas receive what they lack.
-const AGAIN: time::Duration = time::Duration::from_millis(60);
+/// Time after which an instance that receives records is listed, and the list has come here:
+/// it was seen to take 170 ms, and changes of the list gather for 150 ms.
+const LISTED: time::Duration = time::Duration::from_millis(500);
 
 /// A promotion whose replicas cannot all be held in this time is given up for now.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
@@ -98,7 +95,7 @@
             };
             wait::sleep(pause).await;
             if !self.seat.had() {
-                watch = succession::Watch::default();
+                watch = succession::Watch::resumed(group.vacancy());
                 continue;
             }
             // A belief older than the last promotion would have it taken for one left undone.
@@ -126,10 +123,7 @@
             }
             tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
                 received = ?round.received, "replacing the primary");
-            let mut done = self.replace(&group, lead, cause, watch.furthest()).await;
-            if cause == succession::Cause::Relief {
-                done = self.insist(&group, lead, done).await;
-            }
+            let done = self.replace(&group, lead, cause, watch.furthest()).await;
             watch = succession::Watch::default();
             if cause == succession::Cause::Relief && done.is_some() {
                 relief.done(boot::now());
@@ -141,24 +135,6 @@
         }
     }
 
-    // Tries a change of places again that was withdrawn: the reason for it will last.
-    async fn insist(
-        &self,
-        group: &rc::Rc<group::Group>,
-        lead: &sampler::Lead,
-        mut done: Option<sampler::Lead>,
-    ) -> Option<sampler::Lead> {
-        for _ in 1..TRIES {
-            if done.is_some() || self.seat.held().is_none() {
-                break;
-            }
-            wait::sleep(AGAIN).await;
-            let cause = succession::Cause::Relief;
-            done = self.replace(group, lead, cause, None).await;
-        }
-        done
-    }
-
     // Whether the primary should change places with a replica for relief.
     async fn may_relieve(
         &self,
@@ -184,14 +160,18 @@
 
     async fn view(
         &self,
-        group: &group::Group,
+        group: &rc::Rc<group::Group>,
         primary: &rc::Rc<pool::Pool>,
         others: &[rc::Rc<pool::Pool>],
     ) -> Option<relief::View> {
         let now = boot::now();
         let first = sampler::look(primary, group.dialer(), LOOK).await?;
         let looks = sampler::look_at_all(others, group.dialer(), LOOK).await;
-        if looks.len() < others.len() || first.status.role != role::Role::Primary {
+        if first.status.role != role::Role::Primary {
+            group.doubt(first.status.term, "the primary leads no more");
+            return None;
+        }
+        if looks.len() < others.len() {
             return None;
         }
         let replicas = looks.iter().map(|look| relief::Replica {
@@ -276,18 +256,25 @@
             .map(|look| (&look.id, look.status.received))
             .collect();
         tracing::info!(group = %group.name, %candidate, term = plan.term, ?received, "candidate chosen");
-        let planned = matches!(
-            cause,
-            succession::Cause::Planned | succession::Cause::Relief
-        );
-        if planned && plan.is_ahead_of(&candidate, &held).await {
+        let relief = cause == succession::Cause::Relief;
+        if relief && !self.step_down(&plan, &candidate, &held).await {
+            self.withdraw(&plan).await;
+            return None;
+        }
+        if cause == succession::Cause::Planned && plan.is_ahead_of(&candidate, &held).await {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
             self.withdraw(&plan).await;
             return None;
         }
         let outcome = self.order(&plan, &candidate, &lives).await;
         if let duty::Outcome::Refused(_) = outcome {
-            self.withdraw(&plan).await;
+            if relief {
+                // Without a primary the replicas stay held, for a promotion that is finished
+                // next; nobody may go on believing in the one that has given up.
+                group.doubt(lead.term, "the primary has given up");
+            } else {
+                self.withdraw(&plan).await;
+            }
             return None;
         }
         self.pending
@@ -304,6 +291,37 @@
         })
     }
 
+    // Tells the primary to give up before its successor is ordered; whether it has done so.
+    //
+    // A loaded primary takes new records all the time, and asking it where its log stands
+    // takes as long as its queue: most changes of places would find it ahead of the held
+    // replicas and be withdrawn. Once it has given up it acknowledges nothing more. If it is
+    // ahead then, only an instance that is not listed yet can have had part in an
+    // acknowledgement; it is waited for, and the promotion begins anew if one appears.
+    async fn step_down(
+        &self,
+        plan: &plan::Plan,
+        candidate: &upstream::Id,
+        held: &[sampler::Look],
+    ) -> bool {
+        if self.seat.confirm().await.is_none() {
+            return false;
+        }
+        let Some(stands) = plan.give_up().await else {
+            return false;
+        };
+        let received = held
+            .iter()
+            .find(|look| look.id == *candidate)
+            .map(|look| look.status.received);
+        let ahead = stands.is_none() || stands > received;
+        tracing::info!(group = %plan.group.name, ?stands, ?received, ahead, "the primary has given up");
+        if ahead {
+            wait::sleep(LISTED).await;
+        }
+        true
+    }
+
     // An order that was surely not carried out: a primary that lives goes on, in place of
     // waiting for replicas that are held until promotions are possible again.
     async fn withdraw(&self, plan: &plan::Plan) {
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -102,6 +102,15 @@
     }
 }
 
+/// What a node that does not hold the seat has seen of a group without a primary.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Vacancy {
+    /// Since when it knows no primary; none while it knows one.
+    pub since: Option<id::Time>,
+    /// Furthest position that a replica was seen to have received, and when it last moved.
+    pub received: Option<(stamp::Stamp, id::Time)>,
+}
+
 /// What is known of one primary over time.
 ///
 /// ```
@@ -132,6 +141,43 @@
 }
 
 impl Watch {
+    /// A watch that goes on from what this node saw before it held the seat.
+    ///
+    /// The load that this answers: the store is away, a primary is lost meanwhile, and so is
+    /// the holder of the seat. Its successor has sought the primary and looked at the replicas
+    /// for seconds already; were it to wonder anew, the group would go without a
+    /// primary for 600 ms longer.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::succession::{Cause, Reach, Round, Vacancy, Watch};
+    /// use std::time::Duration;
+    /// let vacancy = Vacancy {
+    ///     since: Some(Duration::from_secs(5)),
+    ///     received: Some((Stamp::new(1, 5), Duration::from_secs(4))),
+    /// };
+    /// let round = Round {
+    ///     started: Duration::from_secs(9),
+    ///     primary: Reach::Silent,
+    ///     leaving: false,
+    ///     added: Duration::ZERO,
+    ///     received: Some(Stamp::new(1, 5)),
+    ///     held: false,
+    /// };
+    /// assert_eq!(Watch::default().judge(&round), None);
+    /// assert_eq!(Watch::resumed(vacancy).judge(&round), Some(Cause::Silent));
+    /// ```
+    #[must_use]
+    pub fn resumed(vacancy: Vacancy) -> Self {
+        let seen = vacancy.received.filter(|_| vacancy.since.is_some());
+        Self {
+            received: seen.map(|(received, _)| received),
+            moved: seen.map(|(_, moved)| moved).unwrap_or_default(),
+            silent: vacancy.since.filter(|_| seen.is_some()),
+            ..Self::default()
+        }
+    }
+
     /// Takes one round in and says whether the primary is to be replaced.
     pub fn judge(&mut self, round: &Round) -> Option<Cause> {
         self.note(round);
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -152,6 +152,8 @@
     lose: cell::Cell<usize>,
     /// Orders are refused.
     refuse: cell::Cell<bool>,
+    /// Primaries that there were when the orders came.
+    primaries: cell::RefCell<Vec<usize>>,
 }
 
 impl duty::Duty for Duty {
@@ -162,6 +164,9 @@
                 return duty::Outcome::Refused("not now".into());
             }
             let mut world = self.world.borrow_mut();
+            let leads = |instance: &&stage::Instance| instance.role == role::Role::Primary;
+            let primaries = world.instances.values().filter(leads).count();
+            self.primaries.borrow_mut().push(primaries);
             if world.at(&order.candidate).role == role::Role::Replica {
                 world.promote(&order.candidate);
             }
@@ -195,6 +200,7 @@
         orders: cell::RefCell::default(),
         lose: cell::Cell::default(),
         refuse: cell::Cell::default(),
+        primaries: cell::RefCell::default(),
     });
     let ordered: rc::Rc<dyn duty::Duty> = rc::Rc::<Duty>::clone(&duty);
     let promoter =
@@ -220,6 +226,17 @@
         .await;
     }
 
+    /// Lets both replicas hold a record that takes them nine seconds, and the node see that.
+    async fn stick(&self) {
+        for id in ["b", "c"] {
+            let lag = time::Duration::from_secs(9);
+            self.stage.world.borrow_mut().at(id).lag = Some((lag, 5));
+        }
+        let group = self.stage.node.group(&stage::GROUP.into());
+        let deadline = boot::now() + stage::LIMIT;
+        assert!(group.prove(deadline).await.is_some());
+    }
+
     fn leader(&self) -> Vec<String> {
         let world = self.stage.world.borrow();
         let up = world.instances.iter().filter(|(_, instance)| instance.up);
@@ -622,23 +639,62 @@
     let play = play();
     play.stage.run(async {
         play.led(1).await;
-        for id in ["b", "c"] {
-            let lag = time::Duration::from_secs(9);
-            play.stage.world.borrow_mut().at(id).lag = Some((lag, 5));
-        }
-        let group = play.stage.node.group(&stage::GROUP.into());
-        let deadline = boot::now() + stage::LIMIT;
-        assert!(group.prove(deadline).await.is_some());
+        play.stick().await;
         play.led(2).await;
-        stage::until("the old primary knows", || {
-            play.stage.world.borrow_mut().at("a").role == role::Role::Replica
-        })
-        .await;
-        // Both follow the new primary from here on.
+        // All follow the new primary from here on.
         for id in ["a", "b", "c"] {
             play.stage.world.borrow_mut().at(id).term = 2;
         }
         wait::sleep(LONG).await;
         assert_eq!(play.duty.orders.borrow().len(), 1);
+        assert_eq!(play.duty.primaries.borrow()[..], [0]);
+    });
+}
+
+/// Symptom: a loaded primary is asked a dozen times where its log stands, and its writes wait
+/// each time; it never changes places.
+/// Events: the replicas are held; the primary takes one more record, which it cannot
+/// acknowledge.
+/// Cause: a primary that was ahead of the held replicas kept its place.
+#[test]
+fn a_primary_that_is_ahead_gives_up_before_its_successor_is_ordered() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").ahead = 1;
+        play.stick().await;
+        play.led(2).await;
+        assert_eq!(play.duty.primaries.borrow()[..], [0]);
+    });
+}
+
+/// Symptom: an acknowledged booking is gone after a change of places.
+/// Events: as above, but an instance that is not listed yet has received the record, so that
+/// it was acknowledged; it is listed while the primary gives up.
+/// Cause: the listed replicas were taken for all that can have a commit.
+#[test]
+fn an_instance_that_is_listed_late_is_not_passed_over() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").ahead = 1;
+        play.stick().await;
+        stage::until("the primary gives up", || {
+            play.stage.world.borrow_mut().at("a").role == role::Role::Replica
+        })
+        .await;
+        {
+            let mut world = play.stage.world.borrow_mut();
+            let newcomer = stage::Instance {
+                position: 11,
+                held: 0,
+                lag: None,
+                ..world.at("b").clone()
+            };
+            world.instances.insert("d".into(), newcomer);
+        }
+        play.stage.relist();
+        play.led(2).await;
     });
+    assert_eq!(play.leader(), ["d"]);
 }
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -57,6 +57,8 @@
     pub born: upstream::Birth,
     /// Time until it will have applied what it has received, and what it has applied so far.
     pub lag: Option<(time::Duration, id::Position)>,
+    /// Records that it takes as soon as another instance is held.
+    pub ahead: id::Position,
 }
 
 /// All instances, and what they ran.
@@ -100,6 +102,7 @@
         refuse: 0,
         born: 1,
         lag: None,
+        ahead: 0,
     };
     let mut world = World::default();
     world
@@ -299,6 +302,9 @@
                 Ok(self.status(&mut world))
             }
             upstream::Command::Hold(term) => {
+                for instance in world.instances.values_mut() {
+                    instance.position += std::mem::take(&mut instance.ahead);
+                }
                 let instance = world.at(&self.instance);
                 instance.held = instance.held.max(*term);
                 Ok(self.status(&mut world))
