Serve an instance through few nodes, with one statement more than it has slots each

Cause: where nodes lend connections, what waited for an instance stood in up to five orders and then in the instance's own, by arrival: five statements of each of two nodes on two slots are 70 ms of waiting that nothing urgent overtakes, for bids due in 120 ms. Change: twelve connections a serving node instead of six, so that fewer serve an instance; each lets it work on slots + 1 statements instead of five.

--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -19,12 +19,6 @@
 use crate::upstream;
 use crate::wait;
 
-/// Statements that a serving node lets an instance work on at once; the rest waits where the
-/// urgent go first. Some serving nodes may be cut off: with two, the others left slots idle
-/// (worth 0.67 against 0.82 at 87 nodes with 30 of them cut off), while more than five let
-/// bookings wait in the instance's own queue of 24 behind every report.
-const ABREAST: usize = 5;
-
 /// Nodes that are asked at once for a connection after the first has failed. Where a cut
 /// parts most nodes from an instance, one in four reaches it; asking one after the other
 /// would take longer than callers wait.
@@ -114,7 +108,7 @@
     pub fn pool(&self, target: &upstream::Target) -> rc::Rc<pool::Pool> {
         let (most, abreast) = match self.way(target) {
             serving::Way::Direct => (pool::MOST, pool::MOST),
-            serving::Way::Through { each, .. } => (each, ABREAST.min(each)),
+            serving::Way::Through { each, .. } => (each, serving::abreast(target.slots, each)),
         };
         let mut pools = self.pools.borrow_mut();
         // What was seen of an instance's earlier life, and its connections, are over.
--- a/desk/src/serving.rs
+++ b/desk/src/serving.rs
@@ -22,13 +22,13 @@
 /// a new one: with fewer than two for each, the fleet would lock itself out.
 const ENOUGH: usize = 2;
 
-/// Connections that a serving node needs at least: for a transaction at rest beside three
-/// statements at work.
-const EACH_LEAST: usize = 6;
-
-/// Connections of a serving node where the instance takes many: more only lie idle, and
-/// linger after a loss.
-const EACH_MOST: usize = 12;
+/// Connections of a serving node, where the instance takes so many; more would only lie idle
+/// and linger after a loss. As few nodes as that allows serve an instance: what waits for it
+/// waits in one order, where the urgent go first, and not in one for each serving node and
+/// then in the instance's own queue. With 60 nodes and 32 connections an instance, two nodes
+/// in place of four, and [`abreast`] in place of five statements each, earned 89.8 % of what
+/// requests are worth in place of 88.6 % (five days with trouble).
+const EACH: usize = 12;
 
 /// Serving nodes where the instance takes many connections. One that is lost or paused
 /// takes a fifth of the instance's work with it for a moment.
@@ -53,7 +53,8 @@
 /// ```
 /// use mangotray_desk::serving;
 /// assert_eq!(serving::way(23, 8), serving::Way::Direct);
-/// assert_eq!(serving::way(34, 71), serving::Way::Through { nodes: 4, each: 6 });
+/// assert_eq!(serving::way(16, 8), serving::Way::Through { nodes: 1, each: 12 });
+/// assert_eq!(serving::way(34, 71), serving::Way::Through { nodes: 2, each: 12 });
 /// assert_eq!(serving::way(185, 87), serving::Way::Through { nodes: 5, each: 12 });
 /// ```
 #[must_use]
@@ -62,13 +63,30 @@
     if connections == 0 || used >= nodes * ENOUGH {
         return Way::Direct;
     }
-    let serving = within(used / EACH_LEAST, 1, NODES_MOST);
+    let serving = within(used / EACH, 1, NODES_MOST);
     Way::Through {
         nodes: serving,
-        each: within(used / serving, 1, EACH_MOST),
+        each: within(used / serving, 1, EACH),
     }
 }
 
+/// Statements that one serving node lets an instance of so many slots work on at once.
+///
+/// One more than the slots: the next statement is there when one is done. The instance serves its
+/// own queue in order of arrival, so that with five, the bids that are due in 120 ms waited for
+/// 70 ms behind reports. Serving nodes may be cut off, so that each alone keeps the slots full.
+///
+/// ```
+/// use mangotray_desk::serving;
+/// assert_eq!(serving::abreast(3, 12), 4);
+/// assert_eq!(serving::abreast(0, 12), 2);
+/// assert_eq!(serving::abreast(8, 6), 6);
+/// ```
+#[must_use]
+pub const fn abreast(slots: usize, each: usize) -> usize {
+    within(slots + 1, 2, each)
+}
+
 const fn within(value: usize, least: usize, most: usize) -> usize {
     if value < least {
         least
