Give a node up that does not accept a connection within 80 ms

Change: the connection to a lending node has a limit of its own, apart from the wait for its answer.

--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -32,6 +32,12 @@
 /// Longest message between nodes; a caller's statement has one MiB at most.
 const LONGEST: usize = 4 << 20;
 
+/// Longest wait for another node to accept a connection, which its system does even while the
+/// node is busy: a few ways there and back. A node that is gone for good stays listed; after
+/// a restart of all nodes each of them asks it first for some instance, and knew only
+/// 350 ms later that it has to ask another.
+const CONNECT: time::Duration = time::Duration::from_millis(80);
+
 /// Longest wait for a connection that shows that the instance can be reached.
 const OPEN_LIMIT: time::Duration = time::Duration::from_millis(250);
 
@@ -282,7 +288,8 @@
     target: &upstream::Target,
     lifetime: Option<time::Duration>,
 ) -> io::Result<Result<upstream::Dialled, upstream::Refusal>> {
-    let mut stream = TcpStream::connect(address).await?;
+    let connected = wait::within(CONNECT, TcpStream::connect(address)).await;
+    let mut stream = connected.ok_or(io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     send(&mut stream, target).await?;
     let opened = receive::<Opened>(&mut stream).await?;
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections;
+use std::io;
 use std::rc;
 use std::time;
 
@@ -37,7 +38,7 @@
 const APART: time::Duration = time::Duration::from_secs(3);
 
 /// A node that did not answer at all is dark, or gone for good: it is not asked for this
-/// long, as each question costs its caller [`LIMIT`].
+/// long, as each question costs its caller some time.
 const SILENT_PAUSE: time::Duration = time::Duration::from_secs(5);
 
 /// An instance that has not greeted after this long is also tried through other nodes. A
@@ -232,7 +233,9 @@
                 refusal
             }
             Some(Err(error)) => {
-                self.avoid(&server.name, PAUSE);
+                let silent = error.kind() == io::ErrorKind::TimedOut;
+                let pause = if silent { SILENT_PAUSE } else { PAUSE };
+                self.avoid(&server.name, pause);
                 upstream::Refusal::Silent(compact_str::format_compact!("{error}"))
             }
             None => {
