Say who goes next in a plain function, and leave no kind without its turn

Cause: who is served under overload was decided inside the queue's IO, and nothing replayed a load against it.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod member;
 pub mod miss;
 pub mod node;
+pub mod order;
 pub mod pinned;
 pub mod plan;
 pub mod pool;
--- a/desk/src/queue.rs
+++ b/desk/src/queue.rs
@@ -1,53 +1,30 @@
-//! Requests that wait for something scarce, the most urgent first.
-//!
-//! Once a queue stands, serving it in order makes everybody late: those that are served
-//! have waited the longest, and those that come wait as long. The newest go first then:
-//! as many are served, most of them in time. Routes with the shorter objective go before
-//! those whose callers are still served well a second later.
+//! Requests that wait for something scarce; [`crate::order`] says who goes next.
 
 use std::cell;
-use std::time;
 
 use mangotray::id;
 
 use crate::boot;
+use crate::order;
 use crate::urgency;
 use crate::wait;
 
-/// A queue whose oldest request has waited this long stands: it is half of the time in which
-/// a booking is due, and longer than a burst of a few requests takes.
-const STANDING: time::Duration = time::Duration::from_millis(80);
-
-struct Waiter {
-    urgency: urgency::Urgency,
-    number: u64,
-    since: id::Time,
-    wake: async_channel::Sender<()>,
-}
-
-impl Waiter {
-    fn rank(&self, newest_first: bool) -> (u8, time::Duration, u64) {
-        let urgency = &self.urgency;
-        if newest_first {
-            (urgency.priority, urgency.objective, u64::MAX - self.number)
-        } else {
-            (urgency.priority, urgency.due, self.number)
-        }
-    }
-}
-
 /// A queue.
 #[derive(Default)]
 pub struct Queue {
-    waiting: cell::RefCell<Vec<Waiter>>,
+    places: cell::RefCell<Vec<order::Place>>,
+    /// Wakes those who wait at the same index.
+    wakers: cell::RefCell<Vec<async_channel::Sender<()>>>,
     number: cell::Cell<u64>,
+    /// Requests woken so far.
+    turn: cell::Cell<u64>,
 }
 
 impl Queue {
     /// Requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.waiting.borrow().len()
+        self.places.borrow().len()
     }
 
     /// Whether nobody waits.
@@ -61,15 +38,15 @@
         let (wake, woken) = async_channel::bounded(1);
         let number = self.number.get();
         self.number.set(number + 1);
-        self.waiting.borrow_mut().push(Waiter {
+        self.places.borrow_mut().push(order::Place {
             urgency,
             number,
             since: boot::now(),
-            wake,
         });
-        let place = Place(self, number);
+        self.wakers.borrow_mut().push(wake);
+        let guard = Guard(self, number);
         let result = wait::until(deadline, woken.recv()).await;
-        drop(place);
+        drop(guard);
         if result.is_none() && woken.try_recv().is_ok() {
             // A wake-up that came too late for this one belongs to the next.
             self.wake();
@@ -79,35 +56,44 @@
 
     /// Wakes the most urgent.
     pub fn wake(&self) {
-        let mut waiting = self.waiting.borrow_mut();
-        let oldest = waiting.iter().map(|waiter| waiter.since).min();
-        let stands = oldest.is_some_and(|since| boot::now().saturating_sub(since) > STANDING);
-        let next = (0..waiting.len()).min_by_key(|index| waiting[*index].rank(stands));
+        let turn = self.turn.get() + 1;
+        let next = order::next(&self.places.borrow(), boot::now(), turn);
         if let Some(index) = next {
-            let waiter = waiting.swap_remove(index);
+            self.turn.set(turn);
             // The receiver is gone only when its request was dropped; nobody is owed then.
-            let _ = waiter.wake.try_send(());
+            let _ = self.remove(index).try_send(());
         }
     }
 
     /// Wakes all.
     pub fn wake_all(&self) {
-        for waiter in self.waiting.take() {
+        self.places.take();
+        for wake in self.wakers.take() {
             // As above.
-            let _ = waiter.wake.try_send(());
+            let _ = wake.try_send(());
         }
     }
+
+    fn remove(&self, index: usize) -> async_channel::Sender<()> {
+        self.places.borrow_mut().swap_remove(index);
+        self.wakers.borrow_mut().swap_remove(index)
+    }
 }
 
 /// A place in a queue, left when the request is dropped.
-struct Place<'a>(&'a Queue, u64);
+struct Guard<'a>(&'a Queue, u64);
 
-impl Drop for Place<'_> {
+impl Drop for Guard<'_> {
     fn drop(&mut self) {
         let number = self.1;
-        self.0
-            .waiting
-            .borrow_mut()
-            .retain(|waiter| waiter.number != number);
+        let found = self
+            .0
+            .places
+            .borrow()
+            .iter()
+            .position(|place| place.number == number);
+        if let Some(index) = found {
+            self.0.remove(index);
+        }
     }
 }
