Believe a list of instances to be whole only three seconds after the first

That replica received nothing; the store had come back a second before from an outage in which all entries ended, and they come back one by one for two seconds. The node's floor is what 'all replicas' had received: with one missing from its list, just what the deaf one had. Change: what is concluded from the answers of all instances, and every promotion, waits until three seconds after a node's first list. An unlisted newcomer after those three seconds stays an open point.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -344,8 +344,8 @@
         }
         let started = boot::now();
         let looks = sampler::look_at_all(&witnesses, &*self.dialer, sampler::LOOK_LIMIT).await;
-        let whole = looks.len() == witnesses.len();
-        self.judge(&lead, started, &looks).filter(|_| whole)
+        let attested = self.is_attested(&lead, &looks);
+        self.judge(&lead, started, &looks).filter(|_| attested)
     }
 
     // What looks at other instances that began at `started` say of the primary.
@@ -380,7 +380,8 @@
         let answered = |pool: &rc::Rc<pool::Pool>| looks.iter().any(|look| look.id == pool.id());
         let reliable =
             |pool: &rc::Rc<pool::Pool>| answered(pool) && self.is_reliable(pool, lead.term);
-        others.iter().any(reliable) || (!others.is_empty() && others.iter().all(answered))
+        let whole = self.roster.is_settled() && !others.is_empty();
+        others.iter().any(reliable) || (whole && others.iter().all(answered))
     }
 
     // Instances other than the primary, the nearest that answers first.
@@ -430,8 +431,9 @@
         let mut pools = self.roster.pools();
         pools.retain(|pool| Some(pool.id()) != last);
         let term = self.term.get();
-        // One that has started again may have been the only replica with a commit.
-        if !pools.iter().all(|pool| self.is_reliable(pool, term)) {
+        // One that has started again may have been the only replica with a commit, as may one
+        // that is not listed yet.
+        if !self.roster.is_settled() || !pools.iter().all(|pool| self.is_reliable(pool, term)) {
             return;
         }
         let started = boot::now();
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -118,7 +118,9 @@
                 }
                 None => continue,
             };
-            if self.seat.held().is_none() {
+            // A promotion holds all replicas that are listed: one that is missing may be the
+            // only one with an acknowledged commit.
+            if self.seat.held().is_none() || !group.roster().is_settled() {
                 continue;
             }
             tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -16,6 +16,11 @@
 /// not reach it after seven seconds; the rest is for the way and for queues.
 const LEAVING_USE: time::Duration = time::Duration::from_millis(5500);
 
+/// Time after a node's first list in which instances may be missing from it. Entries that ended
+/// while the store was away come back within two seconds of its return; a node that starts
+/// just then knows nothing of those that are missing, as the others do.
+const SETTLED: time::Duration = time::Duration::from_secs(3);
+
 /// The instances of a group and this node's connections to them.
 pub struct Roster {
     group: id::Group,
@@ -25,6 +30,8 @@
     /// Until when those that leave may be sent callers' work.
     leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     added: cell::Cell<id::Time>,
+    /// When this node first had a list.
+    first: cell::Cell<Option<id::Time>>,
 }
 
 impl Roster {
@@ -42,6 +49,7 @@
             pools: cell::RefCell::default(),
             leaving: cell::RefCell::default(),
             added: cell::Cell::default(),
+            first: cell::Cell::default(),
         }
     }
 
@@ -52,6 +60,8 @@
         instances: Vec<catalog::Instance>,
         since: Option<id::Time>,
     ) -> Vec<upstream::Id> {
+        self.first
+            .set(Some(self.first.get().unwrap_or_else(boot::now)));
         let listed: collections::BTreeSet<_> = instances
             .iter()
             .map(|instance| instance.id.clone())
@@ -183,6 +193,16 @@
             .cloned()
     }
 
+    /// Whether all instances that there are can be taken for known.
+    ///
+    /// What is concluded from the answers of all of them is wrong where one is missing: a
+    /// read missed commits that only a replica had which this node had not heard of.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let first = self.first.get();
+        first.is_some_and(|first| boot::now() >= first + SETTLED)
+    }
+
     /// Whether there is no instance.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -240,6 +240,7 @@
             stage.world.borrow_mut().at(id).born = 2;
         }
         stage.relist();
+        stage::until("the list is settled", || group.roster().is_settled()).await;
         let current = need(catalog::Freshness::Current);
         let source = group.source(&current, &[]).await.expect("a source");
         assert_eq!(source.pool.id(), "a");
@@ -277,3 +278,43 @@
         assert!(group.source(&bounded, &[]).await.is_none());
     });
 }
+
+/// Symptom: a read that accepts some age misses a commit that is 1.6 s old.
+/// Events: the store comes back from an outage in which all entries ended; a node starts and
+/// lists the instances while one of two replicas is not listed again; the other receives
+/// nothing; the primary is too busy to answer.
+/// Cause: "all others have answered" was believed of a list that was not whole yet.
+#[test]
+fn a_node_that_has_just_started_makes_no_floor_of_all_replicas() {
+    let world = stage::world();
+    let missing = world.borrow_mut().instances.remove("c");
+    let stage = stage::Stage::of(world);
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let current = need(catalog::Freshness::Current);
+        assert!(group.source(&current, &[]).await.is_some());
+        stage.world.borrow_mut().at("a").up = false;
+        stage.world.borrow_mut().at("b").position = 5;
+        // Well after the floors of before, of which nothing may be left.
+        wait::sleep(SOON).await;
+        let now = boot::now();
+        let bounded = group::Need {
+            arrived: now,
+            deadline: now + SOON,
+            ..need(catalog::Freshness::Bounded(SOON / 2))
+        };
+        assert!(group.source(&bounded, &[]).await.is_none());
+        // Once the list is whole, the replicas tell together what was acknowledged.
+        let missing = missing.expect("it was on stage");
+        stage
+            .world
+            .borrow_mut()
+            .instances
+            .insert("c".into(), missing);
+        stage.relist();
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let bounded = need(catalog::Freshness::Bounded(AGE));
+        let source = group.source(&bounded, &[]).await.expect("a source");
+        assert_eq!(source.after.map(|stamp| stamp.position), Some(10));
+    });
+}
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -698,3 +698,31 @@
     });
     assert_eq!(play.leader(), ["d"]);
 }
+
+/// Symptom: an acknowledged booking is gone after a crash.
+/// Events: the store comes back from an outage in which all entries ended; a node starts, takes
+/// the seat and lists the instances while one of two replicas is not listed again; the primary is
+/// gone; the listed replica has received less.
+/// Cause: the listed replicas were taken for all.
+#[test]
+fn a_holder_that_has_just_started_waits_for_the_list_to_be_whole() {
+    let world = stage::world();
+    let missing = world.borrow_mut().instances.remove("c");
+    world.borrow_mut().at("b").position = 5;
+    let play = play_on(stage::Stage::of(world));
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").up = false;
+        wait::sleep(LONG).await;
+        assert!(play.duty.orders.borrow().is_empty());
+        let missing = missing.expect("it was on stage");
+        play.stage
+            .world
+            .borrow_mut()
+            .instances
+            .insert("c".into(), missing);
+        play.stage.relist();
+        play.led(2).await;
+    });
+    assert_eq!(play.leader(), ["c"]);
+}
