--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::pinned;
 use crate::pool;
 use crate::reply;
+use crate::source;
 use crate::statement;
 use crate::upstream;
 use crate::urgency;
@@ -122,7 +123,7 @@
     async fn read_at(
         &self,
         work: &work::Work,
-        source: &group::Source,
+        source: &source::Source,
         urgency: urgency::Urgency,
     ) -> Result<reply::Reply, miss::Miss> {
         let (group, route) = (&self.group, self.route);
@@ -241,13 +242,13 @@
         }
     }
 
-    fn need(&self, first: id::Time, arrived: id::Time) -> group::Need {
+    fn need(&self, first: id::Time, arrived: id::Time) -> source::Need {
         let route = self.route;
         let own = match route.freshness {
             catalog::Freshness::Own(_) => self.own,
             _ => None,
         };
-        group::Need {
+        source::Need {
             arrived: first,
             freshness: route.freshness,
             own,
@@ -255,7 +256,7 @@
         }
     }
 
-    fn lost(&self, source: &group::Source) {
+    fn lost(&self, source: &source::Source) {
         tracing::info!(group = %self.group.name, instance = %source.pool.id(),
             "an answer to a read was lost");
         source.pool.suspect();
@@ -304,7 +305,7 @@
 
     async fn open_at(
         &self,
-        source: &group::Source,
+        source: &source::Source,
         opening: &Opening,
         urgency: &urgency::Urgency,
     ) -> Result<pinned::Pinned, miss::Miss> {
--- /dev/null
+++ b/desk/src/belief.rs
@@ -0,0 +1,114 @@
+//! What a node believes of who leads a group, and on what evidence.
+
+use mangotray::id;
+use mangotray::role;
+use mangotray::stamp;
+
+use crate::floor;
+use crate::sampler;
+use crate::succession;
+use crate::upstream;
+
+/// What a node believes of who leads a group, and on what evidence.
+///
+/// ```
+/// use mangotray_desk::{belief, sampler};
+/// use std::time::Duration;
+/// let mut belief = belief::Belief::default();
+/// belief.find(&sampler::Lead { id: "a".into(), term: 3 });
+/// assert!(belief.give_up(2, Duration::ZERO).is_none());
+/// assert!(belief.give_up(3, Duration::ZERO).is_some());
+/// assert_eq!(belief.lead(), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Belief {
+    lead: Option<sampler::Lead>,
+    last: Option<upstream::Id>,
+    term: id::Term,
+    vacancy: succession::Vacancy,
+    floors: floor::Floors,
+}
+
+impl Belief {
+    /// Who leads, as far as is known.
+    #[must_use]
+    pub const fn lead(&self) -> Option<&sampler::Lead> {
+        self.lead.as_ref()
+    }
+
+    /// The instance that was last seen to lead.
+    #[must_use]
+    pub const fn last(&self) -> Option<&upstream::Id> {
+        self.last.as_ref()
+    }
+
+    /// Highest term that was heard of.
+    #[must_use]
+    pub const fn term(&self) -> id::Term {
+        self.term
+    }
+
+    /// What was seen while no primary was known.
+    #[must_use]
+    pub const fn vacancy(&self) -> succession::Vacancy {
+        self.vacancy
+    }
+
+    /// How far a log must reach.
+    #[must_use]
+    pub const fn floors(&self) -> &floor::Floors {
+        &self.floors
+    }
+
+    /// Gives up the belief in a primary of `term` or an earlier one; tells in whom.
+    pub fn give_up(&mut self, term: id::Term, now: id::Time) -> Option<sampler::Lead> {
+        let doubted = self.lead.take_if(|lead| lead.term <= term)?;
+        self.vacancy.since = Some(now);
+        Some(doubted)
+    }
+
+    /// Takes note of who leads; `true` where that is news.
+    pub fn find(&mut self, lead: &sampler::Lead) -> bool {
+        let news = self.lead.as_ref() != Some(lead);
+        self.last = Some(lead.id.clone());
+        self.lead = Some(lead.clone());
+        self.vacancy.since = None;
+        news
+    }
+
+    /// Takes note of the terms and positions that instances told at `now`.
+    pub fn hear(&mut self, looks: &[sampler::Look], now: id::Time) {
+        let highest = looks.iter().map(|look| look.status.term).max();
+        self.term = self.term.max(highest.unwrap_or_default());
+        let followers = looks
+            .iter()
+            .filter(|look| look.status.role == role::Role::Replica);
+        let received = followers.map(|look| look.status.received).max();
+        if received > self.vacancy.received.map(|(received, _)| received) {
+            self.vacancy.received = received.map(|received| (received, now));
+        }
+    }
+
+    /// Takes note of the primary's answer to a command sent at `sent`.
+    pub fn saw_position(&mut self, term: id::Term, sent: id::Time, stamp: stamp::Stamp) {
+        self.floors.saw_position(term, sent, stamp);
+    }
+
+    /// Notes that the primary of `term` still led at `started`.
+    pub fn saw_leading(&mut self, term: id::Term, started: id::Time) {
+        self.floors.saw_leading(term, started);
+    }
+
+    /// Whether a replica that is known to have started again at `reborn` vouches for a
+    /// primary by itself.
+    ///
+    /// It has lost its hold, and what it knew of later terms: asked alone, it would vouch for a
+    /// primary that was replaced meanwhile. It counts by itself once the primary was proven to
+    /// lead after its start, and otherwise only together with all others, one of which
+    /// would lead.
+    #[must_use]
+    pub fn trusts(&self, reborn: Option<id::Time>, term: id::Term) -> bool {
+        let proven = self.floors.led(term);
+        reborn.is_none_or(|reborn| proven > Some(reborn))
+    }
+}
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -5,16 +5,15 @@
 use std::time;
 
 use mangotray::id;
-use mangotray::role;
 use mangotray::stamp;
 
+use crate::belief;
 use crate::boot;
-use crate::candidate;
 use crate::catalog;
-use crate::floor;
 use crate::pool;
 use crate::roster;
 use crate::sampler;
+use crate::source;
 use crate::succession;
 use crate::upstream;
 use crate::wait;
@@ -36,33 +35,6 @@
 /// A position of the primary that is older than this is asked for anew with a floor.
 const POSITION_FRESH: time::Duration = time::Duration::from_millis(200);
 
-/// A replica that refused a read for being behind is left alone for this long, unless it
-/// is seen to have caught up.
-const BEHIND_PAUSE: time::Duration = time::Duration::from_millis(150);
-
-/// What one request needs of the instance that reads for it.
-#[derive(Clone, Debug)]
-pub struct Need {
-    /// When the request, or its transaction's first statement, arrived.
-    pub arrived: id::Time,
-    /// What its route accepts.
-    pub freshness: catalog::Freshness,
-    /// The session's own last commit.
-    pub own: Option<stamp::Stamp>,
-    /// No use to try after this.
-    pub deadline: id::Time,
-}
-
-/// An instance to read from, and the position that its log must hold.
-pub struct Source {
-    /// Its connections.
-    pub pool: rc::Rc<pool::Pool>,
-    /// Position that the instance must check; none at a proven primary.
-    pub after: Option<stamp::Stamp>,
-    /// The primary's term, where it is the primary.
-    pub leads: Option<id::Term>,
-}
-
 type Proof = Option<sampler::Lead>;
 
 /// A group as this node sees it.
@@ -73,12 +45,8 @@
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     roster: roster::Roster,
-    lead: cell::RefCell<Option<sampler::Lead>>,
-    last: cell::RefCell<Option<upstream::Id>>,
-    term: cell::Cell<id::Term>,
-    floors: cell::RefCell<floor::Floors>,
+    belief: cell::RefCell<belief::Belief>,
     changed: event_listener::Event,
-    vacancy: cell::Cell<succession::Vacancy>,
     searching: cell::Cell<bool>,
     refreshing: cell::Cell<bool>,
     provers: cell::RefCell<Vec<async_channel::Sender<Proof>>>,
@@ -105,12 +73,8 @@
             dialer,
             executor,
             roster,
-            lead: cell::RefCell::default(),
-            last: cell::RefCell::default(),
-            term: cell::Cell::default(),
-            floors: cell::RefCell::default(),
+            belief: cell::RefCell::default(),
             changed: event_listener::Event::new(),
-            vacancy: cell::Cell::default(),
             searching: cell::Cell::default(),
             refreshing: cell::Cell::default(),
             provers: cell::RefCell::default(),
@@ -157,19 +121,19 @@
     /// Who leads, as far as this node knows.
     #[must_use]
     pub fn lead(&self) -> Option<sampler::Lead> {
-        self.lead.borrow().clone()
+        self.belief.borrow().lead().cloned()
     }
 
     /// What this node has seen of the group while it knew no primary.
     #[must_use]
     pub fn vacancy(&self) -> succession::Vacancy {
-        self.vacancy.get()
+        self.belief.borrow().vacancy()
     }
 
     /// Highest term that this node has heard of.
     #[must_use]
     pub fn term(&self) -> id::Term {
-        self.term.get()
+        self.belief.borrow().term()
     }
 
     /// The primary's connections, awaiting a primary until `deadline`.
@@ -192,21 +156,16 @@
     /// Takes note of the primary's answer to a command sent at `sent`.
     pub fn saw_position(&self, term: id::Term, sent: id::Time, stamp: Option<stamp::Stamp>) {
         if let Some(stamp) = stamp {
-            self.floors.borrow_mut().saw_position(term, sent, stamp);
+            self.belief.borrow_mut().saw_position(term, sent, stamp);
         }
     }
 
     /// Gives up the belief in a primary of `term` and looks for the present one.
     pub fn doubt(self: &rc::Rc<Self>, term: id::Term, reason: &str) {
-        let doubted = self.lead().filter(|lead| lead.term <= term);
+        let doubted = self.belief.borrow_mut().give_up(term, boot::now());
         if let Some(lead) = doubted {
             tracing::info!(group = %self.name, primary = %lead.id, term = lead.term, reason,
                 "primary in doubt");
-            self.lead.replace(None);
-            self.vacancy.set(succession::Vacancy {
-                since: Some(boot::now()),
-                ..self.vacancy.get()
-            });
         }
         self.search();
     }
@@ -235,29 +194,20 @@
             sampler::look_at_all(&self.roster.pools(), &*self.dialer, sampler::LOOK_LIMIT).await;
         self.learn(started, &looks);
         let found = sampler::leader(&looks);
-        let Some(lead) = found.filter(|lead| lead.term >= self.term.get()) else {
+        let Some(lead) = found.filter(|lead| lead.term >= self.term()) else {
             return self.roster.is_empty();
         };
-        if self.lead().as_ref() != Some(&lead) {
+        if self.belief.borrow_mut().find(&lead) {
             tracing::info!(group = %self.name, primary = %lead.id, term = lead.term,
                 answers = looks.len(), "primary found");
         }
-        self.last.replace(Some(lead.id.clone()));
-        self.vacancy.set(succession::Vacancy {
-            since: None,
-            ..self.vacancy.get()
-        });
-        self.lead.replace(Some(lead));
         self.changed.notify(usize::MAX);
         true
     }
 
     // Turns answers to looks that began at `started` into evidence.
     fn learn(self: &rc::Rc<Self>, started: id::Time, looks: &[sampler::Look]) {
-        let highest = looks.iter().map(|look| look.status.term).max();
-        self.term
-            .set(self.term.get().max(highest.unwrap_or_default()));
-        self.note_progress(looks);
+        self.belief.borrow_mut().hear(looks, boot::now());
         let Some(lead) = sampler::leader(looks) else {
             return;
         };
@@ -268,27 +218,12 @@
             self.doubt(lead.term - 1, "another instance leads a later term");
         }
         let attested = self.is_attested(&lead, looks);
-        let mut floors = self.floors.borrow_mut();
+        let mut belief = self.belief.borrow_mut();
         if let Some(primary) = looks.iter().find(|look| look.id == lead.id) {
-            floors.saw_position(lead.term, started, primary.status.received);
+            belief.saw_position(lead.term, started, primary.status.received);
         }
         if attested {
-            floors.saw_leading(lead.term, started);
-        }
-    }
-
-    fn note_progress(&self, looks: &[sampler::Look]) {
-        let vacancy = self.vacancy.get();
-        let before = vacancy.received.map(|(received, _)| received);
-        let followers = looks
-            .iter()
-            .filter(|look| look.status.role == role::Role::Replica);
-        let received = followers.map(|look| look.status.received).max();
-        if received > before {
-            self.vacancy.set(succession::Vacancy {
-                received: received.map(|received| (received, boot::now())),
-                ..vacancy
-            });
+            belief.saw_leading(lead.term, started);
         }
     }
 
@@ -361,18 +296,13 @@
             return None;
         }
         if self.is_attested(lead, looks) {
-            self.floors.borrow_mut().saw_leading(lead.term, started);
+            self.belief.borrow_mut().saw_leading(lead.term, started);
         }
         Some(lead.clone())
     }
 
-    // A replica that starts again has lost its hold, and what it knew of later terms: asked
-    // alone, it would vouch for a primary that was replaced meanwhile. It counts by itself
-    // once the primary was proven to lead after its start, and otherwise only together with
-    // all others, one of which would lead.
     fn is_reliable(&self, pool: &pool::Pool, term: id::Term) -> bool {
-        let proven = self.floors.borrow().led(term);
-        pool.reborn().is_none_or(|reborn| proven > Some(reborn))
+        self.belief.borrow().trusts(pool.reborn(), term)
     }
 
     fn is_attested(&self, lead: &sampler::Lead, looks: &[sampler::Look]) -> bool {
@@ -404,8 +334,9 @@
         };
         let started = boot::now();
         let fresh = self
-            .floors
+            .belief
             .borrow()
+            .floors()
             .has_position_since(started.saturating_sub(POSITION_FRESH));
         if fresh && self.sample().await.is_some() {
             return;
@@ -427,10 +358,10 @@
     // Only the instance that was last seen to lead need not answer: if any other is silent,
     // it may be the one that leads by now.
     async fn refresh_without_primary(&self) {
-        let last = self.last.borrow().clone();
+        let last = self.belief.borrow().last().cloned();
         let mut pools = self.roster.pools();
         pools.retain(|pool| Some(pool.id()) != last);
-        let term = self.term.get();
+        let term = self.term();
         // One that has started again may have been the only replica with a commit, as may one
         // that is not listed yet.
         if !self.roster.is_settled() || !pools.iter().all(|pool| self.is_reliable(pool, term)) {
@@ -439,9 +370,9 @@
         let started = boot::now();
         let looks = sampler::look_at_all(&pools, &*self.dialer, sampler::LOOK_LIMIT).await;
         if let Some(stamp) = sampler::received(&looks, pools.len(), term) {
-            let mut floors = self.floors.borrow_mut();
-            floors.saw_position(term, started, stamp);
-            floors.saw_leading(term, started);
+            let mut belief = self.belief.borrow_mut();
+            belief.saw_position(term, started, stamp);
+            belief.saw_leading(term, started);
         }
     }
 
@@ -468,19 +399,31 @@
     /// `None` when no instance is provably fresh enough before the need's deadline.
     pub async fn source(
         self: &rc::Rc<Self>,
-        need: &Need,
+        need: &source::Need,
         tried: &[upstream::Id],
-    ) -> Option<Source> {
+    ) -> Option<source::Source> {
         let age = match need.freshness {
             catalog::Freshness::Current => return self.current(need, tried).await,
             catalog::Freshness::Bounded(age) | catalog::Freshness::Own(age) => age,
         };
         let moment = need.arrived.saturating_sub(age.saturating_sub(AGE_MARGIN));
         let floor = self.floor(need, moment, age).await?;
-        self.choose(need, tried, moment, floor)
+        let choice = source::Choice {
+            roster: &self.roster,
+            belief: &self.belief.borrow(),
+            domain: &self.domain,
+            own: need.own,
+            moment,
+            floor,
+        };
+        choice.best(tried)
     }
 
-    async fn current(self: &rc::Rc<Self>, need: &Need, tried: &[upstream::Id]) -> Option<Source> {
+    async fn current(
+        self: &rc::Rc<Self>,
+        need: &source::Need,
+        tried: &[upstream::Id],
+    ) -> Option<source::Source> {
         loop {
             let (_, _) = self.primary(need.deadline).await?;
             let Some(lead) = self.prove(need.deadline).await else {
@@ -494,7 +437,7 @@
                 .roster
                 .pool(&lead.id)
                 .filter(|pool| !tried.contains(&pool.id()))?;
-            return Some(Source {
+            return Some(source::Source {
                 pool,
                 after: None,
                 leads: Some(lead.term),
@@ -504,14 +447,15 @@
 
     async fn floor(
         self: &rc::Rc<Self>,
-        need: &Need,
+        need: &source::Need,
         moment: id::Time,
         age: time::Duration,
     ) -> Option<stamp::Stamp> {
         loop {
             let changed = self.changed.listen();
             let (floor, newest) = {
-                let floors = self.floors.borrow();
+                let belief = self.belief.borrow();
+                let floors = belief.floors();
                 (floors.since(moment), floors.newest())
             };
             let renewal = need.arrived.saturating_sub(age * RENEWAL_PERCENT / 100);
@@ -524,66 +468,4 @@
             wait::until(need.deadline, changed).await?;
         }
     }
-
-    fn choose(
-        &self,
-        need: &Need,
-        tried: &[upstream::Id],
-        moment: id::Time,
-        floor: stamp::Stamp,
-    ) -> Option<Source> {
-        let lead = self.lead();
-        let recent = |lead: &sampler::Lead| {
-            // Evidence of a later term says nothing for this primary, rather the contrary.
-            let proven = self.floors.borrow().led(lead.term);
-            proven.is_some_and(|proven| proven >= moment)
-        };
-        let own_term = need.own.map_or(0, |own| own.term);
-        let proven = lead.filter(|lead| recent(lead) && lead.term >= own_term);
-        let mut best: Option<(u64, Source)> = None;
-        for pool in self.roster.pools() {
-            let id = pool.id();
-            let leads = proven
-                .as_ref()
-                .filter(|lead| lead.id == id)
-                .map(|lead| lead.term);
-            let believed = self
-                .lead
-                .borrow()
-                .as_ref()
-                .is_some_and(|lead| lead.id == id);
-            if tried.contains(&id) || !self.roster.is_usable(&id) || (believed && leads.is_none()) {
-                continue;
-            }
-            let cost = self.candidate(&pool, floor, leads.is_some()).cost();
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let after = leads.is_none().then_some(floor);
-                best = Some((cost, Source { pool, after, leads }));
-            }
-        }
-        best.map(|(_, source)| source)
-    }
-
-    fn candidate(
-        &self,
-        pool: &rc::Rc<pool::Pool>,
-        floor: stamp::Stamp,
-        leads: bool,
-    ) -> candidate::Candidate {
-        let late = boot::now().saturating_sub(pool.behind()) < BEHIND_PAUSE;
-        let behind = !leads && late && pool.applied() < floor;
-        candidate::Candidate {
-            load: pool.load(),
-            delay: pool.delay(),
-            far: pool.instance.borrow().domain != self.domain,
-            leads,
-            standing: if pool.is_down() {
-                candidate::Standing::Down
-            } else if behind || self.roster.is_leaving(&pool.id()) {
-                candidate::Standing::Doubtful
-            } else {
-                candidate::Standing::Well
-            },
-        }
-    }
 }
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`promoter`], replaces primaries.
 
 pub mod attempt;
+pub mod belief;
 pub mod boot;
 pub mod candidate;
 pub mod catalog;
@@ -37,8 +38,10 @@
 pub mod serving;
 pub mod session;
 pub mod settings;
+pub mod source;
 pub mod statement;
 pub mod succession;
+pub mod survey;
 pub mod upstream;
 pub mod urgency;
 pub mod wait;
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -20,6 +20,7 @@
 use crate::sampler;
 use crate::seat;
 use crate::succession;
+use crate::survey;
 use crate::upstream;
 use crate::wait;
 
@@ -30,12 +31,6 @@
 /// Pause between rounds while something is amiss.
 const UNEASY: time::Duration = time::Duration::from_millis(100);
 
-/// A primary that answered a request this recently needs no look.
-const ANSWERED: time::Duration = time::Duration::from_millis(250);
-
-/// Longest wait for one look at a primary, above the slowest answers under load.
-const LOOK: time::Duration = time::Duration::from_millis(250);
-
 /// Time after which an instance that receives records is listed, and the list has come here:
 /// it was seen to take 170 ms, and changes of the list gather for 150 ms.
 const LISTED: time::Duration = time::Duration::from_millis(500);
@@ -107,10 +102,11 @@
                 watched = Some(lead);
             }
             if watched.is_none() {
-                watched = guess(&group).await;
+                watched = survey::guess(&group).await;
             }
             let Some(lead) = &watched else { continue };
-            let round = self.look(&group, lead, watch.is_uneasy(boot::now())).await;
+            let survey = survey::Survey::new(&group, lead);
+            let round = survey.round(watch.is_uneasy(boot::now())).await;
             let cause = match watch.judge(&round) {
                 Some(cause) => cause,
                 None if self.may_relieve(&group, lead, &mut relief).await => {
@@ -144,14 +140,9 @@
         lead: &sampler::Lead,
         relief: &mut relief::Relief,
     ) -> bool {
-        let (Some(primary), others) = split(group, &lead.id) else {
-            return false;
-        };
         let age = self.node.catalog().oldest(&group.name);
-        if !others.iter().any(|pool| relief::is_stuck(pool.lag(), age)) {
-            return false;
-        }
-        let Some(view) = self.view(group, &primary, &others).await else {
+        let survey = survey::Survey::new(group, lead);
+        let Some(view) = survey.strain(age).await else {
             return false;
         };
         let due = relief.judge(&view);
@@ -160,72 +151,6 @@
         due
     }
 
-    async fn view(
-        &self,
-        group: &rc::Rc<group::Group>,
-        primary: &rc::Rc<pool::Pool>,
-        others: &[rc::Rc<pool::Pool>],
-    ) -> Option<relief::View> {
-        let now = boot::now();
-        let first = sampler::look(primary, group.dialer(), LOOK).await?;
-        let looks = sampler::look_at_all(others, group.dialer(), LOOK).await;
-        if first.status.role != role::Role::Primary {
-            group.doubt(first.status.term, "the primary leads no more");
-            return None;
-        }
-        if looks.len() < others.len() {
-            return None;
-        }
-        let replicas = looks.iter().map(|look| relief::Replica {
-            received: look.status.received,
-            applied: look.applied.unwrap_or_default(),
-            lag: look.status.load.lag,
-            leaving: group.roster().is_leaving(&look.id),
-        });
-        Some(relief::View {
-            now,
-            position: first.status.received,
-            replicas: replicas.collect(),
-            age: self.node.catalog().oldest(&group.name),
-        })
-    }
-
-    async fn look(
-        &self,
-        group: &rc::Rc<group::Group>,
-        lead: &sampler::Lead,
-        uneasy: bool,
-    ) -> succession::Round {
-        let started = boot::now();
-        let (primary, others) = split(group, &lead.id);
-        let dialer = group.dialer();
-        let reach = match &primary {
-            Some(pool) => {
-                // Answers to reads show that it leads only while this node believes so.
-                let doubted = uneasy || group.lead().as_ref() != Some(lead);
-                reach(pool, dialer, doubted).await
-            }
-            None => succession::Reach::Silent,
-        };
-        let calm = matches!(reach, succession::Reach::Answered(_)) && !uneasy;
-        let (received, held) = if calm && group.lead().is_some() {
-            (applied(&others), false)
-        } else {
-            let looks = sampler::look_at_all(&others, dialer, LOOK).await;
-            let held = |look: &sampler::Look| sampler::overtakes(&look.status, lead.term);
-            let received = looks.iter().map(|look| look.status.received).max();
-            (received, looks.iter().any(held))
-        };
-        succession::Round {
-            started,
-            primary: reach,
-            leaving: primary.is_some_and(|pool| pool.instance.borrow().draining),
-            added: group.roster().added(),
-            received,
-            held,
-        }
-    }
-
     async fn replace(
         &self,
         group: &rc::Rc<group::Group>,
@@ -233,10 +158,9 @@
         cause: succession::Cause,
         furthest: Option<stamp::Stamp>,
     ) -> Option<sampler::Lead> {
-        let (old, _) = split(group, &lead.id);
         let plan = plan::Plan {
             group: rc::Rc::clone(group),
-            old,
+            old: survey::Survey::new(group, lead).primary,
             cause,
             term: group.term().max(lead.term) + 1,
             began: boot::now(),
@@ -418,7 +342,7 @@
             cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
         if leads {
             self.pending.borrow_mut().remove(&plan.group.name);
-            metrics::counter!(telemetry::PROMOTIONS).increment(1);
+            metrics::counter!(telemetry::PROMOTIONS, "cause" => plan.cause.label()).increment(1);
             let candidate = candidate.clone();
             let settle = async move { plan.settle(&candidate).await };
             self.node.executor().spawn(settle).detach();
@@ -426,68 +350,3 @@
         leads
     }
 }
-
-// What the replicas told along with their answers to reads: free, and a little behind
-// what they have received, so that it only serves to raise a doubt.
-fn applied(pools: &[rc::Rc<pool::Pool>]) -> Option<stamp::Stamp> {
-    pools.iter().map(|pool| pool.applied()).max()
-}
-
-/// Whom to watch where no primary was ever seen to lead.
-///
-/// After a loss of all nodes in the middle of a promotion, or together with a primary,
-/// nobody remembers who led. Waiting for a primary to show itself would then be waiting
-/// for ever. Where all answer and none leads, the id is empty.
-async fn guess(group: &rc::Rc<group::Group>) -> Option<sampler::Lead> {
-    let pools = group.roster().pools();
-    let looks = sampler::look_at_all(&pools, group.dialer(), LOOK).await;
-    let term = looks.iter().map(|look| look.status.term).max()?;
-    let primaries = looks
-        .iter()
-        .filter(|look| look.status.role == role::Role::Primary);
-    if let Some(look) = primaries.max_by_key(|look| look.status.term) {
-        let id = look.id.clone();
-        return Some(sampler::Lead {
-            id,
-            term: look.status.term,
-        });
-    }
-    let silent = pools
-        .iter()
-        .filter(|pool| looks.iter().all(|look| look.id != pool.id()))
-        .max_by_key(|pool| pool.instance.borrow().leads);
-    Some(sampler::Lead {
-        id: silent.map(|pool| pool.id()).unwrap_or_default(),
-        term,
-    })
-}
-
-type Split = (Option<rc::Rc<pool::Pool>>, Vec<rc::Rc<pool::Pool>>);
-
-fn split(group: &group::Group, primary: &upstream::Id) -> Split {
-    let (mut old, others): (Vec<_>, Vec<_>) = group
-        .roster()
-        .pools()
-        .into_iter()
-        .partition(|pool| pool.id() == *primary);
-    (old.pop(), others)
-}
-
-async fn reach(
-    pool: &rc::Rc<pool::Pool>,
-    dialer: &dyn upstream::Dialer,
-    uneasy: bool,
-) -> succession::Reach {
-    let fresh = boot::now().saturating_sub(pool.answered()) < ANSWERED;
-    if fresh && !uneasy {
-        return succession::Reach::Answered(pool.applied());
-    }
-    match sampler::look(pool, dialer, LOOK).await {
-        Some(look) if look.status.role == role::Role::Primary => {
-            succession::Reach::Answered(look.status.received)
-        }
-        None if pool.is_closed() => succession::Reach::Closed,
-        // One that answers, but leads no more, is as bad for callers as a silent one.
-        Some(_) | None => succession::Reach::Silent,
-    }
-}
--- /dev/null
+++ b/desk/src/source.rs
@@ -0,0 +1,116 @@
+//! Which instance a read goes to.
+
+use std::rc;
+use std::time;
+
+use mangotray::id;
+use mangotray::stamp;
+
+use crate::belief;
+use crate::boot;
+use crate::candidate;
+use crate::catalog;
+use crate::pool;
+use crate::roster;
+use crate::upstream;
+
+/// A replica that refused a read for being behind is left alone for this long, unless it
+/// is seen to have caught up.
+const BEHIND_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// What one request needs of the instance that reads for it.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// When the request, or its transaction's first statement, arrived.
+    pub arrived: id::Time,
+    /// What its route accepts.
+    pub freshness: catalog::Freshness,
+    /// The session's own last commit.
+    pub own: Option<stamp::Stamp>,
+    /// No use to try after this.
+    pub deadline: id::Time,
+}
+
+/// An instance to read from, and the position that its log must hold.
+pub struct Source {
+    /// Its connections.
+    pub pool: rc::Rc<pool::Pool>,
+    /// Position that the instance must check; none at a proven primary.
+    pub after: Option<stamp::Stamp>,
+    /// The primary's term, where it is the primary.
+    pub leads: Option<id::Term>,
+}
+
+/// What a read of some age is chosen an instance for.
+pub struct Choice<'a> {
+    /// The instances.
+    pub roster: &'a roster::Roster,
+    /// Who leads.
+    pub belief: &'a belief::Belief,
+    /// Failure domain of this node.
+    pub domain: &'a id::Domain,
+    /// The session's own last commit.
+    pub own: Option<stamp::Stamp>,
+    /// The primary serves it too if it was proven to lead since then.
+    pub moment: id::Time,
+    /// Position that a replica must hold.
+    pub floor: stamp::Stamp,
+}
+
+impl Choice<'_> {
+    /// The instance that serves it best, other than those already `tried`.
+    #[must_use]
+    pub fn best(&self, tried: &[upstream::Id]) -> Option<Source> {
+        let leads = self.proven();
+        let pools = self.roster.pools().into_iter().filter(|pool| {
+            let id = pool.id();
+            let believed = self.belief.lead().is_some_and(|lead| lead.id == id);
+            let unproven = believed && leads.is_none();
+            !tried.contains(&id) && self.roster.is_usable(&id) && !unproven
+        });
+        let sources = pools.map(|pool| {
+            let leads = leads.filter(|_| self.is_lead(&pool.id()));
+            Source {
+                after: leads.is_none().then_some(self.floor),
+                pool,
+                leads,
+            }
+        });
+        sources.min_by_key(|source| self.candidate(source).cost())
+    }
+
+    fn is_lead(&self, id: &upstream::Id) -> bool {
+        self.belief.lead().is_some_and(|lead| lead.id == *id)
+    }
+
+    // Term of the primary, if it may serve this read.
+    //
+    // Evidence of a later term says nothing for this primary, rather the contrary.
+    fn proven(&self) -> Option<id::Term> {
+        let lead = self.belief.lead()?;
+        let led = self.belief.floors().led(lead.term);
+        let recent = led.is_some_and(|led| led >= self.moment);
+        let own = self.own.map_or(0, |own| own.term);
+        (recent && lead.term >= own).then_some(lead.term)
+    }
+
+    fn candidate(&self, source: &Source) -> candidate::Candidate {
+        let pool = &source.pool;
+        let leads = source.leads.is_some();
+        let late = boot::now().saturating_sub(pool.behind()) < BEHIND_PAUSE;
+        let behind = !leads && late && pool.applied() < self.floor;
+        candidate::Candidate {
+            load: pool.load(),
+            delay: pool.delay(),
+            far: pool.instance.borrow().domain != *self.domain,
+            leads,
+            standing: if pool.is_down() {
+                candidate::Standing::Down
+            } else if behind || self.roster.is_leaving(&pool.id()) {
+                candidate::Standing::Doubtful
+            } else {
+                candidate::Standing::Well
+            },
+        }
+    }
+}
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -83,6 +83,24 @@
 }
 
 impl Cause {
+    /// Its name in metrics.
+    ///
+    /// ```
+    /// use mangotray_desk::succession;
+    /// assert_eq!(succession::Cause::Relief.label(), "relief");
+    /// ```
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Planned => "planned",
+            Self::Silent => "silent",
+            Self::Crashed => "crashed",
+            Self::Stalled => "stalled",
+            Self::Unfinished => "unfinished",
+            Self::Relief => "relief",
+        }
+    }
+
     /// Whether the old primary may still work and is to be told that it no longer leads.
     ///
     /// Its being well is no reason to give such a promotion up. One that was left half
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -7,8 +7,8 @@
 use mangotray::id;
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
-use mangotray_desk::group;
 use mangotray_desk::kept;
+use mangotray_desk::source;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
 
@@ -16,9 +16,9 @@
 const SOON: time::Duration = time::Duration::from_millis(600);
 const LIMIT: time::Duration = time::Duration::from_secs(5);
 
-fn need(freshness: catalog::Freshness) -> group::Need {
+fn need(freshness: catalog::Freshness) -> source::Need {
     let now = boot::now();
-    group::Need {
+    source::Need {
         arrived: now,
         freshness,
         own: None,
@@ -215,7 +215,7 @@
         }
         stage.relist();
         let now = boot::now();
-        let soon = group::Need {
+        let soon = source::Need {
             arrived: now,
             deadline: now + SOON,
             ..need(catalog::Freshness::Current)
@@ -270,7 +270,7 @@
         // Well after the floors of before, of which nothing may be left.
         wait::sleep(SOON).await;
         let now = boot::now();
-        let bounded = group::Need {
+        let bounded = source::Need {
             arrived: now,
             deadline: now + SOON,
             ..need(catalog::Freshness::Bounded(SOON / 2))
@@ -298,7 +298,7 @@
         // Well after the floors of before, of which nothing may be left.
         wait::sleep(SOON).await;
         let now = boot::now();
-        let bounded = group::Need {
+        let bounded = source::Need {
             arrived: now,
             deadline: now + SOON,
             ..need(catalog::Freshness::Bounded(SOON / 2))
