--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -199,8 +199,13 @@
     /// read missed commits that only a replica had which this node had not heard of.
     #[must_use]
     pub fn is_settled(&self) -> bool {
-        let first = self.first.get();
-        first.is_some_and(|first| boot::now() >= first + SETTLED)
+        self.settles().is_some_and(|settles| boot::now() >= settles)
+    }
+
+    /// When that is so; none before the first list.
+    #[must_use]
+    pub fn settles(&self) -> Option<id::Time> {
+        self.first.get().map(|first| first + SETTLED)
     }
 
     /// Whether there is no instance.
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -88,8 +88,8 @@
     // Evidence of a later term says nothing for this primary, rather the contrary.
     fn proven(&self) -> Option<id::Term> {
         let lead = self.belief.lead()?;
-        let led = self.belief.floors().led(lead.term);
-        let recent = led.is_some_and(|led| led >= self.moment);
+        let proven = self.belief.floors().led(lead.term);
+        let recent = proven.is_some_and(|proven| proven >= self.moment);
         let own = self.own.map_or(0, |own| own.term);
         (recent && lead.term >= own).then_some(lead.term)
     }
