--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::catalog;
 use crate::group;
 use crate::kept;
+use crate::limit;
 use crate::miss;
 use crate::pinned;
 use crate::pool;
@@ -22,22 +23,6 @@
 use crate::wait;
 use crate::work;
 
-/// Part of a statement's timeout for which it may wait for an instance to be reached. A
-/// caller that is refused early can still ask another node in time; one that is kept
-/// waiting to the end cannot.
-const WAIT_PERCENT: u32 = 40;
-
-/// Part of a route's objective for which a statement waits where this node has reached no
-/// instance of the group for a second. Its caller's next try goes to another node, which may
-/// stand on the other side of the cut; the sooner, the better.
-const LOST_PERCENT: u32 = 20;
-
-/// Part of a statement's timeout for which it may wait behind others. Where more is asked
-/// than the instances can do, waiting longer serves nobody else instead, and callers with
-/// one second and three tries would see it end in the middle of the third: that happened
-/// 444 times in a run of 37 s with an overloaded group, and 2,572 times with 40 percent.
-const QUEUE_PERCENT: u32 = 22;
-
 /// Pause before a statement that was refused as not run is offered again.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -93,7 +78,7 @@
     /// Reads from an instance that is provably fresh enough.
     pub async fn read(&self, work: &work::Work) -> Outcome {
         let need = self.need(work.arrived, work.arrived);
-        let urgency = urgency(self.route, work.arrived);
+        let urgency = limit::urgency(self.route, work.arrived);
         let mut tried = Vec::new();
         let mut reason = miss::Miss::Unreachable;
         loop {
@@ -173,7 +158,7 @@
     pub async fn write(&self, work: &work::Work) -> Outcome {
         let group = &self.group;
         let wait = self.limit(work.arrived);
-        let urgency = urgency(self.route, work.arrived);
+        let urgency = limit::urgency(self.route, work.arrived);
         loop {
             let Some((pool, term)) = group.primary(wait).await else {
                 return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
@@ -278,7 +263,7 @@
         if !opening.read_only {
             need.freshness = catalog::Freshness::Current;
         }
-        let urgency = urgency(self.route, arrived);
+        let urgency = limit::urgency(self.route, arrived);
         let mut tried = Vec::new();
         loop {
             let Some(source) = self.group.source(&need, &tried).await else {
@@ -360,11 +345,7 @@
 
     // How long a statement may wait for an instance.
     fn limit(&self, arrived: id::Time) -> id::Time {
-        if self.group.roster().is_lost() {
-            arrived + self.route.objective * LOST_PERCENT / 100
-        } else {
-            arrived + self.route.timeout * WAIT_PERCENT / 100
-        }
+        limit::wait(self.route, arrived, self.group.roster().is_lost())
     }
 }
 
@@ -376,26 +357,6 @@
     reason.patience(urgency.until, limit)
 }
 
-/// The urgency of a statement inside a transaction. It has had its place: were it refused,
-/// all the work that the transaction has done would be lost.
-#[must_use]
-pub fn inside(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
-    urgency::Urgency {
-        until: arrived + route.timeout,
-        ..urgency(route, arrived)
-    }
-}
-
-fn urgency(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
-    urgency::Urgency {
-        priority: route.priority,
-        objective: route.objective,
-        due: arrived + route.objective,
-        until: arrived + route.timeout * QUEUE_PERCENT / 100,
-        awaited: arrived + route.timeout,
-    }
-}
-
 fn unsure(detail: &str) -> Outcome {
     let reply = reply::Reply::error(reply::Code::Unsure, detail, reply::State::Idle);
     Outcome::Answered(reply)
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod group;
 pub mod kept;
 pub mod lent;
+pub mod limit;
 pub mod log;
 pub mod member;
 pub mod miss;
--- /dev/null
+++ b/desk/src/limit.rs
@@ -0,0 +1,72 @@
+//! How long a statement may wait, and how urgent it is.
+
+use mangotray::id;
+
+use crate::catalog;
+use crate::urgency;
+
+/// Part of a statement's timeout for which it may wait for an instance to be reached. A
+/// caller that is refused early can still ask another node in time; one that is kept
+/// waiting to the end cannot.
+const WAIT_PERCENT: u32 = 40;
+
+/// Part of a route's objective for which a statement waits where this node has reached no
+/// instance of the group for a second. Its caller's next try goes to another node, which may
+/// stand on the other side of the cut; the sooner, the better.
+const LOST_PERCENT: u32 = 20;
+
+/// Part of a statement's timeout for which it may wait behind others. Where more is asked
+/// than the instances can do, waiting longer serves nobody else instead, and callers with
+/// one second and three tries would see it end in the middle of the third: that happened
+/// 444 times in a run of 37 s with an overloaded group, and 2,572 times with 40 percent.
+pub const QUEUE_PERCENT: u32 = 22;
+
+/// Until when a statement that arrived at `arrived` may wait for an instance, on a node that
+/// has lost its whole group or not.
+///
+/// ```
+/// use mangotray_desk::{catalog, limit};
+/// use std::time::Duration;
+/// let route = catalog::Route {
+///     database: "desk".into(),
+///     group: "bookings".into(),
+///     freshness: catalog::Freshness::Current,
+///     timeout: Duration::from_millis(800),
+///     objective: Duration::from_millis(200),
+///     priority: 1,
+/// };
+/// assert_eq!(limit::wait(&route, Duration::ZERO, false), Duration::from_millis(320));
+/// assert_eq!(limit::wait(&route, Duration::ZERO, true), Duration::from_millis(40));
+/// assert_eq!(limit::urgency(&route, Duration::ZERO).until, Duration::from_millis(176));
+/// assert_eq!(limit::inside(&route, Duration::ZERO).until, Duration::from_millis(800));
+/// ```
+#[must_use]
+pub fn wait(route: &catalog::Route, arrived: id::Time, lost: bool) -> id::Time {
+    if lost {
+        arrived + route.objective * LOST_PERCENT / 100
+    } else {
+        arrived + route.timeout * WAIT_PERCENT / 100
+    }
+}
+
+/// The urgency of a statement outside of a transaction, or of its first one.
+#[must_use]
+pub fn urgency(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
+    urgency::Urgency {
+        priority: route.priority,
+        objective: route.objective,
+        due: arrived + route.objective,
+        until: arrived + route.timeout * QUEUE_PERCENT / 100,
+        awaited: arrived + route.timeout,
+    }
+}
+
+/// The urgency of a statement inside a transaction. It has had its place: were it refused,
+/// all the work that the transaction has done would be lost.
+#[must_use]
+pub fn inside(route: &catalog::Route, arrived: id::Time) -> urgency::Urgency {
+    urgency::Urgency {
+        until: arrived + route.timeout,
+        ..urgency(route, arrived)
+    }
+}
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -105,7 +105,7 @@
 /// use mangotray::{role::Role, stamp::Stamp};
 /// use mangotray_desk::{sampler, upstream::{Load, Status}};
 /// let status = Status { role: Role::Primary, term: 2, received: Stamp::new(2, 7), held: 0, load: Load::default() };
-/// let looks = [sampler::Look { id: "a".into(), status }];
+/// let looks = [sampler::Look { id: "a".into(), status, applied: None }];
 /// assert_eq!(sampler::leader(&looks).map(|lead| lead.term), Some(2));
 /// ```
 #[must_use]
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -12,6 +12,7 @@
 use crate::boot;
 use crate::catalog;
 use crate::kept;
+use crate::limit;
 use crate::node;
 use crate::pinned;
 use crate::reply;
@@ -276,7 +277,7 @@
         };
         pinned
             .lent
-            .urge(attempt::inside(&transaction.route, work.arrived));
+            .urge(limit::inside(&transaction.route, work.arrived));
         let commands = work.commands(&mut pinned.lent, &self.values, None, true);
         let sent = boot::now();
         let result = pinned.lent.run(&commands, deadline).await;
@@ -341,9 +342,7 @@
         };
         let sent = boot::now();
         let deadline = arrived + transaction.route.timeout;
-        pinned
-            .lent
-            .urge(attempt::inside(&transaction.route, arrived));
+        pinned.lent.urge(limit::inside(&transaction.route, arrived));
         let reply = match pinned.lent.run(&[command], deadline).await {
             Ok(mut replies) => replies.pop(),
             // The connection is closed with the transaction open, which rolls it back.
--- a/desk/tests/replay/mod.rs
+++ b/desk/tests/replay/mod.rs
@@ -10,13 +10,11 @@
 
 use mangotray::id;
 use mangotray::stamp;
+use mangotray_desk::limit;
 use mangotray_desk::order;
 use mangotray_desk::relief;
 use mangotray_desk::urgency;
 
-/// Part of its timeout for which a statement waits behind others.
-const QUEUE_PERCENT: u64 = 22;
-
 /// What a statement costs and is worth.
 #[derive(Clone, Copy, Debug)]
 pub struct Kind {
@@ -345,7 +343,7 @@
     // Refuses those that have waited for long enough.
     fn give_up(&mut self, load: &Load, now: u64) {
         let late = |request: &Request| {
-            let limit = load.kinds[request.kind].timeout * QUEUE_PERCENT / 100;
+            let limit = load.kinds[request.kind].timeout * u64::from(limit::QUEUE_PERCENT) / 100;
             now - request.arrived > limit
         };
         for index in (0..self.requests.len()).rev() {
