Make no floor and no primary of replicas that lost what one of them had received

A node that cannot reach the primary makes its floor of what all replicas have received; the other replica had been lost for good, with receipts that it alone had. Change: such a floor needs one with the primary's word that is newer than the last lost instance, and covers it (belief::covered); what was ever seen received counts in each try; refused replicas are freed.

--- a/desk/src/belief.rs
+++ b/desk/src/belief.rs
@@ -99,6 +99,24 @@
         self.floors.saw_leading(term, started);
     }
 
+    /// Position that holds every acknowledged commit, where all replicas together have received
+    /// `received`, and an instance was last lost at `lost`.
+    ///
+    /// A commit is acknowledged once one replica has it. What a lost one alone had is with the
+    /// primary only, and not among what those that are left have received: they tell of all
+    /// commits only if a floor with the primary's word was proven after the loss. Seen: of two
+    /// replicas one was gone for good, the other had received nothing for nine seconds,
+    /// and reads on it missed fifty commits.
+    #[must_use]
+    pub fn covered(&self, received: stamp::Stamp, lost: Option<id::Time>) -> Option<stamp::Stamp> {
+        // Evidence of an earlier term covers no commit of this one.
+        self.floors.led(self.term)?;
+        let proven = self.floors.newest()?;
+        let known = self.floors.furthest().unwrap_or_default();
+        lost.is_none_or(|lost| proven > lost)
+            .then_some(received.max(known))
+    }
+
     /// Whether a replica that is known to have started again at `reborn` vouches for a
     /// primary by itself.
     ///
--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -94,6 +94,12 @@
         self.known.back().map(|(time, _)| *time)
     }
 
+    /// The furthest position that is known to hold all commits of its time.
+    #[must_use]
+    pub fn furthest(&self) -> Option<stamp::Stamp> {
+        self.known.back().map(|(_, stamp)| *stamp)
+    }
+
     /// Last moment at which the primary of `term` was proven to lead.
     #[must_use]
     pub fn led(&self, term: id::Term) -> Option<id::Time> {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -362,15 +362,16 @@
         let mut pools = self.roster.pools();
         pools.retain(|pool| Some(pool.id()) != last);
         let term = self.term();
-        // One that has started again may have been the only replica with a commit, as may one
-        // that is not listed yet.
-        if !self.roster.is_settled() || !pools.iter().all(|pool| self.is_reliable(pool, term)) {
+        // One that is not listed yet may be the only replica with a commit.
+        if !self.roster.is_settled() {
             return;
         }
         let started = boot::now();
         let looks = sampler::look_at_all(&pools, &*self.dialer, sampler::LOOK_LIMIT).await;
-        if let Some(stamp) = sampler::received(&looks, pools.len(), term) {
-            let mut belief = self.belief.borrow_mut();
+        let received = sampler::received(&looks, pools.len(), term);
+        let mut belief = self.belief.borrow_mut();
+        let covered = received.and_then(|stamp| belief.covered(stamp, self.roster.lost()));
+        if let Some(stamp) = covered {
             belief.saw_position(term, started, stamp);
             belief.saw_leading(term, started);
         }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -121,7 +121,9 @@
             }
             tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
                 received = ?round.received, "replacing the primary");
-            let done = self.replace(&group, lead, cause, watch.furthest()).await;
+            let done = self
+                .replace(&group, lead, cause, furthest(&group, &watch))
+                .await;
             watch = succession::Watch::default();
             if cause == succession::Cause::Relief && done.is_some() {
                 relief.done(boot::now());
@@ -170,7 +172,10 @@
         if plan.lacks_records(&held) {
             tracing::warn!(group = %group.name, furthest = ?plan.furthest,
                 "no replica has all that one had received before it started again");
-            self.withdraw(&plan).await;
+            // A primary that comes back has to find replicas that receive from it.
+            if cause != succession::Cause::Unfinished && !self.is_pending(&plan) {
+                self.resume(&plan, &group.roster().pools()).await;
+            }
             return None;
         }
         let pending = self.pending.borrow().get(&group.name).cloned();
@@ -251,13 +256,17 @@
     // An order that was surely not carried out: a primary that lives goes on, in place of
     // waiting for replicas that are held until promotions are possible again.
     async fn withdraw(&self, plan: &plan::Plan) {
-        let pending = self.pending.borrow().contains_key(&plan.group.name);
         let alone = plan.cause.lives() && plan.cause != succession::Cause::Unfinished;
-        if alone && !pending {
+        if alone && !self.is_pending(plan) {
             self.resume(plan, &plan.group.roster().pools()).await;
         }
     }
 
+    // Whether an order for the group may yet take effect.
+    fn is_pending(&self, plan: &plan::Plan) -> bool {
+        self.pending.borrow().contains_key(&plan.group.name)
+    }
+
     /// Holds all replicas for the new term.
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
@@ -350,3 +359,10 @@
         leads
     }
 }
+
+// Furthest position that a replica was ever seen to have received. A watch forgets with each
+// try: an empty replica was refused once, and promoted 400 ms later.
+fn furthest(group: &group::Group, watch: &succession::Watch) -> Option<stamp::Stamp> {
+    let seen = group.vacancy().received.map(|(received, _)| received);
+    seen.max(watch.furthest())
+}
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -32,6 +32,8 @@
     added: cell::Cell<id::Time>,
     /// When this node first had a list.
     first: cell::Cell<Option<id::Time>>,
+    /// When an instance was last forgotten, or started again.
+    lost: cell::Cell<Option<id::Time>>,
 }
 
 impl Roster {
@@ -50,6 +52,7 @@
             leaving: cell::RefCell::default(),
             added: cell::Cell::default(),
             first: cell::Cell::default(),
+            lost: cell::Cell::default(),
         }
     }
 
@@ -138,6 +141,7 @@
         pool.clear();
         self.pools.borrow_mut().remove(&instance.id);
         self.leaving.borrow_mut().remove(&instance.id);
+        self.lost.set(Some(boot::now()));
         true
     }
 
@@ -173,6 +177,7 @@
             if let Some(pool) = self.pools.borrow_mut().remove(id) {
                 pool.clear();
             }
+            self.lost.set(Some(now));
             tracing::info!(group = %self.group, instance = %id, "instance forgotten");
         }
     }
@@ -235,6 +240,12 @@
         !pools.is_empty() && pools.values().all(|pool| pool.is_lost())
     }
 
+    /// When an instance, and its log with it, was last lost to this node.
+    #[must_use]
+    pub fn lost(&self) -> Option<id::Time> {
+        self.lost.get()
+    }
+
     /// When an instance was last added to the list, or started again.
     #[must_use]
     pub fn added(&self) -> id::Time {
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -318,3 +318,40 @@
         assert_eq!(source.after.map(|stamp| stamp.position), Some(10));
     });
 }
+
+/// Symptom: reads that accept some age miss fifty commits.
+/// Events: one of two replicas receives nothing; commits are acknowledged with the receipt
+/// of the other, which is then gone for good; the primary is out of this node's reach.
+/// Cause: "all replicas" were those that were left.
+#[test]
+fn a_lost_replica_takes_its_receipts_with_it() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let current = need(catalog::Freshness::Current);
+        assert!(group.source(&current, &[]).await.is_some());
+        {
+            let mut world = stage.world.borrow_mut();
+            world.at("a").position = 60;
+            world.at("b").draining = true;
+        }
+        stage.relist();
+        {
+            let mut world = stage.world.borrow_mut();
+            world.instances.remove("b");
+            world.at("a").up = false;
+        }
+        stage.relist();
+        assert!(group.roster().lost().is_some());
+        // Well after the floors of before, of which nothing may be left.
+        wait::sleep(SOON).await;
+        let now = boot::now();
+        let bounded = source::Need {
+            arrived: now,
+            deadline: now + SOON,
+            ..need(catalog::Freshness::Bounded(SOON / 2))
+        };
+        assert!(group.source(&bounded, &[]).await.is_none());
+    });
+}
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -765,3 +765,36 @@
         assert!(play.seat.held().is_some());
     });
 }
+
+/// Symptom: hundreds of acknowledged bookings are gone after a change of primary.
+/// Events: both replicas start again with empty logs; the primary is silent for a while. The
+/// promoter finds that no replica has what one had, and gives up; it tries again.
+/// Cause: what replicas had received was forgotten with the first try, and they stayed held.
+#[test]
+fn empty_replicas_are_not_promoted_at_the_second_try_either() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        let group = play.stage.node.group(&stage::GROUP.into());
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.at("a").up = false;
+            for id in ["b", "c"] {
+                world.at(id).born = 2;
+                world.at(id).position = 0;
+            }
+        }
+        play.stage.relist();
+        wait::sleep(2 * LONG).await;
+        assert!(play.duty.orders.borrow().is_empty());
+        play.stage.world.borrow_mut().at("a").up = true;
+        stage::until("the primary finds free replicas", || {
+            let mut world = play.stage.world.borrow_mut();
+            world.at("b").held == 0 && world.at("c").held == 0
+        })
+        .await;
+        play.led(1).await;
+    });
+    assert_eq!(play.leader(), ["a"]);
+}
