Do not take the records of a primary that gave up for received by a replica

Cause: found on reading. A primary that is ahead of its replicas gives up for relief; where the order is then refused, the promotion is finished later; a look at the demoted primary made its records the furthest that a replica was seen to have, so that no replica seemed to have all, for ever. Change: the instance that last led does not count among those whose receipts are remembered. Figures: a new test failed before and passes.

--- a/desk/src/belief.rs
+++ b/desk/src/belief.rs
@@ -80,9 +80,11 @@
     pub fn hear(&mut self, looks: &[sampler::Look], now: id::Time) {
         let highest = looks.iter().map(|look| look.status.term).max();
         self.term = self.term.max(highest.unwrap_or_default());
-        let followers = looks
-            .iter()
-            .filter(|look| look.status.role == role::Role::Replica);
+        // A primary that has given up has records that no replica has received.
+        let followers = looks.iter().filter(|look| {
+            let led = self.last.as_ref() == Some(&look.id);
+            look.status.role == role::Role::Replica && !led
+        });
         let received = followers.map(|look| look.status.received).max();
         if received > self.vacancy.received.map(|(received, _)| received) {
             self.vacancy.received = received.map(|received| (received, now));
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -798,3 +798,28 @@
     });
     assert_eq!(play.leader(), ["a"]);
 }
+
+/// Symptom: a group has no primary for ever.
+/// Events: a primary that is ahead of its replicas gives up for relief; the order for its
+/// successor is refused; the promotion is to be finished.
+/// Cause: the records of the one that gave up counted as received by a replica, so that no
+/// replica seemed to have all.
+#[test]
+fn a_change_of_places_whose_order_is_refused_is_finished() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("a").ahead = 1;
+        play.duty.refuse.set(true);
+        play.stick().await;
+        stage::until("the order is refused", || {
+            !play.duty.orders.borrow().is_empty()
+        })
+        .await;
+        // Long enough for the node to look at the primary that gave up.
+        wait::sleep(SHORT).await;
+        play.duty.refuse.set(false);
+        play.led(2).await;
+    });
+    assert_eq!(play.leader().len(), 1);
+}
