Bind a candidate whose order may yet take effect to its process

Change: the pending candidate is one process of an instance; another process of it is a candidate like all others. On deployments whose entries tell no start nothing changes.

--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -47,8 +47,11 @@
     pub furthest: Option<stamp::Stamp>,
 }
 
+/// One process of an instance.
+pub type Life = (upstream::Id, upstream::Birth);
+
 /// The lives of the replicas that were held.
-pub type Lives = Vec<(upstream::Id, upstream::Birth)>;
+pub type Lives = Vec<Life>;
 
 impl Plan {
     /// Whether the candidate comes to lead within `limit`.
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -44,8 +44,9 @@
     seat: rc::Rc<seat::Seat>,
     duty: rc::Rc<dyn duty::Duty>,
     /// Candidates whose order may yet take effect. Another candidate beside one of them
-    /// could lead first, take commits, and then be replaced by the one that lacks them.
-    pending: cell::RefCell<collections::BTreeMap<id::Group, upstream::Id>>,
+    /// could lead first, take commits, and then be replaced by the one that lacks them. One that
+    /// has started again since lacks all commits, and is no candidate any more.
+    pending: cell::RefCell<collections::BTreeMap<id::Group, plan::Life>>,
 }
 
 impl Promoter {
@@ -180,7 +181,8 @@
         }
         let pending = self.pending.borrow().get(&group.name).cloned();
         let candidate = pending
-            .filter(|pending| held.iter().any(|look| look.id == *pending))
+            .filter(|pending| lives.contains(pending))
+            .map(|(id, _)| id)
             .or_else(|| succession::candidate(&held, |id| group.roster().is_leaving(id)))?;
         let received: Vec<_> = held
             .iter()
@@ -208,9 +210,10 @@
             }
             return None;
         }
-        self.pending
-            .borrow_mut()
-            .insert(group.name.clone(), candidate.clone());
+        let ordered = lives.into_iter().find(|(id, _)| *id == candidate);
+        if let Some(life) = ordered {
+            self.pending.borrow_mut().insert(group.name.clone(), life);
+        }
         if cause.lives() {
             plan.demote_once().await;
         }
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -155,6 +155,8 @@
     lose: cell::Cell<usize>,
     /// Orders are refused.
     refuse: cell::Cell<bool>,
+    /// The next orders are accepted and have no effect.
+    ignore: cell::Cell<usize>,
     /// Primaries that there were when the orders came.
     primaries: cell::RefCell<Vec<usize>>,
 }
@@ -166,6 +168,10 @@
             if self.refuse.get() {
                 return duty::Outcome::Refused("not now".into());
             }
+            if self.ignore.get() > 0 {
+                self.ignore.set(self.ignore.get() - 1);
+                return duty::Outcome::Accepted;
+            }
             let mut world = self.world.borrow_mut();
             let leads = |instance: &&stage::Instance| instance.role == role::Role::Primary;
             let primaries = world.instances.values().filter(leads).count();
@@ -203,6 +209,7 @@
         orders: cell::RefCell::default(),
         lose: cell::Cell::default(),
         refuse: cell::Cell::default(),
+        ignore: cell::Cell::default(),
         primaries: cell::RefCell::default(),
     });
     let ordered: rc::Rc<dyn duty::Duty> = rc::Rc::<Duty>::clone(&duty);
@@ -823,3 +830,31 @@
     });
     assert_eq!(play.leader().len(), 1);
 }
+
+/// Symptom: three hundred acknowledged bookings are gone after a change of primary.
+/// Events: a replica is ordered to lead, and the order is not seen to take effect; the replica
+/// starts again, with an empty log; the promotion is finished.
+/// Cause: a candidate whose order might yet take effect was kept to by its id.
+#[test]
+fn a_candidate_that_started_again_is_not_kept_to() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        let group = play.stage.node.group(&stage::GROUP.into());
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.duty.ignore.set(1);
+        play.stage.world.borrow_mut().at("a").up = false;
+        stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
+        let first = play.duty.orders.borrow()[0].candidate.clone();
+        {
+            let mut world = play.stage.world.borrow_mut();
+            let candidate = world.at(&first);
+            candidate.born = 2;
+            candidate.position = 0;
+            candidate.held = 0;
+        }
+        play.stage.relist();
+        play.led(2).await;
+        assert_ne!(play.leader(), [first.to_string()]);
+    });
+}
