--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -51,7 +51,7 @@
 /// A caller's request for a transaction, which an instance hears of with the first statement.
 ///
 /// It is forwarded under the caller's own id, so that the instance's log and this node's tell
-/// of the same request; 2,400 statements a day without an id were half of all such.
+/// of the same request.
 #[derive(Clone, Debug)]
 pub struct Opening {
     /// The caller's id.
