Test what a promoter's successor does with what it finds, failing

Change: four tests of a second promoter on the same store and instances; stand-ins move to desk/tests/play. Figures: all four fail: the hold is ended too early; the replaced primary is never told; a promotion is held back for ever; the one instance that has the records is no candidate. The tests of desk/tests/promoter.rs pass as before.

--- /dev/null
+++ b/desk/tests/handover.rs
@@ -0,0 +1,159 @@
+//! A promoter's successor finds what its predecessor left behind.
+
+mod play;
+mod stage;
+
+use std::cell;
+use std::rc;
+
+use mangotray::role;
+use mangotray_desk::wait;
+
+/// A world in which `a` was replaced by `b`, in term 2, while it could not be told, and
+/// whose promoter ended right after. Replica `c` is still held, and `a` takes itself for
+/// the primary of term 1.
+fn left_half_done() -> (stage::Shared, play::Store) {
+    let first = play::play();
+    first.stage.run(async {
+        first.led(1).await;
+        first.stage.world.borrow_mut().at("b").position = 12;
+        first.stage.world.borrow_mut().at("a").up = false;
+        stage::until("the successor leads", || {
+            first.stage.world.borrow_mut().at("b").role == role::Role::Primary
+        })
+        .await;
+    });
+    // Nothing of this node runs any more. Its lease ends.
+    first.store.at().entry = None;
+    let world = rc::Rc::clone(&first.stage.world);
+    world.borrow_mut().at("a").position = 12;
+    (world, first.store.clone())
+}
+
+// Whether `a` could acknowledge a write that nobody who leads later would have.
+fn could_acknowledge(world: &cell::RefCell<stage::World>) -> bool {
+    let mut world = world.borrow_mut();
+    let believes = world.at("a").role == role::Role::Primary && world.at("a").term == 1;
+    let reaches = world.at("a").up;
+    let confirms = world.at("c").held == 0 && world.at("c").term == 1;
+    believes && reaches && confirms
+}
+
+/// Symptom: forty acknowledged writes are gone, and reads miss them.
+/// Events: primary `a` is cut off and replaced by `b`; the promoter is killed before `a` is
+/// told; `b` crashes, and `a` can be reached again. The next promoter finds `c` held and
+/// goes on with the promotion, but `b` does not answer. It gives up and frees `c`; `a`
+/// acknowledges writes with the receipt of `c`. `b` comes back, leads its later term, and
+/// those writes are gone.
+/// Cause: a promoter that gave up freed replicas whoever had held them. Its log said so:
+/// `promotion given up` with `answers 1` of `expected 2`, and `instance told c Resume` right
+/// after, while another promoter's `promotion over b leads true` stood before both.
+#[test]
+fn a_hold_outlasts_a_promotion_that_its_successor_gives_up() {
+    let (world, store) = left_half_done();
+    world.borrow_mut().at("b").up = false;
+    world.borrow_mut().at("a").up = true;
+    let second = play::play_with(stage::Stage::of(rc::Rc::clone(&world)), store);
+    second.stage.run(async {
+        let told = || {
+            assert!(!could_acknowledge(&world), "a hold was ended too early");
+            world.borrow_mut().at("a").term > 1
+                || world.borrow_mut().at("a").role == role::Role::Replica
+        };
+        stage::until("the replaced primary is told", told).await;
+        // One of those that answer takes over from the one that crashed.
+        second.led(3).await;
+    });
+    assert_ne!(second.leader(), ["b"]);
+}
+
+/// Symptom: no write is served any more, though a primary leads.
+/// Events: as above, but `b` goes on leading; `c` is held for a term above that of `b`, by a
+/// promoter that ended before it ordered anything, and `a` does not answer.
+/// Cause: the next promoter wanted to finish that promotion, which needs an answer of all, and
+/// began anew every four seconds: `replacing the primary ... Unfinished`, `promotion given up`.
+/// Nobody told the first primary that it leads no more, as whoever had replaced it was gone.
+#[test]
+fn a_primary_that_leads_is_kept_and_the_one_before_it_is_told() {
+    let (world, store) = left_half_done();
+    world.borrow_mut().at("c").held = 3;
+    let second = play::play_with(stage::Stage::of(rc::Rc::clone(&world)), store);
+    second.stage.run(async {
+        stage::until("its replica receives again", || {
+            world.borrow_mut().at("c").held == 0
+        })
+        .await;
+        second.led(2).await;
+        world.borrow_mut().at("c").term = 2;
+        world.borrow_mut().at("a").up = true;
+        stage::until("the replaced primary is told", || {
+            world.borrow_mut().at("a").role == role::Role::Replica
+        })
+        .await;
+    });
+    assert_eq!(second.leader(), ["b"]);
+    assert!(second.duty.orders.borrow().is_empty());
+}
+
+/// Symptom: a group has no primary for ever, and its callers wait each time until they are refused.
+/// Events: one replica alone receives some records and starts again without them; the primary
+/// starts again too, empty and as a replica, as all nodes know.
+/// Cause: a primary that may come back with its log was waited for. It had come back, without it:
+/// `no replica has all that one had received before it started again` every second.
+#[test]
+fn a_promotion_is_held_back_only_while_somebody_may_have_the_records() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        let group = play.stage.node.group(&stage::GROUP.into());
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.at("a").up = false;
+            for id in ["b", "c"] {
+                world.at(id).born = 2;
+                world.at(id).position = 0;
+            }
+        }
+        play.stage.relist();
+        wait::sleep(2 * play::LONG).await;
+        assert!(play.duty.orders.borrow().is_empty());
+        {
+            let mut world = play.stage.world.borrow_mut();
+            let first = world.at("a");
+            first.up = true;
+            first.role = role::Role::Replica;
+            first.position = 0;
+            first.born = 2;
+        }
+        play.stage.relist();
+        play.led(2).await;
+    });
+    assert_eq!(play.leader().len(), 1);
+}
+
+/// Symptom: hundreds of acknowledged writes are gone, though an instance had them all the time.
+/// Events: both replicas start again without their logs; the primary, which has gone over to
+/// being a replica, still has its own.
+/// Cause: the one that is replaced was never a candidate.
+#[test]
+fn a_replaced_primary_that_alone_has_the_records_leads_again() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        let group = play.stage.node.group(&stage::GROUP.into());
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.at("a").role = role::Role::Replica;
+            for id in ["b", "c"] {
+                world.at(id).born = 2;
+                world.at(id).position = 0;
+            }
+        }
+        play.stage.relist();
+        group.doubt(1, "test");
+        play.led(2).await;
+    });
+    assert_eq!(play.leader(), ["a"]);
+}
--- /dev/null
+++ b/desk/tests/play/mod.rs
@@ -0,0 +1,290 @@
+//! A promoter on stage: a store, a call that promotes, and what there is to see of them.
+
+#![allow(dead_code)] // Each test program uses its own part.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future;
+use mangotray::role;
+use mangotray::store;
+use mangotray_desk::boot;
+use mangotray_desk::duty;
+use mangotray_desk::promoter;
+use mangotray_desk::seat;
+
+use crate::stage;
+
+/// Long enough for a promoter to act wrongly if it would.
+pub const LONG: time::Duration = time::Duration::from_millis(1500);
+
+/// Long enough for a task of the test to have its turn.
+pub const SHORT: time::Duration = time::Duration::from_millis(500);
+
+/// Shortest lease that the store grants; longer than the promoter would choose. With the
+/// promoter's own choice no node ever takes the seat, and no primary is ever replaced.
+pub const SHORTEST: time::Duration = time::Duration::from_secs(5);
+
+/// What the store holds.
+#[derive(Default)]
+pub struct Entries {
+    /// The promoter's seat.
+    pub entry: Option<store::Entry>,
+    /// All other keys.
+    pub others: collections::BTreeMap<String, store::Entry>,
+    pub revision: u64,
+    /// The next changes take effect, their answers are lost.
+    pub lose: usize,
+    /// Calls are refused.
+    pub down: bool,
+}
+
+impl Entries {
+    fn find(&self, key: &str) -> Option<store::Entry> {
+        if key == seat::KEY {
+            return self.entry.clone();
+        }
+        self.others.get(key).cloned()
+    }
+
+    fn put(&mut self, key: &str, value: Bytes, lease: Option<&str>) {
+        self.revision += 1;
+        let entry = store::Entry {
+            key: key.into(),
+            value,
+            version: self.revision,
+            lease: lease.map(Into::into),
+        };
+        if key == seat::KEY {
+            self.entry = Some(entry);
+        } else {
+            self.others.insert(key.to_owned(), entry);
+        }
+    }
+}
+
+/// A store.
+#[derive(Clone, Default)]
+pub struct Store(sync::Arc<sync::Mutex<Entries>>);
+
+impl Store {
+    pub fn at(&self) -> sync::MutexGuard<'_, Entries> {
+        self.0.lock().expect("no test panics with it")
+    }
+
+    fn up(&self) -> Result<sync::MutexGuard<'_, Entries>, store::Failure> {
+        let entries = self.at();
+        if entries.down {
+            return Err(store::Failure::NotRun("down".into()));
+        }
+        Ok(entries)
+    }
+}
+
+impl store::Store for Store {
+    fn get<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
+        async move { Ok(self.up()?.find(key)) }.boxed()
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> future::BoxFuture<'a, Result<Vec<store::Entry>, store::Failure>> {
+        async move {
+            let entries = self.up()?;
+            let all = entries.entry.iter().chain(entries.others.values());
+            Ok(all
+                .filter(|entry| entry.key.starts_with(prefix))
+                .cloned()
+                .collect())
+        }
+        .boxed()
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        value: Bytes,
+        expect: store::Version,
+        lease: Option<&'a str>,
+    ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
+        async move {
+            let mut entries = self.up()?;
+            if entries.find(key).map_or(0, |entry| entry.version) != expect {
+                return Ok(store::Swap::Conflict);
+            }
+            entries.put(key, value, lease);
+            if entries.lose > 0 {
+                entries.lose -= 1;
+                return Err(store::Failure::Unknown("lost".into()));
+            }
+            Ok(store::Swap::Stored)
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _key: &'a str,
+        _seen: store::Version,
+        _patience: time::Duration,
+    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
+        future::pending().boxed()
+    }
+
+    fn grant(
+        &self,
+        ttl: time::Duration,
+    ) -> future::BoxFuture<'_, Result<store::Lease, store::Failure>> {
+        async move {
+            if ttl < SHORTEST {
+                return Err(store::Failure::NotRun("too short a lease".into()));
+            }
+            self.up().map(|_| "lease".into())
+        }
+        .boxed()
+    }
+
+    fn renew<'a>(&'a self, lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
+        async move {
+            let entries = self.up()?;
+            let held = entries
+                .entry
+                .as_ref()
+                .and_then(|entry| entry.lease.as_deref());
+            Ok(held == Some(lease))
+        }
+        .boxed()
+    }
+
+    fn revoke<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<(), store::Failure>> {
+        async {
+            self.up()?.entry = None;
+            Ok(())
+        }
+        .boxed()
+    }
+}
+
+/// Carries orders out on stage at once.
+pub struct Duty {
+    pub world: stage::Shared,
+    pub orders: cell::RefCell<Vec<duty::Order>>,
+    /// The next orders are carried out, their answers are lost.
+    pub lose: cell::Cell<usize>,
+    /// Orders are refused.
+    pub refuse: cell::Cell<bool>,
+    /// The next orders are accepted and have no effect.
+    pub ignore: cell::Cell<usize>,
+    /// Primaries that there were when the orders came.
+    pub primaries: cell::RefCell<Vec<usize>>,
+}
+
+impl duty::Duty for Duty {
+    fn promote<'a>(&'a self, order: &'a duty::Order) -> future::LocalBoxFuture<'a, duty::Outcome> {
+        async move {
+            self.orders.borrow_mut().push(order.clone());
+            if self.refuse.get() {
+                return duty::Outcome::Refused("not now".into());
+            }
+            if self.ignore.get() > 0 {
+                self.ignore.set(self.ignore.get() - 1);
+                return duty::Outcome::Accepted;
+            }
+            let mut world = self.world.borrow_mut();
+            let leads = |instance: &&stage::Instance| instance.role == role::Role::Primary;
+            let primaries = world.instances.values().filter(leads).count();
+            self.primaries.borrow_mut().push(primaries);
+            if world.at(&order.candidate).role == role::Role::Replica {
+                world.promote(&order.candidate);
+            }
+            if self.lose.get() > 0 {
+                self.lose.set(self.lose.get() - 1);
+                return duty::Outcome::Unknown("lost".into());
+            }
+            duty::Outcome::Accepted
+        }
+        .boxed_local()
+    }
+}
+
+/// One node that takes the seat, and what it works with.
+pub struct Play {
+    pub stage: stage::Stage,
+    pub store: Store,
+    pub seat: rc::Rc<seat::Seat>,
+    pub duty: rc::Rc<Duty>,
+}
+
+/// A promoter before a calm group.
+pub fn play() -> Play {
+    play_on(stage::Stage::new())
+}
+
+/// A promoter on that stage.
+pub fn play_on(stage: stage::Stage) -> Play {
+    play_with(stage, Store::default())
+}
+
+/// A promoter on that stage, which finds in the store what others have left there.
+pub fn play_with(stage: stage::Stage, store: Store) -> Play {
+    let shared: rc::Rc<dyn store::Store> = rc::Rc::new(store.clone());
+    let seat = seat::Seat::new(shared, &"vm".into(), SHORTEST);
+    let duty = rc::Rc::new(Duty {
+        world: rc::Rc::clone(&stage.world),
+        orders: cell::RefCell::default(),
+        lose: cell::Cell::default(),
+        refuse: cell::Cell::default(),
+        ignore: cell::Cell::default(),
+        primaries: cell::RefCell::default(),
+    });
+    let ordered: rc::Rc<dyn duty::Duty> = rc::Rc::<Duty>::clone(&duty);
+    let promoter =
+        promoter::Promoter::new(rc::Rc::clone(&stage.node), rc::Rc::clone(&seat), ordered);
+    stage.executor.spawn(rc::Rc::clone(&seat).keep()).detach();
+    stage.executor.spawn(promoter.run()).detach();
+    seat.vacated();
+    Play {
+        stage,
+        store,
+        seat,
+        duty,
+    }
+}
+
+impl Play {
+    /// Waits until the group has settled on a primary of at least `term`.
+    pub async fn led(&self, term: u64) {
+        let group = self.stage.node.group(&stage::GROUP.into());
+        stage::until("a primary leads", || {
+            group.lead().is_some_and(|lead| lead.term >= term) && self.seat.held().is_some()
+        })
+        .await;
+    }
+
+    /// Lets both replicas hold a record that takes them nine seconds, and the node see that.
+    pub async fn stick(&self) {
+        for id in ["b", "c"] {
+            let lag = time::Duration::from_secs(9);
+            self.stage.world.borrow_mut().at(id).lag = Some((lag, 5));
+        }
+        let group = self.stage.node.group(&stage::GROUP.into());
+        let deadline = boot::now() + stage::LIMIT;
+        assert!(group.prove(deadline).await.is_some());
+    }
+
+    pub fn leader(&self) -> Vec<String> {
+        let world = self.stage.world.borrow();
+        let up = world.instances.iter().filter(|(_, instance)| instance.up);
+        let leads = up.filter(|(_, instance)| instance.role == role::Role::Primary);
+        leads.map(|(id, _)| id.to_string()).collect()
+    }
+}
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -1,259 +1,28 @@
 //! One holder replaces primaries, and loses nothing on the way.
 
+mod play;
 mod stage;
 
-use std::cell;
 use std::rc;
-use std::sync;
-use std::time;
 
 use bytes::Bytes;
-use futures_util::FutureExt;
-use futures_util::future;
 use mangotray::role;
 use mangotray::stamp;
 use mangotray::store;
 use mangotray_desk::boot;
-use mangotray_desk::duty;
 use mangotray_desk::plan;
-use mangotray_desk::promoter;
 use mangotray_desk::sampler;
 use mangotray_desk::seat;
 use mangotray_desk::succession;
 use mangotray_desk::upstream;
 use mangotray_desk::wait;
 
-/// Long enough for a promoter to act wrongly if it would.
-const LONG: time::Duration = time::Duration::from_millis(1500);
-
-/// Long enough for a task of the test to have its turn.
-const SHORT: time::Duration = time::Duration::from_millis(500);
-
-/// Shortest lease that the store grants; longer than the promoter would choose. With the
-/// promoter's own choice no node ever takes the seat, and no primary is ever replaced.
-const SHORTEST: time::Duration = time::Duration::from_secs(5);
-
-#[derive(Default)]
-struct Entries {
-    entry: Option<store::Entry>,
-    revision: u64,
-    /// The next changes take effect, their answers are lost.
-    lose: usize,
-    /// Calls are refused.
-    down: bool,
-}
-
-/// A store with one key.
-#[derive(Clone, Default)]
-struct Store(sync::Arc<sync::Mutex<Entries>>);
-
-impl Store {
-    fn at(&self) -> sync::MutexGuard<'_, Entries> {
-        self.0.lock().expect("no test panics with it")
-    }
-
-    fn up(&self) -> Result<sync::MutexGuard<'_, Entries>, store::Failure> {
-        let entries = self.at();
-        if entries.down {
-            return Err(store::Failure::NotRun("down".into()));
-        }
-        Ok(entries)
-    }
-}
-
-impl store::Store for Store {
-    fn get<'a>(
-        &'a self,
-        _key: &'a str,
-    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
-        async { Ok(self.up()?.entry.clone()) }.boxed()
-    }
-
-    fn list<'a>(
-        &'a self,
-        _prefix: &'a str,
-    ) -> future::BoxFuture<'a, Result<Vec<store::Entry>, store::Failure>> {
-        async { Ok(self.up()?.entry.iter().cloned().collect()) }.boxed()
-    }
-
-    fn swap<'a>(
-        &'a self,
-        key: &'a str,
-        value: Bytes,
-        expect: store::Version,
-        lease: Option<&'a str>,
-    ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
-        async move {
-            let mut entries = self.up()?;
-            if entries.entry.as_ref().map_or(0, |entry| entry.version) != expect {
-                return Ok(store::Swap::Conflict);
-            }
-            entries.revision += 1;
-            entries.entry = Some(store::Entry {
-                key: key.into(),
-                value,
-                version: entries.revision,
-                lease: lease.map(Into::into),
-            });
-            if entries.lose > 0 {
-                entries.lose -= 1;
-                return Err(store::Failure::Unknown("lost".into()));
-            }
-            Ok(store::Swap::Stored)
-        }
-        .boxed()
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _key: &'a str,
-        _seen: store::Version,
-        _patience: time::Duration,
-    ) -> future::BoxFuture<'a, Result<Option<store::Entry>, store::Failure>> {
-        future::pending().boxed()
-    }
-
-    fn grant(
-        &self,
-        ttl: time::Duration,
-    ) -> future::BoxFuture<'_, Result<store::Lease, store::Failure>> {
-        async move {
-            if ttl < SHORTEST {
-                return Err(store::Failure::NotRun("too short a lease".into()));
-            }
-            self.up().map(|_| "lease".into())
-        }
-        .boxed()
-    }
-
-    fn renew<'a>(&'a self, lease: &'a str) -> future::BoxFuture<'a, Result<bool, store::Failure>> {
-        async move {
-            let entries = self.up()?;
-            let held = entries
-                .entry
-                .as_ref()
-                .and_then(|entry| entry.lease.as_deref());
-            Ok(held == Some(lease))
-        }
-        .boxed()
-    }
-
-    fn revoke<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<(), store::Failure>> {
-        async {
-            self.up()?.entry = None;
-            Ok(())
-        }
-        .boxed()
-    }
-}
-
-/// Carries orders out on stage at once.
-struct Duty {
-    world: stage::Shared,
-    orders: cell::RefCell<Vec<duty::Order>>,
-    /// The next orders are carried out, their answers are lost.
-    lose: cell::Cell<usize>,
-    /// Orders are refused.
-    refuse: cell::Cell<bool>,
-    /// The next orders are accepted and have no effect.
-    ignore: cell::Cell<usize>,
-    /// Primaries that there were when the orders came.
-    primaries: cell::RefCell<Vec<usize>>,
-}
-
-impl duty::Duty for Duty {
-    fn promote<'a>(&'a self, order: &'a duty::Order) -> future::LocalBoxFuture<'a, duty::Outcome> {
-        async move {
-            self.orders.borrow_mut().push(order.clone());
-            if self.refuse.get() {
-                return duty::Outcome::Refused("not now".into());
-            }
-            if self.ignore.get() > 0 {
-                self.ignore.set(self.ignore.get() - 1);
-                return duty::Outcome::Accepted;
-            }
-            let mut world = self.world.borrow_mut();
-            let leads = |instance: &&stage::Instance| instance.role == role::Role::Primary;
-            let primaries = world.instances.values().filter(leads).count();
-            self.primaries.borrow_mut().push(primaries);
-            if world.at(&order.candidate).role == role::Role::Replica {
-                world.promote(&order.candidate);
-            }
-            if self.lose.get() > 0 {
-                self.lose.set(self.lose.get() - 1);
-                return duty::Outcome::Unknown("lost".into());
-            }
-            duty::Outcome::Accepted
-        }
-        .boxed_local()
-    }
-}
-
-struct Play {
-    stage: stage::Stage,
-    store: Store,
-    seat: rc::Rc<seat::Seat>,
-    duty: rc::Rc<Duty>,
-}
-
-fn play() -> Play {
-    play_on(stage::Stage::new())
-}
-
-fn play_on(stage: stage::Stage) -> Play {
-    let store = Store::default();
-    let shared: rc::Rc<dyn store::Store> = rc::Rc::new(store.clone());
-    let seat = seat::Seat::new(shared, &"vm".into(), SHORTEST);
-    let duty = rc::Rc::new(Duty {
-        world: rc::Rc::clone(&stage.world),
-        orders: cell::RefCell::default(),
-        lose: cell::Cell::default(),
-        refuse: cell::Cell::default(),
-        ignore: cell::Cell::default(),
-        primaries: cell::RefCell::default(),
-    });
-    let ordered: rc::Rc<dyn duty::Duty> = rc::Rc::<Duty>::clone(&duty);
-    let promoter =
-        promoter::Promoter::new(rc::Rc::clone(&stage.node), rc::Rc::clone(&seat), ordered);
-    stage.executor.spawn(rc::Rc::clone(&seat).keep()).detach();
-    stage.executor.spawn(promoter.run()).detach();
-    seat.vacated();
-    Play {
-        stage,
-        store,
-        seat,
-        duty,
-    }
-}
-
-impl Play {
-    /// Waits until the group has settled on a primary of at least `term`.
-    async fn led(&self, term: u64) {
-        let group = self.stage.node.group(&stage::GROUP.into());
-        stage::until("a primary leads", || {
-            group.lead().is_some_and(|lead| lead.term >= term) && self.seat.held().is_some()
-        })
-        .await;
-    }
-
-    /// Lets both replicas hold a record that takes them nine seconds, and the node see that.
-    async fn stick(&self) {
-        for id in ["b", "c"] {
-            let lag = time::Duration::from_secs(9);
-            self.stage.world.borrow_mut().at(id).lag = Some((lag, 5));
-        }
-        let group = self.stage.node.group(&stage::GROUP.into());
-        let deadline = boot::now() + stage::LIMIT;
-        assert!(group.prove(deadline).await.is_some());
-    }
-
-    fn leader(&self) -> Vec<String> {
-        let world = self.stage.world.borrow();
-        let up = world.instances.iter().filter(|(_, instance)| instance.up);
-        let leads = up.filter(|(_, instance)| instance.role == role::Role::Primary);
-        leads.map(|(id, _)| id.to_string()).collect()
-    }
-}
+use play::LONG;
+use play::Play;
+use play::SHORT;
+use play::SHORTEST;
+use play::play;
+use play::play_on;
 
 #[test]
 fn a_crashed_primary_is_replaced_by_the_furthest_replica() {
