Take less for proof: answers of instances that lost their logs, and of old lists

Change: receipts.rs keeps what each replica was seen to have; one that answers with less in its term, or knows an earlier term, has lost its log: logged, and noted as a loss. A witness alone must know the primary's term, be listed, and the list be heard of in the last 4 s; else all others are asked, and processes that are gone count as accounted for. A promotion's evidence is bounded by what a primary of a later term has. One look decides once (sample asked twice).

--- a/desk/src/belief.rs
+++ b/desk/src/belief.rs
@@ -5,6 +5,7 @@
 use mangotray::stamp;
 
 use crate::floor;
+use crate::receipts;
 use crate::sampler;
 use crate::succession;
 use crate::upstream;
@@ -25,7 +26,9 @@
     lead: Option<sampler::Lead>,
     last: Option<upstream::Id>,
     term: id::Term,
-    vacancy: succession::Vacancy,
+    /// Since when no primary is known; none while one is.
+    vacant: Option<id::Time>,
+    receipts: receipts::Receipts,
     floors: floor::Floors,
 }
 
@@ -51,7 +54,15 @@
     /// What was seen while no primary was known.
     #[must_use]
     pub const fn vacancy(&self) -> succession::Vacancy {
-        self.vacancy
+        succession::Vacancy {
+            since: self.vacant,
+            received: self.receipts.furthest(),
+        }
+    }
+
+    /// What replicas were seen to have received.
+    pub const fn receipts(&mut self) -> &mut receipts::Receipts {
+        &mut self.receipts
     }
 
     /// How far a log must reach.
@@ -63,7 +74,7 @@
     /// Gives up the belief in a primary of `term` or an earlier one; tells in whom.
     pub fn give_up(&mut self, term: id::Term, now: id::Time) -> Option<sampler::Lead> {
         let doubted = self.lead.take_if(|lead| lead.term <= term)?;
-        self.vacancy.since = Some(now);
+        self.vacant = Some(now);
         Some(doubted)
     }
 
@@ -72,23 +83,26 @@
         let news = self.lead.as_ref() != Some(lead);
         self.last = Some(lead.id.clone());
         self.lead = Some(lead.clone());
-        self.vacancy.since = None;
+        self.vacant = None;
         news
     }
 
-    /// Takes note of the terms and positions that instances told at `now`.
-    pub fn hear(&mut self, looks: &[sampler::Look], now: id::Time) {
+    /// Takes note of the terms and positions that instances told at `now`; tells which
+    /// replicas have lost their logs.
+    pub fn hear(&mut self, looks: &[sampler::Look], now: id::Time) -> Vec<upstream::Id> {
         let highest = looks.iter().map(|look| look.status.term).max();
         self.term = self.term.max(highest.unwrap_or_default());
-        // A primary that has given up has records that no replica has received.
-        let followers = looks.iter().filter(|look| {
-            let led = self.last.as_ref() == Some(&look.id);
-            look.status.role == role::Role::Replica && !led
-        });
-        let received = followers.map(|look| look.status.received).max();
-        if received > self.vacancy.received.map(|(received, _)| received) {
-            self.vacancy.received = received.map(|received| (received, now));
+        let mut lost = Vec::new();
+        for look in looks {
+            let status = look.status;
+            if status.role == role::Role::Primary {
+                self.receipts.led(status.term, status.received);
+            } else if self.last.as_ref() != Some(&look.id) && self.receipts.hear(look, now) {
+                // The one that led last has records that no replica has received.
+                lost.push(look.id.clone());
+            }
         }
+        lost
     }
 
     /// Takes note of the primary's answer to a command sent at `sent`.
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -96,9 +96,13 @@
             .iter()
             .any(|instance| instance.leads != leads(&instance.id));
         let now = boot::now();
+        self.note_applied(now);
         let reborn = self
             .roster
             .update(instances, since.map(|since| since.min(now)));
+        for id in &reborn {
+            self.belief.borrow_mut().receipts().forget(id);
+        }
         if let Some(lead) = lead.as_ref().filter(|lead| reborn.contains(&lead.id)) {
             self.doubt(lead.term, "the primary has started again");
         } else if surprise {
@@ -106,6 +110,46 @@
         }
     }
 
+    // What a replica has applied in the present term it has received, and it goes with the pool
+    // of a process that has ended.
+    fn note_applied(&self, now: id::Time) {
+        let Some(lead) = self.lead() else { return };
+        let pools = self.witnesses(&lead.id);
+        let applied = pools.iter().map(|pool| pool.applied()).max();
+        if let Some(applied) = applied.filter(|applied| applied.term == lead.term) {
+            self.belief.borrow_mut().receipts().reach(applied, now);
+        }
+    }
+
+    /// Asks instances for their status and takes note of the terms and positions that they tell.
+    pub async fn look_at(
+        self: &rc::Rc<Self>,
+        pools: &[rc::Rc<pool::Pool>],
+        limit: time::Duration,
+    ) -> Vec<sampler::Look> {
+        let looks = sampler::look_at_all(pools, &*self.dialer, limit).await;
+        self.hear(&looks);
+        looks
+    }
+
+    /// Takes note of the terms and positions that instances told.
+    pub fn hear(&self, looks: &[sampler::Look]) {
+        let lost = self.belief.borrow_mut().hear(looks, boot::now());
+        for id in lost {
+            tracing::warn!(group = %self.name, instance = %id,
+                "replica has less than it had received: it has started again");
+            self.roster.note_lost_log(&id);
+        }
+    }
+
+    /// Furthest record that a replica was seen to have received, in what is known of the
+    /// present primary's log.
+    #[must_use]
+    pub fn furthest(&self) -> Option<stamp::Stamp> {
+        self.note_applied(boot::now());
+        self.vacancy().received.map(|(received, _)| received)
+    }
+
     /// The instances.
     #[must_use]
     pub const fn roster(&self) -> &roster::Roster {
@@ -190,8 +234,9 @@
 
     async fn discover(self: &rc::Rc<Self>) -> bool {
         let started = boot::now();
-        let looks =
-            sampler::look_at_all(&self.roster.pools(), &*self.dialer, sampler::LOOK_LIMIT).await;
+        let looks = self
+            .look_at(&self.roster.pools(), sampler::LOOK_LIMIT)
+            .await;
         self.learn(started, &looks);
         let found = sampler::leader(&looks);
         let Some(lead) = found.filter(|lead| lead.term >= self.term()) else {
@@ -207,7 +252,6 @@
 
     // Turns answers to looks that began at `started` into evidence.
     fn learn(self: &rc::Rc<Self>, started: id::Time, looks: &[sampler::Look]) {
-        self.belief.borrow_mut().hear(looks, boot::now());
         let Some(lead) = sampler::leader(looks) else {
             return;
         };
@@ -263,24 +307,26 @@
             return None;
         };
         let witnesses = self.witnesses(&lead.id);
-        let (reliable, newborn): (Vec<_>, Vec<_>) = witnesses
-            .iter()
-            .cloned()
-            .partition(|pool| self.is_reliable(pool, lead.term));
-        for pool in reliable.into_iter().take(2) {
+        let mut reliable = witnesses.clone();
+        reliable.retain(|pool| self.vouches_alone(pool, lead.term));
+        let mut heard = reliable.len() < witnesses.len();
+        for pool in &reliable {
             let started = boot::now();
-            let look = sampler::look(&pool, &*self.dialer, sampler::LOOK_LIMIT).await;
-            if let Some(look) = look {
-                return self.judge(&lead, started, &[look]);
+            let pools = std::slice::from_ref(pool);
+            let looks = self.look_at(pools, sampler::LOOK_LIMIT).await;
+            heard |= !looks.is_empty();
+            let proof = self.judge(&lead, started, &looks);
+            if proof.is_some() || self.lead().as_ref() != Some(&lead) {
+                return proof;
             }
         }
-        if newborn.is_empty() {
+        // Where none answered by itself, all of them will not either.
+        if !heard {
             return None;
         }
         let started = boot::now();
-        let looks = sampler::look_at_all(&witnesses, &*self.dialer, sampler::LOOK_LIMIT).await;
-        let attested = self.is_attested(&lead, &looks);
-        self.judge(&lead, started, &looks).filter(|_| attested)
+        let looks = self.look_at(&witnesses, sampler::LOOK_LIMIT).await;
+        self.judge(&lead, started, &looks)
     }
 
     // What looks at other instances that began at `started` say of the primary.
@@ -295,23 +341,34 @@
             self.doubt(lead.term, "a replica is held for, or knows, a later term");
             return None;
         }
-        if self.is_attested(lead, looks) {
-            self.belief.borrow_mut().saw_leading(lead.term, started);
+        if !self.is_attested(lead, looks) {
+            return None;
         }
+        self.belief.borrow_mut().saw_leading(lead.term, started);
         Some(lead.clone())
     }
 
-    fn is_reliable(&self, pool: &pool::Pool, term: id::Term) -> bool {
-        self.belief.borrow().trusts(pool.reborn(), term)
+    // Whether an instance may prove by itself that the primary of `term` leads.
+    //
+    // A promotion holds all instances that its promoter lists, and a promoter lists one until it
+    // has been missing from the list for 5.5 s. One that this node lists, but would not if it had
+    // had word from the list, may have been passed over: its word alone is not taken.
+    fn vouches_alone(&self, pool: &pool::Pool, term: id::Term) -> bool {
+        let listed = self.roster.is_fresh(boot::now()) && !self.roster.is_unlisted(pool);
+        listed && self.belief.borrow().trusts(pool.reborn(), term)
     }
 
     fn is_attested(&self, lead: &sampler::Lead, looks: &[sampler::Look]) -> bool {
         let others = self.witnesses(&lead.id);
-        let answered = |pool: &rc::Rc<pool::Pool>| looks.iter().any(|look| look.id == pool.id());
-        let reliable =
-            |pool: &rc::Rc<pool::Pool>| answered(pool) && self.is_reliable(pool, lead.term);
-        let whole = self.roster.is_settled() && !others.is_empty();
-        others.iter().any(reliable) || (whole && others.iter().all(answered))
+        let answer = |pool: &rc::Rc<pool::Pool>| looks.iter().find(|look| look.id == pool.id());
+        let vouches = |pool: &rc::Rc<pool::Pool>| {
+            answer(pool).is_some_and(|look| sampler::knows(&look.status, lead.term))
+                && self.vouches_alone(pool, lead.term)
+        };
+        // A process that is gone leads nobody.
+        let accounted = |pool: &rc::Rc<pool::Pool>| answer(pool).is_some() || pool.is_closed();
+        let whole = self.roster.is_settled() && !looks.is_empty();
+        others.iter().any(vouches) || (whole && others.iter().all(accounted))
     }
 
     // Instances other than the primary, the nearest that answers first.
@@ -348,7 +405,7 @@
         let mut pools = self.witnesses(&lead.id);
         pools.truncate(1);
         pools.push(primary);
-        let looks = sampler::look_at_all(&pools, &*self.dialer, sampler::LOOK_LIMIT).await;
+        let looks = self.look_at(&pools, sampler::LOOK_LIMIT).await;
         self.learn(started, &looks);
         if looks.len() < pools.len() {
             self.refresh_without_primary().await;
@@ -357,7 +414,7 @@
 
     // Only the instance that was last seen to lead need not answer: if any other is silent,
     // it may be the one that leads by now.
-    async fn refresh_without_primary(&self) {
+    async fn refresh_without_primary(self: &rc::Rc<Self>) {
         let last = self.belief.borrow().last().cloned();
         let mut pools = self.roster.pools();
         pools.retain(|pool| Some(pool.id()) != last);
@@ -367,7 +424,7 @@
             return;
         }
         let started = boot::now();
-        let looks = sampler::look_at_all(&pools, &*self.dialer, sampler::LOOK_LIMIT).await;
+        let looks = self.look_at(&pools, sampler::LOOK_LIMIT).await;
         let received = sampler::received(&looks, pools.len(), term);
         let mut belief = self.belief.borrow_mut();
         let covered = received.and_then(|stamp| belief.covered(stamp, self.roster.lost()));
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod pool;
 pub mod promoter;
 pub mod queue;
+pub mod receipts;
 pub mod relay;
 pub mod relief;
 pub mod reply;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -106,6 +106,13 @@
         }
     }
 
+    /// Notes that the list of instances was heard of, and has not changed.
+    pub fn note_word(&self) {
+        for group in self.groups.borrow().values() {
+            group.roster().note_word();
+        }
+    }
+
     // Whether the configuration names the group. Before there is one, every group may be.
     fn is_named(&self, group: &id::Group) -> bool {
         let catalog = self.catalog.load();
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -148,9 +148,10 @@
         self.reborn.get()
     }
 
-    /// Notes that the instance has started again under its id.
+    /// Notes that the instance has started again under its id, and has applied nothing yet.
     pub fn note_rebirth(&self) {
         self.reborn.set(Some(boot::now()));
+        self.applied.set(stamp::Stamp::default());
     }
 
     /// Connections on loan and requests that wait for one.
--- /dev/null
+++ b/desk/src/receipts.rs
@@ -0,0 +1,100 @@
+//! What replicas were seen to have received.
+
+use std::collections;
+
+use mangotray::id;
+use mangotray::stamp;
+
+use crate::sampler;
+use crate::upstream;
+
+/// What one replica said last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seen {
+    /// Newest term that it knew.
+    term: id::Term,
+    /// Last record received.
+    received: stamp::Stamp,
+}
+
+/// What replicas were seen to have received, each by itself and all together.
+///
+/// A commit is acknowledged once one replica has received it. Whoever promotes, or reads
+/// without the primary's word, needs the furthest record that any replica ever had, and has to
+/// notice when a replica lost its log: it may start again empty before the list of
+/// instances tells so.
+///
+/// ```
+/// use mangotray::{role::Role, stamp::Stamp};
+/// use mangotray_desk::{receipts, sampler::Look, upstream::{Load, Status}};
+/// use std::time::Duration;
+/// let look = |term, position| Look {
+///     id: "b".into(),
+///     status: Status { role: Role::Replica, term, received: Stamp::new(term, position), held: 0, load: Load::default() },
+///     applied: None,
+/// };
+/// let mut receipts = receipts::Receipts::default();
+/// assert!(!receipts.hear(&look(3, 462), Duration::ZERO));
+/// // It answers with less than it had: it has started again.
+/// assert!(receipts.hear(&look(1, 0), Duration::ZERO));
+/// assert_eq!(receipts.furthest().map(|(stamp, _)| stamp), Some(Stamp::new(3, 462)));
+/// // A primary of a later term has all that was ever acknowledged before.
+/// receipts.led(4, Stamp::new(3, 455));
+/// assert_eq!(receipts.furthest().map(|(stamp, _)| stamp), Some(Stamp::new(3, 455)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Receipts {
+    seen: collections::BTreeMap<upstream::Id, Seen>,
+    furthest: Option<(stamp::Stamp, id::Time)>,
+}
+
+impl Receipts {
+    /// Takes note of what a replica said at `now`; `true` where it has lost its log.
+    ///
+    /// One that goes over to a later term may drop records that its primary never had; within
+    /// a term a log only grows, and no process forgets a term.
+    pub fn hear(&mut self, look: &sampler::Look, now: id::Time) -> bool {
+        let status = look.status;
+        let news = Seen {
+            term: status.term,
+            received: status.received,
+        };
+        let before = self.seen.insert(look.id.clone(), news);
+        self.reach(status.received, now);
+        before.is_some_and(|before| {
+            let shorter = news.term == before.term && news.received < before.received;
+            news.term < before.term || shorter
+        })
+    }
+
+    /// Takes note of a record that some replica has received.
+    pub fn reach(&mut self, received: stamp::Stamp, now: id::Time) {
+        if self
+            .furthest
+            .is_none_or(|(furthest, _)| received > furthest)
+        {
+            self.furthest = Some((received, now));
+        }
+    }
+
+    /// Takes note of where the log of the primary of `term` stands. Records of earlier terms
+    /// beyond it were never acknowledged, or are lost for good: nobody has to wait for them.
+    pub fn led(&mut self, term: id::Term, position: stamp::Stamp) {
+        if let Some((furthest, _)) = &mut self.furthest
+            && furthest.term < term
+        {
+            *furthest = (*furthest).min(position);
+        }
+    }
+
+    /// Forgets what an earlier process of an instance had said of itself.
+    pub fn forget(&mut self, id: &upstream::Id) {
+        self.seen.remove(id);
+    }
+
+    /// Furthest record that any replica was seen to have, and when that last moved.
+    #[must_use]
+    pub const fn furthest(&self) -> Option<(stamp::Stamp, id::Time)> {
+        self.furthest
+    }
+}
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -21,6 +21,11 @@
 /// just then knows nothing of those that are missing, as the others do.
 const SETTLED: time::Duration = time::Duration::from_secs(3);
 
+/// The list of instances counts as known for this long after the last word of it: a watch waits
+/// 3.2 s, and promoters go on holding an instance for [`LEAVING_USE`] after it was last
+/// listed. The rest is for answers that lag.
+const FRESH: time::Duration = time::Duration::from_secs(4);
+
 /// The instances of a group and this node's connections to them.
 pub struct Roster {
     group: id::Group,
@@ -34,6 +39,8 @@
     first: cell::Cell<Option<id::Time>>,
     /// When an instance was last forgotten, or started again.
     lost: cell::Cell<Option<id::Time>>,
+    /// When this node last had word of the list.
+    heard: cell::Cell<Option<id::Time>>,
 }
 
 impl Roster {
@@ -53,6 +60,7 @@
             added: cell::Cell::default(),
             first: cell::Cell::default(),
             lost: cell::Cell::default(),
+            heard: cell::Cell::default(),
         }
     }
 
@@ -65,6 +73,7 @@
     ) -> Vec<upstream::Id> {
         self.first
             .set(Some(self.first.get().unwrap_or_else(boot::now)));
+        self.note_word();
         let listed: collections::BTreeSet<_> = instances
             .iter()
             .map(|instance| instance.id.clone())
@@ -78,6 +87,24 @@
         reborn
     }
 
+    /// Notes that the list was heard of just now, be it that nothing has changed.
+    pub fn note_word(&self) {
+        self.heard.set(Some(boot::now()));
+    }
+
+    /// Whether the list is known as it was a moment ago.
+    #[must_use]
+    pub fn is_fresh(&self, now: id::Time) -> bool {
+        self.heard.get().is_some_and(|heard| now < heard + FRESH)
+    }
+
+    /// Whether an instance is still asked, but listed no more.
+    #[must_use]
+    pub fn is_unlisted(&self, pool: &pool::Pool) -> bool {
+        let instance = pool.instance.borrow();
+        self.is_leaving(&instance.id) && !instance.draining
+    }
+
     /// Drops what is no longer listed and gives spare connections back; called now and then.
     pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
         self.leave_unless(listed);
@@ -145,6 +172,14 @@
         true
     }
 
+    /// Notes that an instance has lost its log, as its own answers show before the list does.
+    pub fn note_lost_log(&self, id: &upstream::Id) {
+        self.lost.set(Some(boot::now()));
+        if let Some(pool) = self.pools.borrow().get(id) {
+            pool.note_rebirth();
+        }
+    }
+
     fn mark(&self, instance: &catalog::Instance, since: Option<id::Time>) {
         let mut leaving = self.leaving.borrow_mut();
         if !instance.draining {
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -135,6 +135,24 @@
     status.term > term || status.held > term
 }
 
+/// Whether an instance's answer shows that it knows of the primary of `term`, or was held for
+/// its promotion.
+///
+/// One that does not may have lost its log, and with it the hold of a promotion that came
+/// after: its word alone says nothing.
+///
+/// ```
+/// use mangotray::{role::Role, stamp::Stamp};
+/// use mangotray_desk::{sampler, upstream::{Load, Status}};
+/// let empty = Status { role: Role::Replica, term: 1, received: Stamp::default(), held: 0, load: Load::default() };
+/// assert!(!sampler::knows(&empty, 3));
+/// assert!(sampler::knows(&empty, 1));
+/// ```
+#[must_use]
+pub const fn knows(status: &upstream::Status, term: id::Term) -> bool {
+    status.term >= term || status.held >= term
+}
+
 /// Position that holds every acknowledged commit, from the replicas alone.
 ///
 /// A commit is acknowledged once one replica has received it. As long as every instance
