--- /dev/null
+++ b/desk/src/guard.rs
@@ -0,0 +1,241 @@
+//! Watches over the primary of one group while this node holds the promoter's seat.
+
+use std::rc;
+use std::time;
+
+use mangotray::id;
+use mangotray::stamp;
+use mangotray::telemetry;
+
+use crate::boot;
+use crate::group;
+use crate::intent;
+use crate::promoter;
+use crate::relief;
+use crate::sampler;
+use crate::succession;
+use crate::survey;
+use crate::wait;
+
+/// Pause between rounds of looks at a calm group. Three groups cost about ten looks a
+/// second, of which most are answered by traffic.
+const CALM: time::Duration = time::Duration::from_millis(300);
+
+/// Pause between rounds while something is amiss.
+const UNEASY: time::Duration = time::Duration::from_millis(100);
+
+/// The watch over one group.
+pub struct Guard {
+    promoter: rc::Rc<promoter::Promoter>,
+    group: rc::Rc<group::Group>,
+    watch: succession::Watch,
+    watched: Option<sampler::Lead>,
+    relief: relief::Relief,
+    /// Since when a promotion is held back.
+    held_back: Option<id::Time>,
+}
+
+impl Guard {
+    /// A watch that has seen nothing yet.
+    #[must_use]
+    pub fn new(promoter: rc::Rc<promoter::Promoter>, group: rc::Rc<group::Group>) -> Self {
+        Self {
+            promoter,
+            group,
+            watch: succession::Watch::default(),
+            watched: None,
+            relief: relief::Relief::default(),
+            held_back: None,
+        }
+    }
+
+    /// Watches for ever.
+    pub async fn run(mut self) {
+        loop {
+            let uneasy = self.watch.is_uneasy(boot::now()) || self.relief.is_near();
+            wait::sleep(if uneasy { UNEASY } else { CALM }).await;
+            if !self.promoter.seat().had() {
+                self.watch = succession::Watch::resumed(self.group.vacancy());
+                self.note_held_back(false);
+                continue;
+            }
+            self.follow().await;
+            self.round().await;
+        }
+    }
+
+    // Takes over what this node believes of who leads, or makes a guess.
+    async fn follow(&mut self) {
+        // A belief older than the last promotion would have it taken for one left undone.
+        let term = self.watched.as_ref().map_or(0, |lead| lead.term);
+        if let Some(lead) = self.group.lead().filter(|lead| lead.term >= term) {
+            self.watch_over(lead);
+        }
+        if self.watched.is_none() {
+            self.watched = survey::guess(&self.group).await;
+        }
+    }
+
+    fn watch_over(&mut self, lead: sampler::Lead) {
+        if self.watched.as_ref() != Some(&lead) {
+            self.watch = succession::Watch::default();
+            self.watched = Some(lead);
+        }
+    }
+
+    async fn round(&mut self) {
+        let Some(lead) = self.watched.clone() else {
+            return;
+        };
+        let Some(cause) = self.cause(&lead).await else {
+            return;
+        };
+        // A promotion holds all replicas that are listed: one that is missing may be the
+        // only one with an acknowledged commit.
+        let seat = self.promoter.seat();
+        if seat.held().is_none() || !self.group.roster().is_settled() {
+            return;
+        }
+        let furthest = self.furthest(&lead);
+        if self.held_back.is_none() {
+            tracing::warn!(group = %self.group.name, primary = %lead.id, term = lead.term, ?cause,
+                furthest = furthest.map(tracing::field::display), "replacing the primary");
+        }
+        let done = self
+            .promoter
+            .replace(&self.group, &lead, cause, furthest)
+            .await;
+        self.watch = succession::Watch::default();
+        self.note_held_back(done == promoter::Done::HeldBack);
+        match done {
+            promoter::Done::Leads(found) => {
+                if cause == succession::Cause::Relief {
+                    self.relief.done(boot::now());
+                }
+                self.watched = Some(found);
+            }
+            promoter::Done::Overtaken(found) => self.adopt(found, &lead),
+            promoter::Done::HeldBack => wait::sleep(CALM).await,
+            promoter::Done::GivenUp => wait::sleep(UNEASY).await,
+        }
+    }
+
+    // Why the primary is to be replaced, if it is.
+    async fn cause(&mut self, lead: &sampler::Lead) -> Option<succession::Cause> {
+        if let Some(intent) = self.promoter.seat().intent(&self.group.name) {
+            if intent.term > lead.term {
+                return self.resume(&intent, lead).await;
+            }
+            if intent.candidate == lead.id {
+                self.promoter.settle(&self.group, &intent);
+            }
+        }
+        let survey = survey::Survey::new(&self.group, lead);
+        let round = survey.round(self.watch.is_uneasy(boot::now())).await;
+        let cause = self.watch.judge(&round);
+        if cause.is_none() && matches!(round.primary, succession::Reach::Answered(_)) {
+            self.note_held_back(false);
+        }
+        if cause.is_none() && self.may_relieve(lead).await {
+            return Some(succession::Cause::Relief);
+        }
+        cause
+    }
+
+    // What is left to do of a recorded promotion of which this node has not seen the end.
+    async fn resume(
+        &mut self,
+        intent: &intent::Intent,
+        lead: &sampler::Lead,
+    ) -> Option<succession::Cause> {
+        let pools = self.group.roster().pools();
+        let listed: Vec<_> = pools.iter().map(|pool| pool.id()).collect();
+        let looks = self.group.look_at(&pools, survey::LOOK).await;
+        let outcome = intent.outcome(&looks, &listed);
+        tracing::info!(group = %self.group.name, candidate = %intent.candidate, term = intent.term,
+            primary = %lead.id, answers = looks.len(), ?outcome, "recorded promotion");
+        match outcome {
+            intent::Outcome::Leads(found) => {
+                self.note_held_back(false);
+                self.adopt(found, lead);
+                None
+            }
+            intent::Outcome::Open => Some(succession::Cause::Unfinished),
+            intent::Outcome::Silent => {
+                self.watch_over(sampler::Lead {
+                    id: intent.candidate.clone(),
+                    term: intent.term,
+                });
+                None
+            }
+            intent::Outcome::Unknown => {
+                self.note_held_back(true);
+                None
+            }
+            intent::Outcome::Void => {
+                self.promoter.seat().retract(&self.group.name);
+                None
+            }
+        }
+    }
+
+    // Another instance leads a later term: the one that was watched is told, then replicas
+    // that are still held are freed.
+    fn adopt(&mut self, found: sampler::Lead, old: &sampler::Lead) {
+        let recorded = self.promoter.seat().intent(&self.group.name);
+        let recorded = recorded.filter(|intent| intent.candidate == found.id);
+        let intent = recorded.unwrap_or_else(|| intent::Intent {
+            group: self.group.name.clone(),
+            candidate: found.id.clone(),
+            born: 0,
+            term: found.term,
+            old: Some(old.id.clone()).filter(|old| *old != found.id),
+            received: stamp::Stamp::default(),
+        });
+        self.promoter.settle(&self.group, &intent);
+        self.group.search();
+        self.watch_over(found);
+    }
+
+    // Whether the primary should change places with a replica for relief.
+    async fn may_relieve(&mut self, lead: &sampler::Lead) -> bool {
+        let age = self.promoter.node().catalog().oldest(&self.group.name);
+        let survey = survey::Survey::new(&self.group, lead);
+        let Some(view) = survey.strain(age).await else {
+            return false;
+        };
+        let due = self.relief.judge(&view);
+        tracing::info!(group = %self.group.name, primary = %lead.id, due, position = %view.position,
+            replicas = ?view.replicas, "replicas are behind");
+        due
+    }
+
+    // Furthest record that may have been acknowledged, by all that was seen and recorded. A
+    // watch forgets with each try; what replicas have received must not be forgotten with it.
+    fn furthest(&self, lead: &sampler::Lead) -> Option<stamp::Stamp> {
+        let watched = self.watch.furthest();
+        let watched = watched.filter(|stamp| stamp.term >= lead.term);
+        let recorded = self.promoter.seat().intent(&self.group.name);
+        let recorded = recorded.filter(|intent| intent.term >= lead.term);
+        let recorded = recorded.map(|intent| intent.received);
+        self.group.furthest().max(watched).max(recorded)
+    }
+
+    // One line and one gauge for as long as it lasts: callers are refused meanwhile.
+    fn note_held_back(&mut self, held_back: bool) {
+        if held_back == self.held_back.is_some() {
+            return;
+        }
+        let now = boot::now();
+        if let Some(since) = self.held_back.take() {
+            let took_ms = now.saturating_sub(since).as_millis();
+            tracing::info!(group = %self.group.name, took_ms, "promotion no longer held back");
+        } else {
+            self.held_back = Some(now);
+            tracing::warn!(group = %self.group.name, primary = ?self.watched,
+                "promotion held back: only an instance that does not answer may have all acknowledged commits");
+        }
+        let gauge = metrics::gauge!(telemetry::HELD_BACK, "group" => self.group.name.to_string());
+        gauge.set(if held_back { 1.0 } else { 0.0 });
+    }
+}
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -9,10 +9,12 @@
 
 use crate::boot;
 use crate::group;
+use crate::intent;
 use crate::pool;
 use crate::sampler;
 use crate::succession;
 use crate::upstream;
+use crate::verdict;
 use crate::wait;
 
 /// Longest wait for the answer to one hold.
@@ -27,10 +29,6 @@
 /// Pause between looks at a candidate.
 pub const POLL: time::Duration = time::Duration::from_millis(40);
 
-/// An old primary is told this often, for this long, that it no longer leads.
-const DEMOTE: time::Duration = time::Duration::from_millis(300);
-const DEMOTE_FOR: time::Duration = time::Duration::from_secs(15);
-
 /// One replacement under way.
 pub struct Plan {
     /// The group.
@@ -89,11 +87,55 @@
     #[must_use]
     pub fn lacks_records(&self, held: &[sampler::Look]) -> bool {
         let received = held.iter().map(|look| look.status.received).max();
-        let primary_may_return = self.old.as_ref().is_some_and(|old| {
-            let leaving = self.group.roster().is_leaving(&old.id());
-            !leaving || old.instance.borrow().draining
-        });
-        primary_may_return && received < self.furthest
+        self.may_return() && received < self.furthest
+    }
+
+    // Whether the old primary is listed, so that it may come back with its log.
+    fn may_return(&self) -> bool {
+        let roster = self.group.roster();
+        self.old
+            .as_ref()
+            .is_some_and(|old| !roster.is_unlisted(old))
+    }
+
+    /// What is recorded before the candidate is ordered.
+    #[must_use]
+    pub fn intent(&self, candidate: &upstream::Id, held: &[sampler::Look]) -> intent::Intent {
+        let pools = self.group.roster().pools();
+        let pool = pools.iter().find(|pool| pool.id() == *candidate);
+        let old = self.old.as_ref().map(|old| old.id());
+        let received = held.iter().map(|look| look.status.received).max();
+        intent::Intent {
+            group: self.group.name.clone(),
+            candidate: candidate.clone(),
+            born: pool.map(|pool| pool.born()).unwrap_or_default(),
+            term: self.term,
+            old: old.filter(|old| old != candidate),
+            received: received.unwrap_or_default(),
+        }
+    }
+
+    /// Asks the old primary, where no replica has all that one had received. One that has become
+    /// a replica is held, as it may be the only one that has it.
+    pub async fn ask_old(&self) -> verdict::Old {
+        let Some(old) = &self.old else {
+            return verdict::Old::Gone;
+        };
+        let look = sampler::look(old, self.group.dialer(), HOLD).await;
+        let replica = look
+            .as_ref()
+            .is_some_and(|look| look.status.role == role::Role::Replica);
+        let look = if replica {
+            let hold = upstream::Command::Hold(self.term);
+            tell(old, &hold, self.group.dialer()).await
+        } else {
+            look
+        };
+        match look {
+            Some(look) => verdict::Old::Answers(look),
+            None if self.may_return() => verdict::Old::Silent,
+            None => verdict::Old::Gone,
+        }
     }
 
     /// Whether the old primary answers and still leads.
@@ -125,24 +167,6 @@
         look.is_some_and(|look| look.status.role == role::Role::Replica)
     }
 
-    // A replica that starts again has lost its hold: it would receive from the old primary,
-    // which then acknowledges commits that the new one never gets.
-    async fn hold_again(&self, candidate: &upstream::Id, lives: &mut Lives) {
-        let now = self.lives();
-        for pool in self.group.roster().pools() {
-            let life = (pool.id(), pool.born());
-            if pool.id() != *candidate && now.contains(&life) && !lives.contains(&life) {
-                tell(
-                    &pool,
-                    &upstream::Command::Hold(self.term),
-                    self.group.dialer(),
-                )
-                .await;
-            }
-        }
-        *lives = now;
-    }
-
     /// Tells the old primary to give up, before a successor is ordered. Nothing while it goes on
     /// leading; else its last record, if it said so.
     pub async fn give_up(&self) -> Option<Option<stamp::Stamp>> {
@@ -160,28 +184,6 @@
             .is_some_and(|look| look.status.role == role::Role::Primary);
         (!leads).then(|| look.map(|look| look.status.received))
     }
-
-    /// Ends the old primary's belief that it leads, then frees replicas that are still held:
-    /// in this order, as a freed replica would acknowledge commits of the old primary.
-    pub async fn settle(&self, candidate: &upstream::Id) {
-        let deadline = boot::now() + DEMOTE_FOR;
-        let mut lives = self.lives();
-        while !self.demote_once().await && boot::now() < deadline {
-            self.hold_again(candidate, &mut lives).await;
-            wait::sleep(DEMOTE).await;
-        }
-        for pool in self.group.roster().pools() {
-            if pool.id() != *candidate {
-                let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
-                // Holds for a later term belong to a later promotion: freeing them would let
-                // commits pass by its candidate.
-                let own = |look: &sampler::Look| (1..=self.term).contains(&look.status.held);
-                if look.as_ref().is_some_and(own) && self.group.term() <= self.term {
-                    tell(&pool, &upstream::Command::Resume, self.group.dialer()).await;
-                }
-            }
-        }
-    }
 }
 
 /// Sends one order to an instance and reads what it says of itself then.
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -13,23 +13,22 @@
 use crate::boot;
 use crate::duty;
 use crate::group;
+use crate::guard;
+use crate::intent;
 use crate::node;
 use crate::plan;
 use crate::pool;
-use crate::relief;
 use crate::sampler;
 use crate::seat;
+use crate::settlement;
 use crate::succession;
 use crate::survey;
 use crate::upstream;
+use crate::verdict;
 use crate::wait;
 
-/// Pause between rounds of looks at a calm group. Three groups cost about ten looks a
-/// second, of which most are answered by traffic.
-const CALM: time::Duration = time::Duration::from_millis(300);
-
-/// Pause between rounds while something is amiss.
-const UNEASY: time::Duration = time::Duration::from_millis(100);
+/// Pause between looks for groups that are new in the configuration.
+const NEW_GROUPS: time::Duration = time::Duration::from_millis(300);
 
 /// Time after which an instance that receives records is listed, and the list has come here:
 /// it was seen to take 170 ms, and changes of the list gather for 150 ms.
@@ -38,15 +37,39 @@
 /// A promotion whose replicas cannot all be held in this time is given up for now.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
 
+/// What came of one try to replace a primary.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Done {
+    /// The candidate leads.
+    Leads(sampler::Lead),
+    /// Another instance leads a later term already.
+    Overtaken(sampler::Lead),
+    /// Only an instance that does not answer may have all commits.
+    HeldBack,
+    /// Nothing for now.
+    GivenUp,
+}
+
+/// The replicas of a group, all held.
+struct Held {
+    looks: Vec<sampler::Look>,
+    lives: plan::Lives,
+    candidate: upstream::Id,
+}
+
+/// How far the end of a promotion has come.
+struct Progress {
+    term: id::Term,
+    done: bool,
+}
+
 /// Replaces primaries while the seat is held.
 pub struct Promoter {
     node: rc::Rc<node::Node>,
     seat: rc::Rc<seat::Seat>,
     duty: rc::Rc<dyn duty::Duty>,
-    /// Candidates whose order may yet take effect. Another candidate beside one of them
-    /// could lead first, take commits, and then be replaced by the one that lacks them. One that
-    /// has started again since lacks all commits, and is no candidate any more.
-    pending: cell::RefCell<collections::BTreeMap<id::Group, plan::Life>>,
+    /// The ends of promotions, done or under way, that this node knows of.
+    settlements: cell::RefCell<collections::BTreeMap<id::Group, Progress>>,
 }
 
 impl Promoter {
@@ -61,106 +84,44 @@
             node,
             seat,
             duty,
-            pending: cell::RefCell::default(),
+            settlements: cell::RefCell::default(),
         })
     }
 
+    /// The seat.
+    #[must_use]
+    pub fn seat(&self) -> &seat::Seat {
+        &self.seat
+    }
+
+    /// This node.
+    #[must_use]
+    pub fn node(&self) -> &node::Node {
+        &self.node
+    }
+
     /// Watches over all groups, for ever.
     pub async fn run(self: rc::Rc<Self>) {
         let mut watched = collections::BTreeSet::new();
         loop {
             for group in self.node.groups() {
                 if watched.insert(group.name.clone()) {
-                    let promoter = rc::Rc::clone(&self);
-                    self.node.executor().spawn(promoter.guard(group)).detach();
+                    let guard = guard::Guard::new(rc::Rc::clone(&self), group);
+                    self.node.executor().spawn(guard.run()).detach();
                 }
             }
-            wait::sleep(CALM).await;
+            wait::sleep(NEW_GROUPS).await;
         }
     }
 
-    async fn guard(self: rc::Rc<Self>, group: rc::Rc<group::Group>) {
-        let mut watch = succession::Watch::default();
-        let mut watched = None;
-        let mut relief = relief::Relief::default();
-        loop {
-            let pause = if watch.is_uneasy(boot::now()) || relief.is_near() {
-                UNEASY
-            } else {
-                CALM
-            };
-            wait::sleep(pause).await;
-            if !self.seat.had() {
-                watch = succession::Watch::resumed(group.vacancy());
-                continue;
-            }
-            // A belief older than the last promotion would have it taken for one left undone.
-            let term = watched.as_ref().map_or(0, |lead: &sampler::Lead| lead.term);
-            if let Some(lead) = group.lead().filter(|lead| lead.term >= term)
-                && watched.as_ref() != Some(&lead)
-            {
-                watch = succession::Watch::default();
-                watched = Some(lead);
-            }
-            if watched.is_none() {
-                watched = survey::guess(&group).await;
-            }
-            let Some(lead) = &watched else { continue };
-            let survey = survey::Survey::new(&group, lead);
-            let round = survey.round(watch.is_uneasy(boot::now())).await;
-            let cause = match watch.judge(&round) {
-                Some(cause) => cause,
-                None if self.may_relieve(&group, lead, &mut relief).await => {
-                    succession::Cause::Relief
-                }
-                None => continue,
-            };
-            // A promotion holds all replicas that are listed: one that is missing may be the
-            // only one with an acknowledged commit.
-            if self.seat.held().is_none() || !group.roster().is_settled() {
-                continue;
-            }
-            tracing::warn!(group = %group.name, primary = %lead.id, term = lead.term, ?cause,
-                received = ?round.received, "replacing the primary");
-            let done = self
-                .replace(&group, lead, cause, furthest(&group, &watch))
-                .await;
-            watch = succession::Watch::default();
-            if cause == succession::Cause::Relief && done.is_some() {
-                relief.done(boot::now());
-            }
-            match done {
-                Some(lead) => watched = Some(lead),
-                None => wait::sleep(UNEASY).await,
-            }
-        }
-    }
-
-    // Whether the primary should change places with a replica for relief.
-    async fn may_relieve(
-        &self,
-        group: &rc::Rc<group::Group>,
-        lead: &sampler::Lead,
-        relief: &mut relief::Relief,
-    ) -> bool {
-        let age = self.node.catalog().oldest(&group.name);
-        let survey = survey::Survey::new(group, lead);
-        let Some(view) = survey.strain(age).await else {
-            return false;
-        };
-        let due = relief.judge(&view);
-        tracing::info!(group = %group.name, primary = %lead.id, due, position = %view.position,
-            replicas = ?view.replicas, "replicas are behind");
-        due
-    }
-
-    async fn replace(
-        &self,
+    /// Replaces the primary `lead`, of whose group some replica has received `furthest`.
+    pub async fn replace(
+        self: &rc::Rc<Self>,
         group: &rc::Rc<group::Group>,
         lead: &sampler::Lead,
         cause: succession::Cause,
         furthest: Option<stamp::Stamp>,
-    ) -> Option<sampler::Lead> {
+    ) -> Done {
         let plan = plan::Plan {
             group: rc::Rc::clone(group),
             old: survey::Survey::new(group, lead).primary,
@@ -169,60 +130,45 @@
             began: boot::now(),
             furthest,
         };
-        let (held, lives) = self.hold(&plan).await?;
-        if plan.lacks_records(&held) {
-            tracing::warn!(group = %group.name, furthest = ?plan.furthest,
-                "no replica has all that one had received before it started again");
-            // A primary that comes back has to find replicas that receive from it.
-            if cause != succession::Cause::Unfinished && !self.is_pending(&plan) {
-                self.resume(&plan, &group.roster().pools()).await;
-            }
-            return None;
-        }
-        let pending = self.pending.borrow().get(&group.name).cloned();
-        let candidate = pending
-            .filter(|pending| lives.contains(pending))
-            .map(|(id, _)| id)
-            .or_else(|| succession::candidate(&held, |id| group.roster().is_leaving(id)))?;
+        let held = match self.hold(&plan, lead).await {
+            Ok(held) => held,
+            Err(done) => return done,
+        };
+        let candidate = &held.candidate;
         let received: Vec<_> = held
+            .looks
             .iter()
             .map(|look| (&look.id, look.status.received))
             .collect();
-        tracing::info!(group = %group.name, %candidate, term = plan.term, ?received, "candidate chosen");
+        tracing::info!(group = %group.name, %candidate, term = plan.term, ?received,
+            furthest = plan.furthest.map(tracing::field::display), "candidate chosen");
         let relief = cause == succession::Cause::Relief;
-        if relief && !self.step_down(&plan, &candidate, &held).await {
-            self.withdraw(&plan).await;
-            return None;
+        if relief && !self.step_down(&plan, candidate, &held.looks).await {
+            self.free(&plan, lead).await;
+            return Done::GivenUp;
         }
-        if cause == succession::Cause::Planned && plan.is_ahead_of(&candidate, &held).await {
+        if cause == succession::Cause::Planned && plan.is_ahead_of(candidate, &held.looks).await {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
-            self.withdraw(&plan).await;
-            return None;
+            self.free(&plan, lead).await;
+            return Done::GivenUp;
         }
-        let outcome = self.order(&plan, &candidate, &lives).await;
+        let outcome = self.order(&plan, lead, &held).await;
         if let duty::Outcome::Refused(_) = outcome {
             if relief {
                 // Without a primary the replicas stay held, for a promotion that is finished
                 // next; nobody may go on believing in the one that has given up.
                 group.doubt(lead.term, "the primary has given up");
-            } else {
-                self.withdraw(&plan).await;
+            } else if cause.lives() && cause != succession::Cause::Unfinished {
+                // It surely was not carried out: a primary that lives goes on, in place of
+                // waiting for replicas that are held until promotions are possible again.
+                self.free(&plan, lead).await;
             }
-            return None;
-        }
-        let ordered = lives.into_iter().find(|(id, _)| *id == candidate);
-        if let Some(life) = ordered {
-            self.pending.borrow_mut().insert(group.name.clone(), life);
+            return Done::GivenUp;
         }
         if cause.lives() {
             plan.demote_once().await;
         }
-        let term = plan.term;
-        let leads = self.finish(plan, &candidate).await;
-        leads.then_some(sampler::Lead {
-            id: candidate,
-            term,
-        })
+        self.finish(&plan, candidate).await
     }
 
     // Tells the primary to give up before its successor is ordered; whether it has done so.
@@ -256,116 +202,217 @@
         true
     }
 
-    // An order that was surely not carried out: a primary that lives goes on, in place of
-    // waiting for replicas that are held until promotions are possible again.
-    async fn withdraw(&self, plan: &plan::Plan) {
-        let alone = plan.cause.lives() && plan.cause != succession::Cause::Unfinished;
-        if alone && !self.is_pending(plan) {
-            self.resume(plan, &plan.group.roster().pools()).await;
-        }
+    // Whether an order may be in force, or take effect, that makes an instance the primary of a
+    // later term than `lead` has.
+    fn is_open(&self, group: &id::Group, lead: &sampler::Lead) -> bool {
+        let intent = self.seat.intent(group);
+        intent.is_some_and(|intent| intent.term > lead.term)
     }
 
-    // Whether an order for the group may yet take effect.
-    fn is_pending(&self, plan: &plan::Plan) -> bool {
-        self.pending.borrow().contains_key(&plan.group.name)
+    // Whether the one that was replaced last knows, or is gone.
+    fn is_settled(&self, group: &id::Group) -> bool {
+        let settlements = self.settlements.borrow();
+        settlements.get(group).is_none_or(|progress| progress.done)
     }
 
-    /// Holds all replicas for the new term.
+    /// Holds all replicas for the new term and chooses among them.
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
     /// commit; promoting without it would lose a booking that somebody was promised.
-    async fn hold(&self, plan: &plan::Plan) -> Option<(Vec<sampler::Look>, plan::Lives)> {
+    async fn hold(&self, plan: &plan::Plan, lead: &sampler::Lead) -> Result<Held, Done> {
+        let group = &plan.group;
         let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
-            let pools: Vec<_> = plan
-                .group
-                .roster()
-                .pools()
-                .into_iter()
-                .filter(|pool| Some(pool.id()) != old)
-                .collect();
+            let mut pools = group.roster().pools();
+            pools.retain(|pool| Some(pool.id()) != old);
             let lives = plan.lives();
-            let command = upstream::Command::Hold(plan.term);
-            let holds = pools
-                .iter()
-                .map(|pool| plan::tell(pool, &command, plan.group.dialer()));
-            let answers: Vec<_> = futures_util::future::join_all(holds).await;
-            let looks: Vec<_> = answers.into_iter().flatten().collect();
-            let held = |look: &sampler::Look| {
-                look.status.role == role::Role::Replica && look.status.held >= plan.term
+            let looks = hold_all(plan, lead, &pools).await;
+            let pending = self.seat.intent(&group.name);
+            let pending =
+                pending.filter(|intent| intent.term > lead.term && lives.contains(&intent.life()));
+            let view = verdict::View {
+                lead,
+                term: plan.term,
+                expected: pools.len(),
+                looks: &looks,
+                furthest: plan.furthest,
+                pending: pending.as_ref().map(|intent| &intent.candidate),
             };
-            if !looks.is_empty() && looks.len() == pools.len() && looks.iter().all(held) {
-                return Some((looks, lives));
+            let leaves = |id: &upstream::Id| group.roster().is_leaving(id);
+            let mut verdict = view.judge(leaves);
+            if verdict == verdict::Verdict::Lacking {
+                let old = plan.ask_old().await;
+                verdict = view.resolve(&old, leaves);
+                tracing::info!(group = %group.name, furthest = ?plan.furthest, ?old, ?verdict,
+                    "no replica has all that one had received");
+            }
+            match verdict {
+                verdict::Verdict::Promote(candidate) => {
+                    return Ok(Held {
+                        looks,
+                        lives,
+                        candidate,
+                    });
+                }
+                verdict::Verdict::Overtaken(found) => return Err(Done::Overtaken(found)),
+                verdict::Verdict::HeldBack => {
+                    // A primary that comes back has to find replicas that receive from it.
+                    self.free(plan, lead).await;
+                    return Err(Done::HeldBack);
+                }
+                verdict::Verdict::Returned => {
+                    self.free(plan, lead).await;
+                    return Err(Done::GivenUp);
+                }
+                verdict::Verdict::Wait | verdict::Verdict::Lacking => {}
             }
-            let led = looks
-                .iter()
-                .any(|look| look.status.role == role::Role::Primary);
             let late = boot::now() > plan.began + PATIENCE;
-            let returned = !plan.cause.lives() && plan.old_answers().await;
-            if led || late || returned || self.seat.held().is_none() {
-                tracing::warn!(group = %plan.group.name, term = plan.term,
-                    expected = pools.len(), answers = looks.len(), led, late, returned, "promotion given up");
-                self.resume(plan, &pools).await;
-                return None;
+            let returned = self.has_returned(plan, lead).await;
+            if late || returned || self.seat.held().is_none() {
+                tracing::warn!(group = %group.name, term = plan.term, expected = pools.len(),
+                    answers = looks.len(), late, returned, "promotion given up");
+                self.free(plan, lead).await;
+                return Err(Done::GivenUp);
             }
             wait::sleep(plan::POLL).await;
         }
     }
 
-    async fn resume(&self, plan: &plan::Plan, pools: &[rc::Rc<pool::Pool>]) {
-        let dialer = plan.group.dialer();
+    // Whether a primary that was given up, or that a promotion without an order has left
+    // without replicas, answers and leads.
+    async fn has_returned(&self, plan: &plan::Plan, lead: &sampler::Lead) -> bool {
+        let unfinished = plan.cause == succession::Cause::Unfinished;
+        let given_up = !plan.cause.lives();
+        let unordered = unfinished && !self.is_open(&plan.group.name, lead);
+        (given_up || unordered) && plan.old_answers().await
+    }
+
+    /// Frees the replicas of a promotion that is given up, unless a primary that was replaced
+    /// may then acknowledge writes that its successor never gets.
+    ///
+    /// That is so while an order may be in force whose end nobody has seen, and until the
+    /// primary before the present one knows that it leads no more, unless the present one
+    /// answers: replicas follow it then. What stays held is freed by the end of the promotion
+    /// that needs it.
+    async fn free(&self, plan: &plan::Plan, lead: &sampler::Lead) {
+        let group = &plan.group;
+        if self.is_open(&group.name, lead) {
+            tracing::info!(group = %group.name, "replicas stay held: an order may be in force");
+            return;
+        }
+        if !self.is_settled(&group.name) && !plan.old_answers().await {
+            tracing::info!(group = %group.name, "replicas stay held: a replaced primary does not know yet");
+            return;
+        }
+        let old = plan.old.as_ref().map(|pool| pool.id());
+        let mut pools = group.roster().pools();
+        pools.retain(|pool| Some(pool.id()) != old);
         let resumes = pools
             .iter()
-            .map(|pool| plan::tell(pool, &upstream::Command::Resume, dialer));
+            .map(|pool| plan::tell(pool, &upstream::Command::Resume, group.dialer()));
         futures_util::future::join_all(resumes).await;
     }
 
-    async fn order(
-        &self,
-        plan: &plan::Plan,
-        candidate: &upstream::Id,
-        lives: &plan::Lives,
-    ) -> duty::Outcome {
-        let Some(held) = self.seat.confirm().await else {
-            tracing::warn!(group = %plan.group.name, "the seat is not confirmed, no order");
+    async fn order(&self, plan: &plan::Plan, lead: &sampler::Lead, held: &Held) -> duty::Outcome {
+        let group = &plan.group.name;
+        let open = self.is_open(group, lead);
+        let Some(seat) = self
+            .seat
+            .record(&plan.intent(&held.candidate, &held.looks))
+            .await
+        else {
+            tracing::warn!(%group, "the seat is not confirmed, no order");
             return duty::Outcome::Refused("the seat is not confirmed".into());
         };
         // One that has started again since is not held, and one that was added never was.
-        if plan.lives() != *lives {
-            tracing::warn!(group = %plan.group.name, "a replica has started since it was held, no order");
-            return duty::Outcome::Refused("a replica has started since it was held".into());
-        }
-        let order = duty::Order {
-            group: plan.group.name.clone(),
-            candidate: candidate.clone(),
-            holder: self.node.name.clone(),
-            fence: held.fence,
+        let outcome = if plan.lives() == held.lives {
+            let order = duty::Order {
+                group: group.clone(),
+                candidate: held.candidate.clone(),
+                holder: self.node.name.clone(),
+                fence: seat.fence,
+            };
+            self.duty.promote(&order).await
+        } else {
+            duty::Outcome::Refused("a replica has started since it was held".into())
         };
-        let outcome = self.duty.promote(&order).await;
-        tracing::info!(group = %order.group, candidate = %order.candidate, fence = order.fence,
-            ?outcome, "promotion ordered");
+        tracing::info!(%group, candidate = %held.candidate, fence = seat.fence, ?outcome,
+            "promotion ordered");
+        if matches!(outcome, duty::Outcome::Refused(_)) && !open {
+            self.seat.retract(group);
+        }
         outcome
     }
 
-    async fn finish(&self, plan: plan::Plan, candidate: &upstream::Id) -> bool {
+    async fn finish(self: &rc::Rc<Self>, plan: &plan::Plan, candidate: &upstream::Id) -> Done {
         let leads = plan.leads(candidate, plan::LEADING).await;
-        plan.group.search();
-        tracing::info!(group = %plan.group.name, %candidate, term = plan.term, leads,
+        let group = &plan.group;
+        group.search();
+        tracing::info!(group = %group.name, %candidate, term = plan.term, leads,
             cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
-        if leads {
-            self.pending.borrow_mut().remove(&plan.group.name);
-            metrics::counter!(telemetry::PROMOTIONS, "cause" => plan.cause.label()).increment(1);
-            let candidate = candidate.clone();
-            let settle = async move { plan.settle(&candidate).await };
-            self.node.executor().spawn(settle).detach();
+        if !leads {
+            return Done::GivenUp;
+        }
+        metrics::counter!(telemetry::PROMOTIONS, "cause" => plan.cause.label()).increment(1);
+        if let Some(intent) = self.seat.intent(&group.name) {
+            self.settle(group, &intent);
         }
-        leads
+        Done::Leads(sampler::Lead {
+            id: candidate.clone(),
+            term: plan.term,
+        })
+    }
+
+    /// Brings a promotion whose candidate leads to its end in the background, once: the replaced
+    /// primary is told, then the replicas are freed.
+    pub fn settle(self: &rc::Rc<Self>, group: &rc::Rc<group::Group>, intent: &intent::Intent) {
+        let term = intent.term;
+        let mut settlements = self.settlements.borrow_mut();
+        if settlements
+            .get(&group.name)
+            .is_some_and(|progress| progress.term >= term)
+        {
+            return;
+        }
+        let done = false;
+        settlements.insert(group.name.clone(), Progress { term, done });
+        let settlement = settlement::Settlement::new(rc::Rc::clone(group), intent);
+        let promoter = rc::Rc::clone(self);
+        let name = group.name.clone();
+        let settle = async move {
+            let done = settlement.run().await;
+            tracing::info!(group = %name, term, done, "promotion settled");
+            let mut settlements = promoter.settlements.borrow_mut();
+            let progress = settlements.get_mut(&name);
+            if let Some(progress) = progress.filter(|progress| progress.term == term) {
+                progress.done = true;
+            }
+        };
+        self.node.executor().spawn(settle).detach();
     }
 }
 
-// Furthest position that a replica was ever seen to have received. A watch forgets with each
-// try: an empty replica was refused once, and promoted 400 ms later.
-fn furthest(group: &group::Group, watch: &succession::Watch) -> Option<stamp::Stamp> {
-    let seen = group.vacancy().received.map(|(received, _)| received);
-    seen.max(watch.furthest())
+// Holds these instances; one that leads a term which is over, as nobody has told it, is made a
+// replica first.
+async fn hold_all(
+    plan: &plan::Plan,
+    lead: &sampler::Lead,
+    pools: &[rc::Rc<pool::Pool>],
+) -> Vec<sampler::Look> {
+    let dialer = plan.group.dialer();
+    let hold = upstream::Command::Hold(plan.term);
+    let holds = pools.iter().map(|pool| plan::tell(pool, &hold, dialer));
+    let answers = futures_util::future::join_all(holds).await;
+    let looks: Vec<_> = answers.into_iter().flatten().collect();
+    plan.group.hear(&looks);
+    let stale = |look: &&sampler::Look| {
+        look.status.role == role::Role::Primary && look.status.term <= lead.term
+    };
+    for look in looks.iter().filter(stale) {
+        if let Some(pool) = pools.iter().find(|pool| pool.id() == look.id) {
+            let demote = upstream::Command::Demote(plan.term);
+            plan::tell(pool, &demote, dialer).await;
+        }
+    }
+    looks
 }
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -4,6 +4,7 @@
 //! holders and goes along with each promotion.
 
 use std::cell;
+use std::collections;
 use std::rc;
 use std::time;
 
@@ -14,11 +15,15 @@
 
 use crate::boot;
 use crate::duty;
+use crate::intent;
 use crate::wait;
 
 /// Key of the seat.
 pub const KEY: &str = "mangotray/promoter";
 
+/// The seat and all recorded promotions begin so: one list tells a new holder of both.
+const AGREED: &str = "mangotray/promot";
+
 /// Lease of the seat, where the store grants leases as short. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
 const LEASE: time::Duration = time::Duration::from_secs(2);
@@ -77,6 +82,8 @@
     occupied: cell::Cell<bool>,
     stopping: cell::Cell<bool>,
     made: id::Time,
+    /// The last promotion of each group that a holder has recorded.
+    intents: cell::RefCell<collections::BTreeMap<id::Group, intent::Intent>>,
 }
 
 impl Seat {
@@ -97,6 +104,7 @@
             occupied: cell::Cell::new(true),
             stopping: cell::Cell::default(),
             made: boot::now(),
+            intents: cell::RefCell::default(),
         })
     }
 
@@ -121,6 +129,46 @@
         (mine && boot::now() < started + CONFIRMED).then_some(held)
     }
 
+    /// Records a promotion and confirms with the same call that this node still holds the seat.
+    ///
+    /// What a former holder has recorded is known to every later one: its record needs the seat
+    /// as it was then, and a holder reads them after it has taken the seat.
+    pub async fn record(&self, intent: &intent::Intent) -> Option<Held> {
+        let held = self.held()?;
+        let started = boot::now();
+        let value = match serde_json::to_vec(intent) {
+            Ok(value) => bytes::Bytes::from(value),
+            Err(error) => {
+                tracing::error!(group = %intent.group, %error, "promotion not recorded");
+                return None;
+            }
+        };
+        let guard = store::Guard {
+            key: KEY,
+            version: held.fence,
+        };
+        let recorded = self.store.put_guarded(&intent.key(), value, guard).await;
+        if recorded != Ok(store::Swap::Stored) {
+            tracing::warn!(group = %intent.group, ?recorded, "promotion not recorded");
+            return None;
+        }
+        let group = intent.group.clone();
+        self.intents.borrow_mut().insert(group, intent.clone());
+        (boot::now() < started + CONFIRMED).then_some(held)
+    }
+
+    /// The last recorded promotion of a group.
+    #[must_use]
+    pub fn intent(&self, group: &id::Group) -> Option<intent::Intent> {
+        self.intents.borrow().get(group).cloned()
+    }
+
+    /// Forgets a recorded promotion that surely never takes effect. The record stays in the
+    /// store, so that this costs no call; a later holder comes to the same conclusion.
+    pub fn retract(&self, group: &id::Group) {
+        self.intents.borrow_mut().remove(group);
+    }
+
     /// Notes that the seat may be empty, as its key was removed or the store is back.
     pub fn vacated(&self) {
         self.occupied.set(false);
@@ -231,7 +279,8 @@
         let value = bytes::Bytes::copy_from_slice(self.token.as_bytes());
         // Whatever the answer says, or if none comes: the entry tells who holds the seat.
         let swapped = self.store.swap(KEY, value, 0, Some(&lease)).await;
-        let entry = self.store.get(KEY).await?;
+        let agreed = self.store.list(AGREED).await?;
+        let entry = agreed.iter().find(|entry| entry.key == KEY);
         let mine = entry.filter(|entry| entry.value == self.token.as_bytes());
         let Some(entry) = mine else {
             self.occupied.set(swapped.is_ok());
@@ -240,7 +289,16 @@
                 Err(failure) => Err(failure),
             };
         };
-        tracing::info!(fence = entry.version, "promoter's seat taken");
+        let intents = agreed.iter().filter_map(intent::Intent::read);
+        let intents: collections::BTreeMap<_, _> = intents
+            .map(|intent| (intent.group.clone(), intent))
+            .collect();
+        tracing::info!(
+            fence = entry.version,
+            recorded = intents.len(),
+            "promoter's seat taken"
+        );
+        self.intents.replace(intents);
         self.held.replace(Some(Held {
             fence: entry.version,
             until: started + self.lease,
--- /dev/null
+++ b/desk/src/settlement.rs
@@ -0,0 +1,141 @@
+//! The end of a promotion: the replaced primary is told, then the replicas are freed.
+
+use std::rc;
+use std::time;
+
+use mangotray::id;
+use mangotray::role;
+
+use crate::boot;
+use crate::group;
+use crate::intent;
+use crate::plan;
+use crate::pool;
+use crate::sampler;
+use crate::upstream;
+use crate::wait;
+
+/// Longest wait for the answer to one command or look.
+const ANSWER: time::Duration = time::Duration::from_millis(300);
+
+/// Pause between tries to tell the replaced primary.
+const RETRY: time::Duration = time::Duration::from_millis(300);
+
+/// After this long replicas are freed although the replaced primary cannot be told, as long
+/// as its successor answers: they hear of the later term from it, and take no record of an
+/// earlier one from then on. A group whose successor does not answer waits.
+const UNTOLD: time::Duration = time::Duration::from_secs(15);
+
+/// The end of one promotion.
+///
+/// A replaced primary that was not told goes on believing that it leads. A replica that is freed
+/// before, or starts again without its hold, receives its records, and lets it acknowledge
+/// writes that the new primary never gets.
+pub struct Settlement {
+    group: rc::Rc<group::Group>,
+    old: Option<upstream::Id>,
+    candidate: upstream::Id,
+    term: id::Term,
+}
+
+impl Settlement {
+    /// The end of a recorded promotion whose candidate has come to lead.
+    #[must_use]
+    pub fn new(group: rc::Rc<group::Group>, intent: &intent::Intent) -> Self {
+        Self {
+            group,
+            old: intent.old.clone(),
+            candidate: intent.candidate.clone(),
+            term: intent.term,
+        }
+    }
+
+    /// Works until the replicas are free; `false` where a later promotion has taken over.
+    pub async fn run(&self) -> bool {
+        let began = boot::now();
+        loop {
+            if self.is_superseded() {
+                return false;
+            }
+            if self.tell_old().await {
+                break;
+            }
+            let untold = boot::now() > began + UNTOLD;
+            if untold && self.successor_answers().await {
+                tracing::warn!(group = %self.group.name, old = ?self.old, candidate = %self.candidate,
+                    "replicas are freed, the replaced primary could not be told");
+                break;
+            }
+            self.hold_again().await;
+            wait::sleep(RETRY).await;
+        }
+        self.free().await;
+        true
+    }
+
+    // Term in which the candidate leads; it may be later than the one its replicas were held for.
+    fn led(&self) -> id::Term {
+        let lead = self.group.lead().filter(|lead| lead.id == self.candidate);
+        lead.map_or(self.term, |lead| lead.term.max(self.term))
+    }
+
+    fn is_superseded(&self) -> bool {
+        let lead = self.group.lead();
+        lead.is_some_and(|lead| lead.term > self.term && lead.id != self.candidate)
+    }
+
+    // Whether the replaced primary knows, or is gone for good.
+    async fn tell_old(&self) -> bool {
+        let pools = self.group.roster().pools();
+        let Some(old) = pools.iter().find(|pool| self.old == Some(pool.id())) else {
+            return true;
+        };
+        let command = upstream::Command::Demote(self.led());
+        let look = plan::tell(old, &command, self.group.dialer()).await;
+        look.is_some_and(|look| look.status.role == role::Role::Replica)
+    }
+
+    async fn successor_answers(&self) -> bool {
+        let pools = self.group.roster().pools();
+        let Some(pool) = pools.iter().find(|pool| pool.id() == self.candidate) else {
+            return false;
+        };
+        let look = sampler::look(pool, self.group.dialer(), ANSWER).await;
+        look.is_some_and(|look| look.status.role == role::Role::Primary)
+    }
+
+    fn others(&self) -> Vec<rc::Rc<pool::Pool>> {
+        let mut pools = self.group.roster().pools();
+        pools.retain(|pool| pool.id() != self.candidate && Some(pool.id()) != self.old);
+        pools
+    }
+
+    // Holds replicas that have lost their hold with an earlier life, or were added since.
+    async fn hold_again(&self) {
+        let others = self.others();
+        let looks = self.group.look_at(&others, ANSWER).await;
+        let command = upstream::Command::Hold(self.term);
+        for look in looks
+            .iter()
+            .filter(|look| !sampler::knows(&look.status, self.term))
+        {
+            if let Some(pool) = others.iter().find(|pool| pool.id() == look.id) {
+                plan::tell(pool, &command, self.group.dialer()).await;
+            }
+        }
+    }
+
+    // Holds for a later term belong to a later promotion: ending them would let commits pass
+    // by its candidate.
+    async fn free(&self) {
+        let mut pools = self.group.roster().pools();
+        pools.retain(|pool| pool.id() != self.candidate);
+        let looks = self.group.look_at(&pools, ANSWER).await;
+        let own = |look: &&sampler::Look| (1..=self.led()).contains(&look.status.held);
+        for look in looks.iter().filter(own) {
+            if let Some(pool) = pools.iter().find(|pool| pool.id() == look.id) {
+                plan::tell(pool, &upstream::Command::Resume, self.group.dialer()).await;
+            }
+        }
+    }
+}
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -7,9 +7,6 @@
 use mangotray::id;
 use mangotray::stamp;
 
-use crate::sampler;
-use crate::upstream;
-
 /// A primary that does not answer for this long is replaced, unless the replicas show that
 /// it goes on working for others. Twenty commits a second reach a group of today's
 /// smaller user: without any for this long, chance is one in a hundred thousand.
@@ -253,30 +250,3 @@
         self.ahead = began(self.ahead, ahead);
     }
 }
-
-/// The instance that takes over: the one that has received most.
-///
-/// All that may hold an acknowledged commit must have answered, held for the new term.
-/// Among equals one that stays goes before one that leaves.
-///
-/// ```
-/// use mangotray::{role::Role, stamp::Stamp};
-/// use mangotray_desk::{sampler::Look, succession, upstream::{Load, Status}};
-/// let look = |id: &str, position| Look {
-///     id: id.into(),
-///     status: Status { role: Role::Replica, term: 1, received: Stamp::new(1, position), held: 2, load: Load::default() },
-///     applied: None,
-/// };
-/// let looks = [look("a", 4), look("b", 9)];
-/// assert_eq!(succession::candidate(&looks, |_| false), Some("b".into()));
-/// ```
-#[must_use]
-pub fn candidate(
-    held: &[sampler::Look],
-    leaves: impl Fn(&upstream::Id) -> bool,
-) -> Option<upstream::Id> {
-    let best = held
-        .iter()
-        .max_by_key(|look| (look.status.received, !leaves(&look.id)));
-    best.map(|look| look.id.clone())
-}
--- a/desk/src/survey.rs
+++ b/desk/src/survey.rs
@@ -18,7 +18,7 @@
 const ANSWERED: time::Duration = time::Duration::from_millis(250);
 
 /// Longest wait for one look at a primary, above the slowest answers under load.
-const LOOK: time::Duration = time::Duration::from_millis(250);
+pub const LOOK: time::Duration = time::Duration::from_millis(250);
 
 /// A group and the primary that is watched.
 pub struct Survey<'a> {
@@ -62,7 +62,7 @@
         let (received, held) = if calm && group.lead().is_some() {
             (applied(others), false)
         } else {
-            let looks = sampler::look_at_all(others, dialer, LOOK).await;
+            let looks = group.look_at(others, LOOK).await;
             let held = |look: &sampler::Look| sampler::overtakes(&look.status, lead.term);
             let received = looks.iter().map(|look| look.status.received).max();
             (received, looks.iter().any(held))
@@ -90,7 +90,7 @@
         let now = boot::now();
         let dialer = self.group.dialer();
         let first = sampler::look(self.primary.as_ref()?, dialer, LOOK).await?;
-        let looks = sampler::look_at_all(&self.others, dialer, LOOK).await;
+        let looks = self.group.look_at(&self.others, LOOK).await;
         if first.status.role != role::Role::Primary {
             self.group
                 .doubt(first.status.term, "the primary leads no more");
@@ -121,7 +121,7 @@
 /// for ever. Where all answer and none leads, the id is empty.
 pub async fn guess(group: &rc::Rc<group::Group>) -> Option<sampler::Lead> {
     let pools = group.roster().pools();
-    let looks = sampler::look_at_all(&pools, group.dialer(), LOOK).await;
+    let looks = group.look_at(&pools, LOOK).await;
     let term = looks.iter().map(|look| look.status.term).max()?;
     let primaries = looks
         .iter()
--- /dev/null
+++ b/desk/src/verdict.rs
@@ -0,0 +1,160 @@
+//! What the answers to one round of holds mean for a promotion.
+//!
+//! The load that this answers: replicas that do not answer, that start again without their
+//! logs, or that lead already by the order of somebody who has ended since; and a primary that
+//! was given up and comes back, with its log or without. A promotion without a record that
+//! was acknowledged loses a booking; one that is held back for ever leaves a group dark.
+
+use mangotray::id;
+use mangotray::role;
+use mangotray::stamp;
+
+use crate::sampler;
+use crate::upstream;
+
+/// The answers to one round of holds.
+#[derive(Clone, Debug)]
+pub struct View<'a> {
+    /// The primary that is replaced, and its term.
+    pub lead: &'a sampler::Lead,
+    /// Term that the replicas are held for.
+    pub term: id::Term,
+    /// Instances that have to be held: all but the one that is replaced.
+    pub expected: usize,
+    /// Their answers.
+    pub looks: &'a [sampler::Look],
+    /// Furthest record that any replica was ever seen to have received.
+    pub furthest: Option<stamp::Stamp>,
+    /// An instance whose order may yet take effect.
+    pub pending: Option<&'a upstream::Id>,
+}
+
+/// What is known of the instance that is replaced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Old {
+    /// It is listed no more: it cannot come back with its log.
+    Gone,
+    /// It does not answer, and may come back with its log.
+    Silent,
+    /// It answers.
+    Answers(sampler::Look),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Some replica does not answer or is not held: it may be the only one with some commit.
+    Wait,
+    /// An instance leads a later term already.
+    Overtaken(sampler::Lead),
+    /// No replica has all that one had received; the replaced primary has to be asked.
+    Lacking,
+    /// The replaced primary may come back with records that no replica has.
+    HeldBack,
+    /// The replaced primary leads as before, with all records: it goes on.
+    Returned,
+    /// This instance has all records that there are.
+    Promote(upstream::Id),
+}
+
+impl View<'_> {
+    /// What the replicas' answers mean. Among equals one that stays goes before one that
+    /// leaves.
+    ///
+    /// ```
+    /// use mangotray::{role::Role, stamp::Stamp};
+    /// use mangotray_desk::{sampler, upstream, verdict};
+    /// let look = |id: &str, position| sampler::Look {
+    ///     id: id.into(),
+    ///     status: upstream::Status { role: Role::Replica, term: 1, received: Stamp::new(1, position), held: 2, load: upstream::Load::default() },
+    ///     applied: None,
+    /// };
+    /// let lead = sampler::Lead { id: "a".into(), term: 1 };
+    /// let looks = [look("b", 4), look("c", 9)];
+    /// let view = verdict::View { lead: &lead, term: 2, expected: 2, looks: &looks, furthest: Some(Stamp::new(1, 9)), pending: None };
+    /// assert_eq!(view.judge(|_| false), verdict::Verdict::Promote("c".into()));
+    /// ```
+    #[must_use]
+    pub fn judge(&self, leaves: impl Fn(&upstream::Id) -> bool) -> Verdict {
+        if let Some(lead) = self.overtaken() {
+            return Verdict::Overtaken(lead);
+        }
+        let all = !self.looks.is_empty() && self.looks.len() == self.expected;
+        if !all || !self.looks.iter().all(|look| self.is_held(look)) {
+            return Verdict::Wait;
+        }
+        let has_all = |look: &&sampler::Look| Some(look.status.received) >= self.furthest;
+        let pending = self
+            .looks
+            .iter()
+            .filter(|look| self.pending == Some(&look.id))
+            .find(has_all);
+        match pending.or_else(|| self.best(leaves)) {
+            Some(look) if has_all(&look) => Verdict::Promote(look.id.clone()),
+            _ => Verdict::Lacking,
+        }
+    }
+
+    /// What is to be done where no replica has all that one had received, by what is known of
+    /// the replaced primary. It ends: the primary answers, or is listed no more.
+    ///
+    /// ```
+    /// use mangotray::{role::Role, stamp::Stamp};
+    /// use mangotray_desk::{sampler, upstream, verdict};
+    /// let status = upstream::Status { role: Role::Replica, term: 1, received: Stamp::new(1, 4), held: 2, load: upstream::Load::default() };
+    /// let lead = sampler::Lead { id: "a".into(), term: 1 };
+    /// let looks = [sampler::Look { id: "b".into(), status, applied: None }];
+    /// let view = verdict::View { lead: &lead, term: 2, expected: 1, looks: &looks, furthest: Some(Stamp::new(1, 9)), pending: None };
+    /// assert_eq!(view.judge(|_| false), verdict::Verdict::Lacking);
+    /// assert_eq!(view.resolve(&verdict::Old::Silent, |_| false), verdict::Verdict::HeldBack);
+    /// assert_eq!(view.resolve(&verdict::Old::Gone, |_| false), verdict::Verdict::Promote("b".into()));
+    /// ```
+    #[must_use]
+    pub fn resolve(&self, old: &Old, leaves: impl Fn(&upstream::Id) -> bool) -> Verdict {
+        let Some(best) = self.best(leaves) else {
+            return Verdict::Wait;
+        };
+        let look = match old {
+            Old::Silent => return Verdict::HeldBack,
+            // Nobody has the records any more; waiting would leave the group dark for nothing.
+            Old::Gone => return Verdict::Promote(best.id.clone()),
+            Old::Answers(look) => look,
+        };
+        let leads = look.status.role == role::Role::Primary;
+        if leads && look.status.term > self.lead.term {
+            return Verdict::Overtaken(lead_of(look));
+        }
+        let further = look.status.received > best.status.received;
+        match (leads, further) {
+            (true, true) => Verdict::Returned,
+            // It is a replica now, and none but it has the records.
+            (false, true) if self.is_held(look) => Verdict::Promote(look.id.clone()),
+            (false, true) => Verdict::Wait,
+            (_, false) => Verdict::Promote(best.id.clone()),
+        }
+    }
+
+    fn overtaken(&self) -> Option<sampler::Lead> {
+        let later = self.looks.iter().filter(|look| {
+            look.status.role == role::Role::Primary && look.status.term > self.lead.term
+        });
+        later.max_by_key(|look| look.status.term).map(lead_of)
+    }
+
+    fn is_held(&self, look: &sampler::Look) -> bool {
+        look.status.role == role::Role::Replica && look.status.held >= self.term
+    }
+
+    fn best(&self, leaves: impl Fn(&upstream::Id) -> bool) -> Option<&sampler::Look> {
+        self.looks
+            .iter()
+            .max_by_key(|look| (look.status.received, !leaves(&look.id)))
+    }
+}
+
+fn lead_of(look: &sampler::Look) -> sampler::Lead {
+    sampler::Lead {
+        id: look.id.clone(),
+        term: look.status.term,
+    }
+}
--- a/desk/tests/play/mod.rs
+++ b/desk/tests/play/mod.rs
@@ -131,6 +131,24 @@
         .boxed()
     }
 
+    fn put_guarded<'a>(
+        &'a self,
+        key: &'a str,
+        value: Bytes,
+        guard: store::Guard<'a>,
+    ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
+        async move {
+            let mut entries = self.up()?;
+            let found = entries.find(guard.key).map(|entry| entry.version);
+            if found != Some(guard.version) {
+                return Ok(store::Swap::Conflict);
+            }
+            entries.put(key, value, None);
+            Ok(store::Swap::Stored)
+        }
+        .boxed()
+    }
+
     fn watch<'a>(
         &'a self,
         _key: &'a str,
--- a/src/store.rs
+++ b/src/store.rs
@@ -44,6 +44,15 @@
     Conflict,
 }
 
+/// A key whose version says that the caller may still write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guard<'a> {
+    /// Full key.
+    pub key: &'a str,
+    /// Version that it must have.
+    pub version: Version,
+}
+
 /// The key-value service, met through whatever protocol the platform speaks.
 pub trait Store: Send + Sync {
     /// Reads one key.
@@ -61,6 +70,20 @@
         lease: Option<&'a str>,
     ) -> future::BoxFuture<'a, Result<Swap, Failure>>;
 
+    /// Stores a value, whatever is there, if the guarding key still has its version; both in one
+    /// call.
+    ///
+    /// A service that cannot do this refuses, so that whoever relies on it does not act.
+    fn put_guarded<'a>(
+        &'a self,
+        _key: &'a str,
+        _value: bytes::Bytes,
+        _guard: Guard<'a>,
+    ) -> future::BoxFuture<'a, Result<Swap, Failure>> {
+        let refused = Failure::NotRun("this service has no guarded writes".into());
+        Box::pin(future::ready(Err(refused)))
+    }
+
     /// Waits until the key's version differs from `seen` or `patience` has passed.
     fn watch<'a>(
         &'a self,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -27,6 +27,8 @@
 pub const CONFIG_REVISION: &str = "mangotray_config_revision";
 /// Promotions that this process carried through; label `group`.
 pub const PROMOTIONS: &str = "mangotray_promotions_total";
+/// 1 while a promotion of the group is held back on this node; label `group`.
+pub const HELD_BACK: &str = "mangotray_promotion_held_back";
 /// Calls to the platform's service; labels `kind` and `outcome`.
 pub const STORE_CALLS: &str = "mangotray_store_calls_total";
 /// Sessions offered to another proxy; label `result`.
@@ -145,6 +147,10 @@
             "Connections open to upstreams now, by group",
         ),
         (CONFIG_REVISION, "Revision of the configuration in force"),
+        (
+            HELD_BACK,
+            "1 while a promotion is held back on this node, by group",
+        ),
     ];
     for (name, text) in gauges {
         metrics::describe_gauge!(name, metrics::Unit::Count, text);
