Tell a primary that it is replaced only once its successor may be there, and forget orders that are too late

Change: a living primary is demoted before its successor leads only where the order was accepted. An order that has not taken effect 8 s after this node first asked for its end is forgotten where its candidate is another process now, or the primary leads as before: the replicas are freed. Found by the new test: an order refused after such a find never freed them.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Takes note of a record that, as others have found, a replica has received.
+    pub fn note_received(&self, received: stamp::Stamp) {
+        let mut belief = self.belief.borrow_mut();
+        belief.receipts().reach(received, boot::now());
+    }
+
     /// Furthest record that a replica was seen to have received, in what is known of the
     /// present primary's log.
     #[must_use]
--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use mangotray::id;
+use mangotray::role;
 use mangotray::stamp;
 use mangotray::telemetry;
 
@@ -24,6 +25,11 @@
 /// Pause between rounds while something is amiss.
 const UNEASY: time::Duration = time::Duration::from_millis(100);
 
+/// An order that has not taken effect this long after this node first asked for its end never
+/// will: the call takes 0.8 s at most and a promotion 0.6 s; the rest is for a platform that
+/// carries out late what it did not answer. Until then nobody may take writes.
+const LATE: time::Duration = time::Duration::from_secs(8);
+
 /// The watch over one group.
 pub struct Guard {
     promoter: rc::Rc<promoter::Promoter>,
@@ -33,6 +39,8 @@
     relief: relief::Relief,
     /// Since when a promotion is held back.
     held_back: Option<id::Time>,
+    /// The promotion that was resumed last, and since when this node knows of it.
+    resumed: Option<(intent::Intent, id::Time)>,
 }
 
 impl Guard {
@@ -46,6 +54,7 @@
             watched: None,
             relief: relief::Relief::default(),
             held_back: None,
+            resumed: None,
         }
     }
 
@@ -123,6 +132,7 @@
     // Why the primary is to be replaced, if it is.
     async fn cause(&mut self, lead: &sampler::Lead) -> Option<succession::Cause> {
         if let Some(intent) = self.promoter.seat().intent(&self.group.name) {
+            self.group.note_received(intent.received);
             if intent.term > lead.term {
                 return self.resume(&intent, lead).await;
             }
@@ -151,7 +161,15 @@
         let pools = self.group.roster().pools();
         let listed: Vec<_> = pools.iter().map(|pool| pool.id()).collect();
         let looks = self.group.look_at(&pools, survey::LOOK).await;
-        let outcome = intent.outcome(&looks, &listed);
+        let mut outcome = intent.outcome(&looks, &listed);
+        // Another process of the candidate has none of its records, and a primary that leads as
+        // before goes on.
+        let lives: Vec<_> = pools.iter().map(|pool| (pool.id(), pool.born())).collect();
+        let other = !lives.contains(&intent.life());
+        let open = outcome == intent::Outcome::Open;
+        if open && (other || leads(&looks, lead)) && self.is_late(intent) {
+            outcome = intent::Outcome::Void;
+        }
         tracing::info!(group = %self.group.name, candidate = %intent.candidate, term = intent.term,
             primary = %lead.id, answers = looks.len(), ?outcome, "recorded promotion");
         match outcome {
@@ -174,11 +192,26 @@
             }
             intent::Outcome::Void => {
                 self.promoter.seat().retract(&self.group.name);
+                if leads(&looks, lead) {
+                    self.promoter.free(&self.group, lead).await;
+                }
                 None
             }
         }
     }
 
+    // Whether a recorded promotion would have taken effect by now.
+    fn is_late(&mut self, intent: &intent::Intent) -> bool {
+        let now = boot::now();
+        match &self.resumed {
+            Some((known, since)) if known == intent => now > *since + LATE,
+            _ => {
+                self.resumed = Some((intent.clone(), now));
+                false
+            }
+        }
+    }
+
     // Another instance leads a later term: the one that was watched is told, then replicas
     // that are still held are freed.
     fn adopt(&mut self, found: sampler::Lead, old: &sampler::Lead) {
@@ -215,10 +248,7 @@
     fn furthest(&self, lead: &sampler::Lead) -> Option<stamp::Stamp> {
         let watched = self.watch.furthest();
         let watched = watched.filter(|stamp| stamp.term >= lead.term);
-        let recorded = self.promoter.seat().intent(&self.group.name);
-        let recorded = recorded.filter(|intent| intent.term >= lead.term);
-        let recorded = recorded.map(|intent| intent.received);
-        self.group.furthest().max(watched).max(recorded)
+        self.group.furthest().max(watched)
     }
 
     // One line and one gauge for as long as it lasts: callers are refused meanwhile.
@@ -239,3 +269,9 @@
         gauge.set(if held_back { 1.0 } else { 0.0 });
     }
 }
+
+// Whether the watched primary answers and leads.
+fn leads(looks: &[sampler::Look], lead: &sampler::Lead) -> bool {
+    let own = looks.iter().find(|look| look.id == lead.id);
+    own.is_some_and(|look| look.status.role == role::Role::Primary)
+}
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -138,13 +138,6 @@
         }
     }
 
-    /// Whether the old primary answers and still leads.
-    pub async fn old_answers(&self) -> bool {
-        let Some(old) = &self.old else { return false };
-        let look = sampler::look(old, self.group.dialer(), HOLD).await;
-        look.is_some_and(|look| look.status.role == role::Role::Primary)
-    }
-
     /// Whether the old primary has records that the candidate lacks.
     ///
     /// The replicas are held, so that it can have acknowledged them only if an instance that
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -144,12 +144,12 @@
             furthest = plan.furthest.map(tracing::field::display), "candidate chosen");
         let relief = cause == succession::Cause::Relief;
         if relief && !self.step_down(&plan, candidate, &held.looks).await {
-            self.free(&plan, lead).await;
+            self.free(group, lead).await;
             return Done::GivenUp;
         }
         if cause == succession::Cause::Planned && plan.is_ahead_of(candidate, &held.looks).await {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
-            self.free(&plan, lead).await;
+            self.free(group, lead).await;
             return Done::GivenUp;
         }
         let outcome = self.order(&plan, lead, &held).await;
@@ -158,14 +158,16 @@
                 // Without a primary the replicas stay held, for a promotion that is finished
                 // next; nobody may go on believing in the one that has given up.
                 group.doubt(lead.term, "the primary has given up");
-            } else if cause.lives() && cause != succession::Cause::Unfinished {
+            } else if cause.lives() && survey::Survey::new(&plan.group, lead).leads().await {
                 // It surely was not carried out: a primary that lives goes on, in place of
                 // waiting for replicas that are held until promotions are possible again.
-                self.free(&plan, lead).await;
+                self.free(group, lead).await;
             }
             return Done::GivenUp;
         }
-        if cause.lives() {
+        // Where nobody knows whether the order arrived, the primary may be the only one for long:
+        // it is told once the candidate leads. Its replicas are held, so that it acknowledges nothing.
+        if cause.lives() && outcome == duty::Outcome::Accepted {
             plan.demote_once().await;
         }
         self.finish(&plan, candidate).await
@@ -257,11 +259,11 @@
                 verdict::Verdict::Overtaken(found) => return Err(Done::Overtaken(found)),
                 verdict::Verdict::HeldBack => {
                     // A primary that comes back has to find replicas that receive from it.
-                    self.free(plan, lead).await;
+                    self.free(group, lead).await;
                     return Err(Done::HeldBack);
                 }
                 verdict::Verdict::Returned => {
-                    self.free(plan, lead).await;
+                    self.free(group, lead).await;
                     return Err(Done::GivenUp);
                 }
                 verdict::Verdict::Wait | verdict::Verdict::Lacking => {}
@@ -271,7 +273,7 @@
             if late || returned || self.seat.held().is_none() {
                 tracing::warn!(group = %group.name, term = plan.term, expected = pools.len(),
                     answers = looks.len(), late, returned, "promotion given up");
-                self.free(plan, lead).await;
+                self.free(group, lead).await;
                 return Err(Done::GivenUp);
             }
             wait::sleep(plan::POLL).await;
@@ -284,7 +286,7 @@
         let unfinished = plan.cause == succession::Cause::Unfinished;
         let given_up = !plan.cause.lives();
         let unordered = unfinished && !self.is_open(&plan.group.name, lead);
-        (given_up || unordered) && plan.old_answers().await
+        (given_up || unordered) && survey::Survey::new(&plan.group, lead).leads().await
     }
 
     /// Frees the replicas of a promotion that is given up, unless a primary that was replaced
@@ -294,20 +296,18 @@
     /// primary before the present one knows that it leads no more, unless the present one
     /// answers: replicas follow it then. What stays held is freed by the end of the promotion
     /// that needs it.
-    async fn free(&self, plan: &plan::Plan, lead: &sampler::Lead) {
-        let group = &plan.group;
+    pub async fn free(&self, group: &rc::Rc<group::Group>, lead: &sampler::Lead) {
         if self.is_open(&group.name, lead) {
             tracing::info!(group = %group.name, "replicas stay held: an order may be in force");
             return;
         }
-        if !self.is_settled(&group.name) && !plan.old_answers().await {
+        let survey = survey::Survey::new(group, lead);
+        if !self.is_settled(&group.name) && !survey.leads().await {
             tracing::info!(group = %group.name, "replicas stay held: a replaced primary does not know yet");
             return;
         }
-        let old = plan.old.as_ref().map(|pool| pool.id());
-        let mut pools = group.roster().pools();
-        pools.retain(|pool| Some(pool.id()) != old);
-        let resumes = pools
+        let resumes = survey
+            .others
             .iter()
             .map(|pool| plan::tell(pool, &upstream::Command::Resume, group.dialer()));
         futures_util::future::join_all(resumes).await;
--- a/desk/src/survey.rs
+++ b/desk/src/survey.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Whether the primary answers and leads.
+    pub async fn leads(&self) -> bool {
+        let Some(primary) = &self.primary else {
+            return false;
+        };
+        let look = sampler::look(primary, self.group.dialer(), LOOK).await;
+        look.is_some_and(|look| look.status.role == role::Role::Primary)
+    }
+
     /// Looks at all instances for the reason to let primary and replica change places, if
     /// some replica has told of a lag that is one for reads that accept data of `age`.
     pub async fn strain(&self, age: time::Duration) -> Option<relief::View> {
--- a/desk/tests/handover.rs
+++ b/desk/tests/handover.rs
@@ -231,3 +231,32 @@
     });
     assert_eq!(second.leader(), ["a"]);
 }
+
+/// Symptom: a group takes no writes for as long as nobody can be promoted, though its primary lives.
+/// Events: a primary announces its end; the order for its successor is lost, and so are all that
+/// follow.
+/// Cause: an order that might take effect late kept the replicas held, however late it was.
+#[test]
+fn a_primary_that_lives_goes_on_once_a_lost_order_is_too_late() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.vanish.set(1);
+        play.stage.world.borrow_mut().at("a").draining = true;
+        play.stage.relist();
+        stage::until("the order is lost", || {
+            !play.duty.orders.borrow().is_empty()
+        })
+        .await;
+        play.duty.refuse.set(true);
+        play.stage.world.borrow_mut().at("a").draining = false;
+        play.stage.relist();
+        stage::until("the replicas receive again", || {
+            let mut world = play.stage.world.borrow_mut();
+            world.at("b").held == 0 && world.at("c").held == 0
+        })
+        .await;
+        play.led(1).await;
+    });
+    assert_eq!(play.leader(), ["a"]);
+}
