Refuse at once where a group stays without a primary, and say when to come back

Cause: a promotion that is held back, or a store that is away, leaves a group dark for longer than any promotion takes. Each statement that needs the primary waited 40 % of its timeout and was refused with nothing to go by. Change: limit::is_vacant: after 6 s without a primary such statements wait for a fifth of their objective, as where a node has lost the whole group, and are told 'no primary for N s, come back in 1000 ms'. Reads that accept some age go on as before.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use compact_str::CompactString;
+use compact_str::format_compact;
 use mangotray::id;
 use mangotray::stamp;
 
@@ -157,11 +158,11 @@
     /// that it did not run.
     pub async fn write(&self, work: &work::Work) -> Outcome {
         let group = &self.group;
-        let wait = self.limit(work.arrived);
+        let wait = self.limit_at_primary(work.arrived);
         let urgency = limit::urgency(self.route, work.arrived);
         loop {
             let Some((pool, term)) = group.primary(wait).await else {
-                return Outcome::Refused(reply::Code::Busy, "no primary for now".into());
+                return Outcome::Refused(reply::Code::Busy, self.no_primary());
             };
             let mut lent = match pool.lend(urgency, self.values, urgency.until).await {
                 Ok(lent) => lent,
@@ -237,7 +238,11 @@
             arrived: first,
             freshness: route.freshness,
             own,
-            deadline: self.limit(arrived),
+            deadline: if route.freshness == catalog::Freshness::Current {
+                self.limit_at_primary(arrived)
+            } else {
+                self.limit(arrived)
+            },
         }
     }
 
@@ -262,6 +267,7 @@
         let mut need = self.need(opening.arrived, arrived);
         if !opening.read_only {
             need.freshness = catalog::Freshness::Current;
+            need.deadline = self.limit_at_primary(arrived);
         }
         let urgency = limit::urgency(self.route, arrived);
         let mut tried = Vec::new();
@@ -347,6 +353,26 @@
     fn limit(&self, arrived: id::Time) -> id::Time {
         limit::wait(self.route, arrived, self.group.roster().is_lost())
     }
+
+    // The same where only the primary will do. While a promotion is held back, or the store is
+    // away, a caller that waits each time until it is refused learns nothing for seconds.
+    fn limit_at_primary(&self, arrived: id::Time) -> id::Time {
+        let vacant = limit::is_vacant(self.group.vacancy().since, boot::now());
+        limit::wait(self.route, arrived, vacant || self.group.roster().is_lost())
+    }
+
+    // What a caller is told that needs a primary.
+    fn no_primary(&self) -> CompactString {
+        let now = boot::now();
+        match self.group.vacancy().since {
+            Some(since) if limit::is_vacant(Some(since), now) => format_compact!(
+                "no primary for {} s, come back in {} ms",
+                now.saturating_sub(since).as_secs(),
+                limit::COME_BACK.as_millis()
+            ),
+            _ => "no primary for now".into(),
+        }
+    }
 }
 
 // How long a statement may still wait for another try.
--- a/desk/src/limit.rs
+++ b/desk/src/limit.rs
@@ -1,5 +1,7 @@
 //! How long a statement may wait, and how urgent it is.
 
+use std::time;
+
 use mangotray::id;
 
 use crate::catalog;
@@ -15,6 +17,32 @@
 /// stand on the other side of the cut; the sooner, the better.
 const LOST_PERCENT: u32 = 20;
 
+/// A group without a primary for this long goes without one for longer: the lease of a promoter
+/// that is lost ends within two seconds, its successor acts 0.7 s later, sees within 0.6 s
+/// that the primary is silent, and a promotion takes 0.6 s. What lasts beyond, as a promotion
+/// that is held back or a store that is away, a caller does better to sit out elsewhere.
+const VACANT: time::Duration = time::Duration::from_secs(6);
+
+/// When a caller that was refused for want of a primary should come back: promoters try again
+/// about once a second, and callers have two or three tries in all.
+pub const COME_BACK: time::Duration = time::Duration::from_secs(1);
+
+/// Whether a group that has had no primary since `since` will have none for a while, so that
+/// what needs one is refused at once.
+///
+/// ```
+/// use mangotray_desk::limit;
+/// use std::time::Duration;
+/// let second = Duration::from_secs(1);
+/// assert!(!limit::is_vacant(Some(second), 3 * second));
+/// assert!(limit::is_vacant(Some(second), 8 * second));
+/// assert!(!limit::is_vacant(None, 8 * second));
+/// ```
+#[must_use]
+pub fn is_vacant(since: Option<id::Time>, now: id::Time) -> bool {
+    since.is_some_and(|since| now > since + VACANT)
+}
+
 /// Part of a statement's timeout for which it may wait behind others. Where more is asked
 /// than the instances can do, waiting longer serves nobody else instead, and callers with
 /// one second and three tries would see it end in the middle of the third: that happened
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -6,6 +6,7 @@
 
 use assert_matches::assert_matches;
 use mangotray_desk::boot;
+use mangotray_desk::limit;
 use mangotray_desk::reply;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
@@ -238,3 +239,27 @@
         assert_eq!(soon.expect("a refusal").code(), Some(&reply::Code::Busy));
     });
 }
+
+/// Symptom: a caller of a group that has been dark for long waits each time until it is refused,
+/// and comes back at once.
+/// Events: the primary is lost; nobody can be promoted.
+/// Cause: each statement waited for a primary as on the first second.
+#[test]
+fn a_group_that_stays_without_a_primary_refuses_with_a_time_to_come_back() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        stage::until("a primary leads", || group.lead().is_some()).await;
+        stage.world.borrow_mut().at("a").up = false;
+        group.doubt(1, "test");
+        let since = group.vacancy().since;
+        stage::until("the group counts as dark", || {
+            limit::is_vacant(since, boot::now())
+        })
+        .await;
+        let mut session = stage.session("own");
+        let reply = session.handle(&stage::request("WRITE x 1")).await;
+        assert_matches!(reply.end, reply::End::Error { code: reply::Code::Busy, text }
+            if text.contains("come back in"));
+    });
+}
