--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -11,12 +11,14 @@
 use crate::boot;
 use crate::catalog;
 use crate::pool;
+use crate::proof;
 use crate::roster;
 use crate::sampler;
 use crate::source;
 use crate::succession;
 use crate::upstream;
 use crate::wait;
+use crate::witness;
 
 /// Reads ask for a floor this much younger than their bound, for the way of the request
 /// and the grain of timers.
@@ -35,8 +37,6 @@
 /// A position of the primary that is older than this is asked for anew with a floor.
 const POSITION_FRESH: time::Duration = time::Duration::from_millis(200);
 
-type Proof = Option<sampler::Lead>;
-
 /// A group as this node sees it.
 pub struct Group {
     /// Its name.
@@ -49,8 +49,7 @@
     changed: event_listener::Event,
     searching: cell::Cell<bool>,
     refreshing: cell::Cell<bool>,
-    provers: cell::RefCell<Vec<async_channel::Sender<Proof>>>,
-    proving: cell::Cell<bool>,
+    prover: proof::Prover,
 }
 
 impl Group {
@@ -77,8 +76,7 @@
             changed: event_listener::Event::new(),
             searching: cell::Cell::default(),
             refreshing: cell::Cell::default(),
-            provers: cell::RefCell::default(),
-            proving: cell::Cell::default(),
+            prover: proof::Prover::default(),
         })
     }
 
@@ -267,7 +265,7 @@
         {
             self.doubt(lead.term - 1, "another instance leads a later term");
         }
-        let attested = self.is_attested(&lead, looks);
+        let attested = self.panel(|panel| panel.attests(&lead, looks));
         let mut belief = self.belief.borrow_mut();
         if let Some(primary) = looks.iter().find(|look| look.id == lead.id) {
             belief.saw_position(lead.term, started, primary.status.received);
@@ -277,115 +275,41 @@
         }
     }
 
-    /// Proves that a primary leads at some moment after this call began.
-    ///
-    /// Calls that wait at the same time share one look at a replica.
-    pub async fn prove(self: &rc::Rc<Self>, deadline: id::Time) -> Proof {
-        let (sender, receiver) = async_channel::bounded(1);
-        self.provers.borrow_mut().push(sender);
-        if !self.proving.replace(true) {
-            let group = rc::Rc::clone(self);
-            self.executor
-                .spawn(async move { group.prove_all().await })
-                .detach();
-        }
-        wait::until(deadline, receiver.recv()).await?.ok().flatten()
-    }
-
-    async fn prove_all(self: &rc::Rc<Self>) {
-        loop {
-            let provers = self.provers.take();
-            if provers.is_empty() {
-                self.proving.set(false);
-                return;
-            }
-            let proof = self.sample().await;
-            for prover in provers {
-                // Whoever no longer waits has no use for the proof.
-                let _ = prover.try_send(proof.clone());
-            }
-        }
+    /// Proves that a primary leads at some moment after this call began; tells which.
+    pub async fn prove(self: &rc::Rc<Self>, deadline: id::Time) -> Option<sampler::Lead> {
+        self.prover.prove(self, deadline).await
     }
 
-    async fn sample(self: &rc::Rc<Self>) -> Proof {
-        let Some(lead) = self.lead() else {
-            self.search();
-            return None;
-        };
-        let witnesses = self.witnesses(&lead.id);
-        let mut reliable = witnesses.clone();
-        reliable.retain(|pool| self.vouches_alone(pool, lead.term));
-        let mut heard = reliable.len() < witnesses.len();
-        for pool in &reliable {
-            let started = boot::now();
-            let pools = std::slice::from_ref(pool);
-            let looks = self.look_at(pools, sampler::LOOK_LIMIT).await;
-            heard |= !looks.is_empty();
-            let proof = self.judge(&lead, started, &looks);
-            if proof.is_some() || self.lead().as_ref() != Some(&lead) {
-                return proof;
-            }
-        }
-        // Where none answered by itself, all of them will not either.
-        if !heard {
-            return None;
-        }
-        let started = boot::now();
-        let looks = self.look_at(&witnesses, sampler::LOOK_LIMIT).await;
-        self.judge(&lead, started, &looks)
+    /// Proves that the primary leads.
+    #[must_use]
+    pub const fn prover(&self) -> &proof::Prover {
+        &self.prover
     }
 
-    // What looks at other instances that began at `started` say of the primary.
-    fn judge(
-        self: &rc::Rc<Self>,
-        lead: &sampler::Lead,
-        started: id::Time,
-        looks: &[sampler::Look],
-    ) -> Proof {
-        let overtaken = |look: &sampler::Look| sampler::overtakes(&look.status, lead.term);
-        if looks.iter().any(overtaken) {
-            self.doubt(lead.term, "a replica is held for, or knows, a later term");
-            return None;
-        }
-        if !self.is_attested(lead, looks) {
-            return None;
-        }
-        self.belief.borrow_mut().saw_leading(lead.term, started);
-        Some(lead.clone())
+    /// Notes that the primary of `term` still led at `started`.
+    pub fn saw_leading(&self, term: id::Term, started: id::Time) {
+        self.belief.borrow_mut().saw_leading(term, started);
     }
 
-    // Whether an instance may prove by itself that the primary of `term` leads.
-    //
-    // A promotion holds all instances that its promoter lists, and a promoter lists one until it
-    // has been missing from the list for 5.5 s. One that this node lists, but would not if it had
-    // had word from the list, may have been passed over: its word alone is not taken.
-    fn vouches_alone(&self, pool: &pool::Pool, term: id::Term) -> bool {
-        let listed = self.roster.is_fresh(boot::now()) && !self.roster.is_unlisted(pool);
-        listed && self.belief.borrow().trusts(pool.reborn(), term)
+    /// Executor of this node's tasks.
+    #[must_use]
+    pub const fn executor(&self) -> &rc::Rc<async_executor::LocalExecutor<'static>> {
+        &self.executor
     }
 
-    fn is_attested(&self, lead: &sampler::Lead, looks: &[sampler::Look]) -> bool {
-        let others = self.witnesses(&lead.id);
-        let answer = |pool: &rc::Rc<pool::Pool>| looks.iter().find(|look| look.id == pool.id());
-        let vouches = |pool: &rc::Rc<pool::Pool>| {
-            answer(pool).is_some_and(|look| sampler::knows(&look.status, lead.term))
-                && self.vouches_alone(pool, lead.term)
-        };
-        // A process that is gone leads nobody.
-        let accounted = |pool: &rc::Rc<pool::Pool>| answer(pool).is_some() || pool.is_closed();
-        let whole = self.roster.is_settled() && !looks.is_empty();
-        others.iter().any(vouches) || (whole && others.iter().all(accounted))
+    /// Asks the group's witnesses something.
+    pub fn panel<T>(&self, ask: impl FnOnce(&witness::Panel<'_>) -> T) -> T {
+        ask(&witness::Panel {
+            roster: &self.roster,
+            belief: &self.belief.borrow(),
+            domain: &self.domain,
+        })
     }
 
-    // Instances other than the primary, the nearest that answers first.
-    fn witnesses(&self, primary: &upstream::Id) -> Vec<rc::Rc<pool::Pool>> {
-        let mut pools = self.roster.pools();
-        pools.retain(|pool| pool.id() != *primary);
-        pools.sort_by_key(|pool| {
-            let near = pool.instance.borrow().domain == self.domain;
-            (pool.is_down(), !near, pool.load())
-        });
-        pools
+    /// All instances other than the primary, the nearest that answers first.
+    #[must_use]
+    pub fn witnesses(&self, primary: &upstream::Id) -> Vec<rc::Rc<pool::Pool>> {
+        self.panel(|panel| panel.all(primary))
     }
 
     // Makes a floor for reads that accept some age.
@@ -401,7 +325,7 @@
             .borrow()
             .floors()
             .has_position_since(started.saturating_sub(POSITION_FRESH));
-        if fresh && self.sample().await.is_some() {
+        if fresh && self.prover.sample(self).await.is_some() {
             return;
         }
         let Some(primary) = self.roster.pool(&lead.id) else {
