Take a field that nobody reads and repeated set-ups out

Cause: upstream::Load::busy was decoded and read nowhere; tests repeated a bounded read with a short limit four times, and the loss of logs and orders. Conclusion: behaviour as before.

--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -121,8 +121,6 @@
     /// Time after which it will have applied what it has received, as it reckons: it grows at
     /// once when a record will take long, and counts down.
     pub lag: time::Duration,
-    /// Statements at work or waiting.
-    pub busy: usize,
 }
 
 /// Why an exchange gave no whole answer.
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -26,6 +26,15 @@
     }
 }
 
+// The same for a caller that does not wait for long.
+fn soon(freshness: catalog::Freshness) -> source::Need {
+    let need = need(freshness);
+    source::Need {
+        deadline: need.arrived + SOON,
+        ..need
+    }
+}
+
 #[test]
 fn a_bounded_read_goes_to_a_replica_with_a_floor() {
     let stage = stage::Stage::new();
@@ -214,13 +223,8 @@
             world.at("c").born = 2;
         }
         stage.relist();
-        let now = boot::now();
-        let soon = source::Need {
-            arrived: now,
-            deadline: now + SOON,
-            ..need(catalog::Freshness::Current)
-        };
-        assert!(group.source(&soon, &[]).await.is_none());
+        let current = soon(catalog::Freshness::Current);
+        assert!(group.source(&current, &[]).await.is_none());
         stage.world.borrow_mut().at("b").up = true;
         let current = need(catalog::Freshness::Current);
         let source = group.source(&current, &[]).await.expect("a source");
@@ -269,12 +273,7 @@
         stage.relist();
         // Well after the floors of before, of which nothing may be left.
         wait::sleep(SOON).await;
-        let now = boot::now();
-        let bounded = source::Need {
-            arrived: now,
-            deadline: now + SOON,
-            ..need(catalog::Freshness::Bounded(SOON / 2))
-        };
+        let bounded = soon(catalog::Freshness::Bounded(SOON / 2));
         assert!(group.source(&bounded, &[]).await.is_none());
     });
 }
@@ -297,12 +296,7 @@
         stage.world.borrow_mut().at("a").up = false;
         // Well after the floors of before, of which nothing may be left.
         wait::sleep(SOON).await;
-        let now = boot::now();
-        let bounded = source::Need {
-            arrived: now,
-            deadline: now + SOON,
-            ..need(catalog::Freshness::Bounded(SOON / 2))
-        };
+        let bounded = soon(catalog::Freshness::Bounded(SOON / 2));
         assert!(group.source(&bounded, &[]).await.is_none());
         // Once the list is whole, the replicas tell together what was acknowledged.
         let missing = missing.expect("it was on stage");
@@ -346,12 +340,7 @@
         assert!(group.roster().lost().is_some());
         // Well after the floors of before, of which nothing may be left.
         wait::sleep(SOON).await;
-        let now = boot::now();
-        let bounded = source::Need {
-            arrived: now,
-            deadline: now + SOON,
-            ..need(catalog::Freshness::Bounded(SOON / 2))
-        };
+        let bounded = soon(catalog::Freshness::Bounded(SOON / 2));
         assert!(group.source(&bounded, &[]).await.is_none());
     });
 }
--- a/desk/tests/handover.rs
+++ b/desk/tests/handover.rs
@@ -30,6 +30,25 @@
     (world, first.store.clone())
 }
 
+// Both replicas start again without their logs, and the list tells so.
+fn lose_logs(world: &mut stage::World) {
+    for id in ["b", "c"] {
+        world.at(id).born = 2;
+        world.at(id).position = 0;
+    }
+}
+
+// The primary announces its end, and so many orders for its successor are lost on their way.
+async fn lose_orders(play: &play::Play, count: usize) {
+    play.duty.vanish.set(count);
+    play.stage.world.borrow_mut().at("a").draining = true;
+    play.stage.relist();
+    stage::until("the order is lost", || {
+        !play.duty.orders.borrow().is_empty()
+    })
+    .await;
+}
+
 // Whether `a` could acknowledge a write that nobody who leads later would have.
 fn could_acknowledge(world: &cell::RefCell<stage::World>) -> bool {
     let mut world = world.borrow_mut();
@@ -110,10 +129,7 @@
         {
             let mut world = play.stage.world.borrow_mut();
             world.at("a").up = false;
-            for id in ["b", "c"] {
-                world.at(id).born = 2;
-                world.at(id).position = 0;
-            }
+            lose_logs(&mut world);
         }
         play.stage.relist();
         wait::sleep(2 * play::LONG).await;
@@ -146,10 +162,7 @@
         {
             let mut world = play.stage.world.borrow_mut();
             world.at("a").role = role::Role::Replica;
-            for id in ["b", "c"] {
-                world.at(id).born = 2;
-                world.at(id).position = 0;
-            }
+            lose_logs(&mut world);
         }
         play.stage.relist();
         group.doubt(1, "test");
@@ -169,13 +182,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        play.duty.vanish.set(1);
-        play.stage.world.borrow_mut().at("a").draining = true;
-        play.stage.relist();
-        stage::until("the order is lost", || {
-            !play.duty.orders.borrow().is_empty()
-        })
-        .await;
+        lose_orders(&play, 1).await;
         play.store.at().down = true;
         wait::sleep(play::LONG).await;
         assert_eq!(
@@ -203,22 +210,13 @@
     let world = rc::Rc::clone(&first.stage.world);
     first.stage.run(async {
         first.led(1).await;
-        first.duty.vanish.set(usize::MAX);
-        world.borrow_mut().at("a").draining = true;
-        first.stage.relist();
-        stage::until("the order is lost", || {
-            !first.duty.orders.borrow().is_empty()
-        })
-        .await;
+        lose_orders(&first, usize::MAX).await;
     });
     first.store.at().entry = None;
     {
         let mut world = world.borrow_mut();
         world.at("a").draining = false;
-        for id in ["b", "c"] {
-            world.at(id).born = 2;
-            world.at(id).position = 0;
-        }
+        lose_logs(&mut world);
     }
     let second = play::play_with(stage::Stage::of(rc::Rc::clone(&world)), first.store.clone());
     second.stage.run(async {
@@ -241,13 +239,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        play.duty.vanish.set(1);
-        play.stage.world.borrow_mut().at("a").draining = true;
-        play.stage.relist();
-        stage::until("the order is lost", || {
-            !play.duty.orders.borrow().is_empty()
-        })
-        .await;
+        lose_orders(&play, 1).await;
         play.duty.refuse.set(true);
         play.stage.world.borrow_mut().at("a").draining = false;
         play.stage.relist();
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -203,7 +203,6 @@
             held: numbers.next()?,
             load: upstream::Load {
                 lag: time::Duration::from_millis(numbers.next()?),
-                busy: 0,
             },
         })
     }
