--- a/desk/tests/witness.rs
+++ b/desk/tests/witness.rs
@@ -128,3 +128,35 @@
         assert!(group.prove(boot::now() + stage::LIMIT).await.is_some());
     });
 }
+
+/// Symptom: a read of all commits runs at a primary that was replaced 160 ms before, and misses one.
+/// Events: one replica receives nothing; the other takes over, and the primary is told. A
+/// promotion ends all holds, so that the first one is not held any more, and knows of no later term.
+/// A node that has had nothing to do with the group since asks it.
+/// Cause: a replica that is not held, and knows no later term, proved that the primary leads,
+/// whether it follows it or not. Seen: `received: 1/18` of one replica in `replicas are behind`, with
+/// the primary at 1/93, and a read at 1/93 right after the promotion that lacked 2/95.
+#[test]
+fn a_replica_that_receives_nothing_proves_nothing_alone() {
+    for (deaf, successor) in [("b", "c"), ("c", "b")] {
+        let stage = stage::Stage::new();
+        stage.run(async {
+            let group = settled(&stage).await;
+            {
+                let mut world = stage.world.borrow_mut();
+                world.at("a").position = 20;
+                world.at(successor).position = 20;
+                world.at(deaf).position = 15;
+            }
+            group.doubt(1, "test");
+            stage::until("the primary is found again", || group.lead().is_some()).await;
+            wait::sleep(SOON / 2).await;
+            {
+                let mut world = stage.world.borrow_mut();
+                world.promote(successor);
+                world.at("a").role = role::Role::Replica;
+            }
+            assert!(group.prove(boot::now() + SOON).await.is_none());
+        });
+    }
+}
