Let only a replica that follows the primary prove alone that it leads

Change: witness.rs: who vouches alone must have received what the primary had 250 ms before, by an answer of the primary that is not older than a second (floor::stood). Else all others and the primary are asked: all have answered, or the primary says that it leads and no other has started again. An answer with a record of a later term, or the primary's own word, is a doubt. Test changed: desk/tests/group.rs: the replica that receives nothing follows until the proof of the test's start; the primary's position is raised afterwards in place of lowering the replica's. Assertions as before.

--- a/desk/src/belief.rs
+++ b/desk/src/belief.rs
@@ -87,9 +87,14 @@
         news
     }
 
-    /// Takes note of the terms and positions that instances told at `now`; tells which
-    /// replicas have lost their logs.
-    pub fn hear(&mut self, looks: &[sampler::Look], now: id::Time) -> Vec<upstream::Id> {
+    /// Takes note of the terms and positions that instances told at `now`, asked at `started`; tells
+    /// which replicas have lost their logs.
+    pub fn hear(
+        &mut self,
+        looks: &[sampler::Look],
+        started: id::Time,
+        now: id::Time,
+    ) -> Vec<upstream::Id> {
         let highest = looks.iter().map(|look| look.status.term).max();
         self.term = self.term.max(highest.unwrap_or_default());
         let mut lost = Vec::new();
@@ -97,7 +102,8 @@
             let status = look.status;
             if status.role == role::Role::Primary {
                 self.receipts.led(status.term, status.received);
-            } else if self.last.as_ref() != Some(&look.id) && self.receipts.hear(look, now) {
+            } else if self.last.as_ref() != Some(&look.id) && self.receipts.hear(look, started, now)
+            {
                 // The one that led last has records that no replica has received.
                 lost.push(look.id.clone());
             }
--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -9,6 +9,9 @@
 /// Floors closer together than this are not kept apart: 3 s of them stay under 100 entries.
 const SPACING: time::Duration = time::Duration::from_millis(40);
 
+/// The primary's answers are remembered for this long beside the floors that follow from them.
+const RECENT: time::Duration = time::Duration::from_secs(1);
+
 /// Floors older than this are of no use to any read; above the largest usual age bound.
 const KEEP: time::Duration = time::Duration::from_secs(10);
 
@@ -34,6 +37,8 @@
     led: Option<id::Time>,
     positions: collections::VecDeque<(id::Time, stamp::Stamp)>,
     known: collections::VecDeque<(id::Time, stamp::Stamp)>,
+    /// The primary's last answers: when they were asked for, and where its log stood.
+    recent: collections::VecDeque<(id::Time, stamp::Stamp)>,
 }
 
 impl Floors {
@@ -63,6 +68,7 @@
         if let Some(led) = self.led.filter(|led| *led <= sent) {
             self.add(led, stamp);
         }
+        self.remember(sent, stamp);
         let spaced = self
             .positions
             .back()
@@ -80,6 +86,39 @@
         found.map(|(_, stamp)| *stamp)
     }
 
+    fn remember(&mut self, sent: id::Time, stamp: stamp::Stamp) {
+        match self.recent.back_mut() {
+            Some((last, kept)) if sent < *last + SPACING => *kept = (*kept).max(stamp),
+            _ => self.recent.push_back((sent, stamp)),
+        }
+        self.recent.retain(|(time, _)| *time + RECENT >= sent);
+    }
+
+    /// Where the log of the primary of `term` stood at `moment`, by an answer that was asked for then
+    /// or up to a second before.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::floor;
+    /// use std::time::Duration;
+    /// let mut floors = floor::Floors::default();
+    /// floors.saw_position(2, Duration::from_millis(100), Stamp::new(2, 7));
+    /// assert_eq!(floors.stood(2, Duration::from_millis(300)), Some(Stamp::new(2, 7)));
+    /// assert_eq!(floors.stood(2, Duration::from_millis(50)), None);
+    /// assert_eq!(floors.stood(2, Duration::from_millis(1900)), None);
+    /// assert_eq!(floors.stood(3, Duration::from_millis(300)), None);
+    /// ```
+    #[must_use]
+    pub fn stood(&self, term: id::Term, moment: id::Time) -> Option<stamp::Stamp> {
+        if term != self.term {
+            return None;
+        }
+        let answers = self.recent.iter().rev();
+        let found = answers.into_iter().find(|(time, _)| *time <= moment);
+        let found = found.filter(|(time, _)| *time + RECENT >= moment);
+        found.map(|(_, stamp)| *stamp)
+    }
+
     /// Whether a position of the primary asked for at `moment` or later is known.
     #[must_use]
     pub fn has_position_since(&self, moment: id::Time) -> bool {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -125,14 +125,15 @@
         pools: &[rc::Rc<pool::Pool>],
         limit: time::Duration,
     ) -> Vec<sampler::Look> {
+        let started = boot::now();
         let looks = sampler::look_at_all(pools, &*self.dialer, limit).await;
-        self.hear(&looks);
+        self.hear(&looks, started);
         looks
     }
 
-    /// Takes note of the terms and positions that instances told.
-    pub fn hear(&self, looks: &[sampler::Look]) {
-        let lost = self.belief.borrow_mut().hear(looks, boot::now());
+    /// Takes note of the terms and positions that instances told, asked at `started`.
+    pub fn hear(&self, looks: &[sampler::Look], started: id::Time) {
+        let lost = self.belief.borrow_mut().hear(looks, started, boot::now());
         for id in lost {
             tracing::warn!(group = %self.name, instance = %id,
                 "replica has less than it had received: it has started again");
@@ -202,8 +203,19 @@
     }
 
     /// Takes note of the primary's answer to a command sent at `sent`.
-    pub fn saw_position(&self, term: id::Term, sent: id::Time, stamp: Option<stamp::Stamp>) {
-        if let Some(stamp) = stamp {
+    ///
+    /// A log with a record of a later term is that of an instance that was replaced since, and follows
+    /// another.
+    pub fn saw_position(
+        self: &rc::Rc<Self>,
+        term: id::Term,
+        sent: id::Time,
+        stamp: Option<stamp::Stamp>,
+    ) {
+        let Some(stamp) = stamp else { return };
+        if stamp.term > term {
+            self.doubt(term, "its log is of a later term");
+        } else {
             self.belief.borrow_mut().saw_position(term, sent, stamp);
         }
     }
@@ -265,7 +277,7 @@
         {
             self.doubt(lead.term - 1, "another instance leads a later term");
         }
-        let attested = self.panel(|panel| panel.attests(&lead, looks));
+        let attested = self.panel(|panel| panel.attests(&lead, started, looks));
         let mut belief = self.belief.borrow_mut();
         if let Some(primary) = looks.iter().find(|look| look.id == lead.id) {
             belief.saw_position(lead.term, started, primary.status.received);
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -401,10 +401,11 @@
 ) -> Vec<sampler::Look> {
     let dialer = plan.group.dialer();
     let hold = upstream::Command::Hold(plan.term);
+    let started = boot::now();
     let holds = pools.iter().map(|pool| plan::tell(pool, &hold, dialer));
     let answers = futures_util::future::join_all(holds).await;
     let looks: Vec<_> = answers.into_iter().flatten().collect();
-    plan.group.hear(&looks);
+    plan.group.hear(&looks, started);
     let stale = |look: &&sampler::Look| {
         look.status.role == role::Role::Primary && look.status.term <= lead.term
     };
--- a/desk/src/proof.rs
+++ b/desk/src/proof.rs
@@ -4,11 +4,13 @@
 use std::rc;
 
 use mangotray::id;
+use mangotray::role;
 
 use crate::boot;
 use crate::group;
 use crate::sampler;
 use crate::wait;
+use crate::witness;
 
 /// Witnesses that are asked one after the other before all are asked at once: each that does not
 /// answer costs the reads that wait for the proof 160 ms.
@@ -56,15 +58,30 @@
         }
     }
 
-    /// One proof: of a witness alone where one may vouch alone, else of all of them.
+    /// One proof: of a witness alone where one may vouch alone, else of all of them; once more where
+    /// it was only not known yet where the primary's log stands, as on a node that has just started.
     pub async fn sample(&self, group: &rc::Rc<group::Group>) -> Proof {
+        let first = self.ask(group).await;
+        let Some(lead) = group.lead().filter(|_| first.is_none()) else {
+            return first;
+        };
+        let now = boot::now();
+        if group.panel(|panel| panel.is_informed(lead.term, now)) {
+            return None;
+        }
+        wait::sleep(witness::RECEIVED).await;
+        self.ask(group).await
+    }
+
+    async fn ask(&self, group: &rc::Rc<group::Group>) -> Proof {
         let Some(lead) = group.lead() else {
             group.search();
             return None;
         };
         let witnesses = group.witnesses(&lead.id);
         let mut reliable = witnesses.clone();
-        group.panel(|panel| reliable.retain(|pool| panel.vouches_alone(pool, lead.term)));
+        let now = boot::now();
+        group.panel(|panel| reliable.retain(|pool| panel.vouches_alone(pool, lead.term, now)));
         let mut heard = reliable.len() < witnesses.len();
         for pool in reliable.iter().take(ALONE) {
             let started = boot::now();
@@ -81,7 +98,17 @@
             return None;
         }
         let started = boot::now();
-        let looks = group.look_at(&witnesses, sampler::LOOK_LIMIT).await;
+        let mut asked = witnesses;
+        // Where its log stands tells next time whether one of them follows it.
+        asked.extend(group.roster().pool(&lead.id));
+        let looks = group.look_at(&asked, sampler::LOOK_LIMIT).await;
+        if let Some(own) = looks.iter().find(|look| look.id == lead.id) {
+            if own.status.role == role::Role::Replica {
+                group.doubt(lead.term, "the primary leads no more");
+                return None;
+            }
+            group.saw_position(lead.term, started, Some(own.status.received));
+        }
         judge(group, &lead, started, &looks)
     }
 }
@@ -98,7 +125,7 @@
         group.doubt(lead.term, "a replica is held for, or knows, a later term");
         return None;
     }
-    if !group.panel(|panel| panel.attests(lead, looks)) {
+    if !group.panel(|panel| panel.attests(lead, started, looks)) {
         return None;
     }
     group.saw_leading(lead.term, started);
--- a/desk/src/receipts.rs
+++ b/desk/src/receipts.rs
@@ -15,6 +15,8 @@
     term: id::Term,
     /// Last record received.
     received: stamp::Stamp,
+    /// When its answer came.
+    heard: id::Time,
 }
 
 /// What replicas were seen to have received, each by itself and all together.
@@ -34,9 +36,12 @@
 ///     applied: None,
 /// };
 /// let mut receipts = receipts::Receipts::default();
-/// assert!(!receipts.hear(&look(3, 462), Duration::ZERO));
+/// let [first, second, third] = [1, 2, 3].map(Duration::from_millis);
+/// assert!(!receipts.hear(&look(3, 462), first, third));
+/// // This answer may be older than the one before.
+/// assert!(!receipts.hear(&look(3, 461), second, third));
 /// // It answers with less than it had: it has started again.
-/// assert!(receipts.hear(&look(1, 0), Duration::ZERO));
+/// assert!(receipts.hear(&look(1, 0), third, third));
 /// assert_eq!(receipts.furthest().map(|(stamp, _)| stamp), Some(Stamp::new(3, 462)));
 /// // A primary of a later term has all that was ever acknowledged before.
 /// receipts.led(4, Stamp::new(3, 455));
@@ -49,18 +54,25 @@
 }
 
 impl Receipts {
-    /// Takes note of what a replica said at `now`; `true` where it has lost its log.
+    /// Takes note of what a replica said at `now`, asked at `started`; `true` where it has lost
+    /// its log.
     ///
     /// One that goes over to a later term may drop records that its primary never had; within
-    /// a term a log only grows, and no process forgets a term.
-    pub fn hear(&mut self, look: &sampler::Look, now: id::Time) -> bool {
+    /// a term a log only grows, and no process forgets a term. Answers may overtake each other:
+    /// only one that was asked for after the last one had come tells of a loss.
+    pub fn hear(&mut self, look: &sampler::Look, started: id::Time, now: id::Time) -> bool {
         let status = look.status;
+        self.reach(status.received, now);
+        let before = self.seen.get(&look.id).copied();
+        if before.is_some_and(|before| started < before.heard) {
+            return false;
+        }
         let news = Seen {
             term: status.term,
             received: status.received,
+            heard: now,
         };
-        let before = self.seen.insert(look.id.clone(), news);
-        self.reach(status.received, now);
+        self.seen.insert(look.id.clone(), news);
         before.is_some_and(|before| {
             let shorter = news.term == before.term && news.received < before.received;
             news.term < before.term || shorter
--- a/desk/src/witness.rs
+++ b/desk/src/witness.rs
@@ -2,11 +2,16 @@
 //!
 //! A promotion holds all instances that its promoter lists before it orders anything. So one that
 //! is not held, and knows of the primary, proves that nobody had replaced the primary when it was
-//! asked, provided that every promoter lists it and that it has not lost its hold.
+//! asked, provided that every promoter lists it and that it has not lost its hold. A promotion ends
+//! the holds of all replicas as it takes effect: one that receives nothing is free then, and has heard of
+//! no later term. So a witness has to follow the primary.
 
 use std::rc;
+use std::time;
 
 use mangotray::id;
+use mangotray::role;
+use mangotray::stamp;
 
 use crate::belief;
 use crate::boot;
@@ -15,6 +20,10 @@
 use crate::sampler;
 use crate::upstream;
 
+/// A replica that follows a primary has received what the primary had this long ago: records take a
+/// way across the network, whatever a replica needs to apply them.
+pub const RECEIVED: time::Duration = time::Duration::from_millis(250);
+
 /// The instances of a group beside its primary, as witnesses.
 pub struct Panel<'a> {
     /// The instances.
@@ -38,30 +47,69 @@
         pools
     }
 
-    /// Whether an instance may prove by itself that the primary of `term` leads.
+    /// Whether an instance that is asked at `started` may prove by itself that the primary of `term`
+    /// leads.
     ///
     /// A promoter lists an instance until it has been missing from the list for 5.5 s. One that
     /// this node lists, but would not if it had had word of the list, may have been passed over:
     /// its word alone is not taken. Nor is that of one that has started again since the primary was
-    /// last proven to lead.
+    /// last proven to lead, nor that of any while nobody knows where the primary's log stands.
     #[must_use]
-    pub fn vouches_alone(&self, pool: &pool::Pool, term: id::Term) -> bool {
+    pub fn vouches_alone(&self, pool: &pool::Pool, term: id::Term, started: id::Time) -> bool {
         let listed = self.roster.is_fresh(boot::now()) && !self.roster.is_unlisted(pool);
-        listed && self.belief.trusts(pool.reborn(), term)
+        listed && self.is_informed(term, started) && self.belief.trusts(pool.reborn(), term)
+    }
+
+    /// Whether this node knows where the log of the primary of `term` stood a moment before `started`,
+    /// which a witness that vouches alone must have received.
+    #[must_use]
+    pub fn is_informed(&self, term: id::Term, started: id::Time) -> bool {
+        self.stood(term, started).is_some()
     }
 
-    /// Whether these answers prove that `lead` leads: one that vouches by itself, or those of all
-    /// that live. A process that is gone leads nobody.
+    // Where the log of the primary stood a moment before `started`.
+    fn stood(&self, term: id::Term, started: id::Time) -> Option<stamp::Stamp> {
+        let moment = started.saturating_sub(RECEIVED);
+        self.belief.floors().stood(term, moment)
+    }
+
+    /// Whether these answers to looks that began at `started` prove that `lead` leads.
+    ///
+    /// They do if one vouches by itself, or if all others have answered: one of them would lead. Two
+    /// gaps count as answers only where the primary itself says that it leads, as it would have been
+    /// told, and where none of the others has started again. An instance may be missing
+    /// from a list that is not settled; and one whose process is gone may have led, but then it has
+    /// acknowledged nothing, as none of those that answer has heard of it.
     #[must_use]
-    pub fn attests(&self, lead: &sampler::Lead, looks: &[sampler::Look]) -> bool {
+    pub fn attests(
+        &self,
+        lead: &sampler::Lead,
+        started: id::Time,
+        looks: &[sampler::Look],
+    ) -> bool {
         let others = self.all(&lead.id);
         let answer = |pool: &rc::Rc<pool::Pool>| looks.iter().find(|look| look.id == pool.id());
+        let stood = self.stood(lead.term, started);
+        let follows = |look: &sampler::Look| {
+            sampler::knows(&look.status, lead.term) && Some(look.status.received) >= stood
+        };
         let vouches = |pool: &rc::Rc<pool::Pool>| {
-            answer(pool).is_some_and(|look| sampler::knows(&look.status, lead.term))
-                && self.vouches_alone(pool, lead.term)
+            answer(pool).is_some_and(follows) && self.vouches_alone(pool, lead.term, started)
         };
-        let accounted = |pool: &rc::Rc<pool::Pool>| answer(pool).is_some() || pool.is_closed();
-        let whole = self.roster.is_settled() && !looks.is_empty();
-        others.iter().any(vouches) || (whole && others.iter().all(accounted))
+        if others.iter().any(vouches) {
+            return true;
+        }
+        let (answered, silent): (Vec<_>, Vec<_>) =
+            others.iter().partition(|pool| answer(pool).is_some());
+        let settled = self.roster.is_settled();
+        if answered.is_empty() || !silent.iter().all(|pool| settled && pool.is_closed()) {
+            return false;
+        }
+        let says_so = looks
+            .iter()
+            .any(|look| look.id == lead.id && look.status.role == role::Role::Primary);
+        let lasting = |pool: &&rc::Rc<pool::Pool>| self.belief.trusts(pool.reborn(), lead.term);
+        let whole = settled && silent.is_empty();
+        whole || (says_so && answered.iter().all(lasting))
     }
 }
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -287,12 +287,15 @@
 fn a_node_that_has_just_started_makes_no_floor_of_all_replicas() {
     let world = stage::world();
     let missing = world.borrow_mut().instances.remove("c");
-    world.borrow_mut().at("b").position = 5;
+    for id in ["a", "b"] {
+        world.borrow_mut().at(id).position = 5;
+    }
     let stage = stage::Stage::of(world);
     stage.run(async {
         let group = stage.node.group(&stage::GROUP.into());
         let current = need(catalog::Freshness::Current);
         assert!(group.source(&current, &[]).await.is_some());
+        stage.world.borrow_mut().at("a").position = 10;
         stage.world.borrow_mut().at("a").up = false;
         // Well after the floors of before, of which nothing may be left.
         wait::sleep(SOON).await;
--- a/desk/tests/verdict.rs
+++ b/desk/tests/verdict.rs
@@ -47,10 +47,11 @@
 fn receipts_that_were_lost_hold_a_promotion_back_until_the_primary_is_known() {
     let mut receipts = receipts::Receipts::default();
     let now = time::Duration::ZERO;
-    assert!(!receipts.hear(&look("b", role::Role::Replica, 3, 462, 0), now));
-    assert!(!receipts.hear(&look("c", role::Role::Replica, 3, 420, 0), now));
+    let mut hear = |look: &sampler::Look| receipts.hear(look, now, now);
+    assert!(!hear(&look("b", role::Role::Replica, 3, 462, 0)));
+    assert!(!hear(&look("c", role::Role::Replica, 3, 420, 0)));
     let looks = [held("b", 1, 0), held("c", 3, 420)];
-    assert!(receipts.hear(&looks[0], now));
+    assert!(hear(&looks[0]));
     let lead = lead();
     let view = verdict::View {
         lead: &lead,
