--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -91,6 +91,8 @@
     caught_up: cell::Cell<id::Time>,
     answered: cell::Cell<id::Time>,
     reborn: cell::Cell<Option<id::Time>>,
+    /// A look found it without records that the primary had had for a while.
+    deaf: cell::Cell<bool>,
     delay: cell::Cell<time::Duration>,
 }
 
@@ -126,6 +128,7 @@
             caught_up: cell::Cell::default(),
             answered: cell::Cell::default(),
             reborn: cell::Cell::default(),
+            deaf: cell::Cell::default(),
             delay: cell::Cell::default(),
         }
     }
@@ -154,6 +157,17 @@
         self.applied.set(stamp::Stamp::default());
     }
 
+    /// Whether the last look found it without records that the primary had had for a while.
+    #[must_use]
+    pub fn is_deaf(&self) -> bool {
+        self.deaf.get()
+    }
+
+    /// Notes whether a look found it so.
+    pub fn note_deaf(&self, deaf: bool) {
+        self.deaf.set(deaf);
+    }
+
     /// Connections on loan and requests that wait for one.
     #[must_use]
     pub fn load(&self) -> usize {
--- a/desk/src/proof.rs
+++ b/desk/src/proof.rs
@@ -82,6 +82,8 @@
         let mut reliable = witnesses.clone();
         let now = boot::now();
         group.panel(|panel| reliable.retain(|pool| panel.vouches_alone(pool, lead.term, now)));
+        // One that was found deaf is heard again with all others.
+        reliable.retain(|pool| !pool.is_deaf());
         let mut heard = reliable.len() < witnesses.len();
         for pool in reliable.iter().take(ALONE) {
             let started = boot::now();
@@ -99,8 +101,13 @@
         }
         let started = boot::now();
         let mut asked = witnesses;
-        // Where its log stands tells next time whether one of them follows it.
-        asked.extend(group.roster().pool(&lead.id));
+        // The primary's own word is needed where the others' may not do, and where its log stands
+        // tells next time whether one of them follows it.
+        let informed = group.panel(|panel| panel.is_informed(lead.term, started));
+        let gap = !group.roster().is_settled() || asked.iter().any(|pool| pool.is_closed());
+        if gap || !informed {
+            asked.extend(group.roster().pool(&lead.id));
+        }
         let looks = group.look_at(&asked, sampler::LOOK_LIMIT).await;
         if let Some(own) = looks.iter().find(|look| look.id == lead.id) {
             if own.status.role == role::Role::Replica {
--- a/desk/src/witness.rs
+++ b/desk/src/witness.rs
@@ -90,11 +90,15 @@
         let others = self.all(&lead.id);
         let answer = |pool: &rc::Rc<pool::Pool>| looks.iter().find(|look| look.id == pool.id());
         let stood = self.stood(lead.term, started);
-        let follows = |look: &sampler::Look| {
-            sampler::knows(&look.status, lead.term) && Some(look.status.received) >= stood
-        };
         let vouches = |pool: &rc::Rc<pool::Pool>| {
-            answer(pool).is_some_and(follows) && self.vouches_alone(pool, lead.term, started)
+            let Some(look) = answer(pool) else {
+                return false;
+            };
+            let deaf = Some(look.status.received) < stood;
+            pool.note_deaf(deaf);
+            !deaf
+                && sampler::knows(&look.status, lead.term)
+                && self.vouches_alone(pool, lead.term, started)
         };
         if others.iter().any(vouches) {
             return true;
