Follow the store across a return to an older copy

Cause: nothing read the era. A feed watched on from a revision that the store had given out again; the seat's revision was the number of its holder and the guard of its records; absence from the copy counted as having left; a lost record counted as a promotion that was never ordered. Change: the border tells the era, and an answer of an earlier one is a failure; one function (era::fate) says what becomes of each piece. A holder's number is made of era and revision; its records are guarded by a key that only it has; a seat of an earlier era is void at once. Records have a place of their own among those of their group, every node hears of them, and the next holder writes again what the store lost. For 8.2 s after a return a successor that finds replicas held frees none and orders nobody, unless one leads already. What the copy lacks is waited for for 3 s, a node writes its own entry again within a second, and a promotion that somebody else has ended is taken over: the old primary is told, the replicas are freed (before, a planned change followed for nothing; found by the new test). Figures: no call more without a return: taking the seat is one call with two keys, a record one call with two guards. After one: a list and at most one entry a node, spread over a second. The lab's known failure: its test now prints what the three instances say when they never agree.

--- a/desk/src/enrol.rs
+++ b/desk/src/enrol.rs
@@ -14,7 +14,8 @@
 /// Writes this node's entry until it is there.
 ///
 /// The entry outlives the process: a node that comes back finds it and writes nothing, so
-/// that a restart of the whole fleet costs the store no call.
+/// that a restart of the whole fleet costs the store no call. The first try comes after `delay`:
+/// where a store has lost the entries of many nodes, not all of them write at once.
 ///
 /// # Panics
 /// Never: a member is plain text.
@@ -22,7 +23,9 @@
     store: rc::Rc<dyn store::Store>,
     member: member::Member,
     mut version: store::Version,
+    delay: time::Duration,
 ) {
+    wait::sleep(delay).await;
     let key = member.key();
     let value = serde_json::to_vec(&member).expect("a member is plain text");
     let value = bytes::Bytes::from(value);
--- /dev/null
+++ b/desk/src/era.rs
@@ -0,0 +1,182 @@
+//! What becomes of what a node knows when the platform's store comes back from an older copy.
+//!
+//! The load that this answers: the store is away for a moment and returns to what it held some
+//! seconds ago. What nodes wrote since is gone, leases too, and revisions are given out
+//! again; operators and instances write again what they wrote. A node that went on as before would
+//! take what is missing for removed, and a number that was given out twice for its own.
+
+use std::time;
+
+use mangotray::id;
+use mangotray::role;
+use mangotray::store;
+
+use crate::duty;
+use crate::sampler;
+use crate::seat;
+
+/// Operators and instances have written again what the copy lacks after this long: two seconds
+/// at most, and the time that a watch takes to tell.
+pub const WRITTEN_AGAIN: time::Duration = time::Duration::from_secs(3);
+
+/// Nodes write what the copy lacks of their own within this time, each at a moment of its own.
+pub const SPREAD: time::Duration = time::Duration::from_secs(1);
+
+/// An order that was sent before the store came back takes effect within this time, or never:
+/// the call takes 0.8 s at most and a promotion 0.6 s; the rest is for a platform that carries
+/// out late what it did not answer, and for an order that was confirmed just before.
+const ORDERS_OVER: time::Duration = time::Duration::from_millis(8200);
+
+/// Bits of a fence that the revision takes. There is room for a million changes a second through
+/// twelve days, and for eight million eras.
+const REVISION_BITS: u32 = 40;
+
+/// Something that a node has from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// The operators' configuration.
+    Configuration,
+    /// The list of instances.
+    Instances,
+    /// The other nodes.
+    Members,
+    /// This node's own entry.
+    Enrolment,
+    /// Promotions that were recorded before they were ordered.
+    Promotions,
+    /// The promoter's seat.
+    Seat,
+}
+
+/// What becomes of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It stays until the store has something newer: an older version is no news.
+    Kept,
+    /// What the copy lacks stays until its writers have had time to write it again.
+    Awaited,
+    /// What the copy lacks of it is written again.
+    Rewritten,
+    /// It is void, and has to be obtained anew.
+    Dropped,
+}
+
+/// What becomes of a piece.
+///
+/// ```
+/// use mangotray_desk::era;
+/// assert_eq!(era::fate(era::Piece::Seat), era::Fate::Dropped);
+/// ```
+#[must_use]
+pub const fn fate(piece: Piece) -> Fate {
+    match piece {
+        // A version never goes back, and members leave no other trace than their entry.
+        Piece::Configuration | Piece::Members => Fate::Kept,
+        // Absence from the copy is no sign that an instance has left.
+        Piece::Instances => Fate::Awaited,
+        Piece::Enrolment | Piece::Promotions => Fate::Rewritten,
+        // Somebody else may have been the holder in the seconds that are gone, or be it now.
+        Piece::Seat => Fate::Dropped,
+    }
+}
+
+/// The number of a holder who took the seat at `revision` of an era; a later holder has a higher
+/// one, also where the store has given out the same revision again.
+///
+/// ```
+/// use mangotray_desk::era;
+/// assert_eq!(era::fence(0, 70), 70);
+/// assert!(era::fence(2, 65) > era::fence(1, 70));
+/// ```
+#[must_use]
+pub const fn fence(era: store::Era, revision: store::Version) -> duty::Fence {
+    (era << REVISION_BITS) | revision
+}
+
+/// Whether an order may yet take effect whose record the store has lost.
+///
+/// A process that has just started cannot tell when the store came back, and takes the first
+/// answer for it. Where the store never does, there is no era and no doubt.
+///
+/// ```
+/// use mangotray_desk::era;
+/// use std::time::Duration;
+/// let since = Duration::from_secs(5);
+/// assert!(era::is_doubtful(2, since, Duration::from_secs(6)));
+/// assert!(!era::is_doubtful(2, since, Duration::from_secs(14)));
+/// assert!(!era::is_doubtful(0, since, Duration::from_secs(6)));
+/// ```
+#[must_use]
+pub fn is_doubtful(era: store::Era, since: id::Time, now: id::Time) -> bool {
+    era > 0 && now < since + ORDERS_OVER
+}
+
+/// Whether instances' answers leave room for an order that nobody has a record of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// No replica is held, so that nobody can have been ordered.
+    None,
+    /// This instance leads a later term: what was ordered is done.
+    Done(sampler::Lead),
+    /// A replica is held, or one that does not answer may be.
+    Possible,
+}
+
+/// Judges the answers of the `expected` instances other than the primary of `term`.
+///
+/// A promotion holds every replica before its order leaves, and a holder frees none while its order
+/// may take effect. A successor without the record that frees a held replica lets a replaced
+/// primary acknowledge what the new one never gets; one that orders another candidate has two
+/// instances lead in turns.
+///
+/// ```
+/// use mangotray::{role::Role, stamp::Stamp};
+/// use mangotray_desk::{era, sampler, upstream};
+/// let look = |id: &str, role, term, held| sampler::Look {
+///     id: id.into(),
+///     status: upstream::Status { role, term, received: Stamp::new(1, 7), held, load: upstream::Load::default() },
+///     applied: None,
+/// };
+/// let free = look("b", Role::Replica, 1, 0);
+/// let held = look("c", Role::Replica, 1, 2);
+/// let leads = look("c", Role::Primary, 2, 0);
+/// assert_eq!(era::order(1, 2, &[free.clone(), held]), era::Order::Possible);
+/// assert!(matches!(era::order(1, 2, &[free.clone(), leads]), era::Order::Done(_)));
+/// assert_eq!(era::order(1, 1, &[free.clone()]), era::Order::None);
+/// assert_eq!(era::order(1, 2, &[free]), era::Order::Possible);
+/// ```
+#[must_use]
+pub fn order(term: id::Term, expected: usize, looks: &[sampler::Look]) -> Order {
+    let later = |look: &sampler::Look| sampler::overtakes(&look.status, term);
+    let leads =
+        |look: &&sampler::Look| look.status.role == role::Role::Primary && look.status.term > term;
+    let leader = looks
+        .iter()
+        .filter(leads)
+        .max_by_key(|look| look.status.term);
+    if let Some(look) = leader {
+        Order::Done(sampler::Lead {
+            id: look.id.clone(),
+            term: look.status.term,
+        })
+    } else if looks.len() < expected || looks.iter().any(later) {
+        Order::Possible
+    } else {
+        Order::None
+    }
+}
+
+/// How long a node that sees the seat empty waits before it claims it, so that the one that held it
+/// when the store came back, and knows what it ordered, can take it again.
+///
+/// ```
+/// use mangotray_desk::era;
+/// use std::time::Duration;
+/// let (since, now) = (Duration::from_secs(5), Duration::from_secs(6));
+/// assert!(era::defers(2, since, now));
+/// assert!(!era::defers(0, since, now));
+/// ```
+#[must_use]
+pub fn defers(era: store::Era, since: id::Time, now: id::Time) -> bool {
+    era > 0 && now < since + seat::LEASE + WRITTEN_AGAIN
+}
--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -9,6 +9,7 @@
 use mangotray::telemetry;
 
 use crate::boot;
+use crate::era;
 use crate::group;
 use crate::intent;
 use crate::promoter;
@@ -78,7 +79,12 @@
         // A belief older than the last promotion would have it taken for one left undone.
         let term = self.watched.as_ref().map_or(0, |lead| lead.term);
         if let Some(lead) = self.group.lead().filter(|lead| lead.term >= term) {
-            self.watch_over(lead);
+            match self.watched.clone() {
+                // Somebody else's promotion has come to its end: whoever ordered it may be gone,
+                // with the replicas still held and the old primary not told.
+                Some(old) if lead.term > old.term && lead.id != old.id => self.adopt(lead, &old),
+                _ => self.watch_over(lead),
+            }
         }
         if self.watched.is_none() {
             self.watched = survey::guess(&self.group).await;
@@ -105,6 +111,10 @@
         if seat.held().is_none() || !self.group.roster().is_settled() {
             return;
         }
+        if self.settles_lost_order(&lead).await {
+            wait::sleep(CALM).await;
+            return;
+        }
         let furthest = self.furthest(&lead);
         if self.held_back.is_none() {
             tracing::warn!(group = %self.group.name, primary = %lead.id, term = lead.term, ?cause,
@@ -129,6 +139,30 @@
         }
     }
 
+    // Whether the store may have lost the record of an order, so that nobody is ordered in this round
+    // and no replica freed. Where its candidate leads by now, that one is taken over.
+    async fn settles_lost_order(&mut self, lead: &sampler::Lead) -> bool {
+        if !self.promoter.is_in_doubt(&self.group.name) {
+            return false;
+        }
+        let others = survey::Survey::new(&self.group, lead).others;
+        let looks = self.group.look_at(&others, survey::LOOK).await;
+        let order = era::order(lead.term, others.len(), &looks);
+        tracing::info!(group = %self.group.name, primary = %lead.id, term = lead.term, ?order,
+            answers = looks.len(), "the store may have lost the record of a promotion");
+        match order {
+            era::Order::None => {
+                self.promoter.note_clear(&self.group.name);
+                false
+            }
+            era::Order::Done(found) => {
+                self.adopt(found, lead);
+                true
+            }
+            era::Order::Possible => true,
+        }
+    }
+
     // Why the primary is to be replaced, if it is.
     async fn cause(&mut self, lead: &sampler::Lead) -> Option<succession::Cause> {
         if let Some(intent) = self.promoter.seat().intent(&self.group.name) {
@@ -204,7 +238,7 @@
     fn is_late(&mut self, intent: &intent::Intent) -> bool {
         let now = boot::now();
         match &self.resumed {
-            Some((known, since)) if known == intent => now > *since + LATE,
+            Some((known, since)) if known.is_same_as(intent) => now > *since + LATE,
             _ => {
                 self.resumed = Some((intent.clone(), now));
                 false
@@ -224,6 +258,7 @@
             term: found.term,
             old: Some(old.id.clone()).filter(|old| *old != found.id),
             received: stamp::Stamp::default(),
+            place: intent::Place::default(),
         });
         self.promoter.settle(&self.group, &intent);
         self.group.search();
--- a/desk/src/intent.rs
+++ b/desk/src/intent.rs
@@ -13,6 +13,7 @@
 use mangotray::stamp;
 use mangotray::store;
 
+use crate::duty;
 use crate::plan;
 use crate::sampler;
 use crate::upstream;
@@ -20,6 +21,30 @@
 /// Keys of records begin so; the group's name follows.
 pub const PREFIX: &str = "mangotray/promotion/";
 
+/// Where a record stands among those of its group, whoever wrote them; the last one counts.
+///
+/// The store's revisions do not tell: they go back when it comes back from an older copy, with
+/// records that are older than what was recorded since.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(default)]
+pub struct Place {
+    /// The number of the holder who wrote it.
+    pub fence: duty::Fence,
+    /// The holder's records, counted.
+    pub turn: u64,
+}
+
 /// A promotion that was, or was about to be, ordered.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Intent {
@@ -35,6 +60,9 @@
     pub old: Option<upstream::Id>,
     /// Furthest record that any held replica had received: all that was acknowledged before.
     pub received: stamp::Stamp,
+    /// Where this record stands among those of the group.
+    #[serde(default)]
+    pub place: Place,
 }
 
 /// What became of a recorded promotion, as far as the instances' answers tell.
@@ -66,6 +94,7 @@
     ///     term: 2,
     ///     old: Some("a".into()),
     ///     received: Stamp::new(1, 7),
+    ///     place: intent::Place::default(),
     /// };
     /// assert_eq!(intent.key(), "mangotray/promotion/bookings");
     /// assert_eq!(intent.life(), ("b".into(), 0));
@@ -96,6 +125,16 @@
         (self.candidate.clone(), self.born)
     }
 
+    /// Whether this is the same promotion, be it recorded once more.
+    #[must_use]
+    pub fn is_same_as(&self, other: &Self) -> bool {
+        let place = other.place;
+        Self {
+            place,
+            ..self.clone()
+        } == *other
+    }
+
     /// What became of it, by the answers of the listed instances that did answer.
     ///
     /// ```
@@ -108,6 +147,7 @@
     ///     term: 2,
     ///     old: Some("a".into()),
     ///     received: Stamp::new(1, 7),
+    ///     place: intent::Place::default(),
     /// };
     /// let look = |id: &str, role, term| sampler::Look {
     ///     id: id.into(),
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod catalog;
 pub mod duty;
 pub mod enrol;
+pub mod era;
 pub mod floor;
 pub mod group;
 pub mod guard;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Notes that the list of instances has come back from an older copy.
+    pub fn note_return(&self) {
+        for group in self.groups.borrow().values() {
+            group.roster().note_return();
+        }
+    }
+
     // Whether the configuration names the group. Before there is one, every group may be.
     fn is_named(&self, group: &id::Group) -> bool {
         let catalog = self.catalog.load();
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -112,6 +112,7 @@
             term: self.term,
             old: old.filter(|old| old != candidate),
             received: received.unwrap_or_default(),
+            place: intent::Place::default(),
         }
     }
 
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -8,6 +8,7 @@
 use mangotray::id;
 use mangotray::role;
 use mangotray::stamp;
+use mangotray::store;
 use mangotray::telemetry;
 
 use crate::boot;
@@ -70,6 +71,8 @@
     duty: rc::Rc<dyn duty::Duty>,
     /// The ends of promotions, done or under way, that this node knows of.
     settlements: cell::RefCell<collections::BTreeMap<id::Group, Progress>>,
+    /// Groups of which no order was under way when the store came back, and in which era.
+    clear: cell::RefCell<collections::BTreeMap<id::Group, store::Era>>,
 }
 
 impl Promoter {
@@ -85,6 +88,7 @@
             seat,
             duty,
             settlements: cell::RefCell::default(),
+            clear: cell::RefCell::default(),
         })
     }
 
@@ -211,6 +215,18 @@
         intent.is_some_and(|intent| intent.term > lead.term)
     }
 
+    /// Whether an order may be in force whose record the store has lost.
+    pub fn is_in_doubt(&self, group: &id::Group) -> bool {
+        let clear = self.clear.borrow().get(group).copied();
+        self.seat.is_doubtful() && clear != Some(self.seat.era())
+    }
+
+    /// Notes that there is none.
+    pub fn note_clear(&self, group: &id::Group) {
+        let era = self.seat.era();
+        self.clear.borrow_mut().insert(group.clone(), era);
+    }
+
     // Whether the one that was replaced last knows, or is gone.
     fn is_settled(&self, group: &id::Group) -> bool {
         let settlements = self.settlements.borrow();
@@ -297,6 +313,10 @@
     /// answers: replicas follow it then. What stays held is freed by the end of the promotion
     /// that needs it.
     pub async fn free(&self, group: &rc::Rc<group::Group>, lead: &sampler::Lead) {
+        if self.is_in_doubt(&group.name) {
+            tracing::info!(group = %group.name, "replicas stay held: the store may have lost the record of an order");
+            return;
+        }
         if self.is_open(&group.name, lead) {
             tracing::info!(group = %group.name, "replicas stay held: an order may be in force");
             return;
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -16,7 +16,8 @@
 /// not reach it after seven seconds; the rest is for the way and for queues.
 const LEAVING_USE: time::Duration = time::Duration::from_millis(5500);
 
-/// Time after a node's first list in which instances may be missing from it. Entries that ended
+/// Time after a node's first list, or after the store came back from an older copy, in which instances
+/// may be missing from it. Entries that ended
 /// while the store was away come back within two seconds of its return; a node that starts
 /// just then knows nothing of those that are missing, as the others do.
 const SETTLED: time::Duration = time::Duration::from_secs(3);
@@ -35,7 +36,7 @@
     /// Until when those that leave may be sent callers' work.
     leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     added: cell::Cell<id::Time>,
-    /// When this node first had a list.
+    /// When this node first had a list, or the list came back from an older copy.
     first: cell::Cell<Option<id::Time>>,
     /// When an instance was last forgotten, or started again.
     lost: cell::Cell<Option<id::Time>>,
@@ -98,6 +99,12 @@
         self.heard.get().is_some_and(|heard| now < heard + FRESH)
     }
 
+    /// Notes that the list has come back from an older copy: some that there are may be missing from
+    /// it for a while, as at the start.
+    pub fn note_return(&self) {
+        self.first.set(Some(boot::now()));
+    }
+
     /// Whether an instance is still asked, but listed no more.
     #[must_use]
     pub fn is_unlisted(&self, pool: &pool::Pool) -> bool {
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -1,7 +1,8 @@
 //! The promoter's seat: one node of the fleet at a time replaces primaries.
 //!
-//! The seat is a key in the platform's store under a lease. Its revision orders the
-//! holders and goes along with each promotion.
+//! The seat is a key in the platform's store under a lease, beside a second one that names the
+//! holder. The era of the store and the seat's revision order the holders; the number made of
+//! both goes along with each promotion.
 
 use std::cell;
 use std::collections;
@@ -15,6 +16,7 @@
 
 use crate::boot;
 use crate::duty;
+use crate::era;
 use crate::intent;
 use crate::wait;
 
@@ -26,7 +28,7 @@
 
 /// Lease of the seat, where the store grants leases as short. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
-const LEASE: time::Duration = time::Duration::from_secs(2);
+pub const LEASE: time::Duration = time::Duration::from_secs(2);
 
 /// Pause between renewals: three may fail before the lease ends. Each is priced at a tenth
 /// of a call.
@@ -67,6 +69,22 @@
     /// No order before this.
     pub from: id::Time,
     lease: store::Lease,
+    /// Era of the store in which the seat was taken.
+    era: store::Era,
+    /// Key that exists as long as this node holds the seat. A revision alone does not name a holder:
+    /// a store that comes back from an older copy gives it out again.
+    own_key: CompactString,
+    /// Revisions of the seat and of that key.
+    versions: [store::Version; 2],
+}
+
+/// The era of the store as this process has seen it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sight {
+    era: store::Era,
+    since: id::Time,
+    /// It rose before the eyes of this process, which knows what it did until then.
+    risen: bool,
 }
 
 /// This node's part in holding the seat.
@@ -84,6 +102,13 @@
     made: id::Time,
     /// The last promotion of each group that a holder has recorded.
     intents: cell::RefCell<collections::BTreeMap<id::Group, intent::Intent>>,
+    /// Recorded promotions that surely never take effect.
+    retracted: cell::RefCell<collections::BTreeMap<id::Group, intent::Place>>,
+    /// Promotions that this process has recorded.
+    turns: cell::Cell<u64>,
+    sight: cell::Cell<Sight>,
+    /// The era in which this process held the seat last, up to its end.
+    outlived: cell::Cell<Option<store::Era>>,
 }
 
 impl Seat {
@@ -105,6 +130,10 @@
             stopping: cell::Cell::default(),
             made: boot::now(),
             intents: cell::RefCell::default(),
+            retracted: cell::RefCell::default(),
+            turns: cell::Cell::default(),
+            sight: cell::Cell::default(),
+            outlived: cell::Cell::default(),
         })
     }
 
@@ -113,7 +142,44 @@
     pub fn held(&self) -> Option<Held> {
         let now = boot::now();
         let held = self.held.borrow().clone();
-        held.filter(|held| held.from <= now && now < held.until)
+        held.filter(|held| held.from <= now && now < held.until && self.is_valid(held))
+    }
+
+    // A seat that was taken before the store came back from an older copy is void: others may have
+    // held it in the seconds that are gone, with higher numbers, or have taken it since.
+    fn is_valid(&self, held: &Held) -> bool {
+        held.era == self.store.era()
+    }
+
+    // The present era, and since when this process knows it.
+    fn sight(&self) -> Sight {
+        let before = self.sight.get();
+        let era = self.store.era();
+        if era == before.era {
+            return before;
+        }
+        let sight = Sight {
+            era,
+            since: boot::now(),
+            risen: before.era > 0,
+        };
+        self.sight.set(sight);
+        sight
+    }
+
+    /// Whether an order may yet take effect whose record the store has lost. The process that held
+    /// the seat when the store came back knows its own orders, and there were no others.
+    #[must_use]
+    pub fn is_doubtful(&self) -> bool {
+        let sight = self.sight();
+        let knows = sight.risen && self.outlived.get() == Some(sight.era);
+        !knows && era::is_doubtful(sight.era, sight.since, boot::now())
+    }
+
+    /// The store's era, as far as this node knows.
+    #[must_use]
+    pub fn era(&self) -> store::Era {
+        self.store.era()
     }
 
     /// Asks the store whether this node still holds the seat.
@@ -125,8 +191,9 @@
         let held = self.held()?;
         let started = boot::now();
         let entry = self.store.get(KEY).await.ok().flatten()?;
-        let mine = entry.version == held.fence && entry.value == self.token.as_bytes();
-        (mine && boot::now() < started + CONFIRMED).then_some(held)
+        let mine = entry.version == held.versions[0] && entry.value == self.token.as_bytes();
+        let soon = boot::now() < started + CONFIRMED;
+        (mine && soon && self.is_valid(&held)).then_some(held)
     }
 
     /// Records a promotion and confirms with the same call that this node still holds the seat.
@@ -136,25 +203,51 @@
     pub async fn record(&self, intent: &intent::Intent) -> Option<Held> {
         let held = self.held()?;
         let started = boot::now();
-        let value = match serde_json::to_vec(intent) {
-            Ok(value) => bytes::Bytes::from(value),
-            Err(error) => {
-                tracing::error!(group = %intent.group, %error, "promotion not recorded");
-                return None;
-            }
+        self.turns.set(self.turns.get() + 1);
+        let place = intent::Place {
+            fence: held.fence,
+            turn: self.turns.get(),
         };
-        let guard = store::Guard {
-            key: KEY,
-            version: held.fence,
+        let intent = intent::Intent {
+            place,
+            ..intent.clone()
         };
-        let recorded = self.store.put_guarded(&intent.key(), value, guard).await;
+        let recorded = self.write(&held, &intent).await;
         if recorded != Ok(store::Swap::Stored) {
             tracing::warn!(group = %intent.group, ?recorded, "promotion not recorded");
             return None;
         }
-        let group = intent.group.clone();
-        self.intents.borrow_mut().insert(group, intent.clone());
-        (boot::now() < started + CONFIRMED).then_some(held)
+        self.note_recorded(intent);
+        let soon = boot::now() < started + CONFIRMED;
+        (soon && self.is_valid(&held)).then_some(held)
+    }
+
+    async fn write(
+        &self,
+        held: &Held,
+        intent: &intent::Intent,
+    ) -> Result<store::Swap, store::Failure> {
+        let value = serde_json::to_vec(intent)
+            .map_err(|error| store::Failure::NotRun(format_compact!("{error}")))?;
+        let guard = |(key, version)| store::Guard { key, version };
+        let keys = [KEY, held.own_key.as_str()];
+        let guards: Vec<_> = keys.into_iter().zip(held.versions).map(guard).collect();
+        let value = bytes::Bytes::from(value);
+        self.store.put_guarded(&intent.key(), value, &guards).await
+    }
+
+    /// Takes note of a recorded promotion, unless a later one of its group is known, or it is
+    /// known never to take effect.
+    ///
+    /// Every node hears of each record. The store may lose the last ones when it comes back from an
+    /// older copy; the next holder has them from here, and writes them again.
+    pub fn note_recorded(&self, intent: intent::Intent) {
+        let retracted = self.retracted.borrow().get(&intent.group).copied();
+        let mut intents = self.intents.borrow_mut();
+        let known = intents.get(&intent.group).map(|known| known.place);
+        if Some(intent.place) > known.max(retracted) {
+            intents.insert(intent.group.clone(), intent);
+        }
     }
 
     /// The last recorded promotion of a group.
@@ -166,7 +259,10 @@
     /// Forgets a recorded promotion that surely never takes effect. The record stays in the
     /// store, so that this costs no call; a later holder comes to the same conclusion.
     pub fn retract(&self, group: &id::Group) {
-        self.intents.borrow_mut().remove(group);
+        if let Some(intent) = self.intents.borrow_mut().remove(group) {
+            let mut retracted = self.retracted.borrow_mut();
+            retracted.insert(group.clone(), intent.place);
+        }
     }
 
     /// Notes that the seat may be empty, as its key was removed or the store is back.
@@ -219,7 +315,11 @@
         let nudged = self.nudged.listen();
         wait::within(RENEW, nudged).await;
         let started = boot::now();
-        match self.store.renew(&held.lease).await {
+        let renewed = self.store.renew(&held.lease).await;
+        if !self.is_valid(&held) {
+            return self.outlive(&held, started);
+        }
+        match renewed {
             Ok(true) => {
                 if let Some(held) = &mut *self.held.borrow_mut() {
                     held.until = started + self.lease;
@@ -238,6 +338,21 @@
         }
     }
 
+    // The store came back from an older copy while this node held the seat. It is not taken for
+    // empty: the copy may hold it under what is left of a lease.
+    fn outlive(&self, held: &Held, now: id::Time) {
+        let sight = self.sight();
+        if now < held.until {
+            self.outlived.set(Some(sight.era));
+        }
+        self.held.replace(None);
+        tracing::warn!(
+            fence = held.fence,
+            era = sight.era,
+            "promoter's seat void: the store has come back from an older copy"
+        );
+    }
+
     async fn claim(&self) {
         let vacated = self.vacated.listen();
         if self.occupied.get() {
@@ -266,7 +381,11 @@
     }
 
     fn deference(&self) -> time::Duration {
-        if boot::now() < self.made + NEW {
+        let now = boot::now();
+        let sight = self.sight();
+        let knows = self.outlived.get() == Some(sight.era);
+        let defers = sight.risen && !knows && era::defers(sight.era, sight.since, now);
+        if defers || now < self.made + NEW {
             LATER
         } else {
             time::Duration::ZERO
@@ -275,36 +394,66 @@
 
     async fn take(&self) -> Result<(), store::Failure> {
         let started = boot::now();
+        let era = self.store.era();
         let lease = self.store.grant(self.lease).await?;
         let value = bytes::Bytes::copy_from_slice(self.token.as_bytes());
-        // Whatever the answer says, or if none comes: the entry tells who holds the seat.
-        let swapped = self.store.swap(KEY, value, 0, Some(&lease)).await;
+        // Whatever the answer says, or if none comes: the entries tell who holds the seat.
+        let own_key = format_compact!("{KEY}/{:016x}", fastrand::u64(..));
+        let keys = [KEY, own_key.as_str()];
+        let created = self.store.create(&keys, value, &lease).await;
         let agreed = self.store.list(AGREED).await?;
-        let entry = agreed.iter().find(|entry| entry.key == KEY);
-        let mine = entry.filter(|entry| entry.value == self.token.as_bytes());
-        let Some(entry) = mine else {
-            self.occupied.set(swapped.is_ok());
-            return match swapped {
-                Ok(_) => Ok(()),
-                Err(failure) => Err(failure),
-            };
+        let mine = |key: &str| {
+            let entry = agreed.iter().find(|entry| entry.key == key);
+            entry.filter(|entry| entry.value == self.token.as_bytes())
         };
-        let intents = agreed.iter().filter_map(intent::Intent::read);
-        let intents: collections::BTreeMap<_, _> = intents
-            .map(|intent| (intent.group.clone(), intent))
-            .collect();
-        tracing::info!(
-            fence = entry.version,
-            recorded = intents.len(),
-            "promoter's seat taken"
-        );
-        self.intents.replace(intents);
-        self.held.replace(Some(Held {
-            fence: entry.version,
+        let (Some(seat), Some(own)) = (mine(KEY), mine(&own_key)) else {
+            self.occupied.set(created.is_ok());
+            return created.map(|_| ());
+        };
+        if self.store.era() != era {
+            return Err(store::Failure::Unknown("the store came back".into()));
+        }
+        let held = Held {
+            fence: era::fence(era, seat.version),
             until: started + self.lease,
             from: boot::now() + SETTLE,
             lease,
-        }));
+            era,
+            own_key,
+            versions: [seat.version, own.version],
+        };
+        let found: Vec<_> = agreed.iter().filter_map(intent::Intent::read).collect();
+        tracing::info!(
+            fence = held.fence,
+            recorded = found.len(),
+            "promoter's seat taken"
+        );
+        self.restore(&held, found).await;
+        self.held.replace(Some(held));
         Ok(())
     }
+
+    // Takes over the recorded promotions, and writes those again that the store has lost.
+    async fn restore(&self, held: &Held, found: Vec<intent::Intent>) {
+        let stored: collections::BTreeMap<_, _> = found
+            .iter()
+            .map(|intent| (intent.group.clone(), intent.place))
+            .collect();
+        for intent in found {
+            self.note_recorded(intent);
+        }
+        let lost = |intent: &&intent::Intent| Some(&intent.place) > stored.get(&intent.group);
+        let lost: Vec<_> = self
+            .intents
+            .borrow()
+            .values()
+            .filter(lost)
+            .cloned()
+            .collect();
+        for intent in lost {
+            let written = self.write(held, &intent).await;
+            tracing::warn!(group = %intent.group, candidate = %intent.candidate, term = intent.term,
+                ?written, "recorded promotion written again: the store had lost it");
+        }
+    }
 }
--- /dev/null
+++ b/desk/tests/era.rs
@@ -0,0 +1,263 @@
+//! What a promoter does when the store comes back from an older copy.
+
+mod play;
+mod stage;
+
+use std::rc;
+
+use mangotray::stamp;
+use mangotray::store;
+use mangotray_desk::duty;
+use mangotray_desk::intent;
+use mangotray_desk::seat;
+use mangotray_desk::wait;
+
+use play::LONG;
+use play::Play;
+use play::SHORT;
+use play::SHORTEST;
+use play::play_with;
+
+/// Long enough for a lease of the stand-in to end, and for the seat to be taken then.
+const LEASE_OVER: std::time::Duration = std::time::Duration::from_secs(6);
+
+/// A promoter before a store that has come back once before.
+fn play() -> Play {
+    let store = play::Store::default();
+    store.at().era = 1;
+    play_with(stage::Stage::new(), store)
+}
+
+/// Another node's seat of the same store, which it tries to take.
+fn other(play: &Play) -> rc::Rc<seat::Seat> {
+    let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
+    let other = seat::Seat::new(shared, &"other".into(), SHORTEST);
+    let keep = rc::Rc::clone(&other).keep();
+    play.stage.executor.spawn(keep).detach();
+    other
+}
+
+fn record(term: u64, place: intent::Place) -> intent::Intent {
+    intent::Intent {
+        group: stage::GROUP.into(),
+        candidate: "b".into(),
+        born: 1,
+        term,
+        old: Some("a".into()),
+        received: stamp::Stamp::new(1, 10),
+        place,
+    }
+}
+
+async fn settled(play: &Play) {
+    let group = play.stage.node.group(&stage::GROUP.into());
+    stage::until("the list is settled", || group.roster().is_settled()).await;
+}
+
+/// Symptom: promotions carry a lower number than one before them, or two holders the same.
+/// Events: a node takes the seat at some revision; the store comes back from before that; another
+/// takes the seat at a lower revision, or at the same.
+/// Cause: the number was the seat's revision, which the store gives out again.
+#[test]
+fn a_holders_number_rises_although_revisions_go_back() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.store.at().revision = 40;
+    play.stage.run(async {
+        play.led(1).await;
+        let first = play.seat.held().expect("held").fence;
+        play.store.go_back(&copy);
+        let other = other(&play);
+        other.vacated();
+        let held = || play.seat.held().or(other.held());
+        stage::until("the seat is taken", || held().is_some()).await;
+        assert!(held().expect("held").fence > first);
+    });
+}
+
+/// Symptom: two nodes promote in turns.
+/// Events: the store comes back from before a holder took the seat, and another takes it at the
+/// same revision; the first has not noticed, and a primary crashes.
+/// Cause: a holder believed in its lease, and in a revision, of a content that the store has lost.
+#[test]
+fn a_holder_orders_nothing_after_a_return() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.stage.run(async {
+        play.led(1).await;
+        settled(&play).await;
+        let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
+        play.store.go_back(&copy);
+        let usurper =
+            store::Store::create(&*shared, &[seat::KEY, "usurper"], "u".into(), "l").await;
+        assert_eq!(usurper, Ok(store::Swap::Stored));
+        assert!(play.seat.held().is_none());
+        play.stage.world.borrow_mut().at("a").up = false;
+        wait::sleep(LONG).await;
+    });
+    assert!(play.duty.orders.borrow().is_empty());
+}
+
+/// Symptom: a holder's record is written in the term of another holder.
+/// Events: the store comes back from before a holder took the seat; another takes it at the
+/// same revision; the first records a promotion before any answer tells it of the return.
+/// Cause: the record's guard named a revision, and no holder.
+#[test]
+fn a_record_is_refused_in_the_term_of_another_holder() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.stage.run(async {
+        play.led(1).await;
+        let version = play.store.at().entry.as_ref().expect("held").version;
+        play.store.go_back(&copy);
+        // No answer tells of the return.
+        play.store.at().era = copy.era;
+        let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
+        let created =
+            store::Store::create(&*shared, &[seat::KEY, "usurper"], "u".into(), "l").await;
+        assert_eq!(created, Ok(store::Swap::Stored));
+        assert_eq!(
+            play.store.at().entry.as_ref().expect("held").version,
+            version
+        );
+        let intent = record(2, intent::Place::default());
+        assert_eq!(play.seat.record(&intent).await, None);
+        assert!(!play.store.at().others.contains_key(&intent.key()));
+    });
+}
+
+/// Symptom: a replaced primary goes on, and its writes are lost.
+/// Events: a promotion is recorded and ordered; the store comes back from before the record, and the
+/// holder is gone.
+/// Cause: the next holder found no record, although every node had heard of it.
+#[test]
+fn the_next_holder_writes_a_lost_record_again() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        let fence = play.seat.held().expect("held").fence;
+        let lost = record(7, intent::Place { fence, turn: 1 });
+        let other = other(&play);
+        other.note_recorded(lost.clone());
+        play.seat.leave().await;
+        other.vacated();
+        stage::until("the seat is taken", || other.held().is_some()).await;
+        assert_eq!(other.intent(&stage::GROUP.into()), Some(lost.clone()));
+        let found = play.store.at().others.get(&lost.key()).cloned();
+        let found = found.and_then(|entry| intent::Intent::read(&entry));
+        assert_eq!(found, Some(lost));
+    });
+}
+
+/// Symptom: a promotion that is long over is done once more, with an instance that lacks what was
+/// acknowledged since.
+/// Events: the store comes back from an older copy, with an older record of the group.
+/// Cause: the record that was read last counted, not the one that was written last.
+#[test]
+fn an_older_record_from_the_copy_does_not_replace_a_later_one() {
+    let play = play();
+    let place = |fence: duty::Fence, turn| intent::Place { fence, turn };
+    let group = stage::GROUP.into();
+    let later = record(5, place(9, 2));
+    play.seat.note_recorded(later.clone());
+    play.seat.note_recorded(record(3, place(9, 1)));
+    assert_eq!(play.seat.intent(&group), Some(later));
+    // One that is known never to take effect does not come back either, whoever tells of it.
+    play.seat.retract(&group);
+    play.seat.note_recorded(record(5, place(9, 2)));
+    assert_eq!(play.seat.intent(&group), None);
+    let next = record(6, place(10, 1));
+    play.seat.note_recorded(next.clone());
+    assert_eq!(play.seat.intent(&group), Some(next));
+}
+
+/// Symptom: acknowledged bookings are gone after a change of primary.
+/// Events: all replicas are held and one is ordered to lead; the store comes back from before the
+/// record, and the holder is gone. The next one finds held replicas, a primary that answers, and no
+/// record; it frees the replicas, which receive from the old primary again, or orders another.
+/// Cause: what is not recorded was taken for never ordered.
+#[test]
+fn replicas_that_are_found_held_after_a_return_stay_held() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.stage.run(async {
+        play.led(1).await;
+        settled(&play).await;
+        play.seat.leave().await;
+        play.store.go_back(&copy);
+        for id in ["b", "c"] {
+            play.stage.world.borrow_mut().at(id).held = 2;
+        }
+        // A node that never held the seat takes it, and knows nothing of what was ordered.
+        let heir = successor(&play);
+        stage::until("the seat is taken", || heir.seat.held().is_some()).await;
+        wait::sleep(2 * LONG).await;
+        let held: Vec<_> = ["b", "c"]
+            .map(|id| heir.stage.world.borrow_mut().at(id).held)
+            .into();
+        assert_eq!(held, [2, 2]);
+        assert_eq!(*heir.duty.orders.borrow(), []);
+        // The order takes effect late: its candidate is taken over, and the others are freed.
+        heir.stage.world.borrow_mut().promote("b");
+        stage::until("the old primary knows", || heir.leader() == ["b"]).await;
+        stage::until("the other is freed", || {
+            heir.stage.world.borrow_mut().at("c").held == 0
+        })
+        .await;
+        assert_eq!(*heir.duty.orders.borrow(), []);
+    });
+}
+
+/// Symptom: a group whose primary is lost after a return of the store waits eight seconds.
+/// Events: the store comes back; no replica is held; the primary crashes.
+/// Cause: any promotion was put off, also where no order can be under way.
+#[test]
+fn a_return_puts_no_promotion_off_where_no_replica_is_held() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.stage.run(async {
+        play.led(1).await;
+        settled(&play).await;
+        play.seat.leave().await;
+        play.store.go_back(&copy);
+        let heir = successor(&play);
+        stage::until("the seat is taken", || heir.seat.held().is_some()).await;
+        heir.stage.world.borrow_mut().at("a").up = false;
+        wait::within(LEASE_OVER, heir.led(2))
+            .await
+            .expect("it is replaced in time");
+    });
+}
+
+/// Symptom: nobody promotes any more after a return.
+/// Events: the store comes back with the holder's own seat, under what is left of its lease.
+/// Cause: the holder gave its seat up and took the entry for somebody else's for ever.
+#[test]
+fn the_holder_takes_its_seat_again_when_its_old_lease_has_ended() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        let first = play.seat.held().expect("held").fence;
+        let copy = play.store.at().clone();
+        play.store.go_back(&copy);
+        stage::until("the seat is void", || !play.seat.had()).await;
+        wait::sleep(SHORT).await;
+        assert!(play.seat.held().is_none());
+        {
+            let mut entries = play.store.at();
+            entries.entry = None;
+            entries.others.retain(|_, entry| entry.lease.is_none());
+        }
+        play.seat.vacated();
+        stage::until("the seat is taken", || play.seat.held().is_some()).await;
+        assert!(play.seat.held().expect("held").fence > first);
+        assert!(!play.seat.is_doubtful());
+    });
+}
+
+/// Another node before the same group, that takes the seat.
+fn successor(play: &Play) -> Play {
+    let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
+    let seat = seat::Seat::new(shared, &"heir".into(), SHORTEST);
+    play::play_as(play.stage.another(), play.store.clone(), seat)
+}
--- a/desk/tests/play/mod.rs
+++ b/desk/tests/play/mod.rs
@@ -31,7 +31,7 @@
 pub const SHORTEST: time::Duration = time::Duration::from_secs(5);
 
 /// What the store holds.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Entries {
     /// The promoter's seat.
     pub entry: Option<store::Entry>,
@@ -42,6 +42,8 @@
     pub lose: usize,
     /// Calls are refused.
     pub down: bool,
+    /// Rises when the store comes back from an older copy.
+    pub era: store::Era,
 }
 
 impl Entries {
@@ -77,6 +79,14 @@
         self.0.lock().expect("no test panics with it")
     }
 
+    /// Comes back from a copy that was taken before.
+    pub fn go_back(&self, copy: &Entries) {
+        let mut entries = self.at();
+        let era = entries.era.max(1) + 1;
+        *entries = copy.clone();
+        entries.era = era;
+    }
+
     fn up(&self) -> Result<sync::MutexGuard<'_, Entries>, store::Failure> {
         let entries = self.at();
         if entries.down {
@@ -87,6 +97,33 @@
 }
 
 impl store::Store for Store {
+    fn era(&self) -> store::Era {
+        self.at().era
+    }
+
+    fn create<'a>(
+        &'a self,
+        keys: &'a [&'a str],
+        value: Bytes,
+        lease: &'a str,
+    ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
+        async move {
+            let mut entries = self.up()?;
+            if keys.iter().any(|key| entries.find(key).is_some()) {
+                return Ok(store::Swap::Conflict);
+            }
+            for key in keys {
+                entries.put(key, value.clone(), Some(lease));
+            }
+            if entries.lose > 0 {
+                entries.lose -= 1;
+                return Err(store::Failure::Unknown("lost".into()));
+            }
+            Ok(store::Swap::Stored)
+        }
+        .boxed()
+    }
+
     fn get<'a>(
         &'a self,
         key: &'a str,
@@ -135,12 +172,15 @@
         &'a self,
         key: &'a str,
         value: Bytes,
-        guard: store::Guard<'a>,
+        guards: &'a [store::Guard<'a>],
     ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
         async move {
             let mut entries = self.up()?;
-            let found = entries.find(guard.key).map(|entry| entry.version);
-            if found != Some(guard.version) {
+            let holds = |guard: &store::Guard<'_>| {
+                let found = entries.find(guard.key).map(|entry| entry.version);
+                found == Some(guard.version)
+            };
+            if !guards.iter().all(holds) {
                 return Ok(store::Swap::Conflict);
             }
             entries.put(key, value, None);
@@ -185,7 +225,9 @@
 
     fn revoke<'a>(&'a self, _lease: &'a str) -> future::BoxFuture<'a, Result<(), store::Failure>> {
         async {
-            self.up()?.entry = None;
+            let mut entries = self.up()?;
+            entries.entry = None;
+            entries.others.retain(|_, entry| entry.lease.is_none());
             Ok(())
         }
         .boxed()
@@ -262,6 +304,11 @@
 pub fn play_with(stage: stage::Stage, store: Store) -> Play {
     let shared: rc::Rc<dyn store::Store> = rc::Rc::new(store.clone());
     let seat = seat::Seat::new(shared, &"vm".into(), SHORTEST);
+    play_as(stage, store, seat)
+}
+
+/// The same for a process that has had the seat before.
+pub fn play_as(stage: stage::Stage, store: Store, seat: rc::Rc<seat::Seat>) -> Play {
     let duty = rc::Rc::new(Duty {
         world: rc::Rc::clone(&stage.world),
         orders: cell::RefCell::default(),
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -462,7 +462,15 @@
 
     /// A node that has just started and lists these instances.
     pub fn of(world: Shared) -> Self {
-        let executor = rc::Rc::new(async_executor::LocalExecutor::new());
+        Self::on(world, rc::Rc::new(async_executor::LocalExecutor::new()))
+    }
+
+    /// Another node before the same instances.
+    pub fn another(&self) -> Self {
+        Self::on(rc::Rc::clone(&self.world), rc::Rc::clone(&self.executor))
+    }
+
+    fn on(world: Shared, executor: rc::Rc<async_executor::LocalExecutor<'static>>) -> Self {
         let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&world)));
         let router = router::Router::new("vm".into(), dialer, rc::Rc::clone(&executor));
         let node = node::Node::new("vm".into(), "here".into(), router, rc::Rc::clone(&executor));
--- a/lab/tests/cluster.rs
+++ b/lab/tests/cluster.rs
@@ -79,10 +79,21 @@
     fn eventually(&self, what: &str, check: impl Fn(&cluster::Cluster) -> bool) {
         let start = time::Instant::now();
         while !check(&self.cluster) {
-            assert!(start.elapsed() < PATIENCE, "never: {what}");
+            let patient = start.elapsed() < PATIENCE;
+            assert!(patient, "never: {what}; {}", self.situation());
             std::thread::sleep(STEP);
         }
     }
+
+    /// What each instance says of itself, and how long its log is.
+    fn situation(&self) -> String {
+        let of = |index| {
+            let status = self.cluster.status(index);
+            let records = self.cluster.log(index).len();
+            format!("instance {index}: {status:?}, {records} records")
+        };
+        (0..cluster::SIZE).map(of).collect::<Vec<_>>().join("; ")
+    }
 }
 
 fn options() -> cluster::Options {
--- a/src/consul/tests.rs
+++ b/src/consul/tests.rs
@@ -8,6 +8,7 @@
     http::Answer {
         status: hyper::StatusCode::from_u16(status).unwrap(),
         index: None,
+        headers: hyper::HeaderMap::new(),
         body: body.to_owned().into(),
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -24,6 +24,8 @@
     pub status: hyper::StatusCode,
     /// Index of the data, when the service gave one.
     pub index: Option<u64>,
+    /// Headers of the response.
+    pub headers: hyper::HeaderMap,
     /// Whole body.
     pub body: bytes::Bytes,
 }
@@ -182,7 +184,8 @@
             detail: error.into_error().to_string(),
         })?;
     let status = response.status();
-    let index = index(response.headers());
+    let headers = response.headers().clone();
+    let index = index(&headers);
     let body = response
         .into_body()
         .collect()
@@ -192,6 +195,7 @@
     Ok(Answer {
         status,
         index,
+        headers,
         body,
     })
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -10,6 +10,10 @@
 /// Version of a stored value, as counted by the service; 0 means "absent".
 pub type Version = u64;
 
+/// Number of the service's content: it rises when the service comes back from an older copy of
+/// what it held, and has lost what it had acknowledged since. 0 where it never does.
+pub type Era = u64;
+
 /// Number of a lease at the service.
 pub type Lease = CompactString;
 
@@ -70,15 +74,36 @@
         lease: Option<&'a str>,
     ) -> future::BoxFuture<'a, Result<Swap, Failure>>;
 
-    /// Stores a value, whatever is there, if the guarding key still has its version; both in one
-    /// call.
+    /// Latest era that an answer has told of.
+    ///
+    /// An answer that tells of an earlier one is a failure. Where this is the same before and
+    /// after some calls, their answers all belong to that era.
+    fn era(&self) -> Era {
+        0
+    }
+
+    /// Stores a value under keys that must all be absent, bound to `lease`; all in one call.
+    ///
+    /// A service that cannot do this refuses.
+    fn create<'a>(
+        &'a self,
+        _keys: &'a [&'a str],
+        _value: bytes::Bytes,
+        _lease: &'a str,
+    ) -> future::BoxFuture<'a, Result<Swap, Failure>> {
+        let refused = Failure::NotRun("this service writes one key at a time".into());
+        Box::pin(future::ready(Err(refused)))
+    }
+
+    /// Stores a value, whatever is there, if the guarding keys still have their versions; all in
+    /// one call.
     ///
     /// A service that cannot do this refuses, so that whoever relies on it does not act.
     fn put_guarded<'a>(
         &'a self,
         _key: &'a str,
         _value: bytes::Bytes,
-        _guard: Guard<'a>,
+        _guards: &'a [Guard<'a>],
     ) -> future::BoxFuture<'a, Result<Swap, Failure>> {
         let refused = Failure::NotRun("this service has no guarded writes".into());
         Box::pin(future::ready(Err(refused)))
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -31,6 +31,8 @@
 pub const HELD_BACK: &str = "mangotray_promotion_held_back";
 /// Calls to the platform's service; labels `kind` and `outcome`.
 pub const STORE_CALLS: &str = "mangotray_store_calls_total";
+/// Era of the platform's store, which rises when it comes back from an older copy.
+pub const STORE_ERA: &str = "mangotray_store_era";
 /// Sessions offered to another proxy; label `result`.
 pub const FORWARDS: &str = "mangotray_forwards_total";
 
@@ -151,6 +153,10 @@
             HELD_BACK,
             "1 while a promotion is held back on this node, by group",
         ),
+        (
+            STORE_ERA,
+            "Era of the platform's store; it rises when the store comes back from an older copy",
+        ),
     ];
     for (name, text) in gauges {
         metrics::describe_gauge!(name, metrics::Unit::Count, text);
