Write lost records of promotions again from every node, and promote no empty replica over a primary that answers

Change: every node that knows of a record which a returned store lacks writes it again within a second, unless it has heard that another did (records::Records); a candidate that has received nothing at all is not promoted while the replaced primary answers with records.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod proof;
 pub mod queue;
 pub mod receipts;
+pub mod records;
 pub mod relay;
 pub mod relief;
 pub mod reply;
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -264,6 +264,13 @@
                 tracing::info!(group = %group.name, furthest = ?plan.furthest, ?old, ?verdict,
                     "no replica has all that one had received");
             }
+            if let verdict::Verdict::Promote(candidate) = &verdict
+                && view.is_empty(candidate)
+                && let old @ verdict::Old::Answers(_) = plan.ask_old().await
+            {
+                verdict = view.resolve(&old, leaves);
+                tracing::info!(group = %group.name, ?old, ?verdict, "no replica has any record");
+            }
             match verdict {
                 verdict::Verdict::Promote(candidate) => {
                     return Ok(Held {
--- /dev/null
+++ b/desk/src/records.rs
@@ -0,0 +1,102 @@
+//! The promotions that holders of the seat have recorded, as this node knows them.
+
+use std::cell;
+use std::collections;
+
+use mangotray::id;
+use mangotray::store;
+
+use crate::intent;
+
+/// The last recorded promotion of each group, and what the store has of them.
+///
+/// Every node hears of each record as it is written. A store that comes back from an older copy
+/// loses the last ones, or has older ones in their place: whoever knows better writes them again,
+/// and an older one does not replace what is known. Without that a promoter that has just started
+/// would find replicas that are held, or that have lost their logs, and not know why.
+///
+/// ```
+/// use mangotray::stamp::Stamp;
+/// use mangotray_desk::{intent, records};
+/// let record = |term, turn| intent::Intent {
+///     group: "bookings".into(),
+///     candidate: "b".into(),
+///     born: 0,
+///     term,
+///     old: None,
+///     received: Stamp::new(1, 7),
+///     place: intent::Place { fence: 4, turn },
+/// };
+/// let records = records::Records::default();
+/// records.note(record(3, 2));
+/// records.note(record(2, 1));
+/// assert_eq!(records.last(&"bookings".into()).unwrap().term, 3);
+/// assert_eq!(records.lost().len(), 1);
+/// ```
+#[derive(Default)]
+pub struct Records {
+    known: cell::RefCell<collections::BTreeMap<id::Group, intent::Intent>>,
+    /// Those that surely never take effect.
+    retracted: cell::RefCell<collections::BTreeMap<id::Group, intent::Place>>,
+    /// What the store was last heard to have, and in which versions.
+    stored: cell::RefCell<collections::BTreeMap<id::Group, (intent::Place, store::Version)>>,
+}
+
+impl Records {
+    /// Takes note of a recorded promotion, unless a later one of its group is known, or it is
+    /// known never to take effect.
+    pub fn note(&self, intent: intent::Intent) {
+        let retracted = self.retracted.borrow().get(&intent.group).copied();
+        let mut known = self.known.borrow_mut();
+        let before = known.get(&intent.group).map(|known| known.place);
+        if Some(intent.place) > before.max(retracted) {
+            known.insert(intent.group.clone(), intent);
+        }
+    }
+
+    /// Takes note of an entry of the store.
+    pub fn note_stored(&self, entry: &store::Entry) {
+        let Some(intent) = intent::Intent::read(entry) else {
+            return;
+        };
+        let found = (intent.place, entry.version);
+        self.stored.borrow_mut().insert(intent.group.clone(), found);
+        self.note(intent);
+    }
+
+    /// Takes note of all that the store has, which may be less than before.
+    pub fn restart<'a>(&self, entries: impl Iterator<Item = &'a store::Entry>) {
+        self.stored.borrow_mut().clear();
+        for entry in entries {
+            self.note_stored(entry);
+        }
+    }
+
+    /// The last recorded promotion of a group.
+    #[must_use]
+    pub fn last(&self, group: &id::Group) -> Option<intent::Intent> {
+        self.known.borrow().get(group).cloned()
+    }
+
+    /// Forgets a recorded promotion that surely never takes effect.
+    pub fn retract(&self, group: &id::Group) {
+        if let Some(intent) = self.known.borrow_mut().remove(group) {
+            let mut retracted = self.retracted.borrow_mut();
+            retracted.insert(group.clone(), intent.place);
+        }
+    }
+
+    /// Those that the store has lost, with the version of what it has in their place.
+    #[must_use]
+    pub fn lost(&self) -> Vec<(intent::Intent, store::Version)> {
+        let stored = self.stored.borrow();
+        let known = self.known.borrow();
+        let lost = known.values().filter_map(|intent| {
+            let found = stored.get(&intent.group);
+            let older = found.is_none_or(|(place, _)| *place < intent.place);
+            let version = found.map_or(0, |(_, version)| *version);
+            older.then(|| (intent.clone(), version))
+        });
+        lost.collect()
+    }
+}
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -5,7 +5,6 @@
 //! both goes along with each promotion.
 
 use std::cell;
-use std::collections;
 use std::rc;
 use std::time;
 
@@ -18,6 +17,7 @@
 use crate::duty;
 use crate::era;
 use crate::intent;
+use crate::records;
 use crate::wait;
 
 /// Key of the seat.
@@ -100,10 +100,7 @@
     occupied: cell::Cell<bool>,
     stopping: cell::Cell<bool>,
     made: id::Time,
-    /// The last promotion of each group that a holder has recorded.
-    intents: cell::RefCell<collections::BTreeMap<id::Group, intent::Intent>>,
-    /// Recorded promotions that surely never take effect.
-    retracted: cell::RefCell<collections::BTreeMap<id::Group, intent::Place>>,
+    records: records::Records,
     /// Promotions that this process has recorded.
     turns: cell::Cell<u64>,
     sight: cell::Cell<Sight>,
@@ -129,8 +126,7 @@
             occupied: cell::Cell::new(true),
             stopping: cell::Cell::default(),
             made: boot::now(),
-            intents: cell::RefCell::default(),
-            retracted: cell::RefCell::default(),
+            records: records::Records::default(),
             turns: cell::Cell::default(),
             sight: cell::Cell::default(),
             outlived: cell::Cell::default(),
@@ -217,7 +213,7 @@
             tracing::warn!(group = %intent.group, ?recorded, "promotion not recorded");
             return None;
         }
-        self.note_recorded(intent);
+        self.records.note(intent);
         let soon = boot::now() < started + CONFIRMED;
         (soon && self.is_valid(&held)).then_some(held)
     }
@@ -227,41 +223,42 @@
         held: &Held,
         intent: &intent::Intent,
     ) -> Result<store::Swap, store::Failure> {
-        let value = serde_json::to_vec(intent)
-            .map_err(|error| store::Failure::NotRun(format_compact!("{error}")))?;
+        let value = encode(intent)
+            .ok_or_else(|| store::Failure::NotRun("not to be written as text".into()))?;
         let guard = |(key, version)| store::Guard { key, version };
         let keys = [KEY, held.own_key.as_str()];
         let guards: Vec<_> = keys.into_iter().zip(held.versions).map(guard).collect();
-        let value = bytes::Bytes::from(value);
         self.store.put_guarded(&intent.key(), value, &guards).await
     }
 
-    /// Takes note of a recorded promotion, unless a later one of its group is known, or it is
-    /// known never to take effect.
-    ///
-    /// Every node hears of each record. The store may lose the last ones when it comes back from an
-    /// older copy; the next holder has them from here, and writes them again.
-    pub fn note_recorded(&self, intent: intent::Intent) {
-        let retracted = self.retracted.borrow().get(&intent.group).copied();
-        let mut intents = self.intents.borrow_mut();
-        let known = intents.get(&intent.group).map(|known| known.place);
-        if Some(intent.place) > known.max(retracted) {
-            intents.insert(intent.group.clone(), intent);
-        }
+    /// The recorded promotions.
+    #[must_use]
+    pub const fn records(&self) -> &records::Records {
+        &self.records
     }
 
     /// The last recorded promotion of a group.
     #[must_use]
     pub fn intent(&self, group: &id::Group) -> Option<intent::Intent> {
-        self.intents.borrow().get(group).cloned()
+        self.records.last(group)
     }
 
     /// Forgets a recorded promotion that surely never takes effect. The record stays in the
     /// store, so that this costs no call; a later holder comes to the same conclusion.
     pub fn retract(&self, group: &id::Group) {
-        if let Some(intent) = self.intents.borrow_mut().remove(group) {
-            let mut retracted = self.retracted.borrow_mut();
-            retracted.insert(group.clone(), intent.place);
+        self.records.retract(group);
+    }
+
+    /// Writes records again that the store has lost, unless another node has done so within a
+    /// moment of this node's own.
+    pub async fn write_lost_records(&self) {
+        wait::sleep(era::SPREAD.mul_f64(fastrand::f64())).await;
+        for (intent, version) in self.records.lost() {
+            let Some(value) = encode(&intent) else {
+                continue;
+            };
+            let written = self.store.swap(&intent.key(), value, version, None).await;
+            tell_rewritten(&intent, &written);
         }
     }
 
@@ -422,38 +419,29 @@
             own_key,
             versions: [seat.version, own.version],
         };
-        let found: Vec<_> = agreed.iter().filter_map(intent::Intent::read).collect();
-        tracing::info!(
-            fence = held.fence,
-            recorded = found.len(),
-            "promoter's seat taken"
-        );
-        self.restore(&held, found).await;
+        let found = agreed
+            .iter()
+            .filter(|entry| entry.key.starts_with(intent::PREFIX));
+        self.records.restart(found);
+        tracing::info!(fence = held.fence, era, "promoter's seat taken");
+        for (intent, _) in self.records.lost() {
+            let written = self.write(&held, &intent).await;
+            tell_rewritten(&intent, &written);
+        }
         self.held.replace(Some(held));
         Ok(())
     }
+}
 
-    // Takes over the recorded promotions, and writes those again that the store has lost.
-    async fn restore(&self, held: &Held, found: Vec<intent::Intent>) {
-        let stored: collections::BTreeMap<_, _> = found
-            .iter()
-            .map(|intent| (intent.group.clone(), intent.place))
-            .collect();
-        for intent in found {
-            self.note_recorded(intent);
-        }
-        let lost = |intent: &&intent::Intent| Some(&intent.place) > stored.get(&intent.group);
-        let lost: Vec<_> = self
-            .intents
-            .borrow()
-            .values()
-            .filter(lost)
-            .cloned()
-            .collect();
-        for intent in lost {
-            let written = self.write(held, &intent).await;
-            tracing::warn!(group = %intent.group, candidate = %intent.candidate, term = intent.term,
-                ?written, "recorded promotion written again: the store had lost it");
-        }
-    }
+fn encode(intent: &intent::Intent) -> Option<bytes::Bytes> {
+    let encoded = serde_json::to_vec(intent);
+    let logged = encoded.inspect_err(|error| {
+        tracing::error!(group = %intent.group, %error, "promotion not to be written as text");
+    });
+    logged.ok().map(bytes::Bytes::from)
+}
+
+fn tell_rewritten(intent: &intent::Intent, written: &Result<store::Swap, store::Failure>) {
+    tracing::warn!(group = %intent.group, candidate = %intent.candidate, term = intent.term, ?written,
+        "recorded promotion written again: the store had lost it");
 }
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -134,6 +134,28 @@
         }
     }
 
+    /// Whether this instance has received nothing at all.
+    ///
+    /// A promoter that has just started does not know what replicas had before they lost their logs:
+    /// the furthest record that it was told of may be none. While the primary is cut off from its
+    /// replicas and both have started again, the whole log would be lost with a promotion.
+    ///
+    /// ```
+    /// use mangotray::{role::Role, stamp::Stamp};
+    /// use mangotray_desk::{sampler, upstream, verdict};
+    /// let status = upstream::Status { role: Role::Replica, term: 1, received: Stamp::new(1, 0), held: 4, load: upstream::Load::default() };
+    /// let lead = sampler::Lead { id: "a".into(), term: 3 };
+    /// let looks = [sampler::Look { id: "b".into(), status, applied: None }];
+    /// let view = verdict::View { lead: &lead, term: 4, expected: 1, looks: &looks, furthest: None, pending: None };
+    /// assert_eq!(view.judge(|_| false), verdict::Verdict::Promote("b".into()));
+    /// assert!(view.is_empty(&"b".into()));
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self, candidate: &upstream::Id) -> bool {
+        let look = self.looks.iter().find(|look| look.id == *candidate);
+        look.is_some_and(|look| look.status.received.position == 0)
+    }
+
     fn overtaken(&self) -> Option<sampler::Lead> {
         let later = self.looks.iter().filter(|look| {
             look.status.role == role::Role::Primary && look.status.term > self.lead.term
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -138,7 +138,7 @@
         let fence = play.seat.held().expect("held").fence;
         let lost = record(7, intent::Place { fence, turn: 1 });
         let other = other(&play);
-        other.note_recorded(lost.clone());
+        other.records().note(lost.clone());
         play.seat.leave().await;
         other.vacated();
         stage::until("the seat is taken", || other.held().is_some()).await;
@@ -159,15 +159,15 @@
     let place = |fence: duty::Fence, turn| intent::Place { fence, turn };
     let group = stage::GROUP.into();
     let later = record(5, place(9, 2));
-    play.seat.note_recorded(later.clone());
-    play.seat.note_recorded(record(3, place(9, 1)));
+    play.seat.records().note(later.clone());
+    play.seat.records().note(record(3, place(9, 1)));
     assert_eq!(play.seat.intent(&group), Some(later));
     // One that is known never to take effect does not come back either, whoever tells of it.
     play.seat.retract(&group);
-    play.seat.note_recorded(record(5, place(9, 2)));
+    play.seat.records().note(record(5, place(9, 2)));
     assert_eq!(play.seat.intent(&group), None);
     let next = record(6, place(10, 1));
-    play.seat.note_recorded(next.clone());
+    play.seat.records().note(next.clone());
     assert_eq!(play.seat.intent(&group), Some(next));
 }
 
@@ -261,3 +261,26 @@
     let seat = seat::Seat::new(shared, &"heir".into(), SHORTEST);
     play::play_as(play.stage.another(), play.store.clone(), seat)
 }
+
+/// Symptom: six hundred acknowledged bookings are gone: the whole log.
+/// Events: the primary is cut off from its replicas, and both start again empty; a promoter that has
+/// just started finds a primary with records that no replica has. The record of the last promotion,
+/// which told how far the log reached, went with a return of the store.
+/// Cause: a replica without any record was promoted over a primary that answered.
+#[test]
+fn no_empty_replica_replaces_a_primary_that_answers() {
+    let stage = stage::Stage::new();
+    {
+        let mut world = stage.world.borrow_mut();
+        world.at("b").position = 0;
+        world.at("c").position = 0;
+    }
+    let play = play_with(stage, play::Store::default());
+    play.stage.run(async {
+        stage::until("the seat is taken", || play.seat.held().is_some()).await;
+        settled(&play).await;
+        wait::sleep(2 * LONG).await;
+    });
+    assert_eq!(*play.duty.orders.borrow(), []);
+    assert_eq!(play.leader(), ["a"]);
+}
