Keep floors at one node of each failure domain, and open transactions where the primary led lately

Cause: 95 nodes before 20 groups: a node has one bounded read of a group in two seconds, so that each read needed a floor of its own: two questions, and a position as new as the read, which no replica had applied (one arrival in five was refused as Behind). A transaction that may write was opened only after a proof of its own, whatever age its route accepts. Change: keeper: one node of each failure domain keeps a group's floors; the others ask it, and get the lowest that will do with its age; one that is too old, of an earlier term, or made without the primary's word is not used or not told; a keeper that does not answer in 100 ms is passed over for 2 s. Messages between nodes have a module of their own. A transaction on a route that accepts some age is opened at a primary that was proven to lead within that age.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -237,6 +237,7 @@
         source::Need {
             arrived: first,
             freshness: route.freshness,
+            writes: false,
             own,
             deadline: if route.freshness == catalog::Freshness::Current {
                 self.limit_at_primary(arrived)
@@ -266,7 +267,9 @@
     ) -> Result<pinned::Pinned, (reply::Code, CompactString)> {
         let mut need = self.need(opening.arrived, arrived);
         if !opening.read_only {
-            need.freshness = catalog::Freshness::Current;
+            // What it reads may be as old as its route accepts; whether the primary still leads when it
+            // writes shows at the commit.
+            need.writes = true;
             need.deadline = self.limit_at_primary(arrived);
         }
         let urgency = limit::urgency(self.route, arrived);
--- a/desk/src/belief.rs
+++ b/desk/src/belief.rs
@@ -116,6 +116,20 @@
         self.floors.saw_position(term, sent, stamp);
     }
 
+    /// Takes over a floor that another node has told of.
+    pub fn take_over(&mut self, term: id::Term, time: id::Time, stamp: stamp::Stamp) {
+        self.term = self.term.max(term);
+        self.floors.take_over(term, time, stamp);
+    }
+
+    /// Takes a position that all instances but the primary have received, at `started`, for a
+    /// floor.
+    pub fn saw_received(&mut self, started: id::Time, stamp: stamp::Stamp) {
+        self.floors.saw_position(self.term, started, stamp);
+        self.floors.saw_leading(self.term, started);
+        self.floors.note_without(started);
+    }
+
     /// Notes that the primary of `term` still led at `started`.
     pub fn saw_leading(&mut self, term: id::Term, started: id::Time) {
         self.floors.saw_leading(term, started);
--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -39,6 +39,8 @@
     known: collections::VecDeque<(id::Time, stamp::Stamp)>,
     /// The primary's last answers: when they were asked for, and where its log stood.
     recent: collections::VecDeque<(id::Time, stamp::Stamp)>,
+    /// When a floor was last made without the primary's word.
+    without: Option<id::Time>,
 }
 
 impl Floors {
@@ -82,8 +84,56 @@
     /// The lowest floor that covers all commits acknowledged before `moment`.
     #[must_use]
     pub fn since(&self, moment: id::Time) -> Option<stamp::Stamp> {
-        let found = self.known.iter().find(|(time, _)| *time >= moment);
-        found.map(|(_, stamp)| *stamp)
+        self.lowest(moment).map(|(_, stamp)| stamp)
+    }
+
+    /// The same with the moment up to which it covers commits, and the term of its primary, for
+    /// another node; none while a floor without the primary's word may be among them.
+    ///
+    /// Such a floor tells of all commits only if no instance was lost, and the other node may know
+    /// of a loss that this one does not.
+    #[must_use]
+    pub fn to_tell(&self, moment: id::Time) -> Option<(id::Term, id::Time, stamp::Stamp)> {
+        let (time, stamp) = self.lowest(moment)?;
+        let attested = self.without.is_none_or(|without| without < moment);
+        attested.then_some((self.term, time, stamp))
+    }
+
+    fn lowest(&self, moment: id::Time) -> Option<(id::Time, stamp::Stamp)> {
+        self.known.iter().find(|(time, _)| *time >= moment).copied()
+    }
+
+    /// Takes over a floor that another node has told of: the primary of `term` led at `time`, and its
+    /// log held all commits acknowledged up to then at `stamp`.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::floor;
+    /// use std::time::Duration;
+    /// let mut floors = floor::Floors::default();
+    /// floors.take_over(2, Duration::from_millis(10), Stamp::new(2, 7));
+    /// assert_eq!(floors.since(Duration::from_millis(10)), Some(Stamp::new(2, 7)));
+    /// assert_eq!(floors.since(Duration::from_millis(11)), None);
+    /// // One of an earlier term tells nothing of this one.
+    /// floors.take_over(1, Duration::from_millis(90), Stamp::new(1, 9));
+    /// assert_eq!(floors.since(Duration::from_millis(11)), None);
+    /// ```
+    pub fn take_over(&mut self, term: id::Term, time: id::Time, stamp: stamp::Stamp) {
+        if !self.enter(term) {
+            return;
+        }
+        self.led = self.led.max(Some(time));
+        let at = self.known.partition_point(|(known, _)| *known < time);
+        match self.known.get_mut(at) {
+            Some((known, kept)) if *known == time => *kept = (*kept).min(stamp),
+            _ => self.known.insert(at, (time, stamp)),
+        }
+        self.forget(time);
+    }
+
+    /// Notes that a floor was made without the primary's word at `now`.
+    pub const fn note_without(&mut self, now: id::Time) {
+        self.without = Some(now);
     }
 
     fn remember(&mut self, sent: id::Time, stamp: stamp::Stamp) {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -10,6 +10,7 @@
 use crate::belief;
 use crate::boot;
 use crate::catalog;
+use crate::keeper;
 use crate::pool;
 use crate::proof;
 use crate::roster;
@@ -49,6 +50,7 @@
     changed: event_listener::Event,
     searching: cell::Cell<bool>,
     refreshing: cell::Cell<bool>,
+    looking: cell::Cell<bool>,
     prover: proof::Prover,
 }
 
@@ -76,6 +78,7 @@
             changed: event_listener::Event::new(),
             searching: cell::Cell::default(),
             refreshing: cell::Cell::default(),
+            looking: cell::Cell::default(),
             prover: proof::Prover::default(),
         })
     }
@@ -371,29 +374,102 @@
         let mut belief = self.belief.borrow_mut();
         let covered = received.and_then(|stamp| belief.covered(stamp, self.roster.lost()));
         if let Some(stamp) = covered {
-            belief.saw_position(term, started, stamp);
-            belief.saw_leading(term, started);
+            belief.saw_received(started, stamp);
         }
     }
 
-    fn refresh_soon(self: &rc::Rc<Self>) {
+    // Gets a floor that covers all commits acknowledged longer ago than `within`: from the node
+    // that keeps them, or by looks of this node's own.
+    fn refresh_soon(self: &rc::Rc<Self>, within: time::Duration) {
         if self.refreshing.replace(true) {
             return;
         }
         let group = rc::Rc::clone(self);
         self.executor
             .spawn(async move {
-                group.refresh().await;
-                group.changed.notify(usize::MAX);
-                // Whoever still lacks a floor asks again at once: without a pause, a group
-                // whose primary alone answers is looked at hundreds of times a second.
-                wait::sleep(REFRESH_PAUSE).await;
+                if !group.ask_keeper(within).await {
+                    group.look_and_rest().await;
+                }
                 group.refreshing.set(false);
                 group.changed.notify(usize::MAX);
             })
             .detach();
     }
 
+    // Makes a floor by looks of this node's own.
+    fn look_soon(self: &rc::Rc<Self>) {
+        if self.looking.replace(true) {
+            return;
+        }
+        let group = rc::Rc::clone(self);
+        self.executor
+            .spawn(async move {
+                group.look_and_rest().await;
+                group.looking.set(false);
+                group.changed.notify(usize::MAX);
+            })
+            .detach();
+    }
+
+    async fn look_and_rest(self: &rc::Rc<Self>) {
+        self.refresh().await;
+        self.changed.notify(usize::MAX);
+        // Whoever still lacks a floor asks again at once: without a pause, a group whose
+        // primary alone answers is looked at hundreds of times a second.
+        wait::sleep(REFRESH_PAUSE).await;
+    }
+
+    async fn ask_keeper(self: &rc::Rc<Self>, within: time::Duration) -> bool {
+        let ask = keeper::Ask {
+            group: self.name.clone(),
+            within,
+        };
+        let sent = boot::now();
+        let Some(told) = self.dialer.floor(&ask).await else {
+            return false;
+        };
+        let moment = told.moment(sent);
+        // A keeper that tells of less than was asked for is of no use, be it honest or slow.
+        let serves = moment >= sent.saturating_sub(within) && told.term >= self.term();
+        if serves {
+            let lead = self.lead();
+            if lead.is_some_and(|lead| lead.term < told.term) {
+                self.doubt(told.term - 1, "a keeper knows a later term");
+            }
+            let mut belief = self.belief.borrow_mut();
+            belief.take_over(told.term, moment, told.stamp);
+        }
+        serves
+    }
+
+    /// A floor for another node that asked for one which covers all commits acknowledged longer ago
+    /// than `within`, made by looks of this node's own where none is known.
+    ///
+    /// The next one is made once this has used up a part of its age, so that those that ask find
+    /// one that replicas have applied already.
+    pub async fn tell_floor(self: &rc::Rc<Self>, within: time::Duration) -> Option<keeper::Told> {
+        let arrived = boot::now();
+        let moment = arrived.saturating_sub(within);
+        let deadline = arrived + keeper::PATIENCE;
+        loop {
+            let changed = self.changed.listen();
+            let (found, newest) = {
+                let belief = self.belief.borrow();
+                let floors = belief.floors();
+                (floors.to_tell(moment), floors.newest())
+            };
+            let renewal = arrived.saturating_sub(within * RENEWAL_PERCENT / 100);
+            if newest.is_none_or(|newest| newest < renewal) {
+                self.look_soon();
+            }
+            if let Some((term, time, stamp)) = found {
+                let ago = arrived.saturating_sub(time);
+                return Some(keeper::Told { term, stamp, ago });
+            }
+            wait::until(deadline, changed).await?;
+        }
+    }
+
     /// An instance to read from, other than those already `tried`.
     ///
     /// `None` when no instance is provably fresh enough before the need's deadline.
@@ -408,6 +484,20 @@
         };
         let moment = need.arrived.saturating_sub(age.saturating_sub(AGE_MARGIN));
         let floor = self.floor(need, moment, age).await?;
+        let chosen = self.choose(need, tried, moment, floor);
+        if chosen.is_none() && need.writes {
+            return self.current(need, tried).await;
+        }
+        chosen
+    }
+
+    fn choose(
+        &self,
+        need: &source::Need,
+        tried: &[upstream::Id],
+        moment: id::Time,
+        floor: stamp::Stamp,
+    ) -> Option<source::Source> {
         let choice = source::Choice {
             roster: &self.roster,
             belief: &self.belief.borrow(),
@@ -416,7 +506,11 @@
             moment,
             floor,
         };
-        choice.best(tried)
+        if need.writes {
+            choice.primary(tried)
+        } else {
+            choice.best(tried)
+        }
     }
 
     async fn current(
@@ -460,7 +554,13 @@
             };
             let renewal = need.arrived.saturating_sub(age * RENEWAL_PERCENT / 100);
             if newest.is_none_or(|newest| newest < renewal) {
-                self.refresh_soon();
+                let part = if floor.is_some() {
+                    RENEWAL_PERCENT
+                } else {
+                    100
+                };
+                let spent = boot::now().saturating_sub(moment);
+                self.refresh_soon(spent * part / 100);
             }
             if let Some(floor) = floor {
                 return Some(floor.max(need.own.unwrap_or_default()));
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -11,6 +11,7 @@
 
 use crate::catalog;
 use crate::group;
+use crate::keeper;
 use crate::router;
 use crate::upstream;
 
@@ -178,6 +179,12 @@
         rc::Rc::clone(made)
     }
 
+    /// Answers another node's question for a floor of one of the groups.
+    pub async fn tell_floor(&self, ask: keeper::Ask) -> Option<keeper::Told> {
+        let group = self.groups.borrow().get(&ask.group).cloned()?;
+        group.tell_floor(ask.within).await
+    }
+
     /// All groups.
     #[must_use]
     pub fn groups(&self) -> Vec<rc::Rc<group::Group>> {
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -12,8 +12,6 @@
 
 use async_net::TcpStream;
 use compact_str::CompactString;
-use futures_lite::AsyncReadExt;
-use futures_lite::AsyncWriteExt;
 use futures_lite::future as poll;
 use futures_util::FutureExt;
 use futures_util::future;
@@ -21,7 +19,9 @@
 use mangotray::stamp;
 
 use crate::boot;
+use crate::keeper;
 use crate::lent;
+use crate::message;
 use crate::pool;
 use crate::reply;
 use crate::statement;
@@ -29,9 +29,6 @@
 use crate::urgency;
 use crate::wait;
 
-/// Longest message between nodes; a caller's statement has one MiB at most.
-const LONGEST: usize = 4 << 20;
-
 /// Longest wait for another node to accept a connection, which its system does even while the
 /// node is busy: a few ways there and back. A node that is gone for good stays listed; after
 /// a restart of all nodes each of them asks it first for some instance, and knew only
@@ -246,8 +243,8 @@
     ) -> future::LocalBoxFuture<'a, Answer> {
         async move {
             let exchange = async {
-                send(&mut self.stream, &(urgency.leave(), commands)).await?;
-                receive::<Answer>(&mut self.stream).await
+                message::send(&mut self.stream, &(urgency.leave(), commands)).await?;
+                message::receive::<Answer>(&mut self.stream).await
             };
             exchange.await.unwrap_or_else(|error| {
                 Err(upstream::Failure {
@@ -291,8 +288,8 @@
     let connected = wait::within(CONNECT, TcpStream::connect(address)).await;
     let mut stream = connected.ok_or(io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
-    send(&mut stream, target).await?;
-    let opened = receive::<Opened>(&mut stream).await?;
+    message::send(&mut stream, target).await?;
+    let opened = message::receive::<Opened>(&mut stream).await?;
     let until = lifetime.map(|lifetime| boot::now() + lifetime);
     Ok(opened.map(|stamp| {
         let remote: Box<dyn upstream::Connection> = Box::new(Remote { stream, until });
@@ -303,9 +300,13 @@
 /// Finds the pool of an instance.
 type Find = dyn Fn(&upstream::Target) -> rc::Rc<pool::Pool>;
 
-/// Lends connections to other nodes.
+/// Answers a question for a floor.
+type Tell = dyn Fn(keeper::Ask) -> future::LocalBoxFuture<'static, Option<keeper::Told>>;
+
+/// Lends connections to other nodes, and tells them floors.
 pub struct Server {
     find: Box<Find>,
+    tell: cell::RefCell<Option<rc::Rc<Tell>>>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     busy: cell::Cell<usize>,
 }
@@ -319,11 +320,20 @@
     ) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             find: Box::new(find),
+            tell: cell::RefCell::default(),
             executor,
             busy: cell::Cell::default(),
         })
     }
 
+    /// Tells floors from now on, as `tell` finds them.
+    pub fn keep_floors(
+        &self,
+        tell: impl Fn(keeper::Ask) -> future::LocalBoxFuture<'static, Option<keeper::Told>> + 'static,
+    ) {
+        self.tell.replace(Some(rc::Rc::new(tell)));
+    }
+
     /// Relayed connections on which a statement runs now.
     #[must_use]
     pub fn busy(&self) -> usize {
@@ -353,49 +363,47 @@
     }
 
     async fn talk(self: rc::Rc<Self>, mut stream: TcpStream) {
-        if let Err(error) = self.lend(&mut stream).await
+        if let Err(error) = self.serve_one(&mut stream).await
             && error.kind() != io::ErrorKind::UnexpectedEof
         {
             tracing::debug!(%error, "relayed connection ended");
         }
     }
 
-    async fn lend(&self, stream: &mut TcpStream) -> io::Result<()> {
+    async fn serve_one(&self, stream: &mut TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let target: upstream::Target = receive(stream).await?;
+        match message::opening(stream).await? {
+            message::Opening::Relay(length) => self.lend(stream, length).await,
+            message::Opening::Floors => self.tell_floors(stream).await,
+        }
+    }
+
+    async fn tell_floors(&self, stream: &mut TcpStream) -> io::Result<()> {
+        loop {
+            let ask: keeper::Ask = message::receive(stream).await?;
+            let tell = self.tell.borrow().clone();
+            let told = match tell {
+                Some(tell) => tell(ask).await,
+                None => None,
+            };
+            message::send(stream, &told).await?;
+        }
+    }
+
+    async fn lend(&self, stream: &mut TcpStream, length: u32) -> io::Result<()> {
+        let target: upstream::Target = message::body(stream, length).await?;
         let mut lender = Lender::new((self.find)(&target));
         let opened = lender.open().await;
-        send(stream, &opened).await?;
+        message::send(stream, &opened).await?;
         if opened.is_err() {
             return Ok(());
         }
         loop {
-            let (urgency, commands): Work = receive(stream).await?;
+            let (urgency, commands): Work = message::receive(stream).await?;
             self.busy.set(self.busy.get() + 1);
             let answer = lender.run(&commands, urgency.arrive()).await;
             self.busy.set(self.busy.get() - 1);
-            send(stream, &answer).await?;
+            message::send(stream, &answer).await?;
         }
     }
 }
-
-async fn send(stream: &mut TcpStream, value: &impl serde::Serialize) -> io::Result<()> {
-    let body = postcard::to_stdvec(value).map_err(io::Error::other)?;
-    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
-    let mut message = Vec::with_capacity(body.len() + 4);
-    message.extend_from_slice(&length.to_le_bytes());
-    message.extend_from_slice(&body);
-    stream.write_all(&message).await
-}
-
-async fn receive<T: serde::de::DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).await?;
-    let length = u32::from_le_bytes(length) as usize;
-    if length > LONGEST {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(io::Error::other)
-}
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -12,6 +12,7 @@
 
 use crate::boot;
 use crate::catalog;
+use crate::keeper;
 use crate::member;
 use crate::pool;
 use crate::relay;
@@ -67,6 +68,7 @@
     avoided: cell::RefCell<collections::BTreeMap<id::Vm, id::Time>>,
     apart: cell::RefCell<collections::BTreeMap<(id::Vm, upstream::Id), id::Time>>,
     dark: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
+    keepers: keeper::Client,
 }
 
 impl Router {
@@ -87,6 +89,7 @@
             avoided: cell::RefCell::default(),
             apart: cell::RefCell::default(),
             dark: cell::RefCell::default(),
+            keepers: keeper::Client::default(),
         })
     }
 
@@ -326,6 +329,18 @@
         self.route(target).boxed_local()
     }
 
+    fn floor<'a>(
+        &'a self,
+        ask: &'a keeper::Ask,
+    ) -> future::LocalBoxFuture<'a, Option<keeper::Told>> {
+        async move {
+            let may_ask = |name: &id::Vm| self.keepers.may_ask(name);
+            let keeper = keeper::of(&self.members.borrow(), &ask.group, &self.name, may_ask)?;
+            self.keepers.ask(&keeper, ask).await
+        }
+        .boxed_local()
+    }
+
     fn status(&self, reply: &reply::Reply) -> Option<upstream::Status> {
         self.direct.status(reply)
     }
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -25,6 +25,8 @@
     pub arrived: id::Time,
     /// What its route accepts.
     pub freshness: catalog::Freshness,
+    /// Only the primary will do, as it may write.
+    pub writes: bool,
     /// The session's own last commit.
     pub own: Option<stamp::Stamp>,
     /// No use to try after this.
@@ -83,6 +85,19 @@
         self.belief.lead().is_some_and(|lead| lead.id == *id)
     }
 
+    /// The primary, if it may serve this read.
+    #[must_use]
+    pub fn primary(&self, tried: &[upstream::Id]) -> Option<Source> {
+        let leads = self.proven()?;
+        let lead = self.belief.lead()?;
+        let pool = self.roster.pool(&lead.id)?;
+        (!tried.contains(&lead.id)).then_some(Source {
+            pool,
+            after: None,
+            leads: Some(leads),
+        })
+    }
+
     // Term of the primary, if it may serve this read.
     //
     // Evidence of a later term says nothing for this primary, rather the contrary.
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -9,6 +9,7 @@
 use mangotray::role;
 use mangotray::stamp;
 
+use crate::keeper;
 use crate::reply;
 use crate::statement;
 use crate::urgency;
@@ -186,6 +187,14 @@
         target: &'a Target,
     ) -> future::LocalBoxFuture<'a, Result<Dialled, Refusal>>;
 
+    /// Asks the node that keeps a group's floors for one; none where this node has to look itself.
+    fn floor<'a>(
+        &'a self,
+        _ask: &'a keeper::Ask,
+    ) -> future::LocalBoxFuture<'a, Option<keeper::Told>> {
+        Box::pin(future::ready(None))
+    }
+
     /// Reads the row that answers [`Command::Status`], [`Command::Hold`] and [`Command::Demote`].
     fn status(&self, reply: &reply::Reply) -> Option<Status>;
 }
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -259,7 +259,7 @@
 fn successor(play: &Play) -> Play {
     let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
     let seat = seat::Seat::new(shared, &"heir".into(), SHORTEST);
-    play::play_as(play.stage.another(), play.store.clone(), seat)
+    play::play_as(play.stage.another("heir"), play.store.clone(), seat)
 }
 
 /// Symptom: six hundred acknowledged bookings are gone: the whole log.
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -21,6 +21,7 @@
     source::Need {
         arrived: now,
         freshness,
+        writes: false,
         own: None,
         deadline: now + LIMIT,
     }
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -462,18 +462,24 @@
 
     /// A node that has just started and lists these instances.
     pub fn of(world: Shared) -> Self {
-        Self::on(world, rc::Rc::new(async_executor::LocalExecutor::new()))
+        let executor = rc::Rc::new(async_executor::LocalExecutor::new());
+        Self::on(world, executor, "vm")
     }
 
     /// Another node before the same instances.
-    pub fn another(&self) -> Self {
-        Self::on(rc::Rc::clone(&self.world), rc::Rc::clone(&self.executor))
+    pub fn another(&self, name: &str) -> Self {
+        let world = rc::Rc::clone(&self.world);
+        Self::on(world, rc::Rc::clone(&self.executor), name)
     }
 
-    fn on(world: Shared, executor: rc::Rc<async_executor::LocalExecutor<'static>>) -> Self {
+    fn on(
+        world: Shared,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+        name: &str,
+    ) -> Self {
         let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&world)));
-        let router = router::Router::new("vm".into(), dialer, rc::Rc::clone(&executor));
-        let node = node::Node::new("vm".into(), "here".into(), router, rc::Rc::clone(&executor));
+        let router = router::Router::new(name.into(), dialer, rc::Rc::clone(&executor));
+        let node = node::Node::new(name.into(), "here".into(), router, rc::Rc::clone(&executor));
         node.apply(catalog());
         node.update(world.borrow().list(), Some(boot::now()));
         Self {
--- a/desk/tests/witness.rs
+++ b/desk/tests/witness.rs
@@ -53,6 +53,7 @@
         let bounded = source::Need {
             arrived: now,
             freshness: catalog::Freshness::Bounded(SOON / 2),
+            writes: false,
             own: None,
             deadline: now + SOON,
         };
