Tell how much of an answer had come, and by which version a request is routed

Cause: logs could not tell an answer of the store that never began from one that was given up when nearly all of it had come, later failures were not logged, and no line of a routing decision told the version of the configuration.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -122,7 +122,7 @@
             .awaited
             .min(sent + route.timeout * ATTEMPT_PERCENT / 100);
         let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
-            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+            tracing::info!(request = %work.id, version = route.version, group = %group.name, instance = %source.pool.id(),
                 sent = failure.sent, detail = %failure.detail, "read not answered");
             if !failure.sent {
                 return miss::Miss::of_unsent(&failure);
@@ -136,14 +136,14 @@
         }
         let Some(code) = reply.code() else {
             count_read(source.leads.is_some());
-            tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+            tracing::info!(request = %work.id, version = route.version, group = %group.name, instance = %source.pool.id(),
                 term = source.leads, after = source.after.map(tracing::field::display),
                 waited_ms = sent.saturating_sub(work.arrived).as_millis(),
                 took_ms = boot::now().saturating_sub(sent).as_millis(), "read served");
             return Ok(reply);
         };
         metrics::counter!("mangotray_read_retries_total").increment(1);
-        tracing::info!(request = %work.id, group = %group.name, instance = %source.pool.id(),
+        tracing::info!(request = %work.id, version = route.version, group = %group.name, instance = %source.pool.id(),
             ?code, applied = %source.pool.applied(),
             after = source.after.map(tracing::field::display), "read not served here");
         match code {
@@ -157,7 +157,7 @@
     /// Writes at the primary; another try only where nothing was sent, or the instance says
     /// that it did not run.
     pub async fn write(&self, work: &work::Work) -> Outcome {
-        let group = &self.group;
+        let (group, route) = (&self.group, self.route);
         let wait = self.limit_at_primary(work.arrived);
         let urgency = limit::urgency(self.route, work.arrived);
         loop {
@@ -205,7 +205,7 @@
             group.saw_position(term, sent, reply.position);
             match reply.code() {
                 None => {
-                    tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(),
+                    tracing::info!(request = %work.id, version = route.version, group = %group.name, instance = %pool.id(),
                         term, waited_ms = sent.saturating_sub(work.arrived).as_millis(),
                         took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
                     return Outcome::Answered(reply);
@@ -219,7 +219,7 @@
                 .code()
                 .map_or(miss::Miss::Elsewhere, miss::Miss::of_code);
             metrics::counter!("mangotray_write_retries_total").increment(1);
-            tracing::info!(request = %work.id, group = %group.name, instance = %pool.id(), term,
+            tracing::info!(request = %work.id, version = route.version, group = %group.name, instance = %pool.id(), term,
                 code = ?reply.code(), "write not run");
             drop(lent);
             if !pause_before(patience(&reason, &urgency, wait)).await {
--- a/desk/src/catalog.rs
+++ b/desk/src/catalog.rs
@@ -22,6 +22,8 @@
 /// How statements for one database are served.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Route {
+    /// Version of the configuration that it is from.
+    pub version: id::Revision,
     /// Name that callers connect to.
     pub database: CompactString,
     /// Group that serves it.
--- a/desk/src/limit.rs
+++ b/desk/src/limit.rs
@@ -55,6 +55,7 @@
 /// use mangotray_desk::{catalog, limit};
 /// use std::time::Duration;
 /// let route = catalog::Route {
+///     version: 1,
 ///     database: "desk".into(),
 ///     group: "bookings".into(),
 ///     freshness: catalog::Freshness::Current,
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use mangotray::id;
+use mangotray::telemetry;
 
 use crate::catalog;
 use crate::group;
@@ -70,6 +71,8 @@
             routes = catalog.routes.len(),
             "configuration in force"
         );
+        let shown = u32::try_from(catalog.version).unwrap_or(u32::MAX);
+        metrics::gauge!(telemetry::CONFIG_REVISION).set(shown);
         for service in &catalog.services {
             self.group(&service.group);
         }
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -382,12 +382,10 @@
         metrics::counter!("mangotray_statements_total", "outcome" => outcome).increment(1);
         metrics::histogram!("mangotray_statement_seconds").record(took.as_secs_f64());
         if let reply::End::Error { code, text } = &reply.end {
-            let group = self
-                .node
-                .route(&self.database)
-                .map(|route| route.group.clone());
+            let route = self.node.route(&self.database);
+            let group = route.as_ref().map(|route| route.group.as_str());
             tracing::warn!(request = %request.id, database = %self.database,
-                group = group.map(tracing::field::display), ?code, %text, took_ms = took.as_millis(), "statement failed");
+                version = self.node.catalog().version, group, ?code, %text, took_ms = took.as_millis(), "statement failed");
         }
     }
 }
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -515,6 +515,7 @@
 
 fn catalog() -> catalog::Catalog {
     let route = |database: &str, freshness| catalog::Route {
+        version: 1,
         database: database.into(),
         group: GROUP.into(),
         freshness,
--- a/src/http.rs
+++ b/src/http.rs
@@ -7,6 +7,8 @@
 
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
+use hyper::body;
+use hyper::body::Body;
 use hyper::client::conn::http1;
 
 /// Request as the pool sends it.
@@ -37,10 +39,21 @@
     pub sent: bool,
     /// True when a kept-alive connection turned out to be closed.
     pub stale: bool,
+    /// Bytes of the answer's body that had come; none where the answer had not begun.
+    pub received: Option<usize>,
     /// Words for the log.
     pub detail: String,
 }
 
+/// An answer that has begun.
+pub struct Arrival<'a> {
+    pool: &'a Pool,
+    _permit: async_lock::SemaphoreGuard<'a>,
+    sender: Sender,
+    response: hyper::Response<body::Incoming>,
+    deadline: time::Instant,
+}
+
 /// Bounded set of connections; one request at a time on each.
 pub struct Pool {
     address: net::SocketAddr,
@@ -92,20 +105,38 @@
         timeout: time::Duration,
         fresh: bool,
     ) -> Result<Answer, Failure> {
+        self.begin(request, timeout, fresh).await?.finish().await
+    }
+
+    /// Sends one request and waits until its answer begins, within `timeout`, in which the rest
+    /// of it must come as well.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Pool::call`].
+    pub async fn begin(
+        &self,
+        request: Request,
+        timeout: time::Duration,
+        fresh: bool,
+    ) -> Result<Arrival<'_>, Failure> {
         let deadline = time::Instant::now() + timeout;
-        let _permit = within(deadline, self.permits.acquire())
+        let permit = within(deadline, self.permits.acquire())
             .await
             .ok_or_else(|| Failure::unsent("no connection was free in time"))?;
         let (mut sender, kept) = within(deadline, self.checkout(fresh))
             .await
             .ok_or_else(|| Failure::unsent("timeout while connecting"))??;
-        let answer = within(deadline, exchange(&mut sender, request, kept))
+        let response = within(deadline, send(&mut sender, request, kept))
             .await
-            .ok_or_else(|| Failure::lost("timeout while waiting for the answer"))??;
-        // A call that is given up drops its sender, which closes the connection:
-        // a late answer can never be taken for the answer to the next request.
-        self.kept().push(sender);
-        Ok(answer)
+            .ok_or_else(|| Failure::lost("timeout before the answer began"))??;
+        Ok(Arrival {
+            pool: self,
+            _permit: permit,
+            sender,
+            response,
+            deadline,
+        })
     }
 
     /// Takes a kept-alive connection, or opens one; true when it was kept alive.
@@ -156,11 +187,45 @@
     }
 }
 
+impl Arrival<'_> {
+    /// Collects the rest of the answer.
+    ///
+    /// # Errors
+    ///
+    /// When it does not come in time, or breaks off.
+    pub async fn finish(self) -> Result<Answer, Failure> {
+        let announced = self.response.body().size_hint().exact();
+        let (parts, mut rest) = self.response.into_parts();
+        let mut body = bytes::BytesMut::new();
+        loop {
+            let received = body.len();
+            let piece = within(self.deadline, rest.frame())
+                .await
+                .ok_or_else(|| Failure::incomplete("timeout", received, announced))?;
+            let Some(piece) = piece else { break };
+            let piece = piece.map_err(|error| Failure::incomplete(error, received, announced))?;
+            if let Ok(data) = piece.into_data() {
+                body.extend_from_slice(&data);
+            }
+        }
+        // A call that is given up drops its sender, which closes the connection:
+        // a late answer can never be taken for the answer to the next request.
+        self.pool.kept().push(self.sender);
+        Ok(Answer {
+            status: parts.status,
+            index: index(&parts.headers),
+            headers: parts.headers,
+            body: body.freeze(),
+        })
+    }
+}
+
 impl Failure {
     fn unsent(detail: impl fmt::Display) -> Self {
         Self {
             sent: false,
             stale: false,
+            received: None,
             detail: detail.to_string(),
         }
     }
@@ -171,33 +236,32 @@
             ..Self::unsent(detail)
         }
     }
+
+    fn incomplete(detail: impl fmt::Display, received: usize, announced: Option<u64>) -> Self {
+        let whole = announced.map_or_else(String::new, |bytes| format!(" of {bytes}"));
+        let detail = format!("{detail} after {received}{whole} bytes of the answer");
+        Self {
+            received: Some(received),
+            ..Self::lost(detail)
+        }
+    }
 }
 
-async fn exchange(sender: &mut Sender, request: Request, kept: bool) -> Result<Answer, Failure> {
-    let response = sender
+async fn send(
+    sender: &mut Sender,
+    request: Request,
+    kept: bool,
+) -> Result<hyper::Response<body::Incoming>, Failure> {
+    sender
         .try_send_request(request)
         .await
         .map_err(|mut error| Failure {
             // The request comes back only when none of it was written.
             sent: error.take_message().is_none(),
             stale: kept,
+            received: None,
             detail: error.into_error().to_string(),
-        })?;
-    let status = response.status();
-    let headers = response.headers().clone();
-    let index = index(&headers);
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(Failure::lost)?
-        .to_bytes();
-    Ok(Answer {
-        status,
-        index,
-        headers,
-        body,
-    })
+        })
 }
 
 fn index(headers: &hyper::HeaderMap) -> Option<u64> {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -31,6 +31,8 @@
 pub const HELD_BACK: &str = "mangotray_promotion_held_back";
 /// Calls to the platform's service; labels `kind` and `outcome`.
 pub const STORE_CALLS: &str = "mangotray_store_calls_total";
+/// Bytes of answers of the platform's service, given up ones included; labels `kind` and `outcome`.
+pub const STORE_BYTES: &str = "mangotray_store_answer_bytes_total";
 /// Era of the platform's store, which rises when it comes back from an older copy.
 pub const STORE_ERA: &str = "mangotray_store_era";
 /// Sessions offered to another proxy; label `result`.
@@ -130,6 +132,10 @@
             STORE_CALLS,
             "Calls to the platform's service, by kind and outcome",
         ),
+        (
+            STORE_BYTES,
+            "Bytes of answers of the platform's service, by kind and outcome",
+        ),
         (FORWARDS, "Sessions offered to another proxy, by result"),
     ];
     for (name, text) in counters {
