Let an answer of the store take as long as it goes on

Callers saw: requests served by a configuration that a version confirmed 5 s before forbids, and late answers on all nodes with slow links, for as long as they ran. Cause: a list had 700 ms, and a watch 500 ms more than it asked for, from the request to the last byte. A configuration of 4,266 routes makes an answer of 0.86 MB, which a link of 10 Mbit/s carries in 0.69 s when it carries nothing else. Each try was given up with up to 96 % of its bytes there, threw them away and was begun anew 1 s later, for ever, and callers' own bytes waited behind them. A node that started again then never became ready. Class: a fixed time for work whose length grows with its size, retried from nothing. Change: limits for the beginning of an answer, for the pause between its pieces, and a generous one for the whole. What an answer tells is as old as its beginning (note of the list, announced ends, missing entries), as its end may come seconds later. The same for reads of the platform's key-value service in the library. Changes keep one limit for the whole: their answers are small.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -90,7 +90,14 @@
     /// work after its time if its announcement were taken for fresh.
     /// A node that has just started knows no such time: an announcement that it finds may be
     /// of any age.
-    pub fn update(self: &rc::Rc<Self>, instances: Vec<catalog::Instance>, since: Option<id::Time>) {
+    ///
+    /// The list is as it was at `heard`: it may have taken long to come.
+    pub fn update(
+        self: &rc::Rc<Self>,
+        instances: Vec<catalog::Instance>,
+        since: Option<id::Time>,
+        heard: id::Time,
+    ) {
         let lead = self.lead();
         let leads = |id: &upstream::Id| lead.as_ref().is_some_and(|lead| lead.id == *id);
         let surprise = instances
@@ -98,9 +105,8 @@
             .any(|instance| instance.leads != leads(&instance.id));
         let now = boot::now();
         self.note_applied(now);
-        let reborn = self
-            .roster
-            .update(instances, since.map(|since| since.min(now)));
+        let since = since.map(|since| since.min(heard));
+        let reborn = self.roster.update(instances, since, heard);
         for id in &reborn {
             self.belief.borrow_mut().receipts().forget(id);
         }
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -81,9 +81,14 @@
         true
     }
 
-    /// Takes a new list of instances, of which the news may date back to `since`, or be of
-    /// any age without one.
-    pub fn update(&self, instances: Vec<catalog::Instance>, since: Option<id::Time>) {
+    /// Takes a new list of instances as it was at `heard`, of which the news may date back to
+    /// `since`, or be of any age without one.
+    pub fn update(
+        &self,
+        instances: Vec<catalog::Instance>,
+        since: Option<id::Time>,
+        heard: id::Time,
+    ) {
         let listed = instances
             .iter()
             .map(|instance| instance.id.clone())
@@ -103,17 +108,17 @@
         }
         for (name, part) in parts {
             if self.is_named(&name) {
-                self.group(&name).update(part, since);
+                self.group(&name).update(part, since, heard);
             } else if self.unnamed.borrow_mut().insert(name.clone()) {
                 tracing::warn!(group = %name, "instances of a group that no configuration names");
             }
         }
     }
 
-    /// Notes that the list of instances was heard of, and has not changed.
-    pub fn note_word(&self) {
+    /// Notes that the list of instances was heard of at `heard`, and has not changed.
+    pub fn note_word(&self, heard: id::Time) {
         for group in self.groups.borrow().values() {
-            group.roster().note_word();
+            group.roster().note_word(heard);
         }
     }
 
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -65,16 +65,17 @@
         }
     }
 
-    /// Takes a new list, of which the news may date back to `since`, or be of any age; tells
-    /// which instances have started again.
+    /// Takes a new list as it was at `heard`, of which the news may date back to `since`, or be of
+    /// any age; tells which instances have started again.
     pub fn update(
         &self,
         instances: Vec<catalog::Instance>,
         since: Option<id::Time>,
+        heard: id::Time,
     ) -> Vec<upstream::Id> {
         self.first
             .set(Some(self.first.get().unwrap_or_else(boot::now)));
-        self.note_word();
+        self.note_word(heard);
         let listed: collections::BTreeSet<_> = instances
             .iter()
             .map(|instance| instance.id.clone())
@@ -84,13 +85,13 @@
             self.enter(instance, since).then_some(id)
         };
         let reborn = instances.into_iter().filter_map(enter).collect();
-        self.leave_unless(|id| listed.contains(id));
+        self.leave_unless(|id| listed.contains(id), heard);
         reborn
     }
 
-    /// Notes that the list was heard of just now, be it that nothing has changed.
-    pub fn note_word(&self) {
-        self.heard.set(Some(boot::now()));
+    /// Notes that the list was heard of at `heard`, be it that nothing has changed.
+    pub fn note_word(&self, heard: id::Time) {
+        self.heard.set(self.heard.get().max(Some(heard)));
     }
 
     /// Whether the list is known as it was a moment ago.
@@ -114,14 +115,13 @@
 
     /// Drops what is no longer listed and gives spare connections back; called now and then.
     pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
-        self.leave_unless(listed);
+        self.leave_unless(listed, boot::now());
         for pool in self.pools.borrow().values() {
             pool.trim();
         }
     }
 
-    fn leave_unless(&self, listed: impl Fn(&upstream::Id) -> bool) {
-        let now = boot::now();
+    fn leave_unless(&self, listed: impl Fn(&upstream::Id) -> bool, heard: id::Time) {
         let gone: Vec<_> = self
             .pools
             .borrow()
@@ -130,7 +130,7 @@
             .cloned()
             .collect();
         for id in gone {
-            self.leave(&id, now);
+            self.leave(&id, heard);
         }
     }
 
@@ -202,11 +202,12 @@
 
     // An entry that vanished means that the instance left, or that it cannot reach the
     // list. It is used as one that leaves: it may be healthy, but not for long.
-    fn leave(&self, id: &upstream::Id, now: id::Time) {
+    fn leave(&self, id: &upstream::Id, heard: id::Time) {
+        let now = boot::now();
         let mut leaving = self.leaving.borrow_mut();
         let until = *leaving.entry(id.clone()).or_insert_with(|| {
             tracing::info!(group = %self.group, instance = %id, "instance is no longer listed");
-            now + LEAVING_USE
+            heard + LEAVING_USE
         });
         // One that had announced its end before has ended.
         let ended = self
--- a/src/http.rs
+++ b/src/http.rs
@@ -19,6 +19,14 @@
 /// Header that carries the index of the data that was read.
 pub const INDEX_HEADER: &str = "x-consul-index";
 
+/// Longest wait for the next piece of an answer: a packet that is lost three times in a row arrives
+/// within this time.
+const PIECE: time::Duration = time::Duration::from_millis(1500);
+
+/// Longest time from the beginning of an answer to its end, so that one that trickles ends:
+/// two megabytes over a link of half a megabit a second.
+const LONGEST_ANSWER: time::Duration = time::Duration::from_secs(32);
+
 /// What came back for one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -32,6 +40,21 @@
     pub body: bytes::Bytes,
 }
 
+/// How long a call may take.
+///
+/// How long a whole answer takes depends on its size and on what else the link carries. A call that is
+/// given up loses what has come, and the next one begins anew: where the limit is for the
+/// whole, an answer that outgrows it is never received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limit {
+    /// Until the answer begins, connecting included.
+    pub begin: time::Duration,
+    /// Until the next piece of an answer that has begun.
+    pub piece: time::Duration,
+    /// For all of the call.
+    pub whole: time::Duration,
+}
+
 /// Why a request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Failure {
@@ -51,6 +74,7 @@
     _permit: async_lock::SemaphoreGuard<'a>,
     sender: Sender,
     response: hyper::Response<body::Incoming>,
+    piece: time::Duration,
     deadline: time::Instant,
 }
 
@@ -91,7 +115,7 @@
         self.kept().len()
     }
 
-    /// Sends one request and collects its whole answer within `timeout`.
+    /// Sends one request and collects its whole answer within `limit`.
     ///
     /// With `fresh`, kept-alive connections are dropped and a new one is opened.
     /// Nothing is sent twice.
@@ -102,14 +126,13 @@
     pub async fn call(
         &self,
         request: Request,
-        timeout: time::Duration,
+        limit: Limit,
         fresh: bool,
     ) -> Result<Answer, Failure> {
-        self.begin(request, timeout, fresh).await?.finish().await
+        self.begin(request, limit, fresh).await?.finish().await
     }
 
-    /// Sends one request and waits until its answer begins, within `timeout`, in which the rest
-    /// of it must come as well.
+    /// Sends one request and waits until its answer begins.
     ///
     /// # Errors
     ///
@@ -117,10 +140,11 @@
     pub async fn begin(
         &self,
         request: Request,
-        timeout: time::Duration,
+        limit: Limit,
         fresh: bool,
     ) -> Result<Arrival<'_>, Failure> {
-        let deadline = time::Instant::now() + timeout;
+        let started = time::Instant::now();
+        let deadline = started + limit.begin;
         let permit = within(deadline, self.permits.acquire())
             .await
             .ok_or_else(|| Failure::unsent("no connection was free in time"))?;
@@ -135,7 +159,8 @@
             _permit: permit,
             sender,
             response,
-            deadline,
+            piece: limit.piece,
+            deadline: started + limit.whole,
         })
     }
 
@@ -199,7 +224,8 @@
         let mut body = bytes::BytesMut::new();
         loop {
             let received = body.len();
-            let piece = within(self.deadline, rest.frame())
+            let deadline = self.deadline.min(time::Instant::now() + self.piece);
+            let piece = within(deadline, rest.frame())
                 .await
                 .ok_or_else(|| Failure::incomplete("timeout", received, announced))?;
             let Some(piece) = piece else { break };
@@ -220,6 +246,40 @@
     }
 }
 
+impl Limit {
+    /// A limit for all of a call whose answer is small.
+    ///
+    /// ```
+    /// let limit = mangotray::http::Limit::of_whole(std::time::Duration::from_secs(1));
+    /// assert_eq!(limit.begin, limit.whole);
+    /// ```
+    #[must_use]
+    pub const fn of_whole(whole: time::Duration) -> Self {
+        Self {
+            begin: whole,
+            piece: whole,
+            whole,
+        }
+    }
+
+    /// A limit for a call whose answer may be of any size: it may take as long as it goes on.
+    ///
+    /// ```
+    /// let second = std::time::Duration::from_secs(1);
+    /// let limit = mangotray::http::Limit::of_pieces(second);
+    /// assert_eq!(limit.begin, second);
+    /// assert!(limit.whole > second);
+    /// ```
+    #[must_use]
+    pub fn of_pieces(begin: time::Duration) -> Self {
+        Self {
+            begin,
+            piece: PIECE,
+            whole: begin + LONGEST_ANSWER,
+        }
+    }
+}
+
 impl Failure {
     fn unsent(detail: impl fmt::Display) -> Self {
         Self {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -98,9 +98,10 @@
         path: &str,
         timeout: time::Duration,
     ) -> Result<http::Answer, store::Failure> {
-        let first = pool.call(consul::get(path), timeout, false).await;
+        let limit = http::Limit::of_pieces(timeout);
+        let first = pool.call(consul::get(path), limit, false).await;
         let answer = match first {
-            Err(failure) if failure.stale => pool.call(consul::get(path), timeout, true).await,
+            Err(failure) if failure.stale => pool.call(consul::get(path), limit, true).await,
             answer => answer,
         };
         count("read", answer.is_ok());
@@ -109,10 +110,8 @@
 
     /// Changes something; sent at most once.
     async fn change(&self, path: &str, body: bytes::Bytes) -> Result<http::Answer, store::Failure> {
-        let answer = self
-            .calls
-            .call(consul::put(path, body), self.timeout, false)
-            .await;
+        let limit = http::Limit::of_whole(self.timeout);
+        let answer = self.calls.call(consul::put(path, body), limit, false).await;
         count("change", answer.is_ok());
         match answer {
             Ok(answer) => consul::accepted(answer),
