--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -23,7 +23,7 @@
 const SETTLED: time::Duration = time::Duration::from_secs(3);
 
 /// The list of instances counts as known for this long after the last word of it: a watch waits
-/// 3.2 s, and promoters go on holding an instance for [`LEAVING_USE`] after it was last
+/// 2.2 s, and promoters go on holding an instance for [`LEAVING_USE`] after it was last
 /// listed. The rest is for answers that lag.
 const FRESH: time::Duration = time::Duration::from_secs(4);
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -151,9 +151,12 @@
         let (mut sender, kept) = within(deadline, self.checkout(fresh))
             .await
             .ok_or_else(|| Failure::unsent("timeout while connecting"))??;
-        let response = within(deadline, send(&mut sender, request, kept))
-            .await
-            .ok_or_else(|| Failure::lost("timeout before the answer began"))??;
+        let Some(response) = within(deadline, send(&mut sender, request, kept)).await else {
+            // Where one open connection went silent, others may have: each would cost a timeout.
+            self.kept().clear();
+            return Err(Failure::lost("timeout before the answer began"));
+        };
+        let response = response?;
         Ok(Arrival {
             pool: self,
             _permit: permit,
