Find the instance that leads the latest term in one place

Cause: era, verdict and intent each searched the answers for the primary of the latest term, and sampler::leader a fourth time. Change: sampler::latest does it for all four; Look::lead makes the value. No behaviour changes.

--- a/desk/src/era.rs
+++ b/desk/src/era.rs
@@ -8,7 +8,6 @@
 use std::time;
 
 use mangotray::id;
-use mangotray::role;
 use mangotray::store;
 
 use crate::duty;
@@ -148,17 +147,8 @@
 #[must_use]
 pub fn order(term: id::Term, expected: usize, looks: &[sampler::Look]) -> Order {
     let later = |look: &sampler::Look| sampler::overtakes(&look.status, term);
-    let leads =
-        |look: &&sampler::Look| look.status.role == role::Role::Primary && look.status.term > term;
-    let leader = looks
-        .iter()
-        .filter(leads)
-        .max_by_key(|look| look.status.term);
-    if let Some(look) = leader {
-        Order::Done(sampler::Lead {
-            id: look.id.clone(),
-            term: look.status.term,
-        })
+    if let Some(lead) = sampler::latest(looks, term + 1) {
+        Order::Done(lead)
     } else if looks.len() < expected || looks.iter().any(later) {
         Order::Possible
     } else {
--- a/desk/src/intent.rs
+++ b/desk/src/intent.rs
@@ -8,7 +8,6 @@
 //! held, by the same call, so that it costs the store nothing.
 
 use mangotray::id;
-use mangotray::role;
 use mangotray::stamp;
 use mangotray::store;
 
@@ -165,18 +164,8 @@
     /// ```
     #[must_use]
     pub fn outcome(&self, looks: &[sampler::Look], listed: &[upstream::Id]) -> Outcome {
-        let leads = |look: &&sampler::Look| {
-            look.status.role == role::Role::Primary && look.status.term >= self.term
-        };
-        let leader = looks
-            .iter()
-            .filter(leads)
-            .max_by_key(|look| look.status.term);
-        if let Some(look) = leader {
-            return Outcome::Leads(sampler::Lead {
-                id: look.id.clone(),
-                term: look.status.term,
-            });
+        if let Some(lead) = sampler::latest(looks, self.term) {
+            return Outcome::Leads(lead);
         }
         let answers = |id: &upstream::Id| looks.iter().any(|look| look.id == *id);
         if !listed.contains(&self.candidate) {
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -55,6 +55,38 @@
             applied: reply.position,
         })
     }
+
+    /// The instance as one that leads.
+    #[must_use]
+    pub fn lead(&self) -> Lead {
+        Lead {
+            id: self.id.clone(),
+            term: self.status.term,
+        }
+    }
+}
+
+/// The one that leads the latest term, of those that say that they lead the term `least` or a later one.
+///
+/// ```
+/// use mangotray::{role::Role, stamp::Stamp};
+/// use mangotray_desk::{sampler, upstream};
+/// let look = |id: &str, term| sampler::Look {
+///     id: id.into(),
+///     status: upstream::Status { role: Role::Primary, term, received: Stamp::new(1, 7), held: 0, load: upstream::Load::default() },
+///     applied: None,
+/// };
+/// let looks = [look("a", 1), look("c", 3), look("b", 2)];
+/// assert_eq!(sampler::latest(&looks, 2).map(|lead| lead.term), Some(3));
+/// assert_eq!(sampler::latest(&looks, 4), None);
+/// ```
+#[must_use]
+pub fn latest(looks: &[Look], least: id::Term) -> Option<Lead> {
+    looks
+        .iter()
+        .filter(|look| look.status.role == role::Role::Primary && look.status.term >= least)
+        .max_by_key(|look| look.status.term)
+        .map(Look::lead)
 }
 
 /// A connection for a command of this node's own, before all statements of callers.
@@ -110,16 +142,9 @@
 /// ```
 #[must_use]
 pub fn leader(looks: &[Look]) -> Option<Lead> {
-    let primaries = looks
-        .iter()
-        .filter(|look| look.status.role == role::Role::Primary);
-    let found = primaries.max_by_key(|look| look.status.term)?;
-    let term = found.status.term;
-    let replaced = looks.iter().any(|look| overtakes(&look.status, term));
-    (!replaced).then(|| Lead {
-        id: found.id.clone(),
-        term,
-    })
+    let found = latest(looks, 0)?;
+    let replaced = looks.iter().any(|look| overtakes(&look.status, found.term));
+    (!replaced).then_some(found)
 }
 
 /// Whether an instance's answer shows that a primary of `term` is, or soon may be, replaced.
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -122,7 +122,7 @@
         };
         let leads = look.status.role == role::Role::Primary;
         if leads && look.status.term > self.lead.term {
-            return Verdict::Overtaken(lead_of(look));
+            return Verdict::Overtaken(look.lead());
         }
         let further = look.status.received > best.status.received;
         match (leads, further) {
@@ -157,10 +157,7 @@
     }
 
     fn overtaken(&self) -> Option<sampler::Lead> {
-        let later = self.looks.iter().filter(|look| {
-            look.status.role == role::Role::Primary && look.status.term > self.lead.term
-        });
-        later.max_by_key(|look| look.status.term).map(lead_of)
+        sampler::latest(self.looks, self.lead.term + 1)
     }
 
     fn is_held(&self, look: &sampler::Look) -> bool {
@@ -173,10 +170,3 @@
             .max_by_key(|look| (look.status.received, !leaves(&look.id)))
     }
 }
-
-fn lead_of(look: &sampler::Look) -> sampler::Lead {
-    sampler::Lead {
-        id: look.id.clone(),
-        term: look.status.term,
-    }
-}
