--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -54,6 +54,14 @@
     stage::until("the list is settled", || group.roster().is_settled()).await;
 }
 
+/// The holder of the seat leaves, and the store comes back from before it held it.
+async fn leave_and_return(play: &Play, copy: &play::Entries) {
+    play.led(1).await;
+    settled(play).await;
+    play.seat.leave().await;
+    play.store.go_back(copy);
+}
+
 /// Symptom: promotions carry a lower number than one before them, or two holders the same.
 /// Events: a node takes the seat at some revision; the store comes back from before that; another
 /// takes the seat at a lower revision, or at the same.
@@ -181,10 +189,7 @@
     let play = play();
     let copy = play.store.at().clone();
     play.stage.run(async {
-        play.led(1).await;
-        settled(&play).await;
-        play.seat.leave().await;
-        play.store.go_back(&copy);
+        leave_and_return(&play, &copy).await;
         for id in ["b", "c"] {
             play.stage.world.borrow_mut().at(id).held = 2;
         }
@@ -216,10 +221,7 @@
     let play = play();
     let copy = play.store.at().clone();
     play.stage.run(async {
-        play.led(1).await;
-        settled(&play).await;
-        play.seat.leave().await;
-        play.store.go_back(&copy);
+        leave_and_return(&play, &copy).await;
         let heir = successor(&play);
         stage::until("the seat is taken", || heir.seat.held().is_some()).await;
         heir.stage.world.borrow_mut().at("a").up = false;
