--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::kept;
 use crate::limit;
 use crate::miss;
+use crate::organisation;
 use crate::pinned;
 use crate::pool;
 use crate::reply;
@@ -69,6 +70,8 @@
     pub group: rc::Rc<group::Group>,
     /// Route of the session's database.
     pub route: &'a catalog::Route,
+    /// For whom it runs.
+    pub organisation: &'a organisation::Name,
     /// The session's values.
     pub values: &'a kept::Values,
     /// The session's own last commit.
@@ -114,7 +117,10 @@
     ) -> Result<reply::Reply, miss::Miss> {
         let (group, route) = (&self.group, self.route);
         let wait = urgency.awaited.min(boot::now() + LEND_LIMIT);
-        let lent = source.pool.lend(urgency, self.values, wait).await;
+        let lent = source
+            .pool
+            .lend(urgency, self.organisation, self.values, wait)
+            .await;
         let mut lent = lent.map_err(miss::Miss::of_shortage)?;
         let commands = work.commands(&mut lent, self.values, source.after, false);
         let sent = boot::now();
@@ -164,7 +170,10 @@
             let Some((pool, term)) = group.primary(wait).await else {
                 return Outcome::Refused(reply::Code::Busy, self.no_primary());
             };
-            let mut lent = match pool.lend(urgency, self.values, urgency.until).await {
+            let mut lent = match pool
+                .lend(urgency, self.organisation, self.values, urgency.until)
+                .await
+            {
                 Ok(lent) => lent,
                 Err(pool::Shortage::Late) => {
                     return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
@@ -304,7 +313,10 @@
         urgency: &urgency::Urgency,
     ) -> Result<pinned::Pinned, miss::Miss> {
         let group = &self.group;
-        let lent = source.pool.lend(*urgency, self.values, urgency.until).await;
+        let lent = source
+            .pool
+            .lend(*urgency, self.organisation, self.values, urgency.until)
+            .await;
         let mut lent = lent.map_err(|shortage| {
             if let (pool::Shortage::Down, Some(term)) = (shortage, source.leads) {
                 group.doubt(term, "no connection to the primary");
--- /dev/null
+++ b/desk/src/bucket.rs
@@ -0,0 +1,53 @@
+//! Tokens of one organisation, handed out one for each operation.
+
+use std::time;
+
+use mangotray::id;
+
+use crate::quota;
+
+/// A token bucket: it fills at a rate, up to a burst.
+///
+/// ```
+/// use mangotray_desk::{bucket, quota};
+/// use std::time::Duration;
+/// let quota = quota::Quota { rate: 2.0, burst: 3.0 };
+/// let mut bucket = bucket::Bucket::new(1.0, Duration::ZERO);
+/// assert_eq!(bucket.take(&quota, Duration::ZERO), Ok(()));
+/// assert_eq!(bucket.take(&quota, Duration::ZERO), Err(Duration::from_millis(500)));
+/// assert_eq!(bucket.take(&quota, Duration::from_millis(500)), Ok(()));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bucket {
+    tokens: f64,
+    filled: id::Time,
+}
+
+impl Bucket {
+    /// A bucket with so many tokens.
+    #[must_use]
+    pub const fn new(tokens: f64, now: id::Time) -> Self {
+        Self {
+            tokens,
+            filled: now,
+        }
+    }
+
+    /// Takes a token under the quota in force, which may have changed since the last one.
+    ///
+    /// # Errors
+    /// The time after which there will be one, where there is none now.
+    pub fn take(&mut self, quota: &quota::Quota, now: id::Time) -> Result<(), time::Duration> {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        // Less than one token could never become a whole one.
+        let most = quota.burst.max(1.0);
+        self.tokens = (self.tokens + passed * quota.rate).min(most);
+        self.filled = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = (1.0 - self.tokens) / quota.rate;
+        Err(time::Duration::try_from_secs_f64(missing).unwrap_or(time::Duration::MAX))
+    }
+}
--- a/desk/src/catalog.rs
+++ b/desk/src/catalog.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use mangotray::id;
 
+use crate::organisations;
 use crate::upstream;
 
 /// What a route's reads may be served from.
@@ -36,6 +37,8 @@
     pub objective: time::Duration,
     /// 0 is served first.
     pub priority: u8,
+    /// Its callers need no key.
+    pub public: bool,
 }
 
 /// One group of the configuration.
@@ -50,7 +53,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     /// Its version; a higher one replaces a lower one, never the other way round.
     pub version: id::Revision,
@@ -60,6 +63,8 @@
     pub services: Vec<Service>,
     /// A transaction that rests longer may be ended.
     pub transaction_idle: Option<time::Duration>,
+    /// Who may call; none where that is not asked.
+    pub organisations: Option<organisations::Organisations>,
 }
 
 impl Catalog {
--- /dev/null
+++ b/desk/src/gate.rs
@@ -0,0 +1,118 @@
+//! For which organisation a caller's statement runs, or why it does not.
+
+use std::time;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::catalog;
+use crate::currency;
+use crate::key;
+use crate::organisation;
+use crate::quota;
+use crate::reply;
+
+/// Whom a statement is run for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    /// The organisation; [`organisation::OWN`] where nobody asks.
+    pub organisation: organisation::Name,
+    /// Its limit, where it has one.
+    pub quota: Option<quota::Quota>,
+}
+
+/// Why a statement is not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No organisation holds the key.
+    UnknownKey,
+    /// This node cannot prove that its configuration is the newest.
+    Unproven,
+    /// The organisation has started as many operations as it may; when it may start the next.
+    OverQuota(time::Duration),
+    /// No node that counts the organisation's operations can be reached.
+    Uncounted,
+}
+
+impl Refusal {
+    /// Label in logs and metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::UnknownKey => "key_unknown",
+            Self::Unproven => "configuration_unproven",
+            Self::OverQuota(_) => "over_quota",
+            Self::Uncounted => "quota_unknown",
+        }
+    }
+
+    /// The code that the caller is told: but for an unknown key, that nothing has run.
+    #[must_use]
+    pub const fn code(self) -> reply::Code {
+        match self {
+            Self::UnknownKey => reply::Code::Unauthorised,
+            Self::Unproven | Self::OverQuota(_) | Self::Uncounted => reply::Code::Busy,
+        }
+    }
+
+    /// For a human.
+    ///
+    /// ```
+    /// use mangotray_desk::gate;
+    /// let over = gate::Refusal::OverQuota(std::time::Duration::from_millis(70));
+    /// assert_eq!(over.text(), "over the organisation's limit, come back in 70 ms");
+    /// ```
+    #[must_use]
+    pub fn text(self) -> CompactString {
+        match self {
+            Self::UnknownKey => CompactString::const_new("no organisation holds this key"),
+            Self::Unproven => {
+                CompactString::const_new("this node cannot tell whether the key is still valid")
+            }
+            Self::OverQuota(wait) => format_compact!(
+                "over the organisation's limit, come back in {} ms",
+                wait.as_millis()
+            ),
+            Self::Uncounted => {
+                CompactString::const_new("the organisation's limit cannot be checked for now")
+            }
+        }
+    }
+}
+
+/// Whom a caller with this key works for on a route.
+///
+/// A key that is not known to a node whose configuration may be an old one may be a new key, so
+/// that its caller is told to come back.
+///
+/// # Errors
+/// When the caller must not be served.
+///
+/// ```
+/// use mangotray_desk::{catalog, currency, gate, key, organisation};
+/// let catalog = catalog::Catalog::default();
+/// let key = key::Key::new("any");
+/// let caller = gate::identify(&catalog, false, &key, currency::Standing::Expired).unwrap();
+/// assert_eq!(caller.organisation, organisation::OWN);
+/// ```
+pub fn identify(
+    catalog: &catalog::Catalog,
+    public: bool,
+    key: &key::Key,
+    standing: currency::Standing,
+) -> Result<Caller, Refusal> {
+    let Some(organisations) = catalog.organisations.as_ref().filter(|_| !public) else {
+        return Ok(Caller {
+            organisation: organisation::OWN,
+            quota: None,
+        });
+    };
+    if standing == currency::Standing::Expired {
+        return Err(Refusal::Unproven);
+    }
+    let found = organisations.of(key).ok_or(Refusal::UnknownKey)?;
+    Ok(Caller {
+        organisation: found.name.clone(),
+        quota: found.quota,
+    })
+}
--- /dev/null
+++ b/desk/src/ledger.rs
@@ -0,0 +1,184 @@
+//! Counts the operations of organisations for the whole fleet.
+//!
+//! The load that this answers: an organisation's callers are connected to all nodes, each of which sees
+//! a few of its operations, and one organisation sends many times its usual. For each organisation one node, chosen by
+//! hash, hands out a token for each operation. What it had handed out when it ended is not known
+//! to its successor, so that a count begins with next to nothing in place of a whole burst.
+
+use std::collections;
+use std::time;
+
+use mangotray::id;
+
+use crate::bucket;
+use crate::organisation;
+use crate::quota;
+use crate::tolerance;
+
+/// Part of what is tolerated above the quota that a count begins with. What its predecessor
+/// handed out and this together stay within what is tolerated.
+const FIRST_PART: f64 = 0.25;
+
+/// The same for a deputy, and for what it may hand out in a window, while the node that counts is
+/// silent and may yet be at work.
+const DEPUTY_PART: f64 = 0.2;
+
+/// A deputy that was not asked for this long is none any more.
+const DEPUTY_REST: time::Duration = time::Duration::from_secs(1);
+
+/// Accounts that nobody used for this long are forgotten; they would be full.
+const UNUSED: time::Duration = time::Duration::from_secs(60);
+
+/// Why a node is asked.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub enum Turn {
+    /// It is the one that counts.
+    Counting,
+    /// The process that counts is gone: its address refuses connections.
+    Gone,
+    /// The node that counts does not answer whoever asks here, and may be at work for others.
+    Silent,
+}
+
+/// A question for one token.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Ask {
+    /// Whose operation it is.
+    pub organisation: organisation::Name,
+    /// Its limit by the configuration of the node that asks.
+    pub quota: quota::Quota,
+    /// The version of that configuration.
+    pub version: id::Revision,
+    /// Why this node is asked.
+    pub turn: Turn,
+}
+
+/// What becomes of an operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Decision {
+    /// It may begin.
+    Granted,
+    /// The limit is reached; there is a token after this time.
+    Denied(time::Duration),
+}
+
+/// What is kept of one organisation.
+struct Account {
+    bucket: bucket::Bucket,
+    /// What a deputy hands out while the node that counts may be at work.
+    deputy: Option<Deputy>,
+    used: id::Time,
+}
+
+struct Deputy {
+    since: id::Time,
+    asked: id::Time,
+    bucket: bucket::Bucket,
+}
+
+/// The accounts of the organisations that a node counts for.
+pub struct Ledger {
+    tolerance: tolerance::Tolerance,
+    /// A silent node is past counting after this long.
+    takeover: time::Duration,
+    accounts: collections::BTreeMap<organisation::Name, Account>,
+}
+
+impl Ledger {
+    /// A ledger without accounts. A node that counts and is silent for others has nobody left to
+    /// count for after `takeover`.
+    #[must_use]
+    pub const fn new(tolerance: tolerance::Tolerance, takeover: time::Duration) -> Self {
+        Self {
+            tolerance,
+            takeover,
+            accounts: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Decides about one operation.
+    ///
+    /// ```
+    /// use mangotray_desk::{ledger, quota, tolerance};
+    /// use std::time::Duration;
+    /// let mut ledger = ledger::Ledger::new(tolerance::Tolerance::default(), Duration::from_secs(5));
+    /// let ask = ledger::Ask {
+    ///     organisation: "dome".into(),
+    ///     quota: quota::Quota { rate: 10.0, burst: 10.0 },
+    ///     version: 1,
+    ///     turn: ledger::Turn::Counting,
+    /// };
+    /// assert!(matches!(ledger.decide(&ask, Duration::ZERO), ledger::Decision::Denied(_)));
+    /// assert_eq!(ledger.decide(&ask, Duration::from_millis(100)), ledger::Decision::Granted);
+    /// ```
+    pub fn decide(&mut self, ask: &Ask, now: id::Time) -> Decision {
+        let above = self.tolerance.above(&ask.quota);
+        let takeover = self.takeover;
+        let account = self
+            .accounts
+            .entry(ask.organisation.clone())
+            .or_insert_with(|| {
+                let first = if ask.turn == Turn::Counting {
+                    above * FIRST_PART
+                } else {
+                    0.0
+                };
+                Account {
+                    bucket: bucket::Bucket::new(first, now),
+                    deputy: None,
+                    used: now,
+                }
+            });
+        account.used = now;
+        let taken = match ask.turn {
+            Turn::Counting | Turn::Gone => account.bucket.take(&ask.quota, now),
+            Turn::Silent => {
+                let window = self.tolerance.window.as_secs_f64();
+                let part = quota::Quota {
+                    rate: above * DEPUTY_PART / window,
+                    burst: above * DEPUTY_PART,
+                };
+                account.take_as_deputy(&ask.quota, &part, takeover, now)
+            }
+        };
+        taken.map_or_else(Decision::Denied, |()| Decision::Granted)
+    }
+
+    /// Forgets what nobody has used for long.
+    pub fn tidy(&mut self, now: id::Time) {
+        self.accounts
+            .retain(|_, account| now.saturating_sub(account.used) < UNUSED);
+    }
+}
+
+impl Account {
+    fn take_as_deputy(
+        &mut self,
+        quota: &quota::Quota,
+        part: &quota::Quota,
+        takeover: time::Duration,
+        now: id::Time,
+    ) -> Result<(), time::Duration> {
+        let known = self.deputy.take();
+        let known = known.filter(|deputy| now.saturating_sub(deputy.asked) < DEPUTY_REST);
+        let mut deputy = known.unwrap_or_else(|| {
+            // It begins to count in earnest with nothing in hand.
+            self.bucket = bucket::Bucket::new(0.0, now + takeover);
+            Deputy {
+                since: now,
+                asked: now,
+                bucket: bucket::Bucket::new(part.burst, now),
+            }
+        });
+        deputy.asked = now;
+        let taken = if now.saturating_sub(deputy.since) < takeover {
+            deputy.bucket.take(part, now)
+        } else {
+            self.bucket.take(quota, now)
+        };
+        self.deputy = Some(deputy);
+        taken
+    }
+}
--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -135,7 +135,8 @@
         // on the connection that the next one would take for its own.
         self.broken = true;
         if !values.is_empty() {
-            let replies = wait::until(deadline, kept.link.run(values, urgency)).await;
+            let replies =
+                wait::until(deadline, kept.link.run(values, urgency, &kept.organisation)).await;
             let done = |replies: Vec<reply::Reply>| replies.iter().all(reply::Reply::is_done);
             let equipped = replies.is_some_and(|replies| replies.is_ok_and(done));
             if !equipped {
@@ -205,7 +206,7 @@
     let sent = boot::now();
     let left = urgency.awaited.saturating_sub(sent);
     let silence = time::Duration::min(kept.link.silence(), left);
-    let mut exchange = kept.link.run(commands, urgency);
+    let mut exchange = kept.link.run(commands, urgency, &kept.organisation);
     let mut result = wait::within(silence, &mut exchange).await;
     if result.is_none() {
         if silence >= TELLING {
--- a/desk/src/limit.rs
+++ b/desk/src/limit.rs
@@ -62,6 +62,7 @@
 ///     timeout: Duration::from_millis(800),
 ///     objective: Duration::from_millis(200),
 ///     priority: 1,
+///     public: false,
 /// };
 /// assert_eq!(limit::wait(&route, Duration::ZERO, false), Duration::from_millis(320));
 /// assert_eq!(limit::wait(&route, Duration::ZERO, true), Duration::from_millis(40));
--- a/desk/src/message.rs
+++ b/desk/src/message.rs
@@ -9,25 +9,25 @@
 /// Longest message between nodes; a caller's statement has one MiB at most.
 const LONGEST: u32 = 4 << 20;
 
-/// Sent in place of a first message's length by a node that asks for floors. A node that does not
+/// Sent in place of a first message's length by a node that asks questions. A node that does not
 /// know it takes it for a message that is too long, and closes the connection.
-const FLOORS: u32 = u32::MAX;
+const QUESTIONS: u32 = u32::MAX - 1;
 
 /// What a connection between two nodes is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Opening {
     /// Statements are relayed; the first message has this length.
     Relay(u32),
-    /// Floors are asked for.
-    Floors,
+    /// Questions are asked.
+    Questions,
 }
 
-/// Opens a conversation about floors.
+/// Opens a conversation of questions.
 ///
 /// # Errors
 /// When the other node is not there.
-pub async fn open_floors(stream: &mut TcpStream) -> io::Result<()> {
-    stream.write_all(&FLOORS.to_le_bytes()).await
+pub async fn open_questions(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(&QUESTIONS.to_le_bytes()).await
 }
 
 /// Reads what a new connection is for.
@@ -36,7 +36,7 @@
 /// When the other node is not there.
 pub async fn opening(stream: &mut TcpStream) -> io::Result<Opening> {
     match length(stream).await? {
-        FLOORS => Ok(Opening::Floors),
+        QUESTIONS => Ok(Opening::Questions),
         length => Ok(Opening::Relay(length)),
     }
 }
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -4,18 +4,41 @@
 use std::collections;
 use std::rc;
 use std::sync;
+use std::time;
 
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use mangotray::id;
 use mangotray::telemetry;
 
+use crate::boot;
 use crate::catalog;
+use crate::currency;
+use crate::gate;
 use crate::group;
 use crate::keeper;
+use crate::key;
+use crate::ledger;
+use crate::organisations;
+use crate::quotas;
 use crate::router;
+use crate::tolerance;
 use crate::upstream;
 
+/// What the platform promises about keys and limits, as settings tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Promises {
+    /// A key is served no longer than this after it was taken away; none where only the
+    /// configuration in force counts.
+    pub revocation: Option<time::Duration>,
+    /// How far organisations may exceed their limits.
+    pub tolerance: tolerance::Tolerance,
+}
+
+/// A node that counts operations and is cut off counts for nobody after this long, where no bound of
+/// revocation says so.
+const TAKEOVER: time::Duration = time::Duration::from_secs(5);
+
 /// The configuration in force and the groups.
 pub struct Node {
     /// Name of this VM.
@@ -27,6 +50,8 @@
     groups: cell::RefCell<collections::BTreeMap<id::Group, rc::Rc<group::Group>>>,
     listed: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     seen: cell::Cell<bool>,
+    currency: Option<currency::Currency>,
+    quotas: quotas::Quotas,
     /// Groups of instances that no configuration names; each is logged once.
     unnamed: cell::RefCell<collections::BTreeSet<id::Group>>,
 }
@@ -39,8 +64,13 @@
         domain: id::Domain,
         router: rc::Rc<router::Router>,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+        promises: Promises,
     ) -> rc::Rc<Self> {
+        let takeover = promises.revocation.unwrap_or(TAKEOVER);
+        let ledger = ledger::Ledger::new(promises.tolerance, takeover);
         rc::Rc::new(Self {
+            currency: promises.revocation.map(currency::Currency::new),
+            quotas: quotas::Quotas::new(name.clone(), rc::Rc::clone(&router), ledger),
             name,
             domain,
             router,
@@ -69,6 +99,10 @@
             version = catalog.version,
             before = version,
             routes = catalog.routes.len(),
+            organisations = catalog
+                .organisations
+                .as_ref()
+                .map(organisations::Organisations::len),
             "configuration in force"
         );
         let shown = u32::try_from(catalog.version).unwrap_or(u32::MAX);
@@ -124,6 +158,9 @@
 
     /// Notes that the list of instances has come back from an older copy.
     pub fn note_return(&self) {
+        if let Some(currency) = &self.currency {
+            currency.note_return(boot::now());
+        }
         for group in self.groups.borrow().values() {
             group.roster().note_return();
         }
@@ -146,6 +183,7 @@
             group.roster().tidy(|id| listed.contains(id));
         }
         self.router.tidy(|id| listed.contains(id));
+        self.quotas.tidy();
     }
 
     /// How this node reaches instances.
@@ -160,6 +198,69 @@
         self.catalog.load_full()
     }
 
+    /// Evidence that the configuration is the newest, where that is needed.
+    #[must_use]
+    pub const fn currency(&self) -> Option<&currency::Currency> {
+        self.currency.as_ref()
+    }
+
+    /// Notes that nothing newer than the configuration in force had been acknowledged at `moment`.
+    pub fn confirm(&self, moment: id::Time) {
+        if let Some(currency) = &self.currency {
+            currency.confirm(moment, boot::now());
+        }
+    }
+
+    /// Whether the configuration knows organisations, so that callers need keys.
+    #[must_use]
+    pub fn asks_for_keys(&self) -> bool {
+        self.catalog.load().organisations.is_some()
+    }
+
+    /// What may be done with keys now.
+    #[must_use]
+    pub fn standing(&self) -> currency::Standing {
+        let currency = self.currency.as_ref().filter(|_| self.asks_for_keys());
+        currency.map_or(currency::Standing::Good, |currency| {
+            currency.standing(boot::now())
+        })
+    }
+
+    /// Whom a caller with this key works for on a route.
+    ///
+    /// # Errors
+    /// When the caller must not be served.
+    pub fn identify(
+        &self,
+        route: &catalog::Route,
+        key: &key::Key,
+    ) -> Result<gate::Caller, gate::Refusal> {
+        gate::identify(&self.catalog.load(), route.public, key, self.standing())
+    }
+
+    /// Counts an operation against its organisation's limit.
+    ///
+    /// # Errors
+    /// When it must not begin.
+    pub async fn count(&self, caller: &gate::Caller) -> Result<(), gate::Refusal> {
+        let version = self.catalog.load().version;
+        self.quotas.count(caller, version).await
+    }
+
+    /// Decides about an operation that this node counts, by the newer configuration of the two nodes.
+    pub fn decide(&self, mut ask: ledger::Ask) -> ledger::Decision {
+        let catalog = self.catalog.load();
+        let organisations = catalog.organisations.as_ref();
+        let known = organisations.and_then(|all| all.named(&ask.organisation));
+        if let Some(known) = known.filter(|_| catalog.version >= ask.version) {
+            let Some(quota) = known.quota else {
+                return ledger::Decision::Granted;
+            };
+            ask.quota = quota;
+        }
+        self.quotas.decide(&ask)
+    }
+
     /// Whether configuration and instances are known, so that callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/desk/src/organisations.rs
@@ -0,0 +1,126 @@
+//! The organisations of a configuration, found by key.
+
+use std::collections;
+use std::sync;
+
+use compact_str::CompactString;
+
+use crate::key;
+use crate::organisation;
+
+/// All organisations, found by the key that a caller sends.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Organisations {
+    by_key: collections::BTreeMap<key::Key, sync::Arc<organisation::Organisation>>,
+    by_name: collections::BTreeMap<organisation::Name, sync::Arc<organisation::Organisation>>,
+}
+
+/// Why some organisations make no configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// An organisation stands twice.
+    Twice(organisation::Name),
+    /// Two organisations hold one key; its fingerprint.
+    SharedKey(CompactString),
+    /// A rate or burst is negative, or no number.
+    Quota(organisation::Name),
+    /// The name is empty, or cannot be told to an instance.
+    Name(organisation::Name),
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Twice(name) => write!(formatter, "organisation {name} stands twice"),
+            Self::SharedKey(print) => {
+                write!(formatter, "two organisations hold the key {print}")
+            }
+            Self::Quota(name) => {
+                write!(
+                    formatter,
+                    "rate or burst of organisation {name} is no limit"
+                )
+            }
+            Self::Name(name) => write!(formatter, "{name:?} is no name of an organisation"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Organisations {
+    /// The organisations of one configuration.
+    ///
+    /// # Errors
+    /// When they contradict each other.
+    ///
+    /// ```
+    /// use mangotray_desk::{key, organisation, organisations};
+    /// let one = organisation::Organisation {
+    ///     name: "dome".into(),
+    ///     keys: vec![key::Key::new("k1")],
+    ///     quota: None,
+    /// };
+    /// let other = organisation::Organisation { name: "hall".into(), ..one.clone() };
+    /// let found = organisations::Organisations::new(vec![one.clone()]).unwrap();
+    /// assert_eq!(found.of(&key::Key::new("k1")).unwrap().name, "dome");
+    /// assert!(organisations::Organisations::new(vec![one, other]).is_err());
+    /// ```
+    pub fn new(all: Vec<organisation::Organisation>) -> Result<Self, Fault> {
+        let mut found = Self::default();
+        for organisation in all {
+            found.add(organisation)?;
+        }
+        Ok(found)
+    }
+
+    fn add(&mut self, organisation: organisation::Organisation) -> Result<(), Fault> {
+        let name = organisation.name.clone();
+        if name.is_empty() || name.contains(char::is_whitespace) || name == organisation::OWN {
+            return Err(Fault::Name(name));
+        }
+        let valid = |value: f64| value.is_finite() && value >= 0.0;
+        let quota = organisation.quota;
+        if quota.is_some_and(|quota| !valid(quota.rate) || !valid(quota.burst)) {
+            return Err(Fault::Quota(name));
+        }
+        let shared = sync::Arc::new(organisation);
+        for key in &shared.keys {
+            let before = self.by_key.insert(key.clone(), sync::Arc::clone(&shared));
+            if before.is_some_and(|before| before.name != name) {
+                return Err(Fault::SharedKey(key.fingerprint()));
+            }
+        }
+        match self.by_name.insert(name.clone(), shared) {
+            Some(_) => Err(Fault::Twice(name)),
+            None => Ok(()),
+        }
+    }
+
+    /// The organisation that holds a key.
+    #[must_use]
+    pub fn of(&self, key: &key::Key) -> Option<&sync::Arc<organisation::Organisation>> {
+        self.by_key.get(key)
+    }
+
+    /// The organisation of that name.
+    #[must_use]
+    pub fn named(
+        &self,
+        name: &organisation::Name,
+    ) -> Option<&sync::Arc<organisation::Organisation>> {
+        self.by_name.get(name)
+    }
+
+    /// How many there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+}
--- /dev/null
+++ b/desk/src/peers.rs
@@ -0,0 +1,138 @@
+//! Asks other nodes.
+
+use std::cell;
+use std::collections;
+use std::io;
+use std::net;
+use std::time;
+
+use async_net::TcpStream;
+use futures_lite::future as poll;
+use mangotray::id;
+
+use crate::boot;
+use crate::ledger;
+use crate::member;
+use crate::message;
+use crate::question;
+use crate::wait;
+
+/// Longest wait for an answer, for which a node looks at two instances at most. Then this node
+/// finds out by itself, well within what a read may wait.
+const LIMIT: time::Duration = time::Duration::from_millis(100);
+
+/// A node that did not answer is not asked for this long: it is slow, paused, dark or gone.
+const SILENT_PAUSE: time::Duration = time::Duration::from_secs(2);
+
+/// A node whose process is gone is not asked for this long; it starts again soon.
+const GONE_PAUSE: time::Duration = time::Duration::from_millis(400);
+
+/// Idle connections that are kept to one node.
+const KEPT: usize = 2;
+
+/// A node that is not asked for a while, and why.
+struct Avoided {
+    until: id::Time,
+    turn: ledger::Turn,
+}
+
+/// Connections to other nodes for questions, and which of them did not answer.
+#[derive(Default)]
+pub struct Peers {
+    idle: cell::RefCell<collections::BTreeMap<net::SocketAddr, Vec<TcpStream>>>,
+    avoided: cell::RefCell<collections::BTreeMap<id::Vm, Avoided>>,
+}
+
+impl Peers {
+    /// Whether a node is to be asked, as it did not fail to answer a moment ago.
+    #[must_use]
+    pub fn may_ask(&self, name: &id::Vm) -> bool {
+        self.passed_over(name).is_none()
+    }
+
+    /// Why a node is not to be asked now, if it is not.
+    #[must_use]
+    pub fn passed_over(&self, name: &id::Vm) -> Option<ledger::Turn> {
+        let avoided = self.avoided.borrow();
+        let avoided = avoided.get(name)?;
+        (boot::now() <= avoided.until).then_some(avoided.turn)
+    }
+
+    /// Asks a node; none where it does not answer in time.
+    pub async fn ask(
+        &self,
+        node: &member::Member,
+        question: &question::Question,
+    ) -> Option<question::Answer> {
+        let answered = wait::within(LIMIT, self.exchange(node.address, question)).await;
+        let failure = match answered {
+            Some(Ok(answer)) => return Some(answer),
+            Some(Err(error)) => error,
+            None => io::ErrorKind::TimedOut.into(),
+        };
+        tracing::info!(node = %node.name, %failure, "node does not answer a question");
+        self.idle.borrow_mut().remove(&node.address);
+        let gone = failure.kind() == io::ErrorKind::ConnectionRefused;
+        let (pause, turn) = if gone {
+            (GONE_PAUSE, ledger::Turn::Gone)
+        } else {
+            (SILENT_PAUSE, ledger::Turn::Silent)
+        };
+        let until = boot::now() + pause;
+        self.avoided
+            .borrow_mut()
+            .insert(node.name.clone(), Avoided { until, turn });
+        None
+    }
+
+    // A kept connection that turns out to be broken says nothing about the node: it may have
+    // started again.
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        question: &question::Question,
+    ) -> io::Result<question::Answer> {
+        if let Some(stream) = self.pop(address)
+            && let Ok(answer) = self.talk(stream, address, question).await
+        {
+            return Ok(answer);
+        }
+        self.talk(connect(address).await?, address, question).await
+    }
+
+    async fn talk(
+        &self,
+        mut stream: TcpStream,
+        address: net::SocketAddr,
+        question: &question::Question,
+    ) -> io::Result<question::Answer> {
+        message::send(&mut stream, question).await?;
+        let answer = message::receive(&mut stream).await?;
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < KEPT {
+            kept.push(stream);
+        }
+        Ok(answer)
+    }
+
+    // Nothing may come unasked: bytes or an end of stream both make a connection useless.
+    fn pop(&self, address: net::SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        let mut byte = [0];
+        while let Some(stream) = kept.pop() {
+            if poll::block_on(poll::poll_once(stream.peek(&mut byte))).is_none() {
+                return Some(stream);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(address: net::SocketAddr) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    message::open_questions(&mut stream).await?;
+    Ok(stream)
+}
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -1,7 +1,9 @@
 //! Connections to one instance, shared by all sessions of this node.
 
 use std::cell;
-use std::collections;
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc;
 use std::time;
 
@@ -12,6 +14,7 @@
 use crate::catalog;
 use crate::kept;
 use crate::lent;
+use crate::organisation;
 use crate::queue;
 use crate::reply;
 use crate::upstream;
@@ -19,10 +22,13 @@
 use crate::wait;
 use crate::window;
 
+/// Lanes into which organisations are parted: those of one lane use the same lending node.
+const LANES: u64 = 4;
+
 /// Connections to one instance that a node holds at most. Eight nodes share the 23
 /// connections of today's smaller instances; who needs more than an equal part borrows
 /// what others leave free, and the instance refuses what is too much.
-pub const MOST: usize = 5;
+const MOST: usize = 5;
 
 /// Idle connections that a node keeps; those above it are given back after [`SPARE_IDLE`].
 const KEPT: usize = 1;
@@ -66,15 +72,52 @@
     Full,
 }
 
+/// How many connections a pool has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Connections at most.
+    pub most: usize,
+    /// Statements at most that the instance is let work on at once.
+    pub abreast: usize,
+    /// A connection that nobody used for this long is closed.
+    pub spare_idle: time::Duration,
+}
+
+impl Size {
+    /// Of a node that shares an instance with all others.
+    #[must_use]
+    pub const fn shared() -> Self {
+        Self {
+            most: MOST,
+            abreast: MOST,
+            spare_idle: SPARE_IDLE,
+        }
+    }
+}
+
+/// The lane of an organisation.
+///
+/// ```
+/// use mangotray_desk::pool;
+/// assert_eq!(pool::lane(&"dome".into()), pool::lane(&"dome".into()));
+/// ```
+#[must_use]
+pub fn lane(organisation: &organisation::Name) -> usize {
+    let mut hasher = hash::DefaultHasher::new();
+    organisation.as_str().hash(&mut hasher);
+    usize::try_from(hasher.finish() % LANES).unwrap_or_default()
+}
+
 /// The shared connections to one instance, and what their answers told about it.
 pub struct Pool {
     /// The instance, as the list of instances has it now.
     pub instance: cell::RefCell<catalog::Instance>,
-    most: usize,
+    size: Size,
     window: cell::Cell<window::Window>,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
-    dialling: cell::Cell<usize>,
+    /// For whom connections are being opened.
+    dialling: cell::RefCell<Vec<organisation::Name>>,
     idle: cell::RefCell<Vec<kept::Kept>>,
     open: cell::Cell<usize>,
     waiting: queue::Queue,
@@ -97,22 +140,21 @@
 }
 
 impl Pool {
-    /// An empty pool that opens `most` connections at most, of which `abreast` work at once.
+    /// An empty pool.
     #[must_use]
     pub fn new(
         instance: catalog::Instance,
         dialer: rc::Rc<dyn upstream::Dialer>,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
-        most: usize,
-        abreast: usize,
+        size: Size,
     ) -> Self {
         Self {
             instance: cell::RefCell::new(instance),
-            most,
-            window: cell::Cell::new(window::Window::new(abreast)),
+            size,
+            window: cell::Cell::new(window::Window::new(size.abreast)),
             dialer,
             executor,
-            dialling: cell::Cell::default(),
+            dialling: cell::RefCell::default(),
             idle: cell::RefCell::default(),
             open: cell::Cell::default(),
             waiting: queue::Queue::default(),
@@ -171,9 +213,12 @@
     /// Connections on loan and requests that wait for one.
     #[must_use]
     pub fn load(&self) -> usize {
-        let busy = self.idle.borrow().len() + self.dialling.get();
-        let lent = self.open.get().saturating_sub(busy);
-        lent + self.waiting.len()
+        self.lent() + self.waiting.len()
+    }
+
+    fn lent(&self) -> usize {
+        let rest = self.idle.borrow().len() + self.dialling.borrow().len();
+        self.open.get().saturating_sub(rest)
     }
 
     /// Last position that the instance is known to have applied.
@@ -241,7 +286,7 @@
         self.caught_up.get().saturating_sub(boot::now())
     }
 
-    /// Lends a connection, the one whose values fit best where several are free.
+    /// Lends a connection of an organisation, the one whose values fit best where several are free.
     ///
     /// A lost instance is dialled in the background; nobody waits for it meanwhile.
     ///
@@ -250,11 +295,13 @@
     pub async fn lend(
         self: &rc::Rc<Self>,
         urgency: urgency::Urgency,
+        organisation: &organisation::Name,
         values: &kept::Values,
         deadline: id::Time,
     ) -> Result<lent::Lent, Shortage> {
+        let since = boot::now();
         loop {
-            if let Some(kept) = self.take(values) {
+            if let Some(kept) = self.take(organisation, values) {
                 return Ok(self.loan(kept, urgency));
             }
             let now = boot::now();
@@ -264,12 +311,13 @@
             if self.open.get() == 0 && now < self.blocked.get() {
                 return Err(Shortage::Full);
             }
-            self.grow();
+            self.grow(organisation);
             if self.is_lost() {
                 return Err(Shortage::Down);
             }
-            if !self.waiting.wait(urgency, deadline).await {
-                let opening = self.open.get() <= self.dialling.get();
+            let waited = self.waiting.wait(organisation, urgency, since, deadline);
+            if !waited.await {
+                let opening = self.open.get() <= self.dialling.borrow().len();
                 return Err(if opening {
                     Shortage::Opening
                 } else {
@@ -281,7 +329,7 @@
 
     /// Closes borrowed connections that nobody used for a while.
     pub fn trim(&self) {
-        let oldest = boot::now().saturating_sub(SPARE_IDLE);
+        let oldest = boot::now().saturating_sub(self.size.spare_idle);
         let mut idle = self.idle.borrow_mut();
         while self.open.get() > KEPT && idle.first().is_some_and(|kept| kept.used < oldest) {
             idle.remove(0);
@@ -312,13 +360,17 @@
         self.open.set(self.open.get() - count);
     }
 
-    fn take(&self, values: &kept::Values) -> Option<kept::Kept> {
+    fn take(&self, organisation: &organisation::Name, values: &kept::Values) -> Option<kept::Kept> {
         loop {
             let mut idle = self.idle.borrow_mut();
-            let fits = idle.iter().rposition(|kept| kept.values == *values);
-            let index = fits.or_else(|| idle.len().checked_sub(1))?;
+            let own = |kept: &kept::Kept| kept.serves(organisation);
+            let fits =
+                |kept: &kept::Kept| kept.organisation == *organisation && kept.values == *values;
+            let index = idle.iter().rposition(fits);
+            let index = index.or_else(|| idle.iter().rposition(own))?;
             let mut kept = idle.remove(index);
             if kept.link.alive() {
+                kept.assign(organisation);
                 return Some(kept);
             }
             self.open.set(self.open.get() - 1);
@@ -331,26 +383,36 @@
 
     /// Takes a connection back, or notes that it is gone.
     pub(crate) fn give_back(&self, kept: Option<kept::Kept>) {
-        match kept {
-            Some(kept) => self.idle.borrow_mut().push(kept),
-            None => self.open.set(self.open.get() - 1),
-        }
-        self.waiting.wake();
+        let Some(kept) = kept else {
+            self.open.set(self.open.get() - 1);
+            return self.waiting.wake();
+        };
+        let organisation = kept.organisation.clone();
+        self.idle.borrow_mut().push(kept);
+        self.waiting.wake_first(&organisation);
     }
 
-    // Opens one more connection in the background, if one is missing.
+    // Opens one more connection of an organisation in the background, if one is missing.
     //
     // Whoever waits may give up before it is there. Were the dial given up as well, the
     // instance would have spent its time for nothing, and the next request would begin
     // anew: after a restart of many nodes, most of what an overloaded instance does would
     // then be greetings that nobody awaits.
-    fn grow(self: &rc::Rc<Self>) {
-        let wanted = self.waiting.len() + 1;
-        let enough = self.dialling.get() >= wanted.min(DIALS);
-        if enough || self.open.get() >= self.room() || boot::now() < self.blocked.get() {
+    fn grow(self: &rc::Rc<Self>, organisation: &organisation::Name) {
+        let wanted = self.waiting.waiting(organisation) + 1;
+        let (all, own) = {
+            let dialling = self.dialling.borrow();
+            let own = dialling.iter().filter(|name| *name == organisation);
+            (dialling.len(), own.count())
+        };
+        let enough = all >= DIALS || own >= wanted;
+        if enough || self.lent() + all >= self.room() || boot::now() < self.blocked.get() {
+            return;
+        }
+        if self.open.get() >= self.size.most && !self.evict() {
             return;
         }
-        let place = Place::new(rc::Rc::clone(self));
+        let place = Place::new(rc::Rc::clone(self), organisation.clone());
         let pool = rc::Rc::clone(self);
         self.executor
             .spawn(async move { pool.dial(place).await })
@@ -361,19 +423,27 @@
     // in the window, and one for the next. More would only be held by statements that wait.
     fn room(&self) -> usize {
         let useful = self.pinned.get() + self.window.get().size() + 1;
-        useful.min(self.most)
+        useful.min(self.size.most)
     }
 
-    fn grow_if_awaited(self: &rc::Rc<Self>) {
-        if !self.waiting.is_empty() {
-            self.grow();
-        }
+    // Closes the idle connection that was used the longest ago. This node's own is used for all
+    // organisations, and stays.
+    fn evict(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let others = (0..idle.len()).filter(|index| idle[*index].organisation != organisation::OWN);
+        let Some(oldest) = others.min_by_key(|index| idle[*index].used) else {
+            return false;
+        };
+        idle.remove(oldest);
+        self.open.set(self.open.get() - 1);
+        metrics::counter!("mangotray_upstream_evictions_total").increment(1);
+        true
     }
 
     /// Counts connections on which a transaction is open.
-    pub(crate) fn pin(self: &rc::Rc<Self>) {
+    pub(crate) fn pin(&self) {
         self.pinned.set(self.pinned.get() + 1);
-        self.grow_if_awaited();
+        self.waiting.wake();
     }
 
     /// The reverse of [`Pool::pin`].
@@ -383,12 +453,15 @@
 
     async fn dial(self: rc::Rc<Self>, place: Place) {
         let started = boot::now();
-        let target = self.target();
+        let target = self.target(place.organisation());
         let result = wait::within(DIAL_LIMIT, self.dialer.dial(&target)).await;
         let refusal = match result {
             Some(Ok((link, stamp))) => {
-                self.opened(link, stamp);
+                let organisation = place.organisation().clone();
+                self.opened(link, stamp, organisation.clone());
                 place.keep();
+                self.waiting.wake_first(&organisation);
+                // One more may begin to open its own.
                 self.waiting.wake();
                 return;
             }
@@ -413,7 +486,12 @@
         self.waiting.wake_all();
     }
 
-    fn opened(&self, link: Box<dyn upstream::Connection>, stamp: Option<stamp::Stamp>) {
+    fn opened(
+        &self,
+        link: Box<dyn upstream::Connection>,
+        stamp: Option<stamp::Stamp>,
+        organisation: organisation::Name,
+    ) {
         metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
         self.closed.set(false);
         self.failing.set(None);
@@ -421,20 +499,17 @@
         if let Some(stamp) = stamp {
             self.applied.set(self.applied.get().max(stamp));
         }
-        self.idle.borrow_mut().push(kept::Kept {
-            link,
-            values: kept::Values::new(),
-            handles: collections::BTreeSet::new(),
-            dirty: false,
-            used: boot::now(),
-        });
+        let kept = kept::Kept::new(link, organisation, boot::now());
+        self.idle.borrow_mut().push(kept);
     }
 
     /// A turn to let the instance work, where only so many statements may at once.
     pub(crate) async fn turn(self: &rc::Rc<Self>, urgency: urgency::Urgency) -> Option<Turn> {
         let deadline = urgency.until.min(urgency.awaited);
+        let (anybody, since) = (organisation::OWN, boot::now());
         while self.working.get() >= self.window.get().size() {
-            if !self.turns.wait(urgency, deadline).await {
+            let waited = self.turns.wait(&anybody, urgency, since, deadline);
+            if !waited.await {
                 return None;
             }
         }
@@ -455,11 +530,11 @@
         self.window.set(window);
         if window.size() > before {
             self.turns.wake();
-            self.grow_if_awaited();
+            self.waiting.wake();
         }
     }
 
-    fn target(&self) -> upstream::Target {
+    fn target(&self, organisation: &organisation::Name) -> upstream::Target {
         let instance = self.instance.borrow();
         upstream::Target {
             address: instance.address,
@@ -468,6 +543,7 @@
             born: instance.born,
             domain: instance.domain.clone(),
             slots: instance.slots,
+            organisation: organisation.clone(),
         }
     }
 
@@ -487,25 +563,43 @@
 }
 
 /// A counted place for one connection that is being opened, freed unless it is kept.
-struct Place(rc::Rc<Pool>, bool);
+struct Place {
+    pool: rc::Rc<Pool>,
+    organisation: organisation::Name,
+    kept: bool,
+}
 
 impl Place {
-    fn new(pool: rc::Rc<Pool>) -> Self {
+    fn new(pool: rc::Rc<Pool>, organisation: organisation::Name) -> Self {
         pool.open.set(pool.open.get() + 1);
-        pool.dialling.set(pool.dialling.get() + 1);
-        Self(pool, false)
+        pool.dialling.borrow_mut().push(organisation.clone());
+        Self {
+            pool,
+            organisation,
+            kept: false,
+        }
+    }
+
+    const fn organisation(&self) -> &organisation::Name {
+        &self.organisation
     }
 
     fn keep(mut self) {
-        self.1 = true;
+        self.kept = true;
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let pool = &self.0;
-        pool.dialling.set(pool.dialling.get() - 1);
-        if !self.1 {
+        let pool = &self.pool;
+        {
+            let mut dialling = pool.dialling.borrow_mut();
+            let own = dialling.iter().position(|name| *name == self.organisation);
+            if let Some(index) = own {
+                dialling.swap_remove(index);
+            }
+        }
+        if !self.kept {
             pool.open.set(pool.open.get() - 1);
         }
     }
--- a/desk/src/queue.rs
+++ b/desk/src/queue.rs
@@ -6,15 +6,22 @@
 
 use crate::boot;
 use crate::order;
+use crate::organisation;
 use crate::urgency;
 use crate::wait;
 
+/// One that waits at the same index of the places.
+struct Waker {
+    wake: async_channel::Sender<()>,
+    organisation: organisation::Name,
+}
+
 /// A queue.
 #[derive(Default)]
 pub struct Queue {
     places: cell::RefCell<Vec<order::Place>>,
     /// Wakes those who wait at the same index.
-    wakers: cell::RefCell<Vec<async_channel::Sender<()>>>,
+    wakers: cell::RefCell<Vec<Waker>>,
     number: cell::Cell<u64>,
     /// Requests woken so far.
     turn: cell::Cell<u64>,
@@ -33,17 +40,26 @@
         self.len() == 0
     }
 
-    /// Waits to be woken; `false` when `deadline` comes first.
-    pub async fn wait(&self, urgency: urgency::Urgency, deadline: id::Time) -> bool {
+    /// Waits to be woken; `false` when `deadline` comes first. It has waited since `since` already.
+    pub async fn wait(
+        &self,
+        organisation: &organisation::Name,
+        urgency: urgency::Urgency,
+        since: id::Time,
+        deadline: id::Time,
+    ) -> bool {
         let (wake, woken) = async_channel::bounded(1);
         let number = self.number.get();
         self.number.set(number + 1);
         self.places.borrow_mut().push(order::Place {
             urgency,
             number,
-            since: boot::now(),
+            since,
+        });
+        self.wakers.borrow_mut().push(Waker {
+            wake,
+            organisation: organisation.clone(),
         });
-        self.wakers.borrow_mut().push(wake);
         let guard = Guard(self, number);
         let result = wait::until(deadline, woken.recv()).await;
         drop(guard);
@@ -60,21 +76,56 @@
         let next = order::next(&self.places.borrow(), boot::now(), turn);
         if let Some(index) = next {
             self.turn.set(turn);
-            // The receiver is gone only when its request was dropped; nobody is owed then.
-            let _ = self.remove(index).try_send(());
+            self.wake_at(index);
         }
     }
 
+    /// Wakes the most urgent of an organisation; the most urgent of all where none of it waits.
+    pub fn wake_first(&self, organisation: &organisation::Name) {
+        let indices: Vec<_> = {
+            let wakers = self.wakers.borrow();
+            let of = |index: &usize| wakers[*index].organisation == *organisation;
+            (0..wakers.len()).filter(of).collect()
+        };
+        if indices.is_empty() {
+            return self.wake();
+        }
+        let turn = self.turn.get() + 1;
+        let places: Vec<_> = {
+            let places = self.places.borrow();
+            indices.iter().map(|index| places[*index]).collect()
+        };
+        if let Some(index) = order::next(&places, boot::now(), turn) {
+            self.turn.set(turn);
+            self.wake_at(indices[index]);
+        }
+    }
+
+    /// How many of an organisation wait.
+    #[must_use]
+    pub fn waiting(&self, organisation: &organisation::Name) -> usize {
+        let wakers = self.wakers.borrow();
+        let of = wakers
+            .iter()
+            .filter(|waker| waker.organisation == *organisation);
+        of.count()
+    }
+
+    fn wake_at(&self, index: usize) {
+        // The receiver is gone only when its request was dropped; nobody is owed then.
+        let _ = self.remove(index).wake.try_send(());
+    }
+
     /// Wakes all.
     pub fn wake_all(&self) {
         self.places.take();
-        for wake in self.wakers.take() {
-            // As above.
-            let _ = wake.try_send(());
+        for waker in self.wakers.take() {
+            // The receiver is gone only when its request was dropped; nobody is owed then.
+            let _ = waker.wake.try_send(());
         }
     }
 
-    fn remove(&self, index: usize) -> async_channel::Sender<()> {
+    fn remove(&self, index: usize) -> Waker {
         self.places.borrow_mut().swap_remove(index);
         self.wakers.borrow_mut().swap_remove(index)
     }
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -19,10 +19,11 @@
 use mangotray::stamp;
 
 use crate::boot;
-use crate::keeper;
 use crate::lent;
 use crate::message;
+use crate::organisation;
 use crate::pool;
+use crate::question;
 use crate::reply;
 use crate::statement;
 use crate::upstream;
@@ -46,7 +47,20 @@
 pub type Opened = Result<Option<stamp::Stamp>, upstream::Refusal>;
 
 /// What a lending node is asked to run.
-type Work = (urgency::Urgency, Vec<upstream::Command>);
+#[derive(serde::Deserialize)]
+struct Work {
+    urgency: urgency::Urgency,
+    organisation: organisation::Name,
+    commands: Vec<upstream::Command>,
+}
+
+/// The same, as it is sent.
+#[derive(serde::Serialize)]
+struct WorkRef<'a> {
+    urgency: urgency::Urgency,
+    organisation: &'a organisation::Name,
+    commands: &'a [upstream::Command],
+}
 
 /// A lending node's answer to commands.
 type Answer = Result<Vec<reply::Reply>, upstream::Failure>;
@@ -54,6 +68,8 @@
 /// What one relayed connection has set, and the connection that it is on, if any.
 pub struct Lender {
     pool: rc::Rc<pool::Pool>,
+    /// For whom it was last used.
+    organisation: organisation::Name,
     values: collections::BTreeMap<statement::Name, CompactString>,
     prepared: collections::BTreeMap<CompactString, statement::Shape>,
     pinned: Option<lent::Lent>,
@@ -62,9 +78,10 @@
 impl Lender {
     /// A relayed connection on which nothing is set.
     #[must_use]
-    pub const fn new(pool: rc::Rc<pool::Pool>) -> Self {
+    pub const fn new(pool: rc::Rc<pool::Pool>, organisation: organisation::Name) -> Self {
         Self {
             pool,
+            organisation,
             values: collections::BTreeMap::new(),
             prepared: collections::BTreeMap::new(),
             pinned: None,
@@ -79,7 +96,12 @@
         let deadline = boot::now() + OPEN_LIMIT;
         match self
             .pool
-            .lend(urgency::Urgency::now(deadline), &self.values, deadline)
+            .lend(
+                urgency::Urgency::now(deadline),
+                &self.organisation,
+                &self.values,
+                deadline,
+            )
             .await
         {
             Ok(_) => Ok(Some(self.pool.applied())),
@@ -105,7 +127,9 @@
         &mut self,
         commands: &[upstream::Command],
         urgency: urgency::Urgency,
+        organisation: &organisation::Name,
     ) -> Answer {
+        self.turn_to(organisation)?;
         let mut replies = Vec::with_capacity(commands.len());
         let mut begun = false;
         for command in commands {
@@ -124,6 +148,25 @@
         Ok(replies)
     }
 
+    // What was set for one organisation is nothing to another, and an open transaction is nobody
+    // else's.
+    fn turn_to(&mut self, organisation: &organisation::Name) -> Result<(), upstream::Failure> {
+        if self.organisation == *organisation {
+            return Ok(());
+        }
+        if self.pinned.is_some() {
+            return Err(upstream::Failure {
+                sent: false,
+                crowded: false,
+                detail: "a transaction of another organisation is open".into(),
+            });
+        }
+        self.organisation = organisation.clone();
+        self.values.clear();
+        self.prepared.clear();
+        Ok(())
+    }
+
     // Answers a command that sets something, which is done when a statement needs it.
     fn note(&mut self, command: &upstream::Command) -> Option<reply::Reply> {
         match command {
@@ -183,7 +226,10 @@
     }
 
     async fn lend(&self, urgency: urgency::Urgency) -> Result<lent::Lent, upstream::Failure> {
-        let lent = self.pool.lend(urgency, &self.values, urgency.until).await;
+        let lent = self
+            .pool
+            .lend(urgency, &self.organisation, &self.values, urgency.until)
+            .await;
         lent.map_err(|shortage| upstream::Failure {
             sent: false,
             crowded: shortage == pool::Shortage::Late,
@@ -211,8 +257,13 @@
         &'a mut self,
         commands: &'a [upstream::Command],
         urgency: urgency::Urgency,
+        organisation: &'a organisation::Name,
     ) -> future::LocalBoxFuture<'a, Answer> {
-        self.0.run(commands, urgency).boxed_local()
+        self.0.run(commands, urgency, organisation).boxed_local()
+    }
+
+    fn serves_any(&self) -> bool {
+        true
     }
 
     fn alive(&mut self) -> bool {
@@ -240,10 +291,16 @@
         &'a mut self,
         commands: &'a [upstream::Command],
         urgency: urgency::Urgency,
+        organisation: &'a organisation::Name,
     ) -> future::LocalBoxFuture<'a, Answer> {
         async move {
+            let work = WorkRef {
+                urgency: urgency.leave(),
+                organisation,
+                commands,
+            };
             let exchange = async {
-                message::send(&mut self.stream, &(urgency.leave(), commands)).await?;
+                message::send(&mut self.stream, &work).await?;
                 message::receive::<Answer>(&mut self.stream).await
             };
             exchange.await.unwrap_or_else(|error| {
@@ -264,6 +321,10 @@
         fresh && poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none()
     }
 
+    fn serves_any(&self) -> bool {
+        true
+    }
+
     // The lending node notes values, and sets them before it runs a statement.
     fn sets_surely(&self) -> bool {
         true
@@ -300,10 +361,10 @@
 /// Finds the pool of an instance.
 type Find = dyn Fn(&upstream::Target) -> rc::Rc<pool::Pool>;
 
-/// Answers a question for a floor.
-type Tell = dyn Fn(keeper::Ask) -> future::LocalBoxFuture<'static, Option<keeper::Told>>;
+/// Answers a question of another node.
+type Tell = dyn Fn(question::Question) -> future::LocalBoxFuture<'static, question::Answer>;
 
-/// Lends connections to other nodes, and tells them floors.
+/// Lends connections to other nodes, and answers their questions.
 pub struct Server {
     find: Box<Find>,
     tell: cell::RefCell<Option<rc::Rc<Tell>>>,
@@ -326,10 +387,10 @@
         })
     }
 
-    /// Tells floors from now on, as `tell` finds them.
-    pub fn keep_floors(
+    /// Answers questions from now on, as `tell` does.
+    pub fn answer_by(
         &self,
-        tell: impl Fn(keeper::Ask) -> future::LocalBoxFuture<'static, Option<keeper::Told>> + 'static,
+        tell: impl Fn(question::Question) -> future::LocalBoxFuture<'static, question::Answer> + 'static,
     ) {
         self.tell.replace(Some(rc::Rc::new(tell)));
     }
@@ -374,34 +435,37 @@
         stream.set_nodelay(true)?;
         match message::opening(stream).await? {
             message::Opening::Relay(length) => self.lend(stream, length).await,
-            message::Opening::Floors => self.tell_floors(stream).await,
+            message::Opening::Questions => self.tell(stream).await,
         }
     }
 
-    async fn tell_floors(&self, stream: &mut TcpStream) -> io::Result<()> {
+    async fn tell(&self, stream: &mut TcpStream) -> io::Result<()> {
         loop {
-            let ask: keeper::Ask = message::receive(stream).await?;
+            let question: question::Question = message::receive(stream).await?;
             let tell = self.tell.borrow().clone();
-            let told = match tell {
-                Some(tell) => tell(ask).await,
-                None => None,
+            let answer = match tell {
+                Some(tell) => tell(question).await,
+                None => question::Answer::Nothing,
             };
-            message::send(stream, &told).await?;
+            message::send(stream, &answer).await?;
         }
     }
 
     async fn lend(&self, stream: &mut TcpStream, length: u32) -> io::Result<()> {
         let target: upstream::Target = message::body(stream, length).await?;
-        let mut lender = Lender::new((self.find)(&target));
+        let mut lender = Lender::new((self.find)(&target), target.organisation.clone());
         let opened = lender.open().await;
         message::send(stream, &opened).await?;
         if opened.is_err() {
             return Ok(());
         }
         loop {
-            let (urgency, commands): Work = message::receive(stream).await?;
+            let work: Work = message::receive(stream).await?;
             self.busy.set(self.busy.get() + 1);
-            let answer = lender.run(&commands, urgency.arrive()).await;
+            let urgency = work.urgency.arrive();
+            let answer = lender
+                .run(&work.commands, urgency, &work.organisation)
+                .await;
             self.busy.set(self.busy.get() - 1);
             message::send(stream, &answer).await?;
         }
--- a/desk/src/reply.rs
+++ b/desk/src/reply.rs
@@ -32,6 +32,8 @@
     Bad,
     /// A code that this version does not know.
     Other(CompactString),
+    /// No organisation holds the caller's key.
+    Unauthorised,
 }
 
 impl Code {
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -150,8 +150,7 @@
             instance,
             rc::Rc::clone(&self.dialer),
             rc::Rc::clone(&self.executor),
-            pool::MOST,
-            pool::MOST,
+            pool::Size::shared(),
         ));
         if reborn {
             pool.note_rebirth();
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -14,7 +14,11 @@
 use crate::catalog;
 use crate::keeper;
 use crate::member;
+use crate::organisation;
+use crate::organisations;
+use crate::peers;
 use crate::pool;
+use crate::question;
 use crate::relay;
 use crate::reply;
 use crate::serving;
@@ -51,6 +55,10 @@
 /// An instance that was silent is tried through other nodes at once for this long.
 const DARK: time::Duration = time::Duration::from_secs(2);
 
+/// A lending node has its part of an instance's connections for itself, and keeps those that lie
+/// idle this long: opening one takes a slot of the instance.
+const LENT_IDLE: time::Duration = time::Duration::from_secs(15);
+
 /// A connection through another node is given up after this long, in favour of one of
 /// this node's own if the link is well again.
 const DETOUR_LIFE: time::Duration = time::Duration::from_secs(3);
@@ -66,7 +74,8 @@
     avoided: cell::RefCell<collections::BTreeMap<id::Vm, id::Time>>,
     apart: cell::RefCell<collections::BTreeMap<(id::Vm, upstream::Id), id::Time>>,
     dark: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
-    keepers: keeper::Client,
+    organisations: cell::Cell<usize>,
+    peers: peers::Peers,
 }
 
 impl Router {
@@ -87,7 +96,8 @@
             avoided: cell::RefCell::default(),
             apart: cell::RefCell::default(),
             dark: cell::RefCell::default(),
-            keepers: keeper::Client::default(),
+            organisations: cell::Cell::default(),
+            peers: peers::Peers::default(),
         })
     }
 
@@ -104,13 +114,32 @@
         let limits = catalog.services.iter();
         let limits = limits.map(|service| (service.group.clone(), service.connections));
         self.connections.replace(limits.collect());
+        let organisations = catalog.organisations.as_ref();
+        self.organisations
+            .set(organisations.map_or(0, organisations::Organisations::len));
+    }
+
+    /// The nodes that this one knows of.
+    #[must_use]
+    pub fn members(&self) -> Vec<member::Member> {
+        self.members.borrow().clone()
+    }
+
+    /// Asks other nodes.
+    #[must_use]
+    pub const fn peers(&self) -> &peers::Peers {
+        &self.peers
     }
 
     /// This node's own connections to an instance, for itself and for those that it serves.
     pub fn pool(&self, target: &upstream::Target) -> rc::Rc<pool::Pool> {
-        let (most, abreast) = match self.way(target) {
-            serving::Way::Direct => (pool::MOST, pool::MOST),
-            serving::Way::Through { each, .. } => (each, serving::abreast(target.slots, each)),
+        let size = match self.way(target) {
+            serving::Way::Direct => pool::Size::shared(),
+            serving::Way::Through { each, .. } => pool::Size {
+                most: each,
+                abreast: serving::abreast(target.slots, each),
+                spare_idle: LENT_IDLE,
+            },
         };
         let mut pools = self.pools.borrow_mut();
         // What was seen of an instance's earlier life, and its connections, are over.
@@ -128,7 +157,7 @@
             };
             let dialer = rc::Rc::clone(&self.direct);
             let executor = rc::Rc::clone(&self.executor);
-            rc::Rc::new(pool::Pool::new(instance, dialer, executor, most, abreast))
+            rc::Rc::new(pool::Pool::new(instance, dialer, executor, size))
         });
         rc::Rc::clone(made)
     }
@@ -146,7 +175,11 @@
 
     fn way(&self, target: &upstream::Target) -> serving::Way {
         let connections = self.connections.borrow().get(&target.group).copied();
-        serving::way(connections.unwrap_or_default(), self.members.borrow().len())
+        serving::way(
+            connections.unwrap_or_default(),
+            self.members.borrow().len(),
+            self.organisations.get(),
+        )
     }
 
     // The nodes to ask, in order; this node itself where it is one of the serving ones.
@@ -162,7 +195,13 @@
         let mut serving: Vec<_> = well.take(nodes).cloned().collect();
         match serving.iter().position(|member| member.name == self.name) {
             Some(own) => serving = vec![serving.swap_remove(own)],
-            None => fastrand::shuffle(&mut serving),
+            None if target.organisation == organisation::OWN => fastrand::shuffle(&mut serving),
+            // Each organisation's connections are at one of them.
+            None if !serving.is_empty() => {
+                let first = pool::lane(&target.organisation) % serving.len();
+                serving.rotate_left(first);
+            }
+            None => {}
         }
         serving
     }
@@ -212,7 +251,7 @@
         if server.name != self.name {
             return self.ask(server, target, None).await;
         }
-        let lender = relay::Lender::new(self.pool(target));
+        let lender = relay::Lender::new(self.pool(target), target.organisation.clone());
         let opened = lender.open().await;
         if let Err(refusal) = &opened {
             self.note(&self.name, target, refusal);
@@ -332,9 +371,13 @@
         ask: &'a keeper::Ask,
     ) -> future::LocalBoxFuture<'a, Option<keeper::Told>> {
         async move {
-            let may_ask = |name: &id::Vm| self.keepers.may_ask(name);
+            let may_ask = |name: &id::Vm| self.peers.may_ask(name);
             let keeper = keeper::of(&self.members.borrow(), &ask.group, &self.name, may_ask)?;
-            self.keepers.ask(&keeper, ask).await
+            let question = question::Question::Floor(ask.clone());
+            match self.peers.ask(&keeper, &question).await? {
+                question::Answer::Floor(told) => Some(told),
+                _ => None,
+            }
         }
         .boxed_local()
     }
--- a/desk/src/sampler.rs
+++ b/desk/src/sampler.rs
@@ -11,6 +11,7 @@
 use crate::boot;
 use crate::kept;
 use crate::lent;
+use crate::organisation;
 use crate::pool;
 use crate::reply;
 use crate::upstream;
@@ -92,7 +93,10 @@
 /// A connection for a command of this node's own, before all statements of callers.
 pub async fn connection(pool: &rc::Rc<pool::Pool>, deadline: id::Time) -> Option<lent::Lent> {
     let urgency = urgency::Urgency::now(deadline);
-    let lent = pool.lend(urgency, &kept::Values::new(), deadline).await;
+    let own = organisation::OWN;
+    let lent = pool
+        .lend(urgency, &own, &kept::Values::new(), deadline)
+        .await;
     lent.ok()
 }
 
--- a/desk/src/serving.rs
+++ b/desk/src/serving.rs
@@ -46,25 +46,29 @@
     },
 }
 
-/// How an instance that takes `connections` is reached from a fleet of `nodes`.
+/// How an instance that takes `connections` is reached from a fleet of `nodes` that serves so many
+/// `organisations`.
 ///
 /// ```
 /// use mangotray_desk::serving;
-/// assert_eq!(serving::way(23, 8), serving::Way::Direct);
-/// assert_eq!(serving::way(16, 8), serving::Way::Through { nodes: 1, each: 12 });
-/// assert_eq!(serving::way(34, 71), serving::Way::Through { nodes: 2, each: 12 });
-/// assert_eq!(serving::way(185, 87), serving::Way::Through { nodes: 5, each: 12 });
+/// assert_eq!(serving::way(23, 8, 0), serving::Way::Direct);
+/// assert_eq!(serving::way(16, 8, 0), serving::Way::Through { nodes: 1, each: 12 });
+/// assert_eq!(serving::way(34, 71, 0), serving::Way::Through { nodes: 2, each: 12 });
+/// assert_eq!(serving::way(185, 87, 0), serving::Way::Through { nodes: 5, each: 12 });
+/// assert_eq!(serving::way(47, 84, 84), serving::Way::Through { nodes: 2, each: 17 });
 /// ```
 #[must_use]
-pub const fn way(connections: usize, nodes: usize) -> Way {
+pub const fn way(connections: usize, nodes: usize, organisations: usize) -> Way {
     let used = connections * USED_PERCENT / 100;
     if connections == 0 || used >= nodes * ENOUGH {
         return Way::Direct;
     }
     let serving = within(used / EACH, 1, NODES_MOST);
+    // A connection serves one organisation only: those that lie idle save opening others.
+    let most = if organisations > 1 { used } else { EACH };
     Way::Through {
         nodes: serving,
-        each: within(used / serving, 1, EACH),
+        each: within(used / serving, 1, most),
     }
 }
 
@@ -120,9 +124,29 @@
     order
 }
 
-fn rank(member: &member::Member, instance: &upstream::Id) -> u64 {
+/// The members in an order that depends on their names and on a word, the same on all nodes.
+///
+/// ```
+/// use mangotray_desk::{member, serving};
+/// let member = |name: &str| member::Member {
+///     name: name.into(),
+///     domain: "here".into(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+/// };
+/// let (one, other) = ([member("a"), member("b")], [member("b"), member("a")]);
+/// let first = |members: &[member::Member]| serving::ranked(members, "dome")[0].name.clone();
+/// assert_eq!(first(&one), first(&other));
+/// ```
+#[must_use]
+pub fn ranked<'a>(members: &'a [member::Member], word: &str) -> Vec<&'a member::Member> {
+    let mut order: Vec<_> = members.iter().collect();
+    order.sort_by_cached_key(|member| rank(member, word));
+    order
+}
+
+fn rank(member: &member::Member, word: &str) -> u64 {
     // Keys are fixed, so that all nodes compute the same order.
     let mut hasher = hash::DefaultHasher::new();
-    (member.name.as_str(), instance.as_str()).hash(&mut hasher);
+    (member.name.as_str(), word).hash(&mut hasher);
     hasher.finish()
 }
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -11,9 +11,12 @@
 use crate::attempt;
 use crate::boot;
 use crate::catalog;
+use crate::gate;
 use crate::kept;
+use crate::key;
 use crate::limit;
 use crate::node;
+use crate::organisation;
 use crate::pinned;
 use crate::reply;
 use crate::statement;
@@ -28,6 +31,7 @@
 struct Transaction {
     begin: attempt::Opening,
     route: rc::Rc<catalog::Route>,
+    organisation: organisation::Name,
     /// The connection that it runs on, from its first statement on.
     pinned: Option<pinned::Pinned>,
 }
@@ -43,6 +47,11 @@
 pub struct Session {
     node: rc::Rc<node::Node>,
     database: CompactString,
+    key: key::Key,
+    /// The last caller that was admitted, for logs.
+    organisation: organisation::Name,
+    /// Why the caller's key is of no further use here.
+    over: bool,
     values: kept::Values,
     prepared: collections::BTreeMap<statement::Name, statement::Shape>,
     phase: Phase,
@@ -52,10 +61,13 @@
 impl Session {
     /// A fresh session.
     #[must_use]
-    pub fn new(node: rc::Rc<node::Node>, database: CompactString) -> Self {
+    pub fn new(node: rc::Rc<node::Node>, database: CompactString, key: key::Key) -> Self {
         Self {
             node,
             database,
+            key,
+            organisation: organisation::OWN,
+            over: false,
             values: kept::Values::new(),
             prepared: collections::BTreeMap::new(),
             phase: Phase::Idle,
@@ -73,6 +85,12 @@
         }
     }
 
+    /// Whether the session is over, as its caller's key was taken away.
+    #[must_use]
+    pub const fn is_over(&self) -> bool {
+        self.over
+    }
+
     /// Answers one request.
     pub async fn handle(&mut self, request: &statement::Request) -> reply::Reply {
         let arrived = boot::now();
@@ -102,11 +120,14 @@
             return self.after_failure(&request.statement);
         }
         match &request.statement {
-            statement::Statement::Begin { read_only } => self.begin(attempt::Opening {
-                id: request.id.clone(),
-                read_only: *read_only,
-                arrived,
-            }),
+            statement::Statement::Begin { read_only } => {
+                self.begin(attempt::Opening {
+                    id: request.id.clone(),
+                    read_only: *read_only,
+                    arrived,
+                })
+                .await
+            }
             statement::Statement::Commit => self.commit(request, arrived).await,
             statement::Statement::Rollback => self.rollback(request),
             statement::Statement::Set { name, value } => {
@@ -146,16 +167,62 @@
         }
     }
 
-    fn begin(&mut self, begin: attempt::Opening) -> reply::Reply {
+    // The route, and for whom an operation runs that begins now.
+    async fn admit(
+        &mut self,
+    ) -> Result<(rc::Rc<catalog::Route>, organisation::Name), reply::Reply> {
+        let Some(route) = self.node.route(&self.database) else {
+            return Err(self.error(reply::Code::NoDatabase, "no such database"));
+        };
+        let caller = self.identify(&route)?;
+        if let Err(refusal) = self.node.count(&caller).await {
+            return Err(self.refuse(refusal));
+        }
+        Ok((route, caller.organisation))
+    }
+
+    fn identify(&mut self, route: &catalog::Route) -> Result<gate::Caller, reply::Reply> {
+        match self.node.identify(route, &self.key) {
+            Ok(caller) => {
+                self.organisation = caller.organisation.clone();
+                Ok(caller)
+            }
+            Err(refusal) => Err(self.refuse(refusal)),
+        }
+    }
+
+    fn refuse(&mut self, refusal: gate::Refusal) -> reply::Reply {
+        metrics::counter!("mangotray_refusals_total", "reason" => refusal.label()).increment(1);
+        self.over |= refusal == gate::Refusal::UnknownKey;
+        self.error(refusal.code(), refusal.text())
+    }
+
+    // Whether an open transaction may go on: its caller's key may have been taken away, or this
+    // node cut off, since its last statement.
+    fn check(&mut self, transaction: &Transaction) -> Result<(), (reply::Code, CompactString)> {
+        let route = &transaction.route;
+        let refusal = match self.node.identify(route, &self.key) {
+            Ok(caller) if caller.organisation == transaction.organisation => return Ok(()),
+            Ok(_) => gate::Refusal::UnknownKey,
+            Err(refusal) => refusal,
+        };
+        metrics::counter!("mangotray_refusals_total", "reason" => refusal.label()).increment(1);
+        self.over |= refusal == gate::Refusal::UnknownKey;
+        Err((reply::Code::Aborted, refusal.text()))
+    }
+
+    async fn begin(&mut self, begin: attempt::Opening) -> reply::Reply {
         if matches!(self.phase, Phase::Open(_)) {
             return self.error(reply::Code::Bad, "a transaction is open already");
         }
-        let Some(route) = self.node.route(&self.database) else {
-            return self.error(reply::Code::NoDatabase, "no such database");
+        let (route, organisation) = match self.admit().await {
+            Ok(admitted) => admitted,
+            Err(reply) => return reply,
         };
         self.phase = Phase::Open(Box::new(Transaction {
             begin,
             route,
+            organisation,
             pinned: None,
         }));
         reply::Reply::done(self.state())
@@ -212,10 +279,11 @@
         if matches!(self.phase, Phase::Open(_)) {
             return self.run_inside(&work).await;
         }
-        let Some(route) = self.node.route(&self.database) else {
-            return self.error(reply::Code::NoDatabase, "no such database");
+        let (route, organisation) = match self.admit().await {
+            Ok(admitted) => admitted,
+            Err(reply) => return reply,
         };
-        let attempt = self.attempt(&route);
+        let attempt = self.attempt(&route, &organisation);
         let outcome = match work.access {
             statement::Access::Read => attempt.read(&work).await,
             statement::Access::Write => attempt.write(&work).await,
@@ -268,6 +336,10 @@
             self.abandon(*transaction);
             return self.error(reply::Code::ReadOnly, "the transaction only reads");
         }
+        if let Err((code, text)) = self.check(&transaction) {
+            self.abandon(*transaction);
+            return self.error(code, text);
+        }
         if let Err((code, text)) = self.pin(&mut transaction, work.arrived).await {
             return self.error(code, text);
         }
@@ -309,17 +381,22 @@
         arrived: id::Time,
     ) -> Result<(), (reply::Code, CompactString)> {
         if transaction.pinned.is_none() {
-            let attempt = self.attempt(&transaction.route);
+            let attempt = self.attempt(&transaction.route, &transaction.organisation);
             let opened = attempt.open(&transaction.begin, arrived).await?;
             transaction.pinned = Some(opened);
         }
         Ok(())
     }
 
-    fn attempt<'a>(&'a self, route: &'a catalog::Route) -> attempt::Attempt<'a> {
+    fn attempt<'a>(
+        &'a self,
+        route: &'a catalog::Route,
+        organisation: &'a organisation::Name,
+    ) -> attempt::Attempt<'a> {
         attempt::Attempt {
             group: self.node.group(&route.group),
             route,
+            organisation,
             values: &self.values,
             own: self.own,
         }
@@ -329,6 +406,10 @@
         let Phase::Open(mut transaction) = std::mem::replace(&mut self.phase, Phase::Idle) else {
             return self.error(reply::Code::Bad, "no transaction");
         };
+        if let Err((code, text)) = self.check(&transaction) {
+            self.abandon(*transaction);
+            return self.error(code, text);
+        }
         if let Err((code, text)) = self.pin(&mut transaction, arrived).await {
             return self.error(code, text);
         }
@@ -384,8 +465,12 @@
         if let reply::End::Error { code, text } = &reply.end {
             let route = self.node.route(&self.database);
             let group = route.as_ref().map(|route| route.group.as_str());
-            tracing::warn!(request = %request.id, database = %self.database,
-                version = self.node.catalog().version, group, ?code, %text, took_ms = took.as_millis(), "statement failed");
+            let age = self
+                .node
+                .currency()
+                .and_then(|currency| currency.age(arrived));
+            tracing::warn!(request = %request.id, database = %self.database, organisation = %self.organisation,
+                version = self.node.catalog().version, evidence_ms = age.map(|age| age.as_millis()), group, ?code, %text, took_ms = took.as_millis(), "statement failed");
         }
     }
 }
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -7,8 +7,11 @@
 use eyre::WrapErr;
 use mangotray::id;
 
+use crate::node;
+use crate::tolerance;
+
 /// Where a node stands, whom it talks to and what it is bound to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the VM.
     pub name: id::Vm,
@@ -30,6 +33,8 @@
     pub grace: time::Duration,
     /// Connections of callers that are served at once.
     pub sessions: usize,
+    /// What is promised about keys and limits of organisations.
+    pub promises: node::Promises,
 }
 
 /// Descriptors kept for the store, the instances, health and files.
@@ -78,10 +83,46 @@
             },
             grace: time::Duration::from_secs_f64(value(&file, "stop", "grace_s")?),
             sessions: descriptors.saturating_sub(RESERVED).max(1),
+            promises: promises(&file)?,
         })
     }
 }
 
+// All of it may be missing: then keys and limits hold as the configuration in force has them.
+fn promises(file: &ini::Ini) -> eyre::Result<node::Promises> {
+    const SECTION: &str = "organisations";
+    let revocation: Option<u64> = optional(file, SECTION, "revocation_ms")?;
+    let window: Option<f64> = optional(file, SECTION, "window_s")?;
+    let tolerance = match window {
+        Some(window) => tolerance::Tolerance {
+            window: time::Duration::try_from_secs_f64(window)
+                .ok()
+                .filter(|window| !window.is_zero())
+                .ok_or_else(|| {
+                    eyre::eyre!("[{SECTION}] window_s: {window} is no length of time")
+                })?,
+            excess: optional(file, SECTION, "excess")?.unwrap_or_default(),
+            slack: optional(file, SECTION, "slack")?.unwrap_or_default(),
+        },
+        None => tolerance::Tolerance::default(),
+    };
+    Ok(node::Promises {
+        revocation: revocation.map(time::Duration::from_millis),
+        tolerance,
+    })
+}
+
+fn optional<T>(file: &ini::Ini, section: &str, key: &str) -> eyre::Result<Option<T>>
+where
+    T: std::str::FromStr,
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    match text_of(file, section, key) {
+        Ok(text) if !text.is_empty() => value(file, section, key).map(Some),
+        _ => Ok(None),
+    }
+}
+
 fn text_of<'a>(file: &'a ini::Ini, section: &str, key: &str) -> eyre::Result<&'a str> {
     let found = file.section(Some(section)).and_then(|found| found.get(key));
     found.ok_or_else(|| eyre::eyre!("[{section}] {key} is missing"))
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -10,6 +10,7 @@
 use mangotray::stamp;
 
 use crate::keeper;
+use crate::organisation;
 use crate::reply;
 use crate::statement;
 use crate::urgency;
@@ -36,6 +37,8 @@
     pub domain: id::Domain,
     /// Statements that it works on at once.
     pub slots: usize,
+    /// In whose name the connection is opened; it serves nobody else.
+    pub organisation: organisation::Name,
 }
 
 /// One command to an instance.
@@ -151,7 +154,8 @@
 /// An open connection to an instance.
 pub trait Connection {
     /// Sends all commands in one write and awaits all answers. The urgency matters where
-    /// another node runs the commands and has a queue of its own.
+    /// another node runs the commands and has a queue of its own; the organisation where it lends
+    /// connections of several.
     ///
     /// # Errors
     /// When the connection broke before the last answer was whole.
@@ -159,6 +163,7 @@
         &'a mut self,
         commands: &'a [Command],
         urgency: urgency::Urgency,
+        organisation: &'a organisation::Name,
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, Failure>>;
 
     /// Whether the far end is still there, as far as a look without waiting can tell.
@@ -169,6 +174,11 @@
         false
     }
 
+    /// Whether it serves any organisation, as it leads to a node that lends connections of each.
+    fn serves_any(&self) -> bool {
+        false
+    }
+
     /// How long the instance may answer nothing before it is suspected.
     fn silence(&self) -> time::Duration;
 }
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -8,6 +8,7 @@
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
 use mangotray_desk::kept;
+use mangotray_desk::organisation;
 use mangotray_desk::source;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
@@ -202,7 +203,11 @@
         let before = find();
         let deadline = boot::now() + LIMIT;
         let urgency = urgency::Urgency::now(deadline);
-        drop(before.lend(urgency, &kept::Values::new(), deadline).await);
+        drop(
+            before
+                .lend(urgency, &organisation::OWN, &kept::Values::new(), deadline)
+                .await,
+        );
         assert_eq!(before.applied().position, 10);
         before.note_behind();
         stage.world.borrow_mut().at("b").draining = true;
--- a/desk/tests/keeper.rs
+++ b/desk/tests/keeper.rs
@@ -15,6 +15,8 @@
 use mangotray_desk::group;
 use mangotray_desk::keeper;
 use mangotray_desk::member;
+use mangotray_desk::peers;
+use mangotray_desk::question;
 use mangotray_desk::relay;
 use mangotray_desk::reply;
 use mangotray_desk::source;
@@ -249,14 +251,15 @@
 fn a_keeper_that_does_not_answer_is_not_asked_again_at_once() {
     let silent = net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let keeper = member("silent", silent.local_addr().expect("an address"));
-    let client = keeper::Client::default();
+    let client = peers::Peers::default();
     let ask = keeper::Ask {
         group: stage::GROUP.into(),
         within: AGE,
     };
     async_io::block_on(async {
         assert!(client.may_ask(&keeper.name));
-        assert_eq!(client.ask(&keeper, &ask).await, None);
+        let question = question::Question::Floor(ask.clone());
+        assert_eq!(client.ask(&keeper, &question).await, None);
         assert!(!client.may_ask(&keeper.name));
     });
     let members = [keeper, member("next", address())];
@@ -286,9 +289,16 @@
             let find = move |target: &upstream::Target| router.pool(target);
             let server = relay::Server::new(find, rc::Rc::clone(&stage.executor));
             let node = rc::Rc::clone(&one.node);
-            server.keep_floors(move |ask| {
+            server.answer_by(move |question| {
                 let node = rc::Rc::clone(&node);
-                async move { node.tell_floor(ask).await }.boxed_local()
+                async move {
+                    let question::Question::Floor(ask) = question else {
+                        return question::Answer::Nothing;
+                    };
+                    let told = node.tell_floor(ask).await;
+                    told.map_or(question::Answer::Nothing, question::Answer::Floor)
+                }
+                .boxed_local()
             });
             let serve = async move {
                 server.serve(address).await.expect("a free port");
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -8,6 +8,7 @@
 
 use mangotray_desk::boot;
 use mangotray_desk::lent;
+use mangotray_desk::organisation;
 use mangotray_desk::pool;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
@@ -21,7 +22,12 @@
 async fn lend(pool: &rc::Rc<pool::Pool>, values: &Values) -> lent::Lent {
     let deadline = boot::now() + LIMIT;
     let lent = pool
-        .lend(urgency::Urgency::now(deadline), values, deadline)
+        .lend(
+            urgency::Urgency::now(deadline),
+            &organisation::OWN,
+            values,
+            deadline,
+        )
         .await;
     lent.expect("a connection")
 }
--- a/desk/tests/queue.rs
+++ b/desk/tests/queue.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use mangotray_desk::boot;
+use mangotray_desk::organisation;
 use mangotray_desk::queue;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
@@ -30,7 +31,10 @@
             };
             let (waiting, woken) = (rc::Rc::clone(&queue), rc::Rc::clone(&woken));
             let wait = async move {
-                if waiting.wait(urgency, boot::now() + LONG).await {
+                if waiting
+                    .wait(&organisation::OWN, urgency, boot::now(), boot::now() + LONG)
+                    .await
+                {
                     woken.borrow_mut().push(index);
                 }
             };
--- a/desk/tests/relay.rs
+++ b/desk/tests/relay.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use mangotray_desk::boot;
+use mangotray_desk::organisation;
 use mangotray_desk::relay;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
@@ -24,17 +25,23 @@
     let stage = stage::Stage::new();
     let pool = stage.pool(3, 1);
     stage.run(async {
-        let mut first = relay::Lender::new(rc::Rc::clone(&pool));
-        let mut second = relay::Lender::new(pool);
+        let mut first = relay::Lender::new(rc::Rc::clone(&pool), organisation::OWN);
+        let mut second = relay::Lender::new(pool, organisation::OWN);
         first.open().await.expect("an instance in reach");
         stage.world.borrow_mut().stalled = true;
         let busy = stage.executor.spawn(async move {
             let urgency = urgency::Urgency::now(boot::now() + LONG);
-            first.run(&stage::read("first"), urgency).await
+            first
+                .run(&stage::read("first"), urgency, &organisation::OWN)
+                .await
         });
         wait::sleep(SHORT).await;
         let urgency = urgency::Urgency::now(boot::now() + SHORT);
-        let waiting = wait::within(LONG, second.run(&stage::read("second"), urgency)).await;
+        let waiting = wait::within(
+            LONG,
+            second.run(&stage::read("second"), urgency, &organisation::OWN),
+        )
+        .await;
         let failure = waiting.expect("an answer").expect_err("a refusal");
         assert!(!failure.sent, "{failure:?}");
         stage.world.borrow_mut().stalled = false;
@@ -55,11 +62,15 @@
     let stage = stage::Stage::new();
     let pool = stage.pool(3, 1);
     stage.run(async {
-        let mut lender = relay::Lender::new(pool);
+        let mut lender = relay::Lender::new(pool, organisation::OWN);
         lender.open().await.expect("an instance in reach");
         stage.world.borrow_mut().stalled = true;
         let urgency = urgency::Urgency::now(boot::now() + SHORT);
-        let run = wait::within(LONG, lender.run(&stage::read("lost"), urgency)).await;
+        let run = wait::within(
+            LONG,
+            lender.run(&stage::read("lost"), urgency, &organisation::OWN),
+        )
+        .await;
         let failure = run.expect("an answer").expect_err("a failure");
         assert!(failure.sent, "{failure:?}");
     });
@@ -74,12 +85,14 @@
     let stage = stage::Stage::new();
     let pool = stage.pool(3, 1);
     stage.run(async {
-        let mut lender = relay::Lender::new(pool);
+        let mut lender = relay::Lender::new(pool, organisation::OWN);
         let until = boot::now() + SHORT;
         let batch = [stage::read("one"), stage::read("two")].concat();
         lender.open().await.expect("an instance in reach");
         stage.world.borrow_mut().die_after = Some(1);
-        let result = lender.run(&batch, urgency::Urgency::now(until)).await;
+        let result = lender
+            .run(&batch, urgency::Urgency::now(until), &organisation::OWN)
+            .await;
         let failure = result.expect_err("a failure");
         assert_eq!(stage.world.borrow().ran.len(), 1);
         assert!(failure.sent, "{failure:?}");
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -10,6 +10,7 @@
 use futures_util::future;
 use mangotray_desk::catalog;
 use mangotray_desk::member;
+use mangotray_desk::organisation;
 use mangotray_desk::relay;
 use mangotray_desk::reply;
 use mangotray_desk::router;
@@ -75,6 +76,7 @@
         born: 1,
         domain: "near".into(),
         slots: 3,
+        organisation: organisation::OWN,
     }
 }
 
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -7,6 +7,7 @@
 use assert_matches::assert_matches;
 use mangotray_desk::boot;
 use mangotray_desk::limit;
+use mangotray_desk::organisation;
 use mangotray_desk::reply;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
@@ -191,7 +192,12 @@
         let (pool, _) = group.primary(deadline()).await.expect("a primary");
         let values = std::collections::BTreeMap::new();
         let mut lent = pool
-            .lend(urgency::Urgency::now(deadline()), &values, deadline())
+            .lend(
+                urgency::Urgency::now(deadline()),
+                &organisation::OWN,
+                &values,
+                deadline(),
+            )
             .await
             .expect("a connection");
         let begin = upstream::Command::Begin {
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -16,7 +16,9 @@
 use mangotray::stamp;
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
+use mangotray_desk::key;
 use mangotray_desk::node;
+use mangotray_desk::organisation;
 use mangotray_desk::pool;
 use mangotray_desk::reply;
 use mangotray_desk::router;
@@ -83,6 +85,7 @@
 struct Connection {
     world: Shared,
     instance: upstream::Id,
+    organisation: organisation::Name,
     number: u64,
     values: collections::BTreeMap<CompactString, CompactString>,
     prepared: collections::BTreeMap<CompactString, statement::Shape>,
@@ -176,6 +179,7 @@
             let connection = Connection {
                 world: rc::Rc::clone(&self.0),
                 instance: target.id.clone(),
+                organisation: target.organisation.clone(),
                 number,
                 values: collections::BTreeMap::new(),
                 prepared: collections::BTreeMap::new(),
@@ -213,7 +217,9 @@
         &'a mut self,
         commands: &'a [upstream::Command],
         _urgency: urgency::Urgency,
+        organisation: &'a organisation::Name,
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, upstream::Failure>> {
+        assert_eq!(self.organisation, *organisation, "a foreign connection");
         async move {
             while self.world.borrow().stalled {
                 wait::sleep(time::Duration::from_millis(5)).await;
@@ -479,7 +485,13 @@
     ) -> Self {
         let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&world)));
         let router = router::Router::new(name.into(), dialer, rc::Rc::clone(&executor));
-        let node = node::Node::new(name.into(), "here".into(), router, rc::Rc::clone(&executor));
+        let node = node::Node::new(
+            name.into(),
+            "here".into(),
+            router,
+            rc::Rc::clone(&executor),
+            node::Promises::default(),
+        );
         node.apply(catalog());
         node.update(world.borrow().list(), Some(boot::now()), boot::now());
         Self {
@@ -499,11 +511,17 @@
         let instance = self.world.borrow().list().remove(0);
         let dialer = rc::Rc::new(Dialer(rc::Rc::clone(&self.world)));
         let executor = rc::Rc::clone(&self.executor);
-        rc::Rc::new(pool::Pool::new(instance, dialer, executor, most, abreast))
+        let size = pool::Size {
+            most,
+            abreast,
+            ..pool::Size::shared()
+        };
+        rc::Rc::new(pool::Pool::new(instance, dialer, executor, size))
     }
 
     pub fn session(&self, database: &str) -> session::Session {
-        session::Session::new(rc::Rc::clone(&self.node), database.into())
+        let key = key::Key::new("caller");
+        session::Session::new(rc::Rc::clone(&self.node), database.into(), key)
     }
 
     /// Tells the node the present list of instances.
@@ -522,6 +540,7 @@
         timeout: time::Duration::from_secs(5),
         objective: time::Duration::from_millis(250),
         priority: 1,
+        public: false,
     };
     let age = time::Duration::from_millis(1500);
     catalog::Catalog {
@@ -533,6 +552,7 @@
         ],
         services: Vec::new(),
         transaction_idle: None,
+        organisations: None,
     }
 }
 
