Take crowding for no lost link, and give back connections of stand-ins and last resorts

Cause: a lending node whose connections were all at work for other organisations said that the instance was out of reach. Change: an instance that answered in the last half second is in reach; a lender that is refused for want of room closes an idle connection; nodes that only stand in for a lending node, or go to the instance as the last resort, keep no connections.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -34,7 +34,7 @@
 const KEPT: usize = 1;
 
 /// A borrowed connection that nobody used for this long is given back.
-const SPARE_IDLE: time::Duration = time::Duration::from_millis(700);
+pub const SPARE_IDLE: time::Duration = time::Duration::from_millis(700);
 
 /// An instance that said it is full is not asked again for this long.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -112,7 +112,7 @@
 pub struct Pool {
     /// The instance, as the list of instances has it now.
     pub instance: cell::RefCell<catalog::Instance>,
-    size: Size,
+    size: cell::Cell<Size>,
     window: cell::Cell<window::Window>,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
@@ -150,7 +150,7 @@
     ) -> Self {
         Self {
             instance: cell::RefCell::new(instance),
-            size,
+            size: cell::Cell::new(size),
             window: cell::Cell::new(window::Window::new(size.abreast)),
             dialer,
             executor,
@@ -210,6 +210,11 @@
         self.deaf.set(deaf);
     }
 
+    /// Takes another size, as when this node's part in serving the instance has changed.
+    pub fn resize(&self, size: Size) {
+        self.size.set(size);
+    }
+
     /// Connections on loan and requests that wait for one.
     #[must_use]
     pub fn load(&self) -> usize {
@@ -329,7 +334,7 @@
 
     /// Closes borrowed connections that nobody used for a while.
     pub fn trim(&self) {
-        let oldest = boot::now().saturating_sub(self.size.spare_idle);
+        let oldest = boot::now().saturating_sub(self.size.get().spare_idle);
         let mut idle = self.idle.borrow_mut();
         while self.open.get() > KEPT && idle.first().is_some_and(|kept| kept.used < oldest) {
             idle.remove(0);
@@ -383,7 +388,11 @@
 
     /// Takes a connection back, or notes that it is gone.
     pub(crate) fn give_back(&self, kept: Option<kept::Kept>) {
-        let Some(kept) = kept else {
+        let last_resort = |kept: &kept::Kept| {
+            let target = self.target(&kept.organisation);
+            !kept.link.serves_any() && self.dialer.is_last_resort(&target)
+        };
+        let Some(kept) = kept.filter(|kept| !last_resort(kept)) else {
             self.open.set(self.open.get() - 1);
             return self.waiting.wake();
         };
@@ -409,7 +418,7 @@
         if enough || self.lent() + all >= self.room() || boot::now() < self.blocked.get() {
             return;
         }
-        if self.open.get() >= self.size.most && !self.evict() {
+        if self.open.get() >= self.size.get().most && !self.evict() {
             return;
         }
         let place = Place::new(rc::Rc::clone(self), organisation.clone());
@@ -423,7 +432,7 @@
     // in the window, and one for the next. More would only be held by statements that wait.
     fn room(&self) -> usize {
         let useful = self.pinned.get() + self.window.get().size() + 1;
-        useful.min(self.size.most)
+        useful.min(self.size.get().most)
     }
 
     // Closes the idle connection that was used the longest ago. This node's own is used for all
@@ -472,7 +481,10 @@
         tracing::info!(instance = %target.id, ?refusal, waited = ?boot::now().saturating_sub(started),
             "upstream refused a connection");
         if refusal == upstream::Refusal::Full {
-            self.blocked.set(boot::now() + FULL_PAUSE);
+            // In place of one that lies idle there is room for another.
+            if !self.evict() {
+                self.blocked.set(boot::now() + FULL_PAUSE);
+            }
         } else {
             let wrong = refusal == upstream::Refusal::Wrong;
             self.closed
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -39,6 +39,10 @@
 /// Longest wait for a connection that shows that the instance can be reached.
 const OPEN_LIMIT: time::Duration = time::Duration::from_millis(250);
 
+/// An instance that answered this lately can be reached, be there a connection for the organisation
+/// that asks or not: were crowding taken for a lost link, all nodes would look for other ways.
+const OPEN_FRESH: time::Duration = time::Duration::from_millis(500);
+
 /// A relayed connection is suspected after this long without an answer: the wait for a
 /// connection comes on top of what an instance itself may take.
 const SILENCE: time::Duration = time::Duration::from_millis(650);
@@ -93,7 +97,11 @@
     /// # Errors
     /// When this node cannot reach the instance either.
     pub async fn open(&self) -> Opened {
-        let deadline = boot::now() + OPEN_LIMIT;
+        let now = boot::now();
+        if self.pool.answered() + OPEN_FRESH > now {
+            return Ok(Some(self.pool.applied()));
+        }
+        let deadline = now + OPEN_LIMIT;
         match self
             .pool
             .lend(
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -133,14 +133,7 @@
 
     /// This node's own connections to an instance, for itself and for those that it serves.
     pub fn pool(&self, target: &upstream::Target) -> rc::Rc<pool::Pool> {
-        let size = match self.way(target) {
-            serving::Way::Direct => pool::Size::shared(),
-            serving::Way::Through { each, .. } => pool::Size {
-                most: each,
-                abreast: serving::abreast(target.slots, each),
-                spare_idle: LENT_IDLE,
-            },
-        };
+        let size = self.size(target);
         let mut pools = self.pools.borrow_mut();
         // What was seen of an instance's earlier life, and its connections, are over.
         pools.retain(|id, pool| *id != target.id || pool.born() >= target.born);
@@ -159,9 +152,41 @@
             let executor = rc::Rc::clone(&self.executor);
             rc::Rc::new(pool::Pool::new(instance, dialer, executor, size))
         });
+        made.resize(size);
         rc::Rc::clone(made)
     }
 
+    // How many connections this node may have to an instance, for itself and for those that it
+    // serves. One that stands in for a serving node leaves it most of them.
+    fn size(&self, target: &upstream::Target) -> pool::Size {
+        let (nodes, each) = match self.way(target) {
+            serving::Way::Direct => return pool::Size::shared(),
+            serving::Way::Through { nodes, each } => (nodes, each),
+        };
+        let abreast = serving::abreast(target.slots, each);
+        let members = self.members.borrow();
+        let order = serving::order(&members, &target.id, &target.domain);
+        let serves = order
+            .iter()
+            .take(nodes)
+            .any(|member| member.name == self.name);
+        let (most, spare_idle) = match (self.parts_connections(), serves) {
+            (false, _) => (each, pool::SPARE_IDLE),
+            (true, true) => (each, LENT_IDLE),
+            (true, false) => (abreast + 1, pool::SPARE_IDLE),
+        };
+        pool::Size {
+            most,
+            abreast,
+            spare_idle,
+        }
+    }
+
+    // Whether connections belong to one organisation each, so that there are never enough.
+    fn parts_connections(&self) -> bool {
+        self.organisations.get() > 1
+    }
+
     /// Gives spare connections back and forgets instances that are gone.
     pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
         self.pools.borrow_mut().retain(|id, pool| {
@@ -366,6 +391,10 @@
         self.route(target).boxed_local()
     }
 
+    fn is_last_resort(&self, target: &upstream::Target) -> bool {
+        self.parts_connections() && self.way(target) != serving::Way::Direct
+    }
+
     fn floor<'a>(
         &'a self,
         ask: &'a keeper::Ask,
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -197,6 +197,12 @@
         target: &'a Target,
     ) -> future::LocalBoxFuture<'a, Result<Dialled, Refusal>>;
 
+    /// Whether a connection of this node's own is a last resort, which others may need more: it is closed
+    /// once it has served.
+    fn is_last_resort(&self, _target: &Target) -> bool {
+        false
+    }
+
     /// Asks the node that keeps a group's floors for one; none where this node has to look itself.
     fn floor<'a>(
         &'a self,
