Let deputies hand out more of what is tolerated, and ask silent nodes shortly

Each operation whose counting node was silent waited 100 ms, and 84 counting nodes had to be found silent one by one. Change: a deputy has seven tenths of what is tolerated, which with what a new count begins with (a quarter) is still within it; sixteen counting nodes; a node that was silent is given 30 ms.

--- a/desk/src/ledger.rs
+++ b/desk/src/ledger.rs
@@ -19,9 +19,12 @@
 /// handed out and this together stay within what is tolerated.
 const FIRST_PART: f64 = 0.25;
 
-/// The same for a deputy, and for what it may hand out in a window, while the node that counts is
-/// silent and may yet be at work.
-const DEPUTY_PART: f64 = 0.2;
+/// The same for what a deputy hands out at once while the node that counts is silent and may yet
+/// be at work.
+const DEPUTY_BURST_PART: f64 = 0.1;
+
+/// The same for what a deputy hands out in a window on top of that.
+const DEPUTY_PART: f64 = 0.6;
 
 /// A deputy that was not asked for this long is none any more.
 const DEPUTY_REST: time::Duration = time::Duration::from_secs(1);
@@ -138,7 +141,7 @@
                 let window = self.tolerance.window.as_secs_f64();
                 let part = quota::Quota {
                     rate: above * DEPUTY_PART / window,
-                    burst: above * DEPUTY_PART,
+                    burst: above * DEPUTY_BURST_PART,
                 };
                 account.take_as_deputy(&ask.quota, &part, takeover, now)
             }
--- a/desk/src/peers.rs
+++ b/desk/src/peers.rs
@@ -21,6 +21,9 @@
 /// finds out by itself, well within what a read may wait.
 const LIMIT: time::Duration = time::Duration::from_millis(100);
 
+/// The same for a node that was silent before: it answers within this, or is silent still.
+const LIMIT_AGAIN: time::Duration = time::Duration::from_millis(30);
+
 /// A node that did not answer is not asked for this long: it is slow, paused, dark or gone.
 const SILENT_PAUSE: time::Duration = time::Duration::from_secs(2);
 
@@ -64,9 +67,13 @@
         node: &member::Member,
         question: &question::Question,
     ) -> Option<question::Answer> {
-        let answered = wait::within(LIMIT, self.exchange(node.address, question)).await;
+        let limit = self.limit(&node.name);
+        let answered = wait::within(limit, self.exchange(node.address, question)).await;
         let failure = match answered {
-            Some(Ok(answer)) => return Some(answer),
+            Some(Ok(answer)) => {
+                self.avoided.borrow_mut().remove(&node.name);
+                return Some(answer);
+            }
             Some(Err(error)) => error,
             None => io::ErrorKind::TimedOut.into(),
         };
@@ -85,6 +92,14 @@
         None
     }
 
+    fn limit(&self, name: &id::Vm) -> time::Duration {
+        let avoided = self.avoided.borrow();
+        match avoided.get(name) {
+            Some(before) if before.turn == ledger::Turn::Silent => LIMIT_AGAIN,
+            _ => LIMIT,
+        }
+    }
+
     // A kept connection that turns out to be broken says nothing about the node: it may have
     // started again.
     async fn exchange(
--- a/desk/src/quotas.rs
+++ b/desk/src/quotas.rs
@@ -1,14 +1,20 @@
 //! Gets a token for each operation from the node that counts for its organisation.
 
 use std::cell;
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc;
 
+use compact_str::CompactString;
+use compact_str::format_compact;
 use mangotray::id;
 
 use crate::boot;
 use crate::gate;
 use crate::ledger;
 use crate::member;
+use crate::organisation;
 use crate::question;
 use crate::router;
 use crate::serving;
@@ -16,6 +22,10 @@
 /// Nodes that are asked for one operation; each one that is silent costs its caller some time.
 const ASKED: usize = 3;
 
+/// Shares into which organisations are parted: those of one share are counted by the same node. Few
+/// enough that a node soon knows which of the counting nodes are silent.
+const SHARES: u64 = 16;
+
 /// Counts operations together with the other nodes.
 pub struct Quotas {
     name: id::Vm,
@@ -54,7 +64,7 @@
         };
         let members = self.router.members();
         let mut asked = 0;
-        for member in serving::ranked(&members, &ask.organisation) {
+        for member in serving::ranked(&members, &share(&ask.organisation)) {
             if let Some(turn) = self.passed_over(member) {
                 ask.turn = ask.turn.max(turn);
                 continue;
@@ -105,3 +115,10 @@
         }
     }
 }
+
+// The word by which the node is chosen that counts for an organisation.
+fn share(organisation: &organisation::Name) -> CompactString {
+    let mut hasher = hash::DefaultHasher::new();
+    organisation.as_str().hash(&mut hasher);
+    format_compact!("quotas {}", hasher.finish() % SHARES)
+}
