Leave half of an instance's connections free where organisations part them

Cause: after a loss of power an instance keeps dead connections for three seconds. With three quarters of them in use there were twelve left for all organisations; a lender that was refused for want of room tried again with as many.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -125,6 +125,9 @@
     working: cell::Cell<usize>,
     pinned: cell::Cell<usize>,
     blocked: cell::Cell<id::Time>,
+    /// Connections that the instance left to this node when it was last full, and until when no more
+    /// are tried.
+    ceiling: cell::Cell<(usize, id::Time)>,
     down: cell::Cell<id::Time>,
     closed: cell::Cell<bool>,
     failing: cell::Cell<Option<id::Time>>,
@@ -162,6 +165,7 @@
             working: cell::Cell::default(),
             pinned: cell::Cell::default(),
             blocked: cell::Cell::default(),
+            ceiling: cell::Cell::default(),
             down: cell::Cell::default(),
             closed: cell::Cell::default(),
             failing: cell::Cell::default(),
@@ -418,7 +422,7 @@
         if enough || self.lent() + all >= self.room() || boot::now() < self.blocked.get() {
             return;
         }
-        if self.open.get() >= self.size.get().most && !self.evict() {
+        if self.open.get() >= self.most(boot::now()) && !self.evict() {
             return;
         }
         let place = Place::new(rc::Rc::clone(self), organisation.clone());
@@ -435,6 +439,15 @@
         useful.min(self.size.get().most)
     }
 
+    // Connections that this node may have now.
+    fn most(&self, now: id::Time) -> usize {
+        let most = self.size.get().most;
+        match self.ceiling.get() {
+            (ceiling, until) if now < until => most.min(ceiling),
+            _ => most,
+        }
+    }
+
     // Closes the idle connection that was used the longest ago. This node's own is used for all
     // organisations, and stays.
     fn evict(&self) -> bool {
@@ -482,8 +495,12 @@
             "upstream refused a connection");
         if refusal == upstream::Refusal::Full {
             // In place of one that lies idle there is room for another.
-            if !self.evict() {
-                self.blocked.set(boot::now() + FULL_PAUSE);
+            let others = self.open.get().saturating_sub(1);
+            let until = boot::now() + FULL_PAUSE;
+            if others == 0 {
+                self.blocked.set(until);
+            } else {
+                self.ceiling.set((others, until));
             }
         } else {
             let wrong = refusal == upstream::Refusal::Wrong;
--- a/desk/src/serving.rs
+++ b/desk/src/serving.rs
@@ -17,6 +17,10 @@
 /// died, which an instance drops only after some seconds, and for the promoter.
 const USED_PERCENT: usize = 75;
 
+/// The same where connections belong to one organisation each: after a loss of power the new ones need
+/// as much room as the old ones take.
+const PARTED_PERCENT: usize = 50;
+
 /// Connections for each node below which a node is better served by another. After a loss
 /// of power an instance keeps the old connections for three seconds while every node opens
 /// a new one: with fewer than two for each, the fleet would lock itself out.
@@ -55,7 +59,7 @@
 /// assert_eq!(serving::way(16, 8, 0), serving::Way::Through { nodes: 1, each: 12 });
 /// assert_eq!(serving::way(34, 71, 0), serving::Way::Through { nodes: 2, each: 12 });
 /// assert_eq!(serving::way(185, 87, 0), serving::Way::Through { nodes: 5, each: 12 });
-/// assert_eq!(serving::way(47, 84, 84), serving::Way::Through { nodes: 2, each: 17 });
+/// assert_eq!(serving::way(47, 84, 84), serving::Way::Through { nodes: 2, each: 11 });
 /// ```
 #[must_use]
 pub const fn way(connections: usize, nodes: usize, organisations: usize) -> Way {
@@ -64,11 +68,15 @@
         return Way::Direct;
     }
     let serving = within(used / EACH, 1, NODES_MOST);
-    // A connection serves one organisation only: those that lie idle save opening others.
-    let most = if organisations > 1 { used } else { EACH };
+    let each = if organisations > 1 {
+        // Each serves one organisation only, so that no number is enough and all would lie open.
+        connections * PARTED_PERCENT / 100 / serving
+    } else {
+        within(used / serving, 1, EACH)
+    };
     Way::Through {
         nodes: serving,
-        each: within(used / serving, 1, most),
+        each: within(each, 1, connections),
     }
 }
 
