Send reads of an organisation to one replica of a group as a rule

Cause: connections belong to an organisation; the nearest replica, chosen by each node, opened them at all three instances.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -248,6 +248,7 @@
             freshness: route.freshness,
             writes: false,
             own,
+            organisation: self.organisation.clone(),
             deadline: if route.freshness == catalog::Freshness::Current {
                 self.limit_at_primary(arrived)
             } else {
--- a/desk/src/candidate.rs
+++ b/desk/src/candidate.rs
@@ -8,6 +8,10 @@
 /// Way there and back between failure domains, and the price of the bytes.
 const FAR: u64 = 8_000;
 
+/// Opening a connection, where an organisation's connections are at another instance: 12 ms of a
+/// slot, which are not always spent.
+const STRANGE: u64 = 10_000;
+
 /// The primary's slots are wanted by writes, which have nowhere else to go.
 const PRIMARY: u64 = 10_000;
 
@@ -37,6 +41,8 @@
     pub far: bool,
     /// It is the primary.
     pub leads: bool,
+    /// The organisation's reads go to another instance as a rule.
+    pub strange: bool,
     /// Whether it is likely to serve at all.
     pub standing: Standing,
 }
@@ -62,6 +68,7 @@
             + delay
             + u64::from(self.far) * FAR
             + u64::from(self.leads) * PRIMARY
+            + u64::from(self.strange) * STRANGE
             + match self.standing {
                 Standing::Well => 0,
                 Standing::Doubtful => LAST,
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -509,6 +509,7 @@
             belief: &self.belief.borrow(),
             domain: &self.domain,
             own: need.own,
+            organisation: &need.organisation,
             moment,
             floor,
         };
--- a/desk/src/serving.rs
+++ b/desk/src/serving.rs
@@ -153,8 +153,14 @@
 }
 
 fn rank(member: &member::Member, word: &str) -> u64 {
+    affinity(&member.name, word)
+}
+
+/// How much a name and a word belong together; the same on all nodes.
+#[must_use]
+pub fn affinity(name: &str, word: &str) -> u64 {
     // Keys are fixed, so that all nodes compute the same order.
     let mut hasher = hash::DefaultHasher::new();
-    (member.name.as_str(), word).hash(&mut hasher);
+    (name, word).hash(&mut hasher);
     hasher.finish()
 }
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -10,8 +10,10 @@
 use crate::boot;
 use crate::candidate;
 use crate::catalog;
+use crate::organisation;
 use crate::pool;
 use crate::roster;
+use crate::serving;
 use crate::upstream;
 
 /// A replica that refused a read for being behind is left alone for this long, unless it
@@ -29,6 +31,8 @@
     pub writes: bool,
     /// The session's own last commit.
     pub own: Option<stamp::Stamp>,
+    /// For whom it runs.
+    pub organisation: organisation::Name,
     /// No use to try after this.
     pub deadline: id::Time,
 }
@@ -53,6 +57,8 @@
     pub domain: &'a id::Domain,
     /// The session's own last commit.
     pub own: Option<stamp::Stamp>,
+    /// For whom it runs.
+    pub organisation: &'a organisation::Name,
     /// The primary serves it too if it was proven to lead since then.
     pub moment: id::Time,
     /// Position that a replica must hold.
@@ -70,6 +76,7 @@
             let unproven = believed && leads.is_none();
             !tried.contains(&id) && self.roster.is_usable(&id) && !unproven
         });
+        let usual = self.usual();
         let sources = pools.map(|pool| {
             let leads = leads.filter(|_| self.is_lead(&pool.id()));
             Source {
@@ -78,7 +85,18 @@
                 leads,
             }
         });
-        sources.min_by_key(|source| self.candidate(source).cost())
+        sources.min_by_key(|source| self.candidate(source, usual.as_ref()).cost())
+    }
+
+    // The replica that reads of the organisation go to as a rule: its connections are there. None where
+    // connections belong to nobody.
+    fn usual(&self) -> Option<upstream::Id> {
+        if *self.organisation == organisation::OWN {
+            return None;
+        }
+        let ids = self.roster.pools().into_iter().map(|pool| pool.id());
+        let replicas = ids.filter(|id| !self.is_lead(id) && self.roster.is_usable(id));
+        replicas.max_by_key(|id| serving::affinity(id, self.organisation))
     }
 
     fn is_lead(&self, id: &upstream::Id) -> bool {
@@ -109,7 +127,7 @@
         (recent && lead.term >= own).then_some(lead.term)
     }
 
-    fn candidate(&self, source: &Source) -> candidate::Candidate {
+    fn candidate(&self, source: &Source, usual: Option<&upstream::Id>) -> candidate::Candidate {
         let pool = &source.pool;
         let leads = source.leads.is_some();
         let late = boot::now().saturating_sub(pool.behind()) < BEHIND_PAUSE;
@@ -119,6 +137,7 @@
             delay: pool.delay(),
             far: pool.instance.borrow().domain != *self.domain,
             leads,
+            strange: usual.is_some_and(|usual| *usual != pool.id()),
             standing: if pool.is_down() {
                 candidate::Standing::Down
             } else if behind || self.roster.is_leaving(&pool.id()) {
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -24,6 +24,7 @@
         freshness,
         writes: false,
         own: None,
+        organisation: organisation::OWN,
         deadline: now + LIMIT,
     }
 }
--- a/desk/tests/keeper.rs
+++ b/desk/tests/keeper.rs
@@ -15,6 +15,7 @@
 use mangotray_desk::group;
 use mangotray_desk::keeper;
 use mangotray_desk::member;
+use mangotray_desk::organisation;
 use mangotray_desk::peers;
 use mangotray_desk::question;
 use mangotray_desk::relay;
@@ -99,6 +100,7 @@
         freshness: catalog::Freshness::Bounded(AGE),
         writes: false,
         own: None,
+        organisation: organisation::OWN,
         deadline: now + LONG,
     }
 }
--- a/desk/tests/witness.rs
+++ b/desk/tests/witness.rs
@@ -55,6 +55,7 @@
             freshness: catalog::Freshness::Bounded(SOON / 2),
             writes: false,
             own: None,
+            organisation: organisation::OWN,
             deadline: now + SOON,
         };
         assert!(group.source(&bounded, &[]).await.is_none());
