Dismiss no primary for a candidate that was never seen to lead

Change: the end of a promotion begins only once its candidate was seen to lead. Where no instance has heard of the candidate's term, the primary before it gives up only when all others are held and the seat is confirmed. Test: a_primary_is_dismissed_only_by_a_holder_that_can_order, failing before (nobody led after the candidate went silent and the store away).

--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -37,6 +37,8 @@
     group: rc::Rc<group::Group>,
     watch: succession::Watch,
     watched: Option<sampler::Lead>,
+    /// One that is watched though nobody has seen it lead: an order may have made it the primary.
+    assumed: Option<sampler::Lead>,
     relief: relief::Relief,
     /// Since when a promotion is held back.
     held_back: Option<id::Time>,
@@ -53,6 +55,7 @@
             group,
             watch: succession::Watch::default(),
             watched: None,
+            assumed: None,
             relief: relief::Relief::default(),
             held_back: None,
             resumed: None,
@@ -170,7 +173,8 @@
             if intent.term > lead.term {
                 return self.resume(&intent, lead).await;
             }
-            if intent.candidate == lead.id {
+            // One that may never have led is no reason to dismiss the primary before it.
+            if intent.candidate == lead.id && self.has_led(lead) {
                 self.promoter.settle(&self.group, &intent);
             }
         }
@@ -214,10 +218,12 @@
             }
             intent::Outcome::Open => Some(succession::Cause::Unfinished),
             intent::Outcome::Silent => {
-                self.watch_over(sampler::Lead {
+                let assumed = sampler::Lead {
                     id: intent.candidate.clone(),
                     term: intent.term,
-                });
+                };
+                self.assumed = Some(assumed.clone());
+                self.watch_over(assumed);
                 None
             }
             intent::Outcome::Unknown => {
@@ -234,6 +240,14 @@
         }
     }
 
+    // Whether the watched primary was seen to lead, be it lately.
+    fn has_led(&mut self, lead: &sampler::Lead) -> bool {
+        if self.group.lead().as_ref() == Some(lead) {
+            self.assumed = None;
+        }
+        self.assumed.as_ref() != Some(lead)
+    }
+
     // Whether a recorded promotion would have taken effect by now.
     fn is_late(&mut self, intent: &intent::Intent) -> bool {
         let now = boot::now();
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -243,7 +243,8 @@
             let mut pools = group.roster().pools();
             pools.retain(|pool| Some(pool.id()) != old);
             let lives = plan.lives();
-            let looks = hold_all(plan, lead, &pools).await;
+            let looks = hold_all(plan, &pools).await;
+            self.demote_stale(plan, lead, &pools, &looks).await;
             let pending = self.seat.intent(&group.name);
             let pending =
                 pending.filter(|intent| intent.term > lead.term && lives.contains(&intent.life()));
@@ -302,6 +303,47 @@
         }
     }
 
+    // Makes a replica of an instance that leads a term which is over, as nobody has told it.
+    //
+    // Where none of the others has heard of the term that is replaced, its primary may never have
+    // led: the one that leads the term before is then the only one that does, and gives up
+    // only for a promotion that can be ordered now.
+    async fn demote_stale(
+        &self,
+        plan: &plan::Plan,
+        lead: &sampler::Lead,
+        pools: &[rc::Rc<pool::Pool>],
+        looks: &[sampler::Look],
+    ) {
+        let stale = |look: &&sampler::Look| {
+            look.status.role == role::Role::Primary && look.status.term <= lead.term
+        };
+        let Some(found) = looks.iter().find(stale) else {
+            return;
+        };
+        let known = looks.iter().any(|look| look.status.term >= lead.term);
+        if !known && !self.could_order(plan, pools.len(), looks).await {
+            return;
+        }
+        if let Some(pool) = pools.iter().find(|pool| pool.id() == found.id) {
+            let demote = upstream::Command::Demote(plan.term);
+            plan::tell(pool, &demote, plan.group.dialer()).await;
+        }
+    }
+
+    // Whether all but one of the instances are held, and the seat is confirmed.
+    async fn could_order(
+        &self,
+        plan: &plan::Plan,
+        expected: usize,
+        looks: &[sampler::Look],
+    ) -> bool {
+        let held = looks.iter().filter(|look| {
+            look.status.role == role::Role::Replica && look.status.held >= plan.term
+        });
+        held.count() + 1 == expected && self.seat.confirm().await.is_some()
+    }
+
     // Whether a primary that was given up, or that a promotion without an order has left
     // without replicas, answers and leads.
     async fn has_returned(&self, plan: &plan::Plan, lead: &sampler::Lead) -> bool {
@@ -418,13 +460,8 @@
     }
 }
 
-// Holds these instances; one that leads a term which is over, as nobody has told it, is made a
-// replica first.
-async fn hold_all(
-    plan: &plan::Plan,
-    lead: &sampler::Lead,
-    pools: &[rc::Rc<pool::Pool>],
-) -> Vec<sampler::Look> {
+// Holds these instances.
+async fn hold_all(plan: &plan::Plan, pools: &[rc::Rc<pool::Pool>]) -> Vec<sampler::Look> {
     let dialer = plan.group.dialer();
     let hold = upstream::Command::Hold(plan.term);
     let started = boot::now();
@@ -432,14 +469,5 @@
     let answers = futures_util::future::join_all(holds).await;
     let looks: Vec<_> = answers.into_iter().flatten().collect();
     plan.group.hear(&looks, started);
-    let stale = |look: &&sampler::Look| {
-        look.status.role == role::Role::Primary && look.status.term <= lead.term
-    };
-    for look in looks.iter().filter(stale) {
-        if let Some(pool) = pools.iter().find(|pool| pool.id() == look.id) {
-            let demote = upstream::Command::Demote(plan.term);
-            plan::tell(pool, &demote, dialer).await;
-        }
-    }
     looks
 }
--- a/desk/tests/handover.rs
+++ b/desk/tests/handover.rs
@@ -252,3 +252,29 @@
     });
     assert_eq!(play.leader(), ["a"]);
 }
+
+/// Guards against a primary that is dismissed for a candidate that has never led, by a holder that cannot order
+/// anybody.
+#[test]
+fn a_primary_is_dismissed_only_by_a_holder_that_can_order() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        lose_orders(&play, usize::MAX).await;
+        let candidate = play.duty.orders.borrow()[0].candidate.clone();
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.at("a").draining = false;
+            world.at(&candidate).up = false;
+        }
+        play.stage.relist();
+        play.store.at().down = true;
+        for _ in 0..40 {
+            wait::sleep(play::LONG / 20).await;
+            assert_eq!(play.leader(), ["a"]);
+        }
+        play.store.at().down = false;
+        play.duty.vanish.set(0);
+        play.led(2).await;
+    });
+}
