Test connections, keys and limits of organisations

What each test guards against stands in its line: foreign connections and values, transactions that outlive a key, evidence that looks younger on its way between nodes or comes from an older copy of the store, windows with more operations than are tolerated while counting nodes are killed and cut off, floods that others feel, lowered limits.

--- /dev/null
+++ b/desk/tests/organisations.rs
@@ -0,0 +1,470 @@
+//! Connections, keys and limits of organisations.
+
+mod stage;
+
+use std::collections;
+use std::rc;
+use std::time;
+
+use assert_matches::assert_matches;
+use mangotray::id;
+use mangotray_desk::boot;
+use mangotray_desk::bucket;
+use mangotray_desk::catalog;
+use mangotray_desk::currency;
+use mangotray_desk::gate;
+use mangotray_desk::kept;
+use mangotray_desk::key;
+use mangotray_desk::ledger;
+use mangotray_desk::node;
+use mangotray_desk::organisation;
+use mangotray_desk::organisations;
+use mangotray_desk::pool;
+use mangotray_desk::question;
+use mangotray_desk::quota;
+use mangotray_desk::relay;
+use mangotray_desk::reply;
+use mangotray_desk::router;
+use mangotray_desk::session;
+use mangotray_desk::tolerance;
+use mangotray_desk::upstream;
+use mangotray_desk::urgency;
+use mangotray_desk::wait;
+
+const LIMIT: time::Duration = time::Duration::from_secs(5);
+const BOUND: time::Duration = time::Duration::from_secs(5);
+const TOLERANCE: tolerance::Tolerance = tolerance::Tolerance {
+    window: time::Duration::from_secs(5),
+    excess: 0.1,
+    slack: 20.0,
+};
+
+fn millis(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
+
+async fn run_for(pool: &rc::Rc<pool::Pool>, name: &str) {
+    let deadline = boot::now() + LIMIT;
+    let urgency = urgency::Urgency::now(deadline);
+    let values = kept::Values::new();
+    let lent = pool.lend(urgency, &name.into(), &values, deadline).await;
+    let mut lent = lent.expect("a connection");
+    lent.run(&stage::read(name), deadline)
+        .await
+        .expect("an answer");
+}
+
+/// Guards against a statement that runs on a connection of another organisation; the stage asserts it.
+#[test]
+fn a_connection_serves_one_organisation_and_makes_room_for_others() {
+    let stage = stage::Stage::new();
+    let pool = stage.pool(2, 2);
+    stage.run(async {
+        for name in ["dome", "hall", "school", "dome", "hall"] {
+            run_for(&pool, name).await;
+        }
+    });
+    // Two are open at most, so that each change of organisation but the first two closes one.
+    let world = stage.world.borrow();
+    let used: collections::BTreeSet<_> = world.ran.iter().map(|ran| ran.connection).collect();
+    assert_eq!(used.len(), 5);
+}
+
+/// Guards against an organisation that waits for ever while idle connections of others fill the pool.
+#[test]
+fn waiting_for_a_connection_ends_when_another_organisation_gives_one_back() {
+    let stage = stage::Stage::new();
+    let pool = stage.pool(1, 1);
+    stage.run(async {
+        let deadline = boot::now() + LIMIT;
+        let urgency = urgency::Urgency::now(deadline);
+        let values = kept::Values::new();
+        let held = pool.lend(urgency, &"dome".into(), &values, deadline).await;
+        let waiting = {
+            let pool = rc::Rc::clone(&pool);
+            stage
+                .executor
+                .spawn(async move { run_for(&pool, "hall").await })
+        };
+        wait::sleep(millis(30)).await;
+        drop(held);
+        wait::within(LIMIT, waiting).await.expect("a connection");
+    });
+}
+
+/// Guards against session values of one organisation on a statement of another, by a lending node.
+#[test]
+fn what_was_set_for_one_organisation_is_nothing_to_another() {
+    let stage = stage::Stage::new();
+    let pool = stage.pool(3, 3);
+    stage.run(async {
+        let mut lender = relay::Lender::new(pool, "dome".into());
+        let urgency = urgency::Urgency::now(boot::now() + LIMIT);
+        let set = [upstream::Command::Set {
+            name: "tint".into(),
+            value: "red".into(),
+        }];
+        let noted = lender.run(&set, urgency, &"dome".into()).await;
+        noted.expect("noted");
+        let ran = lender
+            .run(&stage::read("other"), urgency, &"hall".into())
+            .await;
+        ran.expect("an answer");
+    });
+    let world = stage.world.borrow();
+    let ran = world.ran.iter().find(|ran| ran.id == "other");
+    assert!(ran.expect("it ran").values.is_empty());
+}
+
+/// Guards against a transaction of one organisation that goes on with another's statement.
+#[test]
+fn an_open_transaction_is_nobody_elses() {
+    let stage = stage::Stage::new();
+    let pool = stage.pool(3, 3);
+    stage.run(async {
+        let mut lender = relay::Lender::new(pool, "dome".into());
+        let urgency = urgency::Urgency::now(boot::now() + LIMIT);
+        let begin = [upstream::Command::Begin {
+            id: "t".into(),
+            read_only: false,
+            after: None,
+        }];
+        let opened = lender.run(&begin, urgency, &"dome".into()).await;
+        opened.expect("opened");
+        let other = lender
+            .run(&stage::read("other"), urgency, &"hall".into())
+            .await;
+        assert!(!other.expect_err("refused").sent);
+    });
+}
+
+fn named(name: &str, keys: &[&str]) -> organisation::Organisation {
+    organisation::Organisation {
+        name: name.into(),
+        keys: keys.iter().map(|key| key::Key::new(key)).collect(),
+        quota: None,
+    }
+}
+
+fn catalog(version: u64, all: Vec<organisation::Organisation>) -> catalog::Catalog {
+    catalog::Catalog {
+        version,
+        organisations: Some(organisations::Organisations::new(all).expect("no contradiction")),
+        ..stage::catalog()
+    }
+}
+
+/// Guards against a configuration that gives a key to two organisations, or an organisation two limits.
+#[test]
+fn organisations_that_contradict_each_other_make_no_configuration() {
+    let faults = [
+        vec![named("dome", &["k"]), named("hall", &["k"])],
+        vec![named("dome", &["k"]), named("dome", &["l"])],
+        vec![named("two words", &["k"])],
+        vec![named(organisation::OWN.as_str(), &["k"])],
+        vec![organisation::Organisation {
+            quota: Some(quota::Quota {
+                rate: -1.0,
+                burst: 1.0,
+            }),
+            ..named("dome", &["k"])
+        }],
+    ];
+    for all in faults {
+        let found = organisations::Organisations::new(all.clone());
+        assert!(found.is_err(), "{all:?}");
+    }
+}
+
+/// Guards against a key that is shown by a debug form of anything that holds it.
+#[test]
+fn a_key_is_shown_nowhere() {
+    let shown = format!("{:?}", catalog(1, vec![named("dome", &["s3cret"])]));
+    assert!(!shown.contains("s3cret"), "{shown}");
+    let fault = organisations::Organisations::new(vec![
+        named("dome", &["s3cret"]),
+        named("hall", &["s3cret"]),
+    ]);
+    assert!(!format!("{fault:?} {}", fault.clone().expect_err("a fault")).contains("s3cret"));
+}
+
+/// Guards against callers without a valid key, and against public routes that ask for one.
+#[test]
+fn a_caller_is_served_for_the_organisation_that_holds_its_key() {
+    let catalog = catalog(2, vec![named("dome", &["k1", "k2"])]);
+    let identify = |public, key, standing| {
+        gate::identify(&catalog, public, &key::Key::new(key), standing)
+            .map(|caller| caller.organisation)
+    };
+    let good = currency::Standing::Good;
+    assert_eq!(identify(false, "k2", good), Ok("dome".into()));
+    assert_eq!(
+        identify(false, "other", good),
+        Err(gate::Refusal::UnknownKey)
+    );
+    assert_eq!(identify(false, "", good), Err(gate::Refusal::UnknownKey));
+    assert_eq!(identify(true, "other", good), Ok(organisation::OWN));
+    let expired = currency::Standing::Expired;
+    assert_eq!(identify(false, "k2", expired), Err(gate::Refusal::Unproven));
+    assert_eq!(identify(true, "k2", expired), Ok(organisation::OWN));
+}
+
+fn strict(stage: &stage::Stage) -> rc::Rc<node::Node> {
+    let dialer = rc::Rc::new(stage::Dialer(rc::Rc::clone(&stage.world)));
+    let executor = rc::Rc::clone(&stage.executor);
+    let router = router::Router::new("strict".into(), dialer, rc::Rc::clone(&executor));
+    let promises = node::Promises {
+        revocation: Some(BOUND),
+        tolerance: TOLERANCE,
+    };
+    let node = node::Node::new("strict".into(), "here".into(), router, executor, promises);
+    node.apply(catalog(1, vec![named("dome", &["k"])]));
+    node.update(stage.world.borrow().list(), Some(boot::now()), boot::now());
+    node
+}
+
+/// Guards against a key that is served after it was taken away, in an open transaction too: nothing of it is kept.
+#[test]
+fn a_key_that_is_taken_away_ends_its_transaction() {
+    let stage = stage::Stage::new();
+    let node = strict(&stage);
+    stage.run(async {
+        node.confirm(boot::now());
+        let key = key::Key::new("k");
+        let mut session = session::Session::new(rc::Rc::clone(&node), "current".into(), key);
+        for text in ["BEGIN", "WRITE x 1"] {
+            let reply = session.handle(&stage::request(text)).await;
+            assert!(reply.is_done(), "{reply:?}");
+        }
+        node.apply(catalog(2, vec![named("dome", &["new"])]));
+        let reply = session.handle(&stage::request("COMMIT")).await;
+        assert_eq!(reply.code(), Some(&reply::Code::Aborted));
+        assert!(session.is_over());
+        let reply = session.handle(&stage::request("READ x")).await;
+        assert_eq!(reply.code(), Some(&reply::Code::Unauthorised));
+    });
+    let texts = stage.world.borrow().texts("a");
+    assert!(texts.iter().all(|text| text != "COMMIT"), "{texts:?}");
+}
+
+/// Guards against a node that serves keys by a configuration that nobody has confirmed for too long.
+#[test]
+fn a_node_without_evidence_refuses_keys_as_not_run() {
+    let stage = stage::Stage::new();
+    let node = strict(&stage);
+    stage.run(async {
+        let key = key::Key::new("k");
+        let mut session = session::Session::new(rc::Rc::clone(&node), "current".into(), key);
+        let reply = session.handle(&stage::request("WRITE x 1")).await;
+        assert_eq!(reply.code(), Some(&reply::Code::Busy));
+        node.confirm(boot::now().saturating_sub(BOUND));
+        let reply = session.handle(&stage::request("WRITE x 1")).await;
+        assert_eq!(reply.code(), Some(&reply::Code::Busy));
+        assert!(!session.is_over());
+        node.confirm(boot::now());
+        let reply = session.handle(&stage::request("WRITE x 1")).await;
+        assert!(reply.is_done(), "{reply:?}");
+    });
+    assert_eq!(stage.world.borrow().texts("a").len(), 1);
+}
+
+/// Guards against evidence that looks younger than it is, whatever the way of a chain of nodes, pauses and late
+/// answers.
+#[test]
+fn evidence_that_is_handed_on_never_looks_younger() {
+    let mut random = fastrand::Rng::with_seed(7);
+    for _ in 0..2000 {
+        // The true moment of the first node's question to the store, on one clock for all.
+        let mut now = millis(10_000);
+        let asked = now;
+        let mut believed = asked;
+        for _ in 0..random.usize(1..6) {
+            now += millis(random.u64(0..3000));
+            let sent = now;
+            now += millis(random.u64(0..3000));
+            let told = question::Newest {
+                version: 1,
+                ago: now.saturating_sub(believed),
+            };
+            now += millis(random.u64(0..3000));
+            believed = told.moment(sent);
+            assert!(believed <= asked);
+        }
+    }
+}
+
+/// Guards against evidence from a store that has come back from an older copy, in which a key that was taken away lies
+/// again.
+#[test]
+fn a_store_that_came_back_proves_nothing_for_a_while() {
+    let currency = currency::Currency::new(BOUND);
+    let at = |seconds: u64| time::Duration::from_secs(100 + seconds);
+    currency.confirm(at(0), at(0));
+    currency.note_return(at(1));
+    currency.confirm(at(2), at(2));
+    assert_eq!(currency.age(at(2)), Some(time::Duration::from_secs(2)));
+    currency.confirm(at(4), at(4));
+    assert_eq!(currency.age(at(4)), Some(time::Duration::ZERO));
+    // Older evidence that comes late is no news.
+    currency.confirm(at(3), at(5));
+    assert_eq!(currency.age(at(5)), Some(time::Duration::from_secs(1)));
+}
+
+fn ask(quota: quota::Quota, turn: ledger::Turn) -> ledger::Ask {
+    ledger::Ask {
+        organisation: "dome".into(),
+        quota,
+        version: 1,
+        turn,
+    }
+}
+
+/// Most operations within any window of the tolerance.
+fn most_in_a_window(granted: &[id::Time]) -> usize {
+    let mut most = 0;
+    let mut first = 0;
+    for (last, time) in granted.iter().enumerate() {
+        while *time - granted[first] >= TOLERANCE.window {
+            first += 1;
+        }
+        most = most.max(last + 1 - first);
+    }
+    most
+}
+
+fn bound(quota: &quota::Quota) -> f64 {
+    quota.within(TOLERANCE.window) + TOLERANCE.above(quota)
+}
+
+/// Guards against an organisation that exceeds its limit in some window while the nodes that count are killed, cut off from
+/// a part of the others, and come back.
+#[test]
+fn no_window_holds_more_operations_than_are_tolerated() {
+    const STEP: u64 = 5;
+    for seed in 0..40 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let quota = quota::Quota {
+            rate: random.f64() * 200.0 + 1.0,
+            burst: random.f64() * 200.0 + 1.0,
+        };
+        let fresh = || ledger::Ledger::new(TOLERANCE, BOUND);
+        let (mut counting, mut deputy) = (fresh(), fresh());
+        // Some nodes find the counting node silent from here on, and it serves none of its own
+        // callers after the bound.
+        let cut = millis(12_000 + random.u64(0..4000));
+        let killed = millis(random.u64(2000..6000));
+        let mut granted = Vec::new();
+        let mut now = time::Duration::ZERO;
+        let mut restarted = false;
+        while now < millis(30_000) {
+            now += millis(STEP);
+            if now > killed && !restarted {
+                restarted = true;
+                counting = fresh();
+            }
+            let far = now > cut && random.bool();
+            let decision = if far {
+                deputy.decide(&ask(quota, ledger::Turn::Silent), now)
+            } else if now < cut + BOUND {
+                counting.decide(&ask(quota, ledger::Turn::Counting), now)
+            } else {
+                continue;
+            };
+            if decision == ledger::Decision::Granted {
+                granted.push(now);
+            }
+        }
+        let most = most_in_a_window(&granted);
+        let allowed = bound(&quota);
+        assert!(most as f64 <= allowed, "seed {seed}: {most} of {allowed}");
+    }
+}
+
+/// Guards against a limit that refuses what it allows: callers on all nodes use what they are owed.
+#[test]
+fn what_is_owed_is_granted_wherever_it_comes_from() {
+    let quota = quota::Quota {
+        rate: 20.0,
+        burst: 20.0,
+    };
+    let mut ledger = ledger::Ledger::new(TOLERANCE, BOUND);
+    let mut refused = 0;
+    // Four fifths of the rate, two operations at a time.
+    for step in 0..200_u64 {
+        let now = millis(2000 + step * 125);
+        for _ in 0..2 {
+            let decision = ledger.decide(&ask(quota, ledger::Turn::Counting), now);
+            refused += usize::from(decision != ledger::Decision::Granted);
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
+/// Guards against a flood of one organisation that others feel.
+#[test]
+fn a_flood_of_one_organisation_takes_nothing_from_another() {
+    let quota = quota::Quota {
+        rate: 10.0,
+        burst: 10.0,
+    };
+    let mut ledger = ledger::Ledger::new(TOLERANCE, BOUND);
+    let mut granted = collections::BTreeMap::<&str, usize>::new();
+    for step in 0..10_000_u64 {
+        let now = millis(step);
+        let flood = ask(quota, ledger::Turn::Counting);
+        let calm = ledger::Ask {
+            organisation: "hall".into(),
+            ..flood.clone()
+        };
+        if ledger.decide(&flood, now) == ledger::Decision::Granted {
+            *granted.entry("flood").or_default() += 1;
+        }
+        if step % 200 == 0 && ledger.decide(&calm, now) == ledger::Decision::Granted {
+            *granted.entry("calm").or_default() += 1;
+        }
+    }
+    assert_eq!(granted["calm"], 50);
+    assert!(granted["flood"] <= 120, "{granted:?}");
+}
+
+/// Guards against a lowered limit that tokens in hand outlive.
+#[test]
+fn a_lowered_limit_binds_what_was_saved_up() {
+    let high = quota::Quota {
+        rate: 100.0,
+        burst: 100.0,
+    };
+    let low = quota::Quota {
+        rate: 1.0,
+        burst: 1.0,
+    };
+    let mut bucket = bucket::Bucket::new(100.0, time::Duration::ZERO);
+    assert_matches!(bucket.take(&high, millis(1)), Ok(()));
+    assert_matches!(bucket.take(&low, millis(2)), Ok(()));
+    assert_matches!(bucket.take(&low, millis(3)), Err(_));
+}
+
+/// Guards against a deputy that goes on with a small part although the node that counted is gone for good.
+#[test]
+fn a_deputy_counts_in_full_once_the_counting_node_has_nobody_left() {
+    let quota = quota::Quota {
+        rate: 20.0,
+        burst: 20.0,
+    };
+    let mut ledger = ledger::Ledger::new(TOLERANCE, BOUND);
+    let silent = ask(quota, ledger::Turn::Silent);
+    let mut count = |from: u64, to: u64| {
+        let times = (from..to).step_by(10).map(millis);
+        let granted = times.filter(|now| ledger.decide(&silent, *now) == ledger::Decision::Granted);
+        granted.count()
+    };
+    let before = count(0, 5000);
+    let after = count(5000, 15_000);
+    assert!(before as f64 <= TOLERANCE.above(&quota), "{before}");
+    assert!((198..=200).contains(&after), "{after}");
+    let mut gone = ledger::Ledger::new(TOLERANCE, BOUND);
+    let at_once = (0..5000_u64).step_by(10).map(millis).filter(|now| {
+        gone.decide(&ask(quota, ledger::Turn::Gone), *now) == ledger::Decision::Granted
+    });
+    assert!((98..=100).contains(&at_once.count()));
+}
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -531,7 +531,7 @@
     }
 }
 
-fn catalog() -> catalog::Catalog {
+pub fn catalog() -> catalog::Catalog {
     let route = |database: &str, freshness| catalog::Route {
         version: 1,
         database: database.into(),
