--- a/desk/src/confirmer.rs
+++ b/desk/src/confirmer.rs
@@ -125,7 +125,7 @@
             return Some(false);
         }
         let moment = newest.moment(sent);
-        currency.confirm(moment, boot::now());
+        currency.confirm_as_told(moment, boot::now());
         Some(
             currency
                 .age(sent)
--- a/desk/src/currency.rs
+++ b/desk/src/currency.rs
@@ -72,9 +72,16 @@
     }
 
     /// Notes that nothing newer than the configuration in force had been acknowledged at `moment`,
-    /// as the store or another node tells.
+    /// as the store tells.
     pub fn confirm(&self, moment: id::Time, now: id::Time) {
-        if now < self.distrusted.get() || self.moment.get() >= Some(moment) {
+        if now >= self.distrusted.get() {
+            self.confirm_as_told(moment, now);
+        }
+    }
+
+    /// The same as another node tells, which relies on no store that has just come back either.
+    pub fn confirm_as_told(&self, moment: id::Time, now: id::Time) {
+        if self.moment.get() >= Some(moment) {
             return;
         }
         let before = self.standing(now);
@@ -89,7 +96,8 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Notes that the store has come back from an older copy.
+    /// Notes that the store has come back from an older copy, or may have done so just before this
+    /// process started.
     pub fn note_return(&self, now: id::Time) {
         self.distrusted.set(now + DISTRUST);
     }
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -158,9 +158,7 @@
 
     /// Notes that the list of instances has come back from an older copy.
     pub fn note_return(&self) {
-        if let Some(currency) = &self.currency {
-            currency.note_return(boot::now());
-        }
+        self.distrust_store();
         for group in self.groups.borrow().values() {
             group.roster().note_return();
         }
@@ -211,6 +209,13 @@
         }
     }
 
+    /// Notes that the store may hold an older configuration than the newest for a while.
+    pub fn distrust_store(&self) {
+        if let Some(currency) = &self.currency {
+            currency.note_return(boot::now());
+        }
+    }
+
     /// Whether the configuration knows organisations, so that callers need keys.
     #[must_use]
     pub fn asks_for_keys(&self) -> bool {
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -305,6 +305,13 @@
     assert_eq!(currency.age(at(2)), Some(time::Duration::from_secs(2)));
     currency.confirm(at(4), at(4));
     assert_eq!(currency.age(at(4)), Some(time::Duration::ZERO));
+    // What another node tells rests on a store that it trusts.
+    let started = currency::Currency::new(BOUND);
+    started.note_return(at(0));
+    started.confirm(at(1), at(1));
+    assert_eq!(started.standing(at(1)), currency::Standing::Expired);
+    started.confirm_as_told(at(1), at(1));
+    assert_eq!(started.standing(at(1)), currency::Standing::Good);
     // Older evidence that comes late is no news.
     currency.confirm(at(3), at(5));
     assert_eq!(currency.age(at(5)), Some(time::Duration::from_secs(1)));
