Close no session on a public route when keys cannot be served

Cause: all idle sessions were closed once a node could not prove its configuration, also those whose callers need no key. Change: only those that need one.

--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// Whether its caller needs a key.
+    #[must_use]
+    pub fn needs_key(&self) -> bool {
+        let route = self.node.route(&self.database);
+        self.node.asks_for_keys() && !route.is_some_and(|route| route.public)
+    }
+
     /// Whether the session is over, as its caller's key was taken away.
     #[must_use]
     pub const fn is_over(&self) -> bool {
