Let connections for the node's own questions make room for organisations

Cause: a lender's connections of its own name were never closed for others; after many questions at once, as in a search for a primary, they could take a whole pool for the fifteen seconds that lenders keep idle ones. Found on reading. Change: one of them stays. Test: connections_for_questions_make_room_but_for_one, failing before.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -399,12 +399,14 @@
         }
     }
 
-    // Closes the idle connection that was used the longest ago. This node's own is used for all
-    // organisations, and stays.
+    // Closes the idle connection that was used the longest ago. One of this node's own stays, as it
+    // serves all: questions to the instance find it.
     fn evict(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let others = (0..idle.len()).filter(|index| idle[*index].organisation != organisation::OWN);
-        let Some(oldest) = others.min_by_key(|index| idle[*index].used) else {
+        let own = |kept: &kept::Kept| kept.organisation == organisation::OWN;
+        let spares_own = idle.iter().filter(|kept| own(kept)).count() > 1;
+        let closable = (0..idle.len()).filter(|index| spares_own || !own(&idle[*index]));
+        let Some(oldest) = closable.min_by_key(|index| idle[*index].used) else {
             return false;
         };
         idle.remove(oldest);
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -71,6 +71,28 @@
     assert_eq!(used.len(), 5);
 }
 
+/// Guards against organisations that find no room for as long as connections of the node's own lie idle, as after many
+/// questions at once.
+#[test]
+fn connections_for_questions_make_room_but_for_one() {
+    let stage = stage::Stage::new();
+    let pool = stage.pool(3, 3);
+    stage.run(async {
+        let deadline = boot::now() + LIMIT;
+        let urgency = urgency::Urgency::now(deadline);
+        let values = kept::Values::new();
+        let own = organisation::OWN;
+        let lend = || pool.lend(urgency, &own, &values, deadline);
+        let held = [lend().await, lend().await, lend().await];
+        drop(held);
+        let ran = wait::within(millis(400), async {
+            run_for(&pool, "dome").await;
+            run_for(&pool, "hall").await;
+        });
+        assert!(ran.await.is_some());
+    });
+}
+
 /// Guards against an organisation that waits for ever while idle connections of others fill the pool.
 #[test]
 fn waiting_for_a_connection_ends_when_another_organisation_gives_one_back() {
