--- a/desk/src/quotas.rs
+++ b/desk/src/quotas.rs
@@ -22,9 +22,13 @@
 /// Nodes that are asked for one operation; each one that is silent costs its caller some time.
 const ASKED: usize = 3;
 
-/// Shares into which organisations are parted: those of one share are counted by the same node. Few
-/// enough that a node soon knows which of the counting nodes are silent.
-const SHARES: u64 = 16;
+/// Least shares into which organisations are parted: those of one share are counted by the same node.
+/// Few enough that a node soon knows which of the counting nodes are silent.
+const SHARES_LEAST: usize = 16;
+
+/// Nodes for each share: what one counts grows with what so many of them serve, and not with the
+/// fleet.
+const NODES_EACH: usize = 5;
 
 /// Counts operations together with the other nodes.
 pub struct Quotas {
@@ -64,7 +68,7 @@
         };
         let members = self.router.members();
         let mut asked = 0;
-        for member in serving::ranked(&members, &share(&ask.organisation)) {
+        for member in serving::ranked(&members, &share(&ask.organisation, shares(members.len()))) {
             if let Some(turn) = self.passed_over(member) {
                 ask.turn = ask.turn.max(turn);
                 continue;
@@ -116,9 +120,24 @@
     }
 }
 
+/// Shares into which organisations are parted in a fleet of so many nodes. It changes rarely, as each
+/// change moves counts to other nodes.
+///
+/// ```
+/// use mangotray_desk::quotas;
+/// assert_eq!(quotas::shares(8), 16);
+/// assert_eq!(quotas::shares(84), 16);
+/// assert_eq!(quotas::shares(300), 64);
+/// ```
+#[must_use]
+pub fn shares(nodes: usize) -> usize {
+    (nodes / NODES_EACH).next_power_of_two().max(SHARES_LEAST)
+}
+
 // The word by which the node is chosen that counts for an organisation.
-fn share(organisation: &organisation::Name) -> CompactString {
+fn share(organisation: &organisation::Name, shares: usize) -> CompactString {
     let mut hasher = hash::DefaultHasher::new();
     organisation.as_str().hash(&mut hasher);
-    format_compact!("quotas {}", hasher.finish() % SHARES)
+    let share = usize::try_from(hasher.finish()).unwrap_or_default() % shares;
+    format_compact!("quotas {share}")
 }
