Confirm no configuration while the newest was not understood

Cause (found on reading): a list or a question to the store confirmed the configuration in force although the newest one could not be read; it may take keys away. Change: nothing is confirmed until a configuration is understood again. One function notes a refusal of a session. Test: a_configuration_that_is_not_understood_confirms_no_key.

--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -41,6 +41,8 @@
     listed: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     seen: cell::Cell<bool>,
     currency: Option<currency::Currency>,
+    /// The newest configuration was not understood: it may take keys away.
+    unreadable: cell::Cell<bool>,
     quotas: quotas::Quotas,
     /// Groups of instances that no configuration names; each is logged once.
     unnamed: cell::RefCell<collections::BTreeSet<id::Group>>,
@@ -60,6 +62,7 @@
         let ledger = ledger::Ledger::new(promises.tolerance, takeover);
         rc::Rc::new(Self {
             currency: promises.revocation.map(currency::Currency::new),
+            unreadable: cell::Cell::default(),
             quotas: quotas::Quotas::new(name.clone(), rc::Rc::clone(&router), ledger),
             name,
             domain,
@@ -81,6 +84,7 @@
 
     /// Puts a configuration in force, unless a newer one is.
     pub fn apply(&self, catalog: catalog::Catalog) -> bool {
+        self.unreadable.set(false);
         let version = self.catalog.load().version;
         if catalog.version <= version {
             return false;
@@ -194,11 +198,18 @@
 
     /// Notes that nothing newer than the configuration in force had been acknowledged at `moment`.
     pub fn confirm(&self, moment: id::Time) {
-        if let Some(currency) = &self.currency {
+        let currency = self.currency.as_ref().filter(|_| !self.unreadable.get());
+        if let Some(currency) = currency {
             currency.confirm(moment, boot::now());
         }
     }
 
+    /// Notes that a configuration was not understood, so that the one in force cannot be confirmed
+    /// until another comes.
+    pub fn note_unreadable(&self) {
+        self.unreadable.set(true);
+    }
+
     /// Notes that the store may hold an older configuration than the newest for a while.
     pub fn distrust_store(&self) {
         if let Some(currency) = &self.currency {
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -50,7 +50,7 @@
     key: key::Key,
     /// The last caller that was admitted, for logs.
     organisation: organisation::Name,
-    /// Why the caller's key is of no further use here.
+    /// The caller's key was taken away.
     over: bool,
     values: kept::Values,
     prepared: collections::BTreeMap<statement::Name, statement::Shape>,
@@ -199,9 +199,13 @@
     }
 
     fn refuse(&mut self, refusal: gate::Refusal) -> reply::Reply {
+        self.note_refusal(refusal);
+        self.error(refusal.code(), refusal.text())
+    }
+
+    fn note_refusal(&mut self, refusal: gate::Refusal) {
         metrics::counter!("mangotray_refusals_total", "reason" => refusal.label()).increment(1);
         self.over |= refusal == gate::Refusal::UnknownKey;
-        self.error(refusal.code(), refusal.text())
     }
 
     // Whether an open transaction may go on: its caller's key may have been taken away, or this
@@ -213,8 +217,7 @@
             Ok(_) => gate::Refusal::UnknownKey,
             Err(refusal) => refusal,
         };
-        metrics::counter!("mangotray_refusals_total", "reason" => refusal.label()).increment(1);
-        self.over |= refusal == gate::Refusal::UnknownKey;
+        self.note_refusal(refusal);
         Err((reply::Code::Aborted, refusal.text()))
     }
 
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -291,6 +291,19 @@
     assert_eq!(stage.world.borrow().texts("a").len(), 1);
 }
 
+/// Guards against keys that are served by an old configuration because the newest was not understood.
+#[test]
+fn a_configuration_that_is_not_understood_confirms_no_key() {
+    let stage = stage::Stage::new();
+    let node = strict(&stage);
+    node.note_unreadable();
+    node.confirm(boot::now());
+    assert_eq!(node.standing(), currency::Standing::Expired);
+    node.apply(catalog(3, vec![named("dome", &["k"])]));
+    node.confirm(boot::now());
+    assert_eq!(node.standing(), currency::Standing::Good);
+}
+
 /// Guards against evidence that looks younger than it is, whatever the way of a chain of nodes, pauses and late
 /// answers.
 #[test]
