Keep a doubt about lost orders through a return of the store, and end it where the era has lasted

Cause: whether an order may be in force whose record the store has lost was derived from the last return alone. A holder that lived through a return forgot what it had doubted since the one before, and freed held replicas; a process that started took its first answer for a return, so that holders that start again in turn kept a group dark without any return. Evidence: on the code before, the new test of the promoter finds held replicas freed 1.5 s after the second return. Change: a type of its own, a plain function of era and time: a return begins the doubt anew unless the process held the seat through it, and then the earlier one goes on to its own end. A missed return is doubted. A holder that has seen an era last for 8.2 s tells so in the store, once an era and never where there are none; who takes the seat reads it by the list that it makes anyway.

--- /dev/null
+++ b/desk/src/doubt.rs
@@ -0,0 +1,118 @@
+//! Whether an order may yet take effect whose record the store has lost.
+//!
+//! The load that this answers: the store comes back from older copies, seconds apart, while holders of
+//! the promoter's seat are killed and start again. Who forgets a doubt too early frees replicas of a
+//! promotion that is under way; who begins it anew with each return or start leaves a group without
+//! a primary for as long as they go on.
+
+use std::time;
+
+use mangotray::id;
+use mangotray::store;
+
+/// An order that was sent before the store came back takes effect within this time, or never:
+/// the call takes 0.8 s at most and a promotion 0.6 s; the rest is for a platform that carries
+/// out late what it did not answer, and for an order that was confirmed just before.
+pub const ORDERS_OVER: time::Duration = time::Duration::from_millis(8200);
+
+/// What one process doubts.
+///
+/// Where the store never comes back from a copy, there is no era and no doubt.
+///
+/// ```
+/// use mangotray_desk::doubt;
+/// use std::time::Duration;
+/// let seconds = Duration::from_secs;
+/// // A process that has just started cannot tell when the store came back.
+/// let doubt = doubt::Doubt::default().see(2, seconds(5));
+/// assert!(doubt.is_open(seconds(6)));
+/// assert!(!doubt.is_open(seconds(14)));
+/// // The store tells that its last return is long past.
+/// assert!(!doubt.outlasted(2).is_open(seconds(6)));
+/// assert!(!doubt::Doubt::default().see(0, seconds(5)).is_open(seconds(6)));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Doubt {
+    era: store::Era,
+    /// When this process first saw the era.
+    since: id::Time,
+    /// The era rose before the eyes of this process.
+    risen: bool,
+    /// By one: there was no other return in between.
+    next: bool,
+    /// This process held the seat when the store came back.
+    held: bool,
+    /// Until then an order may take effect that this process knows nothing of.
+    until: id::Time,
+    /// The same as it was before the last return.
+    inherited: id::Time,
+}
+
+impl Doubt {
+    /// What is doubted once an answer of `era` has come.
+    #[must_use]
+    pub fn see(self, era: store::Era, now: id::Time) -> Self {
+        if era == self.era {
+            return self;
+        }
+        let risen = self.era > 0;
+        Self {
+            era,
+            since: now,
+            risen,
+            next: risen && era == self.era + 1,
+            held: false,
+            until: now + ORDERS_OVER,
+            inherited: self.until,
+        }
+    }
+
+    /// What is left of it where this process held the seat when the store came back: it knows its own
+    /// orders, and there were no others since it took the seat. What it doubted by then stays.
+    #[must_use]
+    pub const fn held_through(self) -> Self {
+        if !self.next {
+            return self;
+        }
+        Self {
+            held: true,
+            until: self.inherited,
+            ..self
+        }
+    }
+
+    /// What is left of it where the store tells that this era has lasted for long.
+    #[must_use]
+    pub fn outlasted(self, era: store::Era) -> Self {
+        let until = if era == self.era {
+            id::Time::ZERO
+        } else {
+            self.until
+        };
+        Self { until, ..self }
+    }
+
+    /// Whether there may be such an order.
+    #[must_use]
+    pub fn is_open(&self, now: id::Time) -> bool {
+        self.era > 0 && now < self.until
+    }
+
+    /// Whether this process has seen the era last for so long that all orders of before are over.
+    #[must_use]
+    pub fn has_outlasted(&self, now: id::Time) -> bool {
+        self.era > 0 && now >= self.since + ORDERS_OVER
+    }
+
+    /// The era.
+    #[must_use]
+    pub const fn era(&self) -> store::Era {
+        self.era
+    }
+
+    /// Since when this process has known of a return that it has seen, and in which it did not hold the seat.
+    #[must_use]
+    pub fn bereft(&self) -> Option<id::Time> {
+        (self.risen && !self.held).then_some(self.since)
+    }
+}
--- a/desk/src/era.rs
+++ b/desk/src/era.rs
@@ -21,11 +21,6 @@
 /// Nodes write what the copy lacks of their own within this time, each at a moment of its own.
 pub const SPREAD: time::Duration = time::Duration::from_secs(1);
 
-/// An order that was sent before the store came back takes effect within this time, or never:
-/// the call takes 0.8 s at most and a promotion 0.6 s; the rest is for a platform that carries
-/// out late what it did not answer, and for an order that was confirmed just before.
-const ORDERS_OVER: time::Duration = time::Duration::from_millis(8200);
-
 /// Bits of a fence that the revision takes. There is room for a million changes a second through
 /// twelve days, and for eight million eras.
 const REVISION_BITS: u32 = 40;
@@ -92,24 +87,6 @@
     (era << REVISION_BITS) | revision
 }
 
-/// Whether an order may yet take effect whose record the store has lost.
-///
-/// A process that has just started cannot tell when the store came back, and takes the first
-/// answer for it. Where the store never does, there is no era and no doubt.
-///
-/// ```
-/// use mangotray_desk::era;
-/// use std::time::Duration;
-/// let since = Duration::from_secs(5);
-/// assert!(era::is_doubtful(2, since, Duration::from_secs(6)));
-/// assert!(!era::is_doubtful(2, since, Duration::from_secs(14)));
-/// assert!(!era::is_doubtful(0, since, Duration::from_secs(6)));
-/// ```
-#[must_use]
-pub fn is_doubtful(era: store::Era, since: id::Time, now: id::Time) -> bool {
-    era > 0 && now < since + ORDERS_OVER
-}
-
 /// Whether instances' answers leave room for an order that nobody has a record of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod catalog;
 pub mod confirmer;
 pub mod currency;
+pub mod doubt;
 pub mod duty;
 pub mod enrol;
 pub mod era;
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -14,6 +14,7 @@
 use mangotray::store;
 
 use crate::boot;
+use crate::doubt;
 use crate::duty;
 use crate::era;
 use crate::intent;
@@ -26,6 +27,10 @@
 /// The seat and all recorded promotions begin so: one list tells a new holder of both.
 const AGREED: &str = "mangotray/promot";
 
+/// Key that tells which era has lasted for so long that no order of an earlier one can take effect: a
+/// holder that has just started need not wait to find out.
+pub const OUTLASTED: &str = "mangotray/promoter-era";
+
 /// Lease of the seat, where the store grants leases as short. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
 pub const LEASE: time::Duration = time::Duration::from_secs(2);
@@ -80,15 +85,6 @@
     versions: [store::Version; 2],
 }
 
-/// The era of the store as this process has seen it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Sight {
-    era: store::Era,
-    since: id::Time,
-    /// It rose before the eyes of this process, which knows what it did until then.
-    risen: bool,
-}
-
 /// This node's part in holding the seat.
 pub struct Seat {
     store: rc::Rc<dyn store::Store>,
@@ -105,10 +101,10 @@
     records: records::Records,
     /// Promotions that this process has recorded.
     turns: cell::Cell<u64>,
-    sight: cell::Cell<Sight>,
+    doubt: cell::Cell<doubt::Doubt>,
+    /// The era that the store's entry [`OUTLASTED`] is known to tell.
+    outlasted: cell::Cell<store::Era>,
     members: cell::Cell<usize>,
-    /// The era in which this process held the seat last, up to its end.
-    outlived: cell::Cell<Option<store::Era>>,
 }
 
 impl Seat {
@@ -131,9 +127,9 @@
             made: boot::now(),
             records: records::Records::default(),
             turns: cell::Cell::default(),
-            sight: cell::Cell::default(),
+            doubt: cell::Cell::default(),
+            outlasted: cell::Cell::default(),
             members: cell::Cell::default(),
-            outlived: cell::Cell::default(),
         })
     }
 
@@ -151,29 +147,17 @@
         held.era == self.store.era()
     }
 
-    // The present era, and since when this process knows it.
-    fn sight(&self) -> Sight {
-        let before = self.sight.get();
-        let era = self.store.era();
-        if era == before.era {
-            return before;
-        }
-        let sight = Sight {
-            era,
-            since: boot::now(),
-            risen: before.era > 0,
-        };
-        self.sight.set(sight);
-        sight
+    // What is doubted in the present era.
+    fn doubt(&self) -> doubt::Doubt {
+        let doubt = self.doubt.get().see(self.store.era(), boot::now());
+        self.doubt.set(doubt);
+        doubt
     }
 
-    /// Whether an order may yet take effect whose record the store has lost. The process that held
-    /// the seat when the store came back knows its own orders, and there were no others.
+    /// Whether an order may yet take effect whose record the store has lost.
     #[must_use]
     pub fn is_doubtful(&self) -> bool {
-        let sight = self.sight();
-        let knows = sight.risen && self.outlived.get() == Some(sight.era);
-        !knows && era::is_doubtful(sight.era, sight.since, boot::now())
+        self.doubt().is_open(boot::now())
     }
 
     /// The store's era, as far as this node knows.
@@ -229,10 +213,20 @@
     ) -> Result<store::Swap, store::Failure> {
         let value = encode(intent)
             .ok_or_else(|| store::Failure::NotRun("not to be written as text".into()))?;
+        self.put(held, &intent.key(), value).await
+    }
+
+    // Stores a value if this node still holds the seat.
+    async fn put(
+        &self,
+        held: &Held,
+        key: &str,
+        value: bytes::Bytes,
+    ) -> Result<store::Swap, store::Failure> {
         let guard = |(key, version)| store::Guard { key, version };
         let keys = [KEY, held.own_key.as_str()];
         let guards: Vec<_> = keys.into_iter().zip(held.versions).map(guard).collect();
-        self.store.put_guarded(&intent.key(), value, &guards).await
+        self.store.put_guarded(key, value, &guards).await
     }
 
     /// The recorded promotions.
@@ -330,6 +324,7 @@
                 if let Some(held) = &mut *self.held.borrow_mut() {
                     held.until = started + self.lease;
                 }
+                self.tell_outlasted(&held).await;
             }
             Ok(false) => {
                 tracing::warn!(
@@ -344,17 +339,35 @@
         }
     }
 
+    // Tells later holders that no order of an earlier era can take effect any more: once an era.
+    async fn tell_outlasted(&self, held: &Held) {
+        let doubt = self.doubt();
+        if !doubt.has_outlasted(boot::now()) || self.outlasted.get() == doubt.era() {
+            return;
+        }
+        let value = doubt.era().to_string().into();
+        let written = self.put(held, OUTLASTED, value).await;
+        if written == Ok(store::Swap::Stored) {
+            self.outlasted.set(doubt.era());
+        }
+        tracing::info!(
+            era = doubt.era(),
+            ?written,
+            "told that the store's last return is long past"
+        );
+    }
+
     // The store came back from an older copy while this node held the seat. It is not taken for
     // empty: the copy may hold it under what is left of a lease.
     fn outlive(&self, held: &Held, now: id::Time) {
-        let sight = self.sight();
+        let doubt = self.doubt();
         if now < held.until {
-            self.outlived.set(Some(sight.era));
+            self.doubt.set(doubt.held_through());
         }
         self.held.replace(None);
         tracing::warn!(
             fence = held.fence,
-            era = sight.era,
+            era = doubt.era(),
             "promoter's seat void: the store has come back from an older copy"
         );
     }
@@ -388,12 +401,23 @@
         }
     }
 
+    fn note_outlasted(&self, agreed: &[store::Entry]) {
+        let entry = agreed.iter().find(|entry| entry.key == OUTLASTED);
+        let Some(entry) = entry else { return };
+        match String::from_utf8_lossy(&entry.value).parse() {
+            Ok(era) => {
+                self.outlasted.set(era);
+                self.doubt.set(self.doubt().outlasted(era));
+            }
+            Err(error) => tracing::error!(key = OUTLASTED, %error, "entry not understood"),
+        }
+    }
+
     fn deference(&self) -> time::Duration {
         let now = boot::now();
-        let sight = self.sight();
-        let knows = self.outlived.get() == Some(sight.era);
-        let defers = sight.risen && !knows && era::defers(sight.era, sight.since, now);
-        if defers || now < self.made + NEW {
+        let doubt = self.doubt();
+        let defers = |since| era::defers(doubt.era(), since, now);
+        if doubt.bereft().is_some_and(defers) || now < self.made + NEW {
             LATER
         } else {
             time::Duration::ZERO
@@ -434,6 +458,7 @@
             .iter()
             .filter(|entry| entry.key.starts_with(intent::PREFIX));
         self.records.restart(found);
+        self.note_outlasted(&agreed);
         tracing::info!(fence = held.fence, era, "promoter's seat taken");
         for (intent, _) in self.records.lost() {
             let written = self.write(&held, &intent).await;
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -28,6 +28,24 @@
     play_with(stage::Stage::new(), store)
 }
 
+/// The same, long after that, as the store tells.
+fn play_long_after() -> Play {
+    let store = play::Store::default();
+    store.at().era = 1;
+    tell_outlasted(&store, 1);
+    play_with(stage::Stage::new(), store)
+}
+
+fn tell_outlasted(store: &play::Store, era: store::Era) {
+    let entry = store::Entry {
+        key: seat::OUTLASTED.into(),
+        value: era.to_string().into(),
+        version: 1,
+        lease: None,
+    };
+    store.at().others.insert(seat::OUTLASTED.to_owned(), entry);
+}
+
 /// Another node's seat of the same store, which it tries to take.
 fn other(play: &Play) -> rc::Rc<seat::Seat> {
     let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
@@ -236,7 +254,7 @@
 /// Cause: the holder gave its seat up and took the entry for somebody else's for ever.
 #[test]
 fn the_holder_takes_its_seat_again_when_its_old_lease_has_ended() {
-    let play = play();
+    let play = play_long_after();
     play.stage.run(async {
         play.led(1).await;
         let first = play.seat.held().expect("held").fence;
@@ -257,6 +275,65 @@
     });
 }
 
+/// Guards against replicas of a promotion that are freed while its order may yet take effect, as the store came back
+/// once more and its holder took that return for the only one.
+#[test]
+fn a_second_return_does_not_free_what_the_first_left_in_doubt() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.stage.run(async {
+        leave_and_return(&play, &copy).await;
+        for id in ["b", "c"] {
+            play.stage.world.borrow_mut().at(id).held = 2;
+        }
+        let heir = successor(&play);
+        stage::until("the seat is taken", || heir.seat.held().is_some()).await;
+        heir.store.go_back(&copy);
+        stage::until("the seat is void", || !heir.seat.had()).await;
+        heir.seat.vacated();
+        stage::until("the seat is taken", || heir.seat.held().is_some()).await;
+        wait::sleep(LONG).await;
+        let held: Vec<_> = ["b", "c"]
+            .map(|id| heir.stage.world.borrow_mut().at(id).held)
+            .into();
+        assert_eq!(held, [2, 2]);
+        assert_eq!(*heir.duty.orders.borrow(), []);
+    });
+}
+
+/// Guards against a group that waits for a primary with each holder that starts again, although the store has not
+/// come back for long.
+#[test]
+fn a_holder_that_starts_long_after_a_return_frees_held_replicas() {
+    let play = play_long_after();
+    for id in ["b", "c"] {
+        play.stage.world.borrow_mut().at(id).held = 2;
+    }
+    play.stage.run(async {
+        stage::until("the seat is taken", || play.seat.held().is_some()).await;
+        assert!(!play.seat.is_doubtful());
+        let free = || ["b", "c"].map(|id| play.stage.world.borrow_mut().at(id).held) == [0, 0];
+        stage::until("the replicas are free", free).await;
+    });
+}
+
+/// Guards against holders that never tell how long the store has not come back, so that each later one waits.
+#[test]
+fn a_holder_tells_once_that_the_last_return_is_long_past() {
+    let play = play();
+    play.stage.run(async {
+        let told = || play.store.at().others.get(seat::OUTLASTED).cloned();
+        let patience = std::time::Duration::from_secs(60);
+        let known = async { stage::until("it is told", || told().is_some()).await };
+        wait::within(patience, known).await.expect("it is told");
+        let entry = told().expect("an entry");
+        assert_eq!((entry.value.as_ref(), entry.lease), (&b"1"[..], None));
+        let version = entry.version;
+        wait::sleep(LONG).await;
+        assert_eq!(told().map(|entry| entry.version), Some(version));
+    });
+}
+
 /// Another node before the same group, that takes the seat.
 fn successor(play: &Play) -> Play {
     let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
