Take no replica that has lost its hold for a sign that nobody was ordered

Cause: after a return of the store a holder concludes that no order is under way where all other instances answer and none is held. A replica that has started again lost its hold with its log: two of them within the time of an order, and a second candidate was ordered, or replicas freed, before the first order took effect. Change: the word of a replica that has started again within the time of an order does not count; the doubt is then as if it were silent. One that leads counts as before. Test: replicas_that_have_lost_their_holds_end_no_doubt, seen to fail without the rule (an order within 3 s).

--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -9,6 +9,7 @@
 use mangotray::telemetry;
 
 use crate::boot;
+use crate::doubt;
 use crate::era;
 use crate::group;
 use crate::intent;
@@ -17,6 +18,7 @@
 use crate::sampler;
 use crate::succession;
 use crate::survey;
+use crate::upstream;
 use crate::wait;
 
 /// Pause between rounds of looks at a calm group. Three groups cost about ten looks a
@@ -149,10 +151,13 @@
             return false;
         }
         let others = survey::Survey::new(&self.group, lead).others;
-        let looks = self.group.look_at(&others, survey::LOOK).await;
+        let mut looks = self.group.look_at(&others, survey::LOOK).await;
+        let answers = looks.len();
+        let now = boot::now();
+        looks.retain(|look| leads_any(look) || self.remembers_holds(&look.id, now));
         let order = era::order(lead.term, others.len(), &looks);
         tracing::info!(group = %self.group.name, primary = %lead.id, term = lead.term, ?order,
-            answers = looks.len(), "the store may have lost the record of a promotion");
+            answers, remembering = looks.len(), "the store may have lost the record of a promotion");
         match order {
             era::Order::None => {
                 self.promoter.note_clear(&self.group.name);
@@ -166,6 +171,15 @@
         }
     }
 
+    // Whether an instance that is not held was not held by an order in doubt either: one that has
+    // started again since has lost its hold, and its word says nothing.
+    fn remembers_holds(&self, id: &upstream::Id, now: id::Time) -> bool {
+        let pools = self.group.roster().pools();
+        let pool = pools.iter().find(|pool| pool.id() == *id);
+        let reborn = pool.and_then(|pool| pool.reborn());
+        reborn.is_none_or(|reborn| now > reborn + doubt::ORDERS_OVER)
+    }
+
     // Why the primary is to be replaced, if it is.
     async fn cause(&mut self, lead: &sampler::Lead) -> Option<succession::Cause> {
         if let Some(intent) = self.promoter.seat().intent(&self.group.name) {
@@ -319,8 +333,12 @@
     }
 }
 
+fn leads_any(look: &sampler::Look) -> bool {
+    look.status.role == role::Role::Primary
+}
+
 // Whether the watched primary answers and leads.
 fn leads(looks: &[sampler::Look], lead: &sampler::Lead) -> bool {
     let own = looks.iter().find(|look| look.id == lead.id);
-    own.is_some_and(|look| look.status.role == role::Role::Primary)
+    own.is_some_and(leads_any)
 }
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -301,6 +301,26 @@
     });
 }
 
+/// Guards against a second order, or freed replicas, while the first order may yet take effect, as all replicas have
+/// started again since and are held no more.
+#[test]
+fn replicas_that_have_lost_their_holds_end_no_doubt() {
+    let play = play();
+    let copy = play.store.at().clone();
+    play.stage.run(async {
+        leave_and_return(&play, &copy).await;
+        let heir = successor(&play);
+        stage::until("the seat is taken", || heir.seat.held().is_some()).await;
+        for id in ["b", "c"] {
+            heir.stage.world.borrow_mut().at(id).born = 2;
+        }
+        heir.stage.relist();
+        heir.stage.world.borrow_mut().at("a").up = false;
+        wait::sleep(2 * LONG).await;
+        assert_eq!(*heir.duty.orders.borrow(), []);
+    });
+}
+
 /// Guards against a group that waits for a primary with each holder that starts again, although the store has not
 /// come back for long.
 #[test]
