Write the last lines of the log before a node ends

Operators saw: a node that logs 'starting' and is gone. Callers: one node less for as long as nobody knows why. Cause: lines go to a thread of their own, and the process ended without waiting for it: the line that tells why was lost. Evidence: a node whose address is taken, started 20 times: 'cannot listen' was written 4 times. Change: a process that ends waits for the thread, 200 ms at most, as nobody may read.

--- a/desk/src/log.rs
+++ b/desk/src/log.rs
@@ -2,7 +2,8 @@
 //!
 //! Lines go through a bounded queue to a thread of their own. A reader that does not read
 //! would otherwise block whoever logs: callers would see every request hang on a healthy
-//! node. What does not fit is dropped and counted.
+//! node. What does not fit is dropped and counted. A process that ends waits for the thread for a
+//! moment: its last lines tell why it ends.
 
 use std::io;
 use std::io::Write;
@@ -10,6 +11,7 @@
 use std::sync::atomic;
 use std::sync::mpsc;
 use std::thread;
+use std::time;
 
 use tracing_subscriber::fmt;
 
@@ -27,6 +29,19 @@
 /// Stack of the writing thread; it only copies bytes.
 const STACK: usize = 64 * 1024;
 
+/// Longest wait for lines to be written when the process ends.
+const DRAIN: time::Duration = time::Duration::from_millis(200);
+
+/// What goes to the writing thread.
+enum Item {
+    Line(Vec<u8>),
+    /// All lines before it are to be written, and then this to be told.
+    Mark(mpsc::SyncSender<()>),
+}
+
+/// The way to the writing thread, once a log is installed.
+static QUEUE_IN_USE: sync::OnceLock<mpsc::SyncSender<Item>> = sync::OnceLock::new();
+
 /// Lines that were dropped since the process started.
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
@@ -45,11 +60,13 @@
 /// # Errors
 /// When the writing thread cannot start or a log is installed already.
 pub fn install() -> eyre::Result<()> {
-    let (queue, lines) = mpsc::sync_channel::<Vec<u8>>(QUEUE);
+    let (queue, lines) = mpsc::sync_channel::<Item>(QUEUE);
     thread::Builder::new()
         .name("log".into())
         .stack_size(STACK)
         .spawn(move || write(&lines))?;
+    // A second log is refused below.
+    let queue = QUEUE_IN_USE.get_or_init(|| queue).clone();
     let writer = Writer {
         queue,
         budget: sync::Arc::new(sync::Mutex::new(Budget::default())),
@@ -66,9 +83,36 @@
         .map_err(|error| eyre::eyre!("cannot install the log: {error}"))
 }
 
-fn write(lines: &mpsc::Receiver<Vec<u8>>) {
+/// Waits until the lines so far are written, for a moment at most: somebody may not read them.
+pub fn drain() {
+    let Some(queue) = QUEUE_IN_USE.get() else {
+        return;
+    };
+    let (written, done) = mpsc::sync_channel(1);
+    let until = time::Instant::now() + DRAIN;
+    let mut mark = Item::Mark(written);
+    while let Err(mpsc::TrySendError::Full(refused)) = queue.try_send(mark) {
+        if time::Instant::now() > until {
+            return;
+        }
+        mark = refused;
+        thread::yield_now();
+    }
+    // Late, or the thread has ended: nothing more can be done.
+    let _ = done.recv_timeout(until.saturating_duration_since(time::Instant::now()));
+}
+
+fn write(items: &mpsc::Receiver<Item>) {
     let mut out = io::stdout();
-    for line in lines {
+    for item in items {
+        let line = match item {
+            Item::Line(line) => line,
+            Item::Mark(written) => {
+                // Whoever waited may have given up.
+                let _ = written.try_send(());
+                continue;
+            }
+        };
         // Nobody is left to be told when standard output is closed.
         if out.write_all(&line).and_then(|()| out.flush()).is_err() {
             return;
@@ -96,7 +140,7 @@
 
 #[derive(Clone)]
 struct Writer {
-    queue: mpsc::SyncSender<Vec<u8>>,
+    queue: mpsc::SyncSender<Item>,
     budget: sync::Arc<sync::Mutex<Budget>>,
 }
 
@@ -152,7 +196,7 @@
             .lock()
             .is_ok_and(|mut budget| budget.spend(second, self.limit));
         let bytes = std::mem::take(&mut self.bytes);
-        if !allowed || self.writer.queue.try_send(bytes).is_err() {
+        if !allowed || self.writer.queue.try_send(Item::Line(bytes)).is_err() {
             DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
         }
     }
