--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -343,7 +343,7 @@
     let play = play();
     play.stage.run(async {
         let told = || play.store.at().others.get(seat::OUTLASTED).cloned();
-        let patience = std::time::Duration::from_secs(60);
+        let patience = std::time::Duration::from_mins(1);
         let known = async { stage::until("it is told", || told().is_some()).await };
         wait::within(patience, known).await.expect("it is told");
         let entry = told().expect("an entry");
