Open a new connection at once to an instance that went silent

Cause: an unanswered request closed the instance's other connections, rightly, and shut the instance, although only the connections were dead. Nothing was tried until the time was over. Change: a new connection is opened at once, one at a time for each instance; when it opens, the instance is used again. A paused or dead one leaves it unanswered and stays shut as before. Test: a_new_connection_tells_whether_a_silent_instance_is_well, seen to fail without the dial.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -260,7 +260,7 @@
     fn lost(&self, source: &source::Source) {
         tracing::info!(group = %self.group.name, instance = %source.pool.id(),
             "an answer to a read was lost");
-        source.pool.suspect();
+        source.pool.suspect(self.organisation);
         if let Some(term) = source.leads {
             self.group.doubt(term, "a read was not answered");
         }
--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -210,7 +210,7 @@
     let mut result = wait::within(silence, &mut exchange).await;
     if result.is_none() {
         if silence >= TELLING {
-            pool.doubt(sent);
+            pool.doubt(sent, &kept.organisation);
         }
         result = wait::until(urgency.awaited, exchange).await;
     }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -298,20 +298,32 @@
     }
 
     // The request goes on waiting, but no other one is sent after it until the instance
-    // has answered a new connection.
-    pub(crate) fn doubt(&self, sent: id::Time) {
-        if self.answered.get() < sent {
-            tracing::info!(instance = %self.id(), "instance is silent");
-            metrics::counter!("mangotray_upstream_silences_total").increment(1);
-            self.suspect();
+    // has answered a new connection. Whether it is silent to all, as far as this node knows.
+    pub(crate) fn doubt(
+        self: &rc::Rc<Self>,
+        sent: id::Time,
+        organisation: &organisation::Name,
+    ) -> bool {
+        if self.answered.get() >= sent {
+            return false;
         }
+        tracing::info!(instance = %self.id(), "instance is silent");
+        metrics::counter!("mangotray_upstream_silences_total").increment(1);
+        self.suspect(organisation);
+        true
     }
 
-    /// Notes that the instance left a request without an answer: its other connections
-    /// are as silent, and each would cost a caller as long to find out.
-    pub fn suspect(&self) {
+    /// Notes that the instance left a request of an organisation without an answer: its other
+    /// connections are as silent, and each would cost a caller as long to find out.
+    ///
+    /// Only the connections may be dead, and not the instance: a new one is opened at once, and tells.
+    pub fn suspect(self: &rc::Rc<Self>, organisation: &organisation::Name) {
         self.down.set(boot::now() + DOWN_PAUSE);
         self.clear();
+        let room = self.open.get() < self.most(boot::now());
+        if room && self.dialling.borrow().is_empty() {
+            self.open_for(organisation);
+        }
     }
 
     /// Forgets all idle connections, as after the instance was lost.
@@ -376,6 +388,10 @@
         if self.open.get() >= self.most(boot::now()) && !self.evict() {
             return;
         }
+        self.open_for(organisation);
+    }
+
+    fn open_for(self: &rc::Rc<Self>, organisation: &organisation::Name) {
         let place = Place::new(rc::Rc::clone(self), organisation.clone());
         let pool = rc::Rc::clone(self);
         self.executor
@@ -477,6 +493,7 @@
         metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
         self.closed.set(false);
         self.failing.set(None);
+        self.down.set(id::Time::ZERO);
         self.answered.set(boot::now());
         if let Some(stamp) = stamp {
             self.applied.set(self.applied.get().max(stamp));
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -108,3 +108,25 @@
         assert!(!pool.is_down());
     });
 }
+
+/// Guards against an instance that is shut for all while only connections to it have gone dead.
+#[test]
+fn a_new_connection_tells_whether_a_silent_instance_is_well() {
+    let stage = stage::Stage::new();
+    let pool = stage.pool(3, 2);
+    stage.run(async {
+        let mut lent = lend(&pool, &Values::new()).await;
+        // Another one may have been begun for it meanwhile.
+        wait::sleep(SHORT).await;
+        let opened = stage.world.borrow().connections;
+        stage.world.borrow_mut().dead = opened;
+        let silent = stage.executor.spawn(async move {
+            let status = [upstream::Command::Status];
+            lent.run(&status, boot::now() + LIMIT).await.is_err()
+        });
+        let another = || stage.world.borrow().connections == opened + 1;
+        stage::until("another is opened", another).await;
+        stage::until("it is taken for well", || !pool.is_down()).await;
+        assert!(silent.await);
+    });
+}
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -74,6 +74,8 @@
     pub looks: usize,
     /// Nothing is answered.
     pub stalled: bool,
+    /// Connections up to this number have gone dead: they answer nothing for ever.
+    pub dead: u64,
     /// The next commands that set a value fail.
     pub fail_sets: usize,
     /// The instance that has run this many statements of all ends.
@@ -223,6 +225,9 @@
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, upstream::Failure>> {
         assert_eq!(self.organisation, *organisation, "a foreign connection");
         async move {
+            if self.number <= self.world.borrow().dead {
+                future::pending::<()>().await;
+            }
             while self.world.borrow().stalled {
                 wait::sleep(time::Duration::from_millis(5)).await;
             }
