Let lending nodes tell that they are at work, and reads leave a silent instance

Callers saw: reads that were late by 0.5 to 1.7 s after connections between nodes had gone dead. Cause: a statement on a connection through another node was doubted after 650 ms only, as a lending node may rightly take long, and a read waited for half of its time even then. A read whose instance is silent to all is given up and goes to another one; a write waits, as nobody knows whether it has run. A node of an earlier version asks for no heartbeat and gets none. Connections through other nodes stand in a module of their own. Tests: a_lending_node_tells_that_it_is_at_work, a_read_on_a_dead_connection_is_given_up_soon, a_node_that_does_not_know_heartbeats_gets_none.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -127,7 +127,8 @@
         let limit = urgency
             .awaited
             .min(sent + route.timeout * ATTEMPT_PERCENT / 100);
-        let mut replies = lent.run(&commands, limit).await.map_err(|failure| {
+        let replies = lent.run_unless_silent(&commands, limit).await;
+        let mut replies = replies.map_err(|failure| {
             tracing::info!(request = %work.id, version = route.version, group = %group.name, instance = %source.pool.id(),
                 sent = failure.sent, detail = %failure.detail, "read not answered");
             if !failure.sent {
--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -24,6 +24,15 @@
 /// Above the longest work (220 ms) and half of a full queue (160 ms).
 const TELLING: time::Duration = time::Duration::from_millis(300);
 
+/// What becomes of commands whose instance is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Patience {
+    /// They are awaited until their time is over: nobody knows whether they have run.
+    Full,
+    /// They are given up: they leave nothing behind, and another instance may be asked.
+    Elsewhere,
+}
+
 /// A connection on loan; given back when dropped.
 pub struct Lent {
     pool: rc::Rc<pool::Pool>,
@@ -115,6 +124,28 @@
         &mut self,
         commands: &[upstream::Command],
         deadline: id::Time,
+    ) -> Result<Vec<reply::Reply>, upstream::Failure> {
+        self.run_with(commands, deadline, Patience::Full).await
+    }
+
+    /// The same for commands that leave nothing behind and may be run elsewhere: they are given up once
+    /// the instance has been silent to all for a while.
+    ///
+    /// # Errors
+    /// When not all answers came.
+    pub async fn run_unless_silent(
+        &mut self,
+        commands: &[upstream::Command],
+        deadline: id::Time,
+    ) -> Result<Vec<reply::Reply>, upstream::Failure> {
+        self.run_with(commands, deadline, Patience::Elsewhere).await
+    }
+
+    async fn run_with(
+        &mut self,
+        commands: &[upstream::Command],
+        deadline: id::Time,
+        patience: Patience,
     ) -> Result<Vec<reply::Reply>, upstream::Failure> {
         let urgency = urgency::Urgency {
             awaited: deadline,
@@ -143,7 +174,7 @@
                 return Err(unsent("the session's values could not be set"));
             }
         }
-        let result = exchange(kept, &self.pool, work, urgency).await;
+        let result = exchange(kept, &self.pool, work, urgency, patience).await;
         // Another node that could not run them has answered so in full.
         self.broken = result.as_ref().is_err_and(|failure| failure.sent);
         let replies = result?;
@@ -202,25 +233,34 @@
     pool: &rc::Rc<pool::Pool>,
     commands: &[upstream::Command],
     urgency: urgency::Urgency,
+    patience: Patience,
 ) -> Result<Vec<reply::Reply>, upstream::Failure> {
     let sent = boot::now();
-    let left = urgency.awaited.saturating_sub(sent);
-    let silence = time::Duration::min(kept.link.silence(), left);
+    let silence = kept.link.silence();
+    let pulse = kept.link.pulse();
     let mut exchange = kept.link.run(commands, urgency, &kept.organisation);
-    let mut result = wait::within(silence, &mut exchange).await;
-    if result.is_none() {
-        if silence >= TELLING {
-            pool.doubt(sent, &kept.organisation);
+    loop {
+        let heard = pulse.as_ref().map_or(sent, |pulse| pulse.get().max(sent));
+        let until = urgency.awaited.min(heard + silence);
+        if let Some(result) = wait::until(until, &mut exchange).await {
+            return result;
         }
-        result = wait::until(urgency.awaited, exchange).await;
-    }
-    result.unwrap_or_else(|| {
-        Err(upstream::Failure {
+        let now = boot::now();
+        if pulse.as_ref().is_some_and(|pulse| pulse.get() > heard) && now < urgency.awaited {
+            continue;
+        }
+        let telling = now >= heard + TELLING.min(silence);
+        let silent = telling && pool.doubt(sent.max(heard), &kept.organisation);
+        let gives_up = silent && patience == Patience::Elsewhere;
+        if !gives_up && let Some(result) = wait::until(urgency.awaited, exchange).await {
+            return result;
+        }
+        return Err(upstream::Failure {
             sent: true,
             crowded: false,
             detail: "no answer in time".into(),
-        })
-    })
+        });
+    }
 }
 
 // How many of the commands set values, and must have succeeded before the rest is sent. An
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod records;
 pub mod relay;
 pub mod relief;
+pub mod remote;
 pub mod reply;
 pub mod roster;
 pub mod router;
--- a/desk/src/message.rs
+++ b/desk/src/message.rs
@@ -13,6 +13,9 @@
 /// know it takes it for a message that is too long, and closes the connection.
 const QUESTIONS: u32 = u32::MAX - 1;
 
+/// Sent in place of a length by a node that is still at work on what it was sent.
+const AT_WORK: u32 = u32::MAX - 2;
+
 /// What a connection between two nodes is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Opening {
@@ -63,6 +66,43 @@
     body(stream, length).await
 }
 
+/// Tells the other node that its message is still worked on.
+///
+/// # Errors
+/// When the other node is not there.
+pub async fn send_heartbeat(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(&AT_WORK.to_le_bytes()).await
+}
+
+/// Receives a message; calls `beat` for each heartbeat before it.
+///
+/// # Errors
+/// As [`receive`].
+pub async fn receive_after_heartbeats<T: serde::de::DeserializeOwned>(
+    stream: &mut TcpStream,
+    beat: impl Fn(),
+) -> io::Result<T> {
+    loop {
+        match length(stream).await? {
+            AT_WORK => beat(),
+            length => return body(stream, length).await,
+        }
+    }
+}
+
+/// Receives a message that may go on with more than this node knows of, and that rest.
+///
+/// # Errors
+/// As [`receive`].
+pub async fn receive_with_rest<T: serde::de::DeserializeOwned>(
+    stream: &mut TcpStream,
+) -> io::Result<(T, Vec<u8>)> {
+    let length = length(stream).await?;
+    let bytes = bytes(stream, length).await?;
+    let (value, rest) = postcard::take_from_bytes(&bytes).map_err(io::Error::other)?;
+    Ok((value, rest.to_vec()))
+}
+
 /// Receives a message whose length is known.
 ///
 /// # Errors
@@ -71,12 +111,17 @@
     stream: &mut TcpStream,
     length: u32,
 ) -> io::Result<T> {
+    let bytes = bytes(stream, length).await?;
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
+
+async fn bytes(stream: &mut TcpStream, length: u32) -> io::Result<Vec<u8>> {
     if length > LONGEST {
         return Err(io::ErrorKind::InvalidData.into());
     }
-    let mut body = vec![0; length as usize];
-    stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(io::Error::other)
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
 }
 
 async fn length(stream: &mut TcpStream) -> io::Result<u32> {
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -7,15 +7,14 @@
 use std::cell;
 use std::collections;
 use std::io;
+use std::pin;
 use std::rc;
 use std::time;
 
 use async_net::TcpStream;
 use compact_str::CompactString;
-use futures_lite::future as poll;
 use futures_util::FutureExt;
 use futures_util::future;
-use mangotray::id;
 use mangotray::stamp;
 
 use crate::boot;
@@ -30,12 +29,6 @@
 use crate::urgency;
 use crate::wait;
 
-/// Longest wait for another node to accept a connection, which its system does even while the
-/// node is busy: a few ways there and back. A node that is gone for good stays listed; after
-/// a restart of all nodes each of them asks it first for some instance, and knew only
-/// 350 ms later that it has to ask another.
-const CONNECT: time::Duration = time::Duration::from_millis(80);
-
 /// Longest wait for a connection that shows that the instance can be reached.
 const OPEN_LIMIT: time::Duration = time::Duration::from_millis(250);
 
@@ -43,13 +36,24 @@
 /// that asks or not: were crowding taken for a lost link, all nodes would look for other ways.
 const OPEN_FRESH: time::Duration = time::Duration::from_millis(500);
 
-/// A relayed connection is suspected after this long without an answer: the wait for a
+/// A connection within this process is suspected after this long without an answer: the wait for a
 /// connection comes on top of what an instance itself may take.
 const SILENCE: time::Duration = time::Duration::from_millis(650);
 
+/// A lending node tells each so often that it is at work: rarely enough that most statements are done
+/// before.
+const HEARTBEAT: time::Duration = time::Duration::from_millis(60);
+
+/// It does so for this long: what takes longer waits for an instance that may be silent, of which whoever
+/// asked should think so too.
+const HEARTBEATS_FOR: time::Duration = time::Duration::from_millis(400);
+
 /// A lending node's answer to the opening of a relayed connection.
 pub type Opened = Result<Option<stamp::Stamp>, upstream::Refusal>;
 
+/// Follows the work of a node that wants to be told while it goes on.
+pub const TELL: u8 = 1;
+
 /// What a lending node is asked to run.
 #[derive(serde::Deserialize)]
 struct Work {
@@ -58,16 +62,8 @@
     commands: Vec<upstream::Command>,
 }
 
-/// The same, as it is sent.
-#[derive(serde::Serialize)]
-struct WorkRef<'a> {
-    urgency: urgency::Urgency,
-    organisation: &'a organisation::Name,
-    commands: &'a [upstream::Command],
-}
-
 /// A lending node's answer to commands.
-type Answer = Result<Vec<reply::Reply>, upstream::Failure>;
+pub type Answer = Result<Vec<reply::Reply>, upstream::Failure>;
 
 /// What one relayed connection has set, and the connection that it is on, if any.
 pub struct Lender {
@@ -288,84 +284,6 @@
     }
 }
 
-/// A relayed connection through another node, of use until a time if one is set.
-struct Remote {
-    stream: TcpStream,
-    until: Option<id::Time>,
-}
-
-impl upstream::Connection for Remote {
-    fn run<'a>(
-        &'a mut self,
-        commands: &'a [upstream::Command],
-        urgency: urgency::Urgency,
-        organisation: &'a organisation::Name,
-    ) -> future::LocalBoxFuture<'a, Answer> {
-        async move {
-            let work = WorkRef {
-                urgency: urgency.leave(),
-                organisation,
-                commands,
-            };
-            let exchange = async {
-                message::send(&mut self.stream, &work).await?;
-                message::receive::<Answer>(&mut self.stream).await
-            };
-            exchange.await.unwrap_or_else(|error| {
-                Err(upstream::Failure {
-                    sent: true,
-                    crowded: false,
-                    detail: compact_str::format_compact!("lending node lost: {error}"),
-                })
-            })
-        }
-        .boxed_local()
-    }
-
-    fn alive(&mut self) -> bool {
-        let mut byte = [0];
-        let fresh = self.until.is_none_or(|until| boot::now() < until);
-        // Nothing may come unasked: bytes or an end of stream both make it useless.
-        fresh && poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none()
-    }
-
-    fn serves_any(&self) -> bool {
-        true
-    }
-
-    // The lending node notes values, and sets them before it runs a statement.
-    fn sets_surely(&self) -> bool {
-        true
-    }
-
-    fn silence(&self) -> time::Duration {
-        SILENCE
-    }
-}
-
-/// Opens a connection to an instance through the node at `address`, of use for `lifetime`.
-///
-/// The inner result is what that node answered.
-///
-/// # Errors
-/// When the node itself is not there.
-pub async fn dial(
-    address: std::net::SocketAddr,
-    target: &upstream::Target,
-    lifetime: Option<time::Duration>,
-) -> io::Result<Result<upstream::Dialled, upstream::Refusal>> {
-    let connected = wait::within(CONNECT, TcpStream::connect(address)).await;
-    let mut stream = connected.ok_or(io::ErrorKind::TimedOut)??;
-    stream.set_nodelay(true)?;
-    message::send(&mut stream, target).await?;
-    let opened = message::receive::<Opened>(&mut stream).await?;
-    let until = lifetime.map(|lifetime| boot::now() + lifetime);
-    Ok(opened.map(|stamp| {
-        let remote: Box<dyn upstream::Connection> = Box::new(Remote { stream, until });
-        (remote, stamp)
-    }))
-}
-
 /// Finds the pool of an instance.
 type Find = dyn Fn(&upstream::Target) -> rc::Rc<pool::Pool>;
 
@@ -468,14 +386,34 @@
             return Ok(());
         }
         loop {
-            let work: Work = message::receive(stream).await?;
+            let (work, rest) = message::receive_with_rest::<Work>(stream).await?;
             self.busy.set(self.busy.get() + 1);
             let urgency = work.urgency.arrive();
-            let answer = lender
-                .run(&work.commands, urgency, &work.organisation)
-                .await;
+            let run = lender.run(&work.commands, urgency, &work.organisation);
+            let answer = if rest.first() == Some(&TELL) {
+                tell_while(run, stream).await
+            } else {
+                run.await
+            };
             self.busy.set(self.busy.get() - 1);
             message::send(stream, &answer).await?;
         }
     }
 }
+
+// Tells whoever asked that the work goes on: its silence then means that the connection, or this node,
+// is dead.
+async fn tell_while(run: impl Future<Output = Answer>, stream: &mut TcpStream) -> Answer {
+    let mut run = pin::pin!(run);
+    let until = boot::now() + HEARTBEATS_FOR;
+    while boot::now() < until {
+        if let Some(answer) = wait::within(HEARTBEAT, run.as_mut()).await {
+            return answer;
+        }
+        if let Err(error) = message::send_heartbeat(stream).await {
+            tracing::debug!(%error, "nobody awaits a relayed statement any more");
+            break;
+        }
+    }
+    run.await
+}
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -21,6 +21,7 @@
 use crate::pool;
 use crate::question;
 use crate::relay;
+use crate::remote;
 use crate::reply;
 use crate::serving;
 use crate::size;
@@ -292,7 +293,7 @@
         target: &upstream::Target,
         lifetime: Option<time::Duration>,
     ) -> Dialled {
-        let dialled = wait::within(LIMIT, relay::dial(server.address, target, lifetime)).await;
+        let dialled = wait::within(LIMIT, remote::dial(server.address, target, lifetime)).await;
         let refusal = match dialled {
             Some(Ok(Ok(dialled))) => return Ok(dialled),
             Some(Ok(Err(refusal))) => {
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -1,6 +1,8 @@
 //! Border to the instances of a group.
 
+use std::cell;
 use std::net;
+use std::rc;
 use std::time;
 
 use compact_str::CompactString;
@@ -181,8 +183,16 @@
 
     /// How long the instance may answer nothing before it is suspected.
     fn silence(&self) -> time::Duration;
+
+    /// When the far end last told that it is at work on what was sent, if it tells such a thing.
+    fn pulse(&self) -> Option<Pulse> {
+        None
+    }
 }
 
+/// The time of a connection's last heartbeat, to be read while commands run on it.
+pub type Pulse = rc::Rc<cell::Cell<id::Time>>;
+
 /// A fresh connection and where the instance's log stood.
 pub type Dialled = (Box<dyn Connection>, Option<stamp::Stamp>);
 
--- /dev/null
+++ b/desk/tests/remote.rs
@@ -0,0 +1,181 @@
+//! Connections through another node: at work, or dead.
+
+mod stage;
+
+use std::net;
+use std::rc;
+use std::time;
+
+use futures_util::FutureExt;
+use futures_util::future;
+use mangotray::stamp;
+use mangotray_desk::boot;
+use mangotray_desk::kept;
+use mangotray_desk::message;
+use mangotray_desk::organisation;
+use mangotray_desk::pool;
+use mangotray_desk::relay;
+use mangotray_desk::remote;
+use mangotray_desk::size;
+use mangotray_desk::upstream;
+use mangotray_desk::urgency;
+use mangotray_desk::wait;
+
+/// Far above what anything takes that is not dead.
+const LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// Time for which nobody waits.
+const ENDLESS: time::Duration = time::Duration::from_mins(10);
+
+/// Longer than it takes until a lending node tells that it is at work.
+const BEATS: time::Duration = time::Duration::from_millis(300);
+
+fn listener() -> (async_net::TcpListener, net::SocketAddr) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let listener = async_io::Async::new(listener).expect("a listener");
+    (listener.into(), address)
+}
+
+fn target(stage: &stage::Stage) -> upstream::Target {
+    let instance = stage.world.borrow().list().remove(0);
+    upstream::Target {
+        address: instance.address,
+        group: instance.group,
+        id: instance.id,
+        born: instance.born,
+        domain: instance.domain,
+        slots: instance.slots,
+        organisation: organisation::OWN,
+    }
+}
+
+/// A node that lends connections to the primary on stage.
+async fn lending(stage: &stage::Stage) -> net::SocketAddr {
+    let (listener, address) = listener();
+    drop(listener);
+    let pool = stage.pool(3, 3);
+    let server = relay::Server::new(
+        move |_| rc::Rc::clone(&pool),
+        rc::Rc::clone(&stage.executor),
+    );
+    let serve = server.serve(address);
+    let serve = async move { serve.await.expect("a port") };
+    stage.executor.spawn(serve).detach();
+    while async_net::TcpStream::connect(address).await.is_err() {
+        wait::sleep(time::Duration::from_millis(5)).await;
+    }
+    address
+}
+
+/// Reaches instances through the node at an address only.
+struct Through(net::SocketAddr);
+
+impl upstream::Dialer for Through {
+    fn dial<'a>(
+        &'a self,
+        target: &'a upstream::Target,
+    ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
+        async move {
+            let dialled = remote::dial(self.0, target, None).await;
+            dialled.unwrap_or(Err(upstream::Refusal::Closed))
+        }
+        .boxed_local()
+    }
+
+    fn status(&self, _reply: &mangotray_desk::reply::Reply) -> Option<upstream::Status> {
+        None
+    }
+}
+
+/// Guards against a busy lending node that is taken for dead.
+#[test]
+fn a_lending_node_tells_that_it_is_at_work() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let address = lending(&stage).await;
+        let dialled = remote::dial(address, &target(&stage), None).await;
+        let (mut link, _) = dialled.expect("a node").expect("a connection");
+        let pulse = link.pulse().expect("a pulse");
+        stage.world.borrow_mut().stalled = true;
+        let sent = boot::now();
+        let run = stage.executor.spawn(async move {
+            let urgency = urgency::Urgency::now(boot::now() + ENDLESS);
+            link.run(&stage::read("one"), urgency, &organisation::OWN)
+                .await
+        });
+        stage::until("a heartbeat", || pulse.get() > sent).await;
+        stage.world.borrow_mut().stalled = false;
+        assert!(run.await.is_ok());
+    });
+}
+
+/// Guards against a read that waits for half of its time on a connection that has gone dead.
+#[test]
+fn a_read_on_a_dead_connection_is_given_up_soon() {
+    let stage = stage::Stage::new();
+    let (listener, address) = listener();
+    let deaf = async move {
+        let mut silent = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let target: Result<upstream::Target, _> = message::receive(&mut stream).await;
+            let opened: relay::Opened = Ok(Some(stamp::Stamp::default()));
+            if target.is_ok() && message::send(&mut stream, &opened).await.is_ok() {
+                silent.push(stream);
+            }
+        }
+    };
+    stage.executor.spawn(deaf).detach();
+    let instance = stage.world.borrow().list().remove(0);
+    let pool = rc::Rc::new(pool::Pool::new(
+        instance,
+        rc::Rc::new(Through(address)),
+        rc::Rc::clone(&stage.executor),
+        size::Size::shared(),
+    ));
+    stage.run(async {
+        let urgency = urgency::Urgency::now(boot::now() + ENDLESS);
+        let (values, own) = (kept::Values::new(), organisation::OWN);
+        let loan = pool.lend(urgency, &own, &values, boot::now() + LIMIT);
+        let mut lent = loan.await.expect("a connection");
+        let read = stage::read("one");
+        let run = lent.run_unless_silent(&read, boot::now() + ENDLESS);
+        let failure = wait::within(LIMIT, run).await.expect("given up in time");
+        assert!(failure.expect_err("nobody answers").sent);
+    });
+}
+
+/// What nodes of an earlier version send: nothing behind the commands.
+#[derive(serde::Serialize)]
+struct Work {
+    urgency: urgency::Urgency,
+    organisation: organisation::Name,
+    commands: Vec<upstream::Command>,
+}
+
+/// Guards against nodes of an earlier version that take a heartbeat for a broken answer while the fleet is
+/// brought up to date.
+#[test]
+fn a_node_that_does_not_know_heartbeats_gets_none() {
+    let stage = stage::Stage::new();
+    stage.run(async {
+        let address = lending(&stage).await;
+        let mut stream = async_net::TcpStream::connect(address).await.expect("a way");
+        message::send(&mut stream, &target(&stage))
+            .await
+            .expect("a way");
+        let opened: relay::Opened = message::receive(&mut stream).await.expect("an answer");
+        opened.expect("a connection");
+        stage.world.borrow_mut().stalled = true;
+        let work = Work {
+            urgency: urgency::Urgency::now(boot::now() + ENDLESS).leave(),
+            organisation: organisation::OWN,
+            commands: stage::read("one"),
+        };
+        message::send(&mut stream, &work).await.expect("a way");
+        wait::sleep(BEATS).await;
+        stage.world.borrow_mut().stalled = false;
+        let answer: relay::Answer = message::receive(&mut stream).await.expect("an answer");
+        assert!(answer.is_ok());
+    });
+}
