Say that a limit cannot be checked where a deputy withholds a token

Callers and operators saw: 'over the organisation's limit' for organisations that were far below it, while the node that counts for them was silent. An operator who reads it raises a limit that nobody has reached. Cause: a deputy hands out only what breaks no limit should the silent node be at work for others; beyond that it answered as if the limit were reached. Change: an answer of its own, a refusal with its own text, return time and reason in logs and metrics (quota_unknown, as where nobody counts). Test: a_deputy_does_not_say_that_the_limit_is_reached.

--- a/desk/src/gate.rs
+++ b/desk/src/gate.rs
@@ -30,8 +30,9 @@
     Unproven,
     /// The organisation has started as many operations as it may; when it may start the next.
     OverQuota(time::Duration),
-    /// No node that counts the organisation's operations can be reached.
-    Uncounted,
+    /// The node that counts the organisation's operations cannot be reached; when another one may let
+    /// the next begin, if one can.
+    Uncounted(Option<time::Duration>),
 }
 
 impl Refusal {
@@ -42,7 +43,7 @@
             Self::UnknownKey => "key_unknown",
             Self::Unproven => "configuration_unproven",
             Self::OverQuota(_) => "over_quota",
-            Self::Uncounted => "quota_unknown",
+            Self::Uncounted(_) => "quota_unknown",
         }
     }
 
@@ -51,7 +52,7 @@
     pub const fn code(self) -> reply::Code {
         match self {
             Self::UnknownKey => reply::Code::Unauthorised,
-            Self::Unproven | Self::OverQuota(_) | Self::Uncounted => reply::Code::Busy,
+            Self::Unproven | Self::OverQuota(_) | Self::Uncounted(_) => reply::Code::Busy,
         }
     }
 
@@ -73,9 +74,13 @@
                 "over the organisation's limit, come back in {} ms",
                 wait.as_millis()
             ),
-            Self::Uncounted => {
+            Self::Uncounted(None) => {
                 CompactString::const_new("the organisation's limit cannot be checked for now")
             }
+            Self::Uncounted(Some(wait)) => format_compact!(
+                "the organisation's limit cannot be checked for now, come back in {} ms",
+                wait.as_millis()
+            ),
         }
     }
 }
--- a/desk/src/ledger.rs
+++ b/desk/src/ledger.rs
@@ -65,6 +65,9 @@
     Granted,
     /// The limit is reached; there is a token after this time.
     Denied(time::Duration),
+    /// Nobody knows whether the limit is reached: the node that counts is silent, and its deputy has
+    /// handed out what it may meanwhile; it may hand out the next after this time.
+    Unknown(time::Duration),
 }
 
 /// What is kept of one organisation.
@@ -135,8 +138,11 @@
                 }
             });
         account.used = now;
-        let taken = match ask.turn {
-            Turn::Counting | Turn::Gone => account.bucket.take(&ask.quota, now),
+        match ask.turn {
+            Turn::Counting | Turn::Gone => {
+                let taken = account.bucket.take(&ask.quota, now);
+                taken.map_or_else(Decision::Denied, |()| Decision::Granted)
+            }
             Turn::Silent => {
                 let window = self.tolerance.window.as_secs_f64();
                 let part = quota::Quota {
@@ -145,8 +151,7 @@
                 };
                 account.take_as_deputy(&ask.quota, &part, takeover, now)
             }
-        };
-        taken.map_or_else(Decision::Denied, |()| Decision::Granted)
+        }
     }
 
     /// Forgets what nobody has used for long.
@@ -163,7 +168,7 @@
         part: &quota::Quota,
         takeover: time::Duration,
         now: id::Time,
-    ) -> Result<(), time::Duration> {
+    ) -> Decision {
         let known = self.deputy.take();
         let known = known.filter(|deputy| now.saturating_sub(deputy.asked) < DEPUTY_REST);
         let mut deputy = known.unwrap_or_else(|| {
@@ -176,12 +181,14 @@
             }
         });
         deputy.asked = now;
-        let taken = if now.saturating_sub(deputy.since) < takeover {
-            deputy.bucket.take(part, now)
+        let decision = if now.saturating_sub(deputy.since) < takeover {
+            let taken = deputy.bucket.take(part, now);
+            taken.map_or_else(Decision::Unknown, |()| Decision::Granted)
         } else {
-            self.bucket.take(quota, now)
+            let taken = self.bucket.take(quota, now);
+            taken.map_or_else(Decision::Denied, |()| Decision::Granted)
         };
         self.deputy = Some(deputy);
-        taken
+        decision
     }
 }
--- a/desk/src/quotas.rs
+++ b/desk/src/quotas.rs
@@ -76,6 +76,9 @@
             match self.ask(member, &ask).await {
                 Ok(ledger::Decision::Granted) => return Ok(()),
                 Ok(ledger::Decision::Denied(wait)) => return Err(gate::Refusal::OverQuota(wait)),
+                Ok(ledger::Decision::Unknown(wait)) => {
+                    return Err(gate::Refusal::Uncounted(Some(wait)));
+                }
                 Err(turn) => ask.turn = ask.turn.max(turn),
             }
             asked += 1;
@@ -83,7 +86,7 @@
                 break;
             }
         }
-        Err(gate::Refusal::Uncounted)
+        Err(gate::Refusal::Uncounted(None))
     }
 
     /// Decides about an operation that is counted here.
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -515,3 +515,27 @@
     });
     assert!((98..=100).contains(&at_once.count()));
 }
+
+/// Guards against callers and operators who are told of a limit that nobody has reached, as the node that counts is
+/// silent.
+#[test]
+fn a_deputy_does_not_say_that_the_limit_is_reached() {
+    let quota = quota::Quota {
+        rate: 20.0,
+        burst: 20.0,
+    };
+    let mut ledger = ledger::Ledger::new(TOLERANCE, BOUND);
+    let silent = ask(quota, ledger::Turn::Silent);
+    let mut last = |from: u64, to: u64| {
+        let times = (from..to).step_by(5).map(millis);
+        let decisions = times.map(|now| ledger.decide(&silent, now));
+        let refused = decisions.filter(|decision| *decision != ledger::Decision::Granted);
+        refused.last().expect("a refusal")
+    };
+    assert_matches!(last(0, 1000), ledger::Decision::Unknown(_));
+    // It counts in earnest by then.
+    assert_matches!(last(1000, 9000), ledger::Decision::Denied(_));
+    let refusal = gate::Refusal::Uncounted(Some(millis(70)));
+    assert!(!refusal.text().contains("over"), "{}", refusal.text());
+    assert_eq!(refusal.label(), "quota_unknown");
+}
