--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -389,11 +389,18 @@
             let (work, rest) = message::receive_with_rest::<Work>(stream).await?;
             self.busy.set(self.busy.get() + 1);
             let urgency = work.urgency.arrive();
-            let run = lender.run(&work.commands, urgency, &work.organisation);
-            let answer = if rest.first() == Some(&TELL) {
-                tell_while(run, stream).await
-            } else {
-                run.await
+            let answer = {
+                // Pinned here: handed on by value, its state would be kept several times.
+                let run = lender.run(&work.commands, urgency, &work.organisation);
+                let mut run = pin::pin!(run);
+                let told = match rest.first() {
+                    Some(&TELL) => tell_while(run.as_mut(), stream).await,
+                    _ => None,
+                };
+                match told {
+                    Some(answer) => answer,
+                    None => run.await,
+                }
             };
             self.busy.set(self.busy.get() - 1);
             message::send(stream, &answer).await?;
@@ -403,17 +410,19 @@
 
 // Tells whoever asked that the work goes on: its silence then means that the connection, or this node,
 // is dead.
-async fn tell_while(run: impl Future<Output = Answer>, stream: &mut TcpStream) -> Answer {
-    let mut run = pin::pin!(run);
+async fn tell_while(
+    mut run: pin::Pin<&mut impl Future<Output = Answer>>,
+    stream: &mut TcpStream,
+) -> Option<Answer> {
     let until = boot::now() + HEARTBEATS_FOR;
     while boot::now() < until {
         if let Some(answer) = wait::within(HEARTBEAT, run.as_mut()).await {
-            return answer;
+            return Some(answer);
         }
         if let Err(error) = message::send_heartbeat(stream).await {
             tracing::debug!(%error, "nobody awaits a relayed statement any more");
             break;
         }
     }
-    run.await
+    None
 }
