Bound the connections that a node opens at once, and spread its search after a start

Callers saw: after all nodes were lost in a fleet of 100, no service for 6.5 s. Cause: each node seeks the primary of every group as soon as it hears of it, at all its instances, through nodes that lend connections and are starting too. Each try that is not answered in time is tried elsewhere and again: 970 new connections a second and node at 300 machines, and those that are to answer are busy with opening. What grows is nodes times instances. Change: a node opens 16 connections at once, so that it tries no faster than it is answered; it looks for primaries that nobody asks for at a moment of its own, 300 ms for each eight nodes, and at once where a caller asks. Tests: no_connection_is_opened_without_a_permit, a_node_opens_few_connections_at_once. The tests of pools count on instances of their own now, as the node on stage opens its connections later.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -15,6 +15,7 @@
 use crate::proof;
 use crate::roster;
 use crate::sampler;
+use crate::seat;
 use crate::source;
 use crate::succession;
 use crate::upstream;
@@ -112,11 +113,29 @@
         }
         if let Some(lead) = lead.as_ref().filter(|lead| reborn.contains(&lead.id)) {
             self.doubt(lead.term, "the primary has started again");
-        } else if surprise {
+        } else if surprise && lead.is_some() {
             self.search();
+        } else if surprise {
+            self.search_sometime();
         }
     }
 
+    // Looks for the primary at a moment of this node's own, unless a caller asks for it before.
+    //
+    // All nodes of a fleet start together and hear of all groups at once; were each to look at all
+    // instances then, the nodes that lend connections would answer none in time.
+    fn search_sometime(self: &rc::Rc<Self>) {
+        let group = rc::Rc::clone(self);
+        let delay = seat::spread(self.dialer.nodes()).mul_f64(fastrand::f64());
+        let search = async move {
+            wait::sleep(delay).await;
+            if group.lead().is_none() {
+                group.search();
+            }
+        };
+        self.executor.spawn(search).detach();
+    }
+
     // What a replica has applied in the present term it has received, and it goes with the pool
     // of a process that has ended.
     fn note_applied(&self, now: id::Time) {
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -443,9 +443,11 @@
     }
 
     async fn dial(self: rc::Rc<Self>, place: Place) {
+        let permit = self.dialer.permit().await;
         let started = boot::now();
         let target = self.target(place.organisation());
         let result = wait::within(DIAL_LIMIT, self.dialer.dial(&target)).await;
+        drop(permit);
         let refusal = match result {
             Some(Ok((link, stamp))) => {
                 let organisation = place.organisation().clone();
--- a/desk/src/router.rs
+++ b/desk/src/router.rs
@@ -4,6 +4,7 @@
 use std::collections;
 use std::io;
 use std::rc;
+use std::sync;
 use std::time;
 
 use futures_util::FutureExt;
@@ -62,6 +63,10 @@
 /// idle this long: opening one takes a slot of the instance.
 const LENT_IDLE: time::Duration = time::Duration::from_secs(15);
 
+/// Connections that one node opens at once. After a loss of all nodes each seeks every instance through nodes
+/// that are starting too; the more it tries at once, the fewer are answered in time.
+pub const AT_ONCE: usize = 16;
+
 /// A connection through another node is given up after this long, in favour of one of
 /// this node's own if the link is well again.
 const DETOUR_LIFE: time::Duration = time::Duration::from_secs(3);
@@ -79,6 +84,7 @@
     dark: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     organisations: cell::Cell<usize>,
     peers: peers::Peers,
+    opening: sync::Arc<async_lock::Semaphore>,
 }
 
 impl Router {
@@ -101,6 +107,7 @@
             dark: cell::RefCell::default(),
             organisations: cell::Cell::default(),
             peers: peers::Peers::default(),
+            opening: sync::Arc::new(async_lock::Semaphore::new(AT_ONCE)),
         })
     }
 
@@ -394,6 +401,14 @@
         self.route(target).boxed_local()
     }
 
+    fn permit(&self) -> future::LocalBoxFuture<'_, Option<upstream::Permit>> {
+        self.opening.acquire_arc().map(Some).boxed_local()
+    }
+
+    fn nodes(&self) -> usize {
+        self.members.borrow().len().max(1)
+    }
+
     fn is_last_resort(&self, target: &upstream::Target) -> bool {
         self.parts_connections() && self.way(target) != serving::Way::Direct
     }
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -193,6 +193,9 @@
 /// The time of a connection's last heartbeat, to be read while commands run on it.
 pub type Pulse = rc::Rc<cell::Cell<id::Time>>;
 
+/// Held while a connection is being opened.
+pub type Permit = async_lock::SemaphoreGuardArc;
+
 /// A fresh connection and where the instance's log stood.
 pub type Dialled = (Box<dyn Connection>, Option<stamp::Stamp>);
 
@@ -207,6 +210,17 @@
         target: &'a Target,
     ) -> future::LocalBoxFuture<'a, Result<Dialled, Refusal>>;
 
+    /// The right to open one more connection now: a node that opens many at once takes the time of those
+    /// that are to answer.
+    fn permit(&self) -> future::LocalBoxFuture<'_, Option<Permit>> {
+        Box::pin(future::ready(None))
+    }
+
+    /// Nodes that share the instances with this one, itself included.
+    fn nodes(&self) -> usize {
+        1
+    }
+
     /// Whether a connection of this node's own is a last resort, which others may need more: it is closed
     /// once it has served.
     fn is_last_resort(&self, _target: &Target) -> bool {
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -4,12 +4,17 @@
 
 use std::collections;
 use std::rc;
+use std::sync;
 use std::time;
 
+use futures_util::FutureExt;
+use futures_util::future;
 use mangotray_desk::boot;
 use mangotray_desk::lent;
 use mangotray_desk::organisation;
 use mangotray_desk::pool;
+use mangotray_desk::reply;
+use mangotray_desk::size;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
@@ -109,24 +114,87 @@
     });
 }
 
+/// A pool to the primary that opens connections by this dialer.
+fn pool_of(stage: &stage::Stage, dialer: rc::Rc<dyn upstream::Dialer>) -> rc::Rc<pool::Pool> {
+    let instance = stage.world.borrow().list().remove(0);
+    let executor = rc::Rc::clone(&stage.executor);
+    rc::Rc::new(pool::Pool::new(
+        instance,
+        dialer,
+        executor,
+        size::Size::shared(),
+    ))
+}
+
 /// Guards against an instance that is shut for all while only connections to it have gone dead.
 #[test]
 fn a_new_connection_tells_whether_a_silent_instance_is_well() {
     let stage = stage::Stage::new();
-    let pool = stage.pool(3, 2);
+    // Of its own, as the node on stage connects to the instances of its.
+    let world = stage::world();
+    let pool = pool_of(&stage, rc::Rc::new(stage::Dialer(rc::Rc::clone(&world))));
     stage.run(async {
         let mut lent = lend(&pool, &Values::new()).await;
         // Another one may have been begun for it meanwhile.
         wait::sleep(SHORT).await;
-        let opened = stage.world.borrow().connections;
-        stage.world.borrow_mut().dead = opened;
+        let opened = world.borrow().connections;
+        world.borrow_mut().dead = opened;
         let silent = stage.executor.spawn(async move {
             let status = [upstream::Command::Status];
             lent.run(&status, boot::now() + LIMIT).await.is_err()
         });
-        let another = || stage.world.borrow().connections == opened + 1;
+        let another = || world.borrow().connections == opened + 1;
         stage::until("another is opened", another).await;
         stage::until("it is taken for well", || !pool.is_down()).await;
         assert!(silent.await);
     });
 }
+
+/// Opens connections only while it has a permit to give.
+struct Narrow {
+    inner: stage::Dialer,
+    permits: sync::Arc<async_lock::Semaphore>,
+}
+
+impl upstream::Dialer for Narrow {
+    fn dial<'a>(
+        &'a self,
+        target: &'a upstream::Target,
+    ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
+        self.inner.dial(target)
+    }
+
+    fn status(&self, reply: &reply::Reply) -> Option<upstream::Status> {
+        self.inner.status(reply)
+    }
+
+    fn permit(&self) -> future::LocalBoxFuture<'_, Option<upstream::Permit>> {
+        self.permits.acquire_arc().map(Some).boxed_local()
+    }
+}
+
+/// Guards against a node that opens connections to all instances at once, so that those who are to answer
+/// answer none in time.
+#[test]
+fn no_connection_is_opened_without_a_permit() {
+    let stage = stage::Stage::new();
+    let permits = sync::Arc::new(async_lock::Semaphore::new(1));
+    let world = stage::world();
+    let narrow = Narrow {
+        inner: stage::Dialer(rc::Rc::clone(&world)),
+        permits: sync::Arc::clone(&permits),
+    };
+    let pool = pool_of(&stage, rc::Rc::new(narrow));
+    stage.run(async {
+        let taken = permits.acquire_arc().await;
+        let values = Values::new();
+        let mut waiting = std::pin::pin!(lend(&pool, &values));
+        assert!(wait::within(SHORT, waiting.as_mut()).await.is_none());
+        assert_eq!(world.borrow().connections, 0);
+        drop(taken);
+        waiting.await;
+        // It was given back.
+        let again = permits.acquire_arc();
+        assert!(wait::within(LIMIT, again).await.is_some());
+    });
+}
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -143,3 +143,20 @@
     assert_eq!(renewed.born(), 2);
     assert!(rc::Rc::ptr_eq(&renewed, &router.pool(&first)));
 }
+
+/// Guards against a node whose connections in the making are not bounded together.
+#[test]
+fn a_node_opens_few_connections_at_once() {
+    let stage = stage::Stage::new();
+    let narrow = rc::Rc::new(Narrow(None));
+    let router = router("vm-1", narrow, &stage.executor);
+    stage.run(async {
+        let mut permits = Vec::new();
+        for _ in 0..router::AT_ONCE {
+            permits.push(router.permit().await);
+        }
+        assert!(wait::within(SHORT, router.permit()).await.is_none());
+        permits.pop();
+        assert!(wait::within(LONG, router.permit()).await.is_some());
+    });
+}
