--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod succession;
 pub mod survey;
 pub mod tolerance;
+mod turns;
 pub mod upstream;
 pub mod urgency;
 pub mod verdict;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -15,10 +15,10 @@
 use crate::queue;
 use crate::reply;
 use crate::size;
+use crate::turns;
 use crate::upstream;
 use crate::urgency;
 use crate::wait;
-use crate::window;
 
 /// Idle connections that a node keeps; those above it are given back after a while.
 const KEPT: usize = 1;
@@ -64,7 +64,6 @@
     /// The instance, as the list of instances has it now.
     pub instance: cell::RefCell<catalog::Instance>,
     size: cell::Cell<size::Size>,
-    window: cell::Cell<window::Window>,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     /// For whom connections are being opened.
@@ -72,8 +71,7 @@
     idle: cell::RefCell<Vec<kept::Kept>>,
     open: cell::Cell<usize>,
     waiting: queue::Queue,
-    turns: queue::Queue,
-    working: cell::Cell<usize>,
+    turns: rc::Rc<turns::Turns>,
     pinned: cell::Cell<usize>,
     blocked: cell::Cell<id::Time>,
     /// Connections that the instance left to this node when it was last full, and until when no more
@@ -105,15 +103,13 @@
         Self {
             instance: cell::RefCell::new(instance),
             size: cell::Cell::new(size),
-            window: cell::Cell::new(window::Window::new(size.abreast)),
             dialer,
             executor,
             dialling: cell::RefCell::default(),
             idle: cell::RefCell::default(),
             open: cell::Cell::default(),
             waiting: queue::Queue::default(),
-            turns: queue::Queue::default(),
-            working: cell::Cell::default(),
+            turns: turns::Turns::new(size.abreast),
             pinned: cell::Cell::default(),
             blocked: cell::Cell::default(),
             ceiling: cell::Cell::default(),
@@ -208,7 +204,7 @@
     /// Statements that this node lets the instance work on at once.
     #[must_use]
     pub fn window(&self) -> usize {
-        self.window.get().size()
+        self.turns.window()
     }
 
     /// Whether the instance did not take a connection a moment ago.
@@ -402,7 +398,7 @@
     // Connections that can be of use now: those of open transactions, one for each statement
     // in the window, and one for the next. More would only be held by statements that wait.
     fn room(&self) -> usize {
-        let useful = self.pinned.get() + self.window.get().size() + 1;
+        let useful = self.pinned.get() + self.window() + 1;
         useful.min(self.size.get().most)
     }
 
@@ -505,34 +501,8 @@
     }
 
     /// A turn to let the instance work, where only so many statements may at once.
-    pub(crate) async fn turn(self: &rc::Rc<Self>, urgency: urgency::Urgency) -> Option<Turn> {
-        let deadline = urgency.until.min(urgency.awaited);
-        let (anybody, since) = (organisation::OWN, boot::now());
-        while self.working.get() >= self.window.get().size() {
-            let waited = self.turns.wait(&anybody, urgency, since, deadline);
-            if !waited.await {
-                return None;
-            }
-        }
-        self.working.set(self.working.get() + 1);
-        Some(Turn(rc::Rc::clone(self)))
-    }
-
-    // Fits the window to an answer; one that has grown has room for one more.
-    fn adapt(self: &rc::Rc<Self>, now: id::Time, reply: &reply::Reply, took: time::Duration) {
-        let mut window = self.window.get();
-        let before = window.size();
-        match reply.code() {
-            None => window.answered(now, took, self.working.get() >= before),
-            Some(reply::Code::Busy) => window.refused(now),
-            // Refused for another reason, which tells nothing about the instance's load.
-            Some(_) => return,
-        }
-        self.window.set(window);
-        if window.size() > before {
-            self.turns.wake();
-            self.waiting.wake();
-        }
+    pub(crate) async fn turn(&self, urgency: urgency::Urgency) -> Option<turns::Turn> {
+        self.turns.take(urgency).await
     }
 
     fn target(&self, organisation: &organisation::Name) -> upstream::Target {
@@ -552,8 +522,11 @@
         let now = boot::now();
         self.answered.set(now);
         let took = now.saturating_sub(sent);
-        if let Some(last) = replies.last() {
-            self.adapt(now, last, took);
+        if let Some(last) = replies.last()
+            && self.turns.adapt(now, last, took)
+        {
+            // There is room for one more.
+            self.waiting.wake();
         }
         self.delay.set((self.delay.get() * 7 + took) / 8);
         let last = replies.iter().rev().find_map(|reply| reply.position);
@@ -605,13 +578,3 @@
         }
     }
 }
-
-/// A statement at work, or about to be.
-pub(crate) struct Turn(rc::Rc<Pool>);
-
-impl Drop for Turn {
-    fn drop(&mut self) {
-        self.0.working.set(self.0.working.get() - 1);
-        self.0.turns.wake();
-    }
-}
