--- a/desk/src/doubt.rs
+++ b/desk/src/doubt.rs
@@ -112,7 +112,7 @@
 
     /// Since when this process has known of a return that it has seen, and in which it did not hold the seat.
     #[must_use]
-    pub fn bereft(&self) -> Option<id::Time> {
+    pub fn not_held_since(&self) -> Option<id::Time> {
         (self.risen && !self.held).then_some(self.since)
     }
 }
--- a/desk/src/remote.rs
+++ b/desk/src/remote.rs
@@ -19,9 +19,8 @@
 use crate::wait;
 
 /// Longest wait for another node to accept a connection, which its system does even while the
-/// node is busy: a few ways there and back. A node that is gone for good stays listed; after
-/// a restart of all nodes each of them asks it first for some instance, and knew only
-/// 350 ms later that it has to ask another.
+/// node is busy: a few ways there and back. A node that is gone for good stays listed, and is asked
+/// first for some instance by each node that starts.
 const CONNECT: time::Duration = time::Duration::from_millis(80);
 
 /// A connection is suspected after this long without an answer or a heartbeat. The lending node sends one each
--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -417,7 +417,7 @@
         let now = boot::now();
         let doubt = self.doubt();
         let defers = |since| era::defers(doubt.era(), since, now);
-        if doubt.bereft().is_some_and(defers) || now < self.made + NEW {
+        if doubt.not_held_since().is_some_and(defers) || now < self.made + NEW {
             LATER
         } else {
             time::Duration::ZERO
