Tell in the lab's failure whether a task took its thread with it

What reading leaves are a task that panics outside of a lock, which ends a thread of the executor and its replication with it, or 20 s without a turn. The message of a failure tells the two apart now. No check is changed.

--- a/lab/tests/cluster.rs
+++ b/lab/tests/cluster.rs
@@ -28,6 +28,8 @@
 
 struct Bench {
     cluster: Arc<cluster::Cluster>,
+    /// The executor's threads; one that has ended before the test took a task down with it.
+    threads: Vec<std::thread::JoinHandle<()>>,
     /// Ends the executor's threads when dropped.
     _stop: async_channel::Sender<()>,
 }
@@ -36,15 +38,17 @@
     fn start(options: cluster::Options) -> Self {
         let executor = Arc::new(async_executor::Executor::new());
         let (stop, stopped) = async_channel::bounded::<()>(1);
-        for _ in 0..2 {
+        let threads = (0..2).map(|_| {
             let (executor, stopped) = (Arc::clone(&executor), stopped.clone());
             std::thread::spawn(move || {
                 let _ = async_io::block_on(executor.run(stopped.recv()));
-            });
-        }
+            })
+        });
+        let threads = threads.collect();
         let cluster = cluster::Cluster::start(options, &executor).unwrap();
         Self {
             cluster,
+            threads,
             _stop: stop,
         }
     }
@@ -85,14 +89,20 @@
         }
     }
 
-    /// What each instance says of itself, and how long its log is.
+    /// What each instance says of itself, how long its log is, and whether a task has panicked.
     fn situation(&self) -> String {
+        let threads = self.threads.iter().filter(|thread| thread.is_finished());
+        let ended = threads.count();
         let of = |index| {
             let status = self.cluster.status(index);
             let records = self.cluster.log(index).len();
             format!("instance {index}: {status:?}, {records} records")
         };
-        (0..cluster::SIZE).map(of).collect::<Vec<_>>().join("; ")
+        let instances: Vec<_> = (0..cluster::SIZE).map(of).collect();
+        format!(
+            "{}; threads of the executor ended: {ended}",
+            instances.join("; ")
+        )
     }
 }
 
