--- a/desk/src/doubt.rs
+++ b/desk/src/doubt.rs
@@ -50,6 +50,14 @@
 
 impl Doubt {
     /// What is doubted once an answer of `era` has come.
+    ///
+    /// ```
+    /// use mangotray_desk::doubt;
+    /// use std::time::Duration;
+    /// let seen = doubt::Doubt::default().see(3, Duration::ZERO);
+    /// assert_eq!(seen.see(3, Duration::from_secs(1)), seen);
+    /// assert!(seen.see(4, Duration::from_secs(20)).is_open(Duration::from_secs(21)));
+    /// ```
     #[must_use]
     pub fn see(self, era: store::Era, now: id::Time) -> Self {
         if era == self.era {
@@ -69,6 +77,14 @@
 
     /// What is left of it where this process held the seat when the store came back: it knows its own
     /// orders, and there were no others since it took the seat. What it doubted by then stays.
+    ///
+    /// ```
+    /// use mangotray_desk::doubt;
+    /// use std::time::Duration;
+    /// let doubt = doubt::Doubt::default().see(3, Duration::ZERO);
+    /// let returned = doubt.see(4, Duration::from_secs(20)).held_through();
+    /// assert!(!returned.is_open(Duration::from_secs(21)));
+    /// ```
     #[must_use]
     pub const fn held_through(self) -> Self {
         if !self.next {
@@ -99,6 +115,14 @@
     }
 
     /// Whether this process has seen the era last for so long that all orders of before are over.
+    ///
+    /// ```
+    /// use mangotray_desk::doubt;
+    /// use std::time::Duration;
+    /// let doubt = doubt::Doubt::default().see(3, Duration::ZERO);
+    /// assert!(doubt.has_outlasted(Duration::from_secs(9)));
+    /// assert!(!doubt.has_outlasted(Duration::from_secs(1)));
+    /// ```
     #[must_use]
     pub fn has_outlasted(&self, now: id::Time) -> bool {
         self.era > 0 && now >= self.since + ORDERS_OVER
@@ -111,6 +135,16 @@
     }
 
     /// Since when this process has known of a return that it has seen, and in which it did not hold the seat.
+    ///
+    /// ```
+    /// use mangotray_desk::doubt;
+    /// use std::time::Duration;
+    /// let second = Duration::from_secs(1);
+    /// let doubt = doubt::Doubt::default().see(3, Duration::ZERO);
+    /// assert_eq!(doubt.not_held_since(), None);
+    /// assert_eq!(doubt.see(4, second).not_held_since(), Some(second));
+    /// assert_eq!(doubt.see(4, second).held_through().not_held_since(), None);
+    /// ```
     #[must_use]
     pub fn not_held_since(&self) -> Option<id::Time> {
         (self.risen && !self.held).then_some(self.since)
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -36,6 +36,17 @@
     play_with(stage::Stage::new(), store)
 }
 
+/// Both replicas are held for the next term, as by a promotion that is under way.
+fn hold_replicas(play: &Play) {
+    for id in ["b", "c"] {
+        play.stage.world.borrow_mut().at(id).held = 2;
+    }
+}
+
+fn holds(play: &Play) -> [u64; 2] {
+    ["b", "c"].map(|id| play.stage.world.borrow_mut().at(id).held)
+}
+
 fn tell_outlasted(store: &play::Store, era: store::Era) {
     let entry = store::Entry {
         key: seat::OUTLASTED.into(),
@@ -283,9 +294,7 @@
     let copy = play.store.at().clone();
     play.stage.run(async {
         leave_and_return(&play, &copy).await;
-        for id in ["b", "c"] {
-            play.stage.world.borrow_mut().at(id).held = 2;
-        }
+        hold_replicas(&play);
         let heir = successor(&play);
         stage::until("the seat is taken", || heir.seat.held().is_some()).await;
         heir.store.go_back(&copy);
@@ -293,10 +302,7 @@
         heir.seat.vacated();
         stage::until("the seat is taken", || heir.seat.held().is_some()).await;
         wait::sleep(LONG).await;
-        let held: Vec<_> = ["b", "c"]
-            .map(|id| heir.stage.world.borrow_mut().at(id).held)
-            .into();
-        assert_eq!(held, [2, 2]);
+        assert_eq!(holds(&heir), [2, 2]);
         assert_eq!(*heir.duty.orders.borrow(), []);
     });
 }
@@ -326,14 +332,11 @@
 #[test]
 fn a_holder_that_starts_long_after_a_return_frees_held_replicas() {
     let play = play_long_after();
-    for id in ["b", "c"] {
-        play.stage.world.borrow_mut().at(id).held = 2;
-    }
+    hold_replicas(&play);
     play.stage.run(async {
         stage::until("the seat is taken", || play.seat.held().is_some()).await;
         assert!(!play.seat.is_doubtful());
-        let free = || ["b", "c"].map(|id| play.stage.world.borrow_mut().at(id).held) == [0, 0];
-        stage::until("the replicas are free", free).await;
+        stage::until("the replicas are free", || holds(&play) == [0, 0]).await;
     });
 }
 
