--- a/desk/src/seat.rs
+++ b/desk/src/seat.rs
@@ -28,8 +28,8 @@
 const AGREED: &str = "mangotray/promot";
 
 /// Key that tells which era has lasted for so long that no order of an earlier one can take effect: a
-/// holder that has just started need not wait to find out.
-pub const OUTLASTED: &str = "mangotray/promoter-era";
+/// holder that has just started need not wait to find out. The list of the seat and the promotions has it too.
+pub const OUTLASTED: &str = "mangotray/promotion-era";
 
 /// Lease of the seat, where the store grants leases as short. A killed holder is succeeded after this time at most; a store that
 /// is slow for a moment does not cost a calm holder the seat.
