--- a/desk/src/lent.rs
+++ b/desk/src/lent.rs
@@ -239,28 +239,28 @@
     let silence = kept.link.silence();
     let pulse = kept.link.pulse();
     let mut exchange = kept.link.run(commands, urgency, &kept.organisation);
-    loop {
+    let heard = loop {
         let heard = pulse.as_ref().map_or(sent, |pulse| pulse.get().max(sent));
         let until = urgency.awaited.min(heard + silence);
         if let Some(result) = wait::until(until, &mut exchange).await {
             return result;
         }
-        let now = boot::now();
-        if pulse.as_ref().is_some_and(|pulse| pulse.get() > heard) && now < urgency.awaited {
-            continue;
+        let beaten = pulse.as_ref().is_some_and(|pulse| pulse.get() > heard);
+        if !beaten || boot::now() >= urgency.awaited {
+            break heard;
         }
-        let telling = now >= heard + TELLING.min(silence);
-        let silent = telling && pool.doubt(sent.max(heard), &kept.organisation);
-        let gives_up = silent && patience == Patience::Elsewhere;
-        if !gives_up && let Some(result) = wait::until(urgency.awaited, exchange).await {
-            return result;
-        }
-        return Err(upstream::Failure {
-            sent: true,
-            crowded: false,
-            detail: "no answer in time".into(),
-        });
+    };
+    let telling = boot::now() >= heard + TELLING.min(silence);
+    let silent = telling && pool.doubt(heard, &kept.organisation);
+    let gives_up = silent && patience == Patience::Elsewhere;
+    if !gives_up && let Some(result) = wait::until(urgency.awaited, exchange).await {
+        return result;
     }
+    Err(upstream::Failure {
+        sent: true,
+        crowded: false,
+        detail: "no answer in time".into(),
+    })
 }
 
 // How many of the commands set values, and must have succeeded before the rest is sent. An
--- a/desk/src/message.rs
+++ b/desk/src/message.rs
@@ -90,17 +90,17 @@
     }
 }
 
-/// Receives a message that may go on with more than this node knows of, and that rest.
+/// Receives a message, and the byte that may follow it.
 ///
 /// # Errors
 /// As [`receive`].
-pub async fn receive_with_rest<T: serde::de::DeserializeOwned>(
+pub async fn receive_with_mark<T: serde::de::DeserializeOwned>(
     stream: &mut TcpStream,
-) -> io::Result<(T, Vec<u8>)> {
+) -> io::Result<(T, Option<u8>)> {
     let length = length(stream).await?;
     let bytes = bytes(stream, length).await?;
     let (value, rest) = postcard::take_from_bytes(&bytes).map_err(io::Error::other)?;
-    Ok((value, rest.to_vec()))
+    Ok((value, rest.first().copied()))
 }
 
 /// Receives a message whose length is known.
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -386,20 +386,16 @@
             return Ok(());
         }
         loop {
-            let (work, rest) = message::receive_with_rest::<Work>(stream).await?;
+            let (work, mark) = message::receive_with_mark::<Work>(stream).await?;
             self.busy.set(self.busy.get() + 1);
             let urgency = work.urgency.arrive();
             let answer = {
                 // Pinned here: handed on by value, its state would be kept several times.
                 let run = lender.run(&work.commands, urgency, &work.organisation);
-                let mut run = pin::pin!(run);
-                let told = match rest.first() {
-                    Some(&TELL) => tell_while(run.as_mut(), stream).await,
-                    _ => None,
-                };
-                match told {
-                    Some(answer) => answer,
-                    None => run.await,
+                let run = pin::pin!(run);
+                match mark {
+                    Some(TELL) => tell_while(run, stream).await,
+                    _ => run.await,
                 }
             };
             self.busy.set(self.busy.get() - 1);
@@ -413,16 +409,16 @@
 async fn tell_while(
     mut run: pin::Pin<&mut impl Future<Output = Answer>>,
     stream: &mut TcpStream,
-) -> Option<Answer> {
+) -> Answer {
     let until = boot::now() + HEARTBEATS_FOR;
     while boot::now() < until {
         if let Some(answer) = wait::within(HEARTBEAT, run.as_mut()).await {
-            return Some(answer);
+            return answer;
         }
         if let Err(error) = message::send_heartbeat(stream).await {
             tracing::debug!(%error, "nobody awaits a relayed statement any more");
             break;
         }
     }
-    None
+    run.await
 }
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -219,17 +219,12 @@
     let copy = play.store.at().clone();
     play.stage.run(async {
         leave_and_return(&play, &copy).await;
-        for id in ["b", "c"] {
-            play.stage.world.borrow_mut().at(id).held = 2;
-        }
+        hold_replicas(&play);
         // A node that never held the seat takes it, and knows nothing of what was ordered.
         let heir = successor(&play);
         stage::until("the seat is taken", || heir.seat.held().is_some()).await;
         wait::sleep(2 * LONG).await;
-        let held: Vec<_> = ["b", "c"]
-            .map(|id| heir.stage.world.borrow_mut().at(id).held)
-            .into();
-        assert_eq!(held, [2, 2]);
+        assert_eq!(holds(&heir), [2, 2]);
         assert_eq!(*heir.duty.orders.borrow(), []);
         // The order takes effect late: its candidate is taken over, and the others are freed.
         heir.stage.world.borrow_mut().promote("b");
