Order no promotion while the end of an earlier hold may be on its way

Cause: a command that ends a hold names no term, and commands on different connections arrive in any order. It was sent blindly by a promotion that is given up, also by a node that had just lost the seat, and by the end of a promotion up to 0.6 s after its look. One that got no answer may arrive after the next promotion's hold: the replica receives from the old primary until the promotion takes effect.

Changed: commands that end holds are noted with their answers (resumes). A promotion holds its replicas again until none was open when the last round of holds began, and orders only then; unanswered ones count for four seconds: up to 300 ms until they are written, three until a dead connection is dropped, 160 ms of queue. While a promotion is under way the end of an earlier one frees nobody; it looks again after it. Only a node that surely holds the seat frees replicas, asked once more when it has a connection for the command. The end of a promotion tells the replaced primary without the seat, and frees once the node holds it again; another holder knows the promotion from its record. It holds replicas again only while the node has not heard that its seat is gone: with the store away nobody else would, and a hold can be ended later.

Why it works: the check and the note are one step, the note is there before the command leaves, and no other command can be begun before the order.

Not covered: a command of another node. The next holder may order 0.4 s after the lease of the one before has ended, so that a command of that one may still be on its way.

The play's orders can take effect late and tell which replicas were not held then; the stage's commands can arrive late. As before by default.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod relief;
 pub mod remote;
 pub mod reply;
+pub mod resumes;
 pub mod roster;
 pub mod router;
 pub mod sampler;
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -1,5 +1,6 @@
 //! One replacement of a primary.
 
+use std::cell;
 use std::rc;
 use std::time;
 
@@ -11,6 +12,7 @@
 use crate::group;
 use crate::intent;
 use crate::pool;
+use crate::resumes;
 use crate::sampler;
 use crate::succession;
 use crate::upstream;
@@ -197,6 +199,31 @@
     tell_within(pool, command, dialer, HOLD).await
 }
 
+/// Ends the hold of a replica, if `may` still says so when there is a connection for it.
+pub async fn resume(
+    pool: &rc::Rc<pool::Pool>,
+    group: &group::Group,
+    resumes: &cell::RefCell<resumes::Resumes>,
+    may: impl Fn() -> bool,
+) {
+    let deadline = boot::now() + HOLD;
+    let Some(mut lent) = sampler::connection(pool, deadline).await else {
+        return;
+    };
+    if !may() {
+        tracing::info!(instance = %pool.id(), "replica stays held: ending its hold is no longer this node's part");
+        return;
+    }
+    let number = resumes.borrow_mut().sent(&group.name, boot::now());
+    let answer = lent.run(&[upstream::Command::Resume], deadline).await;
+    let open = answer.as_ref().is_err_and(|failure| failure.sent);
+    if !open {
+        resumes.borrow_mut().answered(number);
+    }
+    tracing::info!(instance = %pool.id(), command = ?upstream::Command::Resume, answered = answer.is_ok(),
+        open, "instance told");
+}
+
 async fn tell_within(
     pool: &rc::Rc<pool::Pool>,
     command: &upstream::Command,
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -19,6 +19,7 @@
 use crate::node;
 use crate::plan;
 use crate::pool;
+use crate::resumes;
 use crate::sampler;
 use crate::seat;
 use crate::settlement;
@@ -37,6 +38,9 @@
 /// A promotion whose replicas cannot all be held in this time is given up for now.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
 
+/// Pause between holds while an earlier end of a hold may yet arrive.
+const HOLD_AGAIN: time::Duration = time::Duration::from_millis(100);
+
 /// What came of one try to replace a primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Done {
@@ -72,6 +76,7 @@
     settlements: cell::RefCell<collections::BTreeMap<id::Group, Progress>>,
     /// Groups of which no order was under way when the store came back, and in which era.
     clear: cell::RefCell<collections::BTreeMap<id::Group, store::Era>>,
+    resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
 }
 
 impl Promoter {
@@ -88,6 +93,7 @@
             duty,
             settlements: cell::RefCell::default(),
             clear: cell::RefCell::default(),
+            resumes: rc::Rc::default(),
         })
     }
 
@@ -124,6 +130,19 @@
         lead: &sampler::Lead,
         cause: succession::Cause,
         furthest: Option<stamp::Stamp>,
+    ) -> Done {
+        self.resumes.borrow_mut().promotes(&group.name, true);
+        let done = self.promote(group, lead, cause, furthest).await;
+        self.resumes.borrow_mut().promotes(&group.name, false);
+        done
+    }
+
+    async fn promote(
+        self: &rc::Rc<Self>,
+        group: &rc::Rc<group::Group>,
+        lead: &sampler::Lead,
+        cause: succession::Cause,
+        furthest: Option<stamp::Stamp>,
     ) -> Done {
         let plan = plan::Plan {
             group: rc::Rc::clone(group),
@@ -133,7 +152,7 @@
             began: boot::now(),
             furthest,
         };
-        let held = match self.hold(&plan, lead).await {
+        let held = match self.hold_surely(&plan, lead).await {
             Ok(held) => held,
             Err(done) => return done,
         };
@@ -232,6 +251,31 @@
         settlements.get(group).is_none_or(|progress| progress.done)
     }
 
+    // Holds all replicas, and again until no end of an earlier hold was on its way to them meanwhile.
+    async fn hold_surely(&self, plan: &plan::Plan, lead: &sampler::Lead) -> Result<Held, Done> {
+        let group = &plan.group;
+        let mut told = false;
+        loop {
+            let open = self.resumes.borrow_mut().until(&group.name, boot::now());
+            let held = self.hold(plan, lead).await?;
+            let Some(until) = open else {
+                return Ok(held);
+            };
+            if self.has_returned(plan, lead).await {
+                tracing::warn!(group = %group.name, term = plan.term, "promotion given up: the primary has returned");
+                self.free(group, lead).await;
+                return Err(Done::GivenUp);
+            }
+            let left = until.saturating_sub(boot::now());
+            if !told {
+                tracing::info!(group = %group.name, term = plan.term, left_ms = left.as_millis(),
+                    "no order yet: the end of an earlier hold may be on its way");
+                told = true;
+            }
+            wait::sleep(left.min(HOLD_AGAIN)).await;
+        }
+    }
+
     /// Holds all replicas for the new term and chooses among them.
     ///
     /// Any of them may be the only one besides the old primary that has an acknowledged
@@ -364,7 +408,14 @@
     /// primary before the present one knows that it leads no more, unless the present one
     /// answers: replicas follow it then. What stays held is freed by the end of the promotion
     /// that needs it.
+    ///
+    /// A node that does not surely hold the seat ends no hold: it may be that of its successor, who finds the
+    /// replicas held and knows why.
     pub async fn free(&self, group: &rc::Rc<group::Group>, lead: &sampler::Lead) {
+        if self.seat.held().is_none() {
+            tracing::info!(group = %group.name, "replicas stay held: the seat is not surely held");
+            return;
+        }
         if self.is_in_doubt(&group.name) {
             tracing::info!(group = %group.name, "replicas stay held: the store may have lost the record of an order");
             return;
@@ -378,10 +429,11 @@
             tracing::info!(group = %group.name, "replicas stay held: a replaced primary does not know yet");
             return;
         }
+        let may = || self.seat.held().is_some();
         let resumes = survey
             .others
             .iter()
-            .map(|pool| plan::tell(pool, &upstream::Command::Resume, group.dialer()));
+            .map(|pool| plan::resume(pool, group, &self.resumes, may));
         futures_util::future::join_all(resumes).await;
     }
 
@@ -448,20 +500,30 @@
         }
         let done = false;
         settlements.insert(group.name.clone(), Progress { term, done });
-        let settlement = settlement::Settlement::new(rc::Rc::clone(group), intent);
+        let settlement = settlement::Settlement::new(
+            rc::Rc::clone(group),
+            intent,
+            rc::Rc::clone(&self.seat),
+            rc::Rc::clone(&self.resumes),
+        );
         let promoter = rc::Rc::clone(self);
         let name = group.name.clone();
         let settle = async move {
-            let done = settlement.run().await;
+            let told = settlement.tell().await;
+            promoter.note_settled(&name, term);
+            let done = told && settlement.free().await;
             tracing::info!(group = %name, term, done, "promotion settled");
-            let mut settlements = promoter.settlements.borrow_mut();
-            let progress = settlements.get_mut(&name);
-            if let Some(progress) = progress.filter(|progress| progress.term == term) {
-                progress.done = true;
-            }
         };
         self.node.executor().spawn(settle).detach();
     }
+
+    fn note_settled(&self, group: &id::Group, term: id::Term) {
+        let mut settlements = self.settlements.borrow_mut();
+        let progress = settlements.get_mut(group);
+        if let Some(progress) = progress.filter(|progress| progress.term == term) {
+            progress.done = true;
+        }
+    }
 }
 
 // Holds these instances.
--- a/desk/src/settlement.rs
+++ b/desk/src/settlement.rs
@@ -1,5 +1,6 @@
 //! The end of a promotion: the replaced primary is told, then the replicas are freed.
 
+use std::cell;
 use std::rc;
 use std::time;
 
@@ -11,7 +12,9 @@
 use crate::intent;
 use crate::plan;
 use crate::pool;
+use crate::resumes;
 use crate::sampler;
+use crate::seat;
 use crate::upstream;
 use crate::wait;
 
@@ -31,48 +34,79 @@
 /// A replaced primary that was not told goes on believing that it leads. A replica that is freed
 /// before, or starts again without its hold, receives its records, and lets it acknowledge
 /// writes that the new primary never gets.
+///
+/// Holds are ended only by a node that surely holds the seat, and while it promotes nobody: they may
+/// be those of a later promotion. One that has lost the seat goes on telling the replaced primary; whoever
+/// holds the seat next knows the promotion from its record, and frees the replicas.
 pub struct Settlement {
     group: rc::Rc<group::Group>,
     old: Option<upstream::Id>,
     candidate: upstream::Id,
     term: id::Term,
+    seat: rc::Rc<seat::Seat>,
+    resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
 }
 
 impl Settlement {
     /// The end of a recorded promotion whose candidate has come to lead.
     #[must_use]
-    pub fn new(group: rc::Rc<group::Group>, intent: &intent::Intent) -> Self {
+    pub fn new(
+        group: rc::Rc<group::Group>,
+        intent: &intent::Intent,
+        seat: rc::Rc<seat::Seat>,
+        resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
+    ) -> Self {
         Self {
             group,
             old: intent.old.clone(),
             candidate: intent.candidate.clone(),
             term: intent.term,
+            seat,
+            resumes,
         }
     }
 
-    /// Works until the replicas are free; `false` where a later promotion has taken over.
-    pub async fn run(&self) -> bool {
+    /// Works until the replicas may be free; `false` where a later promotion has taken over.
+    pub async fn tell(&self) -> bool {
         let began = boot::now();
         loop {
             if self.is_superseded() {
                 return false;
             }
             if self.tell_old().await {
-                break;
+                return true;
             }
             let untold = boot::now() > began + UNTOLD;
             if untold && self.successor_answers().await {
                 tracing::warn!(group = %self.group.name, old = ?self.old, candidate = %self.candidate,
                     "replicas are freed, the replaced primary could not be told");
-                break;
+                return true;
+            }
+            // While the store is away nobody else does; a hold can be ended later, a lost commit stays lost.
+            if self.seat.had() {
+                self.hold_again().await;
             }
-            self.hold_again().await;
             wait::sleep(RETRY).await;
         }
-        self.free().await;
+    }
+
+    /// Frees the replicas, once this node may; `false` where a later promotion has taken over.
+    pub async fn free(&self) -> bool {
+        while !self.may_free() {
+            wait::sleep(RETRY).await;
+            if self.is_superseded() {
+                return false;
+            }
+        }
+        self.free_held().await;
         true
     }
 
+    fn may_free(&self) -> bool {
+        let promoting = self.resumes.borrow().is_promoting(&self.group.name);
+        self.seat.held().is_some() && !promoting
+    }
+
     // Term in which the candidate leads; it may be later than the one its replicas were held for.
     fn led(&self) -> id::Term {
         let lead = self.group.lead().filter(|lead| lead.id == self.candidate);
@@ -127,14 +161,14 @@
 
     // Holds for a later term belong to a later promotion: ending them would let commits pass
     // by its candidate.
-    async fn free(&self) {
+    async fn free_held(&self) {
         let mut pools = self.group.roster().pools();
         pools.retain(|pool| pool.id() != self.candidate);
         let looks = self.group.look_at(&pools, ANSWER).await;
         let own = |look: &&sampler::Look| (1..=self.led()).contains(&look.status.held);
         for look in looks.iter().filter(own) {
             if let Some(pool) = pools.iter().find(|pool| pool.id() == look.id) {
-                plan::tell(pool, &upstream::Command::Resume, self.group.dialer()).await;
+                plan::resume(pool, &self.group, &self.resumes, || self.may_free()).await;
             }
         }
     }
--- a/desk/tests/play/mod.rs
+++ b/desk/tests/play/mod.rs
@@ -17,6 +17,8 @@
 use mangotray_desk::duty;
 use mangotray_desk::promoter;
 use mangotray_desk::seat;
+use mangotray_desk::upstream;
+use mangotray_desk::wait;
 
 use crate::stage;
 
@@ -234,9 +236,14 @@
     }
 }
 
-/// Carries orders out on stage at once.
+/// Carries orders out on stage, at once where nothing else is wanted.
 pub struct Duty {
     pub world: stage::Shared,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    /// Time from an order to its effect.
+    pub takes: cell::Cell<time::Duration>,
+    /// Replicas that were not held for it when an order took effect.
+    pub loose: rc::Rc<cell::RefCell<Vec<upstream::Id>>>,
     pub orders: cell::RefCell<Vec<duty::Order>>,
     /// The next orders are carried out, their answers are lost.
     pub lose: cell::Cell<usize>,
@@ -265,13 +272,12 @@
                 self.ignore.set(self.ignore.get() - 1);
                 return duty::Outcome::Accepted;
             }
-            let mut world = self.world.borrow_mut();
+            let world = self.world.borrow();
             let leads = |instance: &&stage::Instance| instance.role == role::Role::Primary;
             let primaries = world.instances.values().filter(leads).count();
             self.primaries.borrow_mut().push(primaries);
-            if world.at(&order.candidate).role == role::Role::Replica {
-                world.promote(&order.candidate);
-            }
+            drop(world);
+            self.carry_out(order.candidate.clone());
             if self.lose.get() > 0 {
                 self.lose.set(self.lose.get() - 1);
                 return duty::Outcome::Unknown("lost".into());
@@ -282,6 +288,56 @@
     }
 }
 
+impl Duty {
+    fn carry_out(&self, candidate: upstream::Id) {
+        let takes = self.takes.get();
+        let effect = Effect {
+            world: rc::Rc::clone(&self.world),
+            others: others(&self.world.borrow(), &candidate),
+            candidate,
+            loose: rc::Rc::clone(&self.loose),
+        };
+        if takes.is_zero() {
+            return effect.take();
+        }
+        let later = async move {
+            wait::sleep(takes).await;
+            effect.take();
+        };
+        self.executor.spawn(later).detach();
+    }
+}
+
+// The replicas that an order has to find held.
+fn others(world: &stage::World, candidate: &upstream::Id) -> Vec<upstream::Id> {
+    let is_other = |(id, instance): &(&upstream::Id, &stage::Instance)| {
+        instance.role == role::Role::Replica && *id != candidate
+    };
+    let others = world.instances.iter().filter(is_other);
+    others.map(|(id, _)| id.clone()).collect()
+}
+
+struct Effect {
+    world: stage::Shared,
+    candidate: upstream::Id,
+    others: Vec<upstream::Id>,
+    loose: rc::Rc<cell::RefCell<Vec<upstream::Id>>>,
+}
+
+impl Effect {
+    fn take(self) {
+        let mut world = self.world.borrow_mut();
+        if world.at(&self.candidate).role != role::Role::Replica {
+            return;
+        }
+        let replaced = world.instances.values().map(|instance| instance.term).max();
+        let loose = self.others.into_iter();
+        let loose = loose.filter(|id| Some(world.at(id).held) <= replaced);
+        self.loose.borrow_mut().extend(loose);
+        world.promote(&self.candidate);
+    }
+}
+
 /// One node that takes the seat, and what it works with.
 pub struct Play {
     pub stage: stage::Stage,
@@ -311,6 +367,9 @@
 pub fn play_as(stage: stage::Stage, store: Store, seat: rc::Rc<seat::Seat>) -> Play {
     let duty = rc::Rc::new(Duty {
         world: rc::Rc::clone(&stage.world),
+        executor: rc::Rc::clone(&stage.executor),
+        takes: cell::Cell::default(),
+        loose: rc::Rc::default(),
         orders: cell::RefCell::default(),
         lose: cell::Cell::default(),
         vanish: cell::Cell::default(),
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -84,6 +84,11 @@
     pub fail_sets: usize,
     /// The instance that has run this many statements of all ends.
     pub die_after: Option<usize>,
+    /// The next command of this kind to this instance is late: its sender gets no answer, and it arrives once the
+    /// test delivers it.
+    pub delay: Option<(upstream::Id, upstream::Command)>,
+    /// Late commands that have not arrived.
+    pub late: Vec<(upstream::Id, upstream::Command)>,
 }
 
 pub type Shared = rc::Rc<cell::RefCell<World>>;
@@ -167,6 +172,37 @@
         instance.lag = None;
     }
 
+    /// Whether these commands are late, as the test wants; they are kept then.
+    fn delays(&mut self, id: &upstream::Id, commands: &[upstream::Command]) -> bool {
+        let delayed = |(to, command): &(upstream::Id, upstream::Command)| {
+            to == id && commands.contains(command)
+        };
+        let delayed = self.delay.take_if(|delay| delayed(delay));
+        let late = delayed.is_some();
+        self.late.extend(delayed);
+        late
+    }
+
+    /// Late commands arrive.
+    pub fn deliver(&mut self) {
+        for (id, command) in std::mem::take(&mut self.late) {
+            self.command(&id, &command);
+        }
+    }
+
+    // What a command of a node's own does to an instance.
+    fn command(&mut self, id: &upstream::Id, command: &upstream::Command) {
+        let instance = self.at(id);
+        match command {
+            upstream::Command::Hold(term) => instance.held = instance.held.max(*term),
+            upstream::Command::Resume => instance.held = 0,
+            upstream::Command::Demote(term) if instance.term < *term => {
+                instance.role = role::Role::Replica;
+            }
+            _ => {}
+        }
+    }
+
     /// The texts that an instance ran.
     pub fn texts(&self, id: &str) -> Vec<CompactString> {
         let ran = self.ran.iter().filter(|ran| ran.instance == id);
@@ -244,7 +280,8 @@
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, upstream::Failure>> {
         assert_eq!(self.organisation, *organisation, "a foreign connection");
         async move {
-            if self.number <= self.world.borrow().dead {
+            let delayed = self.world.borrow_mut().delays(&self.instance, commands);
+            if delayed || self.number <= self.world.borrow().dead {
                 future::pending::<()>().await;
             }
             while self.world.borrow().stalled {
@@ -334,23 +371,15 @@
                 world.looks += 1;
                 Ok(self.status(&mut world))
             }
-            upstream::Command::Hold(term) => {
+            upstream::Command::Hold(_) => {
                 for instance in world.instances.values_mut() {
                     instance.position += std::mem::take(&mut instance.ahead);
                 }
-                let instance = world.at(&self.instance);
-                instance.held = instance.held.max(*term);
+                world.command(&self.instance, command);
                 Ok(self.status(&mut world))
             }
-            upstream::Command::Resume => {
-                world.at(&self.instance).held = 0;
-                Ok(self.status(&mut world))
-            }
-            upstream::Command::Demote(term) => {
-                let instance = world.at(&self.instance);
-                if instance.term < *term {
-                    instance.role = role::Role::Replica;
-                }
+            upstream::Command::Resume | upstream::Command::Demote(_) => {
+                world.command(&self.instance, command);
                 Ok(self.status(&mut world))
             }
         }
