Tell whom a promotion counted and why not, and at once what it lost

What callers saw: acknowledged bookings that were missing after a promotion, which only their own checker found, minutes later.

Cause of not knowing more: `candidate chosen` named the replicas that were held and their positions, but not their terms and holds, nor who was left out: the replaced primary, one that is listed no more, one that was forgotten. And nobody looked at the other logs once the candidate led, so that the three hypotheses of the incident could not be told apart.

What changed: an `Account` of each promotion. `candidate chosen` tells every instance that was counted with its last record, term and hold, and every other one with the reason; the roster tells for a minute whom it has forgotten, and when. As soon as the candidate leads all instances are looked at once, in the background and without effect on what the node believes: records of earlier terms beyond what the candidate had when it was chosen are told at `error` for a replica, with `mangotray_promotion_losses_total{group}`, and at `warn` for the replaced primary, whose unconfirmed records are no loss by themselves. No decision changes.

Evidence: desk/tests/account.rs; a replica that gets five records more between the order and its effect is counted once, a promotion where all is well not at all. There was nothing to count before, so that the tests do not compile on the code before.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`promoter`], replaces primaries.
 
 pub mod absence;
+pub mod account;
 pub mod attempt;
 pub mod belief;
 pub mod boot;
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -11,6 +11,7 @@
 use mangotray::store;
 use mangotray::telemetry;
 
+use crate::account;
 use crate::boot;
 use crate::duty;
 use crate::group;
@@ -59,6 +60,8 @@
     looks: Vec<sampler::Look>,
     lives: plan::Lives,
     candidate: upstream::Id,
+    /// Last record of the candidate.
+    position: stamp::Stamp,
 }
 
 /// How far the end of a promotion has come.
@@ -157,12 +160,9 @@
             Err(done) => return done,
         };
         let candidate = &held.candidate;
-        let received: Vec<_> = held
-            .looks
-            .iter()
-            .map(|look| (&look.id, look.status.received))
-            .collect();
-        tracing::info!(group = %group.name, %candidate, term = plan.term, ?received,
+        let account = account(&plan, &held);
+        tracing::info!(group = %group.name, %candidate, term = plan.term, position = %held.position,
+            counted = account.counted(), uncounted = account.uncounted(),
             furthest = plan.furthest.map(tracing::field::display), "candidate chosen");
         let relief = cause == succession::Cause::Relief;
         if relief && !self.step_down(&plan, candidate, &held.looks).await {
@@ -192,7 +192,12 @@
         if cause.lives() && outcome == duty::Outcome::Accepted {
             plan.demote_once().await;
         }
-        self.finish(&plan, candidate).await
+        let done = self.finish(&plan, candidate).await;
+        if matches!(done, Done::Leads(_)) {
+            let check = check(rc::Rc::clone(group), account);
+            self.node.executor().spawn(check).detach();
+        }
+        done
     }
 
     // Tells the primary to give up before its successor is ordered; whether it has done so.
@@ -302,9 +307,11 @@
             };
             let leaves = |id: &upstream::Id| group.roster().is_leaving(id);
             let mut verdict = view.judge(leaves);
+            let mut stands = None;
             if verdict == verdict::Verdict::Lacking {
                 let old = plan.ask_old().await;
                 verdict = view.resolve(&old, leaves);
+                stands = old.look().cloned();
                 tracing::info!(group = %group.name, furthest = ?plan.furthest, ?old, ?verdict,
                     "no replica has all that one had received");
             }
@@ -313,6 +320,7 @@
                 && let old @ verdict::Old::Answers(_) = plan.ask_old().await
             {
                 verdict = view.resolve(&old, leaves);
+                stands = old.look().cloned();
                 tracing::info!(group = %group.name, ?old, ?verdict, "no replica has any record");
             }
             match verdict {
@@ -321,7 +329,11 @@
                         "an instance whose id is not known has the furthest log");
                 }
                 verdict::Verdict::Promote(candidate) => {
+                    let mut answers = looks.iter().chain(&stands);
+                    let own = answers.find(|look| look.id == candidate);
+                    let position = own.map(|look| look.status.received);
                     return Ok(Held {
+                        position: position.unwrap_or_default(),
                         looks,
                         lives,
                         candidate,
@@ -526,6 +538,48 @@
     }
 }
 
+// Whose logs this choice rests on.
+fn account(plan: &plan::Plan, held: &Held) -> account::Account {
+    let roster = plan.group.roster();
+    let now = boot::now();
+    let ids = |pools: Vec<rc::Rc<pool::Pool>>| pools.iter().map(|pool| pool.id()).collect();
+    let forgotten = roster.forgotten().into_iter();
+    account::Account {
+        candidate: held.candidate.clone(),
+        position: held.position,
+        term: plan.term,
+        old: plan.old.as_ref().map(|old| old.id()),
+        looks: held.looks.clone(),
+        asked: ids(roster.pools()),
+        unlisted: ids(roster.absent()),
+        forgotten: forgotten
+            .map(|(id, since)| (id, now.saturating_sub(since)))
+            .collect(),
+    }
+}
+
+// Looks once at all instances after a promotion, and tells whose records the new primary lacks. What
+// is seen here is no part of what this node believes.
+async fn check(group: rc::Rc<group::Group>, account: account::Account) {
+    let pools = group.roster().pools();
+    let looks = sampler::look_at_all(&pools, group.dialer(), survey::LOOK).await;
+    let (candidate, position, term) = (&account.candidate, account.position, account.term);
+    let beyond = account.beyond(&looks);
+    tracing::info!(group = %group.name, %candidate, term, answers = looks.len(),
+        unseen = account.unseen(&looks), beyond = beyond.len(), "promotion checked");
+    for look in beyond {
+        let received = look.status.received;
+        if account.old.as_ref() == Some(&look.id) {
+            tracing::warn!(group = %group.name, instance = %look.id, %received, %candidate, %position, term,
+                "the replaced primary has records that its successor lacks: nobody confirmed them, or they are lost");
+        } else {
+            metrics::counter!(telemetry::LOSSES, "group" => group.name.to_string()).increment(1);
+            tracing::error!(group = %group.name, instance = %look.id, %received, %candidate, %position, term,
+                "a replica has records that the new primary lacks: acknowledged commits may be lost");
+        }
+    }
+}
+
 // Holds these instances.
 async fn hold_all(plan: &plan::Plan, pools: &[rc::Rc<pool::Pool>]) -> Vec<sampler::Look> {
     let dialer = plan.group.dialer();
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -44,6 +44,9 @@
     until: id::Time,
 }
 
+/// An instance that was forgotten longer ago has nothing that the present primary lacks.
+const FORGOTTEN: time::Duration = time::Duration::from_mins(1);
+
 /// The instances of a group and this node's connections to them.
 pub struct Roster {
     group: id::Group,
@@ -59,6 +62,8 @@
     added: cell::Cell<id::Time>,
     /// When this node first had a list, or the list came back from an older copy.
     first: cell::Cell<Option<id::Time>>,
+    /// When instances were forgotten, for as long as that may explain something.
+    forgotten: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     /// When an instance was last forgotten, or started again.
     lost: cell::Cell<Option<id::Time>>,
     /// When this node last had word of the list.
@@ -83,6 +88,7 @@
             vacated: cell::RefCell::default(),
             added: cell::Cell::default(),
             first: cell::Cell::default(),
+            forgotten: cell::RefCell::default(),
             lost: cell::Cell::default(),
             heard: cell::Cell::default(),
         }
@@ -351,6 +357,7 @@
         let sign = pool.sign();
         self.remove(pool);
         self.lost.set(Some(now));
+        self.forgotten.borrow_mut().insert(pool.id(), now);
         self.watch_for_successor(pool, now);
         tracing::info!(group = %self.group, instance = %pool.id(), closed = sign.closed,
             silent = ?now.saturating_sub(sign.answered), "instance forgotten");
@@ -434,4 +441,15 @@
     pub fn added(&self) -> id::Time {
         self.added.get()
     }
+
+    /// The instances that were forgotten lately and are not known again, and when that was.
+    #[must_use]
+    pub fn forgotten(&self) -> Vec<(upstream::Id, id::Time)> {
+        let oldest = boot::now().saturating_sub(FORGOTTEN);
+        let mut forgotten = self.forgotten.borrow_mut();
+        forgotten.retain(|_, since| *since >= oldest);
+        let pools = self.pools.borrow();
+        let unknown = forgotten.iter().filter(|(id, _)| !pools.contains_key(*id));
+        unknown.map(|(id, since)| (id.clone(), *since)).collect()
+    }
 }
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -40,6 +40,21 @@
     Answers(sampler::Look),
 }
 
+impl Old {
+    /// What it answered.
+    ///
+    /// ```
+    /// assert_eq!(mangotray_desk::verdict::Old::Gone.look(), None);
+    /// ```
+    #[must_use]
+    pub const fn look(&self) -> Option<&sampler::Look> {
+        match self {
+            Self::Answers(look) => Some(look),
+            Self::Gone | Self::Silent => None,
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- /dev/null
+++ b/desk/tests/account.rs
@@ -0,0 +1,131 @@
+//! What a promotion tells of those that it counted, and of what it lost.
+
+mod play;
+mod stage;
+
+use std::time;
+
+use mangotray::role;
+use mangotray::stamp;
+use mangotray::telemetry;
+use mangotray_desk::account;
+use mangotray_desk::sampler;
+use mangotray_desk::upstream;
+use mangotray_desk::wait;
+
+fn look(id: &str, role: role::Role, term: u64, number: u64) -> sampler::Look {
+    sampler::Look {
+        id: id.into(),
+        status: upstream::Status {
+            role,
+            term,
+            received: stamp::Stamp::new(term, number),
+            held: 0,
+            load: upstream::Load::default(),
+        },
+        applied: None,
+    }
+}
+
+// `b` is chosen at 3/420 to follow `a`.
+fn account() -> account::Account {
+    account::Account {
+        candidate: "b".into(),
+        position: stamp::Stamp::new(3, 420),
+        term: 4,
+        old: Some("a".into()),
+        looks: vec![look("b", role::Role::Replica, 3, 420)],
+        asked: ["a", "b", "c"].map(upstream::Id::from).to_vec(),
+        unlisted: vec!["c".into()],
+        forgotten: vec![("d".into(), time::Duration::from_secs(7))],
+    }
+}
+
+fn beyond(looks: &[sampler::Look]) -> Vec<&str> {
+    let found = account().beyond(looks);
+    found.iter().map(|found| found.id.as_str()).collect()
+}
+
+/// Guards against a promotion whose log lines do not tell who was passed over.
+#[test]
+fn every_instance_is_told_with_its_position_or_why_it_was_not_counted() {
+    let mut account = account();
+    assert_eq!(account.counted(), "b 3/420 term 3 held 0");
+    assert_eq!(
+        account.uncounted(),
+        "a replaced, c unlisted, d forgotten 7s ago"
+    );
+    account.looks.push(look("c", role::Role::Replica, 3, 400));
+    account.asked.push("e".into());
+    assert_eq!(
+        account.counted(),
+        "b 3/420 term 3 held 0, c 3/400 term 3 held 0 unlisted"
+    );
+    assert_eq!(
+        account.uncounted(),
+        "a replaced, e not held, d forgotten 7s ago"
+    );
+    assert_eq!(account.unseen(&account.looks), "a, e");
+}
+
+/// Guards against a loss that nobody sees, as the replica that shows it was not counted.
+#[test]
+fn records_that_the_new_primary_lacks_are_a_loss() {
+    let leads = look("b", role::Role::Primary, 4, 440);
+    let replica = look("c", role::Role::Replica, 3, 421);
+    let old = look("a", role::Role::Primary, 3, 425);
+    assert_eq!(beyond(&[old, leads, replica.clone()]), ["a", "c"]);
+    // The new primary does not answer.
+    assert_eq!(beyond(&[replica]), ["c"]);
+}
+
+/// Guards against an alarm after a promotion that has lost nothing.
+#[test]
+fn what_the_new_primary_has_or_wrote_is_no_loss() {
+    // It leads a later term than its replicas were held for, and one has records of the term between.
+    let leads = look("b", role::Role::Primary, 6, 440);
+    let followers = [
+        look("a", role::Role::Replica, 3, 420),
+        look("c", role::Role::Replica, 6, 439),
+    ];
+    let [first, second] = followers;
+    assert!(beyond(&[first, leads, second]).is_empty());
+    let behind = look("c", role::Role::Replica, 2, 500);
+    assert!(beyond(&[behind]).is_empty());
+}
+
+// Loses the primary; the other replica has `more` records than the candidate when that leads.
+fn promote_past(more: u64) {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.ignore.set(1);
+        play.stage.world.borrow_mut().at("a").up = false;
+        stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
+        let candidate = play.duty.orders.borrow()[0].candidate.clone();
+        {
+            let mut world = play.stage.world.borrow_mut();
+            let other = if candidate == "b" { "c" } else { "b" };
+            world.at(other).position += more;
+            world.promote(&candidate);
+        }
+        play.led(2).await;
+        wait::sleep(play::SHORT).await;
+    });
+}
+
+/// Guards against lost commits that only callers find.
+#[test]
+fn a_replica_with_more_than_the_new_primary_is_counted() {
+    let metrics = telemetry::Handle::install();
+    let line = format!("{}{{group=\"{}\"}} ", telemetry::LOSSES, stage::GROUP);
+    let losses = || {
+        let text = metrics.render();
+        let found = text.lines().find_map(|text| text.strip_prefix(&line));
+        found.map_or(0, |count| count.parse::<u64>().expect("a count"))
+    };
+    promote_past(0);
+    assert_eq!(losses(), 0);
+    promote_past(5);
+    assert_eq!(losses(), 1);
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -27,6 +27,8 @@
 pub const CONFIG_REVISION: &str = "mangotray_config_revision";
 /// Promotions that this process carried through; label `group`.
 pub const PROMOTIONS: &str = "mangotray_promotions_total";
+/// Replicas found to have records that the instance promoted instead lacks; label `group`.
+pub const LOSSES: &str = "mangotray_promotion_losses_total";
 /// 1 while a promotion of the group is held back on this node; label `group`.
 pub const HELD_BACK: &str = "mangotray_promotion_held_back";
 /// Calls to the platform's service; labels `kind` and `outcome`.
@@ -128,6 +130,10 @@
             PROMOTIONS,
             "Promotions that this process carried through, by group",
         ),
+        (
+            LOSSES,
+            "Replicas with records that the instance promoted instead lacks, by group",
+        ),
         (
             STORE_CALLS,
             "Calls to the platform's service, by kind and outcome",
