Wait for an order whose candidate lacks what a held replica has, and leave it then

Cause: `View::judge` kept to the candidate of an open order as long as it had what was seen before the holds. What the holds themselves answered was no part of it: b ordered at 5, c held at 9, 5 seen before them gave `Promote("b")`. And where it was not kept to, another was ordered at once, while the first might still come to lead: two in turns.

What changed: a candidate must have what any held replica answered and what any was seen to have up to then, by earlier rounds of the same promotion too. An instance whose order may take effect goes first only if it has as much; if it has less, neither is right, and the verdict is `Wait`, also where the replaced primary is gone or hands over. The wait ends: 8 s after this node last knew the order on its way it never takes effect (the bound that the guard has for the same question), and the one that has all is promoted. A promotion that is given up names the open candidate. A candidate whose process the list knows to be another is still not waited for.

Why it works: the old primary gets no acknowledgement while all replicas are held, so that waiting loses nothing; if the order does take effect, the next round of holds finds a primary of a later term and takes it over.

One row of a_candidate_is_kept_to_only_while_it_has_all_records is changed: for a candidate whose order is open and that has lost its log it asked that the other be promoted at once, that is beside an order that may still take effect. It asks now that neither is promoted then, and the other once the order is too late: no less strict for the records, stricter for who leads.

--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -31,7 +31,7 @@
 /// An order that has not taken effect this long after this node first asked for its end never
 /// will: the call takes 0.8 s at most and a promotion 0.6 s; the rest is for a platform that
 /// carries out late what it did not answer. Until then nobody may take writes.
-const LATE: time::Duration = time::Duration::from_secs(8);
+pub const LATE: time::Duration = time::Duration::from_secs(8);
 
 /// The watch over one group.
 pub struct Guard {
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -77,6 +77,8 @@
     duty: rc::Rc<dyn duty::Duty>,
     /// The ends of promotions, done or under way, that this node knows of.
     settlements: cell::RefCell<collections::BTreeMap<id::Group, Progress>>,
+    /// The last orders, and when this node last knew them on their way.
+    ordered: cell::RefCell<collections::BTreeMap<id::Group, (intent::Intent, id::Time)>>,
     /// Groups of which no order was under way when the store came back, and in which era.
     clear: cell::RefCell<collections::BTreeMap<id::Group, store::Era>>,
     resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
@@ -95,6 +97,7 @@
             seat,
             duty,
             settlements: cell::RefCell::default(),
+            ordered: cell::RefCell::default(),
             clear: cell::RefCell::default(),
             resumes: rc::Rc::default(),
         })
@@ -295,14 +298,16 @@
             let looks = hold_all(plan, &pools).await;
             self.demote_stale(plan, lead, &pools, &looks).await;
             let pending = self.seat.intent(&group.name);
-            let pending =
-                pending.filter(|intent| intent.term > lead.term && lives.contains(&intent.life()));
+            let pending = pending.filter(|intent| {
+                let open = intent.term > lead.term && lives.contains(&intent.life());
+                open && !self.is_late(intent)
+            });
             let view = verdict::View {
                 lead,
                 term: plan.term,
                 expected: pools.len(),
                 looks: &looks,
-                furthest: plan.furthest,
+                furthest: plan.furthest.max(group.furthest()),
                 pending: pending.as_ref().map(|intent| &intent.candidate),
             };
             let leaves = |id: &upstream::Id| group.roster().is_leaving(id);
@@ -355,7 +360,9 @@
             let returned = self.has_returned(plan, lead).await;
             if late || returned || self.seat.held().is_none() {
                 tracing::warn!(group = %group.name, term = plan.term, expected = pools.len(),
-                    answers = looks.len(), late, returned, "promotion given up");
+                    answers = looks.len(), late, returned,
+                    pending = pending.map(|intent| intent.candidate.to_string()),
+                    "promotion given up");
                 self.free(group, lead).await;
                 return Err(Done::GivenUp);
             }
@@ -363,6 +370,20 @@
         }
     }
 
+    // Whether a recorded order would have taken effect by now. Waiting for it has to end: its candidate
+    // may lack what another has, and nobody leads meanwhile.
+    fn is_late(&self, intent: &intent::Intent) -> bool {
+        let now = boot::now();
+        let mut ordered = self.ordered.borrow_mut();
+        match ordered.get(&intent.group) {
+            Some((known, since)) if known == intent => now > *since + guard::LATE,
+            _ => {
+                ordered.insert(intent.group.clone(), (intent.clone(), now));
+                false
+            }
+        }
+    }
+
     // Makes a replica of an instance that leads a term which is over, as nobody has told it.
     //
     // Where none of the others has heard of the term that is replaced, its primary may never have
@@ -468,7 +489,12 @@
                 holder: self.node.name.clone(),
                 fence: seat.fence,
             };
-            self.duty.promote(&order).await
+            let outcome = self.duty.promote(&order).await;
+            if let Some(intent) = self.seat.intent(group) {
+                let news = (intent, boot::now());
+                self.ordered.borrow_mut().insert(group.clone(), news);
+            }
+            outcome
         } else {
             duty::Outcome::Refused("a replica has started since it was held".into())
         };
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -58,7 +58,8 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Some replica does not answer or is not held: it may be the only one with some commit.
+    /// Some replica does not answer or is not held: it may be the only one with some commit. Or an
+    /// instance may yet come to lead without records that another has.
     Wait,
     /// An instance leads a later term already.
     Overtaken(sampler::Lead),
@@ -73,8 +74,9 @@
 }
 
 impl View<'_> {
-    /// What the replicas' answers mean. Among equals one that stays goes before one that
-    /// leaves.
+    /// What the replicas' answers mean. A candidate has to have what any of them has received, and
+    /// what any was seen to have before. Among equals one whose order may yet take effect goes first, then
+    /// one that stays before one that leaves.
     ///
     /// ```
     /// use mangotray::{role::Role, stamp::Stamp};
@@ -98,14 +100,8 @@
         if !all || !self.looks.iter().all(|look| self.is_held(look)) {
             return Verdict::Wait;
         }
-        let has_all = |look: &&sampler::Look| Some(look.status.received) >= self.furthest;
-        let pending = self
-            .looks
-            .iter()
-            .filter(|look| self.pending == Some(&look.id))
-            .find(has_all);
-        match pending.or_else(|| self.best(leaves)) {
-            Some(look) if has_all(&look) => Verdict::Promote(look.id.clone()),
+        match self.best(leaves) {
+            Some(look) if Some(look.status.received) >= self.furthest => self.promote(look),
             _ => Verdict::Lacking,
         }
     }
@@ -132,7 +128,7 @@
         let look = match old {
             Old::Silent => return Verdict::HeldBack,
             // Nobody has the records any more; waiting would leave the group dark for nothing.
-            Old::Gone => return Verdict::Promote(best.id.clone()),
+            Old::Gone => return self.promote(best),
             Old::Answers(look) => look,
         };
         let leads = look.status.role == role::Role::Primary;
@@ -143,9 +139,9 @@
         match (leads, further) {
             (true, true) => Verdict::Returned,
             // It is a replica now, and none but it has the records.
-            (false, true) if self.is_held(look) => Verdict::Promote(look.id.clone()),
+            (false, true) if self.is_held(look) => self.promote(look),
             (false, true) => Verdict::Wait,
-            (_, false) => Verdict::Promote(best.id.clone()),
+            (_, false) => self.promote(best),
         }
     }
 
@@ -171,6 +167,21 @@
         look.is_some_and(|look| look.status.received.position == 0)
     }
 
+    // This instance has all that there is. One whose order may yet take effect goes before it if it has as
+    // much; if it has less, it may come to lead without the rest, and another that is promoted
+    // meanwhile would lead in turns with it.
+    fn promote(&self, furthest: &sampler::Look) -> Verdict {
+        let pending = self
+            .looks
+            .iter()
+            .find(|look| self.pending == Some(&look.id));
+        match pending {
+            Some(look) if look.status.received < furthest.status.received => Verdict::Wait,
+            Some(look) => Verdict::Promote(look.id.clone()),
+            None => Verdict::Promote(furthest.id.clone()),
+        }
+    }
+
     fn overtaken(&self) -> Option<sampler::Lead> {
         sampler::latest(self.looks, self.lead.term + 1)
     }
--- a/desk/tests/verdict.rs
+++ b/desk/tests/verdict.rs
@@ -119,22 +119,66 @@
     assert_eq!(view.judge(stays), verdict::Verdict::Overtaken(found));
 }
 
+// What is to be done where `b` stands at one position and `c` at another, and `b` may have been ordered.
+fn judge_pair(positions: (u64, u64), furthest: u64, pending: Option<&str>) -> verdict::Verdict {
+    let lead = lead();
+    let pending = pending.map(upstream::Id::from);
+    let looks = [held("b", 3, positions.0), held("c", 3, positions.1)];
+    let view = verdict::View {
+        lead: &lead,
+        term: 4,
+        expected: 2,
+        looks: &looks,
+        furthest: Some(stamp::Stamp::new(3, furthest)),
+        pending: pending.as_ref(),
+    };
+    view.judge(stays)
+}
+
 /// Symptom: hundreds of acknowledged writes are lost.
 /// Events: a candidate whose order may yet take effect loses its log.
 #[test]
 fn a_candidate_is_kept_to_only_while_it_has_all_records() {
+    let promote = |id: &str| verdict::Verdict::Promote(id.into());
+    assert_eq!(judge_pair((420, 420), 420, Some("b")), promote("b"));
+    // It may come to lead without its log, beside another that is ordered now.
+    assert_eq!(judge_pair((0, 420), 420, Some("b")), verdict::Verdict::Wait);
+    assert_eq!(judge_pair((0, 420), 420, None), promote("c"));
+}
+
+/// Guards against a candidate that is kept to although a replica answers its hold with more.
+#[test]
+fn what_the_held_replicas_have_is_part_of_what_a_candidate_must_have() {
+    let promote = |id: &str| verdict::Verdict::Promote(id.into());
+    assert_eq!(judge_pair((5, 9), 5, Some("b")), verdict::Verdict::Wait);
+    // The order is too late to take effect.
+    assert_eq!(judge_pair((5, 9), 5, None), promote("c"));
+    assert_eq!(judge_pair((9, 9), 5, Some("b")), promote("b"));
+    assert_eq!(judge_pair((9, 5), 5, Some("b")), promote("b"));
+}
+
+/// Guards against two that lead in turns once the replaced primary is gone or has handed over.
+#[test]
+fn a_primary_that_is_gone_does_not_end_the_wait_for_an_order() {
     let lead = lead();
     let pending = upstream::Id::from("b");
-    for (position, chosen) in [(420, "b"), (0, "c")] {
-        let looks = [held("b", 3, position), held("c", 3, 420)];
-        let view = verdict::View {
-            lead: &lead,
-            term: 4,
-            expected: 2,
-            looks: &looks,
-            furthest: Some(stamp::Stamp::new(3, 420)),
-            pending: Some(&pending),
-        };
-        assert_eq!(view.judge(stays), verdict::Verdict::Promote(chosen.into()));
+    let looks = [held("b", 3, 5), held("c", 3, 9)];
+    let view = |pending| verdict::View {
+        lead: &lead,
+        term: 4,
+        expected: 2,
+        looks: &looks,
+        furthest: Some(stamp::Stamp::new(3, 12)),
+        pending,
+    };
+    let olds = [
+        (verdict::Old::Gone, "c"),
+        (verdict::Old::Answers(held("a", 3, 12)), "a"),
+        (verdict::Old::Answers(held("a", 3, 4)), "c"),
+    ];
+    for (old, later) in olds {
+        let resolve = |pending| view(pending).resolve(&old, stays);
+        assert_eq!(resolve(Some(&pending)), verdict::Verdict::Wait, "{old:?}");
+        assert_eq!(resolve(None), verdict::Verdict::Promote(later.into()));
     }
 }
