Hold a promotion back while a replica that lost its log may alone have confirmed records

What callers would see: acknowledged bookings gone with a promotion, with all replicas counted and held. On stage: c receives and confirms two records, b lags, c starts again empty, and the primary goes down at once; b is promoted without them.

Cause: what c had received was known only as of the last look or answer at it, which on a calm group may be some hundred ms old. `furthest` was then too small, and a stale observation was taken for the truth.

What changed: a node notes when it learns that a replica has lost its log under the present primary, and the first position of that primary that is asked for thereafter: whatever the lost log had confirmed is no further. Unless the held replicas have that much, the verdict is `Lacking`: the old primary is asked, and while it may come back the group is refused (`HeldBack`), bounded as before by the list's word that it is gone. With an open order the records of that order stand in, as all were held then. Not so for `Stalled`: a primary that lives and is cut off from its replicas would keep its place, and its group take no writes, for as long as the cut lasts.

Not covered: a replica that is forgotten for good with what it alone had confirmed (desk/tests/absence.rs asks that it holds nothing back), and a loss that no node learns of.

--- a/desk/src/belief.rs
+++ b/desk/src/belief.rs
@@ -111,6 +111,11 @@
         lost
     }
 
+    /// Notes that a replica has lost its log, as was learnt at `now`.
+    pub const fn note_loss(&mut self, now: id::Time) {
+        self.floors.note_loss(now);
+    }
+
     /// Takes note of the primary's answer to a command sent at `sent`.
     pub fn saw_position(&mut self, term: id::Term, sent: id::Time, stamp: stamp::Stamp) {
         self.floors.saw_position(term, sent, stamp);
--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -37,6 +37,10 @@
     led: Option<id::Time>,
     positions: collections::VecDeque<(id::Time, stamp::Stamp)>,
     known: collections::VecDeque<(id::Time, stamp::Stamp)>,
+    /// When the first answer of this term's primary was asked for.
+    first: Option<id::Time>,
+    /// When a replica was last found to have lost its log, and where the primary's stood thereafter.
+    loss: Option<(id::Time, Option<stamp::Stamp>)>,
     /// The primary's last answers: when they were asked for, and where its log stood.
     recent: collections::VecDeque<(id::Time, stamp::Stamp)>,
     /// When a floor was last made without the primary's word.
@@ -70,6 +74,8 @@
         if let Some(led) = self.led.filter(|led| *led <= sent) {
             self.add(led, stamp);
         }
+        self.first = self.first.or(Some(sent));
+        self.bound_loss(sent, stamp);
         self.remember(sent, stamp);
         let spaced = self
             .positions
@@ -169,6 +175,47 @@
         found.map(|(_, stamp)| *stamp)
     }
 
+    /// Notes that a replica of the known primary has lost its log, as was learnt at `now`.
+    pub const fn note_loss(&mut self, now: id::Time) {
+        if self.first.is_some() {
+            self.loss = Some((now, None));
+        }
+    }
+
+    /// Where a replica has lost its log under the primary of `term`: the position of that primary's log
+    /// thereafter, if it was heard of. What the replica may have confirmed before is no further.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::floor;
+    /// use std::time::Duration;
+    /// let mut floors = floor::Floors::default();
+    /// floors.saw_position(2, Duration::from_millis(100), Stamp::new(2, 7));
+    /// assert_eq!(floors.loss(2), None);
+    /// floors.note_loss(Duration::from_millis(200));
+    /// floors.saw_position(2, Duration::from_millis(150), Stamp::new(2, 8));
+    /// assert_eq!(floors.loss(2), Some(None));
+    /// floors.saw_position(2, Duration::from_millis(300), Stamp::new(2, 9));
+    /// floors.saw_position(2, Duration::from_millis(400), Stamp::new(2, 11));
+    /// assert_eq!(floors.loss(2), Some(Some(Stamp::new(2, 9))));
+    /// // Nothing of it matters to a later primary.
+    /// floors.saw_position(3, Duration::from_millis(500), Stamp::new(3, 12));
+    /// assert_eq!(floors.loss(3), None);
+    /// ```
+    #[must_use]
+    pub fn loss(&self, term: id::Term) -> Option<Option<stamp::Stamp>> {
+        let loss = self.loss.filter(|_| term == self.term)?;
+        Some(loss.1)
+    }
+
+    fn bound_loss(&mut self, sent: id::Time, stamp: stamp::Stamp) {
+        if let Some((lost, bound @ None)) = &mut self.loss
+            && *lost <= sent
+        {
+            *bound = Some(stamp);
+        }
+    }
+
     /// Whether a position of the primary asked for at `moment` or later is known.
     #[must_use]
     pub fn has_position_since(&self, moment: id::Time) -> bool {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -119,11 +119,16 @@
         let reborn = self.roster.update(instances, since, heard);
         self.ask_absent();
         for id in &reborn {
-            self.belief.borrow_mut().receipts().forget(id);
+            let mut belief = self.belief.borrow_mut();
+            belief.receipts().forget(id);
+            if !leads(id) {
+                belief.note_loss(boot::now());
+            }
         }
         if let Some(lead) = lead.as_ref().filter(|lead| reborn.contains(&lead.id)) {
             self.doubt(lead.term, "the primary has started again");
-        } else if surprise && lead.is_some() {
+        } else if lead.is_some() && (surprise || !reborn.is_empty()) {
+            // What a replica that has started again had confirmed, the primary's answer tells.
             self.search();
         } else if surprise {
             self.search_sometime();
@@ -215,6 +220,7 @@
             tracing::warn!(group = %self.name, instance = %id,
                 "replica has less than it had received: it has started again");
             self.roster.note_lost_log(&id);
+            self.belief.borrow_mut().note_loss(boot::now());
         }
     }
 
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -29,6 +29,7 @@
 use crate::upstream;
 use crate::verdict;
 use crate::wait;
+use crate::witness;
 
 /// Pause between looks for groups that are new in the configuration.
 const NEW_GROUPS: time::Duration = time::Duration::from_millis(300);
@@ -309,6 +310,7 @@
                 looks: &looks,
                 furthest: plan.furthest.max(group.furthest()),
                 pending: pending.as_ref().map(|intent| &intent.candidate),
+                loss: self.loss(plan, lead),
             };
             let leaves = |id: &upstream::Id| group.roster().is_leaving(id);
             let mut verdict = view.judge(leaves);
@@ -317,7 +319,7 @@
                 let old = plan.ask_old().await;
                 verdict = view.resolve(&old, leaves);
                 stands = old.look().cloned();
-                tracing::info!(group = %group.name, furthest = ?plan.furthest, ?old, ?verdict,
+                tracing::info!(group = %group.name, furthest = ?plan.furthest, loss = ?view.loss, ?old, ?verdict,
                     "no replica has all that one had received");
             }
             if let verdict::Verdict::Promote(candidate) = &verdict
@@ -370,6 +372,21 @@
         }
     }
 
+    // What a replica may have confirmed before it lost its log, where one has lost it under this
+    // primary. With an open order all were held before, with what is recorded. A primary that
+    // lives and is cut off from its replicas would keep its place for as long as that lasts.
+    fn loss(&self, plan: &plan::Plan, lead: &sampler::Lead) -> Option<verdict::Loss> {
+        let floors = |panel: &witness::Panel<'_>| panel.belief.floors().loss(lead.term);
+        let stood = plan.group.panel(floors)?;
+        if plan.cause == succession::Cause::Stalled {
+            return None;
+        }
+        let intent = self.seat.intent(&plan.group.name);
+        let intent = intent.filter(|intent| intent.term > lead.term);
+        let within = intent.map(|intent| intent.received).or(stood);
+        Some(within.map_or(verdict::Loss::Unknown, verdict::Loss::Within))
+    }
+
     // Whether a recorded order would have taken effect by now. Waiting for it has to end: its candidate
     // may lack what another has, and nobody leads meanwhile.
     fn is_late(&self, intent: &intent::Intent) -> bool {
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -27,6 +27,17 @@
     pub furthest: Option<stamp::Stamp>,
     /// An instance whose order may yet take effect.
     pub pending: Option<&'a upstream::Id>,
+    /// Where a replica has lost its log: what is known of the records that it may have confirmed.
+    pub loss: Option<Loss>,
+}
+
+/// What is known of the records that a replica may have confirmed before it lost its log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// The primary has said nothing since: they may be any.
+    Unknown,
+    /// They are no further than this.
+    Within(stamp::Stamp),
 }
 
 /// What is known of the instance that is replaced.
@@ -88,7 +99,7 @@
     /// };
     /// let lead = sampler::Lead { id: "a".into(), term: 1 };
     /// let looks = [look("b", 4), look("c", 9)];
-    /// let view = verdict::View { lead: &lead, term: 2, expected: 2, looks: &looks, furthest: Some(Stamp::new(1, 9)), pending: None };
+    /// let view = verdict::View { lead: &lead, term: 2, expected: 2, looks: &looks, furthest: Some(Stamp::new(1, 9)), pending: None, loss: None };
     /// assert_eq!(view.judge(|_| false), verdict::Verdict::Promote("c".into()));
     /// ```
     #[must_use]
@@ -101,7 +112,7 @@
             return Verdict::Wait;
         }
         match self.best(leaves) {
-            Some(look) if Some(look.status.received) >= self.furthest => self.promote(look),
+            Some(look) if self.has_all(look) => self.promote(look),
             _ => Verdict::Lacking,
         }
     }
@@ -115,7 +126,7 @@
     /// let status = upstream::Status { role: Role::Replica, term: 1, received: Stamp::new(1, 4), held: 2, load: upstream::Load::default() };
     /// let lead = sampler::Lead { id: "a".into(), term: 1 };
     /// let looks = [sampler::Look { id: "b".into(), status, applied: None }];
-    /// let view = verdict::View { lead: &lead, term: 2, expected: 1, looks: &looks, furthest: Some(Stamp::new(1, 9)), pending: None };
+    /// let view = verdict::View { lead: &lead, term: 2, expected: 1, looks: &looks, furthest: Some(Stamp::new(1, 9)), pending: None, loss: None };
     /// assert_eq!(view.judge(|_| false), verdict::Verdict::Lacking);
     /// assert_eq!(view.resolve(&verdict::Old::Silent, |_| false), verdict::Verdict::HeldBack);
     /// assert_eq!(view.resolve(&verdict::Old::Gone, |_| false), verdict::Verdict::Promote("b".into()));
@@ -157,7 +168,7 @@
     /// let status = upstream::Status { role: Role::Replica, term: 1, received: Stamp::new(1, 0), held: 4, load: upstream::Load::default() };
     /// let lead = sampler::Lead { id: "a".into(), term: 3 };
     /// let looks = [sampler::Look { id: "b".into(), status, applied: None }];
-    /// let view = verdict::View { lead: &lead, term: 4, expected: 1, looks: &looks, furthest: None, pending: None };
+    /// let view = verdict::View { lead: &lead, term: 4, expected: 1, looks: &looks, furthest: None, pending: None, loss: None };
     /// assert_eq!(view.judge(|_| false), verdict::Verdict::Promote("b".into()));
     /// assert!(view.is_empty(&"b".into()));
     /// ```
@@ -182,6 +193,16 @@
         }
     }
 
+    // What a replica confirmed shortly before it lost its log nobody may have seen.
+    fn has_all(&self, look: &sampler::Look) -> bool {
+        let received = look.status.received;
+        let covers = self.loss.is_none_or(|loss| match loss {
+            Loss::Unknown => false,
+            Loss::Within(stamp) => received >= stamp,
+        });
+        covers && Some(received) >= self.furthest
+    }
+
     fn overtaken(&self) -> Option<sampler::Lead> {
         sampler::latest(self.looks, self.lead.term + 1)
     }
--- a/desk/tests/verdict.rs
+++ b/desk/tests/verdict.rs
@@ -60,6 +60,7 @@
         looks: &looks,
         furthest: receipts.furthest().map(|(furthest, _)| furthest),
         pending: None,
+        loss: None,
     };
     assert_eq!(view.judge(stays), verdict::Verdict::Lacking);
     let resolve = |old| view.resolve(&old, stays);
@@ -93,6 +94,7 @@
             looks: &looks,
             furthest: None,
             pending: None,
+            loss: None,
         };
         assert_eq!(view.judge(stays), verdict::Verdict::Wait, "{looks:?}");
     }
@@ -111,6 +113,7 @@
         looks: &looks,
         furthest: None,
         pending: None,
+        loss: None,
     };
     let found = sampler::Lead {
         id: "b".into(),
@@ -131,6 +134,7 @@
         looks: &looks,
         furthest: Some(stamp::Stamp::new(3, furthest)),
         pending: pending.as_ref(),
+        loss: None,
     };
     view.judge(stays)
 }
@@ -170,6 +174,7 @@
         looks: &looks,
         furthest: Some(stamp::Stamp::new(3, 12)),
         pending,
+        loss: None,
     };
     let olds = [
         (verdict::Old::Gone, "c"),
@@ -182,3 +187,29 @@
         assert_eq!(resolve(None), verdict::Verdict::Promote(later.into()));
     }
 }
+
+/// Guards against records that a replica confirmed unseen before it lost its log.
+#[test]
+fn a_lost_log_is_made_up_for_by_the_primarys_word_alone() {
+    let lead = lead();
+    let looks = [held("b", 3, 410), held("c", 3, 0)];
+    let view = |loss| verdict::View {
+        lead: &lead,
+        term: 4,
+        expected: 2,
+        looks: &looks,
+        furthest: Some(stamp::Stamp::new(3, 400)),
+        pending: None,
+        loss,
+    };
+    let within = |number| Some(verdict::Loss::Within(stamp::Stamp::new(3, number)));
+    let promote = verdict::Verdict::Promote("b".into());
+    let unknown = Some(verdict::Loss::Unknown);
+    assert_eq!(view(unknown).judge(stays), verdict::Verdict::Lacking);
+    assert_eq!(view(within(411)).judge(stays), verdict::Verdict::Lacking);
+    assert_eq!(view(within(410)).judge(stays), promote);
+    assert_eq!(view(None).judge(stays), promote);
+    let resolve = |old| view(unknown).resolve(&old, stays);
+    assert_eq!(resolve(verdict::Old::Silent), verdict::Verdict::HeldBack);
+    assert_eq!(resolve(verdict::Old::Gone), promote);
+}
