Keep the replicas held between a promotion's order and its effect

Cause: between the order and its effect, some hundred milliseconds, only the candidate was looked at. A replica that started again, or that a late command freed, received from the old primary until the promotion was settled. So did one whose hold ended while the store recorded the promotion: only the list of instances was asked before the order left.

Evidence: the five new tests fail on the code before: replicas that are not held when the order takes effect, and no hold after the order.

Changed: from the call of the order until the candidate leads each other replica is looked at after every 120 ms, each on its own, and held again if it is neither held for the term nor knows of it; newcomers as well. One log line tells that a hold had ended, and what the replica had received. Right before the order the replicas are asked once more, for 100 ms at most; one that tells that it is not held forbids the order, silence does not. With the 200 ms within which the seat is confirmed that stays below the 400 ms that the next holder waits. A hold that arrives after the effect would stop a replica for good: the end of a promotion looked once. It looks now until all replicas are free and know of the term, or for the four seconds in which a command may arrive.

Why it works: a hold for a term that a replica knows does nothing, and one that does not know it is looked at for longer than a hold can be late.

A replica that loses its hold can still receive until the next look.

--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -4,6 +4,8 @@
 use std::rc;
 use std::time;
 
+use futures_lite::FutureExt;
+use futures_lite::future;
 use mangotray::id;
 use mangotray::role;
 use mangotray::stamp;
@@ -31,6 +33,13 @@
 /// Pause between looks at a candidate.
 pub const POLL: time::Duration = time::Duration::from_millis(40);
 
+/// Pause between looks at a held replica while an order takes effect.
+const WATCH: time::Duration = time::Duration::from_millis(120);
+
+/// Longest wait for the last looks before an order. With [`seat::CONFIRMED`](crate::seat::CONFIRMED) before it, it
+/// stays below the time that the next holder of the seat waits.
+const LAST_LOOK: time::Duration = time::Duration::from_millis(100);
+
 /// One replacement under way.
 pub struct Plan {
     /// The group.
@@ -54,8 +63,88 @@
 pub type Lives = Vec<Life>;
 
 impl Plan {
-    /// Whether the candidate comes to lead within `limit`.
+    /// Whether the candidate comes to lead within `limit`. The other replicas are kept held meanwhile.
     pub async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
+        self.keeping_held(candidate, self.comes_to_lead(candidate, limit))
+            .await
+    }
+
+    /// Awaits `work`, and until it is done holds the other replicas again whose hold has ended.
+    ///
+    /// An order takes some hundred milliseconds. A replica that starts again in that time, or that a late command
+    /// frees, would let the old primary acknowledge what its successor never gets. A hold that arrives only
+    /// after the effect is ended with the promotion.
+    pub async fn keeping_held<T>(
+        &self,
+        candidate: &upstream::Id,
+        work: impl Future<Output = T>,
+    ) -> T {
+        let keep = async {
+            self.keep_held(candidate).await;
+            future::pending().await
+        };
+        work.or(keep).await
+    }
+
+    // For ever; one that does not answer delays none of the others.
+    async fn keep_held(&self, candidate: &upstream::Id) {
+        loop {
+            let pools = self.others(candidate);
+            let watches = pools.iter().map(|pool| self.keep_one_held(pool));
+            let watches = async {
+                futures_util::future::join_all(watches).await;
+                future::pending::<()>().await;
+            };
+            // One that was added has to be held as well.
+            self.changes(candidate, &pools).or(watches).await;
+        }
+    }
+
+    async fn keep_one_held(&self, pool: &rc::Rc<pool::Pool>) {
+        let dialer = self.group.dialer();
+        loop {
+            wait::sleep(WATCH).await;
+            let Some(look) = sampler::look(pool, dialer, sampler::LOOK_LIMIT).await else {
+                continue;
+            };
+            if is_loose(&look, self.term) {
+                tracing::warn!(group = %self.group.name, instance = %look.id, term = self.term,
+                    received = %look.status.received, "a hold has ended before its promotion");
+                tell(pool, &upstream::Command::Hold(self.term), dialer).await;
+            }
+        }
+    }
+
+    async fn changes(&self, candidate: &upstream::Id, pools: &[rc::Rc<pool::Pool>]) {
+        let ids = |pools: &[rc::Rc<pool::Pool>]| pools.iter().map(|pool| pool.id()).collect();
+        let before: Vec<_> = ids(pools);
+        while before == ids(&self.others(candidate)) {
+            wait::sleep(WATCH).await;
+        }
+    }
+
+    fn others(&self, candidate: &upstream::Id) -> Vec<rc::Rc<pool::Pool>> {
+        let old = self.old.as_ref().map(|pool| pool.id());
+        let mut pools = self.group.roster().pools();
+        pools.retain(|pool| Some(pool.id()) != old && pool.id() != *candidate);
+        pools
+    }
+
+    /// Whether no replica tells right before the order that its hold has ended since; silence tells nothing.
+    pub async fn are_held(&self) -> bool {
+        let old = self.old.as_ref().map(|pool| pool.id());
+        let mut pools = self.group.roster().pools();
+        pools.retain(|pool| Some(pool.id()) != old);
+        let looks = self.group.look_at(&pools, LAST_LOOK).await;
+        let loose = looks.iter().find(|look| is_loose(look, self.term));
+        if let Some(look) = loose {
+            tracing::warn!(group = %self.group.name, instance = %look.id, term = self.term,
+                received = %look.status.received, "a hold has ended before its order");
+        }
+        loose.is_none()
+    }
+
+    async fn comes_to_lead(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
         let deadline = boot::now() + limit;
         while boot::now() < deadline {
             let pools = self.group.roster().pools();
@@ -190,6 +279,11 @@
     }
 }
 
+// Whether an instance is neither held for this term nor knows of its primary.
+const fn is_loose(look: &sampler::Look, term: id::Term) -> bool {
+    !sampler::knows(&look.status, term)
+}
+
 /// Sends one order to an instance and reads what it says of itself then.
 pub async fn tell(
     pool: &rc::Rc<pool::Pool>,
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -194,7 +194,7 @@
         // Where nobody knows whether the order arrived, the primary may be the only one for long:
         // it is told once the candidate leads. Its replicas are held, so that it acknowledges nothing.
         if cause.lives() && outcome == duty::Outcome::Accepted {
-            plan.demote_once().await;
+            plan.keeping_held(candidate, plan.demote_once()).await;
         }
         let done = self.finish(&plan, candidate).await;
         if matches!(done, Done::Leads(_)) {
@@ -499,21 +499,23 @@
             return duty::Outcome::Refused("the seat is not confirmed".into());
         };
         // One that has started again since is not held, and one that was added never was.
-        let outcome = if plan.lives() == held.lives {
+        let outcome = if plan.are_held().await && plan.lives() == held.lives {
             let order = duty::Order {
                 group: group.clone(),
                 candidate: held.candidate.clone(),
                 holder: self.node.name.clone(),
                 fence: seat.fence,
             };
-            let outcome = self.duty.promote(&order).await;
+            let outcome = plan
+                .keeping_held(&held.candidate, self.duty.promote(&order))
+                .await;
             if let Some(intent) = self.seat.intent(group) {
                 let news = (intent, boot::now());
                 self.ordered.borrow_mut().insert(group.clone(), news);
             }
             outcome
         } else {
-            duty::Outcome::Refused("a replica has started since it was held".into())
+            duty::Outcome::Refused("a replica is no longer as it was held".into())
         };
         tracing::info!(%group, candidate = %held.candidate, fence = seat.fence, ?outcome,
             "promotion ordered");
--- a/desk/src/settlement.rs
+++ b/desk/src/settlement.rs
@@ -90,16 +90,25 @@
         }
     }
 
-    /// Frees the replicas, once this node may; `false` where a later promotion has taken over.
+    /// Frees the replicas, once this node may, until all follow the successor or no late hold can arrive any
+    /// more; `false` where a later promotion has taken over.
     pub async fn free(&self) -> bool {
-        while !self.may_free() {
-            wait::sleep(RETRY).await;
+        let mut since = None;
+        loop {
             if self.is_superseded() {
                 return false;
             }
+            if self.may_free() {
+                let now = boot::now();
+                let late = now > *since.get_or_insert(now) + resumes::ARRIVAL;
+                if self.free_held().await || late {
+                    return true;
+                }
+            } else {
+                since = None;
+            }
+            wait::sleep(RETRY).await;
         }
-        self.free_held().await;
-        true
     }
 
     fn may_free(&self) -> bool {
@@ -160,16 +169,18 @@
     }
 
     // Holds for a later term belong to a later promotion: ending them would let commits pass
-    // by its candidate.
-    async fn free_held(&self) {
+    // by its candidate. Whether all answer, are free, and know of the term: no hold for it stops them then.
+    async fn free_held(&self) -> bool {
         let mut pools = self.group.roster().pools();
         pools.retain(|pool| pool.id() != self.candidate);
         let looks = self.group.look_at(&pools, ANSWER).await;
-        let own = |look: &&sampler::Look| (1..=self.led()).contains(&look.status.held);
-        for look in looks.iter().filter(own) {
+        let own = |look: &sampler::Look| (1..=self.led()).contains(&look.status.held);
+        for look in looks.iter().filter(|look| own(look)) {
             if let Some(pool) = pools.iter().find(|pool| pool.id() == look.id) {
                 plan::resume(pool, &self.group, &self.resumes, || self.may_free()).await;
             }
         }
+        let follows = |look: &sampler::Look| look.status.term >= self.term && !own(look);
+        looks.len() == pools.len() && looks.iter().all(follows)
     }
 }
--- a/desk/tests/holds.rs
+++ b/desk/tests/holds.rs
@@ -21,8 +21,11 @@
 /// Shorter than the time after which a command that got no answer cannot arrive any more.
 const ON_ITS_WAY: time::Duration = time::Duration::from_secs(2);
 
-/// Time in which a promotion takes effect, as long as instances need at most.
-const EFFECT: time::Duration = time::Duration::from_millis(600);
+/// Time in which a promotion takes effect, longer than instances need.
+const EFFECT: time::Duration = time::Duration::from_secs(1);
+
+/// Time in which the store records a promotion, short enough for the order to leave.
+const RECORD: time::Duration = time::Duration::from_millis(120);
 
 /// Pause between looks of a test at the stage.
 const PAUSE: time::Duration = time::Duration::from_millis(20);
@@ -231,3 +234,125 @@
         assert_eq!((world.at("b").held, world.at("c").held), (7, 0));
     });
 }
+
+// Waits until the first order for another primary than `a` has left; returns the replica that is not to lead.
+async fn ordered(play: &play::Play) -> &'static str {
+    stage::until("an order leaves", || !play.duty.orders.borrow().is_empty()).await;
+    if play.duty.orders.borrow()[0].candidate == "b" {
+        "c"
+    } else {
+        "b"
+    }
+}
+
+/// Guards against an old primary that goes on through a promotion, as a replica has started again since the order.
+#[test]
+fn a_replica_that_starts_again_after_the_order_is_held_before_its_effect() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.takes.set(EFFECT);
+        play.stage.world.borrow_mut().at("a").up = false;
+        let other = ordered(&play).await;
+        play.stage.world.borrow_mut().at(other).held = 0;
+        play.stage.world.borrow_mut().at(other).born = 2;
+        play.stage.relist();
+        play.led(2).await;
+    });
+    assert!(play.duty.loose.borrow().is_empty());
+}
+
+/// Guards against an old primary that goes on through a promotion, as the call for it is answered late and a
+/// replica is freed meanwhile.
+#[test]
+fn a_replica_that_is_freed_while_the_order_is_unanswered_is_held_again() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.answers.set(EFFECT);
+        play.duty.takes.set(EFFECT);
+        play.stage.world.borrow_mut().at("a").up = false;
+        let other = ordered(&play).await;
+        play.stage.world.borrow_mut().at(other).held = 0;
+        play.led(2).await;
+    });
+    assert!(play.duty.loose.borrow().is_empty());
+}
+
+/// Guards against a silent replica for which those that answer are left without a hold.
+#[test]
+fn a_silent_replica_delays_no_hold_of_another() {
+    let world = stage::world();
+    let fourth = world.borrow_mut().at("c").clone();
+    world.borrow_mut().instances.insert("d".into(), fourth);
+    // It is known to have all records, so that it is the candidate.
+    world.borrow_mut().at("b").position = 12;
+    let play = play::play_on(stage::Stage::of(world));
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.takes.set(EFFECT);
+        play.stage.world.borrow_mut().at("a").up = false;
+        assert_eq!(ordered(&play).await, "c");
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.delay = Some(("c".into(), upstream::Command::Status));
+            world.at("d").held = 0;
+        }
+        play.led(2).await;
+    });
+    assert!(play.duty.loose.borrow().is_empty());
+}
+
+/// Guards against a replica that nobody frees, as its hold arrives only after the effect and the end of the promotion.
+#[test]
+fn a_hold_that_arrives_after_the_effect_is_ended() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.takes.set(EFFECT);
+        play.stage.world.borrow_mut().at("a").up = false;
+        let other = ordered(&play).await;
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.delay = Some((other.into(), upstream::Command::Hold(2)));
+            world.at(other).held = 0;
+        }
+        stage::until("a hold is late", || {
+            !play.stage.world.borrow().late.is_empty()
+        })
+        .await;
+        play.led(2).await;
+        play.stage.world.borrow_mut().at("a").up = true;
+        stage::until("the replicas are free", || {
+            let told = play.stage.world.borrow_mut().at("a").role == role::Role::Replica;
+            told && held(&play, other) == 0
+        })
+        .await;
+        // One of them follows the new primary, the other has not heard of it yet.
+        play.stage.world.borrow_mut().at("a").term = 2;
+        wait::sleep(play::SHORT).await;
+        play.stage.world.borrow_mut().deliver();
+        assert_eq!(held(&play, other), 2);
+        stage::until("the replica is freed", || held(&play, other) == 0).await;
+    });
+}
+
+/// Guards against an order that leaves although a replica was freed while the store recorded the promotion.
+#[test]
+fn no_order_leaves_once_a_replica_tells_that_its_hold_has_ended() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.store.at().takes = RECORD;
+        play.stage.world.borrow_mut().at("a").up = false;
+        stage::until("the promotion is being recorded", || {
+            play.store.at().under_way > 0
+        })
+        .await;
+        for id in ["b", "c"] {
+            play.stage.world.borrow_mut().at(id).held = 0;
+        }
+        play.led(2).await;
+    });
+    assert!(play.duty.loose.borrow().is_empty());
+}
--- a/desk/tests/play/mod.rs
+++ b/desk/tests/play/mod.rs
@@ -44,6 +44,10 @@
     pub lose: usize,
     /// Calls are refused.
     pub down: bool,
+    /// Time that a guarded change takes.
+    pub takes: time::Duration,
+    /// Guarded changes that are under way.
+    pub under_way: usize,
     /// Rises when the store comes back from an older copy.
     pub era: store::Era,
 }
@@ -177,6 +181,15 @@
         guards: &'a [store::Guard<'a>],
     ) -> future::BoxFuture<'a, Result<store::Swap, store::Failure>> {
         async move {
+            let takes = {
+                let mut entries = self.at();
+                entries.under_way += 1;
+                entries.takes
+            };
+            if !takes.is_zero() {
+                wait::sleep(takes).await;
+            }
+            self.at().under_way -= 1;
             let mut entries = self.up()?;
             let holds = |guard: &store::Guard<'_>| {
                 let found = entries.find(guard.key).map(|entry| entry.version);
@@ -242,6 +255,8 @@
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     /// Time from an order to its effect.
     pub takes: cell::Cell<time::Duration>,
+    /// Time from an order to its answer.
+    pub answers: cell::Cell<time::Duration>,
     /// Replicas that were not held for it when an order took effect.
     pub loose: rc::Rc<cell::RefCell<Vec<upstream::Id>>>,
     pub orders: cell::RefCell<Vec<duty::Order>>,
@@ -272,12 +287,16 @@
                 self.ignore.set(self.ignore.get() - 1);
                 return duty::Outcome::Accepted;
             }
-            let world = self.world.borrow();
             let leads = |instance: &&stage::Instance| instance.role == role::Role::Primary;
-            let primaries = world.instances.values().filter(leads).count();
+            let primaries = {
+                let world = self.world.borrow();
+                world.instances.values().filter(leads).count()
+            };
             self.primaries.borrow_mut().push(primaries);
-            drop(world);
             self.carry_out(order.candidate.clone());
+            if !self.answers.get().is_zero() {
+                wait::sleep(self.answers.get()).await;
+            }
             if self.lose.get() > 0 {
                 self.lose.set(self.lose.get() - 1);
                 return duty::Outcome::Unknown("lost".into());
@@ -369,6 +388,7 @@
         world: rc::Rc::clone(&stage.world),
         executor: rc::Rc::clone(&stage.executor),
         takes: cell::Cell::default(),
+        answers: cell::Cell::default(),
         loose: rc::Rc::default(),
         orders: cell::RefCell::default(),
         lose: cell::Cell::default(),
