Replace a stalled primary only where another could follow the new one, and not at once again

Callers saw reads that lack acknowledged commits, and 30 to 60 commits rolled back, while a group changed its primary three times in three seconds.

Cause: a primary that reaches none of its replicas was replaced whatever the result. With one replica in the list, the old primary and the new one cannot reach each other: the new one is as stalled as the old, and 1.4 s later it is replaced by the old one.

What changed: a round tells how many replicas there are and how many answered; a stall is a reason only where all answer and there are two of them, one to take over and one to follow it. A primary that changed places for a stall changes them again for a stall after 4 s at the earliest, then 8, 16, 32. A stall with two replicas that answer is answered after 0.7 s as before.

--- /dev/null
+++ b/desk/src/backoff.rs
@@ -0,0 +1,92 @@
+//! When a promotion for a primary that lives is tried again.
+//!
+//! The load that this answers: a primary loses its replicas, and some of them cannot reach each other
+//! either. Whoever takes over is as alone as it was: without a pause the two would change places every
+//! second, each time without what the other has acknowledged.
+
+use std::time;
+
+use mangotray::id;
+
+use crate::succession;
+use crate::upstream;
+
+/// First pause after a change of places for a stall, before one of the two may change places for a stall
+/// again; doubled with each further one. Longer than a replica needs to follow a new primary.
+const STALLED: time::Duration = time::Duration::from_secs(4);
+
+/// Longest such pause.
+const STALLED_MOST: time::Duration = time::Duration::from_secs(32);
+
+/// What comes this long after the last of its kind has another cause.
+const APART: time::Duration = time::Duration::from_mins(1);
+
+/// What came of the promotions of one group for primaries that live.
+///
+/// ```
+/// use mangotray_desk::{backoff, succession::Cause};
+/// use std::time::Duration;
+/// let mut backoff = backoff::Backoff::default();
+/// let seconds = Duration::from_secs;
+/// assert!(backoff.permits(&"a".into(), Cause::Stalled, seconds(10)));
+/// backoff.changed(&"a".into(), &"b".into(), Cause::Stalled, seconds(10));
+/// assert!(!backoff.permits(&"b".into(), Cause::Stalled, seconds(11)));
+/// assert!(backoff.permits(&"b".into(), Cause::Planned, seconds(11)));
+/// assert!(backoff.permits(&"b".into(), Cause::Stalled, seconds(15)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Backoff {
+    stalled: Option<Turn>,
+    /// The instances that have changed places for a stall.
+    places: Vec<upstream::Id>,
+}
+
+/// How often in succession, and when last.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    count: u32,
+    last: id::Time,
+}
+
+impl Turn {
+    fn after(turn: Option<Self>, now: id::Time) -> Self {
+        let before = turn.filter(|turn| now < turn.last + APART);
+        let count = before.map_or(0, |turn| turn.count) + 1;
+        Self { count, last: now }
+    }
+
+    fn ends(self, first: time::Duration, most: time::Duration) -> id::Time {
+        let factor = 2_u32.saturating_pow(self.count - 1);
+        self.last + first.saturating_mul(factor).min(most)
+    }
+}
+
+impl Backoff {
+    /// Whether a promotion for this cause that replaces `primary` may be tried now.
+    #[must_use]
+    pub fn permits(&self, primary: &upstream::Id, cause: succession::Cause, now: id::Time) -> bool {
+        let again = cause == succession::Cause::Stalled && self.places.contains(primary);
+        let stalled = self.stalled.filter(|_| again);
+        let changed = stalled.map(|turn| turn.ends(STALLED, STALLED_MOST));
+        changed.is_none_or(|until| now >= until)
+    }
+
+    /// Notes that `new` leads in place of `old`.
+    pub fn changed(
+        &mut self,
+        old: &upstream::Id,
+        new: &upstream::Id,
+        cause: succession::Cause,
+        now: id::Time,
+    ) {
+        if cause != succession::Cause::Stalled {
+            return;
+        }
+        let turn = Turn::after(self.stalled, now);
+        if turn.count == 1 {
+            self.places.clear();
+        }
+        self.stalled = Some(turn);
+        self.places.extend([old.clone(), new.clone()]);
+    }
+}
--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -8,6 +8,7 @@
 use mangotray::stamp;
 use mangotray::telemetry;
 
+use crate::backoff;
 use crate::boot;
 use crate::doubt;
 use crate::era;
@@ -42,6 +43,7 @@
     /// One that is watched though nobody has seen it lead: an order may have made it the primary.
     assumed: Option<sampler::Lead>,
     relief: relief::Relief,
+    backoff: backoff::Backoff,
     /// Since when a promotion is held back.
     held_back: Option<id::Time>,
     /// The promotion that was resumed last, and since when this node knows of it.
@@ -59,6 +61,7 @@
             watched: None,
             assumed: None,
             relief: relief::Relief::default(),
+            backoff: backoff::Backoff::default(),
             held_back: None,
             resumed: None,
         }
@@ -120,6 +123,10 @@
             wait::sleep(CALM).await;
             return;
         }
+        if !self.may_try(&lead, cause) {
+            wait::sleep(CALM).await;
+            return;
+        }
         let furthest = self.furthest(&lead);
         if self.held_back.is_none() {
             tracing::warn!(group = %self.group.name, primary = %lead.id, term = lead.term, ?cause,
@@ -133,9 +140,11 @@
         self.note_held_back(done == promoter::Done::HeldBack);
         match done {
             promoter::Done::Leads(found) => {
+                let now = boot::now();
                 if cause == succession::Cause::Relief {
-                    self.relief.done(boot::now());
+                    self.relief.done(now);
                 }
+                self.backoff.changed(&lead.id, &found.id, cause, now);
                 self.watched = Some(found);
             }
             promoter::Done::Overtaken(found) => self.adopt(found, &lead),
@@ -144,6 +153,16 @@
         }
     }
 
+    // Whether no promotion for this cause came to nothing lately.
+    fn may_try(&self, lead: &sampler::Lead, cause: succession::Cause) -> bool {
+        let permitted = self.backoff.permits(&lead.id, cause, boot::now());
+        if !permitted {
+            tracing::info!(group = %self.group.name, primary = %lead.id, term = lead.term, ?cause,
+                "promotion put off");
+        }
+        permitted
+    }
+
     // Whether the store may have lost the record of an order, so that nobody is ordered in this round
     // and no replica freed. Where its candidate leads by now, that one is taken over.
     async fn settles_lost_order(&mut self, lead: &sampler::Lead) -> bool {
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod absence;
 pub mod account;
 pub mod attempt;
+pub mod backoff;
 pub mod belief;
 pub mod boot;
 pub mod bucket;
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -23,6 +23,10 @@
 /// to apply are seen to receive, well before [`STALLED`].
 const DOUBTED: time::Duration = time::Duration::from_millis(400);
 
+/// Replicas that a primary without any has to have, all of which answer: one takes over, another follows
+/// it. The old primary cannot be counted on, as the replicas do not reach it.
+const FOLLOWED: usize = 2;
+
 /// A primary that announced its end is replaced once no instance was added to its group for
 /// this long. An instance receives records, and lets commits be acknowledged, up to 170 ms
 /// before the list shows it. Replicas that are held do not; if the newcomer alone has a
@@ -59,6 +63,17 @@
     pub received: Option<stamp::Stamp>,
     /// Some replica is held for a term above the primary's.
     pub held: bool,
+    /// Replicas that there are.
+    pub replicas: usize,
+    /// Replicas that answered a look in this round; none in a round without looks.
+    pub answers: usize,
+}
+
+impl Round {
+    // Whether one replica could take over and be followed by another.
+    const fn has_follower(&self) -> bool {
+        self.answers >= FOLLOWED && self.answers == self.replicas
+    }
 }
 
 /// Why a primary is replaced.
@@ -139,6 +154,8 @@
 ///     added: Duration::ZERO,
 ///     received: Some(Stamp::new(1, 5)),
 ///     held: false,
+///     replicas: 2,
+///     answers: 2,
 /// };
 /// let mut watch = Watch::default();
 /// assert_eq!(watch.judge(&round(0, Reach::Answered(Stamp::new(1, 5)))), None);
@@ -178,6 +195,8 @@
     ///     added: Duration::ZERO,
     ///     received: Some(Stamp::new(1, 5)),
     ///     held: false,
+    ///     replicas: 2,
+    ///     answers: 2,
     /// };
     /// assert_eq!(Watch::default().judge(&round), None);
     /// assert_eq!(Watch::resumed(vacancy).judge(&round), Some(Cause::Silent));
@@ -218,7 +237,8 @@
         if over(self.silent, SILENT) {
             return Some(Cause::Silent);
         }
-        over(self.ahead, STALLED).then_some(Cause::Stalled)
+        let stalled = over(self.ahead, STALLED) && round.has_follower();
+        stalled.then_some(Cause::Stalled)
     }
 
     /// Furthest position that any replica was seen to have received.
--- a/desk/src/survey.rs
+++ b/desk/src/survey.rs
@@ -59,13 +59,13 @@
             None => succession::Reach::Silent,
         };
         let calm = matches!(reach, succession::Reach::Answered(_)) && !uneasy;
-        let (received, held) = if calm && group.lead().is_some() {
-            (applied(others), false)
+        let (received, held, answers) = if calm && group.lead().is_some() {
+            (applied(others), false, 0)
         } else {
             let looks = group.look_at(others, LOOK).await;
             let held = |look: &sampler::Look| sampler::overtakes(&look.status, lead.term);
             let received = looks.iter().map(|look| look.status.received).max();
-            (received, looks.iter().any(held))
+            (received, looks.iter().any(held), looks.len())
         };
         succession::Round {
             started,
@@ -77,6 +77,8 @@
             added: group.roster().added(),
             received,
             held,
+            replicas: others.len(),
+            answers,
         }
     }
 
--- a/desk/tests/succession.rs
+++ b/desk/tests/succession.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use mangotray::stamp;
+use mangotray_desk::backoff;
 use mangotray_desk::succession;
 
 fn at(millis: u64) -> time::Duration {
@@ -19,9 +20,30 @@
         added: at(added),
         received: Some(stamp),
         held: false,
+        replicas: 2,
+        answers: 2,
     }
 }
 
+/// A look at a primary that holds records which no replica receives.
+fn stalled(millis: u64, replicas: usize, answers: usize) -> succession::Round {
+    succession::Round {
+        primary: succession::Reach::Answered(stamp::Stamp::new(1, 9)),
+        leaving: false,
+        replicas,
+        answers,
+        ..round(millis, 0)
+    }
+}
+
+fn judge_for_seconds(replicas: usize, answers: usize) -> Option<succession::Cause> {
+    let mut watch = succession::Watch::default();
+    let rounds = (10_000..13_000).step_by(100);
+    rounds.fold(None, |cause, millis| {
+        cause.or(watch.judge(&stalled(millis, replicas, answers)))
+    })
+}
+
 /// Symptom: an acknowledged booking is gone after a planned change of primary.
 /// Events: a primary announces its end; its successor has started but is listed 170 ms
 /// later; the promotion begins before.
@@ -45,3 +67,37 @@
     let planned = Some(succession::Cause::Planned);
     assert_eq!(watch.judge(&round(13_000, 13_000)), planned);
 }
+
+/// Guards against a change of places that leaves the new primary without a replica as well.
+#[test]
+fn a_primary_without_replicas_is_replaced_only_where_two_answer() {
+    assert_eq!(judge_for_seconds(2, 2), Some(succession::Cause::Stalled));
+    assert_eq!(judge_for_seconds(1, 1), None);
+    assert_eq!(judge_for_seconds(2, 1), None);
+}
+
+/// Guards against a stall with two healthy replicas that takes longer to mend than it has to.
+#[test]
+fn a_stall_with_two_replicas_is_answered_after_seven_tenths_of_a_second() {
+    let mut watch = succession::Watch::default();
+    assert_eq!(watch.judge(&stalled(10_000, 2, 2)), None);
+    assert_eq!(watch.judge(&stalled(10_600, 2, 2)), None);
+    let cause = Some(succession::Cause::Stalled);
+    assert_eq!(watch.judge(&stalled(10_700, 2, 2)), cause);
+}
+
+/// Guards against instances that cannot reach each other and change places again and again.
+#[test]
+fn changes_of_places_for_a_stall_between_the_same_instances_come_less_and_less_often() {
+    let mut backoff = backoff::Backoff::default();
+    let cause = succession::Cause::Stalled;
+    let (a, b) = ("a".into(), "b".into());
+    backoff.changed(&a, &b, cause, at(10_000));
+    assert!(!backoff.permits(&b, cause, at(13_900)));
+    assert!(backoff.permits(&b, cause, at(14_000)));
+    backoff.changed(&b, &a, cause, at(14_000));
+    assert!(!backoff.permits(&a, cause, at(21_900)));
+    assert!(backoff.permits(&a, cause, at(22_000)));
+    // Another primary that has lost its replicas is replaced at once.
+    assert!(backoff.permits(&"c".into(), cause, at(14_000)));
+}
