Close a promotion in the term that its candidate leads

Cause: the candidate of an accepted order ended before it led. The next promotion assumed that it had led term 2 and held the replicas for term 3; the platform gave out the next term, which was 2. The end of that promotion took a replica that knew term 2 and was free for one that had lost its hold, and held it again for term 3, every 300 ms. While any instance is held for a later term no node believes in a primary.

Change: a promotion is closed in the term that the candidate says it leads. Its record is corrected to it, replicas are held again for that one, and all holds up to the one that was asked for are ended. A candidate that says it leads has been promoted, whatever term its record expected: it was a replica when it was ordered.

Test: a_promotion_that_takes_effect_in_an_earlier_term_than_replicas_were_held_for_comes_to_its_end.

--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -90,7 +90,9 @@
             match self.watched.clone() {
                 // Somebody else's promotion has come to its end: whoever ordered it may be gone,
                 // with the replicas still held and the old primary not told.
-                Some(old) if lead.term > old.term && lead.id != old.id => self.adopt(lead, &old),
+                Some(old) if lead.term > old.term && lead.id != old.id => {
+                    self.adopt(lead, &old).await
+                }
                 _ => self.watch_over(lead),
             }
         }
@@ -147,7 +149,7 @@
                 self.backoff.changed(&lead.id, &found.id, cause, now);
                 self.watched = Some(found);
             }
-            promoter::Done::Overtaken(found) => self.adopt(found, &lead),
+            promoter::Done::Overtaken(found) => self.adopt(found, &lead).await,
             promoter::Done::HeldBack => wait::sleep(CALM).await,
             promoter::Done::GivenUp => wait::sleep(UNEASY).await,
         }
@@ -183,7 +185,7 @@
                 false
             }
             era::Order::Done(found) => {
-                self.adopt(found, lead);
+                self.adopt(found, lead).await;
                 true
             }
             era::Order::Possible => true,
@@ -208,7 +210,7 @@
             }
             // One that may never have led is no reason to dismiss the primary before it.
             if intent.candidate == lead.id && self.has_led(lead) {
-                self.promoter.settle(&self.group, &intent);
+                self.promoter.settle(&self.group, &intent, intent.term);
             }
         }
         let survey = survey::Survey::new(&self.group, lead);
@@ -246,7 +248,7 @@
         match outcome {
             intent::Outcome::Leads(found) => {
                 self.note_held_back(false);
-                self.adopt(found, lead);
+                self.adopt(found, lead).await;
                 None
             }
             intent::Outcome::Open => Some(succession::Cause::Unfinished),
@@ -295,7 +297,7 @@
 
     // Another instance leads a later term: the one that was watched is told, then replicas
     // that are still held are freed.
-    fn adopt(&mut self, found: sampler::Lead, old: &sampler::Lead) {
+    async fn adopt(&mut self, found: sampler::Lead, old: &sampler::Lead) {
         let recorded = self.promoter.seat().intent(&self.group.name);
         let recorded = recorded.filter(|intent| intent.candidate == found.id);
         let intent = recorded.unwrap_or_else(|| intent::Intent {
@@ -307,7 +309,8 @@
             received: stamp::Stamp::default(),
             place: intent::Place::default(),
         });
-        self.promoter.settle(&self.group, &intent);
+        let term = found.term.min(intent.term);
+        self.promoter.close(&self.group, &intent, term).await;
         self.group.search();
         self.watch_over(found);
     }
--- a/desk/src/intent.rs
+++ b/desk/src/intent.rs
@@ -8,6 +8,7 @@
 //! held, by the same call, so that it costs the store nothing.
 
 use mangotray::id;
+use mangotray::role;
 use mangotray::stamp;
 use mangotray::store;
 
@@ -167,6 +168,11 @@
         if let Some(lead) = sampler::latest(looks, self.term) {
             return Outcome::Leads(lead);
         }
+        // It was a replica when it was ordered.
+        let own = looks.iter().find(|look| look.id == self.candidate);
+        if let Some(look) = own.filter(|look| look.status.role == role::Role::Primary) {
+            return Outcome::Leads(look.lead());
+        }
         let answers = |id: &upstream::Id| looks.iter().any(|look| look.id == *id);
         if !listed.contains(&self.candidate) {
             return Outcome::Void;
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -63,8 +63,8 @@
 pub type Lives = Vec<Life>;
 
 impl Plan {
-    /// Whether the candidate comes to lead within `limit`. The other replicas are kept held meanwhile.
-    pub async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
+    /// The term in which the candidate comes to lead within `limit`, if it does. The other replicas are kept held meanwhile.
+    pub async fn leads(&self, candidate: &upstream::Id, limit: time::Duration) -> Option<id::Term> {
         self.keeping_held(candidate, self.comes_to_lead(candidate, limit))
             .await
     }
@@ -144,20 +144,22 @@
         loose.is_none()
     }
 
-    async fn comes_to_lead(&self, candidate: &upstream::Id, limit: time::Duration) -> bool {
+    async fn comes_to_lead(
+        &self,
+        candidate: &upstream::Id,
+        limit: time::Duration,
+    ) -> Option<id::Term> {
         let deadline = boot::now() + limit;
         while boot::now() < deadline {
             let pools = self.group.roster().pools();
-            let Some(pool) = pools.iter().find(|pool| pool.id() == *candidate) else {
-                return false;
-            };
+            let pool = pools.iter().find(|pool| pool.id() == *candidate)?;
             let look = sampler::look(pool, self.group.dialer(), HOLD).await;
-            if look.is_some_and(|look| look.status.role == role::Role::Primary) {
-                return true;
+            if let Some(look) = look.filter(|look| look.status.role == role::Role::Primary) {
+                return Some(look.status.term);
             }
             wait::sleep(POLL).await;
         }
-        false
+        None
     }
 
     /// The replicas that there are, and which life of each.
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -529,24 +529,51 @@
         let leads = plan.leads(candidate, plan::LEADING).await;
         let group = &plan.group;
         group.search();
-        tracing::info!(group = %group.name, %candidate, term = plan.term, leads,
+        tracing::info!(group = %group.name, %candidate, term = plan.term, leads = leads.is_some(), led = leads,
             cause = ?plan.cause, took_ms = boot::now().saturating_sub(plan.began).as_millis(), "promotion over");
-        if !leads {
+        let Some(term) = leads else {
             return Done::GivenUp;
-        }
+        };
         metrics::counter!(telemetry::PROMOTIONS, "cause" => plan.cause.label()).increment(1);
         if let Some(intent) = self.seat.intent(&group.name) {
-            self.settle(group, &intent);
+            self.close(group, &intent, term).await;
         }
         Done::Leads(sampler::Lead {
             id: candidate.clone(),
-            term: plan.term,
+            term,
         })
     }
 
+    /// Brings a promotion whose candidate leads `term` to its end.
+    ///
+    /// Where an order before it never took effect, that may be an earlier term than the replicas were held for.
+    /// Were the record to keep the later one, replicas would be held for it again, and nobody would believe in a primary
+    /// that is seen to be replaced.
+    pub async fn close(
+        self: &rc::Rc<Self>,
+        group: &rc::Rc<group::Group>,
+        intent: &intent::Intent,
+        term: id::Term,
+    ) {
+        let led = intent::Intent {
+            term,
+            ..intent.clone()
+        };
+        self.settle(group, &led, intent.term);
+        if term < intent.term && self.seat.record(&led).await.is_none() {
+            tracing::warn!(group = %group.name, candidate = %intent.candidate, term,
+                "the term of a promotion is not corrected in its record");
+        }
+    }
+
     /// Brings a promotion whose candidate leads to its end in the background, once: the replaced
-    /// primary is told, then the replicas are freed.
-    pub fn settle(self: &rc::Rc<Self>, group: &rc::Rc<group::Group>, intent: &intent::Intent) {
+    /// primary is told, then the replicas are freed that were held for the term `held` or an earlier one.
+    pub fn settle(
+        self: &rc::Rc<Self>,
+        group: &rc::Rc<group::Group>,
+        intent: &intent::Intent,
+        held: id::Term,
+    ) {
         let term = intent.term;
         let mut settlements = self.settlements.borrow_mut();
         if settlements
@@ -560,6 +587,7 @@
         let settlement = settlement::Settlement::new(
             rc::Rc::clone(group),
             intent,
+            held,
             rc::Rc::clone(&self.seat),
             rc::Rc::clone(&self.resumes),
         );
--- a/desk/src/settlement.rs
+++ b/desk/src/settlement.rs
@@ -43,6 +43,8 @@
     old: Option<upstream::Id>,
     candidate: upstream::Id,
     term: id::Term,
+    /// Last term that replicas were held for.
+    held: id::Term,
     seat: rc::Rc<seat::Seat>,
     resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
 }
@@ -53,6 +55,7 @@
     pub fn new(
         group: rc::Rc<group::Group>,
         intent: &intent::Intent,
+        held: id::Term,
         seat: rc::Rc<seat::Seat>,
         resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
     ) -> Self {
@@ -61,6 +64,7 @@
             old: intent.old.clone(),
             candidate: intent.candidate.clone(),
             term: intent.term,
+            held,
             seat,
             resumes,
         }
@@ -174,7 +178,8 @@
         let mut pools = self.group.roster().pools();
         pools.retain(|pool| pool.id() != self.candidate);
         let looks = self.group.look_at(&pools, ANSWER).await;
-        let own = |look: &sampler::Look| (1..=self.led()).contains(&look.status.held);
+        let last = self.led().max(self.held);
+        let own = |look: &sampler::Look| (1..=last).contains(&look.status.held);
         for look in looks.iter().filter(|look| own(look)) {
             if let Some(pool) = pools.iter().find(|pool| pool.id() == look.id) {
                 plan::resume(pool, &self.group, &self.resumes, || self.may_free()).await;
--- a/desk/tests/handover.rs
+++ b/desk/tests/handover.rs
@@ -278,3 +278,40 @@
         play.led(2).await;
     });
 }
+
+/// Guards against a group without a primary for as long as replicas are held for a term that nobody leads.
+#[test]
+fn a_promotion_that_takes_effect_in_an_earlier_term_than_replicas_were_held_for_comes_to_its_end() {
+    let play = play::play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.duty.ignore.set(1);
+        play.stage.world.borrow_mut().at("a").up = false;
+        stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
+        // The candidate ends before it leads, and the replaced primary has given up.
+        let first = play.duty.orders.borrow()[0].candidate.clone();
+        let other = if first == "b" { "c" } else { "b" };
+        {
+            let mut world = play.stage.world.borrow_mut();
+            world.at(&first).up = false;
+            world.at("a").up = true;
+            world.at("a").role = role::Role::Replica;
+        }
+        stage::until("another is promoted", || play.leader().len() == 1).await;
+        // The promotion ends all holds as it takes effect.
+        let leader = play.leader().remove(0);
+        let follower = if leader == "a" { other } else { "a" };
+        {
+            let mut world = play.stage.world.borrow_mut();
+            assert_eq!(world.at(&leader).term, 2);
+            world.at(follower).held = 0;
+            world.at(follower).term = 2;
+        }
+        wait::sleep(play::LONG).await;
+        assert_eq!(play.stage.world.borrow_mut().at(follower).held, 0);
+        let group = play.stage.node.group(&stage::GROUP.into());
+        assert_eq!(group.lead().map(|lead| lead.term), Some(2));
+        let recorded = play.seat.intent(&stage::GROUP.into());
+        assert_eq!(recorded.map(|intent| intent.term), Some(2));
+    });
+}
--- a/desk/tests/holds.rs
+++ b/desk/tests/holds.rs
@@ -197,7 +197,7 @@
         received: stamp::Stamp::default(),
         place: intent::Place::default(),
     };
-    settlement::Settlement::new(group, &intent, seat, rc::Rc::clone(resumes))
+    settlement::Settlement::new(group, &intent, intent.term, seat, rc::Rc::clone(resumes))
 }
 
 /// Guards against a settled promotion that ends the holds of the next one, between its look and its command.
