Hold the replicas of a primary that lives only while all of them answer

Callers see seconds without writes while a primary that is well is to be replaced: its replicas are held, one of them does not answer, and it has nothing confirmed for up to four seconds, again and again.

Cause: a promotion held whoever answered and waited for the rest with the same patience whether the primary was gone or not.

What changed: before replicas are held for a planned change, a stall or for relief, all of them have to answer a look. A round of holds that is not whole within 300 ms, as long as one hold that is not answered, is given up and the replicas are freed; the next try comes after 0.5, 1 and then 1.5 s, so that a leaving primary is tried at least four times before it ends, and without a pause once the primary does not answer. Other causes wait four seconds as before.

Evidence: replicas_of_a_leaving_primary_are_not_held_while_one_does_not_answer fails on the code before (the one that answers is held). The part after the first look is tested by plain functions only: on stage no instance answers looks and no holds.

All tests of the desk pass but a_lost_replica_takes_its_receipts_with_it (group), as before.

--- a/desk/src/backoff.rs
+++ b/desk/src/backoff.rs
@@ -2,7 +2,8 @@
 //!
 //! The load that this answers: a primary loses its replicas, and some of them cannot reach each other
 //! either. Whoever takes over is as alone as it was: without a pause the two would change places every
-//! second, each time without what the other has acknowledged.
+//! second, each time without what the other has acknowledged. And a replica that answers looks, but no
+//! hold, has the others held in vain, while the primary has nothing confirmed.
 
 use std::time;
 
@@ -11,6 +12,13 @@
 use crate::succession;
 use crate::upstream;
 
+/// First pause after a promotion that was given up; doubled with each further one.
+const GIVEN_UP: time::Duration = time::Duration::from_millis(500);
+
+/// Longest such pause: a primary that announced its end works for seven seconds, of which up to three
+/// pass before the first try.
+const GIVEN_UP_MOST: time::Duration = time::Duration::from_millis(1500);
+
 /// First pause after a change of places for a stall, before one of the two may change places for a stall
 /// again; doubled with each further one. Longer than a replica needs to follow a new primary.
 const STALLED: time::Duration = time::Duration::from_secs(4);
@@ -36,6 +44,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Backoff {
+    given_up: Option<Turn>,
     stalled: Option<Turn>,
     /// The instances that have changed places for a stall.
     places: Vec<upstream::Id>,
@@ -65,10 +74,31 @@
     /// Whether a promotion for this cause that replaces `primary` may be tried now.
     #[must_use]
     pub fn permits(&self, primary: &upstream::Id, cause: succession::Cause, now: id::Time) -> bool {
+        if !cause.can_wait() {
+            return true;
+        }
+        let tried = self.given_up.map(|turn| turn.ends(GIVEN_UP, GIVEN_UP_MOST));
         let again = cause == succession::Cause::Stalled && self.places.contains(primary);
         let stalled = self.stalled.filter(|_| again);
         let changed = stalled.map(|turn| turn.ends(STALLED, STALLED_MOST));
-        changed.is_none_or(|until| now >= until)
+        tried.max(changed).is_none_or(|until| now >= until)
+    }
+
+    /// Notes that a promotion for this cause was given up.
+    ///
+    /// ```
+    /// use mangotray_desk::{backoff, succession::Cause};
+    /// use std::time::Duration;
+    /// let mut backoff = backoff::Backoff::default();
+    /// backoff.given_up(Cause::Planned, Duration::from_secs(10));
+    /// assert!(!backoff.permits(&"a".into(), Cause::Planned, Duration::from_millis(10_400)));
+    /// assert!(backoff.permits(&"a".into(), Cause::Crashed, Duration::from_millis(10_400)));
+    /// assert!(backoff.permits(&"a".into(), Cause::Planned, Duration::from_millis(10_500)));
+    /// ```
+    pub fn given_up(&mut self, cause: succession::Cause, now: id::Time) {
+        if cause.can_wait() {
+            self.given_up = Some(Turn::after(self.given_up, now));
+        }
     }
 
     /// Notes that `new` leads in place of `old`.
@@ -79,6 +109,7 @@
         cause: succession::Cause,
         now: id::Time,
     ) {
+        self.given_up = None;
         if cause != succession::Cause::Stalled {
             return;
         }
--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -125,7 +125,7 @@
             wait::sleep(CALM).await;
             return;
         }
-        if !self.may_try(&lead, cause) {
+        if cause.can_wait() && !self.may_try(&lead, cause).await {
             wait::sleep(CALM).await;
             return;
         }
@@ -151,18 +151,26 @@
             }
             promoter::Done::Overtaken(found) => self.adopt(found, &lead).await,
             promoter::Done::HeldBack => wait::sleep(CALM).await,
-            promoter::Done::GivenUp => wait::sleep(UNEASY).await,
+            promoter::Done::GivenUp => {
+                self.backoff.given_up(cause, boot::now());
+                wait::sleep(UNEASY).await;
+            }
         }
     }
 
-    // Whether no promotion for this cause came to nothing lately.
-    fn may_try(&self, lead: &sampler::Lead, cause: succession::Cause) -> bool {
-        let permitted = self.backoff.permits(&lead.id, cause, boot::now());
-        if !permitted {
+    // Whether a primary that lives may have its replicas held now: meanwhile it has nothing confirmed, so
+    // all of them have to answer, and a promotion that came to nothing lately is not repeated unless the
+    // primary has ended since.
+    async fn may_try(&self, lead: &sampler::Lead, cause: succession::Cause) -> bool {
+        let survey = survey::Survey::new(&self.group, lead);
+        let rested = self.backoff.permits(&lead.id, cause, boot::now());
+        let permitted = rested || !survey.leads().await;
+        let whole = permitted && survey.is_whole().await;
+        if !whole {
             tracing::info!(group = %self.group.name, primary = %lead.id, term = lead.term, ?cause,
-                "promotion put off");
+                permitted, whole, "promotion put off");
         }
-        permitted
+        whole
     }
 
     // Whether the store may have lost the record of an order, so that nobody is ordered in this round
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -37,9 +37,6 @@
 /// Time after which an instance that receives records is listed, and the list has come here.
 const LISTED: time::Duration = time::Duration::from_millis(500);
 
-/// A promotion whose replicas cannot all be held in this time is given up for now.
-const PATIENCE: time::Duration = time::Duration::from_secs(4);
-
 /// Pause between holds while an earlier end of a hold may yet arrive.
 const HOLD_AGAIN: time::Duration = time::Duration::from_millis(100);
 
@@ -358,7 +355,7 @@
                 }
                 verdict::Verdict::Wait | verdict::Verdict::Lacking => {}
             }
-            let late = boot::now() > plan.began + PATIENCE;
+            let late = boot::now() > plan.began + plan.cause.patience();
             let returned = self.has_returned(plan, lead).await;
             if late || returned || self.seat.held().is_none() {
                 tracing::warn!(group = %group.name, term = plan.term, expected = pools.len(),
--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -27,6 +27,13 @@
 /// it. The old primary cannot be counted on, as the replicas do not reach it.
 const FOLLOWED: usize = 2;
 
+/// A promotion whose replicas cannot all be held in this time is given up for now.
+const PATIENCE: time::Duration = time::Duration::from_secs(4);
+
+/// The same where the primary lives: it has nothing confirmed while its replicas are held. One hold that
+/// is not answered takes as long.
+const BRIEF: time::Duration = time::Duration::from_millis(300);
+
 /// A primary that announced its end is replaced once no instance was added to its group for
 /// this long. An instance receives records, and lets commits be acknowledged, up to 170 ms
 /// before the list shows it. Replicas that are held do not; if the newcomer alone has a
@@ -130,6 +137,29 @@
             Self::Planned | Self::Stalled | Self::Unfinished | Self::Relief
         )
     }
+
+    /// Whether the promotion may as well wait, as nothing was ordered and the primary lives.
+    ///
+    /// ```
+    /// use mangotray_desk::succession;
+    /// assert!(succession::Cause::Stalled.can_wait());
+    /// assert!(!succession::Cause::Unfinished.can_wait());
+    /// ```
+    #[must_use]
+    pub const fn can_wait(self) -> bool {
+        matches!(self, Self::Planned | Self::Stalled | Self::Relief)
+    }
+
+    /// For how long a promotion tries to hold all replicas before it is given up.
+    ///
+    /// ```
+    /// use mangotray_desk::succession::Cause;
+    /// assert!(Cause::Planned.patience() < Cause::Crashed.patience());
+    /// ```
+    #[must_use]
+    pub const fn patience(self) -> time::Duration {
+        if self.can_wait() { BRIEF } else { PATIENCE }
+    }
 }
 
 /// What a node that does not hold the seat has seen of a group without a primary.
--- a/desk/src/survey.rs
+++ b/desk/src/survey.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Whether all other instances answer, so that they can be expected to be held at once.
+    pub async fn is_whole(&self) -> bool {
+        let looks = self.group.look_at(&self.others, LOOK).await;
+        looks.len() == self.others.len()
+    }
+
     /// Whether the primary answers and leads.
     pub async fn leads(&self) -> bool {
         let Some(primary) = &self.primary else {
--- a/desk/tests/stalled.rs
+++ b/desk/tests/stalled.rs
@@ -1,8 +1,11 @@
-//! A primary without replicas changes places only where that can help.
+//! A primary without replicas changes places only where that can help, and a primary that lives keeps its
+//! replicas while it does not.
 
 mod play;
 mod stage;
 
+use std::time;
+
 use mangotray_desk::wait;
 
 use play::LONG;
@@ -10,11 +13,24 @@
 use play::play;
 use play::play_on;
 
+/// Pause between looks at the instances on stage.
+const STEP: time::Duration = time::Duration::from_millis(20);
+
 /// Records that the primary takes and no replica receives.
 fn stall(play: &Play) {
     play.stage.world.borrow_mut().at("a").position = 20;
 }
 
+/// Whether a replica is held at any moment of this time.
+async fn is_held_within(play: &Play, id: &str, limit: time::Duration) -> bool {
+    let held = async {
+        while play.stage.world.borrow_mut().at(id).held == 0 {
+            wait::sleep(STEP).await;
+        }
+    };
+    wait::within(limit, held).await.is_some()
+}
+
 #[test]
 fn a_stalled_primary_with_two_replicas_is_replaced() {
     let play = play();
@@ -53,3 +69,19 @@
     assert_eq!(play.leader(), ["a"]);
     assert!(play.duty.orders.borrow().is_empty());
 }
+
+/// Guards against seconds without writes, in which the replicas of a leaving primary are held and one of them does not answer.
+#[test]
+fn replicas_of_a_leaving_primary_are_not_held_while_one_does_not_answer() {
+    let play = play();
+    play.stage.run(async {
+        play.led(1).await;
+        play.stage.world.borrow_mut().at("c").up = false;
+        play.stage.world.borrow_mut().at("a").draining = true;
+        play.stage.relist();
+        assert!(!is_held_within(&play, "b", 2 * LONG).await);
+        play.stage.world.borrow_mut().at("c").up = true;
+        play.led(2).await;
+    });
+    assert_ne!(play.leader(), ["a"]);
+}
--- a/desk/tests/succession.rs
+++ b/desk/tests/succession.rs
@@ -101,3 +101,20 @@
     // Another primary that has lost its replicas is replaced at once.
     assert!(backoff.permits(&"c".into(), cause, at(14_000)));
 }
+
+/// Guards against replicas that are held again and again in vain, with a primary that can have nothing confirmed meanwhile.
+#[test]
+fn promotions_that_are_given_up_come_less_and_less_often_and_before_a_leaving_primary_ends() {
+    let mut backoff = backoff::Backoff::default();
+    let cause = succession::Cause::Planned;
+    let primary = "a".into();
+    let (mut now, mut tries) = (13_000, Vec::new());
+    while now < 17_000 {
+        if backoff.permits(&primary, cause, at(now)) {
+            backoff.given_up(cause, at(now));
+            tries.push(now);
+        }
+        now += 100;
+    }
+    assert_eq!(tries, [13_000, 13_500, 14_500, 16_000]);
+}
