Wait no longer for a process whose address another instance has

Cause: a promotion waited for a process that had ended until its entry had lapsed and 5.5 s had passed, though its address answered that another instance lives there. And a primary that had just been found again under another id was demoted by a round of looks that had begun before.

Change: an address that answers for another instance ends the known process at once, be it listed; an entry that goes on telling of it is ignored. Its successor is asked for before replicas are held, by the address where the list does not name it yet. A round that ends after another primary was found acts no more.

Test: a_listed_process_whose_address_another_has_is_waited_for_no_longer; without the question for successors it fails, as the promotion holds one replica only.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -171,7 +171,7 @@
                 let absent = group.roster.absent();
                 let looks = group.look_at(&absent, ABSENT_LOOK).await;
                 group.roster.forget_ended();
-                group.seek_successors().await;
+                group.seek_successors(ABSENT_LOOK).await;
                 if looks.len() == absent.len() {
                     break;
                 }
@@ -182,10 +182,10 @@
         self.executor.spawn(ask).detach();
     }
 
-    // Asks whoever listens where an instance has ended whether it belongs to the group.
-    async fn seek_successors(self: &rc::Rc<Self>) {
+    /// Asks whoever listens where an instance has ended whether it belongs to the group, and counts it if so.
+    pub async fn seek_successors(self: &rc::Rc<Self>, limit: time::Duration) {
         let vacated = self.roster.vacated();
-        for look in self.look_at(&vacated, ABSENT_LOOK).await {
+        for look in self.look_at(&vacated, limit).await {
             self.roster.take_in(&look.id);
         }
     }
--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -121,6 +121,11 @@
         if seat.held().is_none() || !self.group.roster().is_settled() {
             return;
         }
+        // It may have come back under another id, or been replaced, while it was looked for.
+        let found = self.group.lead();
+        if found.is_some_and(|found| found != lead && found.term >= lead.term) {
+            return;
+        }
         if self.settles_lost_order(&lead).await {
             wait::sleep(CALM).await;
             return;
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -290,6 +290,8 @@
         let group = &plan.group;
         let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
+            group.roster().forget_ended();
+            group.seek_successors(survey::LOOK).await;
             let mut pools = group.roster().pools();
             pools.retain(|pool| Some(pool.id()) != old);
             let lives = plan.lives();
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -11,6 +11,7 @@
 use crate::absence;
 use crate::boot;
 use crate::catalog;
+use crate::plan;
 use crate::pool;
 use crate::size;
 use crate::upstream;
@@ -57,6 +58,8 @@
     leaving: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     /// Those that are missing from the list and may live.
     absent: cell::RefCell<collections::BTreeMap<upstream::Id, absence::Absence>>,
+    /// Processes that have ended though they are listed, as another instance answered at their address.
+    ended: cell::RefCell<collections::BTreeSet<plan::Life>>,
     /// Addresses of instances that were forgotten: a successor may live there that cannot write its entry.
     vacated: cell::RefCell<Vec<Vacated>>,
     added: cell::Cell<id::Time>,
@@ -85,6 +88,7 @@
             pools: cell::RefCell::default(),
             leaving: cell::RefCell::default(),
             absent: cell::RefCell::default(),
+            ended: cell::RefCell::default(),
             vacated: cell::RefCell::default(),
             added: cell::Cell::default(),
             first: cell::Cell::default(),
@@ -109,11 +113,19 @@
             .iter()
             .map(|instance| instance.id.clone())
             .collect();
+        self.ended
+            .borrow_mut()
+            .retain(|(id, _)| listed.contains(id));
         let enter = |instance: catalog::Instance| {
             let id = instance.id.clone();
             self.enter(instance, since).then_some(id)
         };
-        let reborn = instances.into_iter().filter_map(enter).collect();
+        let lives = |instance: &catalog::Instance| {
+            let life = (instance.id.clone(), instance.born);
+            !self.ended.borrow().contains(&life)
+        };
+        let living = instances.into_iter().filter(lives);
+        let reborn = living.filter_map(enter).collect();
         self.leave_unless(|id| listed.contains(id), heard);
         reborn
     }
@@ -231,6 +243,7 @@
     /// Drops what is no longer listed and gives spare connections back; called now and then.
     pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
         self.leave_unless(listed, boot::now());
+        self.forget_ended();
         for pool in self.pools.borrow().values() {
             pool.trim();
         }
@@ -339,16 +352,19 @@
         self.forget_ended();
     }
 
-    /// Forgets instances that are listed no more and, by their own silence, have ended.
+    /// Forgets instances that are listed no more and, by their own silence, have ended, and those at whose
+    /// address another one answers, be they listed.
     pub fn forget_ended(&self) {
         let now = boot::now();
         let ended = |pool: &rc::Rc<pool::Pool>| {
             let absent = self.absent.borrow();
-            absent
-                .get(&pool.id())
-                .is_some_and(|absence| absence.is_over(pool.sign(), now))
+            let absence = absent.get(&pool.id());
+            pool.sign().replaced || absence.is_some_and(|absence| absence.is_over(pool.sign(), now))
         };
         for pool in self.pools().into_iter().filter(ended) {
+            if !self.is_unlisted(&pool) {
+                self.ended.borrow_mut().insert((pool.id(), pool.born()));
+            }
             self.forget(&pool, now);
         }
     }
--- a/desk/tests/absence.rs
+++ b/desk/tests/absence.rs
@@ -125,6 +125,32 @@
     assert_eq!(play.leader(), ["d"]);
 }
 
+/// Guards against a group without a primary for as long as a process that has ended is still listed.
+#[test]
+fn a_listed_process_whose_address_another_has_is_waited_for_no_longer() {
+    let play = play();
+    play.stage.keep_tidy();
+    play.stage.run(async {
+        play.led(1).await;
+        let group = play.stage.node.group(&stage::GROUP.into());
+        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let list = {
+            let mut world = play.stage.world.borrow_mut();
+            let list = world.list();
+            let successor = world.instances.remove("c").expect("it was on stage");
+            world.instances.insert("d".into(), successor);
+            world.at("a").up = false;
+            list
+        };
+        // The list goes on telling of the one that has ended.
+        play.stage.node.update(list, Some(boot::now()), boot::now());
+        play.led(2).await;
+        assert!(group.roster().pools().iter().all(|pool| pool.id() != "c"));
+        assert!(play.stage.world.borrow_mut().at("d").held > 0);
+    });
+    assert_eq!(play.leader(), ["b"]);
+}
+
 /// Guards against a successor that is counted twice, and holds promotions back under a name that answers nothing.
 #[test]
 fn a_successor_that_is_listed_is_counted_once() {
