Know a stalled primary though it answers only now and then

Callers' writes hang for up to six seconds while the primary has lost its replicas and both of them are well.

Cause: the writes that wait take the primary's connections, so that every other look at it is not answered. Each such look made the watch forget since when records were known that no replica receives, and each answer since when the primary was silent: neither time was ever long enough.

What changed: the watch keeps the first record of the primary that no replica has, and since when it knows it, until a replica has it; a round without an answer tells nothing of it. A record that is only on its way after a silence counts from then on. The primary still has to answer in the round that decides, and replicas must not have received anything for 0.7 s.

Test: a_stalled_primary_that_answers_now_and_then_is_replaced fails on the code before. All tests of the desk pass but a_lost_replica_takes_its_receipts_with_it (group), as before.

--- a/desk/src/succession.rs
+++ b/desk/src/succession.rs
@@ -199,7 +199,8 @@
     silent: Option<id::Time>,
     closed: Option<id::Time>,
     leaving: Option<id::Time>,
-    ahead: Option<id::Time>,
+    /// Since when a record of the primary is known that no replica was seen to have received since.
+    ahead: Option<(id::Time, stamp::Stamp)>,
 }
 
 impl Watch {
@@ -267,7 +268,8 @@
         if over(self.silent, SILENT) {
             return Some(Cause::Silent);
         }
-        let stalled = over(self.ahead, STALLED) && round.has_follower();
+        let answers = matches!(round.primary, Reach::Answered(_));
+        let stalled = answers && over(self.missing_since(), STALLED) && round.has_follower();
         stalled.then_some(Cause::Stalled)
     }
 
@@ -281,7 +283,7 @@
     #[must_use]
     pub fn is_uneasy(&self, now: id::Time) -> bool {
         let ahead = self
-            .ahead
+            .missing_since()
             .is_some_and(|since| now >= since.max(self.moved) + DOUBTED);
         self.silent.is_some() || self.closed.is_some() || ahead
     }
@@ -296,7 +298,17 @@
         self.silent = began(self.silent, !matches!(round.primary, Reach::Answered(_)));
         self.closed = began(self.closed, round.primary == Reach::Closed);
         self.leaving = began(self.leaving, round.leaving);
-        let ahead = matches!((round.primary, round.received), (Reach::Answered(own), Some(theirs)) if own > theirs);
-        self.ahead = began(self.ahead, ahead);
+        // A primary whose connections are taken by writes that wait answers only now and then.
+        self.ahead
+            .take_if(|(_, record)| round.received >= Some(*record));
+        if let (Reach::Answered(own), Some(theirs)) = (round.primary, round.received)
+            && own > theirs
+        {
+            self.ahead.get_or_insert((now, own));
+        }
+    }
+
+    fn missing_since(&self) -> Option<id::Time> {
+        self.ahead.map(|(since, _)| since)
     }
 }
--- a/desk/tests/succession.rs
+++ b/desk/tests/succession.rs
@@ -86,6 +86,41 @@
     assert_eq!(watch.judge(&stalled(10_700, 2, 2)), cause);
 }
 
+/// Guards against a stalled primary that is kept for seconds, as it answers only every other look while its callers' writes wait.
+#[test]
+fn a_stalled_primary_that_answers_now_and_then_is_replaced() {
+    let mut watch = succession::Watch::default();
+    let silent = |millis| succession::Round {
+        primary: succession::Reach::Silent,
+        ..stalled(millis, 2, 2)
+    };
+    assert_eq!(watch.judge(&stalled(10_000, 2, 2)), None);
+    assert_eq!(watch.judge(&silent(10_300)), None);
+    assert_eq!(watch.judge(&stalled(10_600, 2, 2)), None);
+    assert_eq!(watch.judge(&silent(10_800)), None);
+    let cause = Some(succession::Cause::Stalled);
+    assert_eq!(watch.judge(&stalled(11_100, 2, 2)), cause);
+}
+
+/// Guards against a primary that is taken for stalled for a record that is only on its way, after a moment of silence.
+#[test]
+fn a_record_on_its_way_after_a_silence_is_no_stall() {
+    let mut watch = succession::Watch::default();
+    let at_work = |millis, own, theirs| succession::Round {
+        primary: succession::Reach::Answered(stamp::Stamp::new(1, own)),
+        received: Some(stamp::Stamp::new(1, theirs)),
+        ..stalled(millis, 2, 2)
+    };
+    let silent = |millis| succession::Round {
+        primary: succession::Reach::Silent,
+        ..at_work(millis, 9, 8)
+    };
+    assert_eq!(watch.judge(&at_work(10_000, 8, 7)), None);
+    assert_eq!(watch.judge(&silent(10_300)), None);
+    assert_eq!(watch.judge(&silent(10_800)), None);
+    assert_eq!(watch.judge(&at_work(11_100, 9, 8)), None);
+}
+
 /// Guards against instances that cannot reach each other and change places again and again.
 #[test]
 fn changes_of_places_for_a_stall_between_the_same_instances_come_less_and_less_often() {
