Wait for an answer where an instance has ended, and take one refusal for no end

What callers would see: acknowledged commits gone with a promotion.

Cause: one refused connection ended an instance that had been missing from the list for a while, though it had answered a moment before; a successor whose first look was not answered was not waited for, and was looked for between hold and effect by nobody; a successor that started again was not looked for at all; and one that was listed before its predecessor was forgotten counted twice.

Change: an instance that has not announced its end may return for 5.5 s after its last answer. Where an instance has ended and its address neither refuses nor answers yet, holds go on for up to 2.5 s before anybody is ordered; successors are sought before the order and every 120 ms until its effect. What a replica confirmed before it was forgotten counts as a loss of receipts, which the primary's next answer bounds; one that has started again at its address has kept its log. A promotion of a primary that lives does not hold replicas while the end of an earlier hold may be on its way, which left callers without writes for up to four seconds. Callers that wait for a primary which is known, but past its time, look for another with a pause.

Tests: a_successor_that_was_listed_first_is_counted_once, an_unlisted_successor_that_starts_again_is_counted_again, and one refusal in an_instance_is_gone_where_the_list_and_its_silence_say_so.

--- a/desk/src/absence.rs
+++ b/desk/src/absence.rs
@@ -8,8 +8,8 @@
 
 use mangotray::id;
 
-/// An instance that has not announced its end may live on this long without an entry, whatever it
-/// answers: it misses three heartbeats before its entry goes, and a restart takes some seconds.
+/// An instance that has not announced its end may live on this long without an entry after its last answer,
+/// whatever its address says: a connection may be refused while its process goes on or starts again.
 const RETURN: time::Duration = time::Duration::from_millis(5500);
 
 /// One that had announced its end, was asked for this long and has not answered once is taken for gone, as the list
@@ -71,7 +71,8 @@
     /// ```
     #[must_use]
     pub fn is_over(&self, sign: Sign, now: id::Time) -> bool {
-        let may_return = !self.announced && !sign.replaced && now <= self.since + RETURN;
+        let alive = self.since.max(sign.answered);
+        let may_return = !self.announced && !sign.replaced && now <= alive + RETURN;
         let silent = if self.announced {
             now > sign.answered.max(self.noticed) + SILENT
         } else {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -155,6 +155,7 @@
     /// whether they live; called about once a second.
     pub fn tidy(self: &rc::Rc<Self>, listed: impl Fn(&upstream::Id) -> bool) {
         self.roster.tidy(listed);
+        self.forget_ended();
         self.ask_absent();
     }
 
@@ -170,7 +171,7 @@
             for round in 0..ABSENT_LOOKS {
                 let absent = group.roster.absent();
                 let looks = group.look_at(&absent, ABSENT_LOOK).await;
-                group.roster.forget_ended();
+                group.forget_ended();
                 group.seek_successors(ABSENT_LOOK).await;
                 if looks.len() == absent.len() {
                     break;
@@ -182,6 +183,20 @@
         self.executor.spawn(ask).detach();
     }
 
+    /// Forgets instances that have ended. What a replica confirmed shortly before, and nobody has seen, the primary's
+    /// next answer tells.
+    pub fn forget_ended(self: &rc::Rc<Self>) {
+        let forgotten = self.roster.forget_ended();
+        let lead = self.lead();
+        let leads = |id: &upstream::Id| lead.as_ref().is_some_and(|lead| lead.id == *id);
+        if forgotten.iter().any(|id| !leads(id)) {
+            self.belief.borrow_mut().note_loss(boot::now());
+            if lead.is_some() {
+                self.search();
+            }
+        }
+    }
+
     /// Asks whoever listens where an instance has ended whether it belongs to the group, and counts it if so.
     pub async fn seek_successors(self: &rc::Rc<Self>, limit: time::Duration) {
         let vacated = self.roster.vacated();
@@ -280,6 +295,10 @@
             {
                 return Some((pool, lead.term));
             }
+            if self.lead().is_some() {
+                // Looks find the same one again at once, which callers' work may not go to.
+                wait::until(deadline, wait::sleep(SEARCH_PAUSE)).await?;
+            }
             self.search();
             wait::until(deadline, changed).await?;
         }
--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -91,7 +91,7 @@
                 // Somebody else's promotion has come to its end: whoever ordered it may be gone,
                 // with the replicas still held and the old primary not told.
                 Some(old) if lead.term > old.term && lead.id != old.id => {
-                    self.adopt(lead, &old).await
+                    self.adopt(lead, &old).await;
                 }
                 _ => self.watch_over(lead),
             }
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -120,6 +120,7 @@
         let before: Vec<_> = ids(pools);
         while before == ids(&self.others(candidate)) {
             wait::sleep(WATCH).await;
+            self.group.seek_successors(LAST_LOOK).await;
         }
     }
 
@@ -135,7 +136,9 @@
         let old = self.old.as_ref().map(|pool| pool.id());
         let mut pools = self.group.roster().pools();
         pools.retain(|pool| Some(pool.id()) != old);
-        let looks = self.group.look_at(&pools, LAST_LOOK).await;
+        let looks = self.group.look_at(&pools, LAST_LOOK);
+        let seek = self.group.seek_successors(LAST_LOOK);
+        let (looks, ()) = futures_util::future::join(looks, seek).await;
         let loose = looks.iter().find(|look| is_loose(look, self.term));
         if let Some(look) = loose {
             tracing::warn!(group = %self.group.name, instance = %look.id, term = self.term,
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -263,6 +263,11 @@
         let mut told = false;
         loop {
             let open = self.resumes.borrow_mut().until(&group.name, boot::now());
+            if open.is_some() && plan.cause.can_wait() {
+                tracing::info!(group = %group.name, term = plan.term,
+                    "no promotion yet: the end of an earlier hold may be on its way");
+                return Err(Done::GivenUp);
+            }
             let held = self.hold(plan, lead).await?;
             let Some(until) = open else {
                 return Ok(held);
@@ -290,7 +295,7 @@
         let group = &plan.group;
         let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
-            group.roster().forget_ended();
+            group.forget_ended();
             group.seek_successors(survey::LOOK).await;
             let mut pools = group.roster().pools();
             pools.retain(|pool| Some(pool.id()) != old);
@@ -313,6 +318,9 @@
             };
             let leaves = |id: &upstream::Id| group.roster().is_leaving(id);
             let mut verdict = view.judge(leaves);
+            if group.roster().is_unclear() {
+                verdict = verdict::Verdict::Wait;
+            }
             let mut stands = None;
             if verdict == verdict::Verdict::Lacking {
                 let old = plan.ask_old().await;
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -38,10 +38,15 @@
 /// entry within a second or two unless it is cut off from the list.
 const SUCCESSION: time::Duration = time::Duration::from_secs(30);
 
+/// A successor at an address that was reached a moment ago answers or refuses within this time, as one that is loaded.
+const UNCLEAR: time::Duration = time::Duration::from_millis(2500);
+
 /// The address of an instance that has ended.
 struct Vacated {
     /// Connections to whoever listens there.
     pool: rc::Rc<pool::Pool>,
+    /// Until then a successor may live there that has not answered yet.
+    unclear: id::Time,
     until: id::Time,
 }
 
@@ -196,20 +201,42 @@
         self.added.set(now);
     }
 
-    // Whoever listens at the address of an instance that is forgotten.
+    /// Whether a successor may live where an instance has ended that nobody has heard of yet: the address neither
+    /// refuses nor answers.
+    #[must_use]
+    pub fn is_unclear(&self) -> bool {
+        let now = boot::now();
+        let vacated = self.vacated.borrow();
+        let unclear = |vacated: &Vacated| now < vacated.unclear && !vacated.pool.is_closed();
+        vacated.iter().any(unclear)
+    }
+
+    // Whoever listens at the address of an instance that is forgotten, unless the list names it.
     fn watch_for_successor(&self, ended: &pool::Pool, now: id::Time) {
         let mut instance = ended.instance.borrow().clone();
-        if instance.any {
+        let address = |pool: &rc::Rc<pool::Pool>| pool.instance.borrow().address;
+        if self
+            .pools()
+            .iter()
+            .any(|pool| address(pool) == instance.address)
+        {
             return;
         }
-        instance.id = format_compact!("{}{SUCCESSOR}", instance.id);
-        instance.any = true;
+        if !instance.any {
+            instance.id = format_compact!("{}{SUCCESSOR}", instance.id);
+            instance.any = true;
+        }
         instance.draining = false;
         instance.leads = false;
         let (dialer, executor) = (rc::Rc::clone(&self.dialer), rc::Rc::clone(&self.executor));
         let pool = pool::Pool::new(instance, dialer, executor, size::Size::shared());
         self.vacated.borrow_mut().push(Vacated {
             pool: rc::Rc::new(pool),
+            unclear: if ended.is_closed() {
+                now + UNCLEAR
+            } else {
+                now
+            },
             until: now + SUCCESSION,
         });
     }
@@ -243,7 +270,6 @@
     /// Drops what is no longer listed and gives spare connections back; called now and then.
     pub fn tidy(&self, listed: impl Fn(&upstream::Id) -> bool) {
         self.leave_unless(listed, boot::now());
-        self.forget_ended();
         for pool in self.pools.borrow().values() {
             pool.trim();
         }
@@ -349,24 +375,28 @@
                 announced,
             }
         });
-        self.forget_ended();
     }
 
     /// Forgets instances that are listed no more and, by their own silence, have ended, and those at whose
-    /// address another one answers, be they listed.
-    pub fn forget_ended(&self) {
+    /// address another one answers, be they listed. Tells whose logs have gone with them: one that has started again at
+    /// its address has come back with its own.
+    pub fn forget_ended(&self) -> Vec<upstream::Id> {
         let now = boot::now();
         let ended = |pool: &rc::Rc<pool::Pool>| {
             let absent = self.absent.borrow();
             let absence = absent.get(&pool.id());
             pool.sign().replaced || absence.is_some_and(|absence| absence.is_over(pool.sign(), now))
         };
-        for pool in self.pools().into_iter().filter(ended) {
-            if !self.is_unlisted(&pool) {
+        let mut pools = self.pools();
+        pools.retain(ended);
+        for pool in &pools {
+            if !self.is_unlisted(pool) {
                 self.ended.borrow_mut().insert((pool.id(), pool.born()));
             }
-            self.forget(&pool, now);
+            self.forget(pool, now);
         }
+        pools.retain(|pool| !pool.sign().replaced);
+        pools.iter().map(|pool| pool.id()).collect()
     }
 
     fn forget(&self, pool: &pool::Pool, now: id::Time) {
--- a/desk/tests/absence.rs
+++ b/desk/tests/absence.rs
@@ -151,6 +151,70 @@
     assert_eq!(play.leader(), ["b"]);
 }
 
+/// Guards against a successor that is counted twice where the list names it before its predecessor is forgotten.
+#[test]
+fn a_successor_that_was_listed_first_is_counted_once() {
+    let stage = stage::Stage::new();
+    stage.keep_tidy();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let (before, both) = {
+            let mut world = stage.world.borrow_mut();
+            let mut list = world.list();
+            let successor = world.instances.remove("c").expect("it was on stage");
+            world.instances.insert("d".into(), successor);
+            let after = world.list();
+            list.extend(after.iter().filter(|instance| instance.id == "d").cloned());
+            (after, list)
+        };
+        stage.node.update(both, Some(boot::now()), boot::now());
+        let ids = || {
+            let pools = group.roster().pools();
+            pools.iter().map(|pool| pool.id()).collect::<Vec<_>>()
+        };
+        stage::until("the predecessor is forgotten", || {
+            let pools = group.roster().pools();
+            let old = pools.iter().find(|pool| pool.id() == "c");
+            if let Some(pool) = old {
+                pool.suspect(&organisation::OWN);
+            }
+            old.is_none()
+        })
+        .await;
+        wait::sleep(LONG).await;
+        assert_eq!(ids(), ["a", "b", "d"]);
+        stage.node.update(before, Some(boot::now()), boot::now());
+        assert_eq!(ids(), ["a", "b", "d"]);
+    });
+}
+
+/// Guards against a successor of a successor that is never looked for.
+#[test]
+fn an_unlisted_successor_that_starts_again_is_counted_again() {
+    let stage = stage::Stage::new();
+    stage.keep_tidy();
+    stage.run(async {
+        let group = stage.node.group(&stage::GROUP.into());
+        let counted = || {
+            let pools = group.roster().pools();
+            pools.iter().any(|pool| pool.instance.borrow().any)
+        };
+        stage.unlist("c").await;
+        let rename = |from: &str, to: &str| {
+            let mut world = stage.world.borrow_mut();
+            let instance = world.instances.remove(from).expect("it was on stage");
+            world.instances.insert(to.into(), instance);
+        };
+        rename("c", "d");
+        stage::until("the successor is counted", counted).await;
+        stage.world.borrow_mut().at("d").up = false;
+        stage::until("the successor is forgotten", || !counted()).await;
+        stage.world.borrow_mut().at("d").up = true;
+        rename("d", "e");
+        stage::until("its successor is counted", counted).await;
+    });
+}
+
 /// Guards against a successor that is counted twice, and holds promotions back under a name that answers nothing.
 #[test]
 fn a_successor_that_is_listed_is_counted_once() {
@@ -226,6 +290,8 @@
     assert!(absence.is_over(sign(99, true), seconds(106)));
     assert!(!absence.is_over(sign(99, false), seconds(106)));
     assert!(absence.is_over(sign(99, false), seconds(109)));
+    // One refusal shortly after an answer is no end, however long it is missing.
+    assert!(!absence.is_over(sign(999, true), seconds(1000)));
     // Another process has its address.
     let replaced = absence::Sign {
         replaced: true,
