Ask the roster for an instance, and a plan for its replicas, in one place each

Roster::find and Plan::replicas do it now; an earlier life of an instance is removed by the function that removes a forgotten one.

--- a/desk/src/guard.rs
+++ b/desk/src/guard.rs
@@ -208,8 +208,7 @@
     // Whether an instance that is not held was not held by an order in doubt either: one that has
     // started again since has lost its hold, and its word says nothing.
     fn remembers_holds(&self, id: &upstream::Id, now: id::Time) -> bool {
-        let pools = self.group.roster().pools();
-        let pool = pools.iter().find(|pool| pool.id() == *id);
+        let pool = self.group.roster().find(id);
         let reborn = pool.and_then(|pool| pool.reborn());
         reborn.is_none_or(|reborn| now > reborn + doubt::ORDERS_OVER)
     }
--- a/desk/src/plan.rs
+++ b/desk/src/plan.rs
@@ -125,17 +125,23 @@
     }
 
     fn others(&self, candidate: &upstream::Id) -> Vec<rc::Rc<pool::Pool>> {
+        let mut pools = self.replicas();
+        pools.retain(|pool| pool.id() != *candidate);
+        pools
+    }
+
+    /// All instances that there are but the one that is replaced.
+    #[must_use]
+    pub fn replicas(&self) -> Vec<rc::Rc<pool::Pool>> {
         let old = self.old.as_ref().map(|pool| pool.id());
         let mut pools = self.group.roster().pools();
-        pools.retain(|pool| Some(pool.id()) != old && pool.id() != *candidate);
+        pools.retain(|pool| Some(pool.id()) != old);
         pools
     }
 
     /// Whether no replica tells right before the order that its hold has ended since; silence tells nothing.
     pub async fn are_held(&self) -> bool {
-        let old = self.old.as_ref().map(|pool| pool.id());
-        let mut pools = self.group.roster().pools();
-        pools.retain(|pool| Some(pool.id()) != old);
+        let pools = self.replicas();
         let looks = self.group.look_at(&pools, LAST_LOOK);
         let seek = self.group.seek_successors(LAST_LOOK);
         let (looks, ()) = futures_util::future::join(looks, seek).await;
@@ -154,9 +160,8 @@
     ) -> Option<id::Term> {
         let deadline = boot::now() + limit;
         while boot::now() < deadline {
-            let pools = self.group.roster().pools();
-            let pool = pools.iter().find(|pool| pool.id() == *candidate)?;
-            let look = sampler::look(pool, self.group.dialer(), HOLD).await;
+            let pool = self.group.roster().find(candidate)?;
+            let look = sampler::look(&pool, self.group.dialer(), HOLD).await;
             if let Some(look) = look.filter(|look| look.status.role == role::Role::Primary) {
                 return Some(look.status.term);
             }
@@ -168,17 +173,14 @@
     /// The replicas that there are, and which life of each.
     #[must_use]
     pub fn lives(&self) -> Lives {
-        let old = self.old.as_ref().map(|pool| pool.id());
-        let mut pools = self.group.roster().pools();
-        pools.retain(|pool| Some(pool.id()) != old);
+        let pools = self.replicas();
         pools.iter().map(|pool| (pool.id(), pool.born())).collect()
     }
 
     /// Whether nobody knows the id of the instance, so that it cannot be ordered to lead.
     #[must_use]
     pub fn is_unnamed(&self, id: &upstream::Id) -> bool {
-        let pools = self.group.roster().pools();
-        let pool = pools.iter().find(|pool| pool.id() == *id);
+        let pool = self.group.roster().find(id);
         pool.is_some_and(|pool| pool.instance.borrow().any)
     }
 
@@ -205,8 +207,7 @@
     /// What is recorded before the candidate is ordered.
     #[must_use]
     pub fn intent(&self, candidate: &upstream::Id, held: &[sampler::Look]) -> intent::Intent {
-        let pools = self.group.roster().pools();
-        let pool = pools.iter().find(|pool| pool.id() == *candidate);
+        let pool = self.group.roster().find(candidate);
         let old = self.old.as_ref().map(|old| old.id());
         let received = held.iter().map(|look| look.status.received).max();
         intent::Intent {
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -293,12 +293,10 @@
     /// commit; promoting without it would lose a booking that somebody was promised.
     async fn hold(&self, plan: &plan::Plan, lead: &sampler::Lead) -> Result<Held, Done> {
         let group = &plan.group;
-        let old = plan.old.as_ref().map(|pool| pool.id());
         loop {
             group.forget_ended();
             group.seek_successors(survey::LOOK).await;
-            let mut pools = group.roster().pools();
-            pools.retain(|pool| Some(pool.id()) != old);
+            let pools = plan.replicas();
             let lives = plan.lives();
             let looks = hold_all(plan, &pools).await;
             self.demote_stale(plan, lead, &pools, &looks).await;
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -320,16 +320,13 @@
     // a position that it no longer has would send it reads that it refuses, and a delay or
     // an announced end that is over would keep work away from it.
     fn end_life_before(&self, instance: &catalog::Instance) -> bool {
-        let known = self.pools.borrow().get(&instance.id).cloned();
+        let known = self.find(&instance.id);
         let Some(pool) = known.filter(|pool| pool.born() < instance.born) else {
             return false;
         };
         tracing::info!(group = %self.group, instance = %instance.id, before = pool.born(),
             born = instance.born, "instance has started again");
-        pool.clear();
-        self.pools.borrow_mut().remove(&instance.id);
-        self.leaving.borrow_mut().remove(&instance.id);
-        self.absent.borrow_mut().remove(&instance.id);
+        self.remove(&pool);
         self.lost.set(Some(boot::now()));
         true
     }
@@ -365,7 +362,7 @@
             .borrow_mut()
             .entry(id.clone())
             .or_insert(heard + LEAVING_USE);
-        let pool = self.pools.borrow().get(id).cloned();
+        let pool = self.find(id);
         let announced = pool.is_some_and(|pool| pool.instance.borrow().draining);
         self.absent.borrow_mut().entry(id.clone()).or_insert_with(|| {
             tracing::info!(group = %self.group, instance = %id, announced, "instance is no longer listed");
@@ -423,14 +420,16 @@
         self.pools.borrow().values().cloned().collect()
     }
 
+    /// The connections to an instance that may still be asked.
+    #[must_use]
+    pub fn find(&self, id: &upstream::Id) -> Option<rc::Rc<pool::Pool>> {
+        self.pools.borrow().get(id).cloned()
+    }
+
     /// The connections to an instance that may be sent callers' work.
     #[must_use]
     pub fn pool(&self, id: &upstream::Id) -> Option<rc::Rc<pool::Pool>> {
-        self.pools
-            .borrow()
-            .get(id)
-            .filter(|_| self.is_usable(id))
-            .cloned()
+        self.find(id).filter(|_| self.is_usable(id))
     }
 
     /// Whether all instances that there are can be taken for known.
--- a/desk/src/settlement.rs
+++ b/desk/src/settlement.rs
@@ -133,21 +133,20 @@
 
     // Whether the replaced primary knows, or is gone for good.
     async fn tell_old(&self) -> bool {
-        let pools = self.group.roster().pools();
-        let Some(old) = pools.iter().find(|pool| self.old == Some(pool.id())) else {
+        let roster = self.group.roster();
+        let Some(old) = self.old.as_ref().and_then(|old| roster.find(old)) else {
             return true;
         };
         let command = upstream::Command::Demote(self.led());
-        let look = plan::tell(old, &command, self.group.dialer()).await;
+        let look = plan::tell(&old, &command, self.group.dialer()).await;
         look.is_some_and(|look| look.status.role == role::Role::Replica)
     }
 
     async fn successor_answers(&self) -> bool {
-        let pools = self.group.roster().pools();
-        let Some(pool) = pools.iter().find(|pool| pool.id() == self.candidate) else {
+        let Some(pool) = self.group.roster().find(&self.candidate) else {
             return false;
         };
-        let look = sampler::look(pool, self.group.dialer(), ANSWER).await;
+        let look = sampler::look(&pool, self.group.dialer(), ANSWER).await;
         look.is_some_and(|look| look.status.role == role::Role::Primary)
     }
 
