Wait for a settled list, and for the first order, in one place each in the desk's tests

Twelve places looked up the group and waited until its list was settled, four told the candidate of the first order from the other replica. Stage::settled and Play::ordered do it now; no assertion and no figure is changed.

--- a/desk/tests/absence.rs
+++ b/desk/tests/absence.rs
@@ -132,8 +132,7 @@
     play.stage.keep_tidy();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let group = play.stage.settled().await;
         let list = {
             let mut world = play.stage.world.borrow_mut();
             let list = world.list();
--- a/desk/tests/account.rs
+++ b/desk/tests/account.rs
@@ -101,11 +101,9 @@
         play.led(1).await;
         play.duty.ignore.set(1);
         play.stage.world.borrow_mut().at("a").up = false;
-        stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
-        let candidate = play.duty.orders.borrow()[0].candidate.clone();
+        let play::Ordered { candidate, other } = play.ordered().await;
         {
             let mut world = play.stage.world.borrow_mut();
-            let other = if candidate == "b" { "c" } else { "b" };
             world.at(other).position += more;
             world.promote(&candidate);
         }
--- a/desk/tests/era.rs
+++ b/desk/tests/era.rs
@@ -79,8 +79,7 @@
 }
 
 async fn settled(play: &Play) {
-    let group = play.stage.node.group(&stage::GROUP.into());
-    stage::until("the list is settled", || group.roster().is_settled()).await;
+    play.stage.settled().await;
 }
 
 /// The holder of the seat leaves, and the store comes back from before it held it.
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -349,8 +349,7 @@
 fn a_lost_replica_takes_its_receipts_with_it() {
     let stage = stage::Stage::new();
     stage.run(async {
-        let group = stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let group = stage.settled().await;
         let current = need(catalog::Freshness::Current);
         assert!(group.source(&current, &[]).await.is_some());
         {
--- a/desk/tests/handover.rs
+++ b/desk/tests/handover.rs
@@ -124,8 +124,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.stage.settled().await;
         {
             let mut world = play.stage.world.borrow_mut();
             world.at("a").up = false;
@@ -157,8 +156,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let group = play.stage.settled().await;
         {
             let mut world = play.stage.world.borrow_mut();
             world.at("a").role = role::Role::Replica;
@@ -287,13 +285,11 @@
         play.led(1).await;
         play.duty.ignore.set(1);
         play.stage.world.borrow_mut().at("a").up = false;
-        stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
         // The candidate ends before it leads, and the replaced primary has given up.
-        let first = play.duty.orders.borrow()[0].candidate.clone();
-        let other = if first == "b" { "c" } else { "b" };
+        let play::Ordered { candidate, other } = play.ordered().await;
         {
             let mut world = play.stage.world.borrow_mut();
-            world.at(&first).up = false;
+            world.at(&candidate).up = false;
             world.at("a").up = true;
             world.at("a").role = role::Role::Replica;
         }
--- a/desk/tests/holds.rs
+++ b/desk/tests/holds.rs
@@ -235,16 +235,6 @@
     });
 }
 
-// Waits until the first order for another primary than `a` has left; returns the replica that is not to lead.
-async fn ordered(play: &play::Play) -> &'static str {
-    stage::until("an order leaves", || !play.duty.orders.borrow().is_empty()).await;
-    if play.duty.orders.borrow()[0].candidate == "b" {
-        "c"
-    } else {
-        "b"
-    }
-}
-
 /// Guards against an old primary that goes on through a promotion, as a replica has started again since the order.
 #[test]
 fn a_replica_that_starts_again_after_the_order_is_held_before_its_effect() {
@@ -253,7 +243,7 @@
         play.led(1).await;
         play.duty.takes.set(EFFECT);
         play.stage.world.borrow_mut().at("a").up = false;
-        let other = ordered(&play).await;
+        let other = play.ordered().await.other;
         play.stage.world.borrow_mut().at(other).held = 0;
         play.stage.world.borrow_mut().at(other).born = 2;
         play.stage.relist();
@@ -272,7 +262,7 @@
         play.duty.answers.set(EFFECT);
         play.duty.takes.set(EFFECT);
         play.stage.world.borrow_mut().at("a").up = false;
-        let other = ordered(&play).await;
+        let other = play.ordered().await.other;
         play.stage.world.borrow_mut().at(other).held = 0;
         play.led(2).await;
     });
@@ -292,7 +282,7 @@
         play.led(1).await;
         play.duty.takes.set(EFFECT);
         play.stage.world.borrow_mut().at("a").up = false;
-        assert_eq!(ordered(&play).await, "c");
+        assert_eq!(play.ordered().await.other, "c");
         {
             let mut world = play.stage.world.borrow_mut();
             world.delay = Some(("c".into(), upstream::Command::Status));
@@ -311,7 +301,7 @@
         play.led(1).await;
         play.duty.takes.set(EFFECT);
         play.stage.world.borrow_mut().at("a").up = false;
-        let other = ordered(&play).await;
+        let other = play.ordered().await.other;
         {
             let mut world = play.stage.world.borrow_mut();
             world.delay = Some((other.into(), upstream::Command::Hold(2)));
--- a/desk/tests/pending.rs
+++ b/desk/tests/pending.rs
@@ -13,9 +13,7 @@
         play.led(1).await;
         play.duty.ignore.set(1);
         play.stage.world.borrow_mut().at("a").up = false;
-        stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
-        let first = play.duty.orders.borrow()[0].candidate.clone();
-        let other = if first == "b" { "c" } else { "b" };
+        let other = play.ordered().await.other;
         // It received until it was held anew.
         play.stage.world.borrow_mut().at(other).ahead = 5;
         stage::until("the replicas are held anew", || {
--- a/desk/tests/play/mod.rs
+++ b/desk/tests/play/mod.rs
@@ -411,7 +411,23 @@
     }
 }
 
+/// The replicas of a group whose primary `a` is replaced.
+pub struct Ordered {
+    /// The one that was ordered first.
+    pub candidate: upstream::Id,
+    /// The one that is to follow it.
+    pub other: &'static str,
+}
+
 impl Play {
+    /// Waits until the first order for another primary than `a` has left.
+    pub async fn ordered(&self) -> Ordered {
+        stage::until("an order leaves", || !self.duty.orders.borrow().is_empty()).await;
+        let candidate = self.duty.orders.borrow()[0].candidate.clone();
+        let other = if candidate == "b" { "c" } else { "b" };
+        Ordered { candidate, other }
+    }
+
     /// Waits until the group has settled on a primary of at least `term`.
     pub async fn led(&self, term: u64) {
         let group = self.stage.node.group(&stage::GROUP.into());
--- a/desk/tests/promoter.rs
+++ b/desk/tests/promoter.rs
@@ -521,8 +521,7 @@
     let play = play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.stage.settled().await;
         let shared: rc::Rc<dyn store::Store> = rc::Rc::new(play.store.clone());
         let newcomer = seat::Seat::new(shared, &"new".into(), SHORTEST);
         play.stage
@@ -551,8 +550,7 @@
     let play = play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.stage.settled().await;
         {
             let mut world = play.stage.world.borrow_mut();
             world.at("a").up = false;
@@ -609,8 +607,7 @@
     let play = play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.stage.settled().await;
         play.duty.ignore.set(1);
         play.stage.world.borrow_mut().at("a").up = false;
         stage::until("an order is sent", || !play.duty.orders.borrow().is_empty()).await;
--- a/desk/tests/relapse.rs
+++ b/desk/tests/relapse.rs
@@ -28,8 +28,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.stage.settled().await;
         lose_both(&play);
         wait::sleep(2 * play::LONG).await;
         assert!(play.duty.orders.borrow().is_empty());
@@ -50,8 +49,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        play.stage.settled().await;
         lose_both(&play);
         wait::sleep(play::LONG).await;
         play.stage.world.borrow_mut().at("a").listed = false;
@@ -68,8 +66,7 @@
     let play = play::play();
     play.stage.run(async {
         play.led(1).await;
-        let group = play.stage.node.group(&stage::GROUP.into());
-        stage::until("the list is settled", || group.roster().is_settled()).await;
+        let group = play.stage.settled().await;
         {
             let mut world = play.stage.world.borrow_mut();
             world.at("c").position = 0;
--- a/desk/tests/stage/mod.rs
+++ b/desk/tests/stage/mod.rs
@@ -16,6 +16,7 @@
 use mangotray::stamp;
 use mangotray_desk::boot;
 use mangotray_desk::catalog;
+use mangotray_desk::group;
 use mangotray_desk::key;
 use mangotray_desk::node;
 use mangotray_desk::organisation;
@@ -604,6 +605,13 @@
         wait::sleep(UNLISTED).await;
     }
 
+    /// The group, once its list of instances counts as whole.
+    pub async fn settled(&self) -> rc::Rc<group::Group> {
+        let group = self.node.group(&GROUP.into());
+        until("the list is settled", || group.roster().is_settled()).await;
+        group
+    }
+
     /// Tells the node the present list of instances.
     pub fn relist(&self) {
         let list = self.world.borrow().list();
--- a/desk/tests/witness.rs
+++ b/desk/tests/witness.rs
@@ -19,8 +19,7 @@
 const UNHEARD: time::Duration = time::Duration::from_millis(4200);
 
 async fn settled(stage: &stage::Stage) -> std::rc::Rc<group::Group> {
-    let group = stage.node.group(&stage::GROUP.into());
-    stage::until("the list is settled", || group.roster().is_settled()).await;
+    let group = stage.settled().await;
     stage.relist();
     assert!(group.prove(boot::now() + stage::LIMIT).await.is_some());
     group
