Log what a promotion waits for, and whether the old primary is still known

Change: fields unanswered, position and furthest of the line 'promotion given up'; field known of the line 'no replica has all records'. No change of logic. Ran: cargo check of the crate.

--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -357,7 +357,8 @@
                 let old = promotion.query_predecessor().await;
                 verdict = view.resolve(&old, leaves);
                 predecessor = old.report().cloned();
-                tracing::info!(group = %group.name, furthest = ?promotion.max_received, loss = ?view.loss, ?old, ?verdict,
+                let known = promotion.old.is_some();
+                tracing::info!(group = %group.name, furthest = ?promotion.max_received, loss = ?view.loss, ?old, known, ?verdict,
                     "no replica has all records that a replica had received");
             }
             if let verdict::Verdict::Promote(candidate) = &verdict
@@ -399,8 +400,12 @@
             let late = boot::now() > promotion.began + promotion.cause.hold_timeout();
             let returned = self.has_returned(promotion, leader).await;
             if late || returned || self.election.held().is_none() {
+                let unanswered = status::unanswered(&pools, &reports);
+                let position = reports.iter().map(|report| report.status.received).max();
                 tracing::warn!(group = %group.name, term = promotion.term, expected = pools.len(),
-                    answers = reports.len(), late, returned,
+                    answers = reports.len(), ?unanswered, late, returned,
+                    position = position.map(tracing::field::display),
+                    furthest = view.max_received.map(tracing::field::display),
                     pending = pending.map(|intent| intent.candidate.to_string()),
                     "promotion given up");
                 self.release(group, leader).await;
--- a/desk/src/status.rs
+++ b/desk/src/status.rs
@@ -137,6 +137,14 @@
         .collect()
 }
 
+/// The ids of the instances that are missing from the reports.
+#[must_use]
+pub fn unanswered(pools: &[rc::Rc<pool::Pool>], reports: &[Report]) -> Vec<upstream::Id> {
+    let ids = pools.iter().map(|pool| pool.id());
+    ids.filter(|id| reports.iter().all(|report| report.id != *id))
+        .collect()
+}
+
 /// The primary according to these reports.
 ///
 /// `None` while any instance is held for a later term: a promotion is in progress then, and may
