--- a/desk/tests/cluster/mod.rs
+++ b/desk/tests/cluster/mod.rs
@@ -53,6 +53,8 @@
     pub position: id::Position,
     pub held: id::Term,
     pub up: bool,
+    /// Whether it has no power: it neither answers nor refuses, and keeps its log.
+    pub dark: bool,
     pub draining: bool,
     /// Whether it is in the list of instances.
     pub listed: bool,
@@ -116,6 +118,7 @@
         position: 10,
         held: 0,
         up: true,
+        dark: false,
         draining: false,
         listed: true,
         lose_answers: 0,
@@ -172,6 +175,13 @@
         instance.lag = None;
     }
 
+    // Whether the address that is dialled belongs to an instance without power.
+    fn is_dark(&self, target: &upstream::Target) -> bool {
+        let port = target.address.port();
+        let mut instances = self.instances.values();
+        instances.any(|instance| instance.dark && instance.port == port)
+    }
+
     /// Whether one of these commands is to be delayed; if so, it is stored in `late`.
     fn delays(&mut self, id: &upstream::Id, commands: &[upstream::Command]) -> bool {
         let delayed = |(to, command): &(upstream::Id, upstream::Command)| {
@@ -216,6 +226,10 @@
         target: &'a upstream::Target,
     ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
         async move {
+            let is_dark = self.0.borrow().is_dark(target);
+            if is_dark {
+                future::pending::<()>().await;
+            }
             let mut world = self.0.borrow_mut();
             world.connections += 1;
             let number = world.connections;
@@ -281,7 +295,8 @@
         assert_eq!(self.organisation, *organisation, "a foreign connection");
         async move {
             let delayed = self.world.borrow_mut().delays(&self.instance, commands);
-            if delayed || self.number <= self.world.borrow().dead {
+            let dark = self.world.borrow_mut().at(&self.instance).dark;
+            if delayed || dark || self.number <= self.world.borrow().dead {
                 future::pending::<()>().await;
             }
             while self.world.borrow().stalled {
