Record the instances of each group in the store

What callers would see: the same loss, where all nodes start again while two instances are without power. The list has neither, so that nobody knows that they exist, and the third is promoted. Cause: which instances a group has was kept in the nodes' memory only. Same class: absence from the list taken for an end. Change: the holder of the promoter's lease records the instances of each group, with their addresses, under mangotray/membership/, guarded by its lease and the record's version; one write per change of a group's instances. A node adds recorded instances that it does not know as unlisted ones. An ended instance stays recorded until another replica has all records that it may have confirmed; a node that missed the evidence drops an instance that the record drops.

--- a/desk/src/election.rs
+++ b/desk/src/election.rs
@@ -16,6 +16,7 @@
 use crate::boot;
 use crate::era;
 use crate::intent;
+use crate::membership;
 use crate::promote;
 use crate::records;
 use crate::uncertainty;
@@ -223,19 +224,42 @@
     ) -> Result<store::Swap, store::Failure> {
         let value = encode(intent)
             .ok_or_else(|| store::Failure::NotRun("the record cannot be encoded".into()))?;
-        self.put(held, &intent.key(), value).await
+        self.put(held, &intent.key(), value, None).await
     }
 
-    // Stores a value if this node still holds the lease.
+    /// Records a group's instances, if this node still holds the lease and the store still has the
+    /// known version of the record. Returns whether it has.
+    pub async fn record_membership(&self, record: &membership::Record) -> bool {
+        let Some(held) = self.held() else {
+            return false;
+        };
+        let membership = &record.membership;
+        let Ok(value) = serde_json::to_vec(membership) else {
+            return false;
+        };
+        let key = membership.key();
+        let known = store::Guard {
+            key: &key,
+            version: record.version,
+        };
+        let written = self.put(&held, &key, value.into(), Some(known)).await;
+        tracing::info!(group = %membership.group, instances = membership.instances.len(), ?written,
+            "instances recorded");
+        written == Ok(store::Swap::Stored)
+    }
+
+    // Stores a value if this node still holds the lease and the additional guard holds.
     async fn put(
         &self,
         held: &Lease,
         key: &str,
         value: bytes::Bytes,
+        more: Option<store::Guard<'_>>,
     ) -> Result<store::Swap, store::Failure> {
         let guard = |(key, version)| store::Guard { key, version };
         let keys = [KEY, held.holder_key.as_str()];
-        let guards: Vec<_> = keys.into_iter().zip(held.versions).map(guard).collect();
+        let mut guards: Vec<_> = keys.into_iter().zip(held.versions).map(guard).collect();
+        guards.extend(more);
         self.store.put_guarded(key, value, &guards).await
     }
 
@@ -357,7 +381,7 @@
             return;
         }
         let value = uncertainty.era().to_string().into();
-        let written = self.put(held, SETTLED_ERA_KEY, value).await;
+        let written = self.put(held, SETTLED_ERA_KEY, value, None).await;
         if written == Ok(store::Swap::Stored) {
             self.settled_era.set(uncertainty.era());
         }
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -20,6 +20,7 @@
 use crate::election;
 use crate::holdback;
 use crate::leadership;
+use crate::membership;
 use crate::pool;
 use crate::proof;
 use crate::roster;
@@ -75,6 +76,10 @@
     prover: proof::Prover,
     /// What the promotion waits for that this node holds back.
     holdback: cell::RefCell<Option<holdback::Holdback>>,
+    /// The record of the group's instances that the store has.
+    recorded: cell::RefCell<Option<membership::Record>>,
+    /// The instances that this node has just recorded, until the store reports the record.
+    recording: cell::RefCell<Option<membership::Membership>>,
 }
 
 impl Group {
@@ -105,6 +110,8 @@
             querying_absent: cell::Cell::default(),
             prover: proof::Prover::default(),
             holdback: cell::RefCell::default(),
+            recorded: cell::RefCell::default(),
+            recording: cell::RefCell::default(),
         })
     }
 
@@ -315,6 +322,66 @@
         self.leadership.borrow().vacancy()
     }
 
+    /// Sets the store's record of this group's instances. Adds those that this node doesn't know, and
+    /// forgets unlisted ones that are recorded no more, as another node has seen their end.
+    pub fn set_recorded(self: &rc::Rc<Self>, recorded: Option<membership::Record>) {
+        self.recording.take();
+        let before = self.recorded.replace(recorded.clone());
+        let Some(recorded) = recorded else { return };
+        self.roster.restore(&recorded.membership);
+        if let Some(before) = before {
+            let ended = before.membership.removed_in(&recorded.membership);
+            let forgotten = self.roster.forget_unlisted(&ended);
+            self.note_forgotten(&forgotten);
+        }
+    }
+
+    /// The group's instances with the version of their record in the store, if that record is
+    /// outdated and may be replaced now.
+    ///
+    /// A node that starts later knows only the recorded instances. So one that has ended stays
+    /// recorded until another replica has all records that it may have confirmed.
+    #[must_use]
+    pub fn unrecorded(&self) -> Option<membership::Record> {
+        let membership = self.roster.membership();
+        let recorded = self.recorded.borrow();
+        let version = recorded.as_ref().map_or(0, |record| record.version);
+        let outdated = recorded
+            .as_ref()
+            .is_none_or(|record| record.membership != membership);
+        let replaceable = recorded
+            .as_ref()
+            .is_none_or(|record| record.membership.removed_in(&membership).is_empty())
+            || self.is_loss_covered();
+        let complete = self.roster.is_settled() && !membership.instances.is_empty();
+        let recording = self.recording.borrow().as_ref() == Some(&membership);
+        (outdated && replaceable && complete && !recording).then_some(membership::Record {
+            membership,
+            version,
+        })
+    }
+
+    /// Notes that the group's instances have been recorded.
+    pub fn note_recording(&self) {
+        let membership = self.roster.membership();
+        self.recording.replace(Some(membership));
+    }
+
+    // Whether a replica has all records that ended instances may have confirmed.
+    fn is_loss_covered(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let bound =
+            self.with_witnesses(|witnesses| witnesses.leadership.floors().loss(leader.term));
+        let applied = self
+            .others(&leader.id)
+            .iter()
+            .map(|pool| pool.applied())
+            .max();
+        bound.is_none_or(|bound| bound.is_some() && applied >= bound)
+    }
+
     /// Sets what the promotion waits for that this node holds back; `None` if it holds none back.
     pub fn set_holdback(&self, holdback: Option<holdback::Holdback>) {
         self.holdback.replace(holdback);
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -36,6 +36,7 @@
 mod limiter;
 pub mod log;
 pub mod member;
+pub mod membership;
 pub mod message;
 pub mod monitor;
 pub mod node;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -20,6 +20,7 @@
 use crate::group;
 use crate::guarantees;
 use crate::key;
+use crate::membership;
 use crate::organisations;
 use crate::quotas;
 use crate::router;
@@ -39,6 +40,8 @@
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     catalog: ArcSwap<catalog::Catalog>,
     groups: cell::RefCell<collections::BTreeMap<id::Group, rc::Rc<group::Group>>>,
+    /// The store's records of the groups' instances.
+    memberships: cell::RefCell<collections::BTreeMap<id::Group, membership::Record>>,
     listed_instances: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     instances_known: cell::Cell<bool>,
     validity: Option<validity::Validity>,
@@ -71,6 +74,7 @@
             executor,
             catalog: ArcSwap::default(),
             groups: cell::RefCell::default(),
+            memberships: cell::RefCell::default(),
             listed_instances: cell::RefCell::default(),
             instances_known: cell::Cell::default(),
             unconfigured_groups: cell::RefCell::default(),
@@ -145,6 +149,27 @@
         }
     }
 
+    /// Sets the records of the groups' instances. `whole` tells whether these are all records, or
+    /// only changed ones.
+    pub fn set_memberships(&self, records: Vec<membership::Record>, whole: bool) {
+        if whole {
+            self.memberships.borrow_mut().clear();
+        }
+        let named = |record: membership::Record| (record.membership.group.clone(), record);
+        let changed: Vec<_> = records.into_iter().map(named).collect();
+        let groups: Vec<_> = if whole {
+            self.groups.borrow().keys().cloned().collect()
+        } else {
+            changed.iter().map(|(name, _)| name.clone()).collect()
+        };
+        self.memberships.borrow_mut().extend(changed);
+        for name in groups {
+            if let Some(group) = self.groups.borrow().get(&name) {
+                group.set_recorded(self.memberships.borrow().get(&name).cloned());
+            }
+        }
+    }
+
     /// Records that the list of instances was confirmed as unchanged at `list_time`.
     pub fn note_confirmed(&self, list_time: id::Time) {
         for group in self.groups.borrow().values() {
@@ -293,12 +318,14 @@
     pub fn group(&self, name: &id::Group) -> rc::Rc<group::Group> {
         let mut groups = self.groups.borrow_mut();
         let group = groups.entry(name.clone()).or_insert_with(|| {
-            group::Group::new(
+            let group = group::Group::new(
                 name.clone(),
                 self.domain.clone(),
                 rc::Rc::<router::Router>::clone(&self.router),
                 rc::Rc::clone(&self.executor),
-            )
+            );
+            group.set_recorded(self.memberships.borrow().get(name).cloned());
+            group
         });
         rc::Rc::clone(group)
     }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -130,10 +130,28 @@
                     self.node.executor().spawn(monitor.run()).detach();
                 }
             }
+            self.record_memberships().await;
             wait::sleep(GROUP_SCAN_INTERVAL).await;
         }
     }
 
+    // Records the instances of each group whose record is outdated.
+    async fn record_memberships(&self) {
+        if self.election.held().is_none() {
+            return;
+        }
+        for group in self.node.groups() {
+            let Some(record) = group.unrecorded() else {
+                continue;
+            };
+            if !self.election.record_membership(&record).await {
+                return;
+            }
+            // The version is not known before the store's notification.
+            group.note_recording();
+        }
+    }
+
     /// Replaces the primary `leader`. `max_received` is the last log position that any replica of the
     /// group is known to have received.
     pub async fn replace(
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -11,6 +11,7 @@
 use crate::absence;
 use crate::boot;
 use crate::catalog;
+use crate::membership;
 use crate::pool;
 use crate::promotion;
 use crate::size;
@@ -84,6 +85,8 @@
     confirmed_at: cell::Cell<Option<id::Time>>,
     /// When dormant instances are probed next.
     dormant_probe_at: cell::Cell<id::Time>,
+    /// Recorded instances that this node knows to have ended.
+    ended: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     /// Instances that operators have declared lost.
     declared_lost: cell::RefCell<collections::BTreeSet<upstream::Id>>,
 }
@@ -111,6 +114,7 @@
             last_lost: cell::Cell::default(),
             confirmed_at: cell::Cell::default(),
             dormant_probe_at: cell::Cell::default(),
+            ended: cell::RefCell::default(),
             declared_lost: cell::RefCell::default(),
         }
     }
@@ -167,6 +171,63 @@
         self.settling_since.set(Some(boot::now()));
     }
 
+    /// The instances that have not ended, listed or not.
+    #[must_use]
+    pub fn membership(&self) -> membership::Membership {
+        let pools = self.pools();
+        let instances = pools.iter().map(|pool| pool.instance.borrow().clone());
+        let known = instances.filter(|instance| !instance.any);
+        membership::Membership {
+            group: self.group.clone(),
+            instances: known
+                .map(|instance| membership::Instance::new(&instance))
+                .collect(),
+        }
+    }
+
+    /// Adds recorded instances that this node doesn't know, as unlisted ones, unless it knows that
+    /// they have ended.
+    pub fn restore(&self, recorded: &membership::Membership) {
+        let ids: collections::BTreeSet<_> = recorded
+            .instances
+            .iter()
+            .map(|instance| &instance.id)
+            .collect();
+        self.ended.borrow_mut().retain(|id| ids.contains(id));
+        for instance in &recorded.instances {
+            if self.is_member_unknown(instance) {
+                self.add_unlisted(instance.entry(&self.group));
+            }
+        }
+    }
+
+    fn is_member_unknown(&self, instance: &membership::Instance) -> bool {
+        let known = |pool: &rc::Rc<pool::Pool>| {
+            // Another instance at its address is its successor, so that it has ended.
+            pool.id() == instance.id || pool.instance.borrow().address == instance.address
+        };
+        !self.ended.borrow().contains(&instance.id)
+            && !self.is_declared_lost(&instance.id)
+            && !self.pools().iter().any(known)
+    }
+
+    fn add_unlisted(&self, instance: catalog::Instance) {
+        let now = boot::now();
+        let id = instance.id.clone();
+        tracing::info!(group = %self.group, instance = %id, address = %instance.address,
+            "instance is recorded, but not listed");
+        let absence = absence::Absence {
+            unlisted_since: now,
+            noticed_at: now,
+            end_announced: false,
+        };
+        let (dialer, executor) = (rc::Rc::clone(&self.dialer), rc::Rc::clone(&self.executor));
+        let pool = pool::Pool::new(instance, dialer, executor, size::Size::shared());
+        self.absent.borrow_mut().insert(id.clone(), absence);
+        self.leaving.borrow_mut().insert(id.clone(), id::Time::ZERO);
+        self.pools.borrow_mut().insert(id, rc::Rc::new(pool));
+    }
+
     /// Whether an instance is no longer listed but still probed.
     #[must_use]
     pub fn is_unlisted(&self, pool: &pool::Pool) -> bool {
@@ -473,11 +534,23 @@
             .collect()
     }
 
+    /// Forgets unlisted instances that have ended by another node's evidence. Returns their ids.
+    pub fn forget_unlisted(&self, ended: &[upstream::Id]) -> Vec<upstream::Id> {
+        let now = boot::now();
+        let mut pools = self.absent();
+        pools.retain(|pool| ended.contains(&pool.id()));
+        for pool in &pools {
+            self.forget(pool, now);
+        }
+        pools.iter().map(|pool| pool.id()).collect()
+    }
+
     fn forget(&self, pool: &pool::Pool, now: id::Time) {
         let activity = pool.activity();
         self.remove(pool);
         self.last_lost.set(Some(now));
         self.forgotten.borrow_mut().insert(pool.id(), now);
+        self.ended.borrow_mut().insert(pool.id());
         self.search_successor(pool, now);
         tracing::info!(group = %self.group, instance = %pool.id(), closed = pool.is_closed(), replaced = activity.replaced,
             silent = ?now.saturating_sub(activity.last_answer), "instance forgotten");
--- a/desk/tests/dark.rs
+++ b/desk/tests/dark.rs
@@ -3,10 +3,13 @@
 mod cluster;
 mod harness;
 
+use std::rc;
 use std::time;
 
 use mangotray::role;
+use mangotray::store::Store as _;
 use mangotray_desk::boot;
+use mangotray_desk::membership;
 use mangotray_desk::wait;
 
 /// Longer than any silence after which a node could take an instance for ended.
@@ -111,6 +114,40 @@
     assert_eq!(harness.leader(), ["a", "c"]);
 }
 
+/// Guards against acknowledged commits that are lost because all nodes restart while a primary and a
+/// replica without power are missing from the list, so that nobody knows that they exist.
+#[test]
+fn instances_without_power_are_waited_for_after_a_restart_of_all_nodes() {
+    let first = start_with_lagging_replica();
+    let world = rc::Rc::clone(&first.cluster.world);
+    let recorded = first.cluster.run(async {
+        let recorded = || {
+            first
+                .store
+                .at()
+                .others
+                .contains_key("mangotray/membership/bookings")
+        };
+        cluster::until("the instances are recorded", recorded).await;
+        let entries = first.store.list(membership::PREFIX).await;
+        entries.expect("the store is up")
+    });
+    darken(&first, &["a", "c"]);
+    first.store.at().entry = None;
+    let cluster = cluster::Cluster::of(rc::Rc::clone(&world));
+    let memberships = recorded.iter().filter_map(membership::Record::read);
+    cluster.node.set_memberships(memberships.collect(), true);
+    let second = harness::start_with(cluster, first.store.clone());
+    second.cluster.run_housekeeping();
+    second.cluster.run(async {
+        wait::sleep(LONG_SILENCE).await;
+        assert!(second.client.orders.borrow().is_empty());
+        restore(&second, "a");
+        second.wait_for_primary(1).await;
+    });
+    assert_eq!(second.leader(), ["a"]);
+}
+
 /// Guards against a group without a primary after a planned shutdown, while a replica without power
 /// is waited for.
 #[test]
