Let operators declare an instance lost

A promotion waits for instances that do not answer until there is evidence that they have ended, so a group waits for ever for one that never comes back. Nodes could be told so only in a test.

The feed passes all declarations to the node, which passes them to each group's roster.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod confirmer;
 pub mod connection;
 pub mod deadline;
+pub mod declaration;
 pub mod delegate;
 pub mod detector;
 pub mod election;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -43,6 +43,8 @@
     /// The store's records of the groups' instances.
     memberships: cell::RefCell<collections::BTreeMap<id::Group, membership::Record>>,
     listed_instances: cell::RefCell<collections::BTreeSet<upstream::Id>>,
+    /// Instances that operators have declared lost.
+    declared_lost: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     instances_known: cell::Cell<bool>,
     validity: Option<validity::Validity>,
     /// Whether the newest configuration could not be parsed. It may revoke keys.
@@ -76,6 +78,7 @@
             groups: cell::RefCell::default(),
             memberships: cell::RefCell::default(),
             listed_instances: cell::RefCell::default(),
+            declared_lost: cell::RefCell::default(),
             instances_known: cell::Cell::default(),
             unconfigured_groups: cell::RefCell::default(),
         })
@@ -170,6 +173,33 @@
         }
     }
 
+    /// Sets the instances that operators have declared lost, for all groups.
+    pub fn set_declared_lost(&self, lost: collections::BTreeSet<upstream::Id>) {
+        let before = self.declared_lost.replace(lost);
+        let lost = self.declared_lost.borrow();
+        if *lost == before {
+            return;
+        }
+        let declared: Vec<_> = lost.difference(&before).collect();
+        let ended: Vec<_> = before.difference(&lost).collect();
+        tracing::warn!(?declared, ?ended, "declarations of lost instances changed");
+        for group in self.groups.borrow().values() {
+            group.roster().set_declared_lost(lost.clone());
+        }
+    }
+
+    /// The instances that operators have declared lost.
+    #[must_use]
+    pub fn declared_lost(&self) -> collections::BTreeSet<upstream::Id> {
+        self.declared_lost.borrow().clone()
+    }
+
+    /// Whether an instance is in the list of instances.
+    #[must_use]
+    pub fn is_listed(&self, id: &upstream::Id) -> bool {
+        self.listed_instances.borrow().contains(id)
+    }
+
     /// Records that the list of instances was confirmed as unchanged at `list_time`.
     pub fn note_confirmed(&self, list_time: id::Time) {
         for group in self.groups.borrow().values() {
@@ -324,6 +354,7 @@
                 rc::Rc::<router::Router>::clone(&self.router),
                 rc::Rc::clone(&self.executor),
             );
+            group.roster().set_declared_lost(self.declared_lost());
             group.set_recorded(self.memberships.borrow().get(name).cloned());
             group
         });
