Move why a pool has no connection into a module of its own

Cause: desk/src/pool.rs holds two public types and 636 lines. Change: pool::Shortage becomes shortage::Shortage in desk/src/shortage.rs (15 lines); pool.rs has 623. The names of the variants, which leave the process, stay. No change of logic.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -18,10 +18,10 @@
 use crate::group;
 use crate::organisation;
 use crate::pinned;
-use crate::pool;
 use crate::query;
 use crate::reply;
 use crate::retry;
+use crate::shortage;
 use crate::source;
 use crate::statement;
 use crate::upstream;
@@ -183,11 +183,11 @@
                 .await
             {
                 Ok(checkout) => checkout,
-                Err(pool::Shortage::Late) => {
+                Err(shortage::Shortage::Late) => {
                     return Outcome::Refused(reply::Code::Busy, "no connection is free".into());
                 }
                 Err(shortage) => {
-                    if shortage == pool::Shortage::Down {
+                    if shortage == shortage::Shortage::Down {
                         group.suspect(term, "no connection to the primary");
                     }
                     let reason = retry::Reason::from_shortage(shortage);
@@ -327,7 +327,7 @@
             .check_out(*urgency, self.organisation, self.values, urgency.until)
             .await;
         let mut checkout = checkout.map_err(|shortage| {
-            if let (pool::Shortage::Down, Some(term)) = (shortage, source.leads) {
+            if let (shortage::Shortage::Down, Some(term)) = (shortage, source.leads) {
                 group.suspect(term, "no connection to the primary");
             }
             retry::Reason::from_shortage(shortage)
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod session;
 pub mod settings;
 pub mod shard;
+pub mod shortage;
 pub mod size;
 pub mod source;
 pub mod statement;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::organisation;
 use crate::queue;
 use crate::reply;
+use crate::shortage;
 use crate::size;
 use crate::upstream;
 use crate::urgency;
@@ -52,20 +53,6 @@
 /// don't wait for a lost instance, as another node may reach it.
 const LOST_AFTER: time::Duration = time::Duration::from_secs(1);
 
-/// Why no connection could be checked out. The names of the variants are part of a text that relays
-/// send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Shortage {
-    /// All connections were in use until the deadline.
-    Late,
-    /// The first connection was still being opened at the deadline.
-    Opening,
-    /// The instance cannot be reached.
-    Down,
-    /// The instance accepts no more connections, and this node has none open.
-    Full,
-}
-
 /// The shared connections to one instance, and its state as known from their answers.
 pub struct Pool {
     /// The instance's current entry in the list of instances.
@@ -281,7 +268,7 @@
         organisation: &organisation::Name,
         values: &connection::Values,
         deadline: id::Time,
-    ) -> Result<checkout::Checkout, Shortage> {
+    ) -> Result<checkout::Checkout, shortage::Shortage> {
         let since = boot::now();
         loop {
             if let Some(connection) = self.take_idle(organisation, values) {
@@ -289,22 +276,22 @@
             }
             let now = boot::now();
             if now < self.down_until.get() {
-                return Err(Shortage::Down);
+                return Err(shortage::Shortage::Down);
             }
             if self.open_count.get() == 0 && now < self.full_until.get() {
-                return Err(Shortage::Full);
+                return Err(shortage::Shortage::Full);
             }
             self.grow(organisation);
             if self.is_lost() {
-                return Err(Shortage::Down);
+                return Err(shortage::Shortage::Down);
             }
             let waited = self.waiting.wait(organisation, urgency, since, deadline);
             if !waited.await {
                 let opening = self.open_count.get() <= self.dialling.borrow().len();
                 return Err(if opening {
-                    Shortage::Opening
+                    shortage::Shortage::Opening
                 } else {
-                    Shortage::Late
+                    shortage::Shortage::Late
                 });
             }
         }
--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::pool;
 use crate::question;
 use crate::reply;
+use crate::shortage;
 use crate::statement;
 use crate::upstream;
 use crate::urgency;
@@ -114,10 +115,12 @@
         {
             Ok(_) => Ok(Some(self.pool.applied())),
             // All connections are busy; the instance is reachable if it has answered recently.
-            Err(pool::Shortage::Late) if self.pool.last_answer() + OPEN_TIMEOUT > boot::now() => {
+            Err(shortage::Shortage::Late)
+                if self.pool.last_answer() + OPEN_TIMEOUT > boot::now() =>
+            {
                 Ok(Some(self.pool.applied()))
             }
-            Err(pool::Shortage::Full) => Err(upstream::Refusal::Full),
+            Err(shortage::Shortage::Full) => Err(upstream::Refusal::Full),
             Err(_) if self.pool.is_closed() => Err(upstream::Refusal::Closed),
             Err(_) => Err(upstream::Refusal::Silent("out of reach".into())),
         }
@@ -249,7 +252,7 @@
             .await;
         checkout.map_err(|shortage| upstream::Failure {
             sent: false,
-            crowded: shortage == pool::Shortage::Late,
+            crowded: shortage == shortage::Shortage::Late,
             detail: compact_str::format_compact!(
                 "the lending node has no connection: {shortage:?}"
             ),
--- a/desk/src/retry.rs
+++ b/desk/src/retry.rs
@@ -2,8 +2,8 @@
 
 use mangotray::id;
 
-use crate::pool;
 use crate::reply;
+use crate::shortage;
 use crate::upstream;
 
 /// Why an instance did not serve a statement; decides how long it is retried.
@@ -22,10 +22,10 @@
 impl Reason {
     /// The reason if no connection could be checked out of the pool.
     #[must_use]
-    pub const fn from_shortage(shortage: pool::Shortage) -> Self {
+    pub const fn from_shortage(shortage: shortage::Shortage) -> Self {
         match shortage {
-            pool::Shortage::Late => Self::Overloaded,
-            pool::Shortage::Opening | pool::Shortage::Down | pool::Shortage::Full => {
+            shortage::Shortage::Late => Self::Overloaded,
+            shortage::Shortage::Opening | shortage::Shortage::Down | shortage::Shortage::Full => {
                 Self::Unreachable
             }
         }
--- a/desk/tests/retry.rs
+++ b/desk/tests/retry.rs
@@ -1,8 +1,8 @@
 //! Reasons for which a statement is retried.
 
-use mangotray_desk::pool;
 use mangotray_desk::reply;
 use mangotray_desk::retry;
+use mangotray_desk::shortage;
 use mangotray_desk::upstream;
 
 /// Guards against requests that are refused after a restart of all nodes though the instances are
@@ -11,9 +11,12 @@
 #[test]
 fn a_connection_being_opened_does_not_count_as_overload() {
     let reason = retry::Reason::from_shortage;
-    assert_eq!(reason(pool::Shortage::Late), retry::Reason::Overloaded);
-    assert_eq!(reason(pool::Shortage::Opening), retry::Reason::Unreachable);
-    assert_eq!(reason(pool::Shortage::Down), retry::Reason::Unreachable);
+    assert_eq!(reason(shortage::Shortage::Late), retry::Reason::Overloaded);
+    assert_eq!(
+        reason(shortage::Shortage::Opening),
+        retry::Reason::Unreachable
+    );
+    assert_eq!(reason(shortage::Shortage::Down), retry::Reason::Unreachable);
 }
 
 /// Guards against writes that fail while a primary is replaced, which takes half a second. The
