Build the target of a connection where the instance is defined

Cause: desk/src/pool.rs copies the fields of catalog::Instance, which has nothing to do with pooling. No change of logic.

--- a/desk/src/catalog.rs
+++ b/desk/src/catalog.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use mangotray::id;
 
+use crate::organisation;
 use crate::organisations;
 use crate::upstream;
 
@@ -123,3 +124,19 @@
     /// is accepted there.
     pub any: bool,
 }
+
+impl Instance {
+    /// The instance as the target of a connection for an organisation.
+    pub(crate) fn target(&self, organisation: &organisation::Name) -> upstream::Target {
+        upstream::Target {
+            address: self.address,
+            group: self.group.clone(),
+            id: self.id.clone(),
+            born: self.born,
+            domain: self.domain.clone(),
+            slots: self.slots,
+            organisation: organisation.clone(),
+            any: self.any,
+        }
+    }
+}
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -381,7 +381,7 @@
     /// Takes a connection that was checked out back into the pool; `None` if it was closed.
     pub(crate) fn release(&self, connection: Option<connection::Connection>) {
         let last_resort = |connection: &connection::Connection| {
-            let target = self.target(&connection.organisation);
+            let target = self.instance.borrow().target(&connection.organisation);
             !connection.link.serves_any_organisation() && self.dialer.is_last_resort(&target)
         };
         let Some(connection) = connection.filter(|connection| !last_resort(connection)) else {
@@ -475,7 +475,7 @@
     async fn dial(self: rc::Rc<Self>, reservation: Reservation) {
         let permit = self.dialer.permit().await;
         let started = boot::now();
-        let target = self.target(reservation.organisation());
+        let target = self.instance.borrow().target(reservation.organisation());
         let result = wait::within(DIAL_TIMEOUT, self.dialer.dial(&target)).await;
         drop(permit);
         let refusal = match result {
@@ -554,20 +554,6 @@
         self.limiter.acquire(urgency).await
     }
 
-    fn target(&self, organisation: &organisation::Name) -> upstream::Target {
-        let instance = self.instance.borrow();
-        upstream::Target {
-            address: instance.address,
-            group: instance.group.clone(),
-            id: instance.id.clone(),
-            born: instance.born,
-            domain: instance.domain.clone(),
-            slots: instance.slots,
-            organisation: organisation.clone(),
-            any: instance.any,
-        }
-    }
-
     pub(crate) fn note_replies(self: &rc::Rc<Self>, sent: id::Time, replies: &[reply::Reply]) {
         let now = boot::now();
         self.last_answer.set(now);
