Keep the state of an instance in a type of its own

Cause: desk/src/pool.rs holds connections and, in eleven fields of their own, what is known of the instance. Change: these fields, their constants and their updates move into health::Health. No change of logic.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::catalog;
 use crate::checkout;
 use crate::connection;
+use crate::health;
 use crate::limiter;
 use crate::organisation;
 use crate::queue;
@@ -33,14 +34,6 @@
 /// Delay before a new connection to an instance that reported that it has none left.
 const FULL_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
 
-/// Delay before a new connection to an instance that accepted none, so that requests fail over at
-/// once instead of each waiting for an unreachable address.
-const DOWN_RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
-
-/// Delay before a new connection to an address at which a different instance answers: the
-/// intended one has ended, and its entry in the list is removed within three heartbeats.
-const REPLACED_RETRY_DELAY: time::Duration = time::Duration::from_secs(4);
-
 /// Concurrent dials of this node to one instance: each takes one of the instance's three slots
 /// for 12 ms.
 const MAX_DIALS: usize = 2;
@@ -48,11 +41,6 @@
 /// Timeout for opening a connection. An instance without load takes 12 ms and one of its slots.
 const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
-/// An instance counts as lost to this node when no connection to it could be opened for this
-/// long. Temporary failures, such as a restart of the lending nodes, are over sooner. Requests
-/// don't wait for a lost instance, as another node may reach it.
-const LOST_AFTER: time::Duration = time::Duration::from_secs(1);
-
 /// The shared connections to one instance, and its state as known from their answers.
 pub struct Pool {
     /// The instance's current entry in the list of instances.
@@ -71,23 +59,7 @@
     /// Connections that this node had when the instance last reported that it was full, and until
     /// when it opens no more than these.
     ceiling: cell::Cell<(usize, id::Time)>,
-    down_until: cell::Cell<id::Time>,
-    closed: cell::Cell<bool>,
-    /// A different instance answered at its address.
-    replaced: cell::Cell<bool>,
-    /// Since when its address has refused every connection.
-    refused_since: cell::Cell<Option<id::Time>>,
-    failing_since: cell::Cell<Option<id::Time>>,
-    applied: cell::Cell<stamp::Stamp>,
-    last_behind: cell::Cell<id::Time>,
-    /// When it will have applied all that it has received, by its last report.
-    caught_up_at: cell::Cell<id::Time>,
-    last_answer: cell::Cell<id::Time>,
-    restarted_at: cell::Cell<Option<id::Time>>,
-    /// The last status request found that it had not received records that the primary had held
-    /// for a while.
-    receive_lag: cell::Cell<bool>,
-    latency: cell::Cell<time::Duration>,
+    health: health::Health,
 }
 
 impl Pool {
@@ -112,18 +84,7 @@
             pinned: cell::Cell::default(),
             full_until: cell::Cell::default(),
             ceiling: cell::Cell::default(),
-            down_until: cell::Cell::default(),
-            closed: cell::Cell::default(),
-            replaced: cell::Cell::default(),
-            refused_since: cell::Cell::default(),
-            failing_since: cell::Cell::default(),
-            applied: cell::Cell::default(),
-            last_behind: cell::Cell::default(),
-            caught_up_at: cell::Cell::default(),
-            last_answer: cell::Cell::default(),
-            restarted_at: cell::Cell::default(),
-            receive_lag: cell::Cell::default(),
-            latency: cell::Cell::default(),
+            health: health::Health::default(),
         }
     }
 
@@ -142,25 +103,24 @@
     /// When this node learned that the instance had restarted under the same id, if it has.
     #[must_use]
     pub fn restarted_at(&self) -> Option<id::Time> {
-        self.restarted_at.get()
+        self.health.restarted_at()
     }
 
     /// Records that the instance has restarted under the same id, and has applied nothing yet.
     pub fn note_restart(&self) {
-        self.restarted_at.set(Some(boot::now()));
-        self.applied.set(stamp::Stamp::default());
+        self.health.note_restart();
     }
 
     /// Whether the last status request found that it had not received records that the primary had
     /// held for a while.
     #[must_use]
     pub fn has_receive_lag(&self) -> bool {
-        self.receive_lag.get()
+        self.health.has_receive_lag()
     }
 
     /// Records whether a status request found such a lag in receiving.
     pub fn note_receive_lag(&self, receive_lag: bool) {
-        self.receive_lag.set(receive_lag);
+        self.health.note_receive_lag(receive_lag);
     }
 
     /// Sets a new size, for example when this node begins or ends to serve the instance to others.
@@ -182,25 +142,25 @@
     /// Latest log position that the instance is known to have applied.
     #[must_use]
     pub fn applied(&self) -> stamp::Stamp {
-        self.applied.get()
+        self.health.applied()
     }
 
     /// When the instance last refused a read because it was behind the required position.
     #[must_use]
     pub fn last_behind(&self) -> id::Time {
-        self.last_behind.get()
+        self.health.last_behind()
     }
 
     /// When the instance last answered a request or accepted a connection.
     #[must_use]
     pub fn last_answer(&self) -> id::Time {
-        self.last_answer.get()
+        self.health.last_answer()
     }
 
     /// Smoothed round-trip time of a request, including the instance's work.
     #[must_use]
     pub fn latency(&self) -> time::Duration {
-        self.latency.get()
+        self.health.latency()
     }
 
     /// Current concurrency limit: statements that this node runs on the instance at once.
@@ -212,46 +172,41 @@
     /// Whether the instance accepted no connection, or left a request unanswered, a short time ago.
     #[must_use]
     pub fn is_down(&self) -> bool {
-        boot::now() < self.down_until.get()
+        self.health.is_down()
     }
 
-    /// Whether dials to the instance have failed for longer than `LOST_AFTER`.
+    /// Whether dials to the instance have failed for so long that it counts as lost to this node.
     #[must_use]
     pub fn is_lost(&self) -> bool {
-        let since = self.failing_since.get();
-        since.is_some_and(|since| boot::now() > since + LOST_AFTER)
+        self.health.is_lost()
     }
 
     /// Whether the instance's address refused the last connection, as its process has ended.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.closed.get()
+        self.health.is_closed()
     }
 
     /// The last known activity of the instance, or the end of its process.
     #[must_use]
     pub fn activity(&self) -> absence::Activity {
-        absence::Activity {
-            last_answer: self.last_answer.get(),
-            refused_since: self.refused_since.get(),
-            replaced: self.replaced.get(),
-        }
+        self.health.activity()
     }
 
     /// Records that the instance refused a read because it was behind the required position.
     pub fn note_behind(&self) {
-        self.last_behind.set(boot::now());
+        self.health.note_behind();
     }
 
     /// Records the load that the instance reported in answer to a status request.
     pub fn note_load(&self, load: upstream::Load) {
-        self.caught_up_at.set(boot::now() + load.lag);
+        self.health.note_load(load);
     }
 
     /// Time until the instance will have applied all that it has received, by its last report.
     #[must_use]
     pub fn lag(&self) -> time::Duration {
-        self.caught_up_at.get().saturating_sub(boot::now())
+        self.health.lag()
     }
 
     /// Checks out a connection for an organisation, preferably one that the organisation used last
@@ -274,11 +229,10 @@
             if let Some(connection) = self.take_idle(organisation, values) {
                 return Ok(self.new_checkout(connection, urgency));
             }
-            let now = boot::now();
-            if now < self.down_until.get() {
+            if self.is_down() {
                 return Err(shortage::Shortage::Down);
             }
-            if self.open_count.get() == 0 && now < self.full_until.get() {
+            if self.open_count.get() == 0 && boot::now() < self.full_until.get() {
                 return Err(shortage::Shortage::Full);
             }
             self.grow(organisation);
@@ -313,13 +267,13 @@
 
     // Suspects the instance if it has answered nothing since `sent`; returns whether it does. The
     // unanswered request keeps waiting, but nothing is sent after it until the instance has
-    // accepted a new connection or `DOWN_RETRY_DELAY` is over.
+    // accepted a new connection or is no longer marked as down.
     pub(crate) fn suspect_if_silent_since(
         self: &rc::Rc<Self>,
         sent: id::Time,
         organisation: &organisation::Name,
     ) -> bool {
-        if self.last_answer.get() >= sent {
+        if self.last_answer() >= sent {
             return false;
         }
         tracing::info!(instance = %self.id(), "instance is silent");
@@ -334,7 +288,7 @@
     /// If the instance works and only its open connections are broken, the new connection that is
     /// opened at once clears the mark.
     pub fn suspect(self: &rc::Rc<Self>, organisation: &organisation::Name) {
-        self.down_until.set(boot::now() + DOWN_RETRY_DELAY);
+        self.health.note_down();
         self.close_idle();
         let room = self.open_count.get() < self.connection_limit(boot::now());
         if room && self.dialling.borrow().is_empty() {
@@ -494,11 +448,7 @@
         metrics::counter!("mangotray_upstream_dials_total", "result" => "refused").increment(1);
         tracing::info!(instance = %target.id, ?refusal, waited = ?boot::now().saturating_sub(started),
             "cannot connect to the instance");
-        let refused = refusal == upstream::Refusal::Closed;
-        let refused_since = self.refused_since.get().unwrap_or(started);
-        self.refused_since.set(refused.then_some(refused_since));
         if refusal == upstream::Refusal::Full {
-            self.last_answer.set(boot::now());
             // This node keeps its other connections, so an idle one can still be replaced.
             let others = self.open_count.get().saturating_sub(1);
             let until = boot::now() + FULL_RETRY_DELAY;
@@ -508,19 +458,9 @@
                 self.ceiling.set((others, until));
             }
         } else {
-            let replaced = refusal == upstream::Refusal::Wrong;
-            self.replaced.set(replaced);
-            self.closed
-                .set(replaced || refusal == upstream::Refusal::Closed);
-            let pause = if replaced {
-                REPLACED_RETRY_DELAY
-            } else {
-                DOWN_RETRY_DELAY
-            };
-            self.down_until.set(boot::now() + pause);
+            self.health.note_unreachable(&refusal);
         }
-        self.failing_since
-            .set(Some(self.failing_since.get().unwrap_or(started)));
+        self.health.note_failed_dial(started);
         drop(reservation);
         self.waiting.wake_all();
     }
@@ -532,15 +472,7 @@
         organisation: organisation::Name,
     ) {
         metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
-        self.closed.set(false);
-        self.replaced.set(false);
-        self.refused_since.set(None);
-        self.failing_since.set(None);
-        self.down_until.set(id::Time::ZERO);
-        self.last_answer.set(boot::now());
-        if let Some(stamp) = stamp {
-            self.applied.set(self.applied.get().max(stamp));
-        }
+        self.health.note_open(stamp);
         let connection = connection::Connection::new(link, organisation, boot::now());
         self.idle.borrow_mut().push(connection);
     }
@@ -556,7 +488,6 @@
 
     pub(crate) fn note_replies(self: &rc::Rc<Self>, sent: id::Time, replies: &[reply::Reply]) {
         let now = boot::now();
-        self.last_answer.set(now);
         let took = now.saturating_sub(sent);
         if let Some(last) = replies.last()
             && self.limiter.adapt(now, last, took)
@@ -564,11 +495,7 @@
             // The concurrency limit was raised: one more statement may run.
             self.waiting.wake();
         }
-        self.latency.set((self.latency.get() * 7 + took) / 8);
-        let last = replies.iter().rev().find_map(|reply| reply.position);
-        if let Some(stamp) = last {
-            self.applied.set(self.applied.get().max(stamp));
-        }
+        self.health.note_replies(now, took, replies);
     }
 }
 
