Keep the bounds on an instance's connections in a type of its own

Cause: desk/src/pool.rs mixes how many connections this node may have with the connections themselves. No change of logic.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod bucket;
 pub mod buckets;
 pub mod candidate;
+mod capacity;
 pub mod catalog;
 pub mod checkout;
 pub mod cleanup;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -14,6 +14,7 @@
 
 use crate::absence;
 use crate::boot;
+use crate::capacity;
 use crate::catalog;
 use crate::checkout;
 use crate::connection;
@@ -31,9 +32,6 @@
 /// Connections that stay open even when idle; those beyond are closed after an idle timeout.
 const MIN_CONNECTIONS: usize = 1;
 
-/// Delay before a new connection to an instance that reported that it has none left.
-const FULL_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
-
 /// Concurrent dials of this node to one instance: each takes one of the instance's three slots
 /// for 12 ms.
 const MAX_DIALS: usize = 2;
@@ -45,7 +43,7 @@
 pub struct Pool {
     /// The instance's current entry in the list of instances.
     pub instance: cell::RefCell<catalog::Instance>,
-    size: cell::Cell<size::Size>,
+    capacity: capacity::Capacity,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     /// Organisation of each connection that is being opened.
@@ -54,11 +52,6 @@
     open_count: cell::Cell<usize>,
     waiting: queue::Queue,
     limiter: rc::Rc<limiter::Limiter>,
-    pinned: cell::Cell<usize>,
-    full_until: cell::Cell<id::Time>,
-    /// Connections that this node had when the instance last reported that it was full, and until
-    /// when it opens no more than these.
-    ceiling: cell::Cell<(usize, id::Time)>,
     health: health::Health,
 }
 
@@ -73,7 +66,7 @@
     ) -> Self {
         Self {
             instance: cell::RefCell::new(instance),
-            size: cell::Cell::new(size),
+            capacity: capacity::Capacity::new(size),
             dialer,
             executor,
             dialling: cell::RefCell::default(),
@@ -81,9 +74,6 @@
             open_count: cell::Cell::default(),
             waiting: queue::Queue::default(),
             limiter: limiter::Limiter::new(size.max_statements),
-            pinned: cell::Cell::default(),
-            full_until: cell::Cell::default(),
-            ceiling: cell::Cell::default(),
             health: health::Health::default(),
         }
     }
@@ -125,7 +115,7 @@
 
     /// Sets a new size, for example when this node begins or ends to serve the instance to others.
     pub fn resize(&self, size: size::Size) {
-        self.size.set(size);
+        self.capacity.resize(size);
     }
 
     /// Number of connections that are checked out, plus requests that wait for one.
@@ -232,7 +222,7 @@
             if self.is_down() {
                 return Err(shortage::Shortage::Down);
             }
-            if self.open_count.get() == 0 && boot::now() < self.full_until.get() {
+            if self.open_count.get() == 0 && self.capacity.is_full() {
                 return Err(shortage::Shortage::Full);
             }
             self.grow(organisation);
@@ -253,7 +243,7 @@
 
     /// Closes connections beyond the minimum that have been idle for longer than the timeout.
     pub fn trim(&self) {
-        let oldest = boot::now().saturating_sub(self.size.get().idle_timeout);
+        let oldest = boot::now().saturating_sub(self.capacity.idle_timeout());
         let mut idle = self.idle.borrow_mut();
         while self.open_count.get() > MIN_CONNECTIONS
             && idle
@@ -290,7 +280,7 @@
     pub fn suspect(self: &rc::Rc<Self>, organisation: &organisation::Name) {
         self.health.note_down();
         self.close_idle();
-        let room = self.open_count.get() < self.connection_limit(boot::now());
+        let room = self.open_count.get() < self.capacity.limit();
         if room && self.dialling.borrow().is_empty() {
             self.open_for(organisation);
         }
@@ -362,12 +352,12 @@
         };
         let enough = all >= MAX_DIALS || own >= wanted;
         if enough
-            || self.checked_out_count() + all >= self.useful_connections()
-            || boot::now() < self.full_until.get()
+            || self.checked_out_count() + all >= self.capacity.useful(self.window())
+            || self.capacity.is_full()
         {
             return;
         }
-        if self.open_count.get() >= self.connection_limit(boot::now()) && !self.evict() {
+        if self.open_count.get() >= self.capacity.limit() && !self.evict() {
             return;
         }
         self.open_for(organisation);
@@ -381,23 +371,6 @@
             .detach();
     }
 
-    // Number of connections that are useful now: those of open transactions, one for each statement
-    // within the concurrency limit, and one for the next statement. Any more would only be held by
-    // statements that wait.
-    fn useful_connections(&self) -> usize {
-        let useful = self.pinned.get() + self.window() + 1;
-        useful.min(self.size.get().max_connections)
-    }
-
-    // Number of connections that this node may have now.
-    fn connection_limit(&self, now: id::Time) -> usize {
-        let most = self.size.get().max_connections;
-        match self.ceiling.get() {
-            (ceiling, until) if now < until => most.min(ceiling),
-            _ => most,
-        }
-    }
-
     // Closes the least recently used idle connection; returns whether there was one. Keeps one of
     // this node's own, which status requests to the instance use.
     fn evict(&self) -> bool {
@@ -417,13 +390,13 @@
 
     /// Counts one more connection with an open transaction.
     pub(crate) fn pin(&self) {
-        self.pinned.set(self.pinned.get() + 1);
+        self.capacity.pin();
         self.waiting.wake();
     }
 
     /// Counts one connection with an open transaction less.
     pub(crate) fn unpin(&self) {
-        self.pinned.set(self.pinned.get() - 1);
+        self.capacity.unpin();
     }
 
     async fn dial(self: rc::Rc<Self>, reservation: Reservation) {
@@ -449,14 +422,8 @@
         tracing::info!(instance = %target.id, ?refusal, waited = ?boot::now().saturating_sub(started),
             "cannot connect to the instance");
         if refusal == upstream::Refusal::Full {
-            // This node keeps its other connections, so an idle one can still be replaced.
             let others = self.open_count.get().saturating_sub(1);
-            let until = boot::now() + FULL_RETRY_DELAY;
-            if others == 0 {
-                self.full_until.set(until);
-            } else {
-                self.ceiling.set((others, until));
-            }
+            self.capacity.note_full(others);
         } else {
             self.health.note_unreachable(&refusal);
         }
