--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod cleanup;
 pub mod confirmer;
 pub mod connection;
+mod connections;
 pub mod deadline;
 pub mod declaration;
 pub mod delegate;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -18,6 +18,7 @@
 use crate::catalog;
 use crate::checkout;
 use crate::connection;
+use crate::connections;
 use crate::health;
 use crate::limiter;
 use crate::organisation;
@@ -29,9 +30,6 @@
 use crate::urgency;
 use crate::wait;
 
-/// Connections that stay open even when idle; those beyond are closed after an idle timeout.
-const MIN_CONNECTIONS: usize = 1;
-
 /// Concurrent dials of this node to one instance: each takes one of the instance's three slots
 /// for 12 ms.
 const MAX_DIALS: usize = 2;
@@ -46,10 +44,7 @@
     capacity: capacity::Capacity,
     dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
-    /// Organisation of each connection that is being opened.
-    dialling: cell::RefCell<Vec<organisation::Name>>,
-    idle: cell::RefCell<Vec<connection::Connection>>,
-    open_count: cell::Cell<usize>,
+    connections: connections::Connections,
     waiting: queue::Queue,
     limiter: rc::Rc<limiter::Limiter>,
     health: health::Health,
@@ -69,9 +64,7 @@
             capacity: capacity::Capacity::new(size),
             dialer,
             executor,
-            dialling: cell::RefCell::default(),
-            idle: cell::RefCell::default(),
-            open_count: cell::Cell::default(),
+            connections: connections::Connections::default(),
             waiting: queue::Queue::default(),
             limiter: limiter::Limiter::new(size.max_statements),
             health: health::Health::default(),
@@ -121,12 +114,7 @@
     /// Number of connections that are checked out, plus requests that wait for one.
     #[must_use]
     pub fn load(&self) -> usize {
-        self.checked_out_count() + self.waiting.len()
-    }
-
-    fn checked_out_count(&self) -> usize {
-        let rest = self.idle.borrow().len() + self.dialling.borrow().len();
-        self.open_count.get().saturating_sub(rest)
+        self.connections.checked_out_count() + self.waiting.len()
     }
 
     /// Latest log position that the instance is known to have applied.
@@ -216,13 +204,13 @@
     ) -> Result<checkout::Checkout, shortage::Shortage> {
         let since = boot::now();
         loop {
-            if let Some(connection) = self.take_idle(organisation, values) {
+            if let Some(connection) = self.connections.take(organisation, values) {
                 return Ok(self.new_checkout(connection, urgency));
             }
             if self.is_down() {
                 return Err(shortage::Shortage::Down);
             }
-            if self.open_count.get() == 0 && self.capacity.is_full() {
+            if self.connections.open_count() == 0 && self.capacity.is_full() {
                 return Err(shortage::Shortage::Full);
             }
             self.grow(organisation);
@@ -231,7 +219,7 @@
             }
             let waited = self.waiting.wait(organisation, urgency, since, deadline);
             if !waited.await {
-                let opening = self.open_count.get() <= self.dialling.borrow().len();
+                let opening = self.connections.open_count() <= self.connections.dialling_count();
                 return Err(if opening {
                     shortage::Shortage::Opening
                 } else {
@@ -243,16 +231,7 @@
 
     /// Closes connections beyond the minimum that have been idle for longer than the timeout.
     pub fn trim(&self) {
-        let oldest = boot::now().saturating_sub(self.capacity.idle_timeout());
-        let mut idle = self.idle.borrow_mut();
-        while self.open_count.get() > MIN_CONNECTIONS
-            && idle
-                .first()
-                .is_some_and(|connection| connection.used < oldest)
-        {
-            idle.remove(0);
-            self.open_count.set(self.open_count.get() - 1);
-        }
+        self.connections.trim(self.capacity.idle_timeout());
     }
 
     // Suspects the instance if it has answered nothing since `sent`; returns whether it does. The
@@ -280,38 +259,15 @@
     pub fn suspect(self: &rc::Rc<Self>, organisation: &organisation::Name) {
         self.health.note_down();
         self.close_idle();
-        let room = self.open_count.get() < self.capacity.limit();
-        if room && self.dialling.borrow().is_empty() {
+        let room = self.connections.open_count() < self.capacity.limit();
+        if room && self.connections.dialling_count() == 0 {
             self.open_for(organisation);
         }
     }
 
     /// Closes all idle connections, for example after the instance was lost.
     pub fn close_idle(&self) {
-        let count = self.idle.borrow_mut().drain(..).count();
-        self.open_count.set(self.open_count.get() - count);
-    }
-
-    fn take_idle(
-        &self,
-        organisation: &organisation::Name,
-        values: &connection::Values,
-    ) -> Option<connection::Connection> {
-        loop {
-            let mut idle = self.idle.borrow_mut();
-            let serves = |connection: &connection::Connection| connection.serves(organisation);
-            let fits = |connection: &connection::Connection| {
-                connection.organisation == *organisation && connection.values == *values
-            };
-            let index = idle.iter().rposition(fits);
-            let index = index.or_else(|| idle.iter().rposition(serves))?;
-            let mut connection = idle.remove(index);
-            if connection.link.alive() {
-                connection.assign(organisation);
-                return Some(connection);
-            }
-            self.open_count.set(self.open_count.get() - 1);
-        }
+        self.connections.close_idle();
     }
 
     fn new_checkout(
@@ -329,11 +285,11 @@
             !connection.link.serves_any_organisation() && self.dialer.is_last_resort(&target)
         };
         let Some(connection) = connection.filter(|connection| !last_resort(connection)) else {
-            self.open_count.set(self.open_count.get() - 1);
+            self.connections.note_closed(1);
             return self.waiting.wake();
         };
         let organisation = connection.organisation.clone();
-        self.idle.borrow_mut().push(connection);
+        self.connections.put(connection);
         self.waiting.wake_for(&organisation);
     }
 
@@ -345,19 +301,16 @@
     // handshakes that nobody waits for.
     fn grow(self: &rc::Rc<Self>, organisation: &organisation::Name) {
         let wanted = self.waiting.count_waiting(organisation) + 1;
-        let (all, own) = {
-            let dialling = self.dialling.borrow();
-            let own = dialling.iter().filter(|name| *name == organisation);
-            (dialling.len(), own.count())
-        };
+        let all = self.connections.dialling_count();
+        let own = self.connections.dialling_count_for(organisation);
         let enough = all >= MAX_DIALS || own >= wanted;
         if enough
-            || self.checked_out_count() + all >= self.capacity.useful(self.window())
+            || self.connections.checked_out_count() + all >= self.capacity.useful(self.window())
             || self.capacity.is_full()
         {
             return;
         }
-        if self.open_count.get() >= self.capacity.limit() && !self.evict() {
+        if self.connections.open_count() >= self.capacity.limit() && !self.connections.evict() {
             return;
         }
         self.open_for(organisation);
@@ -371,23 +324,6 @@
             .detach();
     }
 
-    // Closes the least recently used idle connection; returns whether there was one. Keeps one of
-    // this node's own, which status requests to the instance use.
-    fn evict(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let own =
-            |connection: &connection::Connection| connection.organisation == organisation::OWN;
-        let spares_own = idle.iter().filter(|connection| own(connection)).count() > 1;
-        let closable = (0..idle.len()).filter(|index| spares_own || !own(&idle[*index]));
-        let Some(oldest) = closable.min_by_key(|index| idle[*index].used) else {
-            return false;
-        };
-        idle.remove(oldest);
-        self.open_count.set(self.open_count.get() - 1);
-        metrics::counter!("mangotray_upstream_evictions_total").increment(1);
-        true
-    }
-
     /// Counts one more connection with an open transaction.
     pub(crate) fn pin(&self) {
         self.capacity.pin();
@@ -422,7 +358,7 @@
         tracing::info!(instance = %target.id, ?refusal, waited = ?boot::now().saturating_sub(started),
             "cannot connect to the instance");
         if refusal == upstream::Refusal::Full {
-            let others = self.open_count.get().saturating_sub(1);
+            let others = self.connections.open_count().saturating_sub(1);
             self.capacity.note_full(others);
         } else {
             self.health.note_unreachable(&refusal);
@@ -441,7 +377,7 @@
         metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
         self.health.note_open(stamp);
         let connection = connection::Connection::new(link, organisation, boot::now());
-        self.idle.borrow_mut().push(connection);
+        self.connections.put(connection);
     }
 
     /// Waits for a permit under the instance's concurrency limit; `None` if the statement's latest
@@ -476,8 +412,7 @@
 
 impl Reservation {
     fn new(pool: rc::Rc<Pool>, organisation: organisation::Name) -> Self {
-        pool.open_count.set(pool.open_count.get() + 1);
-        pool.dialling.borrow_mut().push(organisation.clone());
+        pool.connections.begin_dial(organisation.clone());
         Self {
             pool,
             organisation,
@@ -496,16 +431,8 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let pool = &self.pool;
-        {
-            let mut dialling = pool.dialling.borrow_mut();
-            let own = dialling.iter().position(|name| *name == self.organisation);
-            if let Some(index) = own {
-                dialling.swap_remove(index);
-            }
-        }
-        if !self.kept {
-            pool.open_count.set(pool.open_count.get() - 1);
-        }
+        self.pool
+            .connections
+            .end_dial(&self.organisation, self.kept);
     }
 }
