--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod message;
 pub mod monitor;
 pub mod node;
+mod opening;
 pub mod organisation;
 pub mod organisations;
 pub mod peers;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::connections;
 use crate::health;
 use crate::limiter;
+use crate::opening;
 use crate::organisation;
 use crate::queue;
 use crate::reply;
@@ -28,26 +29,22 @@
 use crate::size;
 use crate::upstream;
 use crate::urgency;
-use crate::wait;
 
 /// Concurrent dials of this node to one instance: each takes one of the instance's three slots
 /// for 12 ms.
 const MAX_DIALS: usize = 2;
 
-/// Timeout for opening a connection. An instance without load takes 12 ms and one of its slots.
-const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(700);
-
 /// The shared connections to one instance, and its state as known from their answers.
 pub struct Pool {
     /// The instance's current entry in the list of instances.
     pub instance: cell::RefCell<catalog::Instance>,
-    capacity: capacity::Capacity,
-    dialer: rc::Rc<dyn upstream::Dialer>,
+    pub(crate) capacity: capacity::Capacity,
+    pub(crate) dialer: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
-    connections: connections::Connections,
-    waiting: queue::Queue,
+    pub(crate) connections: connections::Connections,
+    pub(crate) waiting: queue::Queue,
     limiter: rc::Rc<limiter::Limiter>,
-    health: health::Health,
+    pub(crate) health: health::Health,
 }
 
 impl Pool {
@@ -205,7 +202,8 @@
         let since = boot::now();
         loop {
             if let Some(connection) = self.connections.take(organisation, values) {
-                return Ok(self.new_checkout(connection, urgency));
+                let pool = rc::Rc::clone(self);
+                return Ok(checkout::Checkout::new(pool, connection, urgency));
             }
             if self.is_down() {
                 return Err(shortage::Shortage::Down);
@@ -270,14 +268,6 @@
         self.connections.close_idle();
     }
 
-    fn new_checkout(
-        self: &rc::Rc<Self>,
-        connection: connection::Connection,
-        urgency: urgency::Urgency,
-    ) -> checkout::Checkout {
-        checkout::Checkout::new(rc::Rc::clone(self), connection, urgency)
-    }
-
     /// Takes a connection that was checked out back into the pool; `None` if it was closed.
     pub(crate) fn release(&self, connection: Option<connection::Connection>) {
         let last_resort = |connection: &connection::Connection| {
@@ -317,11 +307,8 @@
     }
 
     fn open_for(self: &rc::Rc<Self>, organisation: &organisation::Name) {
-        let reservation = Reservation::new(rc::Rc::clone(self), organisation.clone());
-        let pool = rc::Rc::clone(self);
-        self.executor
-            .spawn(async move { pool.dial(reservation).await })
-            .detach();
+        let opening = opening::Opening::new(rc::Rc::clone(self), organisation.clone());
+        self.executor.spawn(opening.dial()).detach();
     }
 
     /// Counts one more connection with an open transaction.
@@ -335,51 +322,6 @@
         self.capacity.unpin();
     }
 
-    async fn dial(self: rc::Rc<Self>, reservation: Reservation) {
-        let permit = self.dialer.permit().await;
-        let started = boot::now();
-        let target = self.instance.borrow().target(reservation.organisation());
-        let result = wait::within(DIAL_TIMEOUT, self.dialer.dial(&target)).await;
-        drop(permit);
-        let refusal = match result {
-            Some(Ok((link, stamp))) => {
-                let organisation = reservation.organisation().clone();
-                self.add_opened(link, stamp, organisation.clone());
-                reservation.keep();
-                self.waiting.wake_for(&organisation);
-                // Another waiting request may now start to open a connection.
-                self.waiting.wake();
-                return;
-            }
-            Some(Err(refusal)) => refusal,
-            None => upstream::Refusal::Silent("no connection in time".into()),
-        };
-        metrics::counter!("mangotray_upstream_dials_total", "result" => "refused").increment(1);
-        tracing::info!(instance = %target.id, ?refusal, waited = ?boot::now().saturating_sub(started),
-            "cannot connect to the instance");
-        if refusal == upstream::Refusal::Full {
-            let others = self.connections.open_count().saturating_sub(1);
-            self.capacity.note_full(others);
-        } else {
-            self.health.note_unreachable(&refusal);
-        }
-        self.health.note_failed_dial(started);
-        drop(reservation);
-        self.waiting.wake_all();
-    }
-
-    fn add_opened(
-        &self,
-        link: Box<dyn upstream::Connection>,
-        stamp: Option<stamp::Stamp>,
-        organisation: organisation::Name,
-    ) {
-        metrics::counter!("mangotray_upstream_dials_total", "result" => "open").increment(1);
-        self.health.note_open(stamp);
-        let connection = connection::Connection::new(link, organisation, boot::now());
-        self.connections.put(connection);
-    }
-
     /// Waits for a permit under the instance's concurrency limit; `None` if the statement's latest
     /// start or its deadline passes.
     pub(crate) async fn acquire_permit(
@@ -401,38 +343,3 @@
         self.health.note_replies(now, took, replies);
     }
 }
-
-/// Counts a connection that is being opened as open; the count is undone on drop unless the
-/// reservation is kept.
-struct Reservation {
-    pool: rc::Rc<Pool>,
-    organisation: organisation::Name,
-    kept: bool,
-}
-
-impl Reservation {
-    fn new(pool: rc::Rc<Pool>, organisation: organisation::Name) -> Self {
-        pool.connections.begin_dial(organisation.clone());
-        Self {
-            pool,
-            organisation,
-            kept: false,
-        }
-    }
-
-    const fn organisation(&self) -> &organisation::Name {
-        &self.organisation
-    }
-
-    fn keep(mut self) {
-        self.kept = true;
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.pool
-            .connections
-            .end_dial(&self.organisation, self.kept);
-    }
-}
