Run, commit and roll back a transaction in a type of its own

Cause: desk/src/session.rs holds the session and, in it, all that is done on a transaction's connection. No change of logic.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod statement;
 pub mod status;
 pub mod tolerance;
+mod transaction;
 pub mod uncertainty;
 pub mod upstream;
 pub mod urgency;
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -6,7 +6,6 @@
 
 use std::collections;
 use std::rc;
-use std::time;
 
 use compact_str::CompactString;
 use mangotray::id;
@@ -17,32 +16,17 @@
 use crate::boot;
 use crate::catalog;
 use crate::connection;
-use crate::deadline;
 use crate::key;
 use crate::node;
 use crate::organisation;
-use crate::pinned;
 use crate::query;
 use crate::reply;
 use crate::statement;
-use crate::upstream;
-use crate::urgency;
-
-/// Timeout of a rollback that runs in the background.
-const ROLLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-
-/// An open transaction.
-struct Transaction {
-    begin: attempt::Begin,
-    route: rc::Rc<catalog::Route>,
-    organisation: organisation::Name,
-    /// The connection that it runs on; `None` before its first statement.
-    pinned: Option<pinned::Pinned>,
-}
+use crate::transaction;
 
 enum Phase {
     Idle,
-    Open(Box<Transaction>),
+    Open(Box<transaction::Transaction>),
     /// The transaction has failed and no longer holds a connection; the caller has yet to end it.
     Failed,
 }
@@ -217,7 +201,7 @@
     // have been revoked, or this node cut off from the configuration.
     fn check_access(
         &mut self,
-        transaction: &Transaction,
+        transaction: &transaction::Transaction,
     ) -> Result<(), (reply::Code, CompactString)> {
         let route = &transaction.route;
         let refusal = match self.node.identify(route, &self.key) {
@@ -237,7 +221,7 @@
             Ok(admitted) => admitted,
             Err(reply) => return reply,
         };
-        self.phase = Phase::Open(Box::new(Transaction {
+        self.phase = Phase::Open(Box::new(transaction::Transaction {
             begin,
             route,
             organisation,
@@ -248,7 +232,7 @@
 
     fn rollback(&mut self, request: &statement::Request) -> reply::Reply {
         if let Phase::Open(transaction) = std::mem::replace(&mut self.phase, Phase::Idle) {
-            self.roll_back(*transaction, Some(request.id.clone()));
+            transaction.roll_back(Some(request.id.clone()), self.node.executor());
         }
         reply::Reply::done(reply::State::Idle)
     }
@@ -263,33 +247,9 @@
         }
     }
 
-    // Rolls back without a request of the caller. The connection returns to the pool only after the
-    // instance has confirmed the rollback; otherwise the next statement on it would run inside this
-    // transaction.
-    fn abandon(&self, transaction: Transaction) {
-        self.roll_back(transaction, None);
-    }
-
-    // Rolls a transaction back in the background; `id` is that of the caller's ROLLBACK, if any.
-    fn roll_back(&self, transaction: Transaction, id: Option<statement::Id>) {
-        let Some(mut pinned) = transaction.pinned else {
-            return;
-        };
-        let rollback = async move {
-            let deadline = boot::now() + ROLLBACK_TIMEOUT;
-            pinned
-                .checkout
-                .set_urgency(urgency::Urgency::immediate(deadline));
-            let result = pinned
-                .checkout
-                .run(&[upstream::Command::Rollback { id }], deadline)
-                .await;
-            let clean = result.is_ok_and(|replies| is_idle(&replies));
-            if !clean {
-                pinned.checkout.discard();
-            }
-        };
-        self.node.executor().spawn(rollback).detach();
+    // Rolls back without a request of the caller.
+    fn abandon(&self, transaction: transaction::Transaction) {
+        transaction.roll_back(None, self.node.executor());
     }
 
     async fn run(&mut self, request: &statement::Request, arrived: id::Time) -> reply::Reply {
@@ -364,39 +324,14 @@
         if let Err((code, text)) = self.pin(&mut transaction, query.arrived).await {
             return self.error(code, text);
         }
-        let deadline = query.arrived + transaction.route.timeout;
-        let Some(pinned) = &mut transaction.pinned else {
-            return self.error(reply::Code::Aborted, "the transaction has no connection");
-        };
-        pinned
-            .checkout
-            .set_urgency(deadline::urgency_in_transaction(
-                &transaction.route,
-                query.arrived,
-            ));
-        let commands = query.commands(&mut pinned.checkout, &self.values, None, true);
-        let sent = boot::now();
-        let result = pinned.checkout.run(&commands, deadline).await;
-        let Some(reply) = result.ok().and_then(|mut replies| replies.pop()) else {
-            // No COMMIT was sent and the connection is closed: the instance rolls the
-            // transaction back.
-            return self.error(
-                reply::Code::Aborted,
-                "the connection to the instance was lost",
-            );
+        let reply = match transaction.run(query, &self.values).await {
+            Ok(reply) => reply,
+            Err((code, text)) => return self.error(code, text),
         };
-        if let Some(term) = pinned.primary_term {
-            pinned.group.record_position(term, sent, reply.position);
-        }
         if reply.is_done() && reply.state == reply::State::Open {
             self.phase = Phase::Open(transaction);
             return reply;
         }
-        if let (Some(reply::Code::ReadOnly), Some(term)) = (reply.code(), pinned.primary_term) {
-            pinned
-                .group
-                .suspect(term, "the primary refused a statement");
-        }
         self.abandon(*transaction);
         reply
     }
@@ -404,7 +339,7 @@
     // Opens the transaction on an instance if it has no connection yet.
     async fn pin(
         &self,
-        transaction: &mut Transaction,
+        transaction: &mut transaction::Transaction,
         arrived: id::Time,
     ) -> Result<(), (reply::Code, CompactString)> {
         if transaction.pinned.is_none() {
@@ -440,48 +375,14 @@
         if let Err((code, text)) = self.pin(&mut transaction, arrived).await {
             return self.error(code, text);
         }
-        let Some(mut pinned) = transaction.pinned.take() else {
-            return self.error(reply::Code::Aborted, "the transaction has no connection");
-        };
-        let command = upstream::Command::Run {
-            id: request.id.clone(),
-            text: request.text.clone(),
-            after: None,
-        };
-        let sent = boot::now();
-        let deadline = arrived + transaction.route.timeout;
-        pinned
-            .checkout
-            .set_urgency(deadline::urgency_in_transaction(
-                &transaction.route,
-                arrived,
-            ));
-        let reply = match pinned.checkout.run(&[command], deadline).await {
-            Ok(mut replies) => replies.pop(),
-            // The COMMIT was not sent. Closing the connection rolls the transaction back.
-            Err(failure) if !failure.sent => {
-                return self.error(reply::Code::Aborted, failure.detail);
-            }
-            Err(failure) => {
-                if let Some(term) = pinned.primary_term {
-                    pinned.group.suspect(term, "a commit was not answered");
-                }
-                return self.error(reply::Code::Unsure, failure.detail);
-            }
-        };
-        let Some(reply) = reply else {
-            return self.error(reply::Code::Unsure, "no answer to the commit");
+        let reply = match transaction.commit(request, arrived).await {
+            Ok(reply) => reply,
+            Err((code, text)) => return self.error(code, text),
         };
         if reply.state != reply::State::Idle {
-            transaction.pinned = Some(pinned);
             self.abandon(*transaction);
-            return reply;
-        }
-        if let Some(term) = pinned.primary_term {
-            pinned.group.record_position(term, sent, reply.position);
-            if reply.is_done() {
-                self.last_commit = self.last_commit.max(reply.position);
-            }
+        } else if reply.is_done() && transaction.runs_on_primary() {
+            self.last_commit = self.last_commit.max(reply.position);
         }
         reply
     }
@@ -512,9 +413,3 @@
         self.close();
     }
 }
-
-fn is_idle(replies: &[reply::Reply]) -> bool {
-    replies
-        .last()
-        .is_some_and(|reply| reply.state == reply::State::Idle)
-}
