--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod guarantees;
 mod health;
 pub mod holdback;
+mod identity;
 pub mod intent;
 pub mod key;
 pub mod leadership;
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -11,11 +11,11 @@
 use mangotray::id;
 use mangotray::stamp;
 
-use crate::access;
 use crate::attempt;
 use crate::boot;
 use crate::catalog;
 use crate::connection;
+use crate::identity;
 use crate::key;
 use crate::node;
 use crate::organisation;
@@ -35,11 +35,7 @@
 pub struct Session {
     node: rc::Rc<node::Node>,
     database: CompactString,
-    key: key::Key,
-    /// Organisation of the last caller that was identified, for logs.
-    organisation: organisation::Name,
-    /// The caller's key is no longer valid.
-    revoked: bool,
+    identity: identity::Identity,
     values: connection::Values,
     prepared: collections::BTreeMap<statement::Name, statement::Shape>,
     phase: Phase,
@@ -53,9 +49,7 @@
         Self {
             node,
             database,
-            key,
-            organisation: organisation::OWN,
-            revoked: false,
+            identity: identity::Identity::new(key),
             values: connection::Values::new(),
             prepared: collections::BTreeMap::new(),
             phase: Phase::Idle,
@@ -83,7 +77,7 @@
     /// Whether the session must end because the caller's key is no longer valid.
     #[must_use]
     pub const fn is_revoked(&self) -> bool {
-        self.revoked
+        self.identity.is_revoked()
     }
 
     /// Handles one request and records its outcome in metrics and logs.
@@ -170,47 +164,20 @@
         let Some(route) = self.node.route(&self.database) else {
             return Err(self.error(reply::Code::NoDatabase, "no such database"));
         };
-        let caller = self.identify(&route)?;
-        if let Err(refusal) = self.node.count(&caller).await {
-            return Err(self.refuse(refusal));
+        match self.identity.admit(&self.node, &route).await {
+            Ok(organisation) => Ok((route, organisation)),
+            Err(refusal) => Err(self.error(refusal.code(), refusal.text())),
         }
-        Ok((route, caller.organisation))
     }
 
-    fn identify(&mut self, route: &catalog::Route) -> Result<access::Caller, reply::Reply> {
-        match self.node.identify(route, &self.key) {
-            Ok(caller) => {
-                self.organisation.clone_from(&caller.organisation);
-                Ok(caller)
-            }
-            Err(refusal) => Err(self.refuse(refusal)),
-        }
-    }
-
-    fn refuse(&mut self, refusal: access::Refusal) -> reply::Reply {
-        self.note_refusal(refusal);
-        self.error(refusal.code(), refusal.text())
-    }
-
-    fn note_refusal(&mut self, refusal: access::Refusal) {
-        metrics::counter!("mangotray_refusals_total", "reason" => refusal.label()).increment(1);
-        self.revoked |= refusal == access::Refusal::UnknownKey;
-    }
-
-    // Checks that an open transaction may continue: since its last statement, the caller's key may
-    // have been revoked, or this node cut off from the configuration.
+    // Checks that an open transaction may continue.
     fn check_access(
         &mut self,
         transaction: &transaction::Transaction,
     ) -> Result<(), (reply::Code, CompactString)> {
-        let route = &transaction.route;
-        let refusal = match self.node.identify(route, &self.key) {
-            Ok(caller) if caller.organisation == transaction.organisation => return Ok(()),
-            Ok(_) => access::Refusal::UnknownKey,
-            Err(refusal) => refusal,
-        };
-        self.note_refusal(refusal);
-        Err((reply::Code::Aborted, refusal.text()))
+        let (route, organisation) = (&transaction.route, &transaction.organisation);
+        let checked = self.identity.check(&self.node, route, organisation);
+        checked.map_err(|refusal| (reply::Code::Aborted, refusal.text()))
     }
 
     async fn begin(&mut self, begin: attempt::Begin) -> reply::Reply {
@@ -402,7 +369,7 @@
                 .node
                 .validity()
                 .and_then(|validity| validity.age(arrived));
-            tracing::warn!(request = %request.id, database = %self.database, organisation = %self.organisation,
+            tracing::warn!(request = %request.id, database = %self.database, organisation = %self.identity.organisation(),
                 version = self.node.catalog().version, evidence_ms = age.map(|age| age.as_millis()), group, ?code, %text, took_ms = took.as_millis(), "statement failed");
         }
     }
