Build the statement of a request next to its type, and word an unknown name once

Cause: desk/src/session.rs builds a query::Query field by field, and has the refusal of an unknown prepared statement twice. No change of logic.

--- a/desk/src/query.rs
+++ b/desk/src/query.rs
@@ -1,5 +1,7 @@
 //! Statements that run on an instance, and the commands that are sent for them.
 
+use std::collections;
+
 use compact_str::CompactString;
 use compact_str::format_compact;
 use mangotray::id;
@@ -13,6 +15,9 @@
 /// Longest text, in bytes, that is used in the name of a prepared statement without encoding.
 const MAX_PLAIN_NAME: usize = 48;
 
+/// The prepared statements of a session, by the names that its caller gave them.
+pub(crate) type Prepared = collections::BTreeMap<statement::Name, statement::Shape>;
+
 /// A statement that runs on an instance.
 pub struct Query {
     /// Id that the caller gave to the request.
@@ -28,6 +33,35 @@
 }
 
 impl Query {
+    /// Returns the statement of a request that arrived at `arrived`; `None` if it executes a
+    /// prepared statement that the session does not have.
+    #[must_use]
+    pub(crate) fn new(
+        request: &statement::Request,
+        arrived: id::Time,
+        statements: &Prepared,
+    ) -> Option<Self> {
+        let (access, prepared) = match &request.statement {
+            statement::Statement::Read => (statement::Access::Read, None),
+            statement::Statement::Execute { name, arguments } => {
+                let shape = statements.get(name)?;
+                let handle = prepared_name(shape);
+                (
+                    shape.access,
+                    Some((handle, shape.clone(), arguments.clone())),
+                )
+            }
+            _ => (statement::Access::Write, None),
+        };
+        Some(Self {
+            id: request.id.clone(),
+            arrived,
+            text: request.text.clone(),
+            access,
+            prepared,
+        })
+    }
+
     /// Returns the commands to send for the statement on a connection, after those that set the
     /// session's values and prepare the statement there.
     pub fn commands(
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -4,7 +4,6 @@
 //! connection from a pool; a transaction is pinned to one connection from its first statement
 //! until it ends.
 
-use std::collections;
 use std::rc;
 
 use compact_str::CompactString;
@@ -37,7 +36,7 @@
     database: CompactString,
     identity: identity::Identity,
     values: connection::Values,
-    prepared: collections::BTreeMap<statement::Name, statement::Shape>,
+    prepared: query::Prepared,
     phase: Phase,
     last_commit: Option<stamp::Stamp>,
 }
@@ -51,7 +50,7 @@
             database,
             identity: identity::Identity::new(key),
             values: connection::Values::new(),
-            prepared: collections::BTreeMap::new(),
+            prepared: query::Prepared::new(),
             phase: Phase::Idle,
             last_commit: None,
         }
@@ -207,22 +206,23 @@
     fn forget(&mut self, name: &statement::Name) -> reply::Reply {
         match self.prepared.remove(name) {
             Some(_) => reply::Reply::done(self.state()),
-            None => self.error(
-                reply::Code::NoStatement,
-                "no prepared statement of that name",
-            ),
+            None => self.unknown_name(),
         }
     }
 
+    fn unknown_name(&self) -> reply::Reply {
+        let text = "no prepared statement of that name";
+        self.error(reply::Code::NoStatement, text)
+    }
+
     // Rolls back without a request of the caller.
     fn abandon(&self, transaction: transaction::Transaction) {
         transaction.roll_back(None, self.node.executor());
     }
 
     async fn run(&mut self, request: &statement::Request, arrived: id::Time) -> reply::Reply {
-        let query = match self.query(request, arrived) {
-            Ok(query) => query,
-            Err(reply) => return reply,
+        let Some(query) = query::Query::new(request, arrived, &self.prepared) else {
+            return self.unknown_name();
         };
         if matches!(self.phase, Phase::Open(_)) {
             return self.run_inside(&query).await;
@@ -247,35 +247,6 @@
         }
     }
 
-    fn query(
-        &self,
-        request: &statement::Request,
-        arrived: id::Time,
-    ) -> Result<query::Query, reply::Reply> {
-        let (access, prepared) = match &request.statement {
-            statement::Statement::Read => (statement::Access::Read, None),
-            statement::Statement::Execute { name, arguments } => {
-                let Some(shape) = self.prepared.get(name) else {
-                    let text = "no prepared statement of that name";
-                    return Err(self.error(reply::Code::NoStatement, text));
-                };
-                let handle = query::prepared_name(shape);
-                (
-                    shape.access,
-                    Some((handle, shape.clone(), arguments.clone())),
-                )
-            }
-            _ => (statement::Access::Write, None),
-        };
-        Ok(query::Query {
-            id: request.id.clone(),
-            arrived,
-            text: request.text.clone(),
-            access,
-            prepared,
-        })
-    }
-
     async fn run_inside(&mut self, query: &query::Query) -> reply::Reply {
         let Phase::Open(mut transaction) = std::mem::replace(&mut self.phase, Phase::Failed) else {
             return self.error(reply::Code::Bad, "no transaction");
