Take a full instance that refuses a connection for a running one

Cause: the pool's split moved what a failed dial records; that a full instance is alive went with the code before it. Change: the instance's health records it, as before the split.

--- a/desk/src/health.rs
+++ b/desk/src/health.rs
@@ -129,6 +129,12 @@
         self.note_position(position);
     }
 
+    /// Records that the instance refused a connection because it is full, so that it is running.
+    pub(crate) fn note_refused_as_full(&self) {
+        self.refused_since.set(None);
+        self.last_answer.set(boot::now());
+    }
+
     /// Records that a dial that began at `started` has failed, for whatever reason.
     pub(crate) fn note_failed_dial(&self, started: id::Time) {
         self.failing_since
--- a/desk/src/opening.rs
+++ b/desk/src/opening.rs
@@ -77,6 +77,7 @@
         if *refusal == upstream::Refusal::Full {
             let others = pool.connections.open_count().saturating_sub(1);
             pool.capacity.note_full(others);
+            pool.health.note_refused_as_full();
         } else {
             pool.health.note_unreachable(refusal);
         }
