Follow the records' type in the tests of declarations

Cause: a record of instances carries its version now; the tests of declarations were written against the type before it. Change: the tests build a record. Assertions as before. Ran: clippy of the workspace: clean.

--- a/desk/tests/declaration.rs
+++ b/desk/tests/declaration.rs
@@ -6,7 +6,7 @@
 use mangotray_desk::membership;
 use mangotray_desk::upstream;
 
-fn recorded(group: &str, ids: &[&str]) -> membership::Membership {
+fn recorded(group: &str, ids: &[&str]) -> membership::Record {
     let instance = |(id, port): (&&str, u16)| membership::Instance {
         id: (*id).into(),
         born: 1,
@@ -14,9 +14,13 @@
         domain: "here".into(),
         slots: 2,
     };
-    membership::Membership {
+    let membership = membership::Membership {
         group: group.into(),
         instances: ids.iter().zip(1..).map(instance).collect(),
+    };
+    membership::Record {
+        membership,
+        version: 1,
     }
 }
 
