Print the log's length then and now when data and log disagree

Once in 658 runs of data_logs_and_stamps_agree_after_any_faults beside load 13 to 48, an instance's data had one row more than the log that was read before it. Either a write whose client had given up was still running and committed between the two reads, or the data has what no log has. The assertion is as before; its message now tells the two apart: it names the seed and the instance, and has the length of the log that was compared, that of the log read after the data, and its first new record.

--- a/lab/tests/cluster.rs
+++ b/lab/tests/cluster.rs
@@ -704,7 +704,19 @@
         booked.sort();
         for index in 0..3 {
             assert_eq!(bench.cluster.log(index), log);
-            assert_eq!(bench.seats(index), booked);
+            let seats = bench.seats(index);
+            // Whether the log has what only the data had tells a write that was still running from
+            // data that no log has.
+            let now = bench.cluster.log(index);
+            let (first, last) = (now.get(log.len()), now.len());
+            assert_eq!(
+                seats,
+                booked,
+                "seed {seed}, instance {index}: the log had {} records when it was compared and has \
+                 {last} now, the first new one is {first:?}; {}",
+                log.len(),
+                bench.describe_state()
+            );
         }
         for (name, stamp) in &answered {
             let position = usize::try_from(stamp.position).unwrap();
