Answer no probe of a paused proxy in the fault matrix

Cause: a probe that reaches the step "answered, not confirmed" pauses its proxy. The process checks its state before each poll of the executor as a whole, so that the probes of the two other instances, which are ready in the same poll, still run. Replication may ship the record before them; then they confirm it and the caller is told "done", where the cell allows "unknown" only.

Change: a probe takes the status under the lock of the group and only while its proxy runs; the fault pauses it under the same lock.

--- a/tests/matrix/process.rs
+++ b/tests/matrix/process.rs
@@ -9,7 +9,7 @@
 use futures_util::future;
 
 /// Time between two checks of the state while a process is paused or awaited.
-const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
+pub const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
 const RUNNING: u8 = 0;
 const PAUSED: u8 = 1;
--- a/tests/matrix/proxy.rs
+++ b/tests/matrix/proxy.rs
@@ -67,6 +67,7 @@
         rank: u32,
     ) -> sync::Arc<Self> {
         let executor = Executor::default();
+        let process = sync::Arc::new(process::Process::default());
         let client = store::Client {
             service: service.clone(),
             cluster: cluster.clone(),
@@ -78,7 +79,7 @@
         let clock: sync::Arc<dyn clock::Clock> = cluster.clock.clone();
         let group = group::Group::start(group::Parts {
             declaration: declaration(None),
-            upstreams: upstreams(cluster, number),
+            upstreams: upstreams(cluster, &process, number),
             limit: INSTANCE_SHARE,
             terms: terms.clone(),
             clock,
@@ -87,7 +88,6 @@
             rank,
             executor: executor.clone(),
         });
-        let process = sync::Arc::new(process::Process::default());
         let tasks = executor.clone();
         let run = async move { tasks.run(std::future::pending()).await };
         let proxy = sync::Arc::new(Self {
@@ -200,14 +200,15 @@
 
 fn upstreams(
     cluster: &sync::Arc<cluster::Cluster>,
+    process: &sync::Arc<process::Process>,
     proxy: usize,
 ) -> Vec<sync::Arc<dyn upstream::Upstream>> {
     let instances = 0..cluster::INSTANCES;
     instances
         .map(|index| {
-            let cluster = cluster.clone();
             let upstream = fake::Upstream {
-                cluster,
+                cluster: cluster.clone(),
+                process: process.clone(),
                 proxy,
                 index,
             };
--- a/tests/matrix/upstream.rs
+++ b/tests/matrix/upstream.rs
@@ -15,6 +15,7 @@
 use crate::cluster;
 use crate::operation;
 use crate::operation::Kind;
+use crate::process;
 
 /// Time after which a control call without an answer fails.
 const CONTROL_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -37,6 +38,7 @@
 #[derive(Clone)]
 pub struct Upstream {
     pub cluster: sync::Arc<cluster::Cluster>,
+    pub process: sync::Arc<process::Process>,
     pub proxy: usize,
     pub index: id::Index,
 }
@@ -107,7 +109,21 @@
             self.reach(operation::Point::Confirms).await;
         }
         self.check_link().await?;
-        Ok(self.instance_status())
+        Ok(self.status_while_running().await)
+    }
+
+    /// Returns the instance's status once the proxy runs. A fault that pauses the proxy holds the
+    /// group's lock, so that none of its other probes of the same moment is answered after it.
+    async fn status_while_running(&self) -> status::Status {
+        loop {
+            {
+                let state = self.cluster.lock();
+                if self.process.is_running() {
+                    return state.instances[self.index].status();
+                }
+            }
+            async_io::Timer::after(process::POLL_INTERVAL).await;
+        }
     }
 
     async fn run_fence(&self, term: id::Term) -> Result<status::Status, upstream::Failure> {
