--- a/desk/src/absence.rs
+++ b/desk/src/absence.rs
@@ -70,7 +70,7 @@
 impl Absence {
     /// Whether there is evidence that the instance has ended.
     ///
-    /// A refusal shows that its process has ended. For a `follower` that suffices if it had announced
+    /// A refusal shows that its process has ended. For a [`Standing::Follower`] that suffices if it had announced
     /// its end, or if another instance is known to lead, whose answers bound the records that this
     /// one may have confirmed. The last known primary comes back with its log, or a successor at its
     /// address does.
--- a/desk/src/witness.rs
+++ b/desk/src/witness.rs
@@ -54,7 +54,7 @@
     /// Whether a report of this instance alone, queried at `started`, can prove that the primary of
     /// `term` leads.
     ///
-    /// A promoter lists an instance until it has been missing from the list for 5.5 s. An instance
+    /// A promoter holds an instance until there is evidence that it has ended. An instance
     /// that is in this node's list only because the list is out of date may have been left out of a
     /// promotion, so its report alone doesn't suffice. Nor does a report of an instance that
     /// restarted after the primary was last proven to lead, nor any report while the position of
