Show a promotion that passes over a replica which isn't listed yet

Cause: an order goes out right after an outage of the store, before new replicas are listed or the holder has read its list again. The frozen holder is case 2 now.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 # After `cargo build --release --locked --workspace` and `review/build.sh`.
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/release/mangotray-node && -x review/target/release/review-standins ]] || exit 2
-timeout --kill-after=5 110 review/target/release/review-standins cut review/2
+timeout --kill-after=5 110 review/target/release/review-standins freeze review/2
 status=$?
 ((status <= 2)) || status=2
 exit "$status"
--- a/review/standins/src/common.rs
+++ b/review/standins/src/common.rs
@@ -97,6 +97,7 @@
 /// The stand-ins of the platform's store and of one group of three instances.
 pub struct Stage {
     pub world: world::Shared,
+    pub store: store::Shared,
     /// The platform's address.
     pub platform: SocketAddr,
     /// Requesters' statements that have reached an instance.
@@ -108,40 +109,23 @@
     pub async fn set_up(executor: &Executor, one_way_ms: u64) -> eyre::Result<Self> {
         let world = world::World::new(1);
         let store = store::Store::new(Rc::clone(&world), 2);
-        let runs = tap::Runs::default();
+        let stage = Self {
+            world,
+            store,
+            // Set below.
+            platform: SocketAddr::from(([127, 0, 0, 1], 0)),
+            runs: tap::Runs::default(),
+        };
         for (number, id) in registry::INSTANCES.iter().enumerate() {
-            let listener = async_net::TcpListener::bind("127.0.0.1:0").await?;
-            let target = listener.local_addr()?;
-            let address = tap::instance_link(id, target, one_way_ms, &runs, executor).await?;
-            let instance = world::Instance {
-                id: (*id).to_owned(),
-                address,
-                primary: number == 0,
-                term: 1,
-                log: Vec::new(),
-                hold_term: 0,
-                up: true,
-                dark_since: None,
-                incarnation: 0,
-                draining: false,
-                lag: Some(world::REPLICA_LAG),
-                lost_answer_rate: 0.0,
-                active_statements: 0,
-                superseded_since: None,
-            };
-            world.borrow_mut().instances.insert((*id).into(), instance);
-            let serve = instance::serve(
-                Rc::clone(&world),
-                (*id).to_owned(),
-                listener,
-                Rc::clone(executor),
-            );
-            executor.spawn(serve).detach();
-            registry::register(&store, &world, id);
+            stage
+                .start_instance(executor, id, number == 0, one_way_ms)
+                .await?;
+            stage.register(id);
         }
-        registry::configure(&store, 1);
-        let platform = store::start(&store, executor).await?;
-        let (replicated, kept) = (Rc::clone(&world), Rc::clone(&store));
+        let (store, world) = (&stage.store, &stage.world);
+        registry::configure(store, 1);
+        let platform = store::start(store, executor).await?;
+        let (replicated, kept) = (Rc::clone(world), Rc::clone(store));
         executor
             .spawn(async move {
                 let mut roles = std::collections::BTreeMap::new();
@@ -163,11 +147,105 @@
                 }
             })
             .detach();
-        Ok(Self {
-            world,
-            platform,
-            runs,
-        })
+        Ok(Self { platform, ..stage })
+    }
+
+    async fn start_instance(
+        &self,
+        executor: &Executor,
+        id: &str,
+        primary: bool,
+        one_way_ms: u64,
+    ) -> eyre::Result<()> {
+        let listener = async_net::TcpListener::bind("127.0.0.1:0").await?;
+        let target = listener.local_addr()?;
+        let address = tap::instance_link(id, target, one_way_ms, &self.runs, executor).await?;
+        let instance = world::Instance {
+            id: id.to_owned(),
+            address,
+            primary,
+            term: 1,
+            log: Vec::new(),
+            hold_term: 0,
+            up: true,
+            dark_since: None,
+            incarnation: 0,
+            draining: false,
+            lag: Some(world::REPLICA_LAG),
+            lost_answer_rate: 0.0,
+            active_statements: 0,
+            superseded_since: None,
+        };
+        self.world
+            .borrow_mut()
+            .instances
+            .insert(id.to_owned(), instance);
+        let serve = instance::serve(
+            Rc::clone(&self.world),
+            id.to_owned(),
+            listener,
+            Rc::clone(executor),
+        );
+        executor.spawn(serve).detach();
+        Ok(())
+    }
+
+    /// Starts a new replica, which isn't listed yet.
+    pub async fn add_replica(
+        &self,
+        executor: &Executor,
+        id: &str,
+        one_way_ms: u64,
+    ) -> eyre::Result<()> {
+        self.start_instance(executor, id, false, one_way_ms).await
+    }
+
+    /// Writes an instance's entry into the store.
+    pub fn register(&self, id: &str) {
+        registry::register(&self.store, &self.world, id);
+    }
+
+    /// Whether a replica receives nothing.
+    pub fn set_deaf(&self, id: &str, deaf: bool) {
+        if let Some(instance) = self.world.borrow_mut().instances.get_mut(id) {
+            instance.set_lag((!deaf).then_some(world::REPLICA_LAG));
+        }
+    }
+
+    /// Records the lost commits and the calls with a lower number than one before. Returns whether
+    /// no commit was lost.
+    pub fn report_losses(&self, record: &Record, calls: &tap::Calls) -> eyre::Result<bool> {
+        let mut world = self.world.borrow_mut();
+        world.finished = true;
+        record.note(&format!(
+            "{} operations served at the end",
+            world.checker.served
+        ));
+        let (mut one, mut lost) = (0, 0);
+        // What a promote has rolled back is missing in later reads as well, which isn't counted again.
+        for violation in &world.checker.violations {
+            one += usize::from(violation.starts_with("ONE"));
+            lost += usize::from(violation.starts_with("LOST"));
+            if violation.starts_with("ONE") || violation.starts_with("LOST") {
+                record.note(&format!("check of the stand-ins: {violation}"));
+            }
+        }
+        eyre::ensure!(calls.count > 0, "no promotion was ordered");
+        eyre::ensure!(
+            one == calls.stale.len(),
+            "the two checks of the calls differ"
+        );
+        for call in &calls.stale {
+            record.note(&format!(
+                "BROKEN ONE: a lower generation number than one seen before: {call}"
+            ));
+        }
+        if lost > 0 {
+            record.note(&format!(
+                "BROKEN LOST: {lost} acknowledged commits aren't in the log of the promoted instance"
+            ));
+        }
+        Ok(lost == 0)
     }
 
     /// The instance that leads, and its term.
--- a/review/standins/src/duty.rs
+++ b/review/standins/src/duty.rs
@@ -108,38 +108,7 @@
     replace_again(&stage, &lost, record).await?;
     let _node = disrupted.await;
     pause(4000).await;
-    let served = stage.world.borrow().checker.served;
-    record.note(&format!("{served} operations served at the end"));
-    let world = stage.world.borrow();
-    let (mut one, mut lost) = (0, 0);
-    // What a promote has rolled back is missing in later reads as well, which isn't counted again.
-    for violation in &world.checker.violations {
-        if !violation.starts_with("ONE") && !violation.starts_with("LOST") {
-            continue;
-        }
-        record.note(&format!("check of the stand-ins: {violation}"));
-        one += usize::from(violation.starts_with("ONE"));
-        lost += usize::from(violation.starts_with("LOST"));
-    }
-    drop(world);
-    eyre::ensure!(
-        one == calls.borrow().stale.len(),
-        "the two checks of the calls differ"
-    );
-    stage.world.borrow_mut().finished = true;
-    let calls = calls.borrow();
-    eyre::ensure!(calls.count > 0, "no promotion was ordered");
-    for call in &calls.stale {
-        record.note(&format!(
-            "BROKEN ONE: a lower generation number than one seen before: {call}"
-        ));
-    }
-    if lost > 0 {
-        record.note(&format!(
-            "BROKEN LOST: {lost} acknowledged commits aren't in the log of the promoted instance"
-        ));
-    }
-    Ok(lost == 0)
+    stage.report_losses(record, &calls.borrow())
 }
 
 /// The new primary crashes as well, and comes back with its log as a replica that receives nothing
@@ -151,9 +120,7 @@
     pause(400).await;
     let (second, _) = crash_primary(stage, record)?;
     await_successor(stage, &second, record).await?;
-    if let Some(instance) = stage.world.borrow_mut().instances.get_mut(&second) {
-        instance.set_lag(None);
-    }
+    stage.set_deaf(&second, true);
     stage.come_back(&second);
     record.note(&format!(
         "{second} is back with its log, as a replica, and receives nothing for now"
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod duty;
 mod stop;
 mod tap;
+mod unlisted;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -13,7 +14,7 @@
 fn main() -> ExitCode {
     let words: Vec<_> = std::env::args().collect();
     let [_, case, folder] = words.as_slice() else {
-        eprintln!("usage: review-standins freeze|cut|stop FOLDER");
+        eprintln!("usage: review-standins freeze|cut|stop|unlisted FOLDER");
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -36,6 +37,7 @@
         match case {
             "freeze" => duty::run(duty::Disruption::Freeze, trouble, &record, &executor).await,
             "cut" => duty::run(duty::Disruption::Cut, trouble, &record, &executor).await,
+            "unlisted" => unlisted::run(trouble, &record, &executor).await,
             "stop" => stop::run(trouble, &record, &executor).await,
             _ => eyre::bail!("no such case"),
         }
