--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -26,6 +26,8 @@
 enum Phase {
     Idle,
     Open(Box<transaction::Transaction>),
+    /// This node has rolled the transaction back for this reason, and the caller does not know yet.
+    RolledBack(&'static str),
     /// The transaction has failed and no longer holds a connection; the caller has yet to end it.
     Failed,
 }
@@ -62,7 +64,7 @@
         match self.phase {
             Phase::Idle => reply::State::Idle,
             Phase::Open(_) => reply::State::Open,
-            Phase::Failed => reply::State::Failed,
+            Phase::RolledBack(_) | Phase::Failed => reply::State::Failed,
         }
     }
 
@@ -88,11 +90,60 @@
         reply
     }
 
-    /// Rolls back a transaction that exceeded its idle timeout; the caller's next request fails.
-    pub fn expire(&mut self) {
-        if let Phase::Open(transaction) = std::mem::replace(&mut self.phase, Phase::Failed) {
-            tracing::info!(database = %self.database, "transaction exceeded its idle timeout; rolling it back");
-            self.abandon(*transaction);
+    /// Rolls back an open transaction, if there is one, and tells the caller so in answer to its
+    /// next request.
+    pub fn abort(&mut self, reason: &'static str) {
+        match std::mem::replace(&mut self.phase, Phase::RolledBack(reason)) {
+            Phase::Open(transaction) => {
+                tracing::info!(database = %self.database, reason, "rolling a transaction back");
+                self.abandon(*transaction);
+            }
+            unchanged => self.phase = unchanged,
+        }
+    }
+
+    /// Answers a request that this node does not run any more. An open transaction is rolled back.
+    pub fn refuse(&mut self, request: &statement::Request, reason: &'static str) -> reply::Reply {
+        let arrived = boot::now();
+        self.abort(reason);
+        let mut reply = match self.phase {
+            Phase::Idle => self.error(reply::Code::Busy, reason),
+            _ => self.after_failure(&request.statement),
+        };
+        reply.state = self.state();
+        self.record(request, arrived, &reply);
+        reply
+    }
+
+    /// Answers a request that arrived at `arrived` and whose handling was dropped. Nothing of an
+    /// uncommitted transaction is kept, as its connection is closed; whether a commit or a write
+    /// took effect is unknown.
+    pub fn give_up(
+        &mut self,
+        request: &statement::Request,
+        arrived: id::Time,
+        reason: &'static str,
+    ) -> reply::Reply {
+        let code = if matches!(self.phase, Phase::Idle) && self.may_commit(request) {
+            reply::Code::Unsure
+        } else {
+            reply::Code::Aborted
+        };
+        let reply = self.error(code, reason);
+        self.record(request, arrived, &reply);
+        reply
+    }
+
+    // Whether the request, sent to an instance outside of a transaction or as its end, may leave
+    // something there.
+    fn may_commit(&self, request: &statement::Request) -> bool {
+        match &request.statement {
+            statement::Statement::Commit | statement::Statement::Write => true,
+            statement::Statement::Execute { name, .. } => {
+                let shape = self.prepared.get(name);
+                shape.is_some_and(|shape| shape.access == statement::Access::Write)
+            }
+            _ => false,
         }
     }
 
@@ -104,7 +155,7 @@
     }
 
     async fn dispatch(&mut self, request: &statement::Request, arrived: id::Time) -> reply::Reply {
-        if matches!(self.phase, Phase::Failed) {
+        if matches!(self.phase, Phase::Failed | Phase::RolledBack(_)) {
             return self.after_failure(&request.statement);
         }
         match &request.statement {
@@ -139,18 +190,20 @@
     }
 
     fn after_failure(&mut self, statement: &statement::Statement) -> reply::Reply {
-        match statement {
-            statement::Statement::Rollback => {
+        let failed = std::mem::replace(&mut self.phase, Phase::Failed);
+        match (statement, failed) {
+            (statement::Statement::Rollback, _) => {
                 self.phase = Phase::Idle;
                 reply::Reply::done(reply::State::Idle)
             }
-            statement::Statement::Commit => {
+            (statement::Statement::Commit, _) => {
                 self.phase = Phase::Idle;
                 self.error(
                     reply::Code::Aborted,
                     "the transaction had failed; nothing is kept",
                 )
             }
+            (_, Phase::RolledBack(reason)) => self.error(reply::Code::Aborted, reason),
             _ => self.error(reply::Code::Bad, "the transaction has failed; end it first"),
         }
     }
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -178,13 +178,105 @@
         for text in ["BEGIN", "WRITE x 1"] {
             session.handle(&cluster::request(text)).await;
         }
-        session.expire();
+        session.abort("idle for too long");
         let reply = session.handle(&cluster::request("COMMIT")).await;
         assert_matches!(reply.code(), Some(reply::Code::Aborted));
     });
     assert!(!cluster.world.borrow().texts("a").contains(&"COMMIT".into()));
 }
 
+/// Guards against a caller that is told nothing, or something untrue, of the transaction that a
+/// stopping node has rolled back: each first request after it is told so, and none runs.
+#[test]
+fn a_transaction_that_the_node_rolled_back_is_told_so_once() {
+    for text in ["WRITE x 2", "READ x", "COMMIT"] {
+        let cluster = cluster::Cluster::new();
+        cluster.run(async {
+            let mut session = cluster.session("current");
+            for text in ["BEGIN", "WRITE x 1"] {
+                session.handle(&cluster::request(text)).await;
+            }
+            session.abort("stopping");
+            assert_eq!(session.state(), reply::State::Failed);
+            let reply = session.handle(&cluster::request(text)).await;
+            assert_eq!(reply.code(), Some(&reply::Code::Aborted), "{text}");
+            if text == "COMMIT" {
+                assert_eq!(reply.state, reply::State::Idle);
+            } else {
+                assert_eq!(reply.state, reply::State::Failed);
+                let next = session.handle(&cluster::request("READ x")).await;
+                assert_eq!(next.code(), Some(&reply::Code::Bad));
+            }
+        });
+        assert_eq!(cluster.world.borrow().texts("a"), ["WRITE x 1"]);
+    }
+}
+
+/// Guards against a refusal that is untrue: what a stopping node refuses must not run, and an open
+/// transaction must keep nothing.
+#[test]
+fn a_refused_request_does_not_run() {
+    let cluster = cluster::Cluster::new();
+    cluster.run(async {
+        let mut idle = cluster.session("current");
+        let reply = idle.refuse(&cluster::request("WRITE y 1"), "stopping");
+        assert_eq!(reply.code(), Some(&reply::Code::Busy));
+        assert_eq!(reply.state, reply::State::Idle);
+        let mut open = cluster.session("current");
+        for text in ["BEGIN", "WRITE x 1"] {
+            open.handle(&cluster::request(text)).await;
+        }
+        let reply = open.refuse(&cluster::request("COMMIT"), "stopping");
+        assert_eq!(reply.code(), Some(&reply::Code::Aborted));
+        assert_eq!(reply.state, reply::State::Idle);
+    });
+    assert_eq!(cluster.world.borrow().texts("a"), ["WRITE x 1"]);
+}
+
+/// Guards against a promise about a request that was given up while it may have run.
+#[test]
+fn a_request_that_is_given_up_promises_only_what_is_known() {
+    let expected = [
+        (&["WRITE x 1"][..], reply::Code::Unsure, reply::State::Idle),
+        (&["READ x"], reply::Code::Aborted, reply::State::Idle),
+        (
+            &["BEGIN", "WRITE x 1", "COMMIT"],
+            reply::Code::Unsure,
+            reply::State::Idle,
+        ),
+        (
+            &["BEGIN", "WRITE x 1", "WRITE x 2"],
+            reply::Code::Aborted,
+            reply::State::Failed,
+        ),
+    ];
+    for (texts, code, state) in expected {
+        let cluster = cluster::Cluster::new();
+        cluster.run(async {
+            let mut session = cluster.session("current");
+            let (last, before) = texts.split_last().expect("a request");
+            for text in before {
+                session.handle(&cluster::request(text)).await;
+            }
+            let group = cluster.node.group(&cluster::GROUP.into());
+            cluster::until("a primary leads", || group.leader().is_some()).await;
+            cluster.world.borrow_mut().stalled = true;
+            let request = cluster::request(last);
+            let arrived = boot::now();
+            let short = time::Duration::from_millis(50);
+            assert!(
+                wait::within(short, session.handle(&request))
+                    .await
+                    .is_none()
+            );
+            let reply = session.give_up(&request, arrived, "stopping");
+            assert_eq!(reply.code(), Some(&code), "{texts:?}");
+            assert_eq!(reply.state, state, "{texts:?}");
+            assert_eq!(session.state(), state, "{texts:?}");
+        });
+    }
+}
+
 /// Guards against a statement that runs inside another caller's transaction. A caller leaves while
 /// the next statement of its transaction waits, and the connection returned to the pool with the
 /// transaction open.
