Relay nothing new on a node that stops

What callers saw: a caller of another node was told that the outcome of its write or commit is unknown, because the node that relayed it to the instance stopped: it relayed until its process exited, and the connection then ended with the command in progress.

Cause: relay::Server did not know of the stop. New loans were opened and commands were run until the exit.

A node that was asked to stop now refuses new loans, so that the requesting nodes turn to the next one in order. Loans that are open serve until the balancer's notice is over; then commands outside of a transaction are refused as not sent, and the requesting node runs them through another node. Transactions go on until the stopping node starts nothing more; what comes later is refused as not sent, so that the caller is told ABORTED, which is true: the connection to the instance is closed. Commands in progress are awaited as before.

Run: desk/tests/remote.rs; both new tests fail with the checks taken out (a statement ran on the stopping node; a COMMIT was answered), and pass now. router and delegate: pass.

--- a/desk/src/relay.rs
+++ b/desk/src/relay.rs
@@ -20,8 +20,10 @@
 
 use crate::boot;
 use crate::checkout;
+use crate::lifecycle;
 use crate::message;
 use crate::organisation;
+use crate::phase;
 use crate::pool;
 use crate::question;
 use crate::reply;
@@ -51,6 +53,9 @@
 /// and the requesting node has to suspect it too.
 const MAX_HEARTBEAT_DURATION: time::Duration = time::Duration::from_millis(400);
 
+/// Why a stopping node relays nothing new.
+const STOPPING: &str = "the relaying node is stopping";
+
 /// A relaying node's answer to the opening of a relayed connection: the instance's log position if
 /// it is known.
 pub type Opened = Result<Option<stamp::Stamp>, upstream::Refusal>;
@@ -93,6 +98,12 @@
         }
     }
 
+    /// Whether a transaction is open.
+    #[must_use]
+    pub const fn in_transaction(&self) -> bool {
+        self.pinned.is_some()
+    }
+
     /// Checks that the instance can be reached and returns its last known log position.
     ///
     /// # Errors
@@ -312,6 +323,7 @@
     find_pool: Box<FindPool>,
     handler: cell::RefCell<Option<rc::Rc<Handler>>>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    lifecycle: rc::Rc<lifecycle::Lifecycle>,
     busy: cell::Cell<usize>,
 }
 
@@ -321,11 +333,13 @@
     pub fn new(
         find_pool: impl Fn(&upstream::Target) -> rc::Rc<pool::Pool> + 'static,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+        lifecycle: rc::Rc<lifecycle::Lifecycle>,
     ) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             find_pool: Box::new(find_pool),
             handler: cell::RefCell::default(),
             executor,
+            lifecycle,
             busy: cell::Cell::default(),
         })
     }
@@ -398,8 +412,21 @@
         }
     }
 
+    fn refuses_work(&self, session: &Session) -> bool {
+        let last = if session.in_transaction() {
+            phase::Phase::Closing
+        } else {
+            phase::Phase::Leaving
+        };
+        self.lifecycle.phase() > last
+    }
+
     async fn relay(&self, stream: &mut TcpStream, length: u32) -> io::Result<()> {
         let target: upstream::Target = message::receive_body(stream, length).await?;
+        if self.lifecycle.phase() > phase::Phase::Serving {
+            let refused: Opened = Err(upstream::Refusal::Silent(STOPPING.into()));
+            return message::send(stream, &refused).await;
+        }
         let mut session = Session::new((self.find_pool)(&target), target.organisation.clone());
         let opened = session.open().await;
         message::send(stream, &opened).await?;
@@ -408,6 +435,10 @@
         }
         loop {
             let (work, trailer) = message::receive_with_trailer::<Work>(stream).await?;
+            if self.refuses_work(&session) {
+                tracing::info!(instance = %target.id, in_transaction = session.in_transaction(), "relayed commands refused");
+                return message::send(stream, &refuse_work()).await;
+            }
             self.busy.set(self.busy.get() + 1);
             let urgency = work.urgency.to_absolute();
             let answer = {
@@ -425,6 +456,16 @@
     }
 }
 
+// The requesting node runs refused commands through another node, as they were not sent. What would
+// be in progress when this process exits could only be reported as unknown there.
+fn refuse_work() -> Answer {
+    Err(upstream::Failure {
+        sent: false,
+        crowded: false,
+        detail: STOPPING.into(),
+    })
+}
+
 // Awaits the commands and sends heartbeats meanwhile, so that the requesting node can take silence
 // for a failure of the connection or of this node.
 async fn run_with_heartbeats(
--- a/desk/tests/delegate.rs
+++ b/desk/tests/delegate.rs
@@ -291,7 +291,8 @@
             let address = address();
             let router = rc::Rc::clone(one.node.router());
             let find = move |target: &upstream::Target| router.pool(target);
-            let server = relay::Server::new(find, rc::Rc::clone(&cluster.executor));
+            let server =
+                relay::Server::new(find, rc::Rc::clone(&cluster.executor), rc::Rc::default());
             let node = rc::Rc::clone(&one.node);
             server.set_question_handler(move |question| {
                 let node = rc::Rc::clone(&node);
--- a/desk/tests/remote.rs
+++ b/desk/tests/remote.rs
@@ -6,16 +6,20 @@
 use std::rc;
 use std::time;
 
+use assert_matches::assert_matches;
 use futures_util::FutureExt;
 use futures_util::future;
 use mangotray::stamp;
 use mangotray_desk::boot;
 use mangotray_desk::connection;
+use mangotray_desk::lifecycle;
 use mangotray_desk::message;
 use mangotray_desk::organisation;
+use mangotray_desk::phase;
 use mangotray_desk::pool;
 use mangotray_desk::relay;
 use mangotray_desk::remote;
+use mangotray_desk::shutdown;
 use mangotray_desk::size;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
@@ -53,12 +57,20 @@
 
 /// Starts a node that relays to the primary of the cluster, and returns its address.
 async fn start_relay(cluster: &cluster::Cluster) -> net::SocketAddr {
+    start_relay_with(cluster, &rc::Rc::default()).await
+}
+
+async fn start_relay_with(
+    cluster: &cluster::Cluster,
+    lifecycle: &rc::Rc<lifecycle::Lifecycle>,
+) -> net::SocketAddr {
     let (listener, address) = listener();
     drop(listener);
     let pool = cluster.pool(3, 3);
     let server = relay::Server::new(
         move |_| rc::Rc::clone(&pool),
         rc::Rc::clone(&cluster.executor),
+        rc::Rc::clone(lifecycle),
     );
     let serve = server.serve(address);
     let serve = async move { serve.await.expect("a port") };
@@ -188,3 +200,79 @@
         assert!(answer.is_ok());
     });
 }
+
+/// Begins a stop that was requested `ago` and has a grace period of so many seconds.
+fn stop(lifecycle: &lifecycle::Lifecycle, ago: time::Duration, grace_seconds: u64) {
+    let requested = boot::now().saturating_sub(ago);
+    let grace = time::Duration::from_secs(grace_seconds);
+    lifecycle.begin(shutdown::Shutdown::new(requested, grace));
+}
+
+/// Begins a stop in which idle sessions are closed and transactions have an hour left.
+fn close(lifecycle: &lifecycle::Lifecycle) {
+    stop(lifecycle, time::Duration::from_millis(2300), 3600);
+    assert_eq!(lifecycle.phase(), phase::Phase::Closing);
+}
+
+/// Guards against writes whose callers are told that their outcome is unknown because the node that
+/// relayed them has stopped: it relayed until its process exited.
+#[test]
+fn a_stopping_node_refuses_relayed_statements_as_not_run() {
+    let cluster = cluster::Cluster::new();
+    cluster.run(async {
+        let lifecycle = rc::Rc::default();
+        let address = start_relay_with(&cluster, &lifecycle).await;
+        let dialled = remote::dial(address, &target(&cluster), None).await;
+        let (mut link, _) = dialled.expect("a node").expect("a connection");
+        let mut run = async |id: &str| {
+            let urgency = urgency::Urgency::immediate(boot::now() + LONG_DEADLINE);
+            link.run(&cluster::read(id), urgency, &organisation::OWN)
+                .await
+        };
+        assert!(run("one").await.is_ok());
+        stop(&lifecycle, time::Duration::ZERO, 3600);
+        let new = remote::dial(address, &target(&cluster), None).await;
+        let refusal = new.expect("a node").err();
+        assert_matches!(refusal, Some(upstream::Refusal::Silent(_)));
+        close(&lifecycle);
+        let failure = run("two").await.expect_err("a refusal");
+        assert!(!failure.sent, "{failure:?}");
+    });
+    let world = cluster.world.borrow();
+    assert!(world.ran.iter().all(|ran| ran.id != "two"));
+}
+
+/// Guards against transactions that are rolled back as soon as the node that relays them stops, and
+/// against a commit that it takes so late that its outcome is unknown.
+#[test]
+fn a_relayed_transaction_goes_on_until_its_node_starts_nothing_more() {
+    let cluster = cluster::Cluster::new();
+    cluster.run(async {
+        let lifecycle = rc::Rc::default();
+        let address = start_relay_with(&cluster, &lifecycle).await;
+        let dialled = remote::dial(address, &target(&cluster), None).await;
+        let (mut link, _) = dialled.expect("a node").expect("a connection");
+        let mut run = async |command: upstream::Command| {
+            let urgency = urgency::Urgency::immediate(boot::now() + LONG_DEADLINE);
+            link.run(&[command], urgency, &organisation::OWN).await
+        };
+        let begin = upstream::Command::Begin {
+            id: "begin".into(),
+            read_only: false,
+            after: None,
+        };
+        let statement = |id: &str, text: &str| upstream::Command::Run {
+            id: id.into(),
+            text: text.into(),
+            after: None,
+        };
+        run(begin).await.expect("an answer");
+        close(&lifecycle);
+        run(statement("one", "WRITE x 1")).await.expect("an answer");
+        stop(&lifecycle, time::Duration::from_millis(4300), 6);
+        let failure = run(statement("two", "COMMIT")).await;
+        assert!(!failure.expect_err("a refusal").sent);
+    });
+    let world = cluster.world.borrow();
+    assert!(world.ran.iter().all(|ran| ran.id != "two"));
+}
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -103,7 +103,11 @@
     )));
     let lending_address = lending.address;
     let lender = router(&lending.name, rc::Rc::new(reaches), executor);
-    let server = relay::Server::new(move |target| lender.pool(target), rc::Rc::clone(executor));
+    let server = relay::Server::new(
+        move |target| lender.pool(target),
+        rc::Rc::clone(executor),
+        rc::Rc::default(),
+    );
     let serve = server.serve(lending_address);
     executor
         .spawn(async move { serve.await.expect("a port") })
