Send a promotion order only while its lease outlasts it

A holder that was frozen between the record of its promotion and the order sent the order 8 s later, after two other promotions; the platform checks no fencing token there, and promoted an instance without the commits.

Cause: the store confirms the lease with the record, the replicas are then asked for their status, and the order was sent without a look at lease or time. The limits of both steps bound their timers, not a process that stands still.

Change: the record yields a permit::Permit. The client of the promotion call asks for it right before it sends: the permit lasts 350 ms from the call that records the promotion, less than the next holder waits before its first order, the lease must still be held under the same fencing token, and it must outlast the longest delivery of the order (800 ms). The clock counts a suspension. An order that is not sent is a refusal that is true, and the promotion begins anew.

Window that is left: a suspension between the check and the write in the same step of the process.

--- a/desk/src/election.rs
+++ b/desk/src/election.rs
@@ -17,6 +17,7 @@
 use crate::era;
 use crate::intent;
 use crate::membership;
+use crate::permit;
 use crate::promote;
 use crate::records;
 use crate::uncertainty;
@@ -65,11 +66,11 @@
 /// Pause after the store failed to answer.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
 
-/// Time that a new holder waits before its first order. A predecessor that confirmed its lease just
-/// before losing it sends its last order within [`CONFIRMATION_LIFETIME`].
+/// Time that a new holder waits before its first order. A predecessor whose lease was revoked right
+/// after the store confirmed it sends its last order before, as its [`permit::Permit`] expires.
 const TAKEOVER_DELAY: time::Duration = time::Duration::from_millis(400);
 
-/// An order must be sent within this time after the store confirmed the lease.
+/// The store must confirm the lease within this time.
 pub const CONFIRMATION_LIFETIME: time::Duration = time::Duration::from_millis(200);
 
 /// A lease on the promoter role.
@@ -195,7 +196,7 @@
     /// Every later holder knows what a former holder has recorded: a record is written only while
     /// the writer's lease is in force, and a holder reads the records after it has obtained the
     /// lease.
-    pub async fn record(&self, intent: &intent::Intent) -> Option<Lease> {
+    pub async fn record(&self, intent: &intent::Intent) -> Option<permit::Permit> {
         let held = self.held()?;
         let started = boot::now();
         self.record_count.set(self.record_count.get() + 1);
@@ -214,7 +215,14 @@
         }
         self.records.note(intent);
         let in_time = boot::now() < started + CONFIRMATION_LIFETIME;
-        (in_time && self.is_valid(&held)).then_some(held)
+        let valid = in_time && self.is_valid(&held);
+        valid.then(|| permit::Permit::new(held.fence, started))
+    }
+
+    /// Whether an order may be sent now under this permit.
+    #[must_use]
+    pub fn may_send(&self, permit: &permit::Permit) -> bool {
+        permit.allows(self.held().as_ref(), boot::now())
     }
 
     async fn write(
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod organisation;
 pub mod organisations;
 pub mod peers;
+pub mod permit;
 pub mod phase;
 pub mod pinned;
 pub mod pool;
--- a/desk/src/promote.rs
+++ b/desk/src/promote.rs
@@ -1,5 +1,7 @@
 //! Client of the platform's call that makes an instance the primary of its group.
 
+use std::time;
+
 use compact_str::CompactString;
 use futures_util::future;
 use mangotray::id;
@@ -9,6 +11,10 @@
 /// Fencing token of a holder of the promoter's lease; a later holder has a higher one.
 pub type Fence = u64;
 
+/// Longest time after its sending for which an order can still arrive. The client resets the
+/// connection by then, so that nothing of it is delivered later.
+pub const DELIVERY_LIMIT: time::Duration = time::Duration::from_millis(800);
+
 /// An order to promote an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -35,6 +41,11 @@
 
 /// Promotes instances.
 pub trait Client {
-    /// Orders a promotion.
-    fn promote<'a>(&'a self, order: &'a Order) -> future::LocalBoxFuture<'a, Outcome>;
+    /// Orders a promotion, on a new connection. `may_send` is asked right before the order is sent;
+    /// if it returns `false`, the order is refused.
+    fn promote<'a>(
+        &'a self,
+        order: &'a Order,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> future::LocalBoxFuture<'a, Outcome>;
 }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -650,7 +650,7 @@
     ) -> promote::Outcome {
         let group = &promotion.group.name;
         let open = self.has_open_order(group, leader);
-        let Some(lease) = self
+        let Some(permit) = self
             .election
             .record(&promotion.intent(&selection.candidate, selection.position, &selection.reports))
             .await
@@ -665,11 +665,11 @@
                 group: group.clone(),
                 candidate: selection.candidate.clone(),
                 holder: self.node.name.clone(),
-                fence: lease.fence,
+                fence: permit.fence,
             };
-            let outcome = promotion
-                .while_holding(&selection.candidate, self.promote_client.promote(&order))
-                .await;
+            let may_send = || self.election.may_send(&permit);
+            let sent = self.promote_client.promote(&order, &may_send);
+            let outcome = promotion.while_holding(&selection.candidate, sent).await;
             if let Some(intent) = self.election.intent(group) {
                 let entry = (intent, boot::now());
                 self.last_orders.borrow_mut().insert(group.clone(), entry);
@@ -678,7 +678,7 @@
         } else {
             promote::Outcome::Refused("a replica is no longer as it was held".into())
         };
-        tracing::info!(%group, candidate = %selection.candidate, fence = lease.fence, ?outcome,
+        tracing::info!(%group, candidate = %selection.candidate, fence = permit.fence, ?outcome,
             "promotion ordered");
         if matches!(outcome, promote::Outcome::Refused(_)) && !open {
             self.election.retract(group);
--- a/desk/src/promotion.rs
+++ b/desk/src/promotion.rs
@@ -36,9 +36,7 @@
 /// Interval at which held replicas are checked while an order takes effect.
 const HOLD_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(120);
 
-/// Timeout of the last status queries before an order. Together with
-/// [`election::CONFIRMATION_LIFETIME`](crate::election::CONFIRMATION_LIFETIME) it stays below the time that the next lease holder
-/// waits before its first order.
+/// Timeout of the last status queries before an order, well below the lifetime of its permit.
 const FINAL_CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// One promotion in progress.
--- a/desk/tests/harness/mod.rs
+++ b/desk/tests/harness/mod.rs
@@ -7,6 +7,7 @@
 use std::collections;
 use std::rc;
 use std::sync;
+use std::thread;
 use std::time;
 
 use bytes::Bytes;
@@ -269,6 +270,10 @@
     pub refuse_orders: cell::Cell<bool>,
     /// Number of following orders that are accepted and have no effect.
     pub ignore_orders: cell::Cell<usize>,
+    /// How long the whole process stands still right before the next order is sent.
+    pub freeze: cell::Cell<time::Duration>,
+    /// Number of orders that were not sent, as their permission had ended.
+    pub unsent: cell::Cell<usize>,
     /// Number of primaries at the arrival of each order.
     pub primaries: cell::RefCell<Vec<usize>>,
 }
@@ -277,8 +282,14 @@
     fn promote<'a>(
         &'a self,
         order: &'a promote::Order,
+        may_send: &'a dyn Fn() -> bool,
     ) -> future::LocalBoxFuture<'a, promote::Outcome> {
         async move {
+            thread::sleep(self.freeze.take());
+            if !may_send() {
+                self.unsent.set(self.unsent.get() + 1);
+                return promote::Outcome::Refused("not sent".into());
+            }
             self.orders.borrow_mut().push(order.clone());
             if self.refuse_orders.get() {
                 return promote::Outcome::Refused("not now".into());
@@ -403,6 +414,8 @@
         drop_orders: cell::Cell::default(),
         refuse_orders: cell::Cell::default(),
         ignore_orders: cell::Cell::default(),
+        freeze: cell::Cell::default(),
+        unsent: cell::Cell::default(),
         primaries: cell::RefCell::default(),
     });
     let ordered: rc::Rc<dyn promote::Client> = rc::Rc::<FakeClient>::clone(&client);
