Keep the lease until an order in flight has ended

What callers would see: acknowledged commits are gone after a promotion, if a node that stops gives up the lease while its order is on the way, and the next holder promotes another instance before it arrives.

Cause: a stop gave up the lease at once, whatever the promoter was doing. Related to the orders that outlive their lease; found by reading.

Run: the new test in desk/tests/permit.rs fails without the wait and passes now.

--- a/desk/src/election.rs
+++ b/desk/src/election.rs
@@ -63,6 +63,9 @@
 const STARTUP_PERIOD: time::Duration = time::Duration::from_secs(3);
 const CLAIM_DELAY: time::Duration = time::Duration::from_millis(1200);
 
+/// Interval at which a resigning holder checks whether its orders have ended.
+const ORDER_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
 /// Pause after the store failed to answer.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
 
@@ -112,6 +115,8 @@
     /// The era that the store's entry [`SETTLED_ERA_KEY`] is known to hold.
     settled_era: cell::Cell<store::Era>,
     members: cell::Cell<usize>,
+    /// Cloned for each order in flight.
+    orders_in_flight: rc::Rc<()>,
 }
 
 impl Election {
@@ -138,6 +143,7 @@
             uncertainty: cell::Cell::default(),
             settled_era: cell::Cell::default(),
             members: cell::Cell::default(),
+            orders_in_flight: rc::Rc::default(),
         })
     }
 
@@ -225,6 +231,12 @@
         permit.allows(self.held().as_ref(), boot::now())
     }
 
+    /// Returns a token to be held while an order is in flight; the lease is not resigned meanwhile.
+    #[must_use]
+    pub fn order_token(&self) -> rc::Rc<()> {
+        rc::Rc::clone(&self.orders_in_flight)
+    }
+
     async fn write(
         &self,
         held: &Lease,
@@ -348,6 +360,10 @@
     pub async fn resign(&self) {
         self.stopping.set(true);
         let held = self.held.take();
+        // No order is sent without a lease, and one in flight ends within its delivery limit.
+        while rc::Rc::strong_count(&self.orders_in_flight) > 1 {
+            wait::sleep(ORDER_POLL_INTERVAL).await;
+        }
         if let Some(held) = held {
             let left = self.store.revoke(&held.id).await;
             tracing::info!(fence = held.fence, ?left, "promoter's lease resigned");
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -667,6 +667,7 @@
                 holder: self.node.name.clone(),
                 fence: permit.fence,
             };
+            let _in_flight = self.election.order_token();
             let may_send = || self.election.may_send(&permit);
             let sent = self.promote_client.promote(&order, &may_send);
             let outcome = promotion.while_holding(&selection.candidate, sent).await;
--- a/desk/tests/permit.rs
+++ b/desk/tests/permit.rs
@@ -3,11 +3,13 @@
 mod cluster;
 mod harness;
 
+use std::rc;
 use std::time;
 
 use mangotray_desk::election;
 use mangotray_desk::permit;
 use mangotray_desk::promote;
+use mangotray_desk::wait;
 
 /// Longer than a permit to send an order lasts, and shorter than the lease of these tests.
 const FREEZE: time::Duration = time::Duration::from_millis(700);
@@ -75,3 +77,26 @@
         harness.wait_for_primary(2).await;
     });
 }
+
+/// Guards against a successor that obtains the lease while an order of its predecessor is on its
+/// way: a node that stopped gave up the lease in the middle of a promotion.
+#[test]
+fn a_lease_is_not_resigned_while_an_order_is_in_flight() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.client.answer_delay.set(harness::SHORT);
+        harness.cluster.world.borrow_mut().at("a").up = false;
+        harness.wait_for_order().await;
+        let election = rc::Rc::clone(&harness.election);
+        let resigned = harness
+            .cluster
+            .executor
+            .spawn(async move { election.resign().await });
+        wait::sleep(harness::SHORT / 5).await;
+        assert!(!resigned.is_finished());
+        assert!(harness.store.at().entry.is_some(), "the lease was given up");
+        resigned.await;
+        assert!(harness.store.at().entry.is_none());
+    });
+}
