Promote no instance that lacks acknowledged commits, while one may have them

Cause: a new replica that is not listed yet may be the only one that confirms commits. The promoter holds and compares the instances that it knows, and promoted the best of these. It knew the last position that a listed replica had received, but not what callers had been told.

Change: each node keeps the highest position at which it has passed on a commit as acknowledged. After the replicas are held and before a candidate is taken, the promoter asks all nodes that answer for it. If the candidate ends before it, a primary that leads is left alone (the cause Stalled), and otherwise the promotion is held back and tried again, so that the replica is included once it is listed. The wait ends 5 s after the last advance: the group must not stay without a primary for commits that nobody has any more. Log, metric (held back, and mangotray_short_promotions_total when the wait has ended) and 'mangotray-node status' tell it; callers are refused as in any group without a primary.

Weighed: the primary's own last position holds a promotion back for records that were never acknowledged; waiting for a settled list after an outage delays every promotion then, and misses the listing delay in calm. Left: commits passed on by nodes that are lost or out of reach, and the position of an answer may include commits in progress beside it, which costs a wait of 5 s if these are lost.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -74,6 +74,8 @@
     refreshing_locally: cell::Cell<bool>,
     querying_absent: cell::Cell<bool>,
     prover: proof::Prover,
+    /// Highest position of a commit that this node has passed on as acknowledged.
+    acknowledged: cell::Cell<Option<stamp::Stamp>>,
     /// What the promotion waits for that this node holds back.
     holdback: cell::RefCell<Option<holdback::Holdback>>,
     /// The record of the group's instances that the store has.
@@ -109,6 +111,7 @@
             refreshing_locally: cell::Cell::default(),
             querying_absent: cell::Cell::default(),
             prover: proof::Prover::default(),
+            acknowledged: cell::Cell::default(),
             holdback: cell::RefCell::default(),
             recorded: cell::RefCell::default(),
             recording: cell::RefCell::default(),
@@ -450,6 +453,19 @@
         }
     }
 
+    /// Records the position in the primary's answer to a commit, which this node passes on as
+    /// acknowledged.
+    pub fn note_acknowledged(&self, position: Option<stamp::Stamp>) {
+        self.acknowledged.set(self.acknowledged.get().max(position));
+    }
+
+    /// Highest position that this node has passed on as acknowledged. Commits that were in progress
+    /// at the same time may be before it.
+    #[must_use]
+    pub fn acknowledged(&self) -> Option<stamp::Stamp> {
+        self.acknowledged.get()
+    }
+
     /// Discards the known primary if its term is `term` or earlier, and starts a search.
     pub fn suspect(self: &rc::Rc<Self>, term: id::Term, reason: &str) {
         let suspected = self.leadership.borrow_mut().clear_leader(term, boot::now());
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod settings;
 pub mod shard;
 pub mod shortage;
+pub mod shortfall;
 pub mod shutdown;
 pub mod size;
 pub mod source;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use mangotray::id;
+use mangotray::stamp;
 use mangotray::telemetry;
 
 use crate::access;
@@ -22,6 +23,7 @@
 use crate::key;
 use crate::membership;
 use crate::organisations;
+use crate::question;
 use crate::quotas;
 use crate::router;
 use crate::upstream;
@@ -373,4 +375,27 @@
     pub fn groups(&self) -> Vec<rc::Rc<group::Group>> {
         self.groups.borrow().values().cloned().collect()
     }
+
+    /// Highest position that this node has passed on as acknowledged in a group.
+    #[must_use]
+    pub fn acknowledged(&self, group: &id::Group) -> Option<stamp::Stamp> {
+        let groups = self.groups.borrow();
+        groups.get(group).and_then(|group| group.acknowledged())
+    }
+
+    /// Highest position that this node, or another one that answers, has passed on as acknowledged
+    /// in a group.
+    pub async fn acknowledged_anywhere(&self, group: &id::Group) -> Option<stamp::Stamp> {
+        let peers = self.router.peers();
+        let mut others = self.router.members();
+        others.retain(|member| member.name != self.name && peers.may_ask(&member.name));
+        let question = question::Question::Acknowledged(group.clone());
+        let asked = others.iter().map(|member| peers.ask(member, &question));
+        let answers = futures_util::future::join_all(asked).await;
+        let answered = answers.into_iter().filter_map(|answer| match answer {
+            Some(question::Answer::Acknowledged(position)) => Some(position),
+            _ => None,
+        });
+        answered.max().max(self.acknowledged(group))
+    }
 }
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -30,6 +30,7 @@
 use crate::promote;
 use crate::promotion;
 use crate::resumes;
+use crate::shortfall;
 use crate::status;
 use crate::upstream;
 use crate::verdict;
@@ -87,6 +88,8 @@
     /// Groups found to have no order in flight after the store came back, with the store's era.
     groups_without_order: cell::RefCell<collections::BTreeMap<id::Group, store::Era>>,
     resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
+    /// Groups whose candidate lacked acknowledged commits.
+    shortfalls: cell::RefCell<collections::BTreeMap<id::Group, shortfall::Shortfall>>,
 }
 
 impl Promoter {
@@ -105,6 +108,7 @@
             last_orders: cell::RefCell::default(),
             groups_without_order: cell::RefCell::default(),
             resumes: rc::Rc::default(),
+            shortfalls: cell::RefCell::default(),
         })
     }
 
@@ -375,7 +379,14 @@
                 pending: pending.as_ref().map(|intent| &intent.candidate),
                 loss: self.loss(promotion, leader),
             };
-            let (verdict, predecessor) = self.judge(promotion, leader, &view).await;
+            let (mut verdict, predecessor) = self.judge(promotion, leader, &view).await;
+            if let verdict::Verdict::Promote(candidate) = &verdict {
+                let answers = reports.iter().chain(&predecessor);
+                let position = position_of(answers, candidate);
+                if let Some(obstacle) = self.find_shortfall(promotion, leader, position).await {
+                    verdict = obstacle;
+                }
+            }
             let missing = verdict == verdict::Verdict::Missing;
             match verdict {
                 verdict::Verdict::Promote(candidate) if promotion.has_unknown_id(&candidate) => {
@@ -383,11 +394,8 @@
                         "the instance with the longest log cannot be promoted: its id is unknown");
                 }
                 verdict::Verdict::Promote(candidate) => {
-                    let mut answers = reports.iter().chain(&predecessor);
-                    let chosen = answers.find(|report| report.id == candidate);
-                    let position = chosen.map(|report| report.status.received);
                     return Ok(Selection {
-                        position: position.unwrap_or_default(),
+                        position: position_of(reports.iter().chain(&predecessor), &candidate),
                         reports,
                         processes,
                         candidate,
@@ -426,6 +434,42 @@
         }
     }
 
+    // What keeps a candidate with this log position from being promoted, if callers of any node in
+    // reach were told that commits beyond it are kept: a replica that is not listed yet may have
+    // them. After a bounded wait nothing does.
+    async fn find_shortfall(
+        &self,
+        promotion: &promotion::Promotion,
+        leader: &status::Leader,
+        position: stamp::Stamp,
+    ) -> Option<verdict::Verdict> {
+        let group = &promotion.group.name;
+        let acknowledged = self.node.acknowledged_anywhere(group).await;
+        let Some(acknowledged) = acknowledged.filter(|stamp| *stamp > position) else {
+            self.shortfalls.borrow_mut().remove(group);
+            return None;
+        };
+        let now = boot::now();
+        let before = self.shortfalls.borrow_mut().remove(group);
+        let shortfall = shortfall::Shortfall::note(before, acknowledged, now);
+        self.shortfalls
+            .borrow_mut()
+            .insert(group.clone(), shortfall);
+        tracing::warn!(%group, %position, %acknowledged, over = shortfall.is_over(now),
+            "the candidate lacks acknowledged commits; a replica that is not listed yet may have them");
+        if shortfall.is_over(now) {
+            metrics::counter!(telemetry::SHORT_PROMOTIONS, "group" => group.to_string())
+                .increment(1);
+            return None;
+        }
+        let leads = probe::Prober::new(&promotion.group, leader).leads().await;
+        Some(if leads {
+            verdict::Verdict::Returned
+        } else {
+            verdict::Verdict::HeldBack
+        })
+    }
+
     // Makes a leaving primary stop before its replicas are held, if an unlisted replica does not answer
     // and may not come back before the primary's end. A stopped primary's log has all records, so
     // that the missing replica is not needed.
@@ -783,6 +827,17 @@
     }
 }
 
+// Log position that an instance reported.
+fn position_of<'a>(
+    mut reports: impl Iterator<Item = &'a status::Report>,
+    id: &upstream::Id,
+) -> stamp::Stamp {
+    let found = reports.find(|report| report.id == *id);
+    found
+        .map(|report| report.status.received)
+        .unwrap_or_default()
+}
+
 // Describes what a promotion waits for that is held back.
 fn holdback(
     promotion: &promotion::Promotion,
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use mangotray::id;
+use mangotray::stamp;
 
 use crate::buckets;
 use crate::delegate;
@@ -16,6 +17,8 @@
     Newest(time::Duration),
     /// Requests a token of an organisation.
     Token(buckets::Request),
+    /// Asks for the highest position that the node has passed on as acknowledged in a group.
+    Acknowledged(id::Group),
 }
 
 /// An answer; its variant follows from the question.
@@ -29,6 +32,8 @@
     Newest(Newest),
     /// Decision about a token request.
     Token(buckets::Decision),
+    /// The highest acknowledged position that the node knows.
+    Acknowledged(stamp::Stamp),
 }
 
 /// Proof that a configuration was the newest.
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -245,6 +245,7 @@
             route,
             organisation,
             pinned: None,
+            wrote: false,
         }));
         reply::Reply::done(self.state())
     }
--- a/desk/src/transaction.rs
+++ b/desk/src/transaction.rs
@@ -32,6 +32,8 @@
     pub(crate) organisation: organisation::Name,
     /// The connection that it runs on; `None` before its first statement.
     pub(crate) pinned: Option<pinned::Pinned>,
+    /// Whether a write has run in it.
+    pub(crate) wrote: bool,
 }
 
 impl Transaction {
@@ -63,6 +65,7 @@
                 "the connection to the instance was lost".into(),
             ));
         };
+        self.wrote |= query.access == statement::Access::Write;
         if let Some(term) = pinned.primary_term {
             pinned.group.record_position(term, sent, reply.position);
             if reply.code() == Some(&reply::Code::ReadOnly) {
@@ -107,6 +110,9 @@
         };
         if let (reply::State::Idle, Some(term)) = (reply.state, pinned.primary_term) {
             pinned.group.record_position(term, sent, reply.position);
+            if self.wrote && reply.is_done() {
+                pinned.group.note_acknowledged(reply.position);
+            }
         }
         Ok(reply)
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -30,6 +30,8 @@
 pub const PROMOTIONS: &str = "mangotray_promotions_total";
 /// Replicas found to have records that the promoted instance lacks; label `group`.
 pub const PROMOTION_LOSSES: &str = "mangotray_promotion_losses_total";
+/// Promotions of an instance that lacks commits which callers were told are kept; label `group`.
+pub const SHORT_PROMOTIONS: &str = "mangotray_short_promotions_total";
 /// 1 while a promotion of the group is held back on this node; label `group`.
 pub const PROMOTION_HELD_BACK: &str = "mangotray_promotion_held_back";
 /// Calls to the platform's key-value service; labels `kind` and `outcome`.
@@ -136,6 +138,10 @@
             PROMOTION_LOSSES,
             "Replicas with records that the instance promoted instead lacks, by group",
         ),
+        (
+            SHORT_PROMOTIONS,
+            "Promotions of an instance that lacks commits which callers were told are kept, by group",
+        ),
         (
             STORE_CALLS,
             "Calls to the platform's service, by kind and outcome",
