Take no end of a process for a loss if it ended before the primary led

What callers saw: a group without a primary for as long as anyone looked (20 s and more; writes and current reads refused) after two crashes in quick succession.

Cause: the return of an instance under a new start time was noted as the loss of a replica of the present primary, found at that moment. Its bound is the primary's first position after that, which never came: `loss: Some(Unknown)`, `old: Silent`, `HeldBack` every 1.4 s. But the process that ended was the replaced primary; it had ended before the present one led, and had confirmed nothing of its term.

What is known of a process that has ended is now one value, ended::Process: by when it had ended, and the latest term in which it was seen. Roster, group and floors use it. By when: the first of an unbroken series of refusals, if the last one is recent, else when the end was found. Any position of the primary asked for after that bounds the loss, also one that is known already. A process that was last seen in an earlier term, whose end is not dated, is bounded by what all nodes have passed on as acknowledged; if a node does not answer, the loss stays unknown as before. A replica that was seen in the primary's term, or never, is treated as before.

The bound is tried at each millisecond of the end, and of its being found.

--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -7,6 +7,9 @@
 use mangotray::id;
 use mangotray::stamp;
 
+use crate::ended;
+use crate::verdict;
+
 /// Floors closer together than this are merged, so that 3 s of floors take fewer than 100 entries.
 const SPACING: time::Duration = time::Duration::from_millis(40);
 
@@ -42,17 +45,40 @@
     unproven_positions: collections::VecDeque<(id::Time, stamp::Stamp)>,
     /// The floors, with the moment up to which each covers commits, in order of time.
     entries: collections::VecDeque<(id::Time, stamp::Stamp)>,
-    /// When the first answered command was sent to this term's primary.
-    first_sent: Option<id::Time>,
-    /// When a replica was last found to have lost its log, and the primary's first known position
-    /// after that.
-    loss: Option<(id::Time, Option<stamp::Stamp>)>,
+    /// This term's primary's first known position, with the time at which it was requested.
+    first_position: Option<(id::Time, stamp::Stamp)>,
+    loss: Option<Loss>,
     /// The primary's recent positions, with the time at which each was requested.
     recent_positions: collections::VecDeque<(id::Time, stamp::Stamp)>,
     /// When a floor was last derived from replicas alone.
     replica_only_at: Option<id::Time>,
 }
 
+/// Processes of replicas that have ended in this term, whose logs are lost.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    /// They had ended by this time.
+    ended_by: id::Time,
+    /// The primary's first known position after that.
+    bound: Option<stamp::Stamp>,
+    /// While there is no bound: one of them may have followed the primary.
+    may_have_followed: bool,
+}
+
+impl Loss {
+    fn join(self, other: Self) -> Self {
+        Self {
+            ended_by: self.ended_by.max(other.ended_by),
+            bound: self.bound.zip(other.bound).map(|(one, two)| one.max(two)),
+            may_have_followed: self.is_open() || other.is_open(),
+        }
+    }
+
+    const fn is_open(&self) -> bool {
+        self.bound.is_none() && self.may_have_followed
+    }
+}
+
 impl Floors {
     /// Records that the primary of `term` was still leading at `started`, when the query to its
     /// replicas was sent.
@@ -80,7 +106,7 @@
         if let Some(proven_at) = self.proven_at.filter(|proven_at| *proven_at <= sent) {
             self.push(proven_at, stamp);
         }
-        self.first_sent = self.first_sent.or(Some(sent));
+        self.first_position = self.first_position.or(Some((sent, stamp)));
         self.bound_loss(sent, stamp);
         self.record_recent(sent, stamp);
         let spaced = self
@@ -206,43 +232,67 @@
         known.filter(|_| term == self.term)
     }
 
-    /// Records that, as found at `now`, a replica of the known primary has lost its log.
-    pub const fn note_loss(&mut self, now: id::Time) {
-        if self.first_sent.is_some() {
-            self.loss = Some((now, None));
+    /// Records that a process has ended whose log is lost.
+    pub fn note_loss(&mut self, process: ended::Process) {
+        if self.first_position.is_none() {
+            return;
         }
+        let loss = Loss {
+            ended_by: process.by,
+            bound: self.first_position_since(process.by),
+            may_have_followed: process.may_have_followed(self.term),
+        };
+        self.loss = Some(self.loss.map_or(loss, |before| before.join(loss)));
     }
 
-    /// If a replica has lost its log under the primary of `term`: the primary's first known
-    /// position after that, or `Some(None)` while none is known. The replica can't have confirmed
-    /// anything beyond that position.
+    // A position that the primary had when it was asked at `moment` or later, the earliest known.
+    fn first_position_since(&self, moment: id::Time) -> Option<stamp::Stamp> {
+        let known = self.first_position.iter().chain(&self.recent_positions);
+        let since = known.filter(|(sent, _)| *sent >= moment);
+        since.map(|(_, stamp)| *stamp).min()
+    }
+
+    /// If processes have ended under the primary of `term` whose logs are lost: what is known of the
+    /// records that they may have confirmed. That is nothing beyond the primary's first known
+    /// position after their end.
     ///
     /// ```
     /// use mangotray::stamp::Stamp;
-    /// use mangotray_desk::floor;
+    /// use mangotray_desk::{ended, floor, verdict::Loss};
     /// use std::time::Duration;
     /// let mut floors = floor::Floors::default();
     /// floors.record_position(2, Duration::from_millis(100), Stamp::new(2, 7));
     /// assert_eq!(floors.loss(2), None);
-    /// floors.note_loss(Duration::from_millis(200));
+    /// floors.note_loss(ended::Process::found(Duration::from_millis(200)));
     /// floors.record_position(2, Duration::from_millis(150), Stamp::new(2, 8));
-    /// assert_eq!(floors.loss(2), Some(None));
+    /// assert_eq!(floors.loss(2), Some(Loss::Unknown));
     /// floors.record_position(2, Duration::from_millis(300), Stamp::new(2, 9));
     /// floors.record_position(2, Duration::from_millis(400), Stamp::new(2, 11));
-    /// assert_eq!(floors.loss(2), Some(Some(Stamp::new(2, 9))));
+    /// assert_eq!(floors.loss(2), Some(Loss::Within(Stamp::new(2, 9))));
     /// // The loss is irrelevant to a later primary.
     /// floors.record_position(3, Duration::from_millis(500), Stamp::new(3, 12));
     /// assert_eq!(floors.loss(3), None);
+    /// // A process that had ended before this primary answered has confirmed nothing after that.
+    /// floors.note_loss(ended::Process { by: Duration::from_millis(450), term: 2 });
+    /// assert_eq!(floors.loss(3), Some(Loss::Within(Stamp::new(3, 12))));
     /// ```
     #[must_use]
-    pub fn loss(&self, term: id::Term) -> Option<Option<stamp::Stamp>> {
+    pub fn loss(&self, term: id::Term) -> Option<verdict::Loss> {
         let loss = self.loss.filter(|_| term == self.term)?;
-        Some(loss.1)
+        Some(match loss.bound {
+            Some(bound) => verdict::Loss::Within(bound),
+            None if loss.may_have_followed => verdict::Loss::Unknown,
+            None => verdict::Loss::Unseen,
+        })
     }
 
     fn bound_loss(&mut self, sent: id::Time, stamp: stamp::Stamp) {
-        if let Some((lost, bound @ None)) = &mut self.loss
-            && *lost <= sent
+        if let Some(Loss {
+            ended_by,
+            bound: bound @ None,
+            ..
+        }) = &mut self.loss
+            && *ended_by <= sent
         {
             *bound = Some(stamp);
         }
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -18,6 +18,7 @@
 use crate::delegate;
 use crate::detector;
 use crate::election;
+use crate::ended;
 use crate::holdback;
 use crate::leadership;
 use crate::membership;
@@ -27,6 +28,7 @@
 use crate::source;
 use crate::status;
 use crate::upstream;
+use crate::verdict;
 use crate::wait;
 use crate::witness;
 
@@ -143,17 +145,15 @@
         let since = since.map(|since| since.min(list_time));
         let restarted = self.roster.update(instances, since, list_time);
         self.query_absent();
-        for id in &restarted {
-            let mut leadership = self.leadership.borrow_mut();
-            leadership.progress().forget(id);
-            if !leads(id) {
-                leadership.note_loss(boot::now());
+        for pool in &restarted {
+            let (id, process) = (pool.id(), self.ended_process(pool));
+            self.leadership.borrow_mut().progress().forget(&id);
+            if !leads(&id) {
+                self.note_loss(&id, process);
             }
         }
-        if let Some(leader) = leader
-            .as_ref()
-            .filter(|leader| restarted.contains(&leader.id))
-        {
+        let leader_restarted = restarted.iter().any(|pool| leads(&pool.id()));
+        if let Some(leader) = leader.as_ref().filter(|_| leader_restarted) {
             self.suspect(leader.term, "the primary has restarted");
         } else if leader.is_some() && (unexpected || !restarted.is_empty()) {
             // The primary's answer bounds what the restarted replica had confirmed.
@@ -218,6 +218,31 @@
         self.note_forgotten(&forgotten);
     }
 
+    // What is known of the process that this pool is connected to, and that has ended.
+    fn ended_process(&self, pool: &pool::Pool) -> ended::Process {
+        let now = boot::now();
+        let reported = self
+            .leadership
+            .borrow_mut()
+            .progress()
+            .last_term(&pool.id());
+        let applied = Some(pool.applied().term).filter(|term| *term > 0);
+        let found = ended::Process::found(now);
+        ended::Process {
+            by: pool.ended_by(now),
+            term: reported.max(applied).unwrap_or(found.term),
+        }
+    }
+
+    fn note_loss(&self, id: &upstream::Id, process: ended::Process) {
+        let mut leadership = self.leadership.borrow_mut();
+        leadership.note_loss(process);
+        let loss = leadership.floors().loss(leadership.term());
+        let ended_ms = boot::now().saturating_sub(process.by).as_millis();
+        let seen = (process.term < id::Term::MAX).then_some(process.term);
+        tracing::info!(group = %self.name, instance = %id, ended_ms, last_term = seen, ?loss, "log of an ended process is lost");
+    }
+
     fn standing(&self, id: &upstream::Id) -> absence::Standing {
         let leadership = self.leadership.borrow();
         match leadership.leader() {
@@ -227,13 +252,20 @@
         }
     }
 
-    fn note_forgotten(self: &rc::Rc<Self>, forgotten: &[upstream::Id]) {
-        let is_follower = |id: &upstream::Id| self.standing(id) != absence::Standing::Primary;
-        if forgotten.iter().any(is_follower) {
-            self.leadership.borrow_mut().note_loss(boot::now());
-            if self.leader().is_some() {
-                self.search();
-            }
+    fn note_forgotten(self: &rc::Rc<Self>, forgotten: &[rc::Rc<pool::Pool>]) {
+        let processes = forgotten
+            .iter()
+            .map(|pool| (pool.id(), self.ended_process(pool)));
+        self.note_lost_logs(processes.collect());
+    }
+
+    fn note_lost_logs(self: &rc::Rc<Self>, mut ended: Vec<(upstream::Id, ended::Process)>) {
+        ended.retain(|(id, _)| self.standing(id) != absence::Standing::Primary);
+        for (id, process) in &ended {
+            self.note_loss(id, *process);
+        }
+        if !ended.is_empty() && self.leader().is_some() {
+            self.search();
         }
     }
 
@@ -244,7 +276,9 @@
         for report in self.query_status(&vacated, limit).await {
             self.roster.adopt_successor(&report.id);
         }
-        self.note_forgotten(&self.roster.take_lost_logs());
+        let found = ended::Process::found(boot::now());
+        let lost = self.roster.take_lost_logs().into_iter();
+        self.note_lost_logs(lost.map(|id| (id, found)).collect());
     }
 
     // Records that a replica has applied in the present term count as received. This is saved here
@@ -283,7 +317,7 @@
             tracing::warn!(group = %self.name, instance = %id,
                 "replica reports fewer records than it had received: it has restarted without its log");
             self.roster.note_lost_log(&id);
-            self.leadership.borrow_mut().note_loss(boot::now());
+            self.note_loss(&id, ended::Process::found(boot::now()));
         }
     }
 
@@ -375,14 +409,16 @@
         let Some(leader) = self.leader() else {
             return false;
         };
-        let bound =
-            self.with_witnesses(|witnesses| witnesses.leadership.floors().loss(leader.term));
+        let loss = self.with_witnesses(|witnesses| witnesses.leadership.floors().loss(leader.term));
         let applied = self
             .others(&leader.id)
             .iter()
             .map(|pool| pool.applied())
             .max();
-        bound.is_none_or(|bound| bound.is_some() && applied >= bound)
+        loss.is_none_or(|loss| match loss {
+            verdict::Loss::Within(bound) => applied >= Some(bound),
+            verdict::Loss::Unknown | verdict::Loss::Unseen => false,
+        })
     }
 
     /// Sets what the promotion waits for that this node holds back; `None` if it holds none back.
--- a/desk/src/health.rs
+++ b/desk/src/health.rs
@@ -24,6 +24,10 @@
 /// don't wait for a lost instance, as another node may reach it.
 const LOST_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// A process has been gone since the first of its refusals only if the last one is no older than
+/// this: another process may have started and ended after it.
+const REFUSAL_LIFETIME: time::Duration = time::Duration::from_secs(1);
+
 /// The state of one instance; its methods are described at those of [`crate::pool::Pool`].
 #[derive(Default)]
 pub(crate) struct Health {
@@ -33,6 +37,8 @@
     replaced: cell::Cell<bool>,
     /// Since when its address has refused every connection.
     refused_since: cell::Cell<Option<id::Time>>,
+    /// When its address last refused a connection.
+    last_refused: cell::Cell<id::Time>,
     failing_since: cell::Cell<Option<id::Time>>,
     applied: cell::Cell<stamp::Stamp>,
     last_behind: cell::Cell<id::Time>,
@@ -101,6 +107,13 @@
         }
     }
 
+    /// A time by which the process had ended, as it is found at `now` to have.
+    pub(crate) fn ended_by(&self, now: id::Time) -> id::Time {
+        let since = self.refused_since.get();
+        let recent = now < self.last_refused.get() + REFUSAL_LIFETIME;
+        since.filter(|_| recent).unwrap_or(now)
+    }
+
     pub(crate) fn note_behind(&self) {
         self.last_behind.set(boot::now());
     }
@@ -151,6 +164,9 @@
         let refused = *refusal == upstream::Refusal::Closed;
         let refused_since = self.refused_since.get().unwrap_or_else(boot::now);
         self.refused_since.set(refused.then_some(refused_since));
+        if refused {
+            self.last_refused.set(boot::now());
+        }
         let pause = if replaced {
             REPLACED_RETRY_DELAY
         } else {
--- a/desk/src/leadership.rs
+++ b/desk/src/leadership.rs
@@ -5,6 +5,7 @@
 use mangotray::stamp;
 
 use crate::detector;
+use crate::ended;
 use crate::floor;
 use crate::progress;
 use crate::status;
@@ -120,9 +121,9 @@
         lost
     }
 
-    /// Records that, as found at `now`, a replica has lost its log.
-    pub const fn note_loss(&mut self, now: id::Time) {
-        self.floors.note_loss(now);
+    /// Records that a process has ended whose log is lost.
+    pub fn note_loss(&mut self, process: ended::Process) {
+        self.floors.note_loss(process);
     }
 
     /// Records the primary's position in the answer to a command sent at `sent`.
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod absence;
 pub mod access;
+pub mod acknowledgement;
 pub mod attempt;
 pub mod audit;
 pub mod backoff;
@@ -28,6 +29,7 @@
 pub mod delegate;
 pub mod detector;
 pub mod election;
+pub mod ended;
 pub mod era;
 pub mod floor;
 pub mod group;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -14,6 +14,7 @@
 use mangotray::telemetry;
 
 use crate::access;
+use crate::acknowledgement;
 use crate::boot;
 use crate::buckets;
 use crate::catalog;
@@ -383,19 +384,26 @@
         groups.get(group).and_then(|group| group.acknowledged())
     }
 
-    /// Highest position that this node, or another one that answers, has passed on as acknowledged
-    /// in a group.
-    pub async fn acknowledged_anywhere(&self, group: &id::Group) -> Option<stamp::Stamp> {
+    /// What this node, and the others that answer, have passed on as acknowledged in a group.
+    pub async fn acknowledged_anywhere(
+        &self,
+        group: &id::Group,
+    ) -> acknowledgement::Acknowledgement {
         let peers = self.router.peers();
         let mut others = self.router.members();
-        others.retain(|member| member.name != self.name && peers.may_ask(&member.name));
+        others.retain(|member| member.name != self.name);
+        let total = others.len();
+        others.retain(|member| peers.may_ask(&member.name));
         let question = question::Question::Acknowledged(group.clone());
         let asked = others.iter().map(|member| peers.ask(member, &question));
         let answers = futures_util::future::join_all(asked).await;
-        let answered = answers.into_iter().filter_map(|answer| match answer {
-            Some(question::Answer::Acknowledged(position)) => Some(position),
+        let positions = answers.iter().flatten().filter_map(|answer| match answer {
+            question::Answer::Acknowledged(position) => Some(*position),
             _ => None,
         });
-        answered.max().max(self.acknowledged(group))
+        acknowledgement::Acknowledgement {
+            position: positions.max().max(self.acknowledged(group)),
+            complete: answers.iter().flatten().count() == total,
+        }
     }
 }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -168,6 +168,12 @@
         self.health.activity()
     }
 
+    /// A time by which the instance's process had ended, as it is found at `now` to have.
+    #[must_use]
+    pub fn ended_by(&self, now: id::Time) -> id::Time {
+        self.health.ended_by(now)
+    }
+
     /// Records that the instance refused a read because it was behind the required position.
     pub fn note_behind(&self) {
         self.health.note_behind();
--- a/desk/src/progress.rs
+++ b/desk/src/progress.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// The term in the last report of an instance.
+    #[must_use]
+    pub fn last_term(&self, id: &upstream::Id) -> Option<id::Term> {
+        self.last_reports.get(id).map(|report| report.term)
+    }
+
     /// Drops the last report of an instance's earlier process.
     pub fn forget(&mut self, id: &upstream::Id) {
         self.last_reports.remove(id);
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -370,6 +370,10 @@
                 let open = intent.term > leader.term && processes.contains(&intent.process());
                 open && !self.is_timed_out(intent)
             });
+            let loss = match self.loss(promotion, leader) {
+                Some(loss) => Some(self.bound_unseen(&group.name, loss).await),
+                None => None,
+            };
             let view = verdict::View {
                 leader,
                 term: promotion.term,
@@ -377,7 +381,7 @@
                 reports: &reports,
                 max_received: promotion.max_received.max(group.max_received()),
                 pending: pending.as_ref().map(|intent| &intent.candidate),
-                loss: self.loss(promotion, leader),
+                loss,
             };
             let (mut verdict, predecessor) = self.judge(promotion, leader, &view).await;
             if let verdict::Verdict::Promote(candidate) = &verdict {
@@ -445,7 +449,8 @@
     ) -> Option<verdict::Verdict> {
         let group = &promotion.group.name;
         let acknowledged = self.node.acknowledged_anywhere(group).await;
-        let Some(acknowledged) = acknowledged.filter(|stamp| *stamp > position) else {
+        let beyond = acknowledged.position.filter(|stamp| *stamp > position);
+        let Some(acknowledged) = beyond else {
             self.shortfalls.borrow_mut().remove(group);
             return None;
         };
@@ -570,14 +575,25 @@
     ) -> Option<verdict::Loss> {
         let floors =
             |witnesses: &witness::Witnesses<'_>| witnesses.leadership.floors().loss(leader.term);
-        let bound = promotion.group.with_witnesses(floors)?;
+        let loss = promotion.group.with_witnesses(floors)?;
         if promotion.cause == detector::Cause::Stalled {
             return None;
         }
         let intent = self.election.intent(&promotion.group.name);
         let intent = intent.filter(|intent| intent.term > leader.term);
-        let within = intent.map(|intent| intent.received).or(bound);
-        Some(within.map_or(verdict::Loss::Unknown, verdict::Loss::Within))
+        Some(intent.map_or(loss, |intent| verdict::Loss::Within(intent.received)))
+    }
+
+    // Bounds what a process may have confirmed that was never seen to follow the replaced primary:
+    // whatever it confirmed, callers were told of no commit beyond what all nodes report.
+    async fn bound_unseen(&self, group: &id::Group, loss: verdict::Loss) -> verdict::Loss {
+        if loss != verdict::Loss::Unseen {
+            return loss;
+        }
+        let acknowledgement = self.node.acknowledged_anywhere(group).await;
+        tracing::info!(%group, ?acknowledgement, "a process has ended that was not seen to follow the primary");
+        let bound = acknowledgement.bound();
+        bound.map_or(verdict::Loss::Unknown, verdict::Loss::Within)
     }
 
     // Whether a recorded order is too old to still take effect. The wait must end, because the
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -120,13 +120,13 @@
     }
 
     /// Applies a list as it was at `list_time`. Its changes may date back to `since`, or to any time
-    /// if that is `None`. Returns the instances that have restarted.
+    /// if that is `None`. Returns the earlier processes of the instances that have restarted.
     pub fn update(
         &self,
         instances: Vec<catalog::Instance>,
         since: Option<id::Time>,
         list_time: id::Time,
-    ) -> Vec<upstream::Id> {
+    ) -> Vec<rc::Rc<pool::Pool>> {
         self.settling_since
             .set(Some(self.settling_since.get().unwrap_or_else(boot::now)));
         self.note_confirmed(list_time);
@@ -137,10 +137,7 @@
         self.ended_processes
             .borrow_mut()
             .retain(|(id, _)| listed.contains(id));
-        let add_or_update = |instance: catalog::Instance| {
-            let id = instance.id.clone();
-            self.add_or_update(instance, since).then_some(id)
-        };
+        let add_or_update = |instance| self.add_or_update(instance, since);
         let is_running = |instance: &catalog::Instance| {
             let process = (instance.id.clone(), instance.born);
             !self.ended_processes.borrow().contains(&process)
@@ -404,15 +401,19 @@
         }
     }
 
-    // Adds or updates an instance; returns whether it was known and has restarted.
-    fn add_or_update(&self, instance: catalog::Instance, since: Option<id::Time>) -> bool {
-        let restarted = self.remove_earlier_process(&instance);
+    // Adds or updates an instance; returns its earlier process if it has restarted.
+    fn add_or_update(
+        &self,
+        instance: catalog::Instance,
+        since: Option<id::Time>,
+    ) -> Option<rc::Rc<pool::Pool>> {
+        let earlier = self.remove_earlier_process(&instance);
         self.replace_unlisted_successor(&instance);
         self.update_leaving(&instance, since);
         let mut pools = self.pools.borrow_mut();
         if let Some(pool) = pools.get(&instance.id) {
             *pool.instance.borrow_mut() = instance;
-            return false;
+            return None;
         }
         tracing::info!(group = %self.group, instance = %instance.id, domain = %instance.domain,
             leads = instance.leads, born = instance.born, "instance appeared");
@@ -423,28 +424,26 @@
             rc::Rc::clone(&self.executor),
             size::Size::shared(),
         ));
-        if restarted {
+        if earlier.is_some() {
             pool.note_restart();
         }
         pools.insert(id, pool);
         self.last_added.set(boot::now());
-        restarted
+        earlier
     }
 
     // A restarted instance has kept nothing under its id, so everything known of the earlier
     // process, from positions to prepared statements, goes with its pool. A position that it has
     // lost would send it reads that it refuses, and an outdated delay or announced end would keep
     // work away from it.
-    fn remove_earlier_process(&self, instance: &catalog::Instance) -> bool {
+    fn remove_earlier_process(&self, instance: &catalog::Instance) -> Option<rc::Rc<pool::Pool>> {
         let known = self.find(&instance.id);
-        let Some(pool) = known.filter(|pool| pool.born() < instance.born) else {
-            return false;
-        };
+        let pool = known.filter(|pool| pool.born() < instance.born)?;
         tracing::info!(group = %self.group, instance = %instance.id, before = pool.born(),
             born = instance.born, "instance has started again");
         self.remove(&pool);
         self.last_lost.set(Some(boot::now()));
-        true
+        Some(pool)
     }
 
     /// Notes that an instance has lost its log, which its own answers show before the list does.
@@ -491,13 +490,13 @@
     }
 
     /// Forgets the instances that have ended: unlisted ones by their activity or the operators'
-    /// word, and any at whose address another process answers. Returns the ids of those whose
+    /// word, and any at whose address another process answers. Returns those whose
     /// logs are lost; a process that was replaced at its address isn't among them, since a successor
     /// of its group comes with the log.
     pub fn forget_ended(
         &self,
         standing: impl Fn(&upstream::Id) -> absence::Standing,
-    ) -> Vec<upstream::Id> {
+    ) -> Vec<rc::Rc<pool::Pool>> {
         let now = boot::now();
         let ended = |pool: &rc::Rc<pool::Pool>| {
             let absent = self.absent.borrow();
@@ -520,7 +519,7 @@
             self.forget(pool, now);
         }
         pools.retain(|pool| !pool.activity().replaced);
-        pools.iter().map(|pool| pool.id()).collect()
+        pools
     }
 
     /// The replaced instances whose logs turned out to be lost, as their addresses belong to other
@@ -534,15 +533,15 @@
             .collect()
     }
 
-    /// Forgets unlisted instances that have ended by another node's evidence. Returns their ids.
-    pub fn forget_unlisted(&self, ended: &[upstream::Id]) -> Vec<upstream::Id> {
+    /// Forgets unlisted instances that have ended by another node's evidence, and returns them.
+    pub fn forget_unlisted(&self, ended: &[upstream::Id]) -> Vec<rc::Rc<pool::Pool>> {
         let now = boot::now();
         let mut pools = self.absent();
         pools.retain(|pool| ended.contains(&pool.id()));
         for pool in &pools {
             self.forget(pool, now);
         }
-        pools.iter().map(|pool| pool.id()).collect()
+        pools
     }
 
     fn forget(&self, pool: &pool::Pool, now: id::Time) {
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -37,6 +37,8 @@
 pub enum Loss {
     /// No bound is known, as the primary has not answered since.
     Unknown,
+    /// No bound is known, but this primary was never seen to be followed by the replica.
+    Unseen,
     /// It confirmed no record beyond this position.
     Within(stamp::Stamp),
 }
@@ -254,7 +256,7 @@
     fn has_all(&self, report: &status::Report) -> bool {
         let received = report.status.received;
         let covers = self.loss.is_none_or(|loss| match loss {
-            Loss::Unknown => false,
+            Loss::Unknown | Loss::Unseen => false,
             Loss::Within(stamp) => received >= stamp,
         });
         covers && Some(received) >= self.max_received
--- a/desk/tests/log_loss.rs
+++ b/desk/tests/log_loss.rs
@@ -3,8 +3,15 @@
 mod cluster;
 mod harness;
 
+use std::time;
+
+use mangotray::role;
+use mangotray::stamp;
 use mangotray_desk::boot;
+use mangotray_desk::ended;
+use mangotray_desk::floor;
 use mangotray_desk::status;
+use mangotray_desk::verdict;
 use mangotray_desk::wait;
 
 // Only the replica `c` has received and confirmed two records. It restarts without its log, and the
@@ -87,3 +94,125 @@
     });
     assert_eq!(harness.leader(), ["b"]);
 }
+
+fn successor(harness: &harness::Harness) -> String {
+    let mut leaders = harness.leader();
+    leaders.retain(|id| id != "a");
+    leaders.remove(0)
+}
+
+// The primary `a` was replaced, and comes back as another process that follows its successor. That
+// one ends right after, before it has answered anything.
+fn come_back_and_lose_successor(harness: &harness::Harness) {
+    let successor = successor(harness);
+    {
+        let mut world = harness.cluster.world.borrow_mut();
+        for instance in world.instances.values_mut() {
+            instance.term = 2;
+        }
+        let former = world.at("a");
+        former.role = role::Role::Replica;
+        former.up = true;
+        former.dark = false;
+        former.held = 0;
+        former.born = 2;
+    }
+    harness.cluster.relist();
+    harness.cluster.world.borrow_mut().at(&successor).up = false;
+}
+
+/// Guards against a group that never has a primary again: the return of a primary that had crashed
+/// counted as the loss of a replica of its successor.
+#[test]
+fn a_crashed_primary_that_comes_back_holds_nothing_back() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.settled().await;
+        harness.cluster.world.borrow_mut().at("a").up = false;
+        harness.wait_for_primary(2).await;
+        come_back_and_lose_successor(&harness);
+        harness.wait_for_primary(3).await;
+    });
+    assert_eq!(harness.leader().len(), 1);
+}
+
+/// Guards against the same for a primary that was silent, so that nothing shows when it ended.
+#[test]
+fn a_silent_primary_that_comes_back_holds_nothing_back_below_what_callers_were_told() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.settled().await;
+        harness.cluster.world.borrow_mut().at("a").dark = true;
+        harness.wait_for_primary(2).await;
+        come_back_and_lose_successor(&harness);
+        harness.wait_for_primary(3).await;
+    });
+    assert_eq!(harness.leader().len(), 1);
+}
+
+/// Guards against the loss of a commit that a silent primary's process confirmed for its successor:
+/// what callers were told is covered, or the promotion is held back while the successor may return.
+#[test]
+fn a_silent_primary_that_comes_back_holds_a_promotion_back_below_an_acknowledged_commit() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        let group = harness.cluster.settled().await;
+        harness.cluster.world.borrow_mut().at("a").dark = true;
+        harness.wait_for_primary(2).await;
+        let successor = successor(&harness);
+        harness.cluster.world.borrow_mut().at(&successor).position = 12;
+        group.note_acknowledged(Some(stamp::Stamp::new(2, 12)));
+        come_back_and_lose_successor(&harness);
+        wait::sleep(8 * harness::LONG).await;
+        assert_eq!(harness.client.orders.borrow().len(), 1);
+        harness.cluster.world.borrow_mut().at(&successor).up = true;
+        harness.wait_for_primary(2).await;
+    });
+}
+
+/// Positions closer together, in milliseconds, are kept as one.
+const SPACING: u64 = 40;
+
+/// Guards against commits that are lost, or a group that waits for ever, depending on when a process
+/// has ended, is found to have, and the primary answers.
+#[test]
+fn a_loss_is_bounded_by_the_first_position_after_the_end_at_each_moment() {
+    let millis = time::Duration::from_millis;
+    let stamp = |moment| stamp::Stamp::new(2, moment);
+    let answers = [20, 60, 61, 140, 400];
+    for ended in 0..500 {
+        for found in ended..500 {
+            let mut floors = floor::Floors::default();
+            let by = millis(ended);
+            let mut noted = false;
+            for moment in answers {
+                if !noted && found < moment {
+                    floors.note_loss(ended::Process { by, term: 2 });
+                    noted = true;
+                }
+                floors.record_position(2, millis(moment), stamp(moment));
+            }
+            if !noted {
+                floors.note_loss(ended::Process { by, term: 2 });
+            }
+            let least = answers.into_iter().find(|moment| *moment >= ended);
+            match floors.loss(2) {
+                // Nothing was known of the primary yet, so that its first position covers it.
+                None => assert!(found < answers[0]),
+                Some(verdict::Loss::Within(bound)) => {
+                    let least = least.expect("the primary has answered since");
+                    let apart = answers
+                        .into_iter()
+                        .find(|moment| *moment >= ended + SPACING);
+                    assert!(bound >= stamp(least), "{ended} {found}");
+                    assert!(bound <= stamp(apart.unwrap_or(400)), "{ended} {found}");
+                }
+                Some(verdict::Loss::Unknown) => assert_eq!(least, None),
+                Some(verdict::Loss::Unseen) => panic!("it was seen in this term"),
+            }
+        }
+    }
+}
