Keep the instances that a restored copy of their record lacks

Cause, two faults of one kind, a reset of the store taken for news. A record that lacked an instance counted as another node's evidence that it has ended, also when the record was that of an older copy, so nodes forgot an instance that was not listed. And the record was written again only by a new holder of the lease once its list had settled, 3 s later: nodes that started meanwhile did not know the instance.

After a reset the older record now removes nothing, and each node that knows more instances than the record adds them after a random delay of up to 1 s, unless another has done so. Adding an instance is always safe; only a removal needs evidence.

--- a/desk/src/election.rs
+++ b/desk/src/election.rs
@@ -18,6 +18,7 @@
 use crate::era;
 use crate::intent;
 use crate::membership;
+use crate::node;
 use crate::permit;
 use crate::promote;
 use crate::records;
@@ -282,6 +283,28 @@
         written == Ok(store::Swap::Stored)
     }
 
+    /// Writes the records of the groups' instances that a reset of the store has cut short, after a
+    /// random delay, unless another node has done so first. Nobody may hold the lease by then, and a
+    /// node that starts meanwhile would not know the instances that are not listed.
+    pub async fn write_lost_memberships(&self, node: &node::Node) {
+        wait::sleep(era::REWRITE_JITTER.mul_f64(fastrand::f64())).await;
+        for group in node.groups() {
+            let Some(record) = group.lost_record() else {
+                continue;
+            };
+            let Ok(value) = serde_json::to_vec(&record.membership) else {
+                continue;
+            };
+            let key = record.membership.key();
+            let written = self
+                .store
+                .swap(&key, value.into(), record.version, None)
+                .await;
+            tracing::warn!(group = %group.name, instances = record.membership.instances.len(), ?written,
+                "record of a group's instances written again: the store had lost it");
+        }
+    }
+
     // Stores a value if this node still holds the lease and the additional guard holds.
     async fn put(
         &self,
--- a/desk/src/era.rs
+++ b/desk/src/era.rs
@@ -38,6 +38,8 @@
     Enrolment,
     /// Promotions that were recorded before they were ordered.
     Promotions,
+    /// The instances of each group, listed or not.
+    Memberships,
     /// The lease of the promoter.
     Election,
 }
@@ -69,7 +71,7 @@
         Data::Configuration | Data::Members => ResetPolicy::Kept,
         // An instance that is missing from the copy hasn't necessarily left.
         Data::Instances => ResetPolicy::Awaited,
-        Data::Enrolment | Data::Promotions => ResetPolicy::Rewritten,
+        Data::Enrolment | Data::Promotions | Data::Memberships => ResetPolicy::Rewritten,
         // Another node may have held the lease in the lost seconds, or may hold it now.
         Data::Election => ResetPolicy::Dropped,
     }
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -373,6 +373,29 @@
         }
     }
 
+    /// Sets the record of a store that was reset to an older copy: an instance that it lacks may have
+    /// been recorded since, and has not ended.
+    pub fn restore_recorded(self: &rc::Rc<Self>, recorded: Option<membership::Record>) {
+        self.recorded.take();
+        self.set_recorded(recorded);
+    }
+
+    /// The record extended by the instances that this node knows and the record lacks, if there are
+    /// any. Instances that nobody knows to have ended may be recorded at any time.
+    #[must_use]
+    pub fn lost_record(&self) -> Option<membership::Record> {
+        let known = self.roster.membership();
+        let recorded = self.recorded.borrow();
+        let version = recorded.as_ref().map_or(0, |record| record.version);
+        let before = recorded.as_ref().map(|record| &record.membership);
+        let membership = known.extended_by(before);
+        let lacks = before.is_none_or(|before| !membership.removed_in(before).is_empty());
+        (lacks && !membership.instances.is_empty()).then_some(membership::Record {
+            membership,
+            version,
+        })
+    }
+
     /// The group's instances with the version of their record in the store, if that record is
     /// outdated and may be replaced now.
     ///
--- a/desk/src/membership.rs
+++ b/desk/src/membership.rs
@@ -83,6 +83,27 @@
         format!("{PREFIX}{}", self.group)
     }
 
+    /// These instances and those of `other` that are not among them, in order of their ids.
+    ///
+    /// ```
+    /// use mangotray_desk::membership::{Instance, Membership};
+    /// let instance = |id: &str| Instance { id: id.into(), born: 1, address: ([127, 0, 0, 1], 1).into(), domain: "d".into(), slots: 2 };
+    /// let of = |ids: &[&str]| Membership { group: "bookings".into(), instances: ids.iter().map(|id| instance(id)).collect() };
+    /// assert_eq!(of(&["b"]).extended_by(Some(&of(&["a", "b"]))), of(&["a", "b"]));
+    /// assert_eq!(of(&["b"]).extended_by(None), of(&["b"]));
+    /// ```
+    #[must_use]
+    pub fn extended_by(&self, other: Option<&Self>) -> Self {
+        let mut extended = self.clone();
+        let others = other.into_iter().flat_map(|other| &other.instances);
+        let known = |id: &upstream::Id| self.instances.iter().any(|instance| instance.id == *id);
+        extended
+            .instances
+            .extend(others.filter(|instance| !known(&instance.id)).cloned());
+        extended.instances.sort_unstable();
+        extended
+    }
+
     /// The instances that `later` lacks.
     #[must_use]
     pub fn removed_in(&self, later: &Self) -> Vec<upstream::Id> {
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -176,6 +176,16 @@
         }
     }
 
+    /// Sets the records of the groups' instances in a store that was reset to an older copy.
+    pub fn restore_memberships(&self, records: Vec<membership::Record>) {
+        let named = |record: membership::Record| (record.membership.group.clone(), record);
+        let restored = records.into_iter().map(named).collect();
+        self.memberships.replace(restored);
+        for (name, group) in &*self.groups.borrow() {
+            group.restore_recorded(self.memberships.borrow().get(name).cloned());
+        }
+    }
+
     /// Sets the instances that operators have declared lost, for all groups.
     pub fn set_declared_lost(&self, lost: collections::BTreeSet<upstream::Id>) {
         let before = self.declared_lost.replace(lost);
