--- a/desk/src/audit.rs
+++ b/desk/src/audit.rs
@@ -5,12 +5,16 @@
 //! instances has changed, and replicas that were ahead have been rolled back.
 
 use std::fmt;
+use std::rc;
 use std::time;
 
 use mangotray::id;
 use mangotray::role;
 use mangotray::stamp;
+use mangotray::telemetry;
 
+use crate::group;
+use crate::probe;
 use crate::status;
 use crate::upstream;
 
@@ -135,6 +139,29 @@
         reports.iter().filter(instances_ahead).collect()
     }
 
+    /// Queries all instances once after a promotion and reports records that the new primary lacks. The
+    /// answers do not change this node's view of the group.
+    pub async fn check(self, group: rc::Rc<group::Group>) {
+        let pools = group.roster().pools();
+        let reports = status::query_all(&pools, group.dialer(), probe::TIMEOUT).await;
+        let (candidate, position, term) = (&self.candidate, self.position, self.term);
+        let ahead = self.instances_ahead(&reports);
+        tracing::info!(group = %group.name, %candidate, term, answers = reports.len(),
+            unseen = self.unanswered(&reports), beyond = ahead.len(), "promotion checked");
+        for report in ahead {
+            let received = report.status.received;
+            if self.old.as_ref() == Some(&report.id) {
+                tracing::warn!(group = %group.name, instance = %report.id, %received, %candidate, %position, term,
+                    "the replaced primary has records that the new primary lacks: they are lost if they were acknowledged");
+            } else {
+                metrics::counter!(telemetry::PROMOTION_LOSSES, "group" => group.name.to_string())
+                    .increment(1);
+                tracing::error!(group = %group.name, instance = %report.id, %received, %candidate, %position, term,
+                    "a replica has records that the new primary lacks: acknowledged commits may be lost");
+            }
+        }
+    }
+
     /// Lists the queried instances that are missing from the answers.
     #[must_use]
     pub fn unanswered(&self, reports: &[status::Report]) -> String {
