Deliver no release of a replica after its sender's lease

What callers would see: acknowledged commits are gone after a promotion. A holder releases a replica, the path is cut, the next holder holds the replica again and orders a promotion; when the path heals, the release arrives, names no term, and the replaced primary gets commits acknowledged that its successor lacks.

The command was given up after 300 ms, but its connection was closed in order, so that the kernel kept the bytes and sent them when it could. Only its sender waited that out (4 s), not the next holder.

Its sender waits as before. Left: a release that a node which lends connections holds while it is itself suspended.

--- a/desk/src/cleanup.rs
+++ b/desk/src/cleanup.rs
@@ -120,7 +120,7 @@
 
     fn may_release(&self) -> bool {
         let promoting = self.resumes.borrow().is_promoting(&self.group.name);
-        self.election.held().is_some() && !promoting
+        self.election.may_release() && !promoting
     }
 
     // Term in which the candidate leads. It may be later than the term of the promotion.
--- a/desk/src/election.rs
+++ b/desk/src/election.rs
@@ -246,6 +246,15 @@
         checked.is_ok()
     }
 
+    /// Whether a replica may be released now: the command names no term, and must not arrive after the
+    /// lease, when it would release a replica that the next holder holds.
+    #[must_use]
+    pub fn may_release(&self) -> bool {
+        let now = boot::now();
+        let lasts = |held: &Lease| now + promote::DELIVERY_LIMIT <= held.until;
+        self.held().as_ref().is_some_and(lasts)
+    }
+
     /// Returns a token to be held while an order is in flight; the lease is not resigned meanwhile.
     #[must_use]
     pub fn order_token(&self) -> rc::Rc<()> {
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -359,7 +359,7 @@
     /// A node whose promoter lease may have ended releases nothing: the holds may be those of the
     /// next lease holder.
     pub async fn release(&self, group: &rc::Rc<group::Group>, leader: &status::Leader) {
-        if self.election.held().is_none() {
+        if !self.election.may_release() {
             tracing::info!(group = %group.name, "replicas stay held: the promoter lease may have ended");
             return;
         }
@@ -376,7 +376,7 @@
             tracing::info!(group = %group.name, "replicas stay held: a replaced primary is not demoted yet");
             return;
         }
-        let may_release = || self.election.held().is_some();
+        let may_release = || self.election.may_release();
         let resumes = prober
             .others
             .iter()
--- a/desk/src/promotion.rs
+++ b/desk/src/promotion.rs
@@ -22,7 +22,7 @@
 use crate::wait;
 
 /// Timeout of one command to an instance.
-const COMMAND_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+pub const COMMAND_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
 /// Timeout of the step-down of a loaded primary, whose queue of 24 commands takes 160 ms.
 const STEP_DOWN_TIMEOUT: time::Duration = time::Duration::from_millis(600);
