End a pause of the matrix once the primary has been replaced

A pause of 900 ms could end before the other proxy had replaced the primary, and the paused one then rightly confirmed the write. Another run found `confirmed write 1 is in the log 0 times`: the final check took the log for empty where a promotion was under way and nobody led at that moment.

A pause now lasts 900 ms or until another instance leads, whichever is later, 5 s at most. The final check takes the longest log while nobody leads; convergence of all logs is checked before, as it was.

Not yet run at the loads at which it failed.

--- a/tests/matrix/cell.rs
+++ b/tests/matrix/cell.rs
@@ -426,10 +426,7 @@
     fn check(&mut self) {
         let mut violations = Vec::new();
         let state = self.harness.cluster.lock();
-        let log: Vec<u64> = state
-            .primary()
-            .map(|index| state.instances[index].writes().collect())
-            .unwrap_or_default();
+        let log = state.log();
         for Attempt { request, class } in &self.attempts {
             let count = log.iter().filter(|held| *held == request).count();
             if *class == Class::Done && count != 1 {
--- a/tests/matrix/cluster.rs
+++ b/tests/matrix/cluster.rs
@@ -194,6 +194,18 @@
         leading.max_by_key(|index| self.instances[*index].fence)
     }
 
+    /// Whether another instance leads than this one.
+    pub fn is_replaced(&self, index: id::Index) -> bool {
+        self.primary().is_some_and(|primary| primary != index)
+    }
+
+    /// Writes in the log of the group: that of the primary, or the longest one while nobody leads.
+    pub fn log(&self) -> Vec<u64> {
+        let longest = (0..INSTANCES).max_by_key(|index| self.instances[*index].stamp());
+        let index = self.primary().or(longest);
+        index.map_or_else(Vec::new, |index| self.instances[index].writes().collect())
+    }
+
     /// Appends the records of a committed transaction to an instance's log.
     pub fn append(&mut self, index: id::Index, writes: &[u64]) {
         for write in writes {
--- a/tests/matrix/harness.rs
+++ b/tests/matrix/harness.rs
@@ -15,9 +15,16 @@
 use crate::proxy;
 use crate::store;
 
-/// Time for which a proxy is paused; longer than another proxy needs for a promotion.
+/// Shortest time for which a proxy is paused. The pause lasts until another proxy has replaced the
+/// primary.
 const PROXY_PAUSE: time::Duration = time::Duration::from_millis(900);
 
+/// Longest time for which a proxy is paused, if the primary cannot be replaced.
+const MAX_PROXY_PAUSE: time::Duration = time::Duration::from_secs(5);
+
+/// Interval at which a pause looks for the replacement.
+const REPLACEMENT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
 /// Time left of a proxy's share when it is paused.
 const LEASE_LEFT_AT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -123,7 +130,8 @@
         }
     }
 
-    /// Pauses a proxy until after its share has ended; marks the primary as leaving on the others.
+    /// Pauses a proxy until its share has ended and the primary is replaced; marks the primary as leaving
+    /// on the others.
     fn pause_past_lease(
         self: &sync::Arc<Self>,
         proxy: &sync::Arc<proxy::Proxy>,
@@ -135,9 +143,13 @@
         others
             .filter(|other| other.number != proxy.number)
             .for_each(|other| other.declare(Some(target)));
-        let process = proxy.process.clone();
+        let (process, cluster) = (proxy.process.clone(), self.cluster.clone());
         self.spawn(async move {
+            let limit = time::Instant::now() + MAX_PROXY_PAUSE;
             async_io::Timer::after(PROXY_PAUSE).await;
+            while !cluster.lock().is_replaced(target) && time::Instant::now() < limit {
+                async_io::Timer::after(REPLACEMENT_CHECK_INTERVAL).await;
+            }
             process.resume();
         });
     }
