Count all nodes as asked only if this node knows itself as one of them

A node that has just started may not know the other nodes yet. It would take what it has itself told callers for what all have, and promote an instance without a commit that another node has passed on.

Run: the new test in desk/tests/log_loss.rs fails without the check (a second order is sent) and passes now.

--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -400,8 +400,10 @@
         group: &id::Group,
     ) -> acknowledgement::Acknowledgement {
         let peers = self.router.peers();
-        let mut others = self.router.members();
-        others.retain(|member| member.name != self.name);
+        let members = self.router.members();
+        let (own, mut others): (Vec<_>, Vec<_>) = members
+            .into_iter()
+            .partition(|member| member.name == self.name);
         let total = others.len();
         others.retain(|member| peers.may_ask(&member.name));
         let question = question::Question::Acknowledged(group.clone());
@@ -413,7 +415,8 @@
         });
         acknowledgement::Acknowledgement {
             position: positions.max().max(self.acknowledged(group)),
-            complete: answers.iter().flatten().count() == total,
+            // A node that has just started may not know the others yet, nor itself as one of them.
+            complete: !own.is_empty() && answers.iter().flatten().count() == total,
         }
     }
 }
--- a/desk/tests/log_loss.rs
+++ b/desk/tests/log_loss.rs
@@ -10,6 +10,7 @@
 use mangotray_desk::boot;
 use mangotray_desk::ended;
 use mangotray_desk::floor;
+use mangotray_desk::member;
 use mangotray_desk::status;
 use mangotray_desk::verdict;
 use mangotray_desk::wait;
@@ -95,6 +96,16 @@
     assert_eq!(harness.leader(), ["b"]);
 }
 
+// Makes this node known as the only one.
+fn enrol(harness: &harness::Harness) {
+    let member = member::Member {
+        name: "vm".into(),
+        domain: "here".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+    };
+    harness.cluster.node.router().set_members(vec![member]);
+}
+
 fn successor(harness: &harness::Harness) -> String {
     let mut leaders = harness.leader();
     leaders.retain(|id| id != "a");
@@ -141,6 +152,7 @@
 #[test]
 fn a_silent_primary_that_comes_back_holds_nothing_back_below_what_callers_were_told() {
     let harness = harness::start();
+    enrol(&harness);
     harness.cluster.run(async {
         harness.wait_for_primary(1).await;
         harness.cluster.settled().await;
@@ -157,6 +169,7 @@
 #[test]
 fn a_silent_primary_that_comes_back_holds_a_promotion_back_below_an_acknowledged_commit() {
     let harness = harness::start();
+    enrol(&harness);
     harness.cluster.run(async {
         harness.wait_for_primary(1).await;
         let group = harness.cluster.settled().await;
@@ -173,6 +186,24 @@
     });
 }
 
+/// Guards against the same loss while this node does not know which other nodes there are, and what
+/// they have told callers.
+#[test]
+fn a_silent_primary_that_comes_back_holds_a_promotion_back_while_a_node_may_be_unknown() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.settled().await;
+        harness.cluster.world.borrow_mut().at("a").dark = true;
+        harness.wait_for_primary(2).await;
+        come_back_and_lose_successor(&harness);
+        wait::sleep(3 * harness::LONG).await;
+        assert_eq!(harness.client.orders.borrow().len(), 1);
+        enrol(&harness);
+        harness.wait_for_primary(3).await;
+    });
+}
+
 /// Positions closer together, in milliseconds, are kept as one.
 const SPACING: u64 = 40;
 
