--- a/desk/tests/log_loss.rs
+++ b/desk/tests/log_loss.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod harness;
 
+use std::rc;
 use std::time;
 
 use mangotray::role;
@@ -10,6 +11,7 @@
 use mangotray_desk::boot;
 use mangotray_desk::ended;
 use mangotray_desk::floor;
+use mangotray_desk::group;
 use mangotray_desk::member;
 use mangotray_desk::status;
 use mangotray_desk::verdict;
@@ -106,6 +108,15 @@
     harness.cluster.node.router().set_members(vec![member]);
 }
 
+// The primary `a` loses its power and is replaced.
+async fn replace_silent_primary(harness: &harness::Harness) -> rc::Rc<group::Group> {
+    harness.wait_for_primary(1).await;
+    let group = harness.cluster.settled().await;
+    harness.cluster.world.borrow_mut().at("a").dark = true;
+    harness.wait_for_primary(2).await;
+    group
+}
+
 fn successor(harness: &harness::Harness) -> String {
     let mut leaders = harness.leader();
     leaders.retain(|id| id != "a");
@@ -154,10 +165,7 @@
     let harness = harness::start();
     enrol(&harness);
     harness.cluster.run(async {
-        harness.wait_for_primary(1).await;
-        harness.cluster.settled().await;
-        harness.cluster.world.borrow_mut().at("a").dark = true;
-        harness.wait_for_primary(2).await;
+        replace_silent_primary(&harness).await;
         come_back_and_lose_successor(&harness);
         harness.wait_for_primary(3).await;
     });
@@ -171,10 +179,7 @@
     let harness = harness::start();
     enrol(&harness);
     harness.cluster.run(async {
-        harness.wait_for_primary(1).await;
-        let group = harness.cluster.settled().await;
-        harness.cluster.world.borrow_mut().at("a").dark = true;
-        harness.wait_for_primary(2).await;
+        let group = replace_silent_primary(&harness).await;
         let successor = successor(&harness);
         harness.cluster.world.borrow_mut().at(&successor).position = 12;
         group.note_acknowledged(Some(stamp::Stamp::new(2, 12)));
@@ -192,10 +197,7 @@
 fn a_silent_primary_that_comes_back_holds_a_promotion_back_while_a_node_may_be_unknown() {
     let harness = harness::start();
     harness.cluster.run(async {
-        harness.wait_for_primary(1).await;
-        harness.cluster.settled().await;
-        harness.cluster.world.borrow_mut().at("a").dark = true;
-        harness.wait_for_primary(2).await;
+        replace_silent_primary(&harness).await;
         come_back_and_lose_successor(&harness);
         wait::sleep(3 * harness::LONG).await;
         assert_eq!(harness.client.orders.borrow().len(), 1);
