--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 pub struct Node {
@@ -29,14 +30,7 @@
         store: SocketAddr,
         folder: &Path,
     ) -> Result<Self, String> {
-        let free = || {
-            let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-            listener
-                .local_addr()
-                .map(|address| (listener, address))
-                .map_err(|error| error.to_string())
-        };
-        let ports = [free()?, free()?, free()?];
+        let ports = [free_port()?, free_port()?, free_port()?];
         let [front, ready, inner] = [0, 1, 2].map(|index| ports[index].1);
         drop(ports);
         let name = format!("front-{zone}-{number}");
@@ -126,6 +120,23 @@
     }
 }
 
+// A free port below those that the system gives to outgoing connections, which could take a port of that
+// range between this look and the node's start.
+fn free_port() -> Result<(TcpListener, SocketAddr), String> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 12_000 + (std::process::id() % 400) as u16 * 40;
+    for _ in 0..400 {
+        let port = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener
+                .local_addr()
+                .map(|address| (listener, address))
+                .map_err(|error| error.to_string());
+        }
+    }
+    Err("no port is free".to_owned())
+}
+
 // Fills a template in. None of the fields of its sections has a value here.
 fn render(template: &str, fields: &BTreeMap<&str, String>) -> String {
     let mut text = template.to_owned();
