Move limits, room at an instance and lending into folders

The modules of each now lie in `limits/`, `room/` and `lending/`; the files are moved, and only their paths in imports change. Log targets of the router and of relaying change with their modules; the one that operators filter connection failures by is set in the code and stays.

cargo check of the workspace with all targets passes.

--- a/desk/src/access.rs
+++ b/desk/src/access.rs
@@ -7,8 +7,8 @@
 
 use crate::catalog;
 use crate::key;
+use crate::limits::quota;
 use crate::organisation;
-use crate::quota;
 use crate::reply;
 use crate::validity;
 
--- a/desk/src/connection.rs
+++ b/desk/src/connection.rs
@@ -5,8 +5,8 @@
 use compact_str::CompactString;
 use mangotray::id;
 
+use crate::lending::shard;
 use crate::organisation;
-use crate::shard;
 use crate::statement;
 use crate::upstream;
 
--- a/desk/src/delegate.rs
+++ b/desk/src/delegate.rs
@@ -11,8 +11,8 @@
 use mangotray::id;
 use mangotray::stamp;
 
+use crate::lending::serving;
 use crate::member;
-use crate::serving;
 
 /// How long a delegate waits for a floor; the requesting node has given up by then.
 pub const TIMEOUT: time::Duration = time::Duration::from_millis(80);
--- a/desk/src/guarantees.rs
+++ b/desk/src/guarantees.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::tolerance;
+use crate::limits::tolerance;
 
 /// Bounds that the platform guarantees for keys and rate limits, from the settings.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- /dev/null
+++ b/desk/src/lending.rs
@@ -0,0 +1,7 @@
+//! Connections to instances that some nodes hold and lend to the others.
+
+pub mod relay;
+pub mod remote;
+pub mod router;
+pub mod serving;
+pub mod shard;
--- a/desk/src/relay.rs
+++ b/desk/src/lending/relay.rs
@@ -63,7 +63,7 @@
 /// Trailing byte of a request whose sender wants heartbeats while the commands run.
 pub const HEARTBEAT_REQUEST: u8 = 1;
 
-/// A request to run commands; the sending side is `WorkRef` in [`crate::remote`].
+/// A request to run commands; the sending side is `WorkRef` in [`crate::lending::remote`].
 #[derive(serde::Deserialize)]
 struct Work {
     urgency: urgency::Urgency,
--- a/desk/src/remote.rs
+++ b/desk/src/lending/remote.rs
@@ -11,9 +11,9 @@
 use mangotray::id;
 
 use crate::boot;
+use crate::lending::relay;
 use crate::message;
 use crate::organisation;
-use crate::relay;
 use crate::upstream;
 use crate::urgency;
 use crate::wait;
@@ -27,7 +27,7 @@
 /// sends a heartbeat every 60 ms, and may not be scheduled for the rest of a tenth of a second.
 const SILENCE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
-/// A request to run commands; the receiving side is `Work` in [`crate::relay`].
+/// A request to run commands; the receiving side is `Work` in [`crate::lending::relay`].
 #[derive(serde::Serialize)]
 struct WorkRef<'a> {
     urgency: urgency::Urgency,
--- a/desk/src/serving.rs
+++ b/desk/src/lending/serving.rs
@@ -54,7 +54,7 @@
 /// accepts so many `connections`.
 ///
 /// ```
-/// use mangotray_desk::serving;
+/// use mangotray_desk::lending::serving;
 /// assert_eq!(serving::mode(23, 8, 0), serving::Mode::Direct);
 /// assert_eq!(serving::mode(16, 8, 0), serving::Mode::Shared { nodes: 1, each: 12 });
 /// assert_eq!(serving::mode(34, 71, 0), serving::Mode::Shared { nodes: 2, each: 12 });
@@ -89,7 +89,7 @@
 /// ms behind reports. Each serving node alone keeps the slots full, as the others may be cut off.
 ///
 /// ```
-/// use mangotray_desk::serving;
+/// use mangotray_desk::lending::serving;
 /// assert_eq!(serving::concurrency(3, 12), 4);
 /// assert_eq!(serving::concurrency(0, 12), 2);
 /// assert_eq!(serving::concurrency(8, 6), 6);
@@ -113,7 +113,7 @@
 /// then by a hash of member and instance.
 ///
 /// ```
-/// use mangotray_desk::{member, serving};
+/// use mangotray_desk::{member, lending::serving};
 /// let member = |name: &str, domain: &str| member::Member {
 ///     name: name.into(),
 ///     domain: domain.into(),
@@ -137,7 +137,7 @@
 /// The members ordered by a hash of their name and `key`; the same on all nodes.
 ///
 /// ```
-/// use mangotray_desk::{member, serving};
+/// use mangotray_desk::{member, lending::serving};
 /// let member = |name: &str| member::Member {
 ///     name: name.into(),
 ///     domain: "here".into(),
--- a/desk/src/shard.rs
+++ b/desk/src/lending/shard.rs
@@ -12,7 +12,7 @@
 /// Returns the shard of an organisation.
 ///
 /// ```
-/// use mangotray_desk::shard;
+/// use mangotray_desk::lending::shard;
 /// assert_eq!(shard::of(&"dome".into()), shard::of(&"dome".into()));
 /// ```
 #[must_use]
--- a/desk/src/bucket.rs
+++ b/desk/src/limits/bucket.rs
@@ -4,12 +4,12 @@
 
 use mangotray::id;
 
-use crate::quota;
+use crate::limits::quota;
 
 /// A token bucket that is refilled at the quota's rate, up to its burst.
 ///
 /// ```
-/// use mangotray_desk::{bucket, quota};
+/// use mangotray_desk::{limits::bucket, limits::quota};
 /// use std::time::Duration;
 /// let quota = quota::Quota { rate: 2.0, burst: 3.0 };
 /// let mut bucket = bucket::Bucket::new(1.0, Duration::ZERO);
--- a/desk/src/buckets.rs
+++ b/desk/src/limits/buckets.rs
@@ -12,10 +12,10 @@
 
 use mangotray::id;
 
-use crate::bucket;
+use crate::limits::bucket;
+use crate::limits::quota;
+use crate::limits::tolerance;
 use crate::organisation;
-use crate::quota;
-use crate::tolerance;
 
 /// Fraction of the tolerated excess that a new bucket starts with. Together with the tokens that a
 /// failed predecessor granted this stays within the tolerance.
@@ -109,7 +109,7 @@
     /// Decides a token request.
     ///
     /// ```
-    /// use mangotray_desk::{buckets, quota, tolerance};
+    /// use mangotray_desk::{limits::buckets, limits::quota, limits::tolerance};
     /// use std::time::Duration;
     /// let mut buckets = buckets::Buckets::new(tolerance::Tolerance::default(), Duration::from_secs(5));
     /// let request = buckets::Request {
--- a/desk/src/quota.rs
+++ b/desk/src/limits/quota.rs
@@ -5,7 +5,7 @@
 /// Rate and burst of an organisation, over all nodes together.
 ///
 /// ```
-/// use mangotray_desk::quota;
+/// use mangotray_desk::limits::quota;
 /// use std::time::Duration;
 /// let quota = quota::Quota { rate: 20.0, burst: 10.0 };
 /// assert!((quota.within(Duration::from_secs(5)) - 110.0).abs() < 1e-9);
--- a/desk/src/quotas.rs
+++ b/desk/src/limits/quotas.rs
@@ -12,12 +12,12 @@
 
 use crate::access;
 use crate::boot;
-use crate::buckets;
+use crate::lending::router;
+use crate::lending::serving;
+use crate::limits::buckets;
 use crate::member;
 use crate::organisation;
 use crate::question;
-use crate::router;
-use crate::serving;
 
 /// Maximum number of nodes asked for one operation; each silent one delays the caller.
 const MAX_NODES_ASKED: usize = 3;
@@ -136,7 +136,7 @@
 /// change moves organisations to other counting nodes.
 ///
 /// ```
-/// use mangotray_desk::quotas;
+/// use mangotray_desk::limits::quotas;
 /// assert_eq!(quotas::shards(8), 16);
 /// assert_eq!(quotas::shards(84), 16);
 /// assert_eq!(quotas::shards(300), 64);
--- a/desk/src/tolerance.rs
+++ b/desk/src/limits/tolerance.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::quota;
+use crate::limits::quota;
 
 /// Excess over a quota that the platform tolerates, from the settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,7 +19,7 @@
     /// Number of operations above the quota that are tolerated within one window.
     ///
     /// ```
-    /// use mangotray_desk::{quota, tolerance};
+    /// use mangotray_desk::{limits::quota, limits::tolerance};
     /// use std::time::Duration;
     /// let tolerance = tolerance::Tolerance { window: Duration::from_secs(5), excess: 0.1, slack: 20.0 };
     /// let quota = quota::Quota { rate: 20.0, burst: 20.0 };
--- a/desk/src/organisation.rs
+++ b/desk/src/organisation.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 
 use crate::key;
-use crate::quota;
+use crate::limits::quota;
 
 /// Name of an organisation.
 pub type Name = CompactString;
--- a/desk/src/peers.rs
+++ b/desk/src/peers.rs
@@ -17,7 +17,7 @@
 use mangotray::id;
 
 use crate::boot;
-use crate::buckets;
+use crate::limits::buckets;
 use crate::member;
 use crate::message;
 use crate::question;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -14,19 +14,19 @@
 
 use crate::absence;
 use crate::boot;
-use crate::capacity;
 use crate::catalog;
 use crate::checkout;
 use crate::connection;
-use crate::connections;
 use crate::health;
-use crate::limiter;
-use crate::opening;
 use crate::organisation;
-use crate::queue;
 use crate::reply;
+use crate::room::capacity;
+use crate::room::connections;
+use crate::room::limiter;
+use crate::room::opening;
+use crate::room::queue;
+use crate::room::size;
 use crate::shortage;
-use crate::size;
 use crate::upstream;
 use crate::urgency;
 
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -5,8 +5,8 @@
 use mangotray::id;
 use mangotray::stamp;
 
-use crate::buckets;
 use crate::delegate;
+use crate::limits::buckets;
 
 /// A question to another node.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
--- /dev/null
+++ b/desk/src/room.rs
@@ -0,0 +1,10 @@
+//! Room at one instance: connections, permits to run a statement, and the queues for both.
+
+pub(crate) mod capacity;
+pub(crate) mod connections;
+pub(crate) mod limiter;
+pub(crate) mod opening;
+pub mod queue;
+pub mod schedule;
+pub mod size;
+pub mod window;
--- a/desk/src/capacity.rs
+++ b/desk/src/room/capacity.rs
@@ -6,7 +6,7 @@
 use mangotray::id;
 
 use crate::boot;
-use crate::size;
+use crate::room::size;
 
 /// Delay before a new connection to an instance that reported that it has none left.
 const FULL_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
--- a/desk/src/limiter.rs
+++ b/desk/src/room/limiter.rs
@@ -11,10 +11,10 @@
 
 use crate::boot;
 use crate::organisation;
-use crate::queue;
 use crate::reply;
+use crate::room::queue;
+use crate::room::window;
 use crate::urgency;
-use crate::window;
 
 /// The adaptive concurrency limit of one instance, with the statements that wait for a permit.
 pub(crate) struct Limiter {
--- a/desk/src/queue.rs
+++ b/desk/src/room/queue.rs
@@ -1,4 +1,4 @@
-//! A queue of requests that wait for a limited resource, woken in the order of [`crate::schedule`].
+//! A queue of requests that wait for a limited resource, woken in the order of [`crate::room::schedule`].
 
 use std::cell;
 
@@ -6,7 +6,7 @@
 
 use crate::boot;
 use crate::organisation;
-use crate::schedule;
+use crate::room::schedule;
 use crate::urgency;
 use crate::wait;
 
--- a/desk/src/schedule.rs
+++ b/desk/src/room/schedule.rs
@@ -51,7 +51,7 @@
 /// Returns the index of the request to serve next; `served` counts those that were served before.
 ///
 /// ```
-/// use mangotray_desk::{schedule, urgency};
+/// use mangotray_desk::{room::schedule, urgency};
 /// use std::time::Duration;
 /// let entry = |number| schedule::Entry {
 ///     urgency: urgency::Urgency::default(),
--- a/desk/src/window.rs
+++ b/desk/src/room/window.rs
@@ -32,7 +32,7 @@
 /// cut off, the window grows, so that no slot is idle.
 ///
 /// ```
-/// use mangotray_desk::window;
+/// use mangotray_desk::room::window;
 /// use std::time::Duration;
 /// let mut window = window::Window::new(5);
 /// let second = Duration::from_secs(1);
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -14,7 +14,7 @@
 use crate::membership;
 use crate::pool;
 use crate::promotion;
-use crate::size;
+use crate::room::size;
 use crate::upstream;
 
 /// Longest use of an instance after it has announced its end. Callers' work must not reach it after
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -8,7 +8,7 @@
 use mangotray::id;
 
 use crate::guarantees;
-use crate::tolerance;
+use crate::limits::tolerance;
 
 /// Identity, addresses, limits and guarantees of a node.
 #[derive(Clone, Debug, PartialEq)]
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -10,10 +10,10 @@
 use crate::candidate;
 use crate::catalog;
 use crate::leadership;
+use crate::lending::serving;
 use crate::organisation;
 use crate::pool;
 use crate::roster;
-use crate::serving;
 use crate::upstream;
 
 /// A replica that refused a read for being behind is avoided for this long, unless it is seen to
--- a/desk/tests/overload.rs
+++ b/desk/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod replay;
 
-use mangotray_desk::serving;
+use mangotray_desk::lending::serving;
 
 const SEEDS: u8 = 5;
 
--- a/desk/tests/peers.rs
+++ b/desk/tests/peers.rs
@@ -5,13 +5,13 @@
 use std::rc;
 use std::time;
 
-use mangotray_desk::buckets;
+use mangotray_desk::limits::buckets;
+use mangotray_desk::limits::quota;
+use mangotray_desk::limits::tolerance;
 use mangotray_desk::member;
 use mangotray_desk::message;
 use mangotray_desk::peers;
 use mangotray_desk::question;
-use mangotray_desk::quota;
-use mangotray_desk::tolerance;
 
 /// Answer timeout; no test may reach it.
 const LONG: time::Duration = time::Duration::from_secs(30);
--- a/desk/tests/pool.rs
+++ b/desk/tests/pool.rs
@@ -14,7 +14,7 @@
 use mangotray_desk::organisation;
 use mangotray_desk::pool;
 use mangotray_desk::reply;
-use mangotray_desk::size;
+use mangotray_desk::room::size;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
--- a/desk/tests/queue.rs
+++ b/desk/tests/queue.rs
@@ -6,7 +6,7 @@
 
 use mangotray_desk::boot;
 use mangotray_desk::organisation;
-use mangotray_desk::queue;
+use mangotray_desk::room::queue;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
 
--- a/desk/tests/relay.rs
+++ b/desk/tests/relay.rs
@@ -6,8 +6,8 @@
 use std::time;
 
 use mangotray_desk::boot;
+use mangotray_desk::lending::relay;
 use mangotray_desk::organisation;
-use mangotray_desk::relay;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
 
--- a/desk/tests/replay/mod.rs
+++ b/desk/tests/replay/mod.rs
@@ -13,7 +13,7 @@
 use mangotray::stamp;
 use mangotray_desk::deadline;
 use mangotray_desk::relief;
-use mangotray_desk::schedule;
+use mangotray_desk::room::schedule;
 use mangotray_desk::urgency;
 
 /// Rate, cost and worth of one kind of statement; times are in milliseconds except `work`.
--- a/desk/tests/shortfall.rs
+++ b/desk/tests/shortfall.rs
@@ -11,9 +11,9 @@
 use mangotray::role;
 use mangotray::stamp;
 use mangotray_desk::boot;
+use mangotray_desk::lending::relay;
 use mangotray_desk::member;
 use mangotray_desk::question;
-use mangotray_desk::relay;
 use mangotray_desk::shortfall;
 use mangotray_desk::wait;
 
