Add the settings and types that the parts on load share

The parts on load are built side by side and need common names: the switches of the section `[load]`, all off where the section is missing, and the report of an instance's load that lending nodes will send. Nothing uses them yet.

--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -23,6 +23,7 @@
 use crate::lending::remote;
 use crate::lending::serving;
 use crate::lending::shard;
+use crate::load::options;
 use crate::member;
 use crate::organisation;
 use crate::organisations;
@@ -90,6 +91,7 @@
     unreachable_instances: cell::RefCell<collections::BTreeMap<(id::Vm, upstream::Id), id::Time>>,
     silent_instances: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     organisation_count: cell::Cell<usize>,
+    options: cell::Cell<options::Options>,
     peers: peers::Peers,
     dial_permits: sync::Arc<async_lock::Semaphore>,
 }
@@ -113,11 +115,23 @@
             unreachable_instances: cell::RefCell::default(),
             silent_instances: cell::RefCell::default(),
             organisation_count: cell::Cell::default(),
+            options: cell::Cell::default(),
             peers: peers::Peers::default(),
             dial_permits: sync::Arc::new(async_lock::Semaphore::new(MAX_CONCURRENT_DIALS)),
         })
     }
 
+    /// Sets which decisions under load are switched on, for pools that are created from now on.
+    pub fn set_options(&self, options: options::Options) {
+        self.options.set(options);
+    }
+
+    /// Decisions under load that are switched on.
+    #[must_use]
+    pub const fn options(&self) -> options::Options {
+        self.options.get()
+    }
+
     /// Replaces the list of members.
     pub fn set_members(&self, members: Vec<member::Member>) {
         if *self.members.borrow() != members {
@@ -169,7 +183,8 @@
             };
             let dialer = rc::Rc::clone(&self.direct);
             let executor = rc::Rc::clone(&self.executor);
-            rc::Rc::new(pool::Pool::new(instance, dialer, executor, size))
+            let pool = pool::Pool::new(instance, dialer, executor, size);
+            rc::Rc::new(pool.with_options(self.options.get()))
         });
         pool.resize(size);
         rc::Rc::clone(pool)
@@ -439,6 +454,10 @@
         self.dial_permits.acquire_arc().map(Some).boxed_local()
     }
 
+    fn load_options(&self) -> options::Options {
+        self.options.get()
+    }
+
     fn node_count(&self) -> usize {
         self.members.borrow().len().max(1)
     }
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod lending;
 pub mod lifecycle;
 pub mod limits;
+pub mod load;
 pub mod log;
 pub mod member;
 pub mod membership;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -18,6 +18,8 @@
 use crate::checkout;
 use crate::connection;
 use crate::health;
+use crate::load::options;
+use crate::load::report;
 use crate::organisation;
 use crate::reply;
 use crate::room::capacity;
@@ -44,6 +46,7 @@
     pub(crate) connections: connections::Connections,
     pub(crate) waiting: queue::Queue,
     limiter: rc::Rc<limiter::Limiter>,
+    options: options::Options,
     pub(crate) health: health::Health,
 }
 
@@ -59,6 +62,7 @@
         Self {
             instance: cell::RefCell::new(instance),
             capacity: capacity::Capacity::new(size),
+            options: dialer.load_options(),
             dialer,
             executor,
             connections: connections::Connections::default(),
@@ -68,6 +72,33 @@
         }
     }
 
+    /// Sets which decisions under load are switched on.
+    #[must_use]
+    pub fn with_options(mut self, options: options::Options) -> Self {
+        self.options = options;
+        self
+    }
+
+    /// Decisions under load that are switched on.
+    #[must_use]
+    pub const fn options(&self) -> options::Options {
+        self.options
+    }
+
+    /// The load of the instance as this node knows it.
+    #[must_use]
+    pub fn load_report(&self) -> report::Report {
+        let exchange = self.latency();
+        let queued = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let limit = u32::try_from(self.window()).unwrap_or(u32::MAX).max(1);
+        let wait = exchange.saturating_mul(queued) / limit;
+        report::Report {
+            waits_ms: [to_millis(wait); report::CLASSES],
+            exchange_ms: to_millis(exchange),
+            limit: u16::try_from(limit).unwrap_or(u16::MAX),
+        }
+    }
+
     /// Id of the instance.
     #[must_use]
     pub fn id(&self) -> upstream::Id {
@@ -349,3 +380,7 @@
         self.health.note_replies(now, took, replies);
     }
 }
+
+fn to_millis(duration: time::Duration) -> u16 {
+    u16::try_from(duration.as_millis()).unwrap_or(u16::MAX)
+}
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::guarantees;
 use crate::limits::tolerance;
+use crate::load::options;
 
 /// Identity, addresses, limits and guarantees of a node.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +36,8 @@
     pub max_sessions: usize,
     /// Guarantees about keys and rate limits of organisations.
     pub guarantees: guarantees::Guarantees,
+    /// Decisions under load that are switched on.
+    pub load: options::Options,
 }
 
 /// File descriptors reserved for the store, the instances, the health address and files.
@@ -84,6 +87,7 @@
             stop_grace: time::Duration::from_secs_f64(value(&file, "stop", "grace_s")?),
             max_sessions: descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1),
             guarantees: read_guarantees(&file)?,
+            load: read_load(&file)?,
         })
     }
 }
@@ -113,6 +117,17 @@
     })
 }
 
+// The section and its keys are optional; what is not named is off.
+fn read_load(file: &ini::Ini) -> eyre::Result<options::Options> {
+    let switch = |key| optional(file, "load", key).map(Option::unwrap_or_default);
+    Ok(options::Options {
+        adaptive_concurrency: switch("adaptive_concurrency")?,
+        load_reports: switch("load_reports")?,
+        fair_queueing: switch("fair_queueing")?,
+        retry_percent: optional(file, "load", "retry_percent")?,
+    })
+}
+
 fn optional<T>(file: &ini::Ini, section: &str, key: &str) -> eyre::Result<Option<T>>
 where
     T: std::str::FromStr,
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -12,6 +12,7 @@
 use mangotray::stamp;
 
 use crate::delegate;
+use crate::load::options;
 use crate::organisation;
 use crate::reply;
 use crate::statement;
@@ -222,6 +223,11 @@
         Box::pin(future::ready(None))
     }
 
+    /// Decisions under load that are switched on for pools of connections that it opens.
+    fn load_options(&self) -> options::Options {
+        options::Options::default()
+    }
+
     /// Number of nodes that share the instances, including this one.
     fn node_count(&self) -> usize {
         1
