Let a member's entry tell its protocol version and capacity

New messages between nodes may only go to nodes that can decode them, and lending by size needs the size of each node.

--- a/desk/src/delegate.rs
+++ b/desk/src/delegate.rs
@@ -66,6 +66,8 @@
 ///     name: name.into(),
 ///     domain: domain.into(),
 ///     address: "127.0.0.1:1".parse().unwrap(),
+///     protocol: 0,
+///     capacity: None,
 /// };
 /// let members = [member("a", "here"), member("b", "here"), member("c", "there")];
 /// let delegate = |own: &str| delegate::choose(&members, &"bookings".into(), &own.into(), |_| true);
--- a/desk/src/lending/serving.rs
+++ b/desk/src/lending/serving.rs
@@ -118,6 +118,8 @@
 ///     name: name.into(),
 ///     domain: domain.into(),
 ///     address: "127.0.0.1:1".parse().unwrap(),
+///     protocol: 0,
+///     capacity: None,
 /// };
 /// let members = [member("a", "far"), member("b", "near")];
 /// let order = serving::order(&members, &"i-1".into(), &"near".into());
@@ -142,6 +144,8 @@
 ///     name: name.into(),
 ///     domain: "here".into(),
 ///     address: "127.0.0.1:1".parse().unwrap(),
+///     protocol: 0,
+///     capacity: None,
 /// };
 /// let (one, other) = ([member("a"), member("b")], [member("b"), member("a")]);
 /// let first = |members: &[member::Member]| serving::ranked(members, "dome")[0].name.clone();
--- a/desk/src/member.rs
+++ b/desk/src/member.rs
@@ -16,8 +16,18 @@
     pub domain: id::Domain,
     /// Address at which it serves the other nodes.
     pub address: net::SocketAddr,
+    /// Version of the messages that it understands; 0 in entries of nodes that do not tell.
+    #[serde(default)]
+    pub protocol: u32,
+    /// Capacity of its VM relative to others, in thousandths of a core; `None` if it does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<u32>,
 }
 
+/// Version of the messages that this build understands. Version 1 has load reports and shares of
+/// organisations' limits; nodes send these messages only to members that understand them.
+pub const PROTOCOL: u32 = 1;
+
 impl Member {
     /// Its key in the platform's store.
     ///
@@ -27,6 +37,8 @@
     ///     name: "vm-1".into(),
     ///     domain: "d".into(),
     ///     address: "127.0.0.1:1".parse().unwrap(),
+    ///     protocol: 0,
+    ///     capacity: None,
     /// };
     /// assert_eq!(member.key(), "mangotray/vm/vm-1");
     /// ```
--- a/desk/tests/delegate.rs
+++ b/desk/tests/delegate.rs
@@ -244,6 +244,8 @@
         name: name.into(),
         domain: "here".into(),
         address,
+        protocol: 0,
+        capacity: None,
     }
 }
 
--- a/desk/tests/log_loss.rs
+++ b/desk/tests/log_loss.rs
@@ -104,6 +104,8 @@
         name: "vm".into(),
         domain: "here".into(),
         address: ([127, 0, 0, 1], 9).into(),
+        protocol: 0,
+        capacity: None,
     };
     harness.cluster.node.router().set_members(vec![member]);
 }
--- a/desk/tests/peers.rs
+++ b/desk/tests/peers.rs
@@ -87,6 +87,8 @@
         name: "far".into(),
         domain: "there".into(),
         address,
+        protocol: 0,
+        capacity: None,
     };
     let node = Node::new();
     let listener = async_io::Async::new(listener).expect("a listener");
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -86,6 +86,8 @@
         name: name.into(),
         domain: domain.into(),
         address: address(),
+        protocol: 0,
+        capacity: None,
     }
 }
 
--- a/desk/tests/shortfall.rs
+++ b/desk/tests/shortfall.rs
@@ -75,6 +75,8 @@
         name: "other".into(),
         domain: "here".into(),
         address,
+        protocol: 0,
+        capacity: None,
     };
     harness.cluster.node.router().set_members(vec![member]);
 }
