Count a statement as prepared once the instance has confirmed it

Callers were answered NOSTMT in transactions for names whose preparation had been acknowledged, also after the instance was well again. A connection recorded a statement as prepared when the command was built; after a failed PREPARE it went back to the pool with the name recorded.

The name is recorded with the instance's answer. Inside a transaction the preparation is awaited first, and a transaction whose statement is unknown is aborted. A write that cannot be prepared until its deadline is refused as not run instead of being told that it is unknown.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -241,7 +241,14 @@
                 code = ?reply.code(), "write not run");
             drop(checkout);
             if !delay_retry(retry_deadline(&reason, &urgency, wait_deadline)).await {
-                return Outcome::Answered(reply);
+                return match reply.code() {
+                    // The caller was told that the statement is prepared.
+                    Some(reply::Code::NoStatement) => Outcome::Refused(
+                        reply::Code::Busy,
+                        "the instance could not prepare the statement".into(),
+                    ),
+                    _ => Outcome::Answered(reply),
+                };
             }
         }
     }
--- a/desk/src/checkout.rs
+++ b/desk/src/checkout.rs
@@ -76,8 +76,9 @@
     }
 
     /// Returns the commands that set a session's values on the connection and prepare one
-    /// statement, without what is already set or prepared on it. Records them as done: they have to
-    /// be sent next.
+    /// statement, without what is already set or prepared on it. They have to be sent next: values
+    /// are recorded as set at once. A statement is recorded as prepared when the instance has
+    /// confirmed it.
     ///
     /// With `in_transaction`, a transaction is open and the connection cannot be reset.
     pub fn setup_commands(
@@ -112,7 +113,7 @@
             }
         }
         if let Some((handle, shape)) = shape
-            && connection.handles.insert(handle.clone())
+            && !connection.handles.contains(handle)
         {
             commands.push(upstream::Command::Prepare {
                 handle: handle.clone(),
@@ -169,29 +170,31 @@
             return Err(unsent("the connection is gone"));
         };
         let sent = boot::now();
-        let (values, statements) = commands.split_at(setup_len(&*connection.link, commands));
+        let setup_len = setup_len(&*connection.link, commands, self.in_transaction);
+        let (setup, statements) = commands.split_at(setup_len);
         // Broken until the exchange is complete: if this future is dropped before that, an unread reply
         // stays on the connection, and the next request would take it for its own.
         self.broken = true;
-        if !values.is_empty() {
+        if !setup.is_empty() {
             let replies = wait::until(
                 deadline,
                 connection
                     .link
-                    .run(values, urgency, &connection.organisation),
+                    .run(setup, urgency, &connection.organisation),
             )
             .await;
-            let done = |replies: Vec<reply::Reply>| replies.iter().all(reply::Reply::is_done);
-            let values_set = replies.is_some_and(|replies| replies.is_ok_and(done));
-            if !values_set {
-                return Err(unsent("the session's values could not be set"));
-            }
+            let done = |replies: &Vec<reply::Reply>| replies.iter().all(reply::Reply::is_done);
+            let Some(replies) = replies.and_then(Result::ok).filter(done) else {
+                return Err(unsent("the session's state could not be set"));
+            };
+            connection.note_prepared(setup, &replies);
         }
         let result = exchange(connection, &self.pool, statements, urgency, on_silence).await;
         // If a relaying node could not run the commands, its answer has been read completely.
         self.broken = result.as_ref().is_err_and(|failure| failure.sent);
         let replies = result?;
         self.setup_pending = false;
+        connection.note_prepared(statements, &replies);
         connection.used = boot::now();
         self.pool.note_replies(sent, &replies);
         self.update_state(replies.last());
@@ -284,19 +287,27 @@
 }
 
 // Number of leading commands that have to succeed before the rest is sent: all up to the last one
-// that sets or resets values. An instance that fails some of its requests may fail these too, and
-// would then run the statement after them with the values of another session.
-fn setup_len(link: &dyn upstream::Connection, commands: &[upstream::Command]) -> usize {
+// that sets or resets values, or prepares a statement inside a transaction. An instance that fails
+// some of its requests may fail these too. It would then run the statement after them with the
+// values of another session, or answer that it does not know a statement whose preparation the
+// caller was told of. Outside a transaction, an unknown statement is prepared and sent again.
+fn setup_len(
+    link: &dyn upstream::Connection,
+    commands: &[upstream::Command],
+    in_transaction: bool,
+) -> usize {
     if link.set_always_succeeds() {
         return 0;
     }
-    let sets = |command: &upstream::Command| {
-        matches!(
-            command,
-            upstream::Command::Set { .. } | upstream::Command::Reset
-        )
+    let precedes = |command: &upstream::Command| match command {
+        upstream::Command::Set { .. } | upstream::Command::Reset => true,
+        upstream::Command::Prepare { .. } => in_transaction,
+        _ => false,
     };
-    commands.iter().rposition(sets).map_or(0, |last| last + 1)
+    commands
+        .iter()
+        .rposition(precedes)
+        .map_or(0, |last| last + 1)
 }
 
 fn unsent(detail: &str) -> upstream::Failure {
--- a/desk/src/connection.rs
+++ b/desk/src/connection.rs
@@ -7,6 +7,7 @@
 
 use crate::lending::shard;
 use crate::organisation;
+use crate::reply;
 use crate::statement;
 use crate::upstream;
 
@@ -21,7 +22,7 @@
     pub organisation: organisation::Name,
     /// Session values that are set on it.
     pub values: Values,
-    /// Names of the statements that are prepared on it.
+    /// Names of the statements that the instance has confirmed as prepared on it.
     pub handles: collections::BTreeSet<CompactString>,
     /// Commands that set its state were built but not sent, so `values` and `handles` may be wrong.
     pub dirty: bool,
@@ -70,4 +71,18 @@
             self.handles.clear();
         }
     }
+
+    /// Records which of these commands have prepared a statement, by their replies.
+    pub(crate) fn note_prepared(
+        &mut self,
+        commands: &[upstream::Command],
+        replies: &[reply::Reply],
+    ) {
+        let answered = commands.iter().zip(replies);
+        let prepared = answered.filter_map(|(command, reply)| match command {
+            upstream::Command::Prepare { handle, .. } if reply.is_done() => Some(handle.clone()),
+            _ => None,
+        });
+        self.handles.extend(prepared);
+    }
 }
--- a/desk/src/transaction.rs
+++ b/desk/src/transaction.rs
@@ -65,6 +65,15 @@
                 "the connection to the instance was lost".into(),
             ));
         };
+        if reply.code() == Some(&reply::Code::NoStatement) {
+            // The caller was told that the statement is prepared, so it is this connection that
+            // has lost it.
+            pinned.checkout.discard();
+            return Err((
+                reply::Code::Aborted,
+                "the instance lost a prepared statement".into(),
+            ));
+        }
         self.wrote |= query.access == statement::Access::Write;
         if let Some(term) = pinned.primary_term {
             pinned.group.record_position(term, sent, reply.position);
--- a/desk/tests/cluster/mod.rs
+++ b/desk/tests/cluster/mod.rs
@@ -88,6 +88,8 @@
     pub dead: u64,
     /// Number of following commands that set a value and fail.
     pub fail_sets: usize,
+    /// Number of following commands that prepare a statement and fail.
+    pub fail_prepares: usize,
     /// The instance that executes the statement with this number, counted over all instances,
     /// stops.
     pub die_after: Option<usize>,
@@ -383,6 +385,10 @@
                 self.values.insert(name.clone(), value.clone());
                 Ok(self.done(&world, Vec::new()))
             }
+            upstream::Command::Prepare { .. } if world.fail_prepares > 0 => {
+                world.fail_prepares -= 1;
+                Ok(self.fail(&world, reply::Code::Failed))
+            }
             upstream::Command::Prepare { handle, shape } => {
                 self.prepared.insert(handle.clone(), shape.clone());
                 Ok(self.done(&world, Vec::new()))
--- a/desk/tests/session.rs
+++ b/desk/tests/session.rs
@@ -55,6 +55,56 @@
     }
 }
 
+/// Guards against a prepared statement that is unknown although its preparation was acknowledged.
+/// An instance fails the command that prepares it; the connection counted it as prepared, and each
+/// later transaction on the connection was told that there is no such statement.
+#[test]
+fn a_statement_counts_as_prepared_only_once_the_instance_has_confirmed_it() {
+    let cluster = cluster::Cluster::new();
+    cluster.run(async {
+        let mut session = cluster.session("current");
+        session
+            .handle(&cluster::request("PREPARE p WRITE seats"))
+            .await;
+        cluster.world.borrow_mut().fail_prepares = 1;
+        session.handle(&cluster::request("BEGIN")).await;
+        let reply = session.handle(&cluster::request("EXEC p 1")).await;
+        assert_eq!(reply.code(), Some(&reply::Code::Aborted));
+        session.handle(&cluster::request("ROLLBACK")).await;
+        session.handle(&cluster::request("BEGIN")).await;
+        assert!(
+            session
+                .handle(&cluster::request("EXEC p 2"))
+                .await
+                .is_done()
+        );
+        assert!(session.handle(&cluster::request("COMMIT")).await.is_done());
+    });
+}
+
+/// Guards against a write that is told that there is no such statement, while the instance fails
+/// each command that prepares it.
+#[test]
+fn a_write_is_not_told_that_its_prepared_statement_is_unknown() {
+    let cluster = cluster::Cluster::new();
+    cluster.run(async {
+        let mut session = cluster.session("current");
+        session
+            .handle(&cluster::request("PREPARE p WRITE seats"))
+            .await;
+        cluster.world.borrow_mut().fail_prepares = usize::MAX;
+        let reply = session.handle(&cluster::request("EXEC p 1")).await;
+        assert_eq!(reply.code(), Some(&reply::Code::Busy));
+        cluster.world.borrow_mut().fail_prepares = 0;
+        assert!(
+            session
+                .handle(&cluster::request("EXEC p 2"))
+                .await
+                .is_done()
+        );
+    });
+}
+
 #[test]
 fn equal_statement_names_are_separate_in_each_session() {
     let cluster = cluster::Cluster::new();
