Weight the choice of lending nodes by their capacity

Nodes with 0.12 of a core and 10 Mbit/s relay as many statements as those with 0.5 and 200, since lending nodes are chosen by equal hashes. `[vm] cores` and `link_mbps` give a capacity, the member's entry tells it, and lending nodes are chosen by weighted rendezvous hashing. Where no member tells a capacity, and where all are equal, the order is that of before. The deploy file's template does not set them yet.

--- a/desk/src/lending/serving.rs
+++ b/desk/src/lending/serving.rs
@@ -3,7 +3,8 @@
 //! If an instance accepts enough connections, every node has its own. In a larger fleet, a few
 //! serving nodes in the instance's failure domain hold all connections and lend them to the other
 //! nodes. Serving nodes are chosen by rendezvous hashing, so a change of the fleet reassigns few
-//! instances.
+//! instances. Where members tell their capacity, it weights their chance to serve: otherwise nodes
+//! with an eighth of a core would relay as many statements as those with half a core.
 
 use std::hash;
 use std::hash::Hash;
@@ -110,7 +111,7 @@
 }
 
 /// The members in the order in which they serve an instance: those in its failure domain first,
-/// then by a hash of member and instance.
+/// then by a hash of member and instance, weighted by capacity where members tell it.
 ///
 /// ```
 /// use mangotray_desk::{member, lending::serving};
@@ -131,11 +132,52 @@
     instance: &upstream::Id,
     domain: &id::Domain,
 ) -> Vec<&'a member::Member> {
+    let smallest = smallest_capacity(members);
     let mut order: Vec<_> = members.iter().collect();
-    order.sort_by_cached_key(|member| (member.domain != *domain, rank(member, instance)));
+    order.sort_by_cached_key(|member| {
+        let rank = rank(member, instance);
+        let score = smallest.map(|smallest| weighted(rank, weight(member, smallest)));
+        (member.domain != *domain, score, rank)
+    });
     order
 }
 
+// `None` if no member tells its capacity.
+fn smallest_capacity(members: &[member::Member]) -> Option<u32> {
+    members.iter().filter_map(|member| member.capacity).min()
+}
+
+// A member that does not tell its capacity, such as a node of an earlier build, counts as one of the
+// smallest.
+fn weight(member: &member::Member, smallest: u32) -> u32 {
+    member.capacity.unwrap_or(smallest).max(1)
+}
+
+/// Position of a member with this hash and weight in weighted rendezvous hashing; the lowest comes
+/// first. With equal weights the order is that of the hashes.
+///
+/// The chance to come first is proportional to the weight, and a change of one member's weight
+/// changes no other member's position.
+///
+/// ```
+/// use mangotray_desk::lending::serving;
+/// assert!(serving::weighted(1 << 60, 100) < serving::weighted(1 << 61, 100));
+/// assert!(serving::weighted(1 << 61, 400) < serving::weighted(1 << 60, 100));
+/// ```
+#[must_use]
+#[allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss
+)] // Hashes need not be exact, and the result is between 0 and 2^53.
+pub fn weighted(hash: u64, weight: u32) -> u64 {
+    /// Largest value of the logarithm below, for the largest hash.
+    const MAX_LOG: f64 = 45.0;
+    let fraction = hash as f64 / 2.0_f64.powi(64);
+    let log = (-(-fraction).ln_1p()).min(MAX_LOG);
+    (log / f64::from(weight) / MAX_LOG * 2.0_f64.powi(53)) as u64
+}
+
 /// The members ordered by a hash of their name and `key`; the same on all nodes.
 ///
 /// ```
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -18,6 +18,8 @@
     pub name: id::Vm,
     /// Failure domain of the VM.
     pub domain: id::Domain,
+    /// Capacity of the VM in thousandths of a core; `None` if the settings do not tell it.
+    pub capacity: Option<u32>,
     /// Address on which callers are served.
     pub callers: net::SocketAddr,
     /// Address on which readiness and metrics are served.
@@ -40,6 +42,13 @@
     pub load: options::Options,
 }
 
+/// Capacity, in thousandths of a core, that one Mbit/s of a link can feed. With this value, 10 Mbit/s
+/// and 0.12 of a core, the smallest nodes in use, bound a node alike.
+const MILLICORES_PER_MBPS: f64 = 12.0;
+
+/// Largest capacity that a node tells, in thousandths of a core.
+const MAX_CAPACITY: f64 = 1_000_000.0;
+
 /// File descriptors reserved for the store, the instances, the health address and files.
 const RESERVED_DESCRIPTORS: usize = 600;
 
@@ -75,6 +84,7 @@
         Ok(Self {
             name: text_of(&file, "vm", "name")?.into(),
             domain: text_of(&file, "vm", "domain")?.into(),
+            capacity: read_capacity(&file)?,
             callers: value(&file, "listen", "callers")?,
             health: value(&file, "listen", "health")?,
             peers: value(&file, "listen", "peers")?,
@@ -117,6 +127,34 @@
     })
 }
 
+// Both keys are optional. A narrow link bounds the capacity, as a node that relays statements uses
+// both.
+fn read_capacity(file: &ini::Ini) -> eyre::Result<Option<u32>> {
+    let cores = positive(file, "vm", "cores")?;
+    let link = positive(file, "vm", "link_mbps")?;
+    let from_link = link.map(|link| link * MILLICORES_PER_MBPS);
+    let Some(cores) = cores else {
+        return Ok(None);
+    };
+    let millicores = from_link.map_or(cores * 1000.0, |bound| bound.min(cores * 1000.0));
+    Ok(Some(to_capacity(millicores)))
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Within the bounds.
+fn to_capacity(millicores: f64) -> u32 {
+    millicores.clamp(1.0, MAX_CAPACITY) as u32
+}
+
+fn positive(file: &ini::Ini, section: &str, key: &str) -> eyre::Result<Option<f64>> {
+    let found: Option<f64> = optional(file, section, key)?;
+    if let Some(found) = found
+        && !(found.is_finite() && found > 0.0)
+    {
+        eyre::bail!("[{section}] {key}: {found} is not a positive number");
+    }
+    Ok(found)
+}
+
 // The section and its keys are optional; what is not named is off.
 fn read_load(file: &ini::Ini) -> eyre::Result<options::Options> {
     let switch = |key| optional(file, "load", key).map(Option::unwrap_or_default);
