Serve organisations that wait for an instance in turn

One organisation that sends many times its usual load fills the queues for permits and connections, which are ordered by priority and due time only, and a released connection goes to its own organisation for as long as any of its requests wait.

With `[load] fair_queueing`, where lending nodes hold the connections, the next request is chosen by priority, then by start-time fair queueing over organisations, then in the order of before. With one organisation waiting it is that of `schedule::next`. A request is charged with 15 ms when it is served and settled with the time that it took. A released connection is closed for another organisation if that one has the more urgent request, or if the holder is ahead by more than 96 ms; a strict order would open a connection for nearly every statement. A permit is handed to the request that was woken, so that an arrival cannot take it.

--- a/desk/src/checkout.rs
+++ b/desk/src/checkout.rs
@@ -8,6 +8,7 @@
 
 use crate::boot;
 use crate::connection;
+use crate::organisation;
 use crate::pool;
 use crate::reply;
 use crate::statement;
@@ -39,6 +40,8 @@
     pool: rc::Rc<pool::Pool>,
     urgency: urgency::Urgency,
     connection: Option<connection::Connection>,
+    /// When it was checked out.
+    since: id::Time,
     broken: bool,
     /// A transaction is open on the connection.
     in_transaction: bool,
@@ -49,7 +52,7 @@
 impl Checkout {
     /// Checks out `connection`, which goes back to `pool` when this is dropped.
     #[must_use]
-    pub(crate) const fn new(
+    pub(crate) fn new(
         pool: rc::Rc<pool::Pool>,
         connection: connection::Connection,
         urgency: urgency::Urgency,
@@ -58,6 +61,7 @@
             pool,
             urgency,
             connection: Some(connection),
+            since: boot::now(),
             broken: false,
             in_transaction: false,
             setup_pending: false,
@@ -159,7 +163,11 @@
             awaited: deadline,
             ..self.urgency
         };
-        let Some(_permit) = self.pool.acquire_permit(urgency).await else {
+        let connection = self.connection.as_ref();
+        let organisation = connection.map_or(organisation::OWN, |connection| {
+            connection.organisation.clone()
+        });
+        let Some(_permit) = self.pool.acquire_permit(urgency, &organisation).await else {
             return Err(upstream::Failure {
                 crowded: true,
                 ..unsent("no turn in time")
@@ -236,6 +244,7 @@
         if self.in_transaction {
             self.pool.unpin();
         }
+        self.pool.settle(&connection.organisation, self.since);
         self.pool.release(reusable.then_some(connection));
     }
 }
--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -213,6 +213,7 @@
             max_connections,
             max_statements,
             idle_timeout,
+            lends: true,
         }
     }
 
@@ -462,6 +463,10 @@
         self.members.borrow().len().max(1)
     }
 
+    fn is_shared(&self, target: &upstream::Target) -> bool {
+        self.serving_mode(target) != serving::Mode::Direct
+    }
+
     fn is_last_resort(&self, target: &upstream::Target) -> bool {
         self.partitions_connections() && self.serving_mode(target) != serving::Mode::Direct
     }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -9,6 +9,7 @@
 use std::rc;
 use std::time;
 
+use futures_lite::future as poll;
 use mangotray::id;
 use mangotray::stamp;
 
@@ -237,11 +238,24 @@
         deadline: id::Time,
     ) -> Result<checkout::Checkout, shortage::Shortage> {
         let since = boot::now();
+        let fair = self.serves_in_turn();
+        self.waiting.set_fair(fair);
+        if fair && self.waiting.woken() > 0 {
+            // Those that were woken go first.
+            poll::yield_now().await;
+        }
+        let mut woken = false;
         loop {
             if let Some(connection) = self.connections.take(organisation, values) {
+                if !woken {
+                    self.waiting.charge(organisation);
+                }
                 let pool = rc::Rc::clone(self);
                 return Ok(checkout::Checkout::new(pool, connection, urgency));
             }
+            if woken {
+                self.waiting.settle(organisation, time::Duration::ZERO);
+            }
             if self.is_down() {
                 return Err(shortage::Shortage::Down);
             }
@@ -261,9 +275,27 @@
                     shortage::Shortage::Late
                 });
             }
+            woken = true;
         }
     }
 
+    // Whether organisations that wait for this instance are served in turn.
+    fn serves_in_turn(&self) -> bool {
+        self.options.fair_queueing && (self.capacity.lends() || self.uses_lenders())
+    }
+
+    // Whether these connections lead to nodes that lend connections to the instance.
+    fn uses_lenders(&self) -> bool {
+        let target = self.instance.borrow().target(&organisation::OWN);
+        self.dialer.is_shared(&target)
+    }
+
+    /// Accounts for the time for which an organisation had a connection.
+    pub(crate) fn settle(&self, organisation: &organisation::Name, since: id::Time) {
+        let took = boot::now().saturating_sub(since);
+        self.waiting.settle(organisation, took);
+    }
+
     /// Closes connections beyond the minimum that have been idle for longer than the timeout.
     pub fn trim(&self) {
         self.connections.trim(self.capacity.idle_timeout());
@@ -306,7 +338,7 @@
     }
 
     /// Takes a connection that was checked out back into the pool; `None` if it was closed.
-    pub(crate) fn release(&self, connection: Option<connection::Connection>) {
+    pub(crate) fn release(self: &rc::Rc<Self>, connection: Option<connection::Connection>) {
         let last_resort = |connection: &connection::Connection| {
             let target = self.instance.borrow().target(&connection.organisation);
             !connection.link.serves_any_organisation() && self.dialer.is_last_resort(&target)
@@ -316,10 +348,27 @@
             return self.waiting.wake();
         };
         let organisation = connection.organisation.clone();
+        if !connection.link.serves_any_organisation()
+            && let Some(rival) = self.rival(&organisation)
+        {
+            drop(connection);
+            self.connections.note_closed(1);
+            metrics::counter!("mangotray_upstream_evictions_total").increment(1);
+            return self.open_for(&rival);
+        }
         self.connections.put(connection);
         self.waiting.wake_for(&organisation);
     }
 
+    // The organisation for which a connection of another one is closed although it is in demand.
+    fn rival(&self, organisation: &organisation::Name) -> Option<organisation::Name> {
+        let full = self.connections.open_count() >= self.capacity.limit();
+        let may_dial = self.connections.dialling_count() < MAX_DIALS && !self.capacity.is_full();
+        let coming = |name: &organisation::Name| self.connections.dialling_count_for(name);
+        let rival = || self.waiting.rival(organisation, coming);
+        (full && may_dial).then(rival).flatten()
+    }
+
     // Opens one more connection for an organisation in the background, if there are too few.
     //
     // The dial is not cancelled when the request that waits for it gives up. Otherwise the
@@ -364,8 +413,10 @@
     pub(crate) async fn acquire_permit(
         &self,
         urgency: urgency::Urgency,
+        organisation: &organisation::Name,
     ) -> Option<limiter::Permit> {
-        self.limiter.acquire(urgency).await
+        self.limiter.set_fair(self.serves_in_turn());
+        self.limiter.acquire(urgency, organisation).await
     }
 
     pub(crate) fn note_replies(self: &rc::Rc<Self>, sent: id::Time, replies: &[reply::Reply]) {
--- a/desk/src/room.rs
+++ b/desk/src/room.rs
@@ -7,4 +7,5 @@
 pub mod queue;
 pub mod schedule;
 pub mod size;
+pub mod turns;
 pub mod window;
--- a/desk/src/room/capacity.rs
+++ b/desk/src/room/capacity.rs
@@ -41,6 +41,11 @@
         self.size.get().idle_timeout
     }
 
+    /// Whether this node holds the connections for other nodes too.
+    pub(crate) fn lends(&self) -> bool {
+        self.size.get().lends
+    }
+
     /// Counts one more connection with an open transaction.
     pub(crate) fn pin(&self) {
         self.pinned.set(self.pinned.get() + 1);
--- a/desk/src/room/limiter.rs
+++ b/desk/src/room/limiter.rs
@@ -38,21 +38,61 @@
         self.window.get().size()
     }
 
+    /// Sets whether organisations get permits in turn.
+    pub(crate) fn set_fair(&self, fair: bool) {
+        self.waiting.set_fair(fair);
+    }
+
     /// Waits for a permit until the statement's latest start or the deadline of its answer,
     /// whichever is first; returns `None` if that time passes.
-    pub(crate) async fn acquire(self: &rc::Rc<Self>, urgency: urgency::Urgency) -> Option<Permit> {
+    pub(crate) async fn acquire(
+        self: &rc::Rc<Self>,
+        urgency: urgency::Urgency,
+        organisation: &organisation::Name,
+    ) -> Option<Permit> {
         let deadline = urgency.until.min(urgency.awaited);
-        let (any_organisation, since) = (organisation::OWN, boot::now());
-        while self.running.get() >= self.window() {
-            let waited = self
-                .waiting
-                .wait(&any_organisation, urgency, since, deadline);
+        let since = boot::now();
+        let mut woken = false;
+        self.fill();
+        while !self.has_place(woken) {
+            if woken {
+                // The limit has shrunk since it was woken.
+                self.waiting.settle(organisation, time::Duration::ZERO);
+            }
+            let waited = self.waiting.wait(organisation, urgency, since, deadline);
             if !waited.await {
                 return None;
             }
+            woken = true;
+        }
+        if !woken {
+            self.waiting.charge(organisation);
         }
         self.running.set(self.running.get() + 1);
-        Some(Permit(rc::Rc::clone(self)))
+        Some(Permit {
+            limiter: rc::Rc::clone(self),
+            organisation: organisation.clone(),
+            since: boot::now(),
+        })
+    }
+
+    // Whether one more statement may run now. Where organisations are served in turn, a statement
+    // that arrives does not take the place of one that was woken or waits.
+    fn has_place(&self, woken: bool) -> bool {
+        if woken || !self.waiting.is_fair() {
+            return self.running.get() < self.window();
+        }
+        self.waiting.is_empty() && self.running.get() + self.waiting.woken() < self.window()
+    }
+
+    // Where organisations are served in turn, wakes as many statements as may run.
+    fn fill(&self) {
+        while self.waiting.is_fair()
+            && self.running.get() + self.waiting.woken() < self.window()
+            && !self.waiting.is_empty()
+        {
+            self.waiting.wake();
+        }
     }
 
     /// Adapts the limit to a reply; returns whether it has grown, so that one more statement may
@@ -76,11 +116,23 @@
 }
 
 /// The right to run one statement, released when dropped.
-pub(crate) struct Permit(rc::Rc<Limiter>);
+pub(crate) struct Permit {
+    limiter: rc::Rc<Limiter>,
+    organisation: organisation::Name,
+    /// When it was granted.
+    since: id::Time,
+}
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-        self.0.waiting.wake();
+        let limiter = &self.limiter;
+        limiter.running.set(limiter.running.get() - 1);
+        if limiter.waiting.is_fair() {
+            let took = boot::now().saturating_sub(self.since);
+            limiter.waiting.settle(&self.organisation, took);
+            limiter.fill();
+        } else {
+            limiter.waiting.wake();
+        }
     }
 }
--- a/desk/src/room/queue.rs
+++ b/desk/src/room/queue.rs
@@ -1,12 +1,15 @@
-//! A queue of requests that wait for a limited resource, woken in the order of [`crate::room::schedule`].
+//! A queue of requests that wait for a limited resource, woken in the order of
+//! [`crate::room::schedule`] or, between organisations, of [`crate::room::turns`].
 
 use std::cell;
+use std::time;
 
 use mangotray::id;
 
 use crate::boot;
 use crate::organisation;
 use crate::room::schedule;
+use crate::room::turns;
 use crate::urgency;
 use crate::wait;
 
@@ -26,6 +29,11 @@
     number: cell::Cell<u64>,
     /// Number of requests woken one at a time so far.
     served: cell::Cell<u64>,
+    /// Whether organisations are served in turn.
+    fair: cell::Cell<bool>,
+    turns: cell::RefCell<turns::Turns>,
+    /// Number of requests that were woken and have not continued yet.
+    woken: cell::Cell<usize>,
 }
 
 impl Queue {
@@ -41,6 +49,40 @@
         self.len() == 0
     }
 
+    /// Sets whether organisations are served in turn.
+    pub fn set_fair(&self, fair: bool) {
+        self.fair.set(fair);
+    }
+
+    /// Returns whether organisations are served in turn.
+    #[must_use]
+    pub const fn is_fair(&self) -> bool {
+        self.fair.get()
+    }
+
+    /// Returns the number of requests that were woken and have not continued yet.
+    #[must_use]
+    pub const fn woken(&self) -> usize {
+        self.woken.get()
+    }
+
+    /// Charges an organisation with a request that did not have to wait.
+    pub fn charge(&self, organisation: &organisation::Name) {
+        if !self.is_fair() {
+            return;
+        }
+        let wakers = self.wakers.borrow();
+        let waiting: Vec<_> = wakers.iter().map(|waker| &waker.organisation).collect();
+        self.turns.borrow_mut().charge(organisation, &waiting);
+    }
+
+    /// Replaces the expected work that an organisation was charged with by what a request took.
+    pub fn settle(&self, organisation: &organisation::Name, took: time::Duration) {
+        if self.is_fair() {
+            self.turns.borrow_mut().settle(organisation, took);
+        }
+    }
+
     /// Waits to be woken; returns `false` if `deadline` passes first. `since` is when the request
     /// began to wait, which may be before this call.
     pub async fn wait(
@@ -62,26 +104,75 @@
             wake,
             organisation: organisation.clone(),
         });
-        let guard = Guard(self, number);
+        let guard = Guard {
+            queue: self,
+            number,
+            organisation,
+            continued: cell::Cell::new(false),
+        };
         let result = wait::until(deadline, woken.recv()).await;
+        guard.continued.set(result.is_some());
         drop(guard);
-        if result.is_none() && woken.try_recv().is_ok() {
+        if result.is_none() && woken.try_recv().is_ok() && !self.is_fair() {
             // This request was woken after its deadline; the wake-up goes to the next one.
             self.wake();
         }
         result.is_some()
     }
 
-    /// Wakes the request that [`schedule::next`] picks.
+    /// Returns the organisation whose waiting request should get a place that `holder` gives back,
+    /// rather than the next request of `holder` itself, which could use the place without delay.
+    /// Leaves out organisations with as many places on the way, by `coming`, as waiting requests.
+    #[must_use]
+    pub fn rival(
+        &self,
+        holder: &organisation::Name,
+        coming: impl Fn(&organisation::Name) -> usize,
+    ) -> Option<organisation::Name> {
+        if !self.is_fair() {
+            return None;
+        }
+        let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
+        let of = |index: &usize| &wakers[*index].organisation;
+        let (own, others): (Vec<_>, Vec<_>) =
+            (0..wakers.len()).partition(|index| of(index) == holder);
+        let short = |index: &usize| self.count_waiting(of(index)) > coming(of(index));
+        let others: Vec<_> = others.into_iter().filter(short).collect();
+        let next = |indices: &[usize]| {
+            let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
+            let names: Vec<_> = indices.iter().map(of).collect();
+            let turns = self.turns.borrow();
+            let next = turns.next(&claims, &names, boot::now(), self.served.get() + 1)?;
+            Some((claims[next], names[next]))
+        };
+        let (own, (other, organisation)) = (next(&own)?.0, next(&others)?);
+        let turns = self.turns.borrow();
+        let lead = turns
+            .start(holder)
+            .saturating_sub(turns.start(organisation));
+        turns::changes_hands(&own, &other, lead).then(|| organisation.clone())
+    }
+
+    /// Wakes the request that is next.
     pub fn wake(&self) {
         let served = self.served.get() + 1;
-        let next = schedule::next(&self.entries.borrow(), boot::now(), served);
-        if let Some(index) = next {
+        if let Some(index) = self.next(served) {
             self.served.set(served);
             self.wake_at(index);
         }
     }
 
+    fn next(&self, served: u64) -> Option<usize> {
+        let entries = self.entries.borrow();
+        if !self.is_fair() {
+            return schedule::next(&entries, boot::now(), served);
+        }
+        let wakers = self.wakers.borrow();
+        let organisations: Vec<_> = wakers.iter().map(|waker| &waker.organisation).collect();
+        let turns = self.turns.borrow();
+        turns.next(&entries, &organisations, boot::now(), served)
+    }
+
     /// Wakes the next request of an organisation, or the next of all if none of its requests waits.
     pub fn wake_for(&self, organisation: &organisation::Name) {
         let indices: Vec<_> = {
@@ -114,16 +205,27 @@
     }
 
     fn wake_at(&self, index: usize) {
-        // Sending fails only if the request was dropped, which then needs no wake-up.
-        let _ = self.remove(index).wake.try_send(());
+        let organisation = self.wakers.borrow()[index].organisation.clone();
+        self.charge(&organisation);
+        let waker = self.remove(index);
+        self.send(&waker);
     }
 
     /// Wakes all requests.
     pub fn wake_all(&self) {
+        for waker in self.wakers.borrow().iter() {
+            self.charge(&waker.organisation);
+        }
         self.entries.take();
         for waker in self.wakers.take() {
-            // Sending fails only if the request was dropped, which then needs no wake-up.
-            let _ = waker.wake.try_send(());
+            self.send(&waker);
+        }
+    }
+
+    fn send(&self, waker: &Waker) {
+        // Sending fails only if the request was dropped, which then needs no wake-up.
+        if waker.wake.try_send(()).is_ok() {
+            self.woken.set(self.woken.get() + 1);
         }
     }
 
@@ -133,20 +235,33 @@
     }
 }
 
-/// Removes a request's entry from the queue when dropped.
-struct Guard<'a>(&'a Queue, u64);
+/// Removes a request's entry from the queue when dropped, or counts its wake-up as done.
+struct Guard<'a> {
+    queue: &'a Queue,
+    number: u64,
+    organisation: &'a organisation::Name,
+    /// Whether the request was woken in time and has continued.
+    continued: cell::Cell<bool>,
+}
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
-        let number = self.1;
-        let found = self
-            .0
+        let queue = self.queue;
+        let found = queue
             .entries
             .borrow()
             .iter()
-            .position(|entry| entry.number == number);
+            .position(|entry| entry.number == self.number);
         if let Some(index) = found {
-            self.0.remove(index);
+            queue.remove(index);
+            return;
+        }
+        queue.woken.set(queue.woken.get() - 1);
+        if queue.is_fair() && !self.continued.get() {
+            // It was woken after its deadline, or dropped before it continued. A place that is
+            // reserved for it would otherwise stay unused.
+            queue.settle(self.organisation, time::Duration::ZERO);
+            queue.wake();
         }
     }
 }
--- a/desk/src/room/schedule.rs
+++ b/desk/src/room/schedule.rs
@@ -64,8 +64,7 @@
 /// ```
 #[must_use]
 pub fn next(waiting: &[Entry], now: id::Time, served: u64) -> Option<usize> {
-    let oldest = waiting.iter().map(|entry| entry.since).min()?;
-    if now.saturating_sub(oldest) <= STANDING_QUEUE_AGE {
+    if !is_standing(waiting, now) {
         return earliest_due(waiting);
     }
     let classes = waiting.iter().map(Entry::class);
@@ -76,3 +75,22 @@
     };
     newest_in_class(waiting, class)
 }
+
+/// Whether the oldest of these requests has waited so long that they form a standing queue.
+///
+/// ```
+/// use mangotray_desk::{room::schedule, urgency};
+/// use std::time::Duration;
+/// let waiting = [schedule::Entry {
+///     urgency: urgency::Urgency::default(),
+///     number: 1,
+///     since: Duration::ZERO,
+/// }];
+/// assert!(!schedule::is_standing(&waiting, Duration::from_millis(80)));
+/// assert!(schedule::is_standing(&waiting, Duration::from_millis(81)));
+/// ```
+#[must_use]
+pub fn is_standing(waiting: &[Entry], now: id::Time) -> bool {
+    let oldest = waiting.iter().map(|entry| entry.since).min();
+    oldest.is_some_and(|oldest| now.saturating_sub(oldest) > STANDING_QUEUE_AGE)
+}
--- a/desk/src/room/size.rs
+++ b/desk/src/room/size.rs
@@ -19,6 +19,8 @@
     pub max_statements: usize,
     /// Idle time after which a connection beyond the pool's minimum is closed.
     pub idle_timeout: time::Duration,
+    /// Whether the node holds these connections for other nodes too, and is one of the few that do.
+    pub lends: bool,
 }
 
 impl Size {
@@ -29,6 +31,7 @@
             max_connections: MAX_CONNECTIONS,
             max_statements: MAX_CONNECTIONS,
             idle_timeout: IDLE_TIMEOUT,
+            lends: false,
         }
     }
 }
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -233,6 +233,11 @@
         1
     }
 
+    /// Whether a few nodes hold all connections to `target` and lend them to the others.
+    fn is_shared(&self, _target: &Target) -> bool {
+        false
+    }
+
     /// Whether this node's own connections to `target` are a last resort, to be closed after use,
     /// as other nodes may need them more.
     fn is_last_resort(&self, _target: &Target) -> bool {
