--- a/desk/src/room.rs
+++ b/desk/src/room.rs
@@ -7,4 +7,6 @@
 pub mod queue;
 pub mod schedule;
 pub mod size;
+pub mod turns;
+pub mod usage;
 pub mod window;
