Report the load of instances from lending nodes to requesting ones

Cause: a node that borrows connections knows nothing of the queue at the lending node, so that it sends as much to a slow or overloaded instance as to the others.

Change: with `[load] load_reports`, a lending node appends its load report to answers, if the request ends in the byte 2; sent only to members of protocol 1 or more, as earlier ones stop their heartbeats for an unknown byte. A report is repeated after 50 ms on one connection, or when a value changed by more than a fifth. The requesting node keeps the last one of each instance and lending node, dated by when its request was sent, for 500 ms; it is dropped when the node fails, refuses, or resets a connection. The expected wait is told by priority class, from the statements that wait.

Without the switch the request and the answer have the bytes of before (`without_a_subscription_the_request_is_as_before`, `an_older_requesting_node_gets_no_report`).

--- a/desk/src/lending/relay.rs
+++ b/desk/src/lending/relay.rs
@@ -21,6 +21,8 @@
 use crate::boot;
 use crate::checkout;
 use crate::lifecycle;
+use crate::load::report;
+use crate::load::throttle;
 use crate::message;
 use crate::organisation;
 use crate::phase;
@@ -63,6 +65,10 @@
 /// Trailing byte of a request whose sender wants heartbeats while the commands run.
 pub const HEARTBEAT_REQUEST: u8 = 1;
 
+/// Trailing byte of a request whose sender wants heartbeats and load reports. Sent only to nodes
+/// that know it: earlier ones would send no heartbeats.
+pub const REPORT_REQUEST: u8 = 2;
+
 /// A request to run commands; the sending side is `WorkRef` in [`crate::lending::remote`].
 #[derive(serde::Deserialize)]
 struct Work {
@@ -98,6 +104,13 @@
         }
     }
 
+    /// The load of the instance, if this node reports it.
+    #[must_use]
+    pub fn load_report(&self) -> Option<report::Report> {
+        let reports = self.pool.options().load_reports;
+        reports.then(|| self.pool.load_report())
+    }
+
     /// Whether a transaction is open.
     #[must_use]
     pub const fn in_transaction(&self) -> bool {
@@ -433,6 +446,7 @@
         if opened.is_err() {
             return Ok(());
         }
+        let mut throttle = throttle::Throttle::default();
         loop {
             let (work, trailer) = message::receive_with_trailer::<Work>(stream).await?;
             if self.refuses_work(&session) {
@@ -446,12 +460,21 @@
                 let run = session.run(&work.commands, urgency, &work.organisation);
                 let run = pin::pin!(run);
                 match trailer {
-                    Some(HEARTBEAT_REQUEST) => run_with_heartbeats(run, stream).await,
+                    Some(HEARTBEAT_REQUEST | REPORT_REQUEST) => {
+                        run_with_heartbeats(run, stream).await
+                    }
                     _ => run.await,
                 }
             };
             self.busy.set(self.busy.get() - 1);
-            message::send(stream, &answer).await?;
+            let report = session
+                .load_report()
+                .filter(|_| trailer == Some(REPORT_REQUEST))
+                .and_then(|report| throttle.due(report, boot::now()));
+            match report {
+                Some(report) => message::send(stream, &(&answer, report)).await?,
+                None => message::send(stream, &answer).await?,
+            }
         }
     }
 }
--- a/desk/src/lending/remote.rs
+++ b/desk/src/lending/remote.rs
@@ -12,6 +12,8 @@
 
 use crate::boot;
 use crate::lending::relay;
+use crate::load::report;
+use crate::load::subscription;
 use crate::message;
 use crate::organisation;
 use crate::upstream;
@@ -33,7 +35,8 @@
     urgency: urgency::Urgency,
     organisation: &'a organisation::Name,
     commands: &'a [upstream::Command],
-    /// Trailing byte [`relay::WANT_HEARTBEATS`]; nodes of an earlier version ignore it.
+    /// Trailing byte [`relay::HEARTBEAT_REQUEST`], which nodes of an earlier version ignore, or
+    /// [`relay::REPORT_REQUEST`].
     tell: u8,
 }
 
@@ -43,6 +46,52 @@
     /// When the connection is to be replaced, if ever.
     expires_at: Option<id::Time>,
     heartbeat: upstream::Heartbeat,
+    /// Where load reports are recorded, if they are requested.
+    subscription: Option<subscription::Subscription>,
+    /// Whether a request is not answered yet, and when it was sent.
+    pending_since: Option<id::Time>,
+}
+
+impl Remote {
+    async fn exchange(&mut self, work: &WorkRef<'_>) -> io::Result<relay::Answer> {
+        let record_heartbeat = || self.heartbeat.set(boot::now());
+        let Some(subscription) = &self.subscription else {
+            message::send(&mut self.stream, work).await?;
+            return message::receive_after_heartbeats(&mut self.stream, record_heartbeat).await;
+        };
+        let ticket = subscription.note_sent();
+        self.pending_since = Some(boot::now());
+        message::send(&mut self.stream, work).await?;
+        let (answer, report) = message::receive_with_appendix::<relay::Answer, report::Report>(
+            &mut self.stream,
+            record_heartbeat,
+        )
+        .await?;
+        self.pending_since = None;
+        // A node that refuses for another reason than its queue is stopping, or has lost the
+        // instance.
+        let refused = matches!(&answer, Err(failure) if !failure.crowded);
+        match report {
+            _ if refused => subscription.forget(),
+            Some(report) => subscription.record(ticket, report),
+            None => {}
+        }
+        Ok(answer)
+    }
+}
+
+impl Drop for Remote {
+    // A request that was given up leaves nothing known about the instance, nor about the lending
+    // node if that sent no heartbeat.
+    fn drop(&mut self) {
+        let (Some(subscription), Some(since)) = (&self.subscription, self.pending_since) else {
+            return;
+        };
+        subscription.forget();
+        if boot::now() >= self.heartbeat.get().max(since) + SILENCE_TIMEOUT {
+            subscription.forget_lender();
+        }
+    }
 }
 
 impl upstream::Connection for Remote {
@@ -53,18 +102,20 @@
         organisation: &'a organisation::Name,
     ) -> future::LocalBoxFuture<'a, relay::Answer> {
         async move {
+            let tell = match self.subscription {
+                Some(_) => relay::REPORT_REQUEST,
+                None => relay::HEARTBEAT_REQUEST,
+            };
             let work = WorkRef {
                 urgency: urgency.to_remaining(),
                 organisation,
                 commands,
-                tell: relay::HEARTBEAT_REQUEST,
+                tell,
             };
-            let exchange = async {
-                message::send(&mut self.stream, &work).await?;
-                let record_heartbeat = || self.heartbeat.set(boot::now());
-                message::receive_after_heartbeats(&mut self.stream, record_heartbeat).await
-            };
-            exchange.await.unwrap_or_else(|error| {
+            self.exchange(&work).await.unwrap_or_else(|error| {
+                if let Some(subscription) = &self.subscription {
+                    subscription.forget_lender();
+                }
                 Err(upstream::Failure {
                     sent: true,
                     crowded: false,
@@ -81,8 +132,12 @@
             .expires_at
             .is_none_or(|expires_at| boot::now() < expires_at);
         // The other node sends nothing unasked: bytes or an end of the stream both mean that the
-        // connection cannot be used any more.
-        fresh && poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none()
+        // connection cannot be used any more, and that the node may have restarted.
+        let silent = poll::block_on(poll::poll_once(self.stream.peek(&mut byte))).is_none();
+        if let Some(subscription) = self.subscription.as_ref().filter(|_| !silent) {
+            subscription.forget_lender();
+        }
+        fresh && silent
     }
 
     fn serves_any_organisation(&self) -> bool {
@@ -104,7 +159,7 @@
 }
 
 /// Opens a connection to an instance through the node at `address`, to be used for `lifetime` at
-/// most.
+/// most. Load reports are requested on it if there is a `subscription` to record them.
 ///
 /// The inner result is that node's answer.
 ///
@@ -114,6 +169,7 @@
     address: std::net::SocketAddr,
     target: &upstream::Target,
     lifetime: Option<time::Duration>,
+    subscription: Option<subscription::Subscription>,
 ) -> io::Result<Result<upstream::Dialled, upstream::Refusal>> {
     let connected = wait::within(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let mut stream = connected.ok_or(io::ErrorKind::TimedOut)??;
@@ -126,6 +182,8 @@
             stream,
             expires_at,
             heartbeat: upstream::Heartbeat::default(),
+            subscription,
+            pending_since: None,
         });
         (remote, stamp)
     }))
--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -23,7 +23,10 @@
 use crate::lending::remote;
 use crate::lending::serving;
 use crate::lending::shard;
+use crate::load::forecast;
 use crate::load::options;
+use crate::load::subscription;
+use crate::load::table;
 use crate::member;
 use crate::organisation;
 use crate::organisations;
@@ -79,6 +82,9 @@
 /// again, in case the link has recovered.
 const DETOUR_LIFETIME: time::Duration = time::Duration::from_secs(3);
 
+/// Lowest protocol version of a member that knows requests for load reports.
+const REPORT_PROTOCOL: u32 = 1;
+
 /// A dialer that reaches instances directly or through the other nodes of the fleet.
 pub struct Router {
     name: id::Vm,
@@ -92,6 +98,7 @@
     silent_instances: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     organisation_count: cell::Cell<usize>,
     options: cell::Cell<options::Options>,
+    reports: rc::Rc<table::Table>,
     peers: peers::Peers,
     dial_permits: sync::Arc<async_lock::Semaphore>,
 }
@@ -116,6 +123,7 @@
             silent_instances: cell::RefCell::default(),
             organisation_count: cell::Cell::default(),
             options: cell::Cell::default(),
+            reports: rc::Rc::default(),
             peers: peers::Peers::default(),
             dial_permits: sync::Arc::new(async_lock::Semaphore::new(MAX_CONCURRENT_DIALS)),
         })
@@ -136,10 +144,24 @@
     pub fn set_members(&self, members: Vec<member::Member>) {
         if *self.members.borrow() != members {
             tracing::info!(members = members.len(), "fleet changed");
+            self.forget_changed(&members);
             self.members.replace(members);
         }
     }
 
+    // Drops the reports of members that have left, or came back at another address.
+    fn forget_changed(&self, members: &[member::Member]) {
+        let now = boot::now();
+        for former in self.members.borrow().iter() {
+            let same = |member: &member::Member| {
+                (&member.name, member.address) == (&former.name, former.address)
+            };
+            if !members.iter().any(same) {
+                self.reports.forget_lender(&former.name, now);
+            }
+        }
+    }
+
     /// Applies the connection limits and the number of organisations of a new configuration.
     pub fn apply(&self, catalog: &catalog::Catalog) {
         let limits = catalog.services.iter();
@@ -228,6 +250,7 @@
             listed(id) || pool.load() > 0
         });
         let now = boot::now();
+        self.reports.prune(now);
         self.silent_instances
             .borrow_mut()
             .retain(|_, until| now < *until);
@@ -280,6 +303,33 @@
                 .is_none_or(expired)
     }
 
+    // What the last load report on an instance lets expect, from the node that this node's
+    // connections for the organisation lead to; this node's own pool if it lends to itself.
+    fn forecast_for(&self, target: &upstream::Target) -> Option<forecast::Forecast> {
+        let now = boot::now();
+        let lenders = self.lenders(target);
+        let own = lenders.first().is_some_and(|first| first.name == self.name);
+        if own {
+            let pools = self.pools.borrow();
+            let pool = pools.get(&target.id)?;
+            return (pool.born() == target.born).then(|| forecast::Forecast {
+                report: pool.load_report(),
+                age: time::Duration::ZERO,
+                added: 0,
+            });
+        }
+        let find = |lender: &member::Member| {
+            self.reports
+                .find(&target.id, target.born, &lender.name, now)
+        };
+        if target.organisation == organisation::OWN {
+            // The connection that was used last is used next.
+            let found = lenders.iter().filter_map(find);
+            return found.min_by_key(|forecast| forecast.age);
+        }
+        find(lenders.first()?)
+    }
+
     async fn connect(&self, target: &upstream::Target) -> Dialled {
         let lenders = self.lenders(target);
         if lenders.is_empty() {
@@ -335,7 +385,12 @@
     ) -> Dialled {
         let dialled = wait::within(
             BORROW_TIMEOUT,
-            remote::dial(lender.address, target, lifetime),
+            remote::dial(
+                lender.address,
+                target,
+                lifetime,
+                self.subscribe(lender, target, lifetime),
+            ),
         )
         .await;
         let refusal = match dialled {
@@ -363,13 +418,32 @@
         Err(refusal)
     }
 
+    // Where load reports on the instance from a lending node are recorded; `None` if they are not
+    // wanted, the node does not know them, or the connection is a detour.
+    fn subscribe(
+        &self,
+        lender: &member::Member,
+        target: &upstream::Target,
+        lifetime: Option<time::Duration>,
+    ) -> Option<subscription::Subscription> {
+        let wanted = self.options.get().load_reports && lifetime.is_none();
+        (wanted && lender.protocol >= REPORT_PROTOCOL).then(|| subscription::Subscription {
+            table: rc::Rc::clone(&self.reports),
+            lender: lender.name.clone(),
+            instance: target.id.clone(),
+            born: target.born,
+        })
+    }
+
     fn avoid(&self, name: &id::Vm, pause: time::Duration) {
+        self.reports.forget_lender(name, boot::now());
         let until = boot::now() + pause;
         self.avoided_nodes.borrow_mut().insert(name.clone(), until);
     }
 
     // Records that a node could not reach an instance, if that was the reason of its refusal.
     fn note_refusal(&self, name: &id::Vm, target: &upstream::Target, refusal: &upstream::Refusal) {
+        self.reports.forget(&target.id, name, boot::now());
         if matches!(refusal, upstream::Refusal::Silent(_)) {
             let pair = (name.clone(), target.id.clone());
             self.unreachable_instances
@@ -458,6 +532,11 @@
         self.options.get()
     }
 
+    fn forecast(&self, target: &upstream::Target) -> Option<forecast::Forecast> {
+        let wanted = self.options.get().load_reports;
+        wanted.then(|| self.forecast_for(target)).flatten()
+    }
+
     fn node_count(&self) -> usize {
         self.members.borrow().len().max(1)
     }
--- a/desk/src/load.rs
+++ b/desk/src/load.rs
@@ -1,4 +1,9 @@
 //! Load of the instances: what lending nodes report of it, and which decisions use it.
 
+pub mod backlog;
+pub mod forecast;
 pub mod options;
 pub mod report;
+pub mod subscription;
+pub mod table;
+pub mod throttle;
--- a/desk/src/load/report.rs
+++ b/desk/src/load/report.rs
@@ -5,6 +5,17 @@
 /// Number of priority classes that a report distinguishes: 0, 1, and all lower priorities.
 pub const CLASSES: usize = 3;
 
+/// The class of a priority.
+///
+/// ```
+/// use mangotray_desk::load::report;
+/// assert_eq!([0, 1, 2, 255].map(report::class), [0, 1, 2, 2]);
+/// ```
+#[must_use]
+pub fn class(priority: u8) -> usize {
+    usize::from(priority).min(CLASSES - 1)
+}
+
 /// The load of one instance, as the node that holds the connections to it knows it.
 ///
 /// ```
@@ -31,8 +42,7 @@
     /// Expected wait in the node's queue of a statement of this priority.
     #[must_use]
     pub fn wait(&self, priority: u8) -> time::Duration {
-        let class = usize::from(priority).min(CLASSES - 1);
-        time::Duration::from_millis(self.waits_ms[class].into())
+        time::Duration::from_millis(self.waits_ms[class(priority)].into())
     }
 
     /// Expected time of an exchange with the instance.
--- a/desk/src/message.rs
+++ b/desk/src/message.rs
@@ -94,6 +94,31 @@
     }
 }
 
+/// Receives a message and, if one follows its value, a second value; calls `on_heartbeat` for each
+/// heartbeat before it. What follows and is no such value is ignored.
+///
+/// # Errors
+/// As [`receive`].
+pub async fn receive_with_appendix<T, U>(
+    stream: &mut TcpStream,
+    on_heartbeat: impl Fn(),
+) -> io::Result<(T, Option<U>)>
+where
+    T: serde::de::DeserializeOwned,
+    U: serde::de::DeserializeOwned,
+{
+    loop {
+        match receive_length(stream).await? {
+            HEARTBEAT_MARKER => on_heartbeat(),
+            length => {
+                let bytes = receive_bytes(stream, length).await?;
+                let (value, rest) = postcard::take_from_bytes(&bytes).map_err(io::Error::other)?;
+                return Ok((value, postcard::from_bytes(rest).ok()));
+            }
+        }
+    }
+}
+
 /// Receives a message, and the byte after its value if there is one.
 ///
 /// # Errors
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -18,6 +18,8 @@
 use crate::checkout;
 use crate::connection;
 use crate::health;
+use crate::load::backlog;
+use crate::load::forecast;
 use crate::load::options;
 use crate::load::report;
 use crate::organisation;
@@ -46,6 +48,8 @@
     pub(crate) connections: connections::Connections,
     pub(crate) waiting: queue::Queue,
     limiter: rc::Rc<limiter::Limiter>,
+    /// Statements that wait for a connection or for a permit.
+    backlog: backlog::Backlog,
     options: options::Options,
     pub(crate) health: health::Health,
 }
@@ -68,6 +72,7 @@
             connections: connections::Connections::default(),
             waiting: queue::Queue::default(),
             limiter: limiter::Limiter::new(size.max_statements),
+            backlog: backlog::Backlog::default(),
             health: health::Health::default(),
         }
     }
@@ -89,16 +94,35 @@
     #[must_use]
     pub fn load_report(&self) -> report::Report {
         let exchange = self.latency();
-        let queued = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         let limit = u32::try_from(self.window()).unwrap_or(u32::MAX).max(1);
-        let wait = exchange.saturating_mul(queued) / limit;
+        // One of the statements that run has to end before the first that waits can start.
+        let wait = |ahead: u32| exchange.saturating_mul(ahead.saturating_add(1)) / limit;
+        let waits = self.backlog.ahead().map(|ahead| match ahead {
+            0 => time::Duration::ZERO,
+            _ => wait(ahead),
+        });
         report::Report {
-            waits_ms: [to_millis(wait); report::CLASSES],
+            waits_ms: waits.map(to_millis),
             exchange_ms: to_millis(exchange),
             limit: u16::try_from(limit).unwrap_or(u16::MAX),
         }
     }
 
+    /// What the last load report on the instance lets expect of an organisation's statement; `None`
+    /// without a fresh report.
+    #[must_use]
+    pub fn forecast(&self, organisation: &organisation::Name) -> Option<forecast::Forecast> {
+        if !self.options.load_reports {
+            return None;
+        }
+        let target = self.instance.borrow().target(organisation);
+        let mut forecast = self.dialer.forecast(&target)?;
+        // What was sent and answered since the report is no load any more.
+        let running = forecast.added.min(self.connections.checked_out_count());
+        forecast.added = running + self.waiting.len();
+        Some(forecast)
+    }
+
     /// Id of the instance.
     #[must_use]
     pub fn id(&self) -> upstream::Id {
@@ -252,6 +276,7 @@
             if self.is_lost() {
                 return Err(shortage::Shortage::Down);
             }
+            let _place = self.backlog.enter(urgency.priority);
             let waited = self.waiting.wait(organisation, urgency, since, deadline);
             if !waited.await {
                 let opening = self.connections.open_count() <= self.connections.dialling_count();
@@ -365,6 +390,7 @@
         &self,
         urgency: urgency::Urgency,
     ) -> Option<limiter::Permit> {
+        let _place = self.backlog.enter(urgency.priority);
         self.limiter.acquire(urgency).await
     }
 
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -12,6 +12,7 @@
 use mangotray::stamp;
 
 use crate::delegate;
+use crate::load::forecast;
 use crate::load::options;
 use crate::organisation;
 use crate::reply;
@@ -228,6 +229,12 @@
         options::Options::default()
     }
 
+    /// What the last load report on an instance lets expect of a statement that is sent now; `None`
+    /// without a fresh report.
+    fn forecast(&self, _target: &Target) -> Option<forecast::Forecast> {
+        None
+    }
+
     /// Number of nodes that share the instances, including this one.
     fn node_count(&self) -> usize {
         1
--- /dev/null
+++ b/desk/tests/load_reports.rs
@@ -0,0 +1,356 @@
+//! Load reports on their way between nodes, also between nodes of different builds, and how long
+//! they count.
+
+mod cluster;
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use mangotray::stamp;
+use mangotray_desk::boot;
+use mangotray_desk::catalog;
+use mangotray_desk::lending::relay;
+use mangotray_desk::lending::remote;
+use mangotray_desk::lending::router;
+use mangotray_desk::load::options;
+use mangotray_desk::load::report;
+use mangotray_desk::load::subscription;
+use mangotray_desk::load::table;
+use mangotray_desk::load::throttle;
+use mangotray_desk::member;
+use mangotray_desk::message;
+use mangotray_desk::organisation;
+use mangotray_desk::reply;
+use mangotray_desk::upstream;
+use mangotray_desk::upstream::Dialer;
+use mangotray_desk::urgency;
+use mangotray_desk::wait;
+
+/// Deadline of statements, too long to be reached in a test.
+const LONG_DEADLINE: time::Duration = time::Duration::from_mins(10);
+
+const REPORT: report::Report = report::Report {
+    waits_ms: [1, 2, 300],
+    exchange_ms: 18,
+    limit: 5,
+};
+
+const fn millis(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
+
+fn address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+fn member(name: &str, domain: &str, protocol: u32) -> member::Member {
+    member::Member {
+        name: name.into(),
+        domain: domain.into(),
+        address: address(),
+        protocol,
+        capacity: None,
+    }
+}
+
+fn target(cluster: &cluster::Cluster) -> upstream::Target {
+    let instance = cluster.world.borrow().list().remove(0);
+    upstream::Target {
+        address: instance.address,
+        group: instance.group,
+        id: instance.id,
+        born: instance.born,
+        domain: instance.domain,
+        slots: instance.slots,
+        organisation: organisation::OWN,
+        any: false,
+    }
+}
+
+/// A router of a group with so few connections that nodes must borrow them from each other.
+fn router(cluster: &cluster::Cluster, name: &str, load_reports: bool) -> rc::Rc<router::Router> {
+    let dialer = rc::Rc::new(cluster::Dialer(rc::Rc::clone(&cluster.world)));
+    let executor = rc::Rc::clone(&cluster.executor);
+    let router = router::Router::new(name.into(), dialer, executor);
+    router.set_options(options::Options {
+        load_reports,
+        ..options::Options::default()
+    });
+    router.apply(&catalog::Catalog {
+        version: 1,
+        services: vec![catalog::Service {
+            group: cluster::GROUP.into(),
+            connections: 4,
+            sync: 1,
+        }],
+        ..catalog::Catalog::default()
+    });
+    router
+}
+
+/// Starts a lending node at the address of a member.
+async fn lend(cluster: &cluster::Cluster, member: &member::Member, load_reports: bool) {
+    let lender = router(cluster, &member.name, load_reports);
+    let server = relay::Server::new(
+        move |target| lender.pool(target),
+        rc::Rc::clone(&cluster.executor),
+        rc::Rc::default(),
+    );
+    let serve = server.serve(member.address);
+    let serve = async move { serve.await.expect("a port") };
+    cluster.executor.spawn(serve).detach();
+    while async_net::TcpStream::connect(member.address).await.is_err() {
+        wait::sleep(millis(5)).await;
+    }
+}
+
+/// Serves one connection as a lending node of the build before load reports does: it sends
+/// heartbeats only for the trailing byte 1, ignores others, and appends nothing. Records the byte
+/// of the last request.
+fn lend_as_before(
+    cluster: &cluster::Cluster,
+    address: net::SocketAddr,
+) -> rc::Rc<cell::Cell<Option<u8>>> {
+    let seen = rc::Rc::new(cell::Cell::new(None));
+    let trailer = rc::Rc::clone(&seen);
+    let listener = net::TcpListener::bind(address).expect("a port");
+    let listener: async_net::TcpListener =
+        async_io::Async::new(listener).expect("a listener").into();
+    let serve = async move {
+        let (mut stream, _) = listener.accept().await.expect("a node");
+        let target: Result<upstream::Target, _> = message::receive(&mut stream).await;
+        target.expect("a target");
+        let opened: relay::Opened = Ok(Some(stamp::Stamp::default()));
+        message::send(&mut stream, &opened).await.expect("a node");
+        while let Ok((_, byte)) = message::receive_with_trailer::<Work>(&mut stream).await {
+            trailer.set(byte);
+            let answer: relay::Answer = Ok(replies());
+            message::send(&mut stream, &answer).await.expect("a node");
+        }
+    };
+    cluster.executor.spawn(serve).detach();
+    seen
+}
+
+type Work = (urgency::Urgency, organisation::Name, Vec<upstream::Command>);
+
+fn replies() -> Vec<reply::Reply> {
+    vec![reply::Reply::done(reply::State::Idle)]
+}
+
+async fn run(link: &mut dyn upstream::Connection) -> relay::Answer {
+    let urgency = urgency::Urgency::immediate(boot::now() + LONG_DEADLINE);
+    link.run(&cluster::read("one"), urgency, &organisation::OWN)
+        .await
+}
+
+async fn dial(router: &router::Router, target: &upstream::Target) -> Box<dyn upstream::Connection> {
+    let (link, _) = router.dial(target).await.expect("a connection");
+    link
+}
+
+/// Guards against reports that do not arrive, or are believed after the connection that they came
+/// over was reset, as the lending node may have restarted.
+#[test]
+fn a_report_counts_until_its_connection_is_reset() {
+    let cluster = cluster::Cluster::new();
+    let (own, lender) = (member("own", "far", 1), member("lender", "here", 1));
+    let address = lender.address;
+    let router = router(&cluster, "own", true);
+    let target = target(&cluster);
+    cluster.run(async {
+        let listener = net::TcpListener::bind(address).expect("a port");
+        let listener: async_net::TcpListener =
+            async_io::Async::new(listener).expect("a listener").into();
+        let serve = async move {
+            let (mut stream, _) = listener.accept().await.expect("a node");
+            let target: upstream::Target = message::receive(&mut stream).await.expect("a target");
+            let opened: relay::Opened = Ok(None);
+            message::send(&mut stream, &opened).await.expect("a node");
+            let work = message::receive_with_trailer::<Work>(&mut stream).await;
+            let (_, trailer) = work.expect("a request");
+            assert_eq!(trailer, Some(relay::REPORT_REQUEST));
+            let answer: relay::Answer = Ok(replies());
+            let reported = (answer, REPORT);
+            message::send(&mut stream, &reported).await.expect("a node");
+            (stream, target)
+        };
+        let serve = cluster.executor.spawn(serve);
+        router.set_members(vec![own, lender]);
+        let mut link = dial(&router, &target).await;
+        assert_eq!(router.forecast(&target), None);
+        run(&mut *link).await.expect("an answer");
+        let forecast = router.forecast(&target).expect("a report");
+        assert_eq!((forecast.report, forecast.added), (REPORT, 0));
+        assert!(link.alive());
+        let (stream, _) = serve.await;
+        drop(stream);
+        while link.alive() {
+            wait::sleep(millis(5)).await;
+        }
+        assert_eq!(router.forecast(&target), None);
+    });
+}
+
+/// Guards against reports that a real lending node never sends.
+#[test]
+fn a_lending_node_reports_where_the_switch_is_on() {
+    for (lends, asks) in [(true, true), (true, false), (false, true), (false, false)] {
+        let cluster = cluster::Cluster::new();
+        let (own, lender) = (member("own", "far", 1), member("lender", "here", 1));
+        let router = router(&cluster, "own", asks);
+        let target = target(&cluster);
+        cluster.run(async {
+            lend(&cluster, &lender, lends).await;
+            router.set_members(vec![own, lender]);
+            let mut link = dial(&router, &target).await;
+            run(&mut *link).await.expect("an answer");
+            let known = router.forecast(&target).is_some();
+            assert_eq!(known, lends && asks, "lends {lends}, asks {asks}");
+        });
+    }
+}
+
+/// Guards against a lending node of the build before that stops its heartbeats, as it does not know
+/// the request for reports and was sent it all the same; and against a failed exchange with it.
+#[test]
+fn an_older_lending_node_is_asked_as_before() {
+    for (protocol, byte) in [(0, relay::HEARTBEAT_REQUEST), (1, relay::REPORT_REQUEST)] {
+        let cluster = cluster::Cluster::new();
+        let lender = member("lender", "here", protocol);
+        let router = router(&cluster, "own", true);
+        let target = target(&cluster);
+        cluster.run(async {
+            let seen = lend_as_before(&cluster, lender.address);
+            router.set_members(vec![member("own", "far", 1), lender]);
+            let mut link = dial(&router, &target).await;
+            run(&mut *link).await.expect("an answer");
+            assert_eq!(seen.get(), Some(byte));
+            assert_eq!(router.forecast(&target), None);
+        });
+    }
+}
+
+/// Guards against a change of the bytes that a requesting node of the build before receives: its
+/// request ends in another byte, and its answer must be exactly the value.
+#[test]
+fn an_older_requesting_node_gets_no_report() {
+    let cluster = cluster::Cluster::new();
+    let lender = member("lender", "here", 1);
+    cluster.run(async {
+        lend(&cluster, &lender, true).await;
+        let reported = async |byte: u8| {
+            let stream = async_net::TcpStream::connect(lender.address).await;
+            let mut stream = stream.expect("a node");
+            let sent = message::send(&mut stream, &target(&cluster)).await;
+            sent.expect("a node");
+            let opened: relay::Opened = message::receive(&mut stream).await.expect("an answer");
+            opened.expect("a connection");
+            let urgency = urgency::Urgency::immediate(LONG_DEADLINE);
+            let work: Work = (urgency, organisation::OWN, cluster::read("one"));
+            message::send(&mut stream, &(work, byte))
+                .await
+                .expect("a node");
+            let received =
+                message::receive_with_appendix::<relay::Answer, report::Report>(&mut stream, || ());
+            let (answer, report) = received.await.expect("an answer");
+            answer.expect("a reply");
+            report
+        };
+        assert_eq!(reported(relay::HEARTBEAT_REQUEST).await, None);
+        assert!(reported(relay::REPORT_REQUEST).await.is_some());
+    });
+}
+
+/// Guards against detours and nodes without the switch that send other bytes than before.
+#[test]
+fn without_a_subscription_the_request_is_as_before() {
+    let cluster = cluster::Cluster::new();
+    let subscription = subscription::Subscription {
+        table: rc::Rc::default(),
+        lender: "lender".into(),
+        instance: "a".into(),
+        born: 1,
+    };
+    cluster.run(async {
+        for (subscription, byte) in [(None, 1), (Some(subscription), 2)] {
+            let address = address();
+            let seen = lend_as_before(&cluster, address);
+            let dialled = remote::dial(address, &target(&cluster), None, subscription).await;
+            let (mut link, _) = dialled.expect("a node").expect("a connection");
+            run(&mut *link).await.expect("an answer");
+            assert_eq!(seen.get(), Some(byte));
+        }
+    });
+}
+
+/// Guards against choices by a report that is older than 500 ms, counted from the request and not
+/// from the answer.
+#[test]
+fn a_report_is_dated_by_its_request() {
+    let table = table::Table::default();
+    let (instance, lender) = ("i".into(), "lender".into());
+    let ticket = table.note_sent(&instance, 1, &lender, millis(100));
+    // The answer arrives 450 ms later.
+    table.record(&instance, &lender, ticket, REPORT);
+    let found = |at| table.find(&instance, 1, &lender, millis(at));
+    assert_eq!(found(599).map(|found| found.age), Some(millis(499)));
+    assert_eq!(found(600), None);
+    // A later request was answered first.
+    let early = table.note_sent(&instance, 1, &lender, millis(700));
+    let late = table.note_sent(&instance, 1, &lender, millis(710));
+    let newer = report::Report { limit: 9, ..REPORT };
+    table.record(&instance, &lender, late, newer);
+    table.record(&instance, &lender, early, REPORT);
+    assert_eq!(found(720).map(|found| found.report), Some(newer));
+}
+
+/// Guards against choices by what a lending node told before it restarted: also an answer that
+/// arrives after its failure was noticed is from before.
+#[test]
+fn a_report_from_before_a_restart_is_ignored() {
+    let table = table::Table::default();
+    let (instance, lender) = ("i".into(), "lender".into());
+    let known = table.note_sent(&instance, 1, &lender, millis(100));
+    table.record(&instance, &lender, known, REPORT);
+    let pending = table.note_sent(&instance, 1, &lender, millis(110));
+    table.forget_lender(&lender, millis(120));
+    table.record(&instance, &lender, pending, REPORT);
+    assert_eq!(table.find(&instance, 1, &lender, millis(130)), None);
+    let since = table.note_sent(&instance, 1, &lender, millis(140));
+    table.record(&instance, &lender, since, REPORT);
+    assert!(table.find(&instance, 1, &lender, millis(150)).is_some());
+    // A report on another process of the instance.
+    assert_eq!(table.find(&instance, 2, &lender, millis(150)), None);
+    let other = table.note_sent(&instance, 2, &lender, millis(160));
+    table.record(&instance, &lender, since, REPORT);
+    assert_eq!(table.find(&instance, 2, &lender, millis(170)), None);
+    table.record(&instance, &lender, other, REPORT);
+    assert!(table.find(&instance, 2, &lender, millis(170)).is_some());
+    table.forget(&instance, &lender, millis(180));
+    assert_eq!(table.find(&instance, 2, &lender, millis(181)), None);
+}
+
+/// Guards against a report with each answer, which costs bytes between failure domains.
+#[test]
+fn reports_are_sent_seldom_unless_they_change() {
+    let mut throttle = throttle::Throttle::default();
+    let alike = report::Report {
+        waits_ms: [1, 3, 340],
+        ..REPORT
+    };
+    let sent = (0..1000).filter(|at| {
+        let report = if at % 2 == 0 { REPORT } else { alike };
+        throttle.due(report, millis(*at)).is_some()
+    });
+    assert_eq!(sent.count(), 20);
+    let worse = report::Report {
+        waits_ms: [1, 2, 420],
+        ..REPORT
+    };
+    assert_eq!(throttle.due(worse, millis(1000)), Some(worse));
+    assert_eq!(throttle.due(worse, millis(1001)), None);
+}
--- a/desk/tests/remote.rs
+++ b/desk/tests/remote.rs
@@ -90,7 +90,7 @@
         target: &'a upstream::Target,
     ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
         async move {
-            let dialled = remote::dial(self.0, target, None).await;
+            let dialled = remote::dial(self.0, target, None, None).await;
             dialled.unwrap_or(Err(upstream::Refusal::Closed))
         }
         .boxed_local()
@@ -108,7 +108,7 @@
     let cluster = cluster::Cluster::new();
     cluster.run(async {
         let address = start_relay(&cluster).await;
-        let dialled = remote::dial(address, &target(&cluster), None).await;
+        let dialled = remote::dial(address, &target(&cluster), None, None).await;
         let (mut link, _) = dialled.expect("a node").expect("a connection");
         let pulse = link.heartbeat().expect("a pulse");
         cluster.world.borrow_mut().stalled = true;
@@ -222,7 +222,7 @@
     cluster.run(async {
         let lifecycle = rc::Rc::default();
         let address = start_relay_with(&cluster, &lifecycle).await;
-        let dialled = remote::dial(address, &target(&cluster), None).await;
+        let dialled = remote::dial(address, &target(&cluster), None, None).await;
         let (mut link, _) = dialled.expect("a node").expect("a connection");
         let mut run = async |id: &str| {
             let urgency = urgency::Urgency::immediate(boot::now() + LONG_DEADLINE);
@@ -231,7 +231,7 @@
         };
         assert!(run("one").await.is_ok());
         stop(&lifecycle, time::Duration::ZERO, 3600);
-        let new = remote::dial(address, &target(&cluster), None).await;
+        let new = remote::dial(address, &target(&cluster), None, None).await;
         let refusal = new.expect("a node").err();
         assert_matches!(refusal, Some(upstream::Refusal::Silent(_)));
         close(&lifecycle);
@@ -250,7 +250,7 @@
     cluster.run(async {
         let lifecycle = rc::Rc::default();
         let address = start_relay_with(&cluster, &lifecycle).await;
-        let dialled = remote::dial(address, &target(&cluster), None).await;
+        let dialled = remote::dial(address, &target(&cluster), None, None).await;
         let (mut link, _) = dialled.expect("a node").expect("a connection");
         let mut run = async |command: upstream::Command| {
             let urgency = urgency::Urgency::immediate(boot::now() + LONG_DEADLINE);
