Choose instances by load reports, refuse early, and limit retries

Cause: a read went to the instance with the fewest statements of its own node, and each refusal was followed by tries at every other instance.

Change: with `[load] load_reports` and a fresh report on a suitable instance, a read goes to its usual instance (nearest, or where the organisation's connections are) unless one drawn at random is cheaper by more than a fifth, by expected wait, exchange, distance and the connection to open. A lending node is chosen by the shorter expected wait of two, or for organisations passed over when it is known to be late and another one known not to be. What cannot start in time by fresh reports on all suitable instances is refused before it is sent, with a time to come back, as is a retry after an overload where no room is reported. With `[load] retry_percent`, retries draw on a budget of the node. Both concern shared connections only. A share outside of 1 to 100 is an error that names the setting.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -16,8 +16,11 @@
 use crate::connection;
 use crate::deadline;
 use crate::group;
+use crate::load::admission;
+use crate::load::delay;
 use crate::organisation;
 use crate::pinned;
+use crate::pool;
 use crate::query;
 use crate::reply;
 use crate::retry;
@@ -89,6 +92,8 @@
         let urgency = deadline::urgency(self.route, query.arrived);
         let mut tried = Vec::new();
         let mut reason = retry::Reason::Unreachable;
+        let mut last = None;
+        let mut text = CompactString::from("no instance could serve this read");
         loop {
             let Some(source) = self.group.source(&requirements, &tried).await else {
                 // All instances were tried, or none is fresh enough. Start over if the reason may
@@ -101,18 +106,23 @@
                 }
                 break;
             };
+            let admitted = self.admission(&source.pool, &query.id, last.as_ref(), &urgency);
+            if let Err(refusal) = admitted {
+                text = refusal;
+                break;
+            }
             tried.push(source.pool.id());
-            match self.read_at(query, &source, urgency).await {
+            let found = match self.read_at(query, &source, urgency).await {
                 Ok(reply) => return Outcome::Answered(reply),
-                Err(retry::Reason::Unsuitable) => {}
-                Err(found) => reason = found,
+                Err(found) => found,
+            };
+            if found != retry::Reason::Unsuitable {
+                reason = found.clone();
             }
+            last = Some(found);
         }
         // A read changes nothing, so it may be reported as refused even if an instance ran it.
-        Outcome::Refused(
-            refusal_code(reason),
-            "no instance could serve this read".into(),
-        )
+        Outcome::Refused(refusal_code(reason), text)
     }
 
     /// Runs a read on one instance; the error is the reason for trying another one.
@@ -123,6 +133,7 @@
         urgency: urgency::Urgency,
     ) -> Result<reply::Reply, retry::Reason> {
         let (group, route) = (&self.group, self.route);
+        let expected = source.pool.forecast(self.organisation);
         let wait_deadline = urgency.awaited.min(boot::now() + CHECKOUT_TIMEOUT);
         let checkout = source
             .pool
@@ -153,7 +164,9 @@
             tracing::info!(request = %query.id, version = route.version, group = %group.name, instance = %source.pool.id(),
                 term = source.leads, after = source.after.map(tracing::field::display),
                 waited_ms = sent.saturating_sub(query.arrived).as_millis(),
-                took_ms = boot::now().saturating_sub(sent).as_millis(), "read served");
+                took_ms = boot::now().saturating_sub(sent).as_millis(),
+                expected_wait_ms = expected.map(|expected| expected.wait(urgency.priority).as_millis()),
+                expected_exchange_ms = expected.map(|expected| expected.exchange().as_millis()), "read served");
             return Ok(reply);
         };
         metrics::counter!("mangotray_read_retries_total").increment(1);
@@ -174,10 +187,16 @@
         let (group, route) = (&self.group, self.route);
         let wait_deadline = self.primary_wait_deadline(query.arrived);
         let urgency = deadline::urgency(self.route, query.arrived);
+        let mut last = None;
         loop {
             let Some((pool, term)) = group.wait_for_primary(wait_deadline).await else {
                 return Outcome::Refused(reply::Code::Busy, self.no_primary_text());
             };
+            // Nothing was sent, or the instance answered that the write did not run.
+            if let Err(text) = self.admission(&pool, &query.id, last.as_ref(), &urgency) {
+                return Outcome::Refused(reply::Code::Busy, text);
+            }
+            let expected = pool.forecast(self.organisation);
             let mut checkout = match pool
                 .check_out(urgency, self.organisation, self.values, urgency.until)
                 .await
@@ -194,6 +213,7 @@
                     if !delay_retry(retry_deadline(&reason, &urgency, wait_deadline)).await {
                         return Outcome::Refused(reply::Code::Busy, "primary out of reach".into());
                     }
+                    last = Some(reason);
                     continue;
                 }
             };
@@ -214,6 +234,7 @@
                     drop(checkout);
                     let reason = retry::Reason::from_unsent(&failure);
                     if delay_retry(retry_deadline(&reason, &urgency, wait_deadline)).await {
+                        last = Some(reason);
                         continue;
                     }
                     return Outcome::Refused(reply::Code::Busy, failure.detail);
@@ -225,7 +246,9 @@
                     group.note_acknowledged(reply.position);
                     tracing::info!(request = %query.id, version = route.version, group = %group.name, instance = %pool.id(),
                         term, waited_ms = sent.saturating_sub(query.arrived).as_millis(),
-                        took_ms = boot::now().saturating_sub(sent).as_millis(), "write done");
+                        took_ms = boot::now().saturating_sub(sent).as_millis(),
+                        expected_wait_ms = expected.map(|expected| expected.wait(urgency.priority).as_millis()),
+                        expected_exchange_ms = expected.map(|expected| expected.exchange().as_millis()), "write done");
                     return Outcome::Answered(reply);
                 }
                 Some(reply::Code::ReadOnly) => group.suspect(term, "the primary refused a write"),
@@ -243,6 +266,7 @@
             if !delay_retry(retry_deadline(&reason, &urgency, wait_deadline)).await {
                 return Outcome::Answered(reply);
             }
+            last = Some(reason);
         }
     }
 
@@ -258,6 +282,7 @@
             writes: false,
             own,
             organisation: self.organisation.clone(),
+            urgency: Some(deadline::urgency(route, arrived)),
             deadline: if route.freshness == catalog::Freshness::Current {
                 self.primary_wait_deadline(arrived)
             } else {
@@ -293,6 +318,7 @@
         }
         let urgency = deadline::urgency(self.route, arrived);
         let mut tried = Vec::new();
+        let mut last = None;
         loop {
             let Some(source) = self.group.source(&requirements, &tried).await else {
                 return Err((
@@ -300,6 +326,10 @@
                     "no instance could open the transaction".into(),
                 ));
             };
+            let admitted = self.admission(&source.pool, &begin.id, last.as_ref(), &urgency);
+            if let Err(text) = admitted {
+                return Err((reply::Code::Busy, text));
+            }
             let reason = match self.open_at(&source, begin, &urgency).await {
                 Ok(pinned) => return Ok(pinned),
                 Err(reason) => reason,
@@ -313,6 +343,7 @@
                     "no instance opened the transaction in time".into(),
                 ));
             }
+            last = Some(reason);
         }
     }
 
@@ -374,6 +405,38 @@
             .map_or(retry::Reason::Unsuitable, retry::Reason::from_code))
     }
 
+    // Whether a statement may be sent to an instance: for the first time, or as a retry after
+    // `last`. The error is the text of the refusal; in that case it is not sent.
+    fn admission(
+        &self,
+        pool: &pool::Pool,
+        request: &statement::Id,
+        last: Option<&retry::Reason>,
+        urgency: &urgency::Urgency,
+    ) -> Result<(), CompactString> {
+        let expected = pool.forecast(self.organisation);
+        let left = urgency.until.saturating_sub(boot::now());
+        let limited = pool.limits_retries();
+        let checked = admission::check(last, expected.as_ref(), urgency.priority, left, || {
+            !limited || pool.dialer.take_retry()
+        });
+        if limited && last.is_none() {
+            pool.dialer.note_statement();
+        }
+        let Err(refusal) = checked else {
+            return Ok(());
+        };
+        let delay = delay::spread(refusal.delay, fastrand::f64());
+        metrics::counter!("mangotray_early_refusals_total", "reason" => refusal.reason.label())
+            .increment(1);
+        tracing::info!(request = %request, group = %self.group.name, instance = %pool.id(),
+            priority = urgency.priority, reason = refusal.reason.label(), left_ms = left.as_millis(),
+            expected_wait_ms = expected.map(|expected| expected.wait(urgency.priority).as_millis()),
+            report_age_ms = expected.map(|expected| expected.age.as_millis()),
+            come_back_ms = delay.as_millis(), "statement refused early");
+        Err(delay::text(refusal.reason.text(), delay))
+    }
+
     // Until when a statement may wait for an instance.
     fn wait_deadline(&self, arrived: id::Time) -> id::Time {
         deadline::for_instance(self.route, arrived, self.group.roster().is_unreachable())
@@ -391,15 +454,23 @@
         )
     }
 
+    // When a caller that needs a primary should come back, spread where retries are limited.
+    fn retry_after(&self) -> time::Duration {
+        let pools = self.group.roster().pools();
+        let limited = pools.iter().any(|pool| pool.limits_retries());
+        let draw = if limited { fastrand::f64() } else { 0.0 };
+        delay::spread(deadline::RETRY_AFTER, draw)
+    }
+
     // Error text for a caller that needs a primary.
     fn no_primary_text(&self) -> CompactString {
         let now = boot::now();
         match self.group.vacancy().since {
-            Some(since) if deadline::is_vacant(Some(since), now) => format_compact!(
-                "no primary for {} s, come back in {} ms",
-                now.saturating_sub(since).as_secs(),
-                deadline::RETRY_AFTER.as_millis()
-            ),
+            Some(since) if deadline::is_vacant(Some(since), now) => {
+                let reason =
+                    format_compact!("no primary for {} s", now.saturating_sub(since).as_secs());
+                delay::text(&reason, self.retry_after())
+            }
             _ => "no primary for now".into(),
         }
     }
--- a/desk/src/candidate.rs
+++ b/desk/src/candidate.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+use crate::load::choice;
+use crate::load::forecast;
+
 /// Time to execute one read, in microseconds.
 const READ_COST: u64 = 20_000;
 
@@ -22,7 +25,7 @@
 const LAST_RESORT_COST: u64 = 10_000_000;
 
 /// Health of an instance with regard to reads.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Health {
     /// No recent failure is known.
     #[default]
@@ -69,13 +72,54 @@
         let load = u64::try_from(self.load).unwrap_or(u64::MAX);
         load.saturating_mul(READ_COST)
             + delay
-            + u64::from(self.cross_domain) * CROSS_DOMAIN_COST
-            + u64::from(self.leads) * PRIMARY_COST
-            + u64::from(self.other_preferred) * CONNECT_COST
+            + self.fixed_cost()
             + match self.health {
                 Health::Healthy => 0,
                 Health::Degraded => LAST_RESORT_COST,
                 Health::Down => 2 * LAST_RESORT_COST,
             }
     }
+
+    // Cost besides waiting and running, in microseconds.
+    fn fixed_cost(&self) -> u64 {
+        u64::from(self.cross_domain) * CROSS_DOMAIN_COST
+            + u64::from(self.leads) * PRIMARY_COST
+            + u64::from(self.other_preferred) * CONNECT_COST
+    }
+
+    /// What the instance offers a read of this priority that has to start within `within`, by the
+    /// forecast for it if there is one.
+    ///
+    /// Without a forecast, its past delay does not count: an instance that was avoided for being
+    /// slow would never be tried again.
+    ///
+    /// ```
+    /// use mangotray_desk::candidate;
+    /// use mangotray_desk::load::{forecast, report};
+    /// use std::time::Duration;
+    /// let millis = Duration::from_millis;
+    /// let candidate = candidate::Candidate { load: 1, ..candidate::Candidate::default() };
+    /// assert_eq!(candidate.offer(None, 0, millis(100)).expected, millis(40));
+    /// let report = report::Report { waits_ms: [0, 0, 150], exchange_ms: 30, limit: 5 };
+    /// let forecast = forecast::Forecast { report, age: millis(0), added: 0 };
+    /// assert_eq!(candidate.offer(Some(&forecast), 0, millis(100)).expected, millis(30));
+    /// assert!(candidate.offer(Some(&forecast), 2, millis(100)).late);
+    /// ```
+    #[must_use]
+    pub fn offer(
+        &self,
+        forecast: Option<&forecast::Forecast>,
+        priority: u8,
+        within: time::Duration,
+    ) -> choice::Offer {
+        let statements = u32::try_from(self.load)
+            .unwrap_or(u32::MAX)
+            .saturating_add(1);
+        let usual = time::Duration::from_micros(READ_COST).saturating_mul(statements);
+        choice::Offer {
+            fixed: time::Duration::from_micros(self.fixed_cost()),
+            expected: forecast.map_or(usual, |forecast| forecast.blend(priority, usual)),
+            late: forecast.is_some_and(|forecast| forecast.least_wait(priority) > within),
+        }
+    }
 }
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -814,6 +814,7 @@
             organisation: &request.organisation,
             moment,
             floor,
+            urgency: request.urgency,
         };
         if request.writes {
             selector.primary(tried)
--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -23,6 +23,7 @@
 use crate::lending::remote;
 use crate::lending::serving;
 use crate::lending::shard;
+use crate::load::budget;
 use crate::load::forecast;
 use crate::load::options;
 use crate::load::subscription;
@@ -82,6 +83,14 @@
 /// again, in case the link has recovered.
 const DETOUR_LIFETIME: time::Duration = time::Duration::from_secs(3);
 
+/// A lending node with a longer expected wait is late: a read waits this long for a connection
+/// before it tries another instance.
+const LATE_WAIT: time::Duration = time::Duration::from_millis(120);
+
+/// Priority by whose wait lending nodes are compared when a connection is opened, as the
+/// connection will serve statements of several priorities.
+const DIAL_PRIORITY: u8 = 1;
+
 /// Lowest protocol version of a member that knows requests for load reports.
 const REPORT_PROTOCOL: u32 = 1;
 
@@ -99,6 +108,8 @@
     organisation_count: cell::Cell<usize>,
     options: cell::Cell<options::Options>,
     reports: rc::Rc<table::Table>,
+    /// The budget of this node's retries, if they are limited.
+    retries: cell::Cell<Option<budget::Budget>>,
     peers: peers::Peers,
     dial_permits: sync::Arc<async_lock::Semaphore>,
 }
@@ -124,6 +135,7 @@
             organisation_count: cell::Cell::default(),
             options: cell::Cell::default(),
             reports: rc::Rc::default(),
+            retries: cell::Cell::default(),
             peers: peers::Peers::default(),
             dial_permits: sync::Arc::new(async_lock::Semaphore::new(MAX_CONCURRENT_DIALS)),
         })
@@ -132,6 +144,16 @@
     /// Sets which decisions under load are switched on, for pools that are created from now on.
     pub fn set_options(&self, options: options::Options) {
         self.options.set(options);
+        self.retries
+            .set(options.retry_percent.map(budget::Budget::new));
+    }
+
+    // Applies a change to the budget of retries, if they are limited, and returns its result.
+    fn with_budget<T>(&self, change: impl FnOnce(&mut budget::Budget) -> T) -> Option<T> {
+        let mut budget = self.retries.get()?;
+        let result = change(&mut budget);
+        self.retries.set(Some(budget));
+        Some(result)
     }
 
     /// Decisions under load that are switched on.
@@ -281,17 +303,66 @@
         let mut serving: Vec<_> = available.take(nodes).cloned().collect();
         match serving.iter().position(|member| member.name == self.name) {
             Some(own) => serving = vec![serving.swap_remove(own)],
-            None if target.organisation == organisation::OWN => fastrand::shuffle(&mut serving),
+            None if target.organisation == organisation::OWN => {
+                fastrand::shuffle(&mut serving);
+                self.prefer_shorter_wait(target, &mut serving);
+            }
             // All connections of an organisation are held by the same lending node.
             None if !serving.is_empty() => {
                 let first = shard::of(&target.organisation) % serving.len();
                 serving.rotate_left(first);
+                self.pass_over_late(target, &mut serving);
             }
             None => {}
         }
         serving
     }
 
+    // Of the first two nodes, which were drawn at random, the one with the shorter expected wait is
+    // asked first, if both waits are known.
+    fn prefer_shorter_wait(&self, target: &upstream::Target, lenders: &mut [member::Member]) {
+        let (Some(first), Some(second)) = (
+            lenders
+                .first()
+                .and_then(|lender| self.wait_at(lender, target)),
+            lenders
+                .get(1)
+                .and_then(|lender| self.wait_at(lender, target)),
+        ) else {
+            return;
+        };
+        if second < first {
+            lenders.swap(0, 1);
+        }
+    }
+
+    // An organisation's connections lead to the node of its shard, the first here, unless that is
+    // known to be late and another one is known not to be.
+    fn pass_over_late(&self, target: &upstream::Target, lenders: &mut [member::Member]) {
+        let wait = |lender: &member::Member| self.wait_at(lender, target);
+        let late = lenders.first().and_then(wait) > Some(LATE_WAIT);
+        let timely = |lender: &member::Member| wait(lender).is_some_and(|wait| wait <= LATE_WAIT);
+        if late && let Some(other) = lenders.iter().position(timely) {
+            lenders.swap(0, other);
+        }
+    }
+
+    // The expected wait at a lending node, by its fresh report if there is one.
+    fn wait_at(
+        &self,
+        lender: &member::Member,
+        target: &upstream::Target,
+    ) -> Option<time::Duration> {
+        if !self.options.get().load_reports {
+            return None;
+        }
+        let now = boot::now();
+        let forecast = self
+            .reports
+            .find(&target.id, target.born, &lender.name, now)?;
+        Some(forecast.wait(DIAL_PRIORITY))
+    }
+
     fn may_lend(&self, name: &id::Vm, instance: &upstream::Id) -> bool {
         let now = boot::now();
         let expired = |until: &id::Time| *until < now;
@@ -537,6 +608,24 @@
         wanted.then(|| self.forecast_for(target)).flatten()
     }
 
+    fn limits_retries(&self, target: &upstream::Target) -> bool {
+        let limited = self.options.get().retry_percent.is_some();
+        limited && self.serving_mode(target) != serving::Mode::Direct
+    }
+
+    fn note_statement(&self) {
+        self.with_budget(|budget| budget.note_statement(boot::now()));
+    }
+
+    fn take_retry(&self) -> bool {
+        let taken = self.with_budget(|budget| budget.take(boot::now()));
+        if let Some(allowed) = taken {
+            let result = if allowed { "allowed" } else { "denied" };
+            metrics::counter!("mangotray_retry_budget_total", "result" => result).increment(1);
+        }
+        taken.unwrap_or(true)
+    }
+
     fn node_count(&self) -> usize {
         self.members.borrow().len().max(1)
     }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -123,6 +123,13 @@
         Some(forecast)
     }
 
+    /// Whether retries of statements for the instance are limited by a budget.
+    #[must_use]
+    pub fn limits_retries(&self) -> bool {
+        let target = self.instance.borrow().target(&organisation::OWN);
+        self.options.retry_percent.is_some() && self.dialer.limits_retries(&target)
+    }
+
     /// Id of the instance.
     #[must_use]
     pub fn id(&self) -> upstream::Id {
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -124,10 +124,20 @@
         adaptive_concurrency: switch("adaptive_concurrency")?,
         load_reports: switch("load_reports")?,
         fair_queueing: switch("fair_queueing")?,
-        retry_percent: optional(file, "load", "retry_percent")?,
+        retry_percent: read_retry_percent(file)?,
     })
 }
 
+fn read_retry_percent(file: &ini::Ini) -> eyre::Result<Option<u32>> {
+    let percent: Option<u32> = optional(file, "load", "retry_percent")?;
+    match percent {
+        Some(percent) if !(1..=100).contains(&percent) => Err(eyre::eyre!(
+            "[load] retry_percent: {percent} is not between 1 and 100"
+        )),
+        percent => Ok(percent),
+    }
+}
+
 fn optional<T>(file: &ini::Ini, section: &str, key: &str) -> eyre::Result<Option<T>>
 where
     T: std::str::FromStr,
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -11,10 +11,12 @@
 use crate::catalog;
 use crate::leadership;
 use crate::lending::serving;
+use crate::load::choice;
 use crate::organisation;
 use crate::pool;
 use crate::roster;
 use crate::upstream;
+use crate::urgency;
 
 /// A replica that refused a read for being behind is avoided for this long, unless it is seen to
 /// have caught up.
@@ -35,6 +37,8 @@
     pub organisation: organisation::Name,
     /// Deadline of the request.
     pub deadline: id::Time,
+    /// Its urgency, to choose by load reports; without it they are not used.
+    pub urgency: Option<urgency::Urgency>,
 }
 
 /// An instance to read from, and the position that its log must contain.
@@ -64,6 +68,8 @@
     pub moment: id::Time,
     /// The floor: position that a replica's log must contain.
     pub floor: stamp::Stamp,
+    /// The read's urgency, to choose by load reports; without it they are not used.
+    pub urgency: Option<urgency::Urgency>,
 }
 
 impl Selector<'_> {
@@ -89,7 +95,58 @@
                 leads,
             }
         });
-        sources.min_by_key(|source| self.candidate(source, preferred.as_ref()).cost())
+        let mut options: Vec<_> = sources
+            .map(|source| {
+                let candidate = self.candidate(&source, preferred.as_ref());
+                (source, candidate)
+            })
+            .collect();
+        if let Some(index) = self.by_reports(&options) {
+            return Some(options.swap_remove(index).0);
+        }
+        let cheapest = options
+            .into_iter()
+            .min_by_key(|(_, candidate)| candidate.cost());
+        cheapest.map(|(source, _)| source)
+    }
+
+    // The index of the instance to use by load reports; `None` if there is no fresh report on any
+    // of those that are likely to serve the read.
+    fn by_reports(&self, options: &[(Source, candidate::Candidate)]) -> Option<usize> {
+        let urgency = self.urgency?;
+        let wanted =
+            |(source, _): &(Source, candidate::Candidate)| source.pool.options().load_reports;
+        if !options.iter().any(wanted) {
+            return None;
+        }
+        let within = urgency.until.saturating_sub(boot::now());
+        let healthy = options
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, candidate))| candidate.health == candidate::Health::Healthy);
+        let known: Vec<_> = healthy
+            .map(|(index, (source, candidate))| {
+                let forecast = source.pool.forecast(self.organisation);
+                (index, candidate, forecast)
+            })
+            .collect();
+        let reported = known.iter().any(|(_, _, forecast)| forecast.is_some());
+        let basis = if reported { "report" } else { "none" };
+        metrics::counter!("mangotray_load_choices_total", "basis" => basis).increment(1);
+        if !reported {
+            return None;
+        }
+        let offers: Vec<_> = known
+            .iter()
+            .map(|(_, candidate, forecast)| {
+                candidate.offer(forecast.as_ref(), urgency.priority, within)
+            })
+            .collect();
+        let draw = choice::Draw {
+            usual: fastrand::usize(..),
+            other: fastrand::usize(..),
+        };
+        choice::choose(&offers, draw).map(|chosen| known[chosen].0)
     }
 
     // The replica that serves the organisation's reads by default, as the organisation's
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -235,6 +235,19 @@
         None
     }
 
+    /// Whether the retries of statements for an instance are limited by a budget of this node.
+    fn limits_retries(&self, _target: &Target) -> bool {
+        false
+    }
+
+    /// Counts a statement, which adds to the budget of retries.
+    fn note_statement(&self) {}
+
+    /// Takes a retry from the budget; `false` if it is used up.
+    fn take_retry(&self) -> bool {
+        true
+    }
+
     /// Number of nodes that share the instances, including this one.
     fn node_count(&self) -> usize {
         1
--- a/desk/tests/absence.rs
+++ b/desk/tests/absence.rs
@@ -270,6 +270,7 @@
             own: None,
             organisation: organisation::OWN,
             deadline: now + LONG,
+            urgency: None,
         };
         let source = group.source(&bounded, &[]).await;
         let floor = source.and_then(|source| source.after);
--- a/desk/tests/delegate.rs
+++ b/desk/tests/delegate.rs
@@ -107,6 +107,7 @@
         own: None,
         organisation: organisation::OWN,
         deadline: now + LONG,
+        urgency: None,
     }
 }
 
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -26,6 +26,7 @@
         own: None,
         organisation: organisation::OWN,
         deadline: now + LIMIT,
+        urgency: None,
     }
 }
 
--- a/desk/tests/witness.rs
+++ b/desk/tests/witness.rs
@@ -57,6 +57,7 @@
             own: None,
             organisation: organisation::OWN,
             deadline: now + SHORT,
+            urgency: None,
         };
         assert!(group.source(&bounded, &[]).await.is_none());
     });
