--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -23,7 +23,11 @@
 use crate::lending::remote;
 use crate::lending::serving;
 use crate::lending::shard;
+use crate::load::budget;
+use crate::load::forecast;
 use crate::load::options;
+use crate::load::subscription;
+use crate::load::table;
 use crate::member;
 use crate::organisation;
 use crate::organisations;
@@ -79,6 +83,17 @@
 /// again, in case the link has recovered.
 const DETOUR_LIFETIME: time::Duration = time::Duration::from_secs(3);
 
+/// A lending node with a longer expected wait is late: a read waits this long for a connection
+/// before it tries another instance.
+const LATE_WAIT: time::Duration = time::Duration::from_millis(120);
+
+/// Priority by whose wait lending nodes are compared when a connection is opened, as the
+/// connection will serve statements of several priorities.
+const DIAL_PRIORITY: u8 = 1;
+
+/// Lowest protocol version of a member that knows requests for load reports.
+const REPORT_PROTOCOL: u32 = 1;
+
 /// A dialer that reaches instances directly or through the other nodes of the fleet.
 pub struct Router {
     name: id::Vm,
@@ -92,6 +107,9 @@
     silent_instances: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     organisation_count: cell::Cell<usize>,
     options: cell::Cell<options::Options>,
+    reports: rc::Rc<table::Table>,
+    /// The budget of this node's retries, if they are limited.
+    retries: cell::Cell<Option<budget::Budget>>,
     peers: peers::Peers,
     dial_permits: sync::Arc<async_lock::Semaphore>,
 }
@@ -116,6 +134,8 @@
             silent_instances: cell::RefCell::default(),
             organisation_count: cell::Cell::default(),
             options: cell::Cell::default(),
+            reports: rc::Rc::default(),
+            retries: cell::Cell::default(),
             peers: peers::Peers::default(),
             dial_permits: sync::Arc::new(async_lock::Semaphore::new(MAX_CONCURRENT_DIALS)),
         })
@@ -124,6 +144,16 @@
     /// Sets which decisions under load are switched on, for pools that are created from now on.
     pub fn set_options(&self, options: options::Options) {
         self.options.set(options);
+        self.retries
+            .set(options.retry_percent.map(budget::Budget::new));
+    }
+
+    // Applies a change to the budget of retries, if they are limited, and returns its result.
+    fn with_budget<T>(&self, change: impl FnOnce(&mut budget::Budget) -> T) -> Option<T> {
+        let mut budget = self.retries.get()?;
+        let result = change(&mut budget);
+        self.retries.set(Some(budget));
+        Some(result)
     }
 
     /// Decisions under load that are switched on.
@@ -136,10 +166,24 @@
     pub fn set_members(&self, members: Vec<member::Member>) {
         if *self.members.borrow() != members {
             tracing::info!(members = members.len(), "fleet changed");
+            self.forget_changed(&members);
             self.members.replace(members);
         }
     }
 
+    // Drops the reports of members that have left, or came back at another address.
+    fn forget_changed(&self, members: &[member::Member]) {
+        let now = boot::now();
+        for former in self.members.borrow().iter() {
+            let same = |member: &member::Member| {
+                (&member.name, member.address) == (&former.name, former.address)
+            };
+            if !members.iter().any(same) {
+                self.reports.forget_lender(&former.name, now);
+            }
+        }
+    }
+
     /// Applies the connection limits and the number of organisations of a new configuration.
     pub fn apply(&self, catalog: &catalog::Catalog) {
         let limits = catalog.services.iter();
@@ -229,6 +273,7 @@
             listed(id) || pool.load() > 0
         });
         let now = boot::now();
+        self.reports.prune(now);
         self.silent_instances
             .borrow_mut()
             .retain(|_, until| now < *until);
@@ -259,17 +304,66 @@
         let mut serving: Vec<_> = available.take(nodes).cloned().collect();
         match serving.iter().position(|member| member.name == self.name) {
             Some(own) => serving = vec![serving.swap_remove(own)],
-            None if target.organisation == organisation::OWN => fastrand::shuffle(&mut serving),
+            None if target.organisation == organisation::OWN => {
+                fastrand::shuffle(&mut serving);
+                self.prefer_shorter_wait(target, &mut serving);
+            }
             // All connections of an organisation are held by the same lending node.
             None if !serving.is_empty() => {
                 let first = shard::of(&target.organisation) % serving.len();
                 serving.rotate_left(first);
+                self.pass_over_late(target, &mut serving);
             }
             None => {}
         }
         serving
     }
 
+    // Of the first two nodes, which were drawn at random, the one with the shorter expected wait is
+    // asked first, if both waits are known.
+    fn prefer_shorter_wait(&self, target: &upstream::Target, lenders: &mut [member::Member]) {
+        let (Some(first), Some(second)) = (
+            lenders
+                .first()
+                .and_then(|lender| self.wait_at(lender, target)),
+            lenders
+                .get(1)
+                .and_then(|lender| self.wait_at(lender, target)),
+        ) else {
+            return;
+        };
+        if second < first {
+            lenders.swap(0, 1);
+        }
+    }
+
+    // An organisation's connections lead to the node of its shard, the first here, unless that is
+    // known to be late and another one is known not to be.
+    fn pass_over_late(&self, target: &upstream::Target, lenders: &mut [member::Member]) {
+        let wait = |lender: &member::Member| self.wait_at(lender, target);
+        let late = lenders.first().and_then(wait) > Some(LATE_WAIT);
+        let timely = |lender: &member::Member| wait(lender).is_some_and(|wait| wait <= LATE_WAIT);
+        if late && let Some(other) = lenders.iter().position(timely) {
+            lenders.swap(0, other);
+        }
+    }
+
+    // The expected wait at a lending node, by its fresh report if there is one.
+    fn wait_at(
+        &self,
+        lender: &member::Member,
+        target: &upstream::Target,
+    ) -> Option<time::Duration> {
+        if !self.options.get().load_reports {
+            return None;
+        }
+        let now = boot::now();
+        let forecast = self
+            .reports
+            .find(&target.id, target.born, &lender.name, now)?;
+        Some(forecast.wait(DIAL_PRIORITY))
+    }
+
     fn may_lend(&self, name: &id::Vm, instance: &upstream::Id) -> bool {
         let now = boot::now();
         let expired = |until: &id::Time| *until < now;
@@ -281,6 +375,33 @@
                 .is_none_or(expired)
     }
 
+    // What the last load report on an instance lets expect, from the node that this node's
+    // connections for the organisation lead to; this node's own pool if it lends to itself.
+    fn forecast_for(&self, target: &upstream::Target) -> Option<forecast::Forecast> {
+        let now = boot::now();
+        let lenders = self.lenders(target);
+        let own = lenders.first().is_some_and(|first| first.name == self.name);
+        if own {
+            let pools = self.pools.borrow();
+            let pool = pools.get(&target.id)?;
+            return (pool.born() == target.born).then(|| forecast::Forecast {
+                report: pool.load_report(),
+                age: time::Duration::ZERO,
+                added: 0,
+            });
+        }
+        let find = |lender: &member::Member| {
+            self.reports
+                .find(&target.id, target.born, &lender.name, now)
+        };
+        if target.organisation == organisation::OWN {
+            // The connection that was used last is used next.
+            let found = lenders.iter().filter_map(find);
+            return found.min_by_key(|forecast| forecast.age);
+        }
+        find(lenders.first()?)
+    }
+
     async fn connect(&self, target: &upstream::Target) -> Dialled {
         let lenders = self.lenders(target);
         if lenders.is_empty() {
@@ -336,7 +457,12 @@
     ) -> Dialled {
         let dialled = wait::within(
             BORROW_TIMEOUT,
-            remote::dial(lender.address, target, lifetime),
+            remote::dial(
+                lender.address,
+                target,
+                lifetime,
+                self.subscribe(lender, target, lifetime),
+            ),
         )
         .await;
         let refusal = match dialled {
@@ -364,13 +490,32 @@
         Err(refusal)
     }
 
+    // Where load reports on the instance from a lending node are recorded; `None` if they are not
+    // wanted, the node does not know them, or the connection is a detour.
+    fn subscribe(
+        &self,
+        lender: &member::Member,
+        target: &upstream::Target,
+        lifetime: Option<time::Duration>,
+    ) -> Option<subscription::Subscription> {
+        let wanted = self.options.get().load_reports && lifetime.is_none();
+        (wanted && lender.protocol >= REPORT_PROTOCOL).then(|| subscription::Subscription {
+            table: rc::Rc::clone(&self.reports),
+            lender: lender.name.clone(),
+            instance: target.id.clone(),
+            born: target.born,
+        })
+    }
+
     fn avoid(&self, name: &id::Vm, pause: time::Duration) {
+        self.reports.forget_lender(name, boot::now());
         let until = boot::now() + pause;
         self.avoided_nodes.borrow_mut().insert(name.clone(), until);
     }
 
     // Records that a node could not reach an instance, if that was the reason of its refusal.
     fn note_refusal(&self, name: &id::Vm, target: &upstream::Target, refusal: &upstream::Refusal) {
+        self.reports.forget(&target.id, name, boot::now());
         if matches!(refusal, upstream::Refusal::Silent(_)) {
             let pair = (name.clone(), target.id.clone());
             self.unreachable_instances
@@ -459,6 +604,29 @@
         self.options.get()
     }
 
+    fn forecast(&self, target: &upstream::Target) -> Option<forecast::Forecast> {
+        let wanted = self.options.get().load_reports;
+        wanted.then(|| self.forecast_for(target)).flatten()
+    }
+
+    fn limits_retries(&self, target: &upstream::Target) -> bool {
+        let limited = self.options.get().retry_percent.is_some();
+        limited && self.serving_mode(target) != serving::Mode::Direct
+    }
+
+    fn note_statement(&self) {
+        self.with_budget(|budget| budget.note_statement(boot::now()));
+    }
+
+    fn take_retry(&self) -> bool {
+        let taken = self.with_budget(|budget| budget.take(boot::now()));
+        if let Some(allowed) = taken {
+            let result = if allowed { "allowed" } else { "denied" };
+            metrics::counter!("mangotray_retry_budget_total", "result" => result).increment(1);
+        }
+        taken.unwrap_or(true)
+    }
+
     fn node_count(&self) -> usize {
         self.members.borrow().len().max(1)
     }
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -12,6 +12,7 @@
 use mangotray::stamp;
 
 use crate::delegate;
+use crate::load::forecast;
 use crate::load::options;
 use crate::organisation;
 use crate::reply;
@@ -228,6 +229,25 @@
         options::Options::default()
     }
 
+    /// What the last load report on an instance lets expect of a statement that is sent now; `None`
+    /// without a fresh report.
+    fn forecast(&self, _target: &Target) -> Option<forecast::Forecast> {
+        None
+    }
+
+    /// Whether the retries of statements for an instance are limited by a budget of this node.
+    fn limits_retries(&self, _target: &Target) -> bool {
+        false
+    }
+
+    /// Counts a statement, which adds to the budget of retries.
+    fn note_statement(&self) {}
+
+    /// Takes a retry from the budget; `false` if it is used up.
+    fn take_retry(&self) -> bool {
+        true
+    }
+
     /// Number of nodes that share the instances, including this one.
     fn node_count(&self) -> usize {
         1
