Learn each instance's concurrency limit and expected times

An instance that is slow, or slows down with load, gets as much work as the others until its answers take over 90 ms, and two to five nodes with five statements each keep a queue in an instance that serves it in order of arrival.

With `[load] adaptive_concurrency`, and where a node holds connections for others (`size::Size::serves_others`), a controller for each pool learns from the answers: expected times by kind, and a limit by additive increase and multiplicative decrease on the level of the times. Without the setting, and in direct mode, the window decides as before. `Pool::expected_exchange` and `load_report` give the learned time.

--- a/desk/src/checkout.rs
+++ b/desk/src/checkout.rs
@@ -187,7 +187,9 @@
                 return Err(unsent("the session's values could not be set"));
             }
         }
+        let start = self.pool.begin_exchange(urgency.priority);
         let result = exchange(connection, &self.pool, statements, urgency, on_silence).await;
+        self.pool.note_exchange(&start, statements, &result);
         // If a relaying node could not run the commands, its answer has been read completely.
         self.broken = result.as_ref().is_err_and(|failure| failure.sent);
         let replies = result?;
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catalog;
 pub mod checkout;
 pub mod cleanup;
+pub mod concurrency;
 pub mod confirmer;
 pub mod connection;
 pub mod deadline;
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -16,6 +16,7 @@
 use crate::boot;
 use crate::catalog;
 use crate::checkout;
+use crate::concurrency::exchange;
 use crate::connection;
 use crate::health;
 use crate::load::options;
@@ -76,6 +77,7 @@
     #[must_use]
     pub fn with_options(mut self, options: options::Options) -> Self {
         self.options = options;
+        self.learn_load();
         self
     }
 
@@ -88,7 +90,7 @@
     /// The load of the instance as this node knows it.
     #[must_use]
     pub fn load_report(&self) -> report::Report {
-        let exchange = self.latency();
+        let exchange = self.expected_exchange();
         let queued = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         let limit = u32::try_from(self.window()).unwrap_or(u32::MAX).max(1);
         let wait = exchange.saturating_mul(queued) / limit;
@@ -137,6 +139,14 @@
     /// Sets a new size, for example when this node begins or ends to serve the instance to others.
     pub fn resize(&self, size: size::Size) {
         self.capacity.resize(size);
+        self.learn_load();
+    }
+
+    // The load is learned where this node holds connections for others.
+    fn learn_load(&self) {
+        let size = self.capacity.size();
+        let learns = self.options.adaptive_concurrency && size.serves_others();
+        self.limiter.learn(learns.then_some(size));
     }
 
     /// Number of connections that are checked out, plus requests that wait for one.
@@ -169,6 +179,13 @@
         self.health.latency()
     }
 
+    /// Expected time of an exchange, from sending to the answer: learned from the answers, if
+    /// [`options::Options::adaptive_concurrency`] applies to the pool, else the latency.
+    #[must_use]
+    pub fn expected_exchange(&self) -> time::Duration {
+        self.limiter.expected().unwrap_or_else(|| self.latency())
+    }
+
     /// Current concurrency limit: statements that this node runs on the instance at once.
     #[must_use]
     pub fn window(&self) -> usize {
@@ -368,6 +385,31 @@
         self.limiter.acquire(urgency).await
     }
 
+    /// The beginning of an exchange, for [`Pool::note_exchange`].
+    pub(crate) fn begin_exchange(&self, priority: u8) -> exchange::Start {
+        exchange::Start {
+            sent: boot::now(),
+            applied: self.applied(),
+            priority,
+        }
+    }
+
+    /// Learns the instance's load from the end of an exchange.
+    pub(crate) fn note_exchange(
+        &self,
+        start: &exchange::Start,
+        commands: &[upstream::Command],
+        result: &Result<Vec<reply::Reply>, upstream::Failure>,
+    ) {
+        let now = boot::now();
+        if let Some(exchange) = start.end(now, commands, result) {
+            let instance = self.instance.borrow();
+            let grown = self.limiter.observe(now, &instance.id, exchange);
+            drop(instance);
+            (0..grown).for_each(|_| self.waiting.wake());
+        }
+    }
+
     pub(crate) fn note_replies(self: &rc::Rc<Self>, sent: id::Time, replies: &[reply::Reply]) {
         let now = boot::now();
         let took = now.saturating_sub(sent);
--- a/desk/src/room/capacity.rs
+++ b/desk/src/room/capacity.rs
@@ -36,6 +36,10 @@
         self.size.set(size);
     }
 
+    pub(crate) fn size(&self) -> size::Size {
+        self.size.get()
+    }
+
     /// Idle time after which a connection beyond the minimum is closed.
     pub(crate) fn idle_timeout(&self) -> time::Duration {
         self.size.get().idle_timeout
--- a/desk/src/room/limiter.rs
+++ b/desk/src/room/limiter.rs
@@ -8,17 +8,24 @@
 use std::time;
 
 use mangotray::id;
+use mangotray::telemetry;
 
 use crate::boot;
+use crate::concurrency::controller;
+use crate::concurrency::exchange;
 use crate::organisation;
 use crate::reply;
 use crate::room::queue;
+use crate::room::size;
 use crate::room::window;
+use crate::upstream;
 use crate::urgency;
 
 /// The adaptive concurrency limit of one instance, with the statements that wait for a permit.
 pub(crate) struct Limiter {
     window: cell::Cell<window::Window>,
+    /// Replaces the window where the limit is learned.
+    learned: cell::Cell<Option<controller::Controller>>,
     waiting: queue::Queue,
     running: cell::Cell<usize>,
 }
@@ -28,6 +35,7 @@
     pub(crate) fn new(max_statements: usize) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             window: cell::Cell::new(window::Window::new(max_statements)),
+            learned: cell::Cell::default(),
             waiting: queue::Queue::default(),
             running: cell::Cell::default(),
         })
@@ -35,7 +43,29 @@
 
     /// Returns the current limit of statements that run at once.
     pub(crate) fn window(&self) -> usize {
-        self.window.get().size()
+        let learned = self.learned.get();
+        learned.map_or_else(|| self.window.get().size(), |learned| learned.limit())
+    }
+
+    /// Learns the limit from now on, for a pool of this size, or ends to learn it for `None`.
+    pub(crate) fn learn(&self, size: Option<size::Size>) {
+        self.learned.set(size.map(|size| {
+            let mut learned = self.learned.get().unwrap_or_else(|| {
+                controller::Controller::new(size.max_statements, size.max_connections)
+            });
+            learned.set_max(size.max_connections);
+            learned
+        }));
+    }
+
+    /// Whether the limit is learned.
+    pub(crate) fn learns(&self) -> bool {
+        self.learned.get().is_some()
+    }
+
+    /// Expected time of an exchange, if it is learned and one was answered.
+    pub(crate) fn expected(&self) -> Option<time::Duration> {
+        self.learned.get().and_then(|learned| learned.expected())
     }
 
     /// Waits for a permit until the statement's latest start or the deadline of its answer,
@@ -58,6 +88,9 @@
     /// Adapts the limit to a reply; returns whether it has grown, so that one more statement may
     /// run.
     pub(crate) fn adapt(&self, now: id::Time, reply: &reply::Reply, took: time::Duration) -> bool {
+        if self.learns() {
+            return false;
+        }
         let mut window = self.window.get();
         let before = window.size();
         match reply.code() {
@@ -73,6 +106,42 @@
         }
         grown
     }
+
+    /// Learns from an exchange with an instance that ended at `now`, unless the limit is fixed;
+    /// returns by how many more statements may run.
+    pub(crate) fn observe(
+        &self,
+        now: id::Time,
+        instance: &upstream::Id,
+        exchange: exchange::Exchange,
+    ) -> usize {
+        let Some(mut learned) = self.learned.get() else {
+            return 0;
+        };
+        let before = learned.limit();
+        let full = self.running.get() >= before;
+        let round = learned.record(now, &exchange::Exchange { full, ..exchange });
+        self.learned.set(Some(learned));
+        if let Some(round) = round {
+            tell(instance, &learned, &round);
+        }
+        let grown = learned.limit().saturating_sub(before);
+        (0..grown).for_each(|_| self.waiting.wake());
+        grown
+    }
+}
+
+// Tells of the state after a round of answers.
+fn tell(instance: &upstream::Id, learned: &controller::Controller, round: &controller::Round) {
+    let limit = u32::try_from(learned.limit()).unwrap_or(u32::MAX);
+    metrics::histogram!(telemetry::CONCURRENCY_LIMIT).record(f64::from(limit));
+    metrics::histogram!(telemetry::EXPECTED_EXCHANGE).record(round.expected.as_secs_f64());
+    if let Some(change) = round.change {
+        tracing::info!(%instance, limit, limit_before = change.before.0, limit_mean = change.after.0,
+            expected_before = ?change.before.1, expected = ?change.after.1,
+            slowness = round.slowness, answers = round.answers, full = round.full,
+            "learned load of the instance changed");
+    }
 }
 
 /// The right to run one statement, released when dropped.
--- a/desk/src/room/size.rs
+++ b/desk/src/room/size.rs
@@ -31,4 +31,19 @@
             idle_timeout: IDLE_TIMEOUT,
         }
     }
+
+    /// Whether this is the size of a node that holds an instance's connections for others as well:
+    /// it has more connections than statements that run at once, as transactions are open on some.
+    /// A node that connects for itself has as many of both.
+    ///
+    /// ```
+    /// use mangotray_desk::room::size;
+    /// let own = size::Size::shared();
+    /// assert!(!own.serves_others());
+    /// assert!(size::Size { max_connections: 12, ..own }.serves_others());
+    /// ```
+    #[must_use]
+    pub const fn serves_others(&self) -> bool {
+        self.max_connections > self.max_statements
+    }
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -48,6 +48,12 @@
 /// Sessions offered to another proxy; label `result`.
 pub const FORWARDS: &str = "mangotray_forwards_total";
 
+/// Statements that this process runs on an instance at once, at most, after each round of answers
+/// from which the limit is learned.
+pub const CONCURRENCY_LIMIT: &str = "mangotray_concurrency_limit";
+/// Expected time of an exchange with an instance, after each such round.
+pub const EXPECTED_EXCHANGE: &str = "mangotray_expected_exchange_seconds";
+
 /// Value of label `source` for reads served by a replica.
 pub const SOURCE_REPLICA: &str = "replica";
 /// Value of label `source` for reads served by the primary.
