Bound the transactions that are open at an instance

Callers that are idle in transaction keep connections without using a slot. With as many of them as connections, short statements find none until `tx_idle_ms` ends the transactions, while the slots are free.

With `[load] fair_queueing`, a lending node lets a transaction begin only with one of a bounded number of places, which leave a connection for each statement within the concurrency limit and one for its own requests. Places are given by turns; while others wait, an organisation has at most half of them, rounded up. A transaction waits for a place without a connection, and is refused at once if each open one has been idle for a second or more and the first idle timeout is after its deadline. No transaction is ended for this. `mangotray_transactions_refused_total` counts refusals.

--- a/desk/src/checkout.rs
+++ b/desk/src/checkout.rs
@@ -11,6 +11,7 @@
 use crate::organisation;
 use crate::pool;
 use crate::reply;
+use crate::room::transactions;
 use crate::statement;
 use crate::upstream;
 use crate::urgency;
@@ -42,6 +43,8 @@
     connection: Option<connection::Connection>,
     /// When it was checked out.
     since: id::Time,
+    /// Place of the transaction that it is used for, where these are bounded.
+    place: Option<transactions::Place>,
     broken: bool,
     /// A transaction is open on the connection.
     in_transaction: bool,
@@ -62,6 +65,7 @@
             urgency,
             connection: Some(connection),
             since: boot::now(),
+            place: None,
             broken: false,
             in_transaction: false,
             setup_pending: false,
@@ -74,6 +78,11 @@
         &self.pool
     }
 
+    /// Keeps the place of a transaction for as long as the connection is checked out.
+    pub(crate) fn occupy(&mut self, place: Option<transactions::Place>) {
+        self.place = place;
+    }
+
     /// Sets the urgency of the next commands.
     pub const fn set_urgency(&mut self, urgency: urgency::Urgency) {
         self.urgency = urgency;
@@ -163,6 +172,7 @@
             awaited: deadline,
             ..self.urgency
         };
+        self.note_running(true);
         let connection = self.connection.as_ref();
         let organisation = connection.map_or(organisation::OWN, |connection| {
             connection.organisation.clone()
@@ -201,11 +211,18 @@
         let replies = result?;
         self.setup_pending = false;
         connection.used = boot::now();
+        self.note_running(false);
         self.pool.note_replies(sent, &replies);
         self.update_state(replies.last());
         Ok(replies)
     }
 
+    fn note_running(&self, running: bool) {
+        if let Some(place) = &self.place {
+            place.set_running(running);
+        }
+    }
+
     fn update_state(&mut self, reply: Option<&reply::Reply>) {
         let open = reply.is_some_and(|reply| reply.state != reply::State::Idle);
         match (self.in_transaction, open) {
--- a/desk/src/lending/relay.rs
+++ b/desk/src/lending/relay.rs
@@ -227,7 +227,7 @@
         let in_transaction = self.pinned.is_some();
         let mut checkout = match self.pinned.take() {
             Some(checkout) => checkout,
-            None => self.check_out(urgency).await?,
+            None => self.check_out_for(command, urgency).await?,
         };
         let shape = match command {
             upstream::Command::Execute { handle, .. } => {
@@ -253,6 +253,21 @@
         Ok(reply)
     }
 
+    // A transaction takes a place first, so that one which waits for it keeps no connection.
+    async fn check_out_for(
+        &self,
+        command: &upstream::Command,
+        urgency: urgency::Urgency,
+    ) -> Result<checkout::Checkout, upstream::Failure> {
+        let place = match command {
+            upstream::Command::Begin { .. } => self.pool.begin(urgency, &self.organisation).await?,
+            _ => None,
+        };
+        let mut checkout = self.check_out(urgency).await?;
+        checkout.occupy(place);
+        Ok(checkout)
+    }
+
     async fn check_out(
         &self,
         urgency: urgency::Urgency,
--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -91,6 +91,7 @@
     unreachable_instances: cell::RefCell<collections::BTreeMap<(id::Vm, upstream::Id), id::Time>>,
     silent_instances: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     organisation_count: cell::Cell<usize>,
+    transaction_idle: cell::Cell<Option<time::Duration>>,
     options: cell::Cell<options::Options>,
     peers: peers::Peers,
     dial_permits: sync::Arc<async_lock::Semaphore>,
@@ -115,6 +116,7 @@
             unreachable_instances: cell::RefCell::default(),
             silent_instances: cell::RefCell::default(),
             organisation_count: cell::Cell::default(),
+            transaction_idle: cell::Cell::default(),
             options: cell::Cell::default(),
             peers: peers::Peers::default(),
             dial_permits: sync::Arc::new(async_lock::Semaphore::new(MAX_CONCURRENT_DIALS)),
@@ -140,7 +142,8 @@
         }
     }
 
-    /// Applies the connection limits and the number of organisations of a new configuration.
+    /// Applies the connection limits, the number of organisations and the idle timeout of
+    /// transactions of a new configuration.
     pub fn apply(&self, catalog: &catalog::Catalog) {
         let limits = catalog.services.iter();
         let limits = limits.map(|service| (service.group.clone(), service.connections));
@@ -148,6 +151,7 @@
         let organisations = catalog.organisations.as_ref();
         self.organisation_count
             .set(organisations.map_or(0, organisations::Organisations::len));
+        self.transaction_idle.set(catalog.transaction_idle);
     }
 
     /// The fleet's nodes, as far as this node knows them.
@@ -214,6 +218,7 @@
             max_statements,
             idle_timeout,
             lends: true,
+            transaction_idle: self.transaction_idle.get(),
         }
     }
 
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -29,6 +29,7 @@
 use crate::room::opening;
 use crate::room::queue;
 use crate::room::size;
+use crate::room::transactions;
 use crate::shortage;
 use crate::upstream;
 use crate::urgency;
@@ -47,6 +48,7 @@
     pub(crate) connections: connections::Connections,
     pub(crate) waiting: queue::Queue,
     limiter: rc::Rc<limiter::Limiter>,
+    transactions: rc::Rc<transactions::Transactions>,
     options: options::Options,
     pub(crate) health: health::Health,
 }
@@ -69,6 +71,7 @@
             connections: connections::Connections::default(),
             waiting: queue::Queue::default(),
             limiter: limiter::Limiter::new(size.max_statements),
+            transactions: rc::Rc::default(),
             health: health::Health::default(),
         }
     }
@@ -413,6 +416,30 @@
         self.capacity.unpin();
     }
 
+    /// Waits for a place among the bounded number of open transactions; `None` if they are not
+    /// bounded.
+    ///
+    /// # Errors
+    /// Returns an error if there is none before the latest start or the deadline. Nothing was sent.
+    pub(crate) async fn begin(
+        &self,
+        urgency: urgency::Urgency,
+        organisation: &organisation::Name,
+    ) -> Result<Option<transactions::Place>, upstream::Failure> {
+        if !self.options.fair_queueing || !self.capacity.lends() {
+            return Ok(None);
+        }
+        let (arrived, bounds) = (boot::now(), self.capacity.transaction_bounds(self.window()));
+        let place = self.transactions.acquire(urgency, organisation, bounds);
+        place.await.map(Some).map_err(|refusal| {
+            metrics::counter!("mangotray_transactions_refused_total").increment(1);
+            tracing::info!(instance = %self.id(), %organisation, ?refusal, open = self.transactions.count(),
+                bound = bounds.count, waited = ?boot::now().saturating_sub(arrived),
+                "transaction refused, as too many are open");
+            shortage::too_many_transactions(refusal, boot::now())
+        })
+    }
+
     /// Waits for a permit under the instance's concurrency limit; `None` if the statement's latest
     /// start or its deadline passes.
     pub(crate) async fn acquire_permit(
--- a/desk/src/room.rs
+++ b/desk/src/room.rs
@@ -7,6 +7,7 @@
 pub mod queue;
 pub mod schedule;
 pub mod size;
+pub mod transactions;
 pub mod turns;
 pub mod usage;
 pub mod window;
--- a/desk/src/room/capacity.rs
+++ b/desk/src/room/capacity.rs
@@ -7,6 +7,7 @@
 
 use crate::boot;
 use crate::room::size;
+use crate::room::transactions;
 
 /// Delay before a new connection to an instance that reported that it has none left.
 const FULL_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -46,6 +47,15 @@
         self.size.get().lends
     }
 
+    /// Bounds on open transactions, with this concurrency limit.
+    pub(crate) fn transaction_bounds(&self, window: usize) -> transactions::Bounds {
+        let size = self.size.get();
+        transactions::Bounds {
+            count: transactions::bound(size.max_connections, window),
+            idle_timeout: size.transaction_idle,
+        }
+    }
+
     /// Counts one more connection with an open transaction.
     pub(crate) fn pin(&self) {
         self.pinned.set(self.pinned.get() + 1);
--- a/desk/src/room/queue.rs
+++ b/desk/src/room/queue.rs
@@ -194,6 +194,27 @@
         }
     }
 
+    /// Wakes the next request of the organisations for which `may` holds, or the next of all if
+    /// none of these waits.
+    pub fn wake_among(&self, may: impl Fn(&organisation::Name) -> bool) {
+        let served = self.served.get() + 1;
+        let next = {
+            let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
+            let of = |index: &usize| &wakers[*index].organisation;
+            let indices: Vec<_> = (0..wakers.len()).filter(|index| may(of(index))).collect();
+            let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
+            let names: Vec<_> = indices.iter().map(of).collect();
+            let turns = self.turns.borrow();
+            let next = turns.next(&claims, &names, boot::now(), served);
+            next.map(|next| indices[next])
+        };
+        let Some(index) = next else {
+            return self.wake();
+        };
+        self.served.set(served);
+        self.wake_at(index);
+    }
+
     /// Returns the number of waiting requests of an organisation.
     #[must_use]
     pub fn count_waiting(&self, organisation: &organisation::Name) -> usize {
--- a/desk/src/room/size.rs
+++ b/desk/src/room/size.rs
@@ -21,6 +21,8 @@
     pub idle_timeout: time::Duration,
     /// Whether the node holds these connections for other nodes too, and is one of the few that do.
     pub lends: bool,
+    /// Idle time after which an open transaction may be ended.
+    pub transaction_idle: Option<time::Duration>,
 }
 
 impl Size {
@@ -32,6 +34,7 @@
             max_statements: MAX_CONNECTIONS,
             idle_timeout: IDLE_TIMEOUT,
             lends: false,
+            transaction_idle: None,
         }
     }
 }
--- a/desk/src/shortage.rs
+++ b/desk/src/shortage.rs
@@ -1,5 +1,16 @@
 //! Why no connection of a pool could be checked out.
 
+use std::time;
+
+use compact_str::format_compact;
+use mangotray::id;
+
+use crate::room::transactions;
+use crate::upstream;
+
+/// Shortest time after which a refused caller is told to come back.
+const MIN_RETURN: time::Duration = time::Duration::from_millis(20);
+
 /// Why no connection could be checked out. The names of the variants are part of a text that relays
 /// send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,3 +24,32 @@
     /// The instance accepts no more connections, and this node has none open.
     Full,
 }
+
+/// The failure of a transaction that was not begun, as too many are open.
+///
+/// ```
+/// use mangotray_desk::{room::transactions, shortage};
+/// use std::time::Duration;
+/// let until = transactions::Refusal::Until(Duration::from_secs(3));
+/// let failure = shortage::too_many_transactions(until, Duration::from_secs(1));
+/// assert!(!failure.sent && failure.crowded);
+/// assert!(failure.detail.ends_with("come back in 2000 ms"));
+/// ```
+#[must_use]
+pub fn too_many_transactions(refusal: transactions::Refusal, now: id::Time) -> upstream::Failure {
+    let detail = match refusal {
+        transactions::Refusal::Late => "too many transactions are open".into(),
+        transactions::Refusal::Until(time) => {
+            let left = time.saturating_sub(now).max(MIN_RETURN);
+            format_compact!(
+                "too many transactions are open, come back in {} ms",
+                left.as_millis()
+            )
+        }
+    };
+    upstream::Failure {
+        sent: false,
+        crowded: true,
+        detail,
+    }
+}
