--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -106,6 +106,7 @@
     unreachable_instances: cell::RefCell<collections::BTreeMap<(id::Vm, upstream::Id), id::Time>>,
     silent_instances: cell::RefCell<collections::BTreeMap<upstream::Id, id::Time>>,
     organisation_count: cell::Cell<usize>,
+    transaction_idle: cell::Cell<Option<time::Duration>>,
     options: cell::Cell<options::Options>,
     reports: rc::Rc<table::Table>,
     /// The budget of this node's retries, if they are limited.
@@ -133,6 +134,7 @@
             unreachable_instances: cell::RefCell::default(),
             silent_instances: cell::RefCell::default(),
             organisation_count: cell::Cell::default(),
+            transaction_idle: cell::Cell::default(),
             options: cell::Cell::default(),
             reports: rc::Rc::default(),
             retries: cell::Cell::default(),
@@ -184,7 +186,8 @@
         }
     }
 
-    /// Applies the connection limits and the number of organisations of a new configuration.
+    /// Applies the connection limits, the number of organisations and the idle timeout of
+    /// transactions of a new configuration.
     pub fn apply(&self, catalog: &catalog::Catalog) {
         let limits = catalog.services.iter();
         let limits = limits.map(|service| (service.group.clone(), service.connections));
@@ -192,6 +195,7 @@
         let organisations = catalog.organisations.as_ref();
         self.organisation_count
             .set(organisations.map_or(0, organisations::Organisations::len));
+        self.transaction_idle.set(catalog.transaction_idle);
     }
 
     /// The fleet's nodes, as far as this node knows them.
@@ -258,6 +262,7 @@
             max_statements,
             idle_timeout,
             lends: true,
+            transaction_idle: self.transaction_idle.get(),
         }
     }
 
