Spread reads away from a slow instance without a herd at the cheapest

Cause: where all other instances were clearly cheaper than the usual one, half of its reads went to the cheapest. A retry was drawn at random as well.

Change: the usual instance's own part in the draw goes to the most expensive of the others. A retry goes to the cheapest. A lending node is drawn from two with repetition, as with two nodes all new connections went to the one with the shorter wait.

--- a/desk/src/lending/relay.rs
+++ b/desk/src/lending/relay.rs
@@ -467,9 +467,9 @@
                 }
             };
             self.busy.set(self.busy.get() - 1);
-            let report = session
-                .load_report()
-                .filter(|_| trailer == Some(REPORT_REQUEST))
+            let report = (trailer == Some(REPORT_REQUEST))
+                .then(|| session.load_report())
+                .flatten()
                 .and_then(|report| throttle.due(report, boot::now()));
             match report {
                 Some(report) => message::send(stream, &(&answer, report)).await?,
--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -318,21 +318,18 @@
         serving
     }
 
-    // Of the first two nodes, which were drawn at random, the one with the shorter expected wait is
-    // asked first, if both waits are known.
+    // Of two nodes that are drawn at random, possibly the same, the one with the shorter expected
+    // wait is asked first, if both waits are known. The nodes are shuffled, so the first is drawn.
     fn prefer_shorter_wait(&self, target: &upstream::Target, lenders: &mut [member::Member]) {
-        let (Some(first), Some(second)) = (
-            lenders
-                .first()
-                .and_then(|lender| self.wait_at(lender, target)),
-            lenders
-                .get(1)
-                .and_then(|lender| self.wait_at(lender, target)),
-        ) else {
+        if lenders.is_empty() || !self.options.get().load_reports {
             return;
-        };
-        if second < first {
-            lenders.swap(0, 1);
+        }
+        let other = fastrand::usize(..lenders.len());
+        let wait = |index: usize| self.wait_at(&lenders[index], target);
+        if let (Some(first), Some(second)) = (wait(0), wait(other))
+            && second < first
+        {
+            lenders.swap(0, other);
         }
     }
 
--- a/desk/src/load/choice.rs
+++ b/desk/src/load/choice.rs
@@ -24,7 +24,9 @@
 }
 
 impl Offer {
-    fn cost(&self) -> time::Duration {
+    /// Expected cost of the read there.
+    #[must_use]
+    pub fn cost(&self) -> time::Duration {
         self.fixed.saturating_add(self.expected)
     }
 
@@ -80,13 +82,18 @@
         .copied()
         .filter(|index| offers[*index].is_clearly_cheaper(&offers[usual]))
         .collect();
-    // All others are cheaper: the usual one is slow or overloaded, and its work is spread over them.
-    // Otherwise the usual one is drawn as well, so that only a part moves to the cheapest.
-    let drawn = if cheaper.len() + 1 == timely.len() && cheaper.len() > 1 {
-        cheaper[draw.other % cheaper.len()]
-    } else {
-        timely[draw.other % timely.len()]
-    };
+    // If all others are cheaper, the usual one is slow or overloaded, and nothing is left there. Its
+    // part in the draw goes to the most expensive of the others, so that no more move to the
+    // cheapest.
+    let mut drawn = timely[draw.other % timely.len()];
+    let next = cheaper.iter().max_by_key(|index| offers[**index].cost());
+    if drawn == usual
+        && cheaper.len() > 1
+        && cheaper.len() + 1 == timely.len()
+        && let Some(next) = next
+    {
+        drawn = *next;
+    }
     let moves = offers[drawn].is_clearly_cheaper(&offers[usual]);
     Some(if moves { drawn } else { usual })
 }
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -101,7 +101,7 @@
                 (source, candidate)
             })
             .collect();
-        if let Some(index) = self.by_reports(&options) {
+        if let Some(index) = self.by_reports(&options, !tried.is_empty()) {
             return Some(options.swap_remove(index).0);
         }
         let cheapest = options
@@ -111,8 +111,9 @@
     }
 
     // The index of the instance to use by load reports; `None` if there is no fresh report on any
-    // of those that are likely to serve the read.
-    fn by_reports(&self, options: &[(Source, candidate::Candidate)]) -> Option<usize> {
+    // of those that are likely to serve the read. A retry goes to the cheapest one: retries are few,
+    // and one that fails costs the caller more than the others lose.
+    fn by_reports(&self, options: &[(Source, candidate::Candidate)], retry: bool) -> Option<usize> {
         let urgency = self.urgency?;
         let wanted =
             |(source, _): &(Source, candidate::Candidate)| source.pool.options().load_reports;
@@ -142,6 +143,12 @@
                 candidate.offer(forecast.as_ref(), urgency.priority, within)
             })
             .collect();
+        if retry {
+            let timely = |index: &usize| (offers[*index].late, offers[*index].cost());
+            return (0..offers.len())
+                .min_by_key(timely)
+                .map(|index| known[index].0);
+        }
         let draw = choice::Draw {
             usual: fastrand::usize(..),
             other: fastrand::usize(..),
--- a/desk/tests/load_choice.rs
+++ b/desk/tests/load_choice.rs
@@ -104,7 +104,7 @@
             assert!(sum <= twice_the_mean * rounds.len(), "{sum} {reports:?}");
             let above = rounds.iter().filter(|count| **count > twice_the_mean);
             let above = above.count();
-            assert!(above <= rounds.len() / 4, "{above} {reports:?}");
+            assert!(above <= rounds.len() / 10, "{above} {reports:?}");
         }
     }
 }
@@ -152,7 +152,7 @@
 #[test]
 fn old_reports_decide_nothing() {
     let node = Node::default();
-    node.learn(0, report(170, 60), millis(1000));
+    node.learn(0, report(900, 60), millis(1000));
     let unknown = Node::default().offers(millis(1000));
     assert_ne!(node.offers(millis(1499)), unknown);
     assert_eq!(node.offers(millis(1500)), unknown);
--- a/desk/tests/load_reports.rs
+++ b/desk/tests/load_reports.rs
@@ -214,6 +214,28 @@
     }
 }
 
+/// Guards against a lending node that knows nothing of the instances that it lends to itself, and
+/// against reports where each node has its own connections.
+#[test]
+fn a_node_that_lends_to_itself_reads_its_own_pool() {
+    let cluster = cluster::Cluster::new();
+    let router = router(&cluster, "own", true);
+    let target = target(&cluster);
+    cluster.run(async {
+        let others = ["other", "another"].map(|name| member(name, "far", 1));
+        let own = member("own", "here", 1);
+        router.set_members(others.into_iter().chain([own.clone()]).collect());
+        run(&mut *dial(&router, &target).await)
+            .await
+            .expect("an answer");
+        let forecast = router.forecast(&target).expect("its own report");
+        assert_eq!(forecast.age, time::Duration::ZERO);
+        assert_eq!(forecast.report, router.pool(&target).load_report());
+        router.set_members(vec![own]);
+        assert_eq!(router.forecast(&target), None);
+    });
+}
+
 /// Guards against a lending node of the build before that stops its heartbeats, as it does not know
 /// the request for reports and was sent it all the same; and against a failed exchange with it.
 #[test]
@@ -287,6 +309,136 @@
     });
 }
 
+async fn relay_with(mut stream: async_net::TcpStream, report: report::Report) {
+    let target: Result<upstream::Target, _> = message::receive(&mut stream).await;
+    target.expect("a target");
+    let opened: relay::Opened = Ok(None);
+    message::send(&mut stream, &opened).await.expect("a node");
+    while message::receive_with_trailer::<Work>(&mut stream)
+        .await
+        .is_ok()
+    {
+        let answer: relay::Answer = Ok(replies());
+        let reported = (answer, report);
+        message::send(&mut stream, &reported).await.expect("a node");
+    }
+}
+
+/// Serves connections as a lending node with this report on every instance; counts them.
+fn lend_with(
+    cluster: &cluster::Cluster,
+    address: net::SocketAddr,
+    report: report::Report,
+) -> rc::Rc<cell::Cell<usize>> {
+    let listener = net::TcpListener::bind(address).expect("a port");
+    let listener: async_net::TcpListener =
+        async_io::Async::new(listener).expect("a listener").into();
+    let count = rc::Rc::new(cell::Cell::new(0));
+    let (opened, executor) = (rc::Rc::clone(&count), rc::Rc::clone(&cluster.executor));
+    let serve = async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            opened.set(opened.get() + 1);
+            executor.spawn(relay_with(stream, report)).detach();
+        }
+    };
+    cluster.executor.spawn(serve).detach();
+    count
+}
+
+/// A router of a group whose instances two nodes lend, one busy and one idle, with the numbers of
+/// connections that they opened, and the connections that the router opened to each first.
+async fn two_lenders(
+    cluster: &cluster::Cluster,
+    target: &upstream::Target,
+) -> (rc::Rc<router::Router>, [rc::Rc<cell::Cell<usize>>; 2]) {
+    let router = router(cluster, "own", true);
+    // Enough for two lending nodes, and too few for each of fourteen to have its own.
+    router.apply(&catalog::Catalog {
+        version: 2,
+        services: vec![catalog::Service {
+            group: cluster::GROUP.into(),
+            connections: 34,
+            sync: 1,
+        }],
+        ..catalog::Catalog::default()
+    });
+    let lenders = [member("busy", "here", 1), member("idle", "here", 1)];
+    let waits = [[500; 3], [0; 3]];
+    let counts = [0, 1].map(|index: usize| {
+        let report = report::Report {
+            waits_ms: waits[index],
+            ..REPORT
+        };
+        lend_with(cluster, lenders[index].address, report)
+    });
+    let others = (0..12).map(|number| member(&format!("other-{number}"), "far", 1));
+    let members = others.chain([member("own", "far", 1)]).chain(lenders);
+    router.set_members(members.collect());
+    while counts.iter().any(|count| count.get() == 0) {
+        run(&mut *dial(&router, target).await)
+            .await
+            .expect("an answer");
+    }
+    (router, counts)
+}
+
+/// Guards against new connections that go to a busy lending node as often as to an idle one, and
+/// against a herd at the idle one.
+#[test]
+fn two_lending_nodes_are_compared_by_their_wait() {
+    const DIALS: usize = 60;
+    fastrand::seed(1);
+    let cluster = cluster::Cluster::new();
+    let target = target(&cluster);
+    cluster.run(async {
+        let (router, [busy, idle]) = two_lenders(&cluster, &target).await;
+        let before = [busy.get(), idle.get()];
+        for _ in 0..DIALS {
+            run(&mut *dial(&router, &target).await)
+                .await
+                .expect("an answer");
+        }
+        let (busy, idle) = (busy.get() - before[0], idle.get() - before[1]);
+        assert_eq!(busy + idle, DIALS);
+        assert!(idle > busy + DIALS / 10, "{idle} and {busy}");
+        assert!(busy > 0);
+    });
+}
+
+/// Guards against an organisation whose new connections go to the lending node of its shard though
+/// that is known to be late and the other one is not.
+#[test]
+fn an_organisation_passes_over_a_late_lending_node() {
+    const ORGANISATIONS: usize = 8;
+    let cluster = cluster::Cluster::new();
+    let own = target(&cluster);
+    cluster.run(async {
+        let (router, [busy, idle]) = two_lenders(&cluster, &own).await;
+        let (mut number, mut moved) = (0, 0);
+        while number < ORGANISATIONS {
+            let asked = boot::now();
+            let before = [busy.get(), idle.get()];
+            while busy.get() == before[0] || idle.get() == before[1] {
+                run(&mut *dial(&router, &own).await)
+                    .await
+                    .expect("an answer");
+            }
+            let target = upstream::Target {
+                organisation: format!("organisation-{number}").into(),
+                ..own.clone()
+            };
+            let before = busy.get();
+            dial(&router, &target).await;
+            // Otherwise the reports may not be fresh any more.
+            if boot::now() < asked + millis(450) {
+                moved += busy.get() - before;
+                number += 1;
+            }
+        }
+        assert_eq!(moved, 0);
+    });
+}
+
 /// Guards against choices by a report that is older than 500 ms, counted from the request and not
 /// from the answer.
 #[test]
