Let the candidate of a planned change follow its primary until the demotion

After the choice the candidate is released again, and the order leaves only if it has received what the primary had, asked for before the record and right before the order. It receives up to the demotion what any unlisted replica receives. An order that was not accepted is followed by a hold of the candidate. A group with a single listed replica keeps the former way, as its hold tells of an order whose record was lost. The primary is not demoted before the order: the three tests of desk/tests/handover.rs against that pass unchanged.

The two new tests failed before: three confirmed commits lost; and a leaving primary that commits all the time was not replaced within 20 s, as it was found ahead of its held replicas in each attempt.

--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod floor;
 pub mod group;
 pub mod guarantees;
+mod handover;
 mod health;
 pub mod holdback;
 mod holding;
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -19,6 +19,7 @@
 use crate::detector;
 use crate::election;
 use crate::group;
+use crate::handover;
 use crate::holdback;
 use crate::holding;
 use crate::intent;
@@ -203,15 +204,33 @@
             .old
             .as_ref()
             .is_some_and(|old| old.id() == *candidate);
-        if cause == detector::Cause::Planned
-            && !returns_lead
-            && promotion.is_ahead_of(candidate, &selection.reports).await
-        {
+        let handover = self
+            .handover(&promotion, &selection)
+            .filter(|_| !returns_lead);
+        let ready = match &handover {
+            Some(handover) => handover.begin(|| self.election.may_release()).await,
+            None if cause == detector::Cause::Planned && !returns_lead => {
+                !promotion.is_ahead_of(candidate, &selection.reports).await
+            }
+            None => true,
+        };
+        if !ready {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
             self.release(group, leader).await;
             return Outcome::GivenUp;
         }
-        let order_outcome = self.send_order(&promotion, leader, &selection).await;
+        let order_outcome = self
+            .send_order(&promotion, leader, &selection, handover.as_ref())
+            .await;
+        if let Some(handover) = &handover {
+            match order_outcome {
+                promote::Outcome::Accepted => {
+                    let demotion = handover.demote_primary();
+                    promotion.while_holding(candidate, demotion).await;
+                }
+                _ => handover.withdraw().await,
+            }
+        }
         if let promote::Outcome::Refused(_) = order_outcome {
             if relief {
                 // The primary has stepped down. The replicas stay held for the next attempt, and
@@ -229,7 +248,8 @@
         // If it is unknown whether the order arrived, the old primary may remain the only one for
         // long, so it is demoted only once the candidate leads. It acknowledges nothing meanwhile,
         // as its replicas are held.
-        if cause.primary_may_run() && order_outcome == promote::Outcome::Accepted {
+        let accepted = order_outcome == promote::Outcome::Accepted;
+        if cause.primary_may_run() && accepted && handover.is_none() {
             promotion
                 .while_holding(candidate, promotion.demote_predecessor())
                 .await;
@@ -242,6 +262,24 @@
         outcome
     }
 
+    // The change of a leaving primary to a candidate that follows it. `None` if the candidate has to
+    // stay held: without another held replica, a later holder of the lease could not tell from the
+    // instances that there was an order.
+    fn handover<'a>(
+        &'a self,
+        promotion: &'a promotion::Promotion,
+        selection: &selection::Selection,
+    ) -> Option<handover::Handover<'a>> {
+        let planned = promotion.cause == detector::Cause::Planned;
+        let others_held = selection.reports.len() > 1;
+        let candidate = promotion.group.roster().find(&selection.candidate)?;
+        (planned && others_held).then_some(handover::Handover {
+            promotion,
+            candidate,
+            resumes: &self.resumes,
+        })
+    }
+
     // Makes the primary step down before its successor is ordered. Returns whether it has done so.
     //
     // A loaded primary appends records all the time, and a query for its log position takes as
@@ -389,6 +427,7 @@
         promotion: &promotion::Promotion,
         leader: &status::Leader,
         selection: &selection::Selection,
+        handover: Option<&handover::Handover<'_>>,
     ) -> promote::Outcome {
         let group = &promotion.group.name;
         let open = self.has_open_order(group, leader);
@@ -400,9 +439,17 @@
             tracing::warn!(%group, "no promotion ordered: the store did not confirm the promoter lease");
             return promote::Outcome::Refused("the seat is not confirmed".into());
         };
+        let follower = handover.map(|handover| handover.candidate.id());
+        let follows = async {
+            match handover {
+                Some(handover) => handover.goes_on().await,
+                None => true,
+            }
+        };
+        let held = promotion.are_held(follower.as_ref());
+        let (held, follows) = futures_util::future::join(held, follows).await;
         // A restarted replica has lost its hold, and an added replica never had one.
-        let outcome = if promotion.are_held().await && promotion.processes() == selection.processes
-        {
+        let outcome = if held && follows && promotion.processes() == selection.processes {
             let order = promote::Order {
                 group: group.clone(),
                 candidate: selection.candidate.clone(),
--- a/desk/src/promotion.rs
+++ b/desk/src/promotion.rs
@@ -143,10 +143,11 @@
         pools
     }
 
-    /// Checks right before the order that no replica reports a lost hold. A replica that does not
-    /// answer counts as held.
-    pub async fn are_held(&self) -> bool {
-        let pools = self.replicas();
+    /// Checks right before the order that no replica reports a lost hold, except for the one that
+    /// follows the primary until its demotion. A replica that does not answer counts as held.
+    pub async fn are_held(&self, follower: Option<&upstream::Id>) -> bool {
+        let mut pools = self.replicas();
+        pools.retain(|pool| follower != Some(&pool.id()));
         let reports = self.group.query_status(&pools, FINAL_CHECK_TIMEOUT);
         let search = self.group.query_successors(FINAL_CHECK_TIMEOUT);
         let (reports, ()) = futures_util::future::join(reports, search).await;
@@ -252,13 +253,12 @@
         report.is_some_and(|report| Some(report.status.received) > received)
     }
 
-    /// Sends one demote command to the old primary. Returns whether it is a replica now, or is not
-    /// in the roster.
-    pub async fn demote_predecessor(&self) -> bool {
-        let Some(old) = &self.old else { return true };
+    /// Sends one demote command to the old primary. Returns its status if it is a replica now.
+    pub async fn demote_predecessor(&self) -> Option<status::Report> {
+        let old = self.old.as_ref()?;
         let command = upstream::Command::Demote(self.term);
         let report = send(old, &command, self.group.dialer()).await;
-        report.is_some_and(|report| report.status.role == role::Role::Replica)
+        report.filter(|report| report.status.role == role::Role::Replica)
     }
 
     /// Makes the old primary step down before a successor is ordered. Returns `None` if it still
@@ -295,19 +295,20 @@
 }
 
 /// Releases a replica from its hold, if `may` still permits it once a connection is available.
+/// Returns whether the replica has answered.
 pub async fn resume(
     pool: &rc::Rc<pool::Pool>,
     group: &group::Group,
     resumes: &cell::RefCell<resumes::Resumes>,
     may_release: impl Fn() -> bool,
-) {
+) -> bool {
     let deadline = boot::now() + COMMAND_TIMEOUT;
     let Some(mut checkout) = status::connection(pool, deadline).await else {
-        return;
+        return false;
     };
     if !may_release() {
         tracing::info!(instance = %pool.id(), "replica stays held: this node may no longer release it");
-        return;
+        return false;
     }
     let number = resumes.borrow_mut().note_sent(&group.name, boot::now());
     let answer = checkout.run(&[upstream::Command::Resume], deadline).await;
@@ -317,6 +318,7 @@
     }
     tracing::info!(instance = %pool.id(), command = ?upstream::Command::Resume, answered = answer.is_ok(),
         open, "command sent to instance");
+    answer.is_ok()
 }
 
 async fn send_within(
--- a/desk/tests/cluster/mod.rs
+++ b/desk/tests/cluster/mod.rs
@@ -96,6 +96,14 @@
     pub delay: Option<(upstream::Id, upstream::Command)>,
     /// Delayed commands that have not arrived.
     pub late: Vec<(upstream::Id, upstream::Command)>,
+    /// Whether the primary commits a write before each control command that any instance executes.
+    pub commits: bool,
+    /// Position of the last such write that a replica confirmed.
+    pub confirmed: id::Position,
+    /// Number of such writes that no replica confirmed.
+    pub unconfirmed: usize,
+    /// Number of confirmed writes that a promoted instance lacked.
+    pub lost: id::Position,
 }
 
 pub type Shared = rc::Rc<cell::RefCell<World>>;
@@ -172,11 +180,41 @@
     /// Makes `id` the primary of the next term; the state of the other instances doesn't change.
     pub fn promote(&mut self, id: &str) {
         let term = self.instances.values().map(|instance| instance.term).max();
+        let confirmed = std::mem::take(&mut self.confirmed);
         let instance = self.at(id);
+        let lost = confirmed.saturating_sub(instance.position);
         instance.role = role::Role::Primary;
         instance.term = term.unwrap_or_default() + 1;
         instance.held = 0;
         instance.lag = None;
+        self.lost += lost;
+    }
+
+    // Commits a write on the latest primary. Every replica that is not held receives and confirms
+    // it at once, listed or not.
+    fn commit(&mut self) {
+        let running = |instance: &&mut Instance| instance.up && !instance.dark;
+        let primaries = self.instances.values_mut().filter(running);
+        let primaries = primaries.filter(|instance| instance.role == role::Role::Primary);
+        let Some(primary) = primaries.max_by_key(|instance| instance.term) else {
+            return;
+        };
+        primary.position += 1;
+        let (term, position) = (primary.term, primary.position);
+        let replicas = self.instances.values_mut().filter(running);
+        let follows = |instance: &&mut Instance| {
+            instance.role == role::Role::Replica && instance.held == 0 && instance.term <= term
+        };
+        let mut confirmed = false;
+        for replica in replicas.filter(follows) {
+            (replica.term, replica.position) = (term, position);
+            confirmed = true;
+        }
+        if confirmed {
+            self.confirmed = position;
+        } else {
+            self.unconfirmed += 1;
+        }
     }
 
     // Whether the address that is dialled belongs to an instance without power.
@@ -338,6 +376,16 @@
         if !world.at(&self.instance).up {
             return Err(lost());
         }
+        let controls = matches!(
+            command,
+            upstream::Command::Status
+                | upstream::Command::Hold(_)
+                | upstream::Command::Resume
+                | upstream::Command::Demote(_)
+        );
+        if world.commits && controls {
+            world.commit();
+        }
         match command {
             upstream::Command::Run { id, text, after } => {
                 self.run_text(&mut world, id, text, *after)
--- /dev/null
+++ b/desk/tests/unlisted.rs
@@ -0,0 +1,72 @@
+//! Planned promotions beside a replica that is in no list yet: it receives records, so that commits
+//! are acknowledged which only it and the primary have.
+
+mod cluster;
+mod harness;
+
+use std::time;
+
+use mangotray::role;
+
+/// Time from an order to its effect, as on real instances.
+const PROMOTION_TIME: time::Duration = time::Duration::from_millis(400);
+
+/// Time in which the store records a promotion; short enough for the order to be sent.
+const STORE_DELAY: time::Duration = time::Duration::from_millis(120);
+
+/// Starts the replica `d`, which receives records and is not listed.
+fn start_unlisted_replica(harness: &harness::Harness) {
+    let mut world = harness.cluster.world.borrow_mut();
+    let replica = cluster::Instance {
+        port: 4,
+        listed: false,
+        ..world.at("c").clone()
+    };
+    world.instances.insert("d".into(), replica);
+}
+
+/// Makes the primary announce its end.
+fn begin_release(harness: &harness::Harness) {
+    harness.client.effect_delay.set(PROMOTION_TIME);
+    harness.store.at().takes = STORE_DELAY;
+    harness.cluster.world.borrow_mut().at("a").draining = true;
+    harness.cluster.relist();
+}
+
+/// Guards against the loss of commits that an unlisted replica confirms after the last check of the
+/// candidate and before the demotion of the primary.
+#[test]
+fn a_planned_promotion_loses_no_commit_that_only_an_unlisted_replica_confirmed() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        start_unlisted_replica(&harness);
+        begin_release(&harness);
+        cluster::until("the promotion is being recorded", || {
+            harness.store.at().under_way > 0
+        })
+        .await;
+        harness.cluster.world.borrow_mut().commits = true;
+        harness.wait_for_primary(2).await;
+    });
+    let world = harness.cluster.world.borrow();
+    assert_eq!(world.lost, 0, "acknowledged commits were lost");
+    assert_eq!(world.instances["a"].role, role::Role::Replica);
+}
+
+/// Guards against a leaving primary that is never replaced, and whose writes wait for each attempt,
+/// because it commits all the time.
+#[test]
+fn a_leaving_primary_that_commits_all_the_time_is_replaced() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        start_unlisted_replica(&harness);
+        harness.cluster.world.borrow_mut().commits = true;
+        begin_release(&harness);
+        harness.wait_for_primary(2).await;
+    });
+    let world = harness.cluster.world.borrow();
+    assert_eq!(world.lost, 0, "acknowledged commits were lost");
+    assert_eq!(world.instances["a"].role, role::Role::Replica);
+}
