Share organisations' limits among five owners by leases

One node counted each operation of an organisation. In a partition its deputy granted a part of the excess for 5 s, then the whole rate on both sides.

With [organisations] share_ms, the first five members in the ranking of a shard own a fifth of its limits each. The node that is asked borrows the others' shares; one node at a time uses a share. A denied node remembers the denial with a time to come back, and one operation at a time asks again. Without the setting the path is that of before.

--- a/desk/src/access.rs
+++ b/desk/src/access.rs
@@ -47,6 +47,40 @@
         }
     }
 
+    /// Delay after which the operation may be tried again, if it is known.
+    ///
+    /// ```
+    /// use mangotray_desk::access;
+    /// use std::time::Duration;
+    /// let refusal = access::Refusal::OverQuota(Duration::from_millis(40));
+    /// assert_eq!(refusal.delay(), Some(Duration::from_millis(40)));
+    /// ```
+    #[must_use]
+    pub const fn delay(self) -> Option<time::Duration> {
+        match self {
+            Self::OverQuota(delay) => Some(delay),
+            Self::QuotaUnknown(delay) => delay,
+            Self::UnknownKey | Self::ConfigurationUnproven => None,
+        }
+    }
+
+    /// The same refusal with another delay, if it has one.
+    ///
+    /// ```
+    /// use mangotray_desk::access;
+    /// use std::time::Duration;
+    /// let refusal = access::Refusal::OverQuota(Duration::ZERO).with_delay(Duration::from_millis(40));
+    /// assert!(refusal.text().ends_with("come back in 40 ms"));
+    /// ```
+    #[must_use]
+    pub const fn with_delay(self, delay: time::Duration) -> Self {
+        match self {
+            Self::OverQuota(_) => Self::OverQuota(delay),
+            Self::QuotaUnknown(_) => Self::QuotaUnknown(Some(delay)),
+            Self::UnknownKey | Self::ConfigurationUnproven => self,
+        }
+    }
+
     /// Code sent to the caller. `Busy` says that the statement has not run and can be retried.
     #[must_use]
     pub const fn code(self) -> reply::Code {
--- a/desk/src/guarantees.rs
+++ b/desk/src/guarantees.rs
@@ -12,4 +12,7 @@
     pub revocation: Option<time::Duration>,
     /// How far organisations may exceed their rate limits.
     pub tolerance: tolerance::Tolerance,
+    /// Length of the leases on shares of organisations' limits; `None` if each operation requests a
+    /// token of the counting node.
+    pub share: Option<time::Duration>,
 }
--- a/desk/src/limits/quotas.rs
+++ b/desk/src/limits/quotas.rs
@@ -1,20 +1,22 @@
 //! Requests a token for each operation from the node that counts for its organisation.
 
 use std::cell;
-use std::hash;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::rc;
 
 use compact_str::CompactString;
-use compact_str::format_compact;
 use mangotray::id;
 
 use crate::access;
 use crate::boot;
 use crate::lending::router;
 use crate::lending::serving;
+use crate::limits::borrowing;
 use crate::limits::buckets;
+use crate::limits::denials;
+use crate::limits::shard;
+use crate::limits::shares;
+use crate::limits::tokens;
+use crate::limits::view;
 use crate::member;
 use crate::organisation;
 use crate::question;
@@ -35,23 +37,36 @@
     name: id::Vm,
     router: rc::Rc<router::Router>,
     buckets: cell::RefCell<buckets::Buckets>,
+    borrowing: Option<rc::Rc<borrowing::Borrowing>>,
+    denials: cell::RefCell<denials::Denials>,
 }
 
 impl Quotas {
-    /// Creates the quotas of the node `name`.
+    /// Creates the quotas of the node `name`; `borrowing` if it shares limits with others.
     #[must_use]
     pub const fn new(
         name: id::Vm,
         router: rc::Rc<router::Router>,
         buckets: buckets::Buckets,
+        borrowing: Option<rc::Rc<borrowing::Borrowing>>,
     ) -> Self {
         Self {
             name,
             router,
             buckets: cell::RefCell::new(buckets),
+            borrowing,
+            denials: cell::RefCell::new(denials::Denials::new()),
         }
     }
 
+    /// The shares of limits; `None` if this node asks the counting nodes for each operation.
+    #[must_use]
+    pub fn borrowing(&self) -> Option<&borrowing::Borrowing> {
+        self.borrowing
+            .as_deref()
+            .filter(|borrowing| borrowing.is_able())
+    }
+
     /// Counts an operation of an organisation.
     ///
     /// # Errors
@@ -64,30 +79,52 @@
         let Some(quota) = caller.quota else {
             return Ok(());
         };
-        let mut request = buckets::Request {
+        let request = buckets::Request {
             organisation: caller.organisation.clone(),
             quota,
             version,
             turn: buckets::Reason::Counting,
         };
+        if self.borrowing().is_none() {
+            return self.request(request).await;
+        }
+        let name = request.organisation.clone();
+        let remembered = self.denials.borrow_mut().check(&name, version, boot::now());
+        if let Some(refusal) = remembered {
+            metrics::counter!("mangotray_local_denials_total").increment(1);
+            return Err(refusal);
+        }
+        let counted = self.request(request).await;
+        self.denials
+            .borrow_mut()
+            .learn(&name, version, counted.err(), boot::now());
+        counted
+    }
+
+    async fn request(&self, mut request: buckets::Request) -> Result<(), access::Refusal> {
         let members = self.router.members();
         let mut asked = 0;
+        let mut soonest = None;
         for member in serving::ranked(
             &members,
-            &shard_key(&request.organisation, shards(members.len())),
+            &shard_key(&request.organisation, self.shards(members.len())),
         ) {
             if let Some(reason) = self.skip_reason(member) {
                 request.turn = request.turn.max(reason);
                 continue;
             }
-            match self.ask(member, &request).await {
+            match self.ask(member, &request, soonest.is_some()).await {
                 Ok(buckets::Decision::Granted) => return Ok(()),
                 Ok(buckets::Decision::Denied(wait)) => {
                     return Err(access::Refusal::OverQuota(wait));
                 }
-                Ok(buckets::Decision::Unknown(wait)) => {
+                Ok(buckets::Decision::Unknown(wait)) if self.borrowing().is_none() => {
                     return Err(access::Refusal::QuotaUnknown(Some(wait)));
                 }
+                // The next owner may have a share of its own.
+                Ok(buckets::Decision::Unknown(wait)) => {
+                    soonest = Some(soonest.map_or(wait, |soonest| wait.min(soonest)));
+                }
                 Err(reason) => request.turn = request.turn.max(reason),
             }
             asked += 1;
@@ -95,17 +132,45 @@
                 break;
             }
         }
-        Err(access::Refusal::QuotaUnknown(None))
+        Err(access::Refusal::QuotaUnknown(soonest))
+    }
+
+    fn shards(&self, members: usize) -> usize {
+        self.borrowing()
+            .map_or_else(|| shards(members), |_| shares::SHARDS)
     }
 
     /// Decides a token request on this node.
     pub fn decide(&self, request: &buckets::Request) -> buckets::Decision {
-        self.buckets.borrow_mut().decide(request, boot::now())
+        self.decide_here(request, false)
+    }
+
+    fn decide_here(&self, request: &buckets::Request, overflow: bool) -> buckets::Decision {
+        match self.borrowing() {
+            // A node that does not know shares asks for its own tokens only.
+            Some(borrowing) => {
+                shares::as_counted(borrowing.grant(&self.for_tokens(request, overflow)))
+            }
+            None => self.buckets.borrow_mut().decide(request, boot::now()),
+        }
+    }
+
+    fn for_tokens(&self, request: &buckets::Request, overflow: bool) -> tokens::Request {
+        tokens::Request {
+            token: request.clone(),
+            from: self.name.clone(),
+            wanted: 1,
+            overflow,
+        }
     }
 
     /// Removes unused buckets; called about once a second.
     pub fn prune(&self) {
         self.buckets.borrow_mut().prune(boot::now());
+        self.denials.borrow_mut().prune(boot::now());
+        if let Some(borrowing) = &self.borrowing {
+            borrowing.prune();
+        }
     }
 
     fn skip_reason(&self, member: &member::Member) -> Option<buckets::Reason> {
@@ -120,10 +185,24 @@
         &self,
         member: &member::Member,
         request: &buckets::Request,
+        overflow: bool,
     ) -> Result<buckets::Decision, buckets::Reason> {
         if member.name == self.name {
-            return Ok(self.decide(request));
+            return Ok(self.decide_here(request, overflow));
+        }
+        if self.borrowing().is_some() && member.protocol >= view::MIN_PROTOCOL {
+            let question = question::Question::Tokens(self.for_tokens(request, overflow));
+            metrics::counter!("mangotray_limit_questions_total", "kind" => "tokens").increment(1);
+            match self.router.peers().ask(member, &question).await {
+                Some(question::Answer::Tokens(decision)) => {
+                    return Ok(shares::as_counted(decision));
+                }
+                // The node does not share limits, so it counts for all others.
+                Some(_) => {}
+                None => return Err(self.skip_reason(member).unwrap_or(buckets::Reason::Silent)),
+            }
         }
+        metrics::counter!("mangotray_limit_questions_total", "kind" => "token").increment(1);
         let question = question::Question::Token(request.clone());
         match self.router.peers().ask(member, &question).await {
             Some(question::Answer::Token(decision)) => Ok(decision),
@@ -150,8 +229,5 @@
 
 // The rendezvous key that selects the counting node of an organisation.
 fn shard_key(organisation: &organisation::Name, shards: usize) -> CompactString {
-    let mut hasher = hash::DefaultHasher::new();
-    organisation.as_str().hash(&mut hasher);
-    let shard = usize::try_from(hasher.finish()).unwrap_or_default() % shards;
-    format_compact!("quotas {shard}")
+    shard::Shard::holding(organisation, shards).key()
 }
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -22,8 +22,14 @@
 use crate::guarantees;
 use crate::key;
 use crate::lending::router;
+use crate::limits::allowance;
+use crate::limits::borrowing;
 use crate::limits::buckets;
+use crate::limits::lease;
+use crate::limits::ownership;
 use crate::limits::quotas;
+use crate::limits::shares;
+use crate::limits::tokens;
 use crate::membership;
 use crate::organisations;
 use crate::question;
@@ -69,10 +75,16 @@
     ) -> rc::Rc<Self> {
         let takeover = guarantees.revocation.unwrap_or(DEFAULT_TAKEOVER);
         let buckets = buckets::Buckets::new(guarantees.tolerance, takeover);
+        let borrowing = guarantees.share.map(|lease| {
+            let timing = ownership::Timing { lease, takeover };
+            let shares =
+                shares::Shares::new(name.clone(), timing, guarantees.tolerance, boot::now());
+            borrowing::Borrowing::start(shares, rc::Rc::clone(&router), &executor)
+        });
         rc::Rc::new(Self {
             validity: guarantees.revocation.map(validity::Validity::new),
             newest_unreadable: cell::Cell::default(),
-            quotas: quotas::Quotas::new(name.clone(), rc::Rc::clone(&router), buckets),
+            quotas: quotas::Quotas::new(name.clone(), rc::Rc::clone(&router), buckets, borrowing),
             name,
             domain,
             router,
@@ -331,16 +343,52 @@
 
     /// Decides a token request of another node, by the newer of the two nodes' configurations.
     pub fn decide(&self, mut request: buckets::Request) -> buckets::Decision {
+        if self.adopt_limit(&mut request) {
+            self.quotas.decide(&request)
+        } else {
+            buckets::Decision::Granted
+        }
+    }
+
+    /// Decides a request of another node for tokens of shared limits, by the newer of the two nodes'
+    /// configurations. `None` if this node does not share limits.
+    pub fn grant(&self, mut request: tokens::Request) -> Option<tokens::Decision> {
+        let borrowing = self.quotas.borrowing()?;
+        if self.key_validity() == validity::State::Expired {
+            // Members may have changed without its knowledge, and others own its share.
+            return Some(tokens::Decision::Unknown(allowance::MAX_DELAY));
+        }
+        if self.adopt_limit(&mut request.token) {
+            Some(borrowing.grant(&request))
+        } else {
+            Some(tokens::Decision::Granted(1))
+        }
+    }
+
+    /// Answers another node's question about a share of limits; `None` if this node does not share
+    /// limits.
+    pub fn answer_about_share(&self, request: &lease::Request) -> Option<lease::Response> {
+        let borrowing = self.quotas.borrowing()?;
+        let lends = self.key_validity() != validity::State::Expired;
+        if request.kind == lease::Kind::Borrow && !lends {
+            return Some(lease::Response::Kept);
+        }
+        Some(borrowing.answer(request))
+    }
+
+    // Applies the limit of this node's configuration to a request with an older one. Returns
+    // whether there is a limit.
+    fn adopt_limit(&self, request: &mut buckets::Request) -> bool {
         let catalog = self.catalog.load();
         let organisations = catalog.organisations.as_ref();
         let known = organisations.and_then(|all| all.find_by_name(&request.organisation));
         if let Some(known) = known.filter(|_| catalog.version >= request.version) {
             let Some(quota) = known.quota else {
-                return buckets::Decision::Granted;
+                return false;
             };
             request.quota = quota;
         }
-        self.quotas.decide(&request)
+        true
     }
 
     /// Whether the configuration and the list of instances are known, so that callers can be
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -7,6 +7,8 @@
 
 use crate::delegate;
 use crate::limits::buckets;
+use crate::limits::lease;
+use crate::limits::tokens;
 
 /// A question to another node.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -19,6 +21,11 @@
     Token(buckets::Request),
     /// Asks for the highest position that the node has passed on as acknowledged in a group.
     Acknowledged(id::Group),
+    /// Asks about a share of a shard's limits. Only for members with protocol 1 or more, as the
+    /// following.
+    Share(lease::Request),
+    /// Requests tokens of an organisation from a node that holds shares of its limit.
+    Tokens(tokens::Request),
 }
 
 /// An answer; its variant follows from the question.
@@ -34,6 +41,10 @@
     Token(buckets::Decision),
     /// The highest acknowledged position that the node knows.
     Acknowledged(stamp::Stamp),
+    /// Answer about a share.
+    Share(lease::Response),
+    /// Decision about a request for tokens.
+    Tokens(tokens::Decision),
 }
 
 /// Proof that a configuration was the newest.
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -43,6 +43,14 @@
 /// File descriptors reserved for the store, the instances, the health address and files.
 const RESERVED_DESCRIPTORS: usize = 600;
 
+/// Shortest lease of a share of limits. A renewal has to be answered within half of it; questions
+/// between nodes time out after 100 ms.
+const MIN_SHARE_LEASE: time::Duration = time::Duration::from_millis(400);
+
+/// Longest lease of a share of limits. After the loss of a borrower its shares are unused for as
+/// long.
+const MAX_SHARE_LEASE: time::Duration = time::Duration::from_secs(10);
+
 impl Settings {
     /// Reads the settings from a file.
     ///
@@ -114,9 +122,24 @@
     Ok(guarantees::Guarantees {
         revocation: revocation.map(time::Duration::from_millis),
         tolerance,
+        share: read_share(file, SECTION)?,
     })
 }
 
+fn read_share(file: &ini::Ini, section: &str) -> eyre::Result<Option<time::Duration>> {
+    let length: Option<u64> = optional(file, section, "share_ms")?;
+    let length = length.map(time::Duration::from_millis);
+    if let Some(length) = length {
+        let (least, most) = (MIN_SHARE_LEASE.as_millis(), MAX_SHARE_LEASE.as_millis());
+        eyre::ensure!(
+            (MIN_SHARE_LEASE..=MAX_SHARE_LEASE).contains(&length),
+            "[{section}] share_ms: {} is not between {least} and {most}",
+            length.as_millis()
+        );
+    }
+    Ok(length)
+}
+
 // The section and its keys are optional; what is not named is off.
 fn read_load(file: &ini::Ini) -> eyre::Result<options::Options> {
     let switch = |key| optional(file, "load", key).map(Option::unwrap_or_default);
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -251,6 +251,7 @@
     let guarantees = guarantees::Guarantees {
         revocation: Some(BOUND),
         tolerance: TOLERANCE,
+        share: None,
     };
     let node = node::Node::new("strict".into(), "here".into(), router, executor, guarantees);
     node.apply(catalog(1, vec![organisation("dome", &["k"])]));
