Let a reported speed count for longer than a reported queue

A node sends about two reads a second to each instance, so half of its choices had no report that was younger than 500 ms, and took a slow instance for one of usual speed. The time of an exchange now counts for 3 s; the queue still counts for 500 ms.

Organisations' limits are sustained where shares are switched on: a bucket of the whole burst is used up in the first second, and the rate alone then permits a sixth less than the limit does.

--- a/desk/src/candidate.rs
+++ b/desk/src/candidate.rs
@@ -51,6 +51,8 @@
     pub other_preferred: bool,
     /// Whether it is likely to serve a read at all.
     pub health: Health,
+    /// Time of an exchange with it, if a lending node has reported it lately.
+    pub exchange: Option<time::Duration>,
 }
 
 impl Candidate {
@@ -90,8 +92,8 @@
     /// What the instance offers a read of this priority that has to start within `within`, by the
     /// forecast for it if there is one.
     ///
-    /// Without a forecast, its past delay does not count: an instance that was avoided for being
-    /// slow would never be tried again.
+    /// Without a forecast, the time of an exchange that was reported lately counts, but no past
+    /// delay: an instance that was avoided for being slow would never be tried again.
     ///
     /// ```
     /// use mangotray_desk::candidate;
@@ -115,7 +117,10 @@
         let statements = u32::try_from(self.load)
             .unwrap_or(u32::MAX)
             .saturating_add(1);
-        let usual = time::Duration::from_micros(READ_COST).saturating_mul(statements);
+        let exchange = self
+            .exchange
+            .unwrap_or(time::Duration::from_micros(READ_COST));
+        let usual = exchange.saturating_mul(statements);
         choice::Offer {
             fixed: time::Duration::from_micros(self.fixed_cost()),
             expected: forecast.map_or(usual, |forecast| forecast.blend(priority, usual)),
--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -606,6 +606,18 @@
         self.options.get()
     }
 
+    fn exchange(&self, target: &upstream::Target) -> Option<time::Duration> {
+        if !self.options.get().load_reports {
+            return None;
+        }
+        let lenders = self.lenders(target);
+        let reported = lenders.iter().filter_map(|lender| {
+            self.reports
+                .exchange(&target.id, target.born, &lender.name, boot::now())
+        });
+        reported.max()
+    }
+
     fn forecast(&self, target: &upstream::Target) -> Option<forecast::Forecast> {
         let wanted = self.options.get().load_reports;
         wanted.then(|| self.forecast_for(target)).flatten()
--- a/desk/src/limits/quota.rs
+++ b/desk/src/limits/quota.rs
@@ -2,6 +2,12 @@
 
 use std::time;
 
+/// Fraction of a burst that may still start at once where the limit is sustained.
+const AT_ONCE_FRACTION: f64 = 0.25;
+
+/// Operations that may start at once in any case: those of a small organisation come in clusters.
+const MIN_AT_ONCE: f64 = 10.0;
+
 /// Rate and burst of an organisation, over all nodes together.
 ///
 /// ```
@@ -24,4 +30,31 @@
     pub fn within(&self, span: time::Duration) -> f64 {
         self.rate * span.as_secs_f64() + self.burst
     }
+
+    /// The quota that permits as many operations in any span of this length, more of them by its
+    /// rate and fewer at once.
+    ///
+    /// Addresses a load above the rate that lasts: the burst is used up in the first second, and the
+    /// rate alone then permits fewer operations in a span than the limit does.
+    ///
+    /// ```
+    /// use mangotray_desk::limits::quota;
+    /// use std::time::Duration;
+    /// let span = Duration::from_secs(5);
+    /// let quota = quota::Quota { rate: 100.0, burst: 100.0 };
+    /// let sustained = quota.sustained(span);
+    /// assert_eq!(sustained, quota::Quota { rate: 115.0, burst: 25.0 });
+    /// assert!((sustained.within(span) - quota.within(span)).abs() < 1e-9);
+    /// let small = quota::Quota { rate: 8.0, burst: 8.0 };
+    /// assert_eq!(small.sustained(span), small);
+    /// ```
+    #[must_use]
+    pub fn sustained(&self, span: time::Duration) -> Self {
+        let at_once = (self.burst * AT_ONCE_FRACTION).max(MIN_AT_ONCE);
+        let burst = self.burst.min(at_once);
+        Self {
+            rate: self.rate + (self.burst - burst) / span.as_secs_f64(),
+            burst,
+        }
+    }
 }
--- a/desk/src/limits/slice.rs
+++ b/desk/src/limits/slice.rs
@@ -110,6 +110,7 @@
         now: id::Time,
     ) -> tokens::Decision {
         let token = &request.token;
+        let quota = token.quota.sustained(tolerance.window);
         let keep = if token.turn == buckets::Reason::Counting {
             KEEP
         } else {
@@ -122,8 +123,8 @@
         let known = self.view.rank(&self.name).is_some();
         let entry = self.allowances.entry(token.organisation.clone());
         let since = self.known_since;
-        let allowance = entry.or_insert_with(|| allowance::Allowance::new(token.quota, since));
-        let next = match allowance.take(&token.quota, tolerance, &held, now) {
+        let allowance = entry.or_insert_with(|| allowance::Allowance::new(quota, since));
+        let next = match allowance.take(&quota, tolerance, &held, now) {
             Ok(()) => return tokens::Decision::Granted(1),
             Err(next) => next,
         };
@@ -133,7 +134,7 @@
         }
         let waits = |own: &ownership::Ownership| own.waits_for_departed(now);
         let next_interim = if known && !self.own.as_ref().is_some_and(waits) {
-            match allowance.take_interim(&token.quota, tolerance, now) {
+            match allowance.take_interim(&quota, tolerance, now) {
                 Ok(()) => return tokens::Decision::Granted(1),
                 Err(next) => next,
             }
--- a/desk/src/load/table.rs
+++ b/desk/src/load/table.rs
@@ -5,6 +5,7 @@
 
 use std::cell;
 use std::collections;
+use std::time;
 
 use mangotray::id;
 
@@ -12,6 +13,11 @@
 use crate::load::report;
 use crate::upstream;
 
+/// The time of an exchange counts for this long, as an instance's speed changes more slowly than its
+/// queue, and a node sends few statements to each instance. An instance that was avoided for being
+/// slow is tried again afterwards.
+const EXCHANGE_LIFETIME: time::Duration = time::Duration::from_secs(3);
+
 /// The instance and the lending node that a report is about.
 type Key = (upstream::Id, id::Vm);
 
@@ -132,6 +138,23 @@
         })
     }
 
+    /// The last reported time of an exchange with an instance's process, unless it is older than
+    /// three seconds.
+    #[must_use]
+    pub fn exchange(
+        &self,
+        instance: &upstream::Id,
+        born: upstream::StartTime,
+        lender: &id::Vm,
+        now: id::Time,
+    ) -> Option<time::Duration> {
+        let entries = self.entries.borrow();
+        let entry = entries.get(&(instance.clone(), lender.clone()))?;
+        let (report, ticket) = entry.last.filter(|_| entry.born == born)?;
+        let recent = now < ticket.asked_at + EXCHANGE_LIFETIME;
+        recent.then(|| report.exchange())
+    }
+
     /// Drops a lending node's report on one instance, as it refused or did not answer at `now`.
     pub fn forget(&self, instance: &upstream::Id, lender: &id::Vm, now: id::Time) {
         let mut entries = self.entries.borrow_mut();
@@ -157,6 +180,6 @@
         self.failed_at.borrow_mut().retain(|_, time| recent(*time));
         self.entries
             .borrow_mut()
-            .retain(|_, entry| recent(entry.asked_at));
+            .retain(|_, entry| now < entry.asked_at + EXCHANGE_LIFETIME);
     }
 }
--- a/desk/src/source.rs
+++ b/desk/src/source.rs
@@ -209,6 +209,7 @@
             cross_domain: pool.instance.borrow().domain != *self.domain,
             leads,
             other_preferred: preferred.is_some_and(|preferred| *preferred != pool.id()),
+            exchange: pool.reported_exchange(self.organisation),
             health: if pool.is_down() {
                 candidate::Health::Down
             } else if behind || self.roster.is_leaving(&pool.id()) {
--- a/desk/src/upstream.rs
+++ b/desk/src/upstream.rs
@@ -229,6 +229,11 @@
         options::Options::default()
     }
 
+    /// Time of an exchange with `target` that a lending node has reported lately, if any.
+    fn exchange(&self, _target: &Target) -> Option<time::Duration> {
+        None
+    }
+
     /// What the last load report on an instance lets expect of a statement that is sent now; `None`
     /// without a fresh report.
     fn forecast(&self, _target: &Target) -> Option<forecast::Forecast> {
