Wait for leases of departed borrowers before a share is used again

An owner or witness that has left keeps the search open until the lease must have ended.

The list of members is applied before each decision, so that no operation is counted the old way after a start. Deputies keep leases for 3 s in place of 1 s.

--- a/desk/src/limits/allowance.rs
+++ b/desk/src/limits/allowance.rs
@@ -13,6 +13,7 @@
 use crate::limits::bucket;
 use crate::limits::quota;
 use crate::limits::tolerance;
+use crate::limits::view;
 
 /// Fraction of the tolerated excess that the nodes of a shard together may grant per window while
 /// they do not hold all shares.
@@ -21,10 +22,6 @@
 /// Part of that fraction which may be granted at once.
 const INTERIM_BURST_FRACTION: f64 = 0.2;
 
-/// Number of nodes that the excess is divided among: the owners and those after them in the
-/// ranking, so that a partition leaves some of them on each side.
-const INTERIM_NODES: f64 = 10.0;
-
 /// Fraction of the tolerated excess that may be used so that a holder of few shares can save up a
 /// whole token, although its part of the burst is below 1.
 const ROUNDING_FRACTION: f64 = 0.25;
@@ -167,7 +164,8 @@
         tolerance: &tolerance::Tolerance,
         now: id::Time,
     ) -> Result<(), time::Duration> {
-        let part = tolerance.excess_operations(quota) * INTERIM_FRACTION / INTERIM_NODES;
+        let part =
+            tolerance.excess_operations(quota) * INTERIM_FRACTION / f64::from(view::MAX_RANKED);
         // A bucket has to hold a whole token.
         let burst = (part * INTERIM_BURST_FRACTION).max(1.0);
         if part <= burst {
--- a/desk/src/limits/borrowing.rs
+++ b/desk/src/limits/borrowing.rs
@@ -59,6 +59,12 @@
         self.shares.borrow().is_able()
     }
 
+    /// Applies the present list of members.
+    pub fn refresh(&self) {
+        let members = self.router.members();
+        self.shares.borrow_mut().set_members(&members, boot::now());
+    }
+
     /// Decides a request for tokens.
     pub fn grant(&self, request: &tokens::Request) -> tokens::Decision {
         let random = fastrand::f64();
@@ -80,10 +86,9 @@
     }
 
     fn due(&self) -> Vec<(shares::Task, mangotray::id::Time)> {
+        self.refresh();
         let now = boot::now();
-        let mut shares = self.shares.borrow_mut();
-        shares.set_members(&self.router.members(), now);
-        let due = shares.due(now).into_iter();
+        let due = self.shares.borrow_mut().due(now).into_iter();
         due.map(|task| (task, now)).collect()
     }
 
--- a/desk/src/limits/lease.rs
+++ b/desk/src/limits/lease.rs
@@ -40,7 +40,7 @@
     pub holds: bool,
     /// For how long the node has not used its share; since its own start if it never did.
     pub unused_for: time::Duration,
-    /// Whether a former owner may still use its share without being a member.
+    /// Whether a node that has left the members may still use a share.
     pub departed: bool,
 }
 
--- a/desk/src/limits/ownership.rs
+++ b/desk/src/limits/ownership.rs
@@ -164,7 +164,8 @@
             let answer = claim.answers.get(member);
             answer.is_some_and(|told| told.is_none_or(|told| told.recognised))
         };
-        if (departed && !known) || !asked.iter().all(clear) {
+        // A node that has left the members may hold the share, and cannot be asked.
+        if departed || !asked.iter().all(clear) {
             return false;
         }
         let holds = |told: &Option<lease::Standing>| told.is_some_and(|told| told.holds);
--- a/desk/src/limits/quotas.rs
+++ b/desk/src/limits/quotas.rs
@@ -85,6 +85,9 @@
             version,
             turn: buckets::Reason::Counting,
         };
+        if let Some(borrowing) = &self.borrowing {
+            borrowing.refresh();
+        }
         if self.borrowing().is_none() {
             return self.request(request).await;
         }
--- a/desk/src/limits/slice.rs
+++ b/desk/src/limits/slice.rs
@@ -23,7 +23,7 @@
 const KEEP: time::Duration = time::Duration::from_secs(10);
 
 /// The same for a node that is asked because those before it in the ranking do not answer.
-const KEEP_AS_DEPUTY: time::Duration = time::Duration::from_secs(1);
+const KEEP_AS_DEPUTY: time::Duration = time::Duration::from_secs(3);
 
 /// Delay before the same node is asked again. Longer than the timeout of a question.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
--- a/desk/src/limits/view.rs
+++ b/desk/src/limits/view.rs
@@ -17,6 +17,11 @@
 /// members, one of them may be an owner.
 const WITNESSES: usize = 5;
 
+/// Number of nodes that a part of the tolerated excess is divided among: the owners and the
+/// witnesses, so that a partition leaves some of them on each side.
+#[allow(clippy::cast_possible_truncation)] // A small number.
+pub const MAX_RANKED: u32 = (OWNERS + WITNESSES) as u32;
+
 /// First version of the messages with shares.
 pub const MIN_PROTOCOL: u32 = 1;
 
@@ -27,7 +32,7 @@
     pub owners: Vec<(id::Vm, id::Time)>,
     /// The members after them in the ranking.
     witnesses: Vec<id::Vm>,
-    /// Owners that left the members, with the time.
+    /// Owners and witnesses that left the members, with the time. They may hold borrowed shares.
     departed: collections::BTreeMap<id::Vm, id::Time>,
     /// Numbers of owners before departures, with the time until which a former owner may use its
     /// share.
@@ -58,11 +63,11 @@
         let mut names: Vec<_> = able.into_iter().map(|member| member.name.clone()).collect();
         names.truncate(OWNERS + WITNESSES);
         let is_member = |name: &id::Vm| members.iter().any(|member| member.name == *name);
+        let left = self.owners.iter().any(|(name, _)| !is_member(name));
         let gone: Vec<_> = self
-            .owners
-            .iter()
-            .filter(|(name, _)| !is_member(name))
-            .map(|(name, _)| name.clone())
+            .asked()
+            .filter(|name| !is_member(name))
+            .cloned()
             .collect();
         let departure = timing.departure();
         self.departed
@@ -73,7 +78,6 @@
             let former = u32::try_from(self.owners.len()).unwrap_or(1);
             self.former_counts.push((former, now + departure));
         }
-        let left = !gone.is_empty();
         self.departed
             .extend(gone.into_iter().map(|name| (name, now)));
         self.witnesses = names.split_off(count);
@@ -119,8 +123,8 @@
         former.max(u32::try_from(self.owners.len()).unwrap_or(1))
     }
 
-    /// Whether an owner apart from `name` has left the members so lately that it may still use its
-    /// share.
+    /// Whether an owner or witness apart from `name` has left the members so lately that it may
+    /// still use a share.
     #[must_use]
     pub fn has_departed(&self, name: &id::Vm, departure: id::Time, now: id::Time) -> bool {
         let mut departed = self.departed.iter();
