Read the list of instances anew before a planned change of primary

A replica that had registered seconds before was not held.

A planned change or a relief now asks the feed for all changes up to the request before it holds anything. Promotions of a failed primary are as before.

--- a/desk/src/detector.rs
+++ b/desk/src/detector.rs
@@ -150,6 +150,18 @@
         matches!(self, Self::Planned | Self::Stalled | Self::Relief)
     }
 
+    /// Whether the primary works, and is replaced as planned or for the benefit of its group.
+    ///
+    /// ```
+    /// use mangotray_desk::detector;
+    /// assert!(detector::Cause::Planned.is_chosen());
+    /// assert!(!detector::Cause::Stalled.is_chosen());
+    /// ```
+    #[must_use]
+    pub const fn is_chosen(self) -> bool {
+        matches!(self, Self::Planned | Self::Relief)
+    }
+
     /// How long a promotion tries to hold all replicas before it is given up.
     ///
     /// ```
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod lending;
 pub mod lifecycle;
 pub mod limits;
+pub mod listing;
 pub mod load;
 pub mod log;
 pub mod member;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -24,6 +24,7 @@
 use crate::lending::router;
 use crate::limits::buckets;
 use crate::limits::quotas;
+use crate::listing;
 use crate::membership;
 use crate::organisations;
 use crate::question;
@@ -49,6 +50,7 @@
     /// Instances that operators have declared lost.
     declared_lost: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     instances_known: cell::Cell<bool>,
+    listing: listing::Listing,
     validity: Option<validity::Validity>,
     /// Whether the newest configuration could not be parsed. It may revoke keys.
     newest_unreadable: cell::Cell<bool>,
@@ -83,6 +85,7 @@
             listed_instances: cell::RefCell::default(),
             declared_lost: cell::RefCell::default(),
             instances_known: cell::Cell::default(),
+            listing: listing::Listing::default(),
             unconfigured_groups: cell::RefCell::default(),
         })
     }
@@ -207,6 +210,12 @@
         self.declared_lost.borrow().clone()
     }
 
+    /// Requests for a list of instances that is not stale.
+    #[must_use]
+    pub const fn listing(&self) -> &listing::Listing {
+        &self.listing
+    }
+
     /// Whether an instance is in the list of instances.
     #[must_use]
     pub fn is_listed(&self, id: &upstream::Id) -> bool {
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -165,6 +165,12 @@
         cause: detector::Cause,
         max_received: Option<stamp::Stamp>,
     ) -> Outcome {
+        // An old list may lack a replica that confirms commits while all listed ones are held. The
+        // replicas of a primary that runs are not held either while the store is away.
+        if cause.is_chosen() && !self.node.listing().request().await {
+            tracing::info!(group = %group.name, ?cause, "promotion postponed: the store does not answer");
+            return Outcome::GivenUp;
+        }
         let mut promotion = promotion::Promotion {
             group: rc::Rc::clone(group),
             old: probe::Prober::new(group, leader).primary,
