Replace a primary that has stopped for a missing replica at once

Since the candidate of a planned change follows its primary, a leaving primary that had been told to stop for a missing replica could not be followed: the attempt was given up and the replicas were released, and the group had no primary until the stopped one counted as silent. Such a change takes the former way now. Besides, the candidate is held again only after an order whose outcome is unknown; after a refusal the replicas are released or held by the next attempt.

--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -179,8 +179,9 @@
             began: boot::now(),
             max_received,
         };
+        let mut has_stopped = false;
         if cause == detector::Cause::Planned {
-            self.stop_leaving_primary(&promotion, leader).await;
+            has_stopped = self.stop_leaving_primary(&promotion, leader).await;
             promotion.began = boot::now();
         }
         let holding = holding::Holding {
@@ -212,7 +213,7 @@
             .is_some_and(|old| old.id() == *candidate);
         let handover = self
             .handover(&promotion, &selection)
-            .filter(|_| !returns_lead);
+            .filter(|_| !returns_lead && !has_stopped);
         let ready = match &handover {
             Some(handover) => handover.begin(|| self.election.may_release()).await,
             None if cause == detector::Cause::Planned && !returns_lead => {
@@ -234,7 +235,9 @@
                     let demotion = handover.demote_primary();
                     promotion.while_holding(candidate, demotion).await;
                 }
-                _ => handover.withdraw().await,
+                promote::Outcome::Unknown(_) => handover.withdraw().await,
+                // A later attempt holds it again.
+                promote::Outcome::Refused(_) => {}
             }
         }
         if let promote::Outcome::Refused(_) = order_outcome {
@@ -350,12 +353,13 @@
     // and may not come back before the primary's end. A stopped primary's log has all records, so
     // that the missing replica is not needed.
     //
-    // Replicas that are not held yet receive what the primary had sent; held ones would lack it.
+    // Replicas that are not held yet receive what the primary had sent; held ones would lack it. Returns
+    // whether the primary has stopped.
     async fn stop_leaving_primary(
         &self,
         promotion: &promotion::Promotion,
         leader: &status::Leader,
-    ) {
+    ) -> bool {
         let group = &promotion.group;
         let pools = promotion.replicas();
         let reports = group.query_status(&pools, probe::TIMEOUT).await;
@@ -365,17 +369,19 @@
             |id: &upstream::Id| roster.find(id).is_none_or(|pool| roster.is_unlisted(&pool));
         let stops = !missing.is_empty() && !reports.is_empty() && missing.iter().all(dispensable);
         if !stops || group.last_position(leader).is_none() {
-            return;
+            return false;
         }
         if self.election.confirm().await.is_none() {
-            return;
+            return false;
         }
-        if let Some(Some(position)) = promotion.step_down().await {
+        let stopped = promotion.step_down().await;
+        if let Some(Some(position)) = stopped {
             tracing::info!(group = %group.name, primary = %leader.id, %position, ?missing,
                 "the leaving primary has stepped down, as not all replicas answer");
             group.suspect(leader.term, "the primary has stepped down");
             wait::sleep(witness::REPLICATION_DELAY).await;
         }
+        stopped.is_some()
     }
 
     // Whether a recorded order is too old to still take effect. The wait must end, because the
--- a/desk/tests/cluster/mod.rs
+++ b/desk/tests/cluster/mod.rs
@@ -104,6 +104,8 @@
     pub unconfirmed: usize,
     /// Number of confirmed writes that a promoted instance lacked.
     pub lost: id::Position,
+    /// Number of commands that released an instance.
+    pub released: usize,
 }
 
 pub type Shared = rc::Rc<cell::RefCell<World>>;
@@ -244,6 +246,7 @@
 
     // Applies a control command to an instance.
     fn command(&mut self, id: &upstream::Id, command: &upstream::Command) {
+        self.released += usize::from(*command == upstream::Command::Resume);
         let instance = self.at(id);
         match command {
             upstream::Command::Hold(term) => instance.held = instance.held.max(*term),
--- a/desk/tests/dark.rs
+++ b/desk/tests/dark.rs
@@ -227,3 +227,31 @@
     });
     assert_eq!(harness.leader(), ["c"]);
 }
+
+/// Guards against a change that is given up after the leaving primary has stopped, since no candidate
+/// can follow it any more: the group had no primary until it counted as silent.
+#[test]
+fn a_primary_that_has_stopped_for_a_missing_replica_is_replaced_at_once() {
+    let world = cluster::world();
+    let fourth = world.borrow_mut().at("c").clone();
+    let fourth = cluster::Instance { port: 4, ..fourth };
+    world.borrow_mut().instances.insert("d".into(), fourth);
+    let harness = harness::start_on(cluster::Cluster::of(world));
+    harness.cluster.run_housekeeping();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        let group = harness.cluster.settled().await;
+        assert!(group.prove(boot::now() + cluster::LIMIT).await.is_some());
+        darken(&harness, &["d"]);
+        wait::sleep(harness::LONG).await;
+        harness.client.effect_delay.set(harness::SHORT);
+        harness.cluster.world.borrow_mut().at("a").draining = true;
+        harness.cluster.relist();
+        harness.wait_for_order().await;
+        let released = harness.cluster.world.borrow().released;
+        assert_eq!(released, 0, "an attempt was given up before the order");
+        harness.wait_for_primary(2).await;
+    });
+    let primaries = harness.client.primaries.borrow().clone();
+    assert_eq!(primaries, [0], "the old primary stops before the order");
+}
