Count a running primary in floors that rest on the replicas

The furthest position of all listed, held replicas counted as a floor, while the primary went on with a replica that is in no list. And the replicas stayed held: the record's call took 700 ms, after which the lease did not last for the releases.

The last known primary is now asked together with the replicas, and its position and the commits that the node has passed on count in the floor. The record of a promotion has to be confirmed within the 200 ms that its order needs; the replicas are released then, and a record that arrives late is ruled out, as nothing was ordered under it.

Both new tests failed before: the floor was 1.10 where the primary had 1.60; and the replicas were not released within 20 s while the store did not answer.

--- a/desk/src/election.rs
+++ b/desk/src/election.rs
@@ -204,27 +204,51 @@
     /// Every later holder knows what a former holder has recorded: a record is written only while
     /// the writer's lease is in force, and a holder reads the records after it has obtained the
     /// lease.
+    ///
+    /// A record that is not confirmed in time gives no permit. It is ruled out, as it may still
+    /// arrive.
     pub async fn record(&self, intent: &intent::Intent) -> Option<permit::Permit> {
         let held = self.held()?;
         let started = boot::now();
+        let intent = self.number(&held, intent);
+        // The replicas are held meanwhile.
+        let recorded = wait::within(CONFIRMATION_LIFETIME, self.write(&held, &intent)).await;
+        if recorded != Some(Ok(store::Swap::Stored)) {
+            tracing::warn!(group = %intent.group, ?recorded, "promotion not recorded");
+            self.records.rule_out(&intent);
+            return None;
+        }
+        self.records.note(intent);
+        let in_time = boot::now() < started + CONFIRMATION_LIFETIME;
+        let valid = in_time && self.is_valid(&held);
+        valid.then(|| permit::Permit::new(held.fence, started))
+    }
+
+    /// Corrects the record of a promotion that has taken effect. Returns whether the store has it.
+    pub async fn correct(&self, intent: &intent::Intent) -> bool {
+        let Some(held) = self.held() else {
+            return false;
+        };
+        let intent = self.number(&held, intent);
+        let recorded = self.write(&held, &intent).await;
+        let stored = recorded == Ok(store::Swap::Stored);
+        if stored {
+            self.records.note(intent);
+        }
+        stored
+    }
+
+    // The next record of this holder.
+    fn number(&self, held: &Lease, intent: &intent::Intent) -> intent::Intent {
         self.record_count.set(self.record_count.get() + 1);
         let place = intent::Place {
             fence: held.fence,
             turn: self.record_count.get(),
         };
-        let intent = intent::Intent {
+        intent::Intent {
             place,
             ..intent.clone()
-        };
-        let recorded = self.write(&held, &intent).await;
-        if recorded != Ok(store::Swap::Stored) {
-            tracing::warn!(group = %intent.group, ?recorded, "promotion not recorded");
-            return None;
         }
-        self.records.note(intent);
-        let in_time = boot::now() < started + CONFIRMATION_LIFETIME;
-        let valid = in_time && self.is_valid(&held);
-        valid.then(|| permit::Permit::new(held.fence, started))
     }
 
     /// Whether an order may be sent now under this permit.
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -658,20 +658,32 @@
         }
     }
 
-    // Determines a floor from the replicas alone. Only the last known primary may be silent: any
-    // other silent instance may be the primary by now.
+    // Determines a floor without a primary that is proven to lead. Only the last known primary may be
+    // silent: any other silent instance may be the primary by now.
+    //
+    // While it answers, its own position counts as well: the replicas may be held, and a replica that
+    // is not listed yet lets it acknowledge commits which they lack.
     async fn refresh_without_primary(self: &rc::Rc<Self>) {
         let last = self.leadership.borrow().last_primary().cloned();
-        let mut pools = self.roster.pools();
-        pools.retain(|pool| Some(pool.id()) != last);
+        let (primary, pools): (Vec<_>, Vec<_>) = self
+            .roster
+            .pools()
+            .into_iter()
+            .partition(|pool| Some(pool.id()) == last);
         let term = self.term();
         // An instance that is not listed yet may be the only replica with a commit.
         if !self.roster.is_settled() {
             return;
         }
         let started = boot::now();
-        let reports = self.query_status(&pools, status::TIMEOUT).await;
+        let reports = self.query_status(&pools, status::TIMEOUT);
+        let own = self.query_status(&primary, status::TIMEOUT);
+        let (reports, own) = futures_util::future::join(reports, own).await;
+        let own = own.first().map(|report| report.status.received);
         let received = status::max_received(&reports, pools.len(), term);
+        // Its log has all commits that it has acknowledged, and this node knows of its own callers'.
+        let received = received.map(|stamp| Some(stamp).max(own).max(self.acknowledged()));
+        let received = received.flatten();
         let mut leadership = self.leadership.borrow_mut();
         let covering_position =
             received.and_then(|stamp| leadership.covering_position(stamp, self.roster.last_lost()));
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -530,7 +530,7 @@
             ..intent.clone()
         };
         self.clean_up(group, &led, intent.term);
-        if term < intent.term && self.election.record(&led).await.is_none() {
+        if term < intent.term && !self.election.correct(&led).await {
             tracing::warn!(group = %group.name, candidate = %intent.candidate, term,
                 "cannot correct the term in the record of a promotion");
         }
--- a/desk/src/records.rs
+++ b/desk/src/records.rs
@@ -87,6 +87,32 @@
         }
     }
 
+    /// Discards a promotion that was not ordered, although the store may still have recorded it.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::{intent, records};
+    /// let unordered = intent::Intent {
+    ///     group: "bookings".into(),
+    ///     candidate: "b".into(),
+    ///     born: 0,
+    ///     term: 2,
+    ///     old: None,
+    ///     received: Stamp::new(1, 7),
+    ///     place: intent::Place { fence: 4, turn: 1 },
+    /// };
+    /// let records = records::Records::default();
+    /// records.rule_out(&unordered);
+    /// // The store reports it late.
+    /// records.note(unordered);
+    /// assert_eq!(records.last(&"bookings".into()), None);
+    /// ```
+    pub fn rule_out(&self, intent: &intent::Intent) {
+        let mut retracted = self.retracted.borrow_mut();
+        let place = retracted.entry(intent.group.clone()).or_default();
+        *place = intent.place.max(*place);
+    }
+
     /// The records that the store has lost, each with the version of the store's entry in its
     /// place.
     #[must_use]
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -378,3 +378,40 @@
         assert!(group.source(&bounded, &[]).await.is_none());
     });
 }
+
+/// Guards against reads that miss commits: the replicas are held for a promotion that cannot be
+/// recorded, and the primary goes on with a replica that is not listed. What the held replicas had
+/// received counted as a floor.
+#[test]
+fn no_floor_from_held_replicas_is_below_what_a_running_primary_has() {
+    let cluster = cluster::Cluster::new();
+    cluster.run(async {
+        let group = cluster.settled().await;
+        let current = need(catalog::Freshness::Current);
+        assert!(group.source(&current, &[]).await.is_some());
+        {
+            let mut world = cluster.world.borrow_mut();
+            let unlisted = cluster::Instance {
+                port: 4,
+                listed: false,
+                position: 60,
+                ..world.at("c").clone()
+            };
+            world.instances.insert("d".into(), unlisted);
+            world.at("a").position = 60;
+            for id in ["b", "c"] {
+                world.at(id).held = 2;
+            }
+        }
+        group.suspect(1, "test");
+        // Earlier floors have expired by then.
+        wait::sleep(SHORT).await;
+        let bounded = soon(catalog::Freshness::Bounded(SHORT / 2));
+        let source = group.source(&bounded, &[]).await;
+        let after = source.and_then(|source| source.after);
+        assert!(
+            after.is_none_or(|after| after.position == 60),
+            "{after:?} lacks acknowledged commits"
+        );
+    });
+}
--- a/desk/tests/holds.rs
+++ b/desk/tests/holds.rs
@@ -372,3 +372,28 @@
     });
     assert!(harness.client.unheld.borrow().is_empty());
 }
+
+/// Guards against a primary that gets no commit confirmed, as its replicas stay held for a planned
+/// promotion whose record the store does not confirm.
+#[test]
+fn a_hold_ends_when_the_store_does_not_record_the_promotion() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        // The store never answers.
+        harness.store.at().takes = 10 * cluster::LIMIT;
+        harness.cluster.world.borrow_mut().at("a").draining = true;
+        harness.cluster.relist();
+        cluster::until("the promotion is being recorded", || {
+            harness.store.at().under_way > 0
+        })
+        .await;
+        assert_eq!(held(&harness, "b").max(held(&harness, "c")), 2);
+        cluster::until("the replicas are released", || {
+            held(&harness, "b") == 0 && held(&harness, "c") == 0
+        })
+        .await;
+    });
+    assert!(harness.client.orders.borrow().is_empty());
+    assert_eq!(harness.leader(), ["a"]);
+}
