Test what a single answer may change in the learned load

Four rules could be broken without a failing test: answers of broken connections and failures that count as fast ones, the bound on one slow answer, and the least limit where it is not reached.

Three tests guard them now.

--- a/desk/tests/concurrency.rs
+++ b/desk/tests/concurrency.rs
@@ -181,6 +181,14 @@
         (behind, 2),
     ];
     for (other, every) in cases {
+        let mut learned = steady;
+        let rounds = (0..200).filter(|count| {
+            let now = time::Duration::from_secs(50) + *count * 5 * READ.took;
+            learned.record(now, &other).is_some()
+        });
+        // The first round is that of the reads before.
+        let shows_load = other.kind.shows_load() && other.outcome == exchange::Outcome::Done;
+        assert_eq!(rounds.count() > 1, shows_load, "{other:?}");
         let mixed = (0..1800).map(|count| if count % every == 0 { other } else { READ });
         let learned = after(mixed);
         assert_eq!(learned.limit(), steady.limit(), "{other:?}");
@@ -192,6 +200,33 @@
     }
 }
 
+/// Guards against a single answer that makes an instance look twice as slow.
+#[test]
+fn one_slow_answer_moves_the_expected_time_little() {
+    let slow = exchange::Exchange {
+        took: 100 * READ.took,
+        ..READ
+    };
+    let learned = after((0..900).map(|_| READ).chain([slow]));
+    assert!(learned.expected().unwrap() < 6 * READ.took / 5);
+}
+
+/// Guards against a limit that stays low after the load has gone, and holds back the next burst.
+#[test]
+fn a_limit_that_is_not_reached_is_not_lowest() {
+    let refused = exchange::Exchange {
+        outcome: exchange::Outcome::Refused,
+        ..READ
+    };
+    let idle = exchange::Exchange {
+        full: false,
+        ..READ
+    };
+    let full = (0..900).map(|_| READ).chain((0..400).map(|_| refused));
+    assert_eq!(after(full.clone()).limit(), 1);
+    assert_eq!(after(full.chain((0..100).map(|_| idle))).limit(), 2);
+}
+
 /// Guards against refusals that count as fast answers: the limit grew while the instance was full.
 #[test]
 fn refusals_shrink_the_limit() {
