Describe the adaptive concurrency limit

The module's comment claimed that the sum of the limits fits the instance; with two nodes it is about twice its slots.

--- a/desk/src/concurrency/limit.rs
+++ b/desk/src/concurrency/limit.rs
@@ -1,9 +1,9 @@
 //! The concurrency limit: additive increase, multiplicative decrease on observed queueing.
 //!
-//! Statements wait inside an instance when its level is above the lowest one seen. The limit then
-//! shrinks by a factor that ends this wait, and grows again while it is used in full. Each node
-//! that shares the instance observes the same wait, so that all shrink together, the larger
-//! limits by more: their sum fits the instance, and their shares converge, without messages.
+//! Statements wait inside an instance when its level is above the usual one. The limit then
+//! shrinks by a factor that ends most of this wait, and grows again while it is used in full. Each
+//! node that shares the instance observes the same wait, so that all shrink, the larger limits by
+//! more: their sum follows what the instance takes, and no node keeps it from the others.
 //!
 //! If the level stays high although the limit shrank, the instance itself is slower, and a small
 //! limit would only leave its slots idle: the level becomes the usual one, and the limit returns.
