Give a link to a lending node to the next in turn

A released link serves any organisation of its shard, but went to the organisation that had used it for as long as any of its requests waited, also with `[load] fair_queueing`. One organisation could keep all links of a node to an instance.

With fair queueing, where lending nodes hold the connections, the next request in turn of those that the link serves is woken. The selection among some of the waiting requests is one function now.

The new test failed without the change.

--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -362,6 +362,11 @@
             metrics::counter!("mangotray_upstream_evictions_total").increment(1);
             return self.open_for(&rival);
         }
+        if self.waiting.is_fair() && connection.link.serves_any_organisation() {
+            // The woken request continues later, when the connection is back.
+            self.waiting.wake_among(|name| connection.serves(name));
+            return self.connections.put(connection);
+        }
         self.connections.put(connection);
         self.waiting.wake_for(&organisation);
     }
--- a/desk/src/room/queue.rs
+++ b/desk/src/room/queue.rs
@@ -138,19 +138,14 @@
             (0..wakers.len()).partition(|index| of(index) == holder);
         let short = |index: &usize| self.count_waiting(of(index)) > coming(of(index));
         let others: Vec<_> = others.into_iter().filter(short).collect();
-        let next = |indices: &[usize]| {
-            let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
-            let names: Vec<_> = indices.iter().map(of).collect();
-            let turns = self.turns.borrow();
-            let next = turns.next(&claims, &names, boot::now(), self.served.get() + 1)?;
-            Some((claims[next], names[next]))
-        };
-        let (own, (other, organisation)) = (next(&own)?.0, next(&others)?);
+        let served = self.served.get() + 1;
+        let (own, other) = (
+            self.next_among(&own, served)?,
+            self.next_among(&others, served)?,
+        );
         let turns = self.turns.borrow();
-        let lead = turns
-            .start(holder)
-            .saturating_sub(turns.start(organisation));
-        turns::changes_hands(&own, &other, lead).then(|| organisation.clone())
+        let lead = turns.start(holder).saturating_sub(turns.start(of(&other)));
+        turns::changes_hands(&entries[own], &entries[other], lead).then(|| of(&other).clone())
     }
 
     /// Wakes the request that is next.
@@ -163,14 +158,22 @@
     }
 
     fn next(&self, served: u64) -> Option<usize> {
-        let entries = self.entries.borrow();
         if !self.is_fair() {
-            return schedule::next(&entries, boot::now(), served);
+            return schedule::next(&self.entries.borrow(), boot::now(), served);
         }
-        let wakers = self.wakers.borrow();
-        let organisations: Vec<_> = wakers.iter().map(|waker| &waker.organisation).collect();
+        let all: Vec<_> = (0..self.len()).collect();
+        self.next_among(&all, served)
+    }
+
+    // The next in turn of the requests with these indices.
+    fn next_among(&self, indices: &[usize], served: u64) -> Option<usize> {
+        let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
+        let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
+        let names = indices.iter().map(|index| &wakers[*index].organisation);
+        let names: Vec<_> = names.collect();
         let turns = self.turns.borrow();
-        turns.next(&entries, &organisations, boot::now(), served)
+        let next = turns.next(&claims, &names, boot::now(), served);
+        next.map(|next| indices[next])
     }
 
     /// Wakes the next request of an organisation, or the next of all if none of its requests waits.
@@ -197,18 +200,13 @@
     /// Wakes the next request of the organisations for which `may` holds, or the next of all if
     /// none of these waits.
     pub fn wake_among(&self, may: impl Fn(&organisation::Name) -> bool) {
-        let served = self.served.get() + 1;
-        let next = {
-            let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
-            let of = |index: &usize| &wakers[*index].organisation;
-            let indices: Vec<_> = (0..wakers.len()).filter(|index| may(of(index))).collect();
-            let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
-            let names: Vec<_> = indices.iter().map(of).collect();
-            let turns = self.turns.borrow();
-            let next = turns.next(&claims, &names, boot::now(), served);
-            next.map(|next| indices[next])
+        let indices: Vec<_> = {
+            let wakers = self.wakers.borrow();
+            let may = |index: &usize| may(&wakers[*index].organisation);
+            (0..wakers.len()).filter(may).collect()
         };
-        let Some(index) = next else {
+        let served = self.served.get() + 1;
+        let Some(index) = self.next_among(&indices, served) else {
             return self.wake();
         };
         self.served.set(served);
--- a/desk/tests/fairness.rs
+++ b/desk/tests/fairness.rs
@@ -13,6 +13,7 @@
 use mangotray_desk::boot;
 use mangotray_desk::checkout;
 use mangotray_desk::connection;
+use mangotray_desk::lending::shard;
 use mangotray_desk::load::options;
 use mangotray_desk::organisation;
 use mangotray_desk::pool;
@@ -24,13 +25,24 @@
 
 const LIMIT: time::Duration = time::Duration::from_secs(5);
 
+/// An organisation whose connections are held by the same lending node as those of "large".
+const SMALL: &str = "small";
+
 /// Time that an instance takes for each exchange.
 const WORK: time::Duration = time::Duration::from_millis(15);
 
 /// Opens connections on which each exchange takes [`WORK`].
-struct Dialer(cluster::Dialer);
+struct Dialer {
+    inner: cluster::Dialer,
+    /// Whether they lead to lending nodes, and serve any organisation.
+    links: bool,
+}
 
-struct Connection(Box<dyn upstream::Connection>);
+struct Connection {
+    inner: Box<dyn upstream::Connection>,
+    organisation: organisation::Name,
+    links: bool,
+}
 
 impl upstream::Dialer for Dialer {
     fn dial<'a>(
@@ -38,15 +50,23 @@
         target: &'a upstream::Target,
     ) -> future::LocalBoxFuture<'a, Result<upstream::Dialled, upstream::Refusal>> {
         async move {
-            let (link, position) = self.0.dial(target).await?;
-            let link: Box<dyn upstream::Connection> = Box::new(Connection(link));
+            let (inner, position) = self.inner.dial(target).await?;
+            let link: Box<dyn upstream::Connection> = Box::new(Connection {
+                inner,
+                organisation: target.organisation.clone(),
+                links: self.links,
+            });
             Ok((link, position))
         }
         .boxed_local()
     }
 
     fn status(&self, reply: &reply::Reply) -> Option<upstream::Status> {
-        self.0.status(reply)
+        self.inner.status(reply)
+    }
+
+    fn is_shared(&self, _target: &upstream::Target) -> bool {
+        self.links
     }
 }
 
@@ -59,17 +79,26 @@
     ) -> future::LocalBoxFuture<'a, Result<Vec<reply::Reply>, upstream::Failure>> {
         async move {
             wait::sleep(WORK).await;
-            self.0.run(commands, urgency, organisation).await
+            let organisation = if self.links {
+                &self.organisation
+            } else {
+                organisation
+            };
+            self.inner.run(commands, urgency, organisation).await
         }
         .boxed_local()
     }
 
     fn alive(&mut self) -> bool {
-        self.0.alive()
+        self.inner.alive()
+    }
+
+    fn serves_any_organisation(&self) -> bool {
+        self.links
     }
 
     fn silence_timeout(&self) -> time::Duration {
-        self.0.silence_timeout()
+        self.inner.silence_timeout()
     }
 }
 
@@ -80,7 +109,10 @@
     max_statements: usize,
     lends: bool,
 ) -> rc::Rc<pool::Pool> {
-    let dialer = Dialer(cluster::Dialer(rc::Rc::clone(&cluster.world)));
+    let dialer = Dialer {
+        inner: cluster::Dialer(rc::Rc::clone(&cluster.world)),
+        links: false,
+    };
     pool_of(
         cluster,
         rc::Rc::new(dialer),
@@ -143,14 +175,12 @@
 
 /// The order in which an organisation with forty reads and, behind them, one with a single read are
 /// answered over one connection.
-fn read_order(lends: bool) -> Vec<&'static str> {
-    let cluster = cluster::Cluster::new();
-    let pool = pool(&cluster, 1, 1, lends);
+fn read_order(cluster: &cluster::Cluster, pool: &rc::Rc<pool::Pool>) -> Vec<&'static str> {
     let done = Done::default();
     cluster.run(async {
-        let names = ["large"; 40].into_iter().chain(["small"]);
+        let names = ["large"; 40].into_iter().chain([SMALL]);
         let reads = names.map(|name| {
-            let (pool, done) = (rc::Rc::clone(&pool), rc::Rc::clone(&done));
+            let (pool, done) = (rc::Rc::clone(pool), rc::Rc::clone(&done));
             let read = async move { run(check_out(&pool, name).await, name, done).await };
             cluster.executor.spawn(read)
         });
@@ -164,8 +194,9 @@
 #[test]
 fn a_connection_changes_hands_while_its_organisation_still_waits() {
     let position = |lends| {
-        let order = read_order(lends);
-        order.iter().position(|name| *name == "small")
+        let cluster = cluster::Cluster::new();
+        let order = read_order(&cluster, &pool(&cluster, 1, 1, lends));
+        order.iter().position(|name| *name == SMALL)
     };
     assert_eq!(
         position(false),
@@ -175,6 +206,22 @@
     assert!(position(true) < Some(20), "{:?}", position(true));
 }
 
+/// Guards against an organisation that keeps the only link to a lending node, which serves others
+/// as well, for as long as any of its requests wait.
+#[test]
+fn a_link_to_a_lending_node_goes_to_the_next_in_turn() {
+    let cluster = cluster::Cluster::new();
+    let dialer = Dialer {
+        inner: cluster::Dialer(rc::Rc::clone(&cluster.world)),
+        links: true,
+    };
+    assert_eq!(shard::of(&"large".into()), shard::of(&SMALL.into()));
+    let pool = pool_of(&cluster, rc::Rc::new(dialer), 1, 1, false);
+    let order = read_order(&cluster, &pool);
+    let small = order.iter().position(|name| *name == SMALL);
+    assert!(small < Some(10), "{order:?}");
+}
+
 /// Guards against the statements of one organisation's many open transactions that go before all
 /// others, as they arrived earlier.
 #[test]
@@ -185,7 +232,7 @@
         let done = Done::default();
         cluster.run(async {
             let mut checkouts = Vec::new();
-            let names = ["large"; 9].into_iter().chain(["small"]);
+            let names = ["large"; 9].into_iter().chain([SMALL]);
             for name in names.chain(["large"; 9]) {
                 let mut checkout = check_out(&pool, name).await;
                 let begin = [upstream::Command::Begin {
@@ -207,7 +254,7 @@
         });
         done.take()
     };
-    let small = |order: &[&str]| order.iter().position(|name| *name == "small");
+    let small = |order: &[&str]| order.iter().position(|name| *name == SMALL);
     let (by_urgency, by_turns) = (order(false), order(true));
     assert!(small(&by_urgency) >= Some(9), "{by_urgency:?}");
     assert!(small(&by_turns) < Some(5), "{by_turns:?}");
