Refuse requests that cannot start in time when they arrive

A request that arrives at a lending node behind more urgent ones waited until its latest start, although the rate of the queue showed that it would not be served; its caller learned it late, and not when to come back.

With `[load] fair_queueing` it is refused at once, as not run, if what is certainly served before it takes more than twice the time that it has to start, by the moving average of the queue's own rate. The first twenty requests, priority 0, statements of open transactions, and organisations whose own connections will serve them next are never refused so. The text says when the requests that wait now will have been served. `mangotray_early_refusals_total` counts these refusals.

Seen to fail: one test each without the least number of samples and with idle time in the rate.

--- a/desk/src/lending/relay.rs
+++ b/desk/src/lending/relay.rs
@@ -276,13 +276,7 @@
             .pool
             .check_out(urgency, &self.organisation, &self.values, urgency.until)
             .await;
-        checkout.map_err(|shortage| upstream::Failure {
-            sent: false,
-            crowded: shortage == shortage::Shortage::Late,
-            detail: compact_str::format_compact!(
-                "the lending node has no connection: {shortage:?}"
-            ),
-        })
+        checkout.map_err(shortage::Shortage::into_failure)
     }
 }
 
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -272,6 +272,9 @@
             if self.is_lost() {
                 return Err(shortage::Shortage::Down);
             }
+            if !woken && let Some(refusal) = self.refuse(&urgency, organisation, deadline) {
+                return Err(refusal);
+            }
             let waited = self.waiting.wait(organisation, urgency, since, deadline);
             if !waited.await {
                 let opening = self.connections.open_count() <= self.connections.dialling_count();
@@ -285,6 +288,29 @@
         }
     }
 
+    // Refuses a request that arrives at a queue in which it clearly cannot start in time.
+    fn refuse(
+        &self,
+        urgency: &urgency::Urgency,
+        organisation: &organisation::Name,
+        deadline: id::Time,
+    ) -> Option<shortage::Shortage> {
+        if !self.options.fair_queueing || !self.capacity.lends() || urgency.priority == 0 {
+            return None;
+        }
+        // Its organisation's connections go to its own requests, whatever waits before them.
+        let others_wait = self.waiting.count_waiting(organisation) < self.waiting.len();
+        if others_wait && self.connections.count_for(organisation) > 0 {
+            return None;
+        }
+        let come_back = self.waiting.refusal(organisation, urgency, deadline)?;
+        metrics::counter!("mangotray_early_refusals_total").increment(1);
+        tracing::info!(instance = %self.id(), %organisation, priority = urgency.priority,
+            waiting = self.waiting.len(), ?come_back,
+            "request refused, as it cannot start in time");
+        Some(shortage::Shortage::Backlog { come_back })
+    }
+
     // Whether organisations that wait for this instance are served in turn.
     fn serves_in_turn(&self) -> bool {
         self.options.fair_queueing && (self.capacity.lends() || self.uses_lenders())
@@ -300,6 +326,7 @@
     pub(crate) fn settle(&self, organisation: &organisation::Name, since: id::Time) {
         let took = boot::now().saturating_sub(since);
         self.waiting.settle(organisation, took);
+        self.connections.end_use(organisation);
     }
 
     /// Closes connections beyond the minimum that have been idle for longer than the timeout.
--- a/desk/src/retry.rs
+++ b/desk/src/retry.rs
@@ -24,7 +24,7 @@
     #[must_use]
     pub const fn from_shortage(shortage: shortage::Shortage) -> Self {
         match shortage {
-            shortage::Shortage::Late => Self::Overloaded,
+            shortage::Shortage::Late | shortage::Shortage::Backlog { .. } => Self::Overloaded,
             shortage::Shortage::Opening | shortage::Shortage::Down | shortage::Shortage::Full => {
                 Self::Unreachable
             }
--- a/desk/src/room.rs
+++ b/desk/src/room.rs
@@ -6,6 +6,7 @@
 pub(crate) mod opening;
 pub mod queue;
 pub mod schedule;
+pub mod shedding;
 pub mod size;
 pub mod transactions;
 pub mod turns;
--- a/desk/src/room/connections.rs
+++ b/desk/src/room/connections.rs
@@ -1,6 +1,7 @@
 //! The open connections of a pool: those that are idle, and the counts of the others.
 
 use std::cell;
+use std::collections;
 use std::time;
 
 use crate::boot;
@@ -21,6 +22,8 @@
     open_count: cell::Cell<usize>,
     /// Uses by organisation, recorded where connections are closed by their worth.
     usage: cell::RefCell<usage::Usage>,
+    /// Number of connections that each organisation has checked out, recorded in the same case.
+    in_use: cell::RefCell<collections::BTreeMap<organisation::Name, usize>>,
 }
 
 impl Connections {
@@ -124,6 +127,25 @@
     /// Records that an organisation checks out a connection.
     pub(crate) fn note_use(&self, organisation: &organisation::Name) {
         self.usage.borrow_mut().note(organisation, boot::now());
+        let mut in_use = self.in_use.borrow_mut();
+        *in_use.entry(organisation.clone()).or_default() += 1;
+    }
+
+    /// Records that an organisation gives a connection back.
+    pub(crate) fn end_use(&self, organisation: &organisation::Name) {
+        let mut in_use = self.in_use.borrow_mut();
+        if let Some(count) = in_use.get_mut(organisation) {
+            *count -= 1;
+            if *count == 0 {
+                in_use.remove(organisation);
+            }
+        }
+    }
+
+    /// Number of connections that an organisation has checked out, or that are opened for it.
+    pub(crate) fn count_for(&self, organisation: &organisation::Name) -> usize {
+        let in_use = self.in_use.borrow().get(organisation).copied();
+        in_use.unwrap_or_default() + self.dialling_count_for(organisation)
     }
 
     /// Closes an idle connection; returns whether there was one. This is the least recently used
--- a/desk/src/room/queue.rs
+++ b/desk/src/room/queue.rs
@@ -9,6 +9,7 @@
 use crate::boot;
 use crate::organisation;
 use crate::room::schedule;
+use crate::room::shedding;
 use crate::room::turns;
 use crate::urgency;
 use crate::wait;
@@ -34,6 +35,10 @@
     turns: cell::RefCell<turns::Turns>,
     /// Number of requests that were woken and have not continued yet.
     woken: cell::Cell<usize>,
+    /// Rate at which requests were woken while others waited.
+    rate: cell::Cell<shedding::Rate>,
+    /// When the first request began to wait, since the queue was last empty.
+    backlog_since: cell::Cell<id::Time>,
 }
 
 impl Queue {
@@ -93,6 +98,9 @@
         deadline: id::Time,
     ) -> bool {
         let (wake, woken) = async_channel::bounded(1);
+        if self.is_empty() {
+            self.backlog_since.set(boot::now());
+        }
         let number = self.number.get();
         self.number.set(number + 1);
         self.entries.borrow_mut().push(schedule::Entry {
@@ -120,6 +128,24 @@
         result.is_some()
     }
 
+    /// Returns when a request that arrives should come back, if it clearly cannot start in time.
+    #[must_use]
+    pub fn refusal(
+        &self,
+        organisation: &organisation::Name,
+        urgency: &urgency::Urgency,
+        deadline: id::Time,
+    ) -> Option<time::Duration> {
+        let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
+        let names: Vec<_> = wakers.iter().map(|waker| &waker.organisation).collect();
+        let turns = self.turns.borrow();
+        let priority = urgency.priority;
+        let ahead = shedding::Ahead::of(&turns, &entries, &names, organisation, priority);
+        let now = boot::now();
+        let left = deadline.min(urgency.until).saturating_sub(now);
+        shedding::refuse(ahead, entries.len(), self.rate.get().interval(now), left)
+    }
+
     /// Returns the organisation whose waiting request should get a place that `holder` gives back,
     /// rather than the next request of `holder` itself, which could use the place without delay.
     /// Leaves out organisations with as many places on the way, by `coming`, as waiting requests.
@@ -178,23 +204,7 @@
 
     /// Wakes the next request of an organisation, or the next of all if none of its requests waits.
     pub fn wake_for(&self, organisation: &organisation::Name) {
-        let indices: Vec<_> = {
-            let wakers = self.wakers.borrow();
-            let of = |index: &usize| wakers[*index].organisation == *organisation;
-            (0..wakers.len()).filter(of).collect()
-        };
-        if indices.is_empty() {
-            return self.wake();
-        }
-        let served = self.served.get() + 1;
-        let entries: Vec<_> = {
-            let entries = self.entries.borrow();
-            indices.iter().map(|index| entries[*index]).collect()
-        };
-        if let Some(index) = schedule::next(&entries, boot::now(), served) {
-            self.served.set(served);
-            self.wake_at(indices[index]);
-        }
+        self.wake_among(|name| name == organisation);
     }
 
     /// Wakes the next request of the organisations for which `may` holds, or the next of all if
@@ -224,6 +234,9 @@
     }
 
     fn wake_at(&self, index: usize) {
+        let mut rate = self.rate.get();
+        rate.note(boot::now(), self.backlog_since.get());
+        self.rate.set(rate);
         let organisation = self.wakers.borrow()[index].organisation.clone();
         self.charge(&organisation);
         let waker = self.remove(index);
--- a/desk/src/room/turns.rs
+++ b/desk/src/room/turns.rs
@@ -26,7 +26,7 @@
 
 /// In a standing queue, one pick in this many takes the least urgent priority, as in
 /// [`schedule::next`], and another one a priority in between.
-const LESS_URGENT_EVERY: u64 = 20;
+pub const LESS_URGENT_EVERY: u64 = 20;
 
 /// The virtual times of the organisations that use one resource.
 #[derive(Clone, Debug, Default)]
--- a/desk/src/shortage.rs
+++ b/desk/src/shortage.rs
@@ -17,6 +17,11 @@
 pub enum Shortage {
     /// All connections were in use until the deadline.
     Late,
+    /// The request cannot start in time, and was refused when it arrived.
+    Backlog {
+        /// When the requests that wait now will have been served.
+        come_back: time::Duration,
+    },
     /// The first connection was still being opened at the deadline.
     Opening,
     /// The instance cannot be reached.
@@ -25,6 +30,35 @@
     Full,
 }
 
+impl Shortage {
+    /// The failure of relayed commands that were not sent because of it.
+    ///
+    /// ```
+    /// use mangotray_desk::shortage;
+    /// use std::time::Duration;
+    /// let come_back = Duration::from_millis(70);
+    /// let failure = shortage::Shortage::Backlog { come_back }.into_failure();
+    /// assert!(!failure.sent && failure.crowded);
+    /// assert!(failure.detail.ends_with("come back in 70 ms"));
+    /// assert!(!shortage::Shortage::Down.into_failure().crowded);
+    /// ```
+    #[must_use]
+    pub fn into_failure(self) -> upstream::Failure {
+        let detail = match self {
+            Self::Backlog { come_back } => format_compact!(
+                "the queue at the instance is too long, come back in {} ms",
+                come_back.as_millis()
+            ),
+            other => format_compact!("the lending node has no connection: {other:?}"),
+        };
+        upstream::Failure {
+            sent: false,
+            crowded: matches!(self, Self::Late | Self::Backlog { .. }),
+            detail,
+        }
+    }
+}
+
 /// The failure of a transaction that was not begun, as too many are open.
 ///
 /// ```
