--- a/desk/src/room/queue.rs
+++ b/desk/src/room/queue.rs
@@ -9,6 +9,7 @@
 use crate::boot;
 use crate::organisation;
 use crate::room::schedule;
+use crate::room::shedding;
 use crate::room::turns;
 use crate::urgency;
 use crate::wait;
@@ -34,6 +35,10 @@
     turns: cell::RefCell<turns::Turns>,
     /// Number of requests that were woken and have not continued yet.
     woken: cell::Cell<usize>,
+    /// Rate at which requests were woken while others waited.
+    rate: cell::Cell<shedding::Rate>,
+    /// When the first request began to wait, since the queue was last empty.
+    backlog_since: cell::Cell<id::Time>,
 }
 
 impl Queue {
@@ -93,6 +98,9 @@
         deadline: id::Time,
     ) -> bool {
         let (wake, woken) = async_channel::bounded(1);
+        if self.is_empty() {
+            self.backlog_since.set(boot::now());
+        }
         let number = self.number.get();
         self.number.set(number + 1);
         self.entries.borrow_mut().push(schedule::Entry {
@@ -120,6 +128,24 @@
         result.is_some()
     }
 
+    /// Returns when a request that arrives should come back, if it clearly cannot start in time.
+    #[must_use]
+    pub fn refusal(
+        &self,
+        organisation: &organisation::Name,
+        urgency: &urgency::Urgency,
+        deadline: id::Time,
+    ) -> Option<time::Duration> {
+        let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
+        let names: Vec<_> = wakers.iter().map(|waker| &waker.organisation).collect();
+        let turns = self.turns.borrow();
+        let priority = urgency.priority;
+        let ahead = shedding::Ahead::of(&turns, &entries, &names, organisation, priority);
+        let now = boot::now();
+        let left = deadline.min(urgency.until).saturating_sub(now);
+        shedding::refuse(ahead, entries.len(), self.rate.get().interval(now), left)
+    }
+
     /// Returns the organisation whose waiting request should get a place that `holder` gives back,
     /// rather than the next request of `holder` itself, which could use the place without delay.
     /// Leaves out organisations with as many places on the way, by `coming`, as waiting requests.
@@ -138,19 +164,14 @@
             (0..wakers.len()).partition(|index| of(index) == holder);
         let short = |index: &usize| self.count_waiting(of(index)) > coming(of(index));
         let others: Vec<_> = others.into_iter().filter(short).collect();
-        let next = |indices: &[usize]| {
-            let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
-            let names: Vec<_> = indices.iter().map(of).collect();
-            let turns = self.turns.borrow();
-            let next = turns.next(&claims, &names, boot::now(), self.served.get() + 1)?;
-            Some((claims[next], names[next]))
-        };
-        let (own, (other, organisation)) = (next(&own)?.0, next(&others)?);
+        let served = self.served.get() + 1;
+        let (own, other) = (
+            self.next_among(&own, served)?,
+            self.next_among(&others, served)?,
+        );
         let turns = self.turns.borrow();
-        let lead = turns
-            .start(holder)
-            .saturating_sub(turns.start(organisation));
-        turns::changes_hands(&own, &other, lead).then(|| organisation.clone())
+        let lead = turns.start(holder).saturating_sub(turns.start(of(&other)));
+        turns::changes_hands(&entries[own], &entries[other], lead).then(|| of(&other).clone())
     }
 
     /// Wakes the request that is next.
@@ -163,52 +184,39 @@
     }
 
     fn next(&self, served: u64) -> Option<usize> {
-        let entries = self.entries.borrow();
         if !self.is_fair() {
-            return schedule::next(&entries, boot::now(), served);
+            return schedule::next(&self.entries.borrow(), boot::now(), served);
         }
-        let wakers = self.wakers.borrow();
-        let organisations: Vec<_> = wakers.iter().map(|waker| &waker.organisation).collect();
+        let all: Vec<_> = (0..self.len()).collect();
+        self.next_among(&all, served)
+    }
+
+    // The next in turn of the requests with these indices.
+    fn next_among(&self, indices: &[usize], served: u64) -> Option<usize> {
+        let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
+        let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
+        let names = indices.iter().map(|index| &wakers[*index].organisation);
+        let names: Vec<_> = names.collect();
         let turns = self.turns.borrow();
-        turns.next(&entries, &organisations, boot::now(), served)
+        let next = turns.next(&claims, &names, boot::now(), served);
+        next.map(|next| indices[next])
     }
 
     /// Wakes the next request of an organisation, or the next of all if none of its requests waits.
     pub fn wake_for(&self, organisation: &organisation::Name) {
-        let indices: Vec<_> = {
-            let wakers = self.wakers.borrow();
-            let of = |index: &usize| wakers[*index].organisation == *organisation;
-            (0..wakers.len()).filter(of).collect()
-        };
-        if indices.is_empty() {
-            return self.wake();
-        }
-        let served = self.served.get() + 1;
-        let entries: Vec<_> = {
-            let entries = self.entries.borrow();
-            indices.iter().map(|index| entries[*index]).collect()
-        };
-        if let Some(index) = schedule::next(&entries, boot::now(), served) {
-            self.served.set(served);
-            self.wake_at(indices[index]);
-        }
+        self.wake_among(|name| name == organisation);
     }
 
     /// Wakes the next request of the organisations for which `may` holds, or the next of all if
     /// none of these waits.
     pub fn wake_among(&self, may: impl Fn(&organisation::Name) -> bool) {
-        let served = self.served.get() + 1;
-        let next = {
-            let (entries, wakers) = (self.entries.borrow(), self.wakers.borrow());
-            let of = |index: &usize| &wakers[*index].organisation;
-            let indices: Vec<_> = (0..wakers.len()).filter(|index| may(of(index))).collect();
-            let claims: Vec<_> = indices.iter().map(|index| entries[*index]).collect();
-            let names: Vec<_> = indices.iter().map(of).collect();
-            let turns = self.turns.borrow();
-            let next = turns.next(&claims, &names, boot::now(), served);
-            next.map(|next| indices[next])
+        let indices: Vec<_> = {
+            let wakers = self.wakers.borrow();
+            let may = |index: &usize| may(&wakers[*index].organisation);
+            (0..wakers.len()).filter(may).collect()
         };
-        let Some(index) = next else {
+        let served = self.served.get() + 1;
+        let Some(index) = self.next_among(&indices, served) else {
             return self.wake();
         };
         self.served.set(served);
@@ -226,6 +234,9 @@
     }
 
     fn wake_at(&self, index: usize) {
+        let mut rate = self.rate.get();
+        rate.note(boot::now(), self.backlog_since.get());
+        self.rate.set(rate);
         let organisation = self.wakers.borrow()[index].organisation.clone();
         self.charge(&organisation);
         let waker = self.remove(index);
