Test that a transaction is refused early only before it is opened

Cause: early refusals of writes and reads had a test through a borrowing node, those of transactions had none.

--- a/desk/tests/load_refusal.rs
+++ b/desk/tests/load_refusal.rs
@@ -193,6 +193,37 @@
     });
 }
 
+/// Guards against a transaction that waits at the primary until it is too late, and against one that
+/// is refused after it was opened.
+#[test]
+fn a_transaction_that_cannot_open_in_time_is_refused_at_once() {
+    let borrower = Borrower::new(options::Options {
+        load_reports: true,
+        ..options::Options::default()
+    });
+    borrower.cluster.run(async {
+        let mut session = borrower.session("own");
+        let (mut done, mut refused) = (0, 0);
+        for _ in 0..TRIES {
+            session.handle(&cluster::request("BEGIN")).await;
+            let reply = session.handle(&cluster::request("WRITE x 1")).await;
+            if reply.is_done() {
+                let reply = session.handle(&cluster::request("COMMIT")).await;
+                assert!(reply.is_done(), "{}", text(&reply));
+                done += 1;
+                continue;
+            }
+            refused += 1;
+            assert_eq!(reply.code(), Some(&reply::Code::Busy), "{}", text(&reply));
+            assert!(text(&reply).contains(", come back in "), "{}", text(&reply));
+            session.handle(&cluster::request("ROLLBACK")).await;
+        }
+        assert!(refused > 0);
+        // A write and a commit for each.
+        assert_eq!(borrower.ran(), 2 * done, "{refused} refused");
+    });
+}
+
 /// Guards against a read that is sent to three late instances in turn, and against one that is
 /// refused although an instance reports room.
 #[test]
