Bound open transactions by a setting of its own

Fair queueing is wanted without it.

`[load] bounded_transactions` switches the bound; the template leaves it out. The tests of the bound set it and are unchanged otherwise.

--- a/desk/src/load/options.rs
+++ b/desk/src/load/options.rs
@@ -15,7 +15,19 @@
     pub load_reports: bool,
     /// Organisations that wait for the same instance are served in turn.
     pub fair_queueing: bool,
+    /// How many transactions may be open at an instance.
+    pub transactions: Transactions,
     /// Largest share of this node's statements that are retries, in percent; `None` if retries are
     /// limited by deadlines only.
     pub retry_percent: Option<u32>,
 }
+
+/// How many transactions may be open at an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Transactions {
+    /// As many as there are connections.
+    #[default]
+    Unbounded,
+    /// So many that connections remain for short statements.
+    Bounded,
+}
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -514,7 +514,8 @@
         urgency: urgency::Urgency,
         organisation: &organisation::Name,
     ) -> Result<Option<transactions::Place>, upstream::Failure> {
-        if !self.options.fair_queueing || !self.capacity.lends() {
+        let bounded = self.options.transactions == options::Transactions::Bounded;
+        if !bounded || !self.capacity.lends() {
             return Ok(None);
         }
         let (arrived, bounds) = (boot::now(), self.capacity.transaction_bounds(self.window()));
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -185,6 +185,11 @@
         adaptive_concurrency: switch("adaptive_concurrency")?,
         load_reports: switch("load_reports")?,
         fair_queueing: switch("fair_queueing")?,
+        transactions: if switch("bounded_transactions")? {
+            options::Transactions::Bounded
+        } else {
+            options::Transactions::Unbounded
+        },
         retry_percent: read_retry_percent(file)?,
     })
 }
--- a/desk/tests/transactions.rs
+++ b/desk/tests/transactions.rs
@@ -123,7 +123,7 @@
         ..size::Size::shared()
     };
     let options = options::Options {
-        fair_queueing: true,
+        transactions: options::Transactions::Bounded,
         ..options::Options::default()
     };
     rc::Rc::new(pool::Pool::new(instance, dialer, executor, size).with_options(options))
