--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -360,7 +360,7 @@
             return None;
         }
         let come_back = self.waiting.refusal(organisation, urgency, deadline)?;
-        metrics::counter!("mangotray_early_refusals_total").increment(1);
+        metrics::counter!("mangotray_early_refusals_total", "reason" => "queue").increment(1);
         tracing::info!(instance = %self.id(), %organisation, priority = urgency.priority,
             waiting = self.waiting.len(), ?come_back,
             "request refused, as it cannot start in time");
