--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -114,15 +114,15 @@
         }
     }
 
-    /// What the last load report on the instance lets expect of an organisation's statement; `None`
-    /// without a fresh report.
+    /// Time of an exchange that a lending node has reported lately for the instance, if any.
     #[must_use]
     pub fn reported_exchange(&self, organisation: &organisation::Name) -> Option<time::Duration> {
         let target = self.instance.borrow().target(organisation);
         self.dialer.exchange(&target)
     }
 
-    /// What the last load report lets expect of the instance for an organisation's statements.
+    /// What the last load report on the instance lets expect of an organisation's statement; `None`
+    /// without a fresh report.
     #[must_use]
     pub fn forecast(&self, organisation: &organisation::Name) -> Option<forecast::Forecast> {
         if !self.options.load_reports {
