Wait for the record of a promotion, not for any guarded change

Cause: the test waited until any guarded change was in progress and took it for the record of the promotion. The elected node also records the group's instances by a guarded change, which now and then comes first.

Change: the store of the harness lists the keys of the changes in progress, and the three tests wait for the promotion's key. A change that its caller gives up leaves the list, so that a test cannot go on after it. The assertions are the same.

--- a/desk/tests/harness/mod.rs
+++ b/desk/tests/harness/mod.rs
@@ -17,6 +17,7 @@
 use mangotray::store;
 use mangotray_desk::boot;
 use mangotray_desk::election;
+use mangotray_desk::intent;
 use mangotray_desk::promote;
 use mangotray_desk::promoter;
 use mangotray_desk::upstream;
@@ -48,13 +49,20 @@
     pub down: bool,
     /// Duration of a guarded change.
     pub takes: time::Duration,
-    /// Number of guarded changes in progress.
-    pub under_way: usize,
+    /// Keys of the guarded changes in progress.
+    pub in_progress: Vec<String>,
     /// Incremented when the store is reset to an older copy.
     pub era: store::Era,
 }
 
 impl Entries {
+    /// Whether the record of a promotion is being stored. Other guarded changes, such as the record
+    /// of a group's instances, say nothing about a promotion.
+    pub fn is_recording_promotion(&self) -> bool {
+        let is_promotion = |key: &String| key.starts_with(intent::PREFIX);
+        self.in_progress.iter().any(is_promotion)
+    }
+
     fn find(&self, key: &str) -> Option<store::Entry> {
         if key == election::KEY {
             return self.entry.clone();
@@ -104,6 +112,22 @@
     }
 }
 
+/// A guarded change in progress, which also ends if its caller gives it up.
+struct GuardedChange<'a> {
+    store: &'a Store,
+    key: &'a str,
+}
+
+impl Drop for GuardedChange<'_> {
+    fn drop(&mut self) {
+        let mut entries = self.store.at();
+        let place = entries.in_progress.iter().position(|key| key == self.key);
+        if let Some(place) = place {
+            entries.in_progress.swap_remove(place);
+        }
+    }
+}
+
 impl store::Store for Store {
     fn era(&self) -> store::Era {
         self.at().era
@@ -185,13 +209,14 @@
         async move {
             let takes = {
                 let mut entries = self.at();
-                entries.under_way += 1;
+                entries.in_progress.push(key.to_owned());
                 entries.takes
             };
+            let change = GuardedChange { store: self, key };
             if !takes.is_zero() {
                 wait::sleep(takes).await;
             }
-            self.at().under_way -= 1;
+            drop(change);
             let mut entries = self.up()?;
             let holds = |guard: &store::Guard<'_>| {
                 let found = entries.find(guard.key);
--- a/desk/tests/holds.rs
+++ b/desk/tests/holds.rs
@@ -362,7 +362,7 @@
         harness.store.at().takes = STORE_DELAY;
         harness.cluster.world.borrow_mut().at("a").up = false;
         cluster::until("the promotion is being recorded", || {
-            harness.store.at().under_way > 0
+            harness.store.at().is_recording_promotion()
         })
         .await;
         for id in ["b", "c"] {
@@ -385,7 +385,7 @@
         harness.cluster.world.borrow_mut().at("a").draining = true;
         harness.cluster.relist();
         cluster::until("the promotion is being recorded", || {
-            harness.store.at().under_way > 0
+            harness.store.at().is_recording_promotion()
         })
         .await;
         assert_eq!(held(&harness, "b").max(held(&harness, "c")), 2);
--- a/desk/tests/unlisted.rs
+++ b/desk/tests/unlisted.rs
@@ -43,7 +43,7 @@
         start_unlisted_replica(&harness);
         begin_release(&harness);
         cluster::until("the promotion is being recorded", || {
-            harness.store.at().under_way > 0
+            harness.store.at().is_recording_promotion()
         })
         .await;
         harness.cluster.world.borrow_mut().commits = true;
