Let counting nodes sustain the limits of organisations

Cause: a token bucket grants the whole burst in the first window of a load above the limit, and in all later windows the rate alone, though the limit allows rate x window + burst in each.

Change: with `[organisations] sustained_limits`, counting nodes and their deputies grant a quarter of a burst at once and the rest by the rate, as shares of limits do. Off by default, and without a window.

--- a/desk/src/guarantees.rs
+++ b/desk/src/guarantees.rs
@@ -12,6 +12,8 @@
     pub revocation: Option<time::Duration>,
     /// How far organisations may exceed their rate limits.
     pub tolerance: tolerance::Tolerance,
+    /// Whether counting nodes spread bursts over the window of `tolerance`.
+    pub sustained: bool,
     /// Length of the leases on shares of organisations' limits; `None` if each operation requests a
     /// token of the counting node.
     pub share: Option<time::Duration>,
--- a/desk/src/limits/buckets.rs
+++ b/desk/src/limits/buckets.rs
@@ -91,6 +91,8 @@
     tolerance: tolerance::Tolerance,
     /// Time after which a silent counting node no longer serves anybody.
     takeover: time::Duration,
+    /// Whether quotas are sustained over the tolerance's window.
+    sustained: bool,
     entries: collections::BTreeMap<organisation::Name, Entry>,
 }
 
@@ -102,10 +104,35 @@
         Self {
             tolerance,
             takeover,
+            sustained: false,
             entries: collections::BTreeMap::new(),
         }
     }
 
+    /// The same buckets, which grant less of a burst at once and more by the rate if `sustained`.
+    ///
+    /// ```
+    /// use mangotray_desk::{limits::buckets, limits::quota, limits::tolerance};
+    /// use std::time::Duration;
+    /// let buckets = buckets::Buckets::new(tolerance::Tolerance::default(), Duration::from_secs(5));
+    /// let mut buckets = buckets.with_sustained_quotas(true);
+    /// let request = buckets::Request {
+    ///     organisation: "dome".into(),
+    ///     quota: quota::Quota { rate: 10.0, burst: 100.0 },
+    ///     version: 1,
+    ///     turn: buckets::Reason::Counting,
+    /// };
+    /// let begun = buckets.decide(&request, Duration::ZERO);
+    /// assert!(matches!(begun, buckets::Decision::Denied(_)));
+    /// // 85 operations a second, as 25 of the burst may still start at once.
+    /// assert_eq!(buckets.decide(&request, Duration::from_millis(12)), buckets::Decision::Granted);
+    /// ```
+    #[must_use]
+    pub const fn with_sustained_quotas(mut self, sustained: bool) -> Self {
+        self.sustained = sustained;
+        self
+    }
+
     /// Decides a token request.
     ///
     /// ```
@@ -124,6 +151,11 @@
     pub fn decide(&mut self, request: &Request, now: id::Time) -> Decision {
         let excess = self.tolerance.excess_operations(&request.quota);
         let takeover = self.takeover;
+        let quota = if self.sustained {
+            request.quota.sustained(self.tolerance.window)
+        } else {
+            request.quota
+        };
         let entry = self
             .entries
             .entry(request.organisation.clone())
@@ -142,7 +174,7 @@
         entry.last_used = now;
         match request.turn {
             Reason::Counting | Reason::Gone => {
-                let taken = entry.bucket.take(&request.quota, now);
+                let taken = entry.bucket.take(&quota, now);
                 taken.map_or_else(Decision::Denied, |()| Decision::Granted)
             }
             Reason::Silent => {
@@ -151,7 +183,7 @@
                     rate: excess * DEPUTY_FRACTION / window,
                     burst: excess * DEPUTY_BURST_FRACTION,
                 };
-                entry.take_as_deputy(&request.quota, &deputy_quota, takeover, now)
+                entry.take_as_deputy(&quota, &deputy_quota, takeover, now)
             }
         }
     }
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -76,7 +76,8 @@
         guarantees: guarantees::Guarantees,
     ) -> rc::Rc<Self> {
         let takeover = guarantees.revocation.unwrap_or(DEFAULT_TAKEOVER);
-        let buckets = buckets::Buckets::new(guarantees.tolerance, takeover);
+        let buckets = buckets::Buckets::new(guarantees.tolerance, takeover)
+            .with_sustained_quotas(guarantees.sustained);
         let borrowing = guarantees.share.map(|lease| {
             let timing = ownership::Timing { lease, takeover };
             let shares =
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -132,6 +132,7 @@
     Ok(guarantees::Guarantees {
         revocation: revocation.map(time::Duration::from_millis),
         tolerance,
+        sustained: window.is_some() && read_switch(file, SECTION, "sustained_limits")?,
         share: read_share(file, SECTION)?,
     })
 }
@@ -180,7 +181,7 @@
 
 // The section and its keys are optional; what is not named is off.
 fn read_load(file: &ini::Ini) -> eyre::Result<options::Options> {
-    let switch = |key| optional(file, "load", key).map(Option::unwrap_or_default);
+    let switch = |key| read_switch(file, "load", key);
     Ok(options::Options {
         adaptive_concurrency: switch("adaptive_concurrency")?,
         load_reports: switch("load_reports")?,
@@ -194,6 +195,10 @@
     })
 }
 
+fn read_switch(file: &ini::Ini, section: &str, key: &str) -> eyre::Result<bool> {
+    optional(file, section, key).map(Option::unwrap_or_default)
+}
+
 fn read_retry_percent(file: &ini::Ini) -> eyre::Result<Option<u32>> {
     let percent: Option<u32> = optional(file, "load", "retry_percent")?;
     match percent {
--- a/desk/tests/limit_settings.rs
+++ b/desk/tests/limit_settings.rs
@@ -38,3 +38,23 @@
         );
     }
 }
+
+/// Guards against limits that are spread over a window which is not known, and against a mistyped
+/// switch that is taken for off.
+#[test]
+fn limits_are_sustained_only_over_a_known_window() {
+    let sustained = |text: &str| parse(text).map(|found| found.guarantees.sustained);
+    let on = |text: &str| sustained(text).expect("valid settings");
+    assert!(!on(""));
+    assert!(!on("[organisations]\nwindow_s = 5\n"));
+    assert!(!on("[organisations]\nsustained_limits = true\n"));
+    assert!(on(
+        "[organisations]\nwindow_s = 5\nsustained_limits = true\n"
+    ));
+    let error = sustained("[organisations]\nwindow_s = 5\nsustained_limits = yes\n");
+    let error = format!("{:?}", error.expect_err("not a truth value"));
+    assert!(
+        error.contains("[organisations] sustained_limits"),
+        "{error}"
+    );
+}
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -251,6 +251,7 @@
     let guarantees = guarantees::Guarantees {
         revocation: Some(BOUND),
         tolerance: TOLERANCE,
+        sustained: false,
         share: None,
     };
     let node = node::Node::new("strict".into(), "here".into(), router, executor, guarantees);
@@ -406,6 +407,16 @@
 /// killed, restarts, and is partitioned from a part of the other nodes.
 #[test]
 fn no_window_holds_more_operations_than_are_tolerated() {
+    check_windows(false);
+}
+
+/// Guards against the same where bursts are spread over the window.
+#[test]
+fn no_window_holds_more_operations_than_are_tolerated_of_sustained_limits() {
+    check_windows(true);
+}
+
+fn check_windows(sustained: bool) {
     const STEP: u64 = 5;
     for seed in 0..40 {
         let mut random = fastrand::Rng::with_seed(seed);
@@ -413,7 +424,7 @@
             rate: random.f64() * 200.0 + 1.0,
             burst: random.f64() * 200.0 + 1.0,
         };
-        let fresh = || buckets::Buckets::new(TOLERANCE, BOUND);
+        let fresh = || buckets::Buckets::new(TOLERANCE, BOUND).with_sustained_quotas(sustained);
         let (mut counting, mut deputy) = (fresh(), fresh());
         // From here on the counting node is silent for some nodes. It serves none of its own
         // callers after the bound.
@@ -446,6 +457,30 @@
     }
 }
 
+/// Guards against a burst that is used up in the first window, so that a load above the limit gets
+/// the rate alone for as long as it lasts.
+#[test]
+fn a_sustained_limit_permits_as_much_in_later_windows_as_in_the_first() {
+    let quota = quota::Quota {
+        rate: 20.0,
+        burst: 100.0,
+    };
+    let granted = |sustained| {
+        let mut buckets = buckets::Buckets::new(TOLERANCE, BOUND).with_sustained_quotas(sustained);
+        let mut windows = [0_usize; 6];
+        for step in 0..30_000_u64 {
+            let decision = buckets.decide(&request(quota, buckets::Reason::Counting), millis(step));
+            let window = usize::try_from(step / 5000).expect("a small number");
+            windows[window] += usize::from(decision == buckets::Decision::Granted);
+        }
+        windows
+    };
+    // A quarter of the tolerated excess of 40 is there at the start; the last token of the first
+    // window is due at its end.
+    assert_eq!(granted(true), [184, 175, 175, 175, 175, 175]);
+    assert_eq!(granted(false), [109, 100, 100, 100, 100, 100]);
+}
+
 /// Guards against a limit that refuses operations below the quota when they come from several
 /// nodes.
 #[test]
--- a/desk/tests/shares_wire.rs
+++ b/desk/tests/shares_wire.rs
@@ -41,6 +41,7 @@
     let guarantees = guarantees::Guarantees {
         revocation: None,
         tolerance: tolerance::Tolerance::default(),
+        sustained: false,
         share: Some(time::Duration::from_secs(2)),
     };
     node::Node::new(name.into(), "here".into(), router, executor, guarantees)
