Begin the learned limit at the fixed value

Cause: the limit began at 1 for each new pool, so that statements waited for 2.4 to 4.7 ms in the mean in the first two seconds after a start, and for 2.5 to 4.3 ms after a restart of the nodes, on instances that are used to a third (simulation, eight groups of three instances).

Change: the limit begins at the fixed value, and is lower only after BUSY or after rounds that used it in full and showed a queue or a slow instance. The time without a wait comes from answers to statements that were sent while this node used less than half of the slots. The first twelve answers of a kind are averaged for its expected time, as the first one alone drew the choice of an instance. A round that did not reach the limit restores the fixed value.

--- a/desk/src/concurrency/controller.rs
+++ b/desk/src/concurrency/controller.rs
@@ -61,6 +61,7 @@
 ///         took: Duration::from_millis(20),
 ///         outcome: exchange::Outcome::Done,
 ///         full: true,
+///         others: 4,
 ///     };
 ///     controller.record(count * Duration::from_millis(5), &read);
 /// }
@@ -73,7 +74,7 @@
     level: level::Level,
     estimate: estimate::Estimate,
     journal: journal::Journal,
-    /// The statements that run at once where no answer shows the load.
+    /// The limit at the beginning, one more than the instance's slots.
     fixed: usize,
     /// When the limit last changed.
     changed_at: id::Time,
@@ -85,13 +86,13 @@
 }
 
 impl Controller {
-    /// Creates the state of an instance of which nothing is known. Without any answers that show
-    /// its load, `fixed` statements may run at once. The limit begins at one, so that the first answers
-    /// show the time without a wait, and never exceeds `max_size`.
+    /// Creates the state of an instance of which nothing is known. The limit begins at `fixed`
+    /// statements at once, is lower only where answers show a queue or a slow instance, and never
+    /// exceeds `max_size`.
     #[must_use]
     pub fn new(fixed: usize, max_size: usize) -> Self {
         Self {
-            limit: limit::Limit::new(fixed / 2, max_size),
+            limit: limit::Limit::new(fixed, max_size),
             level: level::Level::default(),
             estimate: estimate::Estimate::default(),
             journal: journal::Journal::default(),
@@ -141,7 +142,9 @@
             // The answer shows the wait under the limit before.
             _ if now.saturating_sub(exchange.took) < self.changed_at => return None,
             exchange::Outcome::Done if !exchange.kind.shows_load() => {}
-            exchange::Outcome::Done | exchange::Outcome::Lost => self.level.record(exchange),
+            exchange::Outcome::Done | exchange::Outcome::Lost => {
+                self.level.record(exchange, self.is_quiet(exchange));
+            }
         }
         self.count += 1;
         self.full_count += u32::from(exchange.full);
@@ -158,7 +161,7 @@
             return Some(self.finish_round(now));
         }
         if age >= MAX_ROUND {
-            if self.level.answers() == 0 && self.is_full() {
+            if self.level.answers() == 0 || !self.is_full() {
                 self.limit.raise_to(self.fixed);
             }
             self.level.restart();
@@ -167,6 +170,12 @@
         None
     }
 
+    // Whether the statement was sent while this node used less than half of the slots, so that it is
+    // unlikely to have waited in the instance.
+    fn is_quiet(&self, exchange: &exchange::Exchange) -> bool {
+        exchange.others * 2 < self.fixed.saturating_sub(1).max(1)
+    }
+
     // Whether the limit was reached often enough to matter.
     const fn is_full(&self) -> bool {
         self.full_count * MIN_FULL >= self.count
@@ -188,6 +197,7 @@
         let slowness = self.limit.excess(level).exp();
         let summary = limit::Round {
             level,
+            quiet: self.level.quiet(),
             full,
             answered: self.lost_count * 2 < self.count,
             weight: f64::from(answers.min(ROUND_ANSWERS)) / f64::from(ROUND_ANSWERS),
--- a/desk/src/concurrency/estimate.rs
+++ b/desk/src/concurrency/estimate.rs
@@ -6,7 +6,7 @@
 use crate::concurrency::kind;
 use crate::load::report;
 
-/// A new time counts with a weight of one in this many: follows a change within a dozen answers,
+/// A new time counts with a weight of one in this many, and the first ones are averaged: follows a change within a dozen answers,
 /// with a standard error of a fifth for the usual spread of times.
 const SMOOTHING_WEIGHT: f64 = 12.0;
 
@@ -28,9 +28,10 @@
 ///     took: Duration::from_millis(20),
 ///     outcome: exchange::Outcome::Done,
 ///     full: false,
+///     others: 0,
 /// };
 /// assert_eq!(estimate.expected(), None);
-/// estimate.record(&read);
+/// (0..12).for_each(|_| estimate.record(&read));
 /// let slow = exchange::Exchange { took: Duration::from_secs(9), ..read };
 /// estimate.record(&slow);
 /// assert_eq!(estimate.of(1).map(|time| time.as_micros()), Some(23_333));
@@ -39,6 +40,8 @@
 pub struct Estimate {
     /// Expected time by kind, in seconds.
     times: [Option<f64>; kind::COUNT],
+    /// Answers by kind, up to [`SMOOTHING_WEIGHT`].
+    counts: [f64; kind::COUNT],
     /// Share of each kind in the latest answers.
     shares: [f64; kind::COUNT],
 }
@@ -62,8 +65,9 @@
             *share *= 1.0 - 1.0 / MIX_WEIGHT;
         }
         self.shares[index] += 1.0 / MIX_WEIGHT;
+        self.counts[index] = (self.counts[index] + 1.0).min(SMOOTHING_WEIGHT);
         self.times[index] = Some(known.map_or(took, |known| {
-            known + (took.min(known * MAX_OUTLIER) - known) / SMOOTHING_WEIGHT
+            known + (took.min(known * MAX_OUTLIER) - known) / self.counts[index]
         }));
     }
 
--- a/desk/src/concurrency/exchange.rs
+++ b/desk/src/concurrency/exchange.rs
@@ -54,6 +54,8 @@
     pub outcome: Outcome,
     /// As many statements ran as the limit allows.
     pub full: bool,
+    /// Number of other statements of this node that ran when it was sent.
+    pub others: usize,
 }
 
 /// The beginning of an exchange.
@@ -65,6 +67,8 @@
     pub applied: stamp::Stamp,
     /// Priority of the commands.
     pub priority: u8,
+    /// Number of other statements of this node that ran then.
+    pub others: usize,
 }
 
 impl Start {
@@ -87,6 +91,7 @@
             took: now.saturating_sub(self.sent),
             outcome,
             full: false,
+            others: self.others,
         })
     }
 }
--- a/desk/src/concurrency/level.rs
+++ b/desk/src/concurrency/level.rs
@@ -16,16 +16,38 @@
 /// Largest distance of one answer from the level; a lost answer has no upper bound of its own.
 const MAX_DISTANCE: f64 = 2.5;
 
+/// Answers that the quiet level follows, about this many. The mean of so many differs from the level by
+/// a seventh, for the usual spread of times.
+const QUIET_WEIGHT: f64 = 32.0;
+
 /// Cost of one kind, and its answers in the current round.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
     /// Natural logarithm of its time in seconds, at level zero.
     log_time: f64,
     known: u32,
+    /// Sum and number of the first answers that were quiet, as logarithms of their times.
+    first_quiet: (f64, u32),
     sum: f64,
     count: u32,
 }
 
+/// Level in the answers to statements that were sent while few others of this node ran.
+#[derive(Clone, Copy, Debug, Default)]
+struct Quiet {
+    level: f64,
+    /// Number of answers, up to [`QUIET_WEIGHT`].
+    weight: f64,
+}
+
+impl Quiet {
+    fn add(&mut self, level: f64, count: u32) {
+        let count = f64::from(count);
+        self.weight = (self.weight + count).min(QUIET_WEIGHT);
+        self.level += (level - self.level) * (count / self.weight).min(1.0);
+    }
+}
+
 /// The level of one instance, measured in rounds of answers.
 ///
 /// ```
@@ -37,29 +59,40 @@
 ///     took: Duration::from_millis(millis),
 ///     outcome: exchange::Outcome::Done,
 ///     full: false,
+///     others: 0,
 /// };
-/// (0..20).for_each(|_| level.record(&read(10)));
+/// (0..20).for_each(|_| level.record(&read(10), true));
 /// assert_eq!(level.answers(), 12);
 /// assert!(level.finish().abs() < 0.01);
-/// (0..20).for_each(|_| level.record(&read(20)));
+/// (0..20).for_each(|_| level.record(&read(20), false));
 /// assert!((level.finish() - 2_f64.ln()).abs() < 0.01);
+/// assert_eq!(level.quiet().map(|level| level.abs() < 0.01), Some(true));
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Level {
     costs: [Cost; kind::COUNT],
     /// Level of the last round.
     last: f64,
+    quiet: Quiet,
 }
 
 impl Level {
-    /// Records an exchange whose time shows the load, as [`kind::Kind::shows_load`] tells.
-    pub fn record(&mut self, exchange: &exchange::Exchange) {
+    /// Records an exchange whose time shows the load, as [`kind::Kind::shows_load`] tells; it is
+    /// `quiet` if few other statements of this node ran when it was sent.
+    pub fn record(&mut self, exchange: &exchange::Exchange, quiet: bool) {
         let cost = &mut self.costs[exchange.kind.index()];
         let log_time = exchange.took.as_secs_f64().max(1e-4).ln();
         if cost.known < FIRST_ANSWERS {
             if exchange.outcome == exchange::Outcome::Done {
                 cost.known += 1;
                 cost.log_time += (log_time - self.last - cost.log_time) / f64::from(cost.known);
+                cost.first_quiet.0 += if quiet { log_time } else { 0.0 };
+                cost.first_quiet.1 += u32::from(quiet);
+                let (sum, count) = cost.first_quiet;
+                if cost.known == FIRST_ANSWERS && count > 0 {
+                    let level = sum / f64::from(count) - cost.log_time;
+                    self.quiet.add(level, count);
+                }
             }
             return;
         }
@@ -68,8 +101,12 @@
         if exchange.outcome == exchange::Outcome::Lost && distance < 0.0 {
             return;
         }
-        cost.sum += self.last + distance.clamp(-MAX_DISTANCE, MAX_DISTANCE);
+        let level = self.last + distance.clamp(-MAX_DISTANCE, MAX_DISTANCE);
+        cost.sum += level;
         cost.count += 1;
+        if quiet && exchange.outcome == exchange::Outcome::Done {
+            self.quiet.add(level, 1);
+        }
     }
 
     /// Number of answers in the current round.
@@ -88,6 +125,12 @@
         }
     }
 
+    /// Level where few statements of this node run, if any such answer was seen.
+    #[must_use]
+    pub fn quiet(&self) -> Option<f64> {
+        (self.quiet.weight > 0.0).then_some(self.quiet.level)
+    }
+
     /// Ends a round; returns the instance's level in it.
     pub fn finish(&mut self) -> f64 {
         let level = self.current();
--- a/desk/src/concurrency/limit.rs
+++ b/desk/src/concurrency/limit.rs
@@ -7,6 +7,9 @@
 //!
 //! If the level stays high although the limit shrank, the instance itself is slower, and a small
 //! limit would only leave its slots idle: the level becomes the usual one, and the limit returns.
+//!
+//! The limit begins at a fixed value, and is lower only after rounds that used it in full. The usual
+//! level comes from answers to statements that were sent while few others of this node ran.
 
 use std::time;
 
@@ -23,8 +26,9 @@
 /// Growth of the limit in a round.
 const GROWTH: f64 = 0.5;
 
-/// Growth in a round before the limit has shrunk for the first time.
-const FIRST_GROWTH: f64 = 1.0;
+/// Level above the usual one up to which the limit grows beyond the fixed value: 1.2 times the
+/// usual time. The fixed value keeps all slots busy, so that more statements wait in the instance.
+const CALM: f64 = 0.18;
 
 /// Least limit, so that some answers always show whether the instance has recovered.
 const MIN: f64 = 1.0;
@@ -48,6 +52,8 @@
 pub struct Round {
     /// The instance's level.
     pub level: f64,
+    /// Its level where few statements of this node run, if that was seen.
+    pub quiet: Option<f64>,
     /// The limit was reached.
     pub full: bool,
     /// Most answers arrived.
@@ -68,9 +74,9 @@
 ///
 /// ```
 /// use mangotray_desk::concurrency::limit;
-/// let mut limit = limit::Limit::new(2, 12);
-/// let round = limit::Round { level: 0.0, full: true, answered: true, weight: 1.0 };
-/// (0..5).for_each(|_| limit.finish_round(round));
+/// let mut limit = limit::Limit::new(5, 12);
+/// let round = limit::Round { level: 0.0, quiet: None, full: true, answered: true, weight: 1.0 };
+/// (0..2).for_each(|_| limit.finish_round(round));
 /// assert_eq!(limit.size(), 6);
 /// limit.finish_round(limit::Round { level: 1.0, ..round });
 /// assert_eq!(limit.size(), 4);
@@ -78,8 +84,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
     size: f64,
-    /// Least size where the limit is not reached.
-    unused: f64,
+    /// Size at the beginning, and least size where the limit is not reached.
+    fixed: f64,
     max_size: f64,
     /// It has shrunk once, so that it has found the instance's capacity.
     settled: bool,
@@ -89,16 +95,17 @@
 }
 
 impl Limit {
-    /// Creates a limit of one statement, which is at least `unused` where it is not reached, and
-    /// never exceeds `max_size`.
+    /// Creates a limit of `fixed` statements, which is not lower where it is not reached, and never
+    /// exceeds `max_size`.
     #[must_use]
     #[allow(clippy::cast_precision_loss)] // A few dozen connections at most.
-    pub fn new(unused: usize, max_size: usize) -> Self {
+    pub fn new(fixed: usize, max_size: usize) -> Self {
         let max_size = (max_size as f64).max(MIN);
+        let fixed = (fixed as f64).max(MIN);
         Self {
-            size: MIN,
+            size: fixed.min(max_size),
             settled: false,
-            unused: unused as f64,
+            fixed,
             max_size,
             usual: None,
             trial: None,
@@ -141,22 +148,24 @@
     /// Adapts the limit to a round of answers.
     pub fn finish_round(&mut self, round: Round) {
         let level = round.level;
-        let usual = *self.usual.get_or_insert(level);
+        let usual = *self.usual.get_or_insert(round.quiet.unwrap_or(level));
         if !round.full {
             // Statements of this node do not queue in the instance, whatever its level.
             self.trial = None;
-            self.usual = Some(usual + FALL_WEIGHT * round.weight * (level - usual));
-            self.size = self.size.max(self.unused).min(self.max_size);
+            let target = round.quiet.unwrap_or(level);
+            self.usual = Some(usual + FALL_WEIGHT * round.weight * (target - usual));
+            self.size = self.size.max(self.fixed).min(self.max_size);
             return;
         }
         if level - usual > QUEUEING {
-            return self.relieve(&round);
+            return self.relieve(&round, usual);
         }
         let was_shrunk = self.trial.take().is_some();
         if usual - level > QUEUEING {
-            // Recovered: fewer statements show the time without a wait, as at the start.
+            // Recovered: fewer statements show the time without a wait.
             self.usual = Some(level);
-            return self.shrink();
+            self.shrink_to(self.fixed.min(self.size));
+            return;
         }
         // After a decrease, a level that is still higher is less likely to contain a wait.
         let weight = if level < usual || was_shrunk {
@@ -165,12 +174,13 @@
             RISE_WEIGHT
         };
         self.usual = Some(usual + weight * round.weight * (level - usual));
-        let growth = if self.settled { GROWTH } else { FIRST_GROWTH };
-        self.size = (self.size + growth).min(self.max_size);
+        if self.size < self.fixed || level - usual <= CALM {
+            self.size = (self.size + GROWTH).min(self.max_size);
+        }
     }
 
     // Shrinks the limit, or finds that this did not help.
-    fn relieve(&mut self, round: &Round) {
+    fn relieve(&mut self, round: &Round, usual: f64) {
         let level = round.level;
         let trial = *self.trial.get_or_insert(Trial {
             limit: self.size,
@@ -185,7 +195,11 @@
             self.trial = None;
             return;
         }
-        self.shrink();
+        if self.size * 2.0 < self.fixed {
+            // So few statements hardly wait for each other: the usual level was too low.
+            self.usual = Some(usual + FALL_WEIGHT * (level - usual));
+        }
+        self.shrink_to(MIN);
         self.trial = Some(Trial {
             decreases: trial.decreases + 1,
             ..trial
@@ -196,12 +210,13 @@
     pub fn record_refusal(&mut self, now: id::Time) {
         if now >= self.refused_at + MIN_REFUSAL_INTERVAL {
             self.refused_at = now;
-            self.shrink();
+            self.shrink_to(MIN);
         }
     }
 
-    fn shrink(&mut self) {
+    // Shrinks the limit, but not below `least`.
+    fn shrink_to(&mut self, least: f64) {
         self.settled = true;
-        self.size = (self.size * SHRINK_FACTOR).max(MIN);
+        self.size = (self.size * SHRINK_FACTOR).max(least);
     }
 }
--- a/desk/src/pool.rs
+++ b/desk/src/pool.rs
@@ -547,6 +547,7 @@
             sent: boot::now(),
             applied: self.applied(),
             priority,
+            others: self.limiter.running().saturating_sub(1),
         }
     }
 
--- a/desk/src/room/limiter.rs
+++ b/desk/src/room/limiter.rs
@@ -47,6 +47,11 @@
         learned.map_or_else(|| self.window.get().size(), |learned| learned.limit())
     }
 
+    /// Number of statements that run.
+    pub(crate) const fn running(&self) -> usize {
+        self.running.get()
+    }
+
     /// Learns the limit from now on, for a pool of this size, or ends to learn it for `None`.
     pub(crate) fn learn(&self, size: Option<size::Size>) {
         self.learned.set(size.map(|size| {
--- a/desk/tests/contention/sequences.rs
+++ b/desk/tests/contention/sequences.rs
@@ -17,6 +17,7 @@
     bulk: heavy,
     condition: sound,
     restart: None,
+    nodes_restart: None,
     counted: (4.0, 20.0),
 };
 
@@ -149,3 +150,35 @@
     condition: one_slow,
     ..CONSTANT
 };
+
+/// A third of the capacity of three instances, and 2.4 times that from 30 to 34 s.
+fn light(seconds: f64) -> [(f64, f64); 2] {
+    let burst = (30.0..34.0).contains(&seconds);
+    let factor = if burst { 2.4 } else { 1.0 };
+    [(200.0 * factor, 15.0), (20.0 * factor, 26.0)]
+}
+
+fn one_slow_twice(instance: usize, seconds: f64) -> super::Condition {
+    let slowness = match seconds {
+        6.0..14.0 => 3.0,
+        20.0..26.5 => 7.5,
+        _ => 1.0,
+    };
+    super::Condition {
+        slowness: if instance == 0 { slowness } else { 1.0 },
+        ..super::SOUND
+    }
+}
+
+/// A group of three instances on a day where they are used to a third.
+pub const LIGHT: super::Sequence = super::Sequence {
+    name: "used to a third",
+    nodes: 2,
+    instances: 3,
+    seconds: 42.0,
+    bulk: light,
+    condition: one_slow_twice,
+    restart: None,
+    nodes_restart: Some(38.0),
+    counted: (0.0, 42.0),
+};
