Keep the order of lending nodes until the members change

Cause: the forecast and the reported exchange of each candidate hashed and sorted all members again, up to six times for one read.

Change: `lending::fleet` holds the members with the order for each instance and its failure domain. Which members may lend at the moment is asked each time, as before.

Result: 200 random lists of members, with 60 orders each, equal the uncached order; a change of members is seen by the next decision. Without the drop the test of the router fails ("the other node lends"); without the comparison of the domain that of the orders. The time of a read was not measured.

--- a/desk/src/lending/router.rs
+++ b/desk/src/lending/router.rs
@@ -19,6 +19,7 @@
 use crate::boot;
 use crate::catalog;
 use crate::delegate;
+use crate::lending::fleet;
 use crate::lending::relay;
 use crate::lending::remote;
 use crate::lending::serving;
@@ -99,7 +100,7 @@
     name: id::Vm,
     direct: rc::Rc<dyn upstream::Dialer>,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
-    members: cell::RefCell<Vec<member::Member>>,
+    fleet: cell::RefCell<fleet::Fleet>,
     connection_limits: cell::RefCell<collections::BTreeMap<id::Group, usize>>,
     pools: cell::RefCell<collections::BTreeMap<upstream::Id, rc::Rc<pool::Pool>>>,
     avoided_nodes: cell::RefCell<collections::BTreeMap<id::Vm, id::Time>>,
@@ -127,7 +128,7 @@
             name,
             direct,
             executor,
-            members: cell::RefCell::default(),
+            fleet: cell::RefCell::default(),
             connection_limits: cell::RefCell::default(),
             pools: cell::RefCell::default(),
             avoided_nodes: cell::RefCell::default(),
@@ -166,17 +167,17 @@
 
     /// Replaces the list of members.
     pub fn set_members(&self, members: Vec<member::Member>) {
-        if *self.members.borrow() != members {
+        if self.fleet.borrow().members() != members {
             tracing::info!(members = members.len(), "fleet changed");
             self.forget_changed(&members);
-            self.members.replace(members);
+            self.fleet.borrow_mut().replace(members);
         }
     }
 
     // Drops the reports of members that have left, or came back at another address.
     fn forget_changed(&self, members: &[member::Member]) {
         let now = boot::now();
-        for former in self.members.borrow().iter() {
+        for former in self.fleet.borrow().members() {
             let same = |member: &member::Member| {
                 (&member.name, member.address) == (&former.name, former.address)
             };
@@ -201,7 +202,7 @@
     /// The fleet's nodes, as far as this node knows them.
     #[must_use]
     pub fn members(&self) -> Vec<member::Member> {
-        self.members.borrow().clone()
+        self.fleet.borrow().members().to_vec()
     }
 
     /// The client for questions to other nodes.
@@ -246,12 +247,12 @@
             serving::Mode::Shared { nodes, each } => (nodes, each),
         };
         let max_statements = serving::concurrency(target.slots, each);
-        let members = self.members.borrow();
-        let order = serving::order(&members, &target.id, &target.domain);
+        let mut fleet = self.fleet.borrow_mut();
+        let order = fleet.order(&target.id, &target.domain);
         let serves = order
             .iter()
             .take(nodes)
-            .any(|member| member.name == self.name);
+            .any(|position| fleet.members()[*position].name == self.name);
         let (max_connections, idle_timeout) = match (self.partitions_connections(), serves) {
             (false, _) => (each, size::IDLE_TIMEOUT),
             (true, true) => (each, LENT_IDLE_TIMEOUT),
@@ -279,6 +280,7 @@
         });
         let now = boot::now();
         self.reports.prune(now);
+        self.fleet.borrow_mut().prune(&listed);
         self.silent_instances
             .borrow_mut()
             .retain(|_, until| now < *until);
@@ -291,7 +293,7 @@
         let connections = self.connection_limits.borrow().get(&target.group).copied();
         serving::mode(
             connections.unwrap_or_default(),
-            self.members.borrow().len(),
+            self.fleet.borrow().members().len(),
             self.organisation_count.get(),
         )
     }
@@ -301,10 +303,11 @@
         let serving::Mode::Shared { nodes, .. } = self.serving_mode(target) else {
             return Vec::new();
         };
-        let members = self.members.borrow();
-        let order = serving::order(&members, &target.id, &target.domain);
+        let mut fleet = self.fleet.borrow_mut();
+        let order = fleet.order(&target.id, &target.domain);
         let available = order
-            .into_iter()
+            .iter()
+            .map(|position| &fleet.members()[*position])
             .filter(|member| self.may_lend(&member.name, &target.id));
         let mut serving: Vec<_> = available.take(nodes).cloned().collect();
         match serving.iter().position(|member| member.name == self.name) {
@@ -555,7 +558,7 @@
     }
 
     async fn dial_through_others(&self, target: &upstream::Target) -> Option<upstream::Dialled> {
-        let mut others = self.members.borrow().clone();
+        let mut others = self.members();
         others.retain(|member| member.name != self.name && self.may_lend(&member.name, &target.id));
         fastrand::shuffle(&mut others);
         others.truncate(MAX_PARALLEL_DETOURS);
@@ -642,7 +645,7 @@
     }
 
     fn node_count(&self) -> usize {
-        self.members.borrow().len().max(1)
+        self.fleet.borrow().members().len().max(1)
     }
 
     fn is_shared(&self, target: &upstream::Target) -> bool {
@@ -659,8 +662,12 @@
     ) -> future::LocalBoxFuture<'a, Option<delegate::Response>> {
         async move {
             let may_ask = |name: &id::Vm| self.peers.may_ask(name);
-            let delegate =
-                delegate::choose(&self.members.borrow(), &request.group, &self.name, may_ask)?;
+            let delegate = delegate::choose(
+                self.fleet.borrow().members(),
+                &request.group,
+                &self.name,
+                may_ask,
+            )?;
             let question = question::Question::Floor(request.clone());
             match self.peers.ask(&delegate, &question).await? {
                 question::Answer::Floor(response) => Some(response),
--- a/desk/src/lending/serving.rs
+++ b/desk/src/lending/serving.rs
@@ -132,9 +132,22 @@
     instance: &upstream::Id,
     domain: &id::Domain,
 ) -> Vec<&'a member::Member> {
+    let positions = positions(members, instance, domain).into_iter();
+    positions.map(|position| &members[position]).collect()
+}
+
+/// Positions of the members in the list, in the order in which they serve an instance, as
+/// [`order`] tells.
+#[must_use]
+pub fn positions(
+    members: &[member::Member],
+    instance: &upstream::Id,
+    domain: &id::Domain,
+) -> Vec<usize> {
     let smallest = smallest_capacity(members);
-    let mut order: Vec<_> = members.iter().collect();
-    order.sort_by_cached_key(|member| {
+    let mut order: Vec<_> = (0..members.len()).collect();
+    order.sort_by_cached_key(|position| {
+        let member = &members[*position];
         let rank = rank(member, instance);
         let score = smallest.map(|smallest| weighted(rank, weight(member, smallest)));
         (member.domain != *domain, score, rank)
--- a/desk/tests/load_reports.rs
+++ b/desk/tests/load_reports.rs
@@ -236,6 +236,26 @@
     });
 }
 
+/// Guards against a node that chooses lending nodes by the members of before a change.
+#[test]
+fn a_change_of_members_is_seen_at_once() {
+    let cluster = cluster::Cluster::new();
+    let router = router(&cluster, "own", true);
+    let target = target(&cluster);
+    router.pool(&target);
+    let members = |own: &str, other: &str| {
+        let third = member("third", "far", 1);
+        vec![member("own", own, 1), member("other", other, 1), third]
+    };
+    for _ in 0..3 {
+        router.set_members(members("here", "far"));
+        let forecast = router.forecast(&target);
+        assert!(forecast.is_some(), "it lends to itself");
+        router.set_members(members("far", "here"));
+        assert_eq!(router.forecast(&target), None, "the other node lends");
+    }
+}
+
 /// Guards against a lending node of the build before that stops its heartbeats, as it does not know
 /// the request for reports and was sent it all the same; and against a failed exchange with it.
 #[test]
--- a/desk/tests/serving.rs
+++ b/desk/tests/serving.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use compact_str::format_compact;
+use mangotray_desk::lending::fleet;
 use mangotray_desk::lending::serving;
 use mangotray_desk::member;
 use mangotray_desk::upstream;
@@ -106,3 +107,48 @@
     let members = [member("zero", Some(0)), member("one", None)];
     assert_eq!(first(&members).len(), INSTANCES);
 }
+
+fn random_members(random: &mut fastrand::Rng) -> Vec<member::Member> {
+    let (tells, count) = (random.bool(), random.usize(..70));
+    let one = |_| member::Member {
+        domain: format_compact!("d-{}", random.u8(..4)),
+        capacity: (tells && random.bool()).then(|| random.u32(..1000)),
+        ..member(&format_compact!("vm-{}", random.u8(..80)), None)
+    };
+    (0..count).map(one).collect()
+}
+
+/// Guards against a kept order that differs from the one of the current members: after a change of
+/// any member, or for an instance that moved to another failure domain. Also lists with a name that
+/// stands twice.
+#[test]
+fn a_kept_order_is_that_of_the_current_members() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let mut fleet = fleet::Fleet::default();
+    for _ in 0..200 {
+        let members = random_members(&mut random);
+        fleet.replace(members.clone());
+        assert_eq!(fleet.members(), members);
+        for _ in 0..60 {
+            let instance = format_compact!("i-{}", random.u8(..12));
+            let domain = format_compact!("d-{}", random.u8(..3));
+            let kept = fleet.order(&instance, &domain);
+            let kept: Vec<_> = kept.iter().map(|position| &members[*position]).collect();
+            assert_eq!(kept, serving::order(&members, &instance, &domain));
+        }
+    }
+}
+
+/// Guards against orders that are kept for each instance that ever was.
+#[test]
+fn few_orders_are_kept() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.replace(vec![member("vm", None)]);
+    for number in 0..3 * fleet::MAX_ORDERS {
+        fleet.order(&format_compact!("i-{number}"), &"here".into());
+        assert!(fleet.kept() <= fleet::MAX_ORDERS);
+    }
+    fleet.order(&"i-1".into(), &"here".into());
+    fleet.prune(|instance| instance == "i-1");
+    assert_eq!(fleet.kept(), 1);
+}
