Test for how long a reported speed of an instance counts

Cause: no test failed when the three seconds for which the reported time of an exchange counts were changed.

Change: a test of the table of reports: the speed outlives the report on the queue, ends three seconds after the request, and belongs to one process of the instance and one lending node.

--- a/desk/tests/load_reports.rs
+++ b/desk/tests/load_reports.rs
@@ -506,6 +506,30 @@
     assert_eq!(table.find(&instance, 2, &lender, millis(181)), None);
 }
 
+/// Guards against the speed of an instance that is forgotten with the report on its queue, or is
+/// believed for so long that an instance that was slow once is never tried again.
+#[test]
+fn a_reported_speed_counts_for_three_seconds() {
+    let table = table::Table::default();
+    let (instance, lender) = ("i".into(), "lender".into());
+    let ticket = table.note_sent(&instance, 1, &lender, millis(100));
+    // The answer arrives 450 ms later.
+    table.record(&instance, &lender, ticket, REPORT);
+    let speed = |at| table.exchange(&instance, 1, &lender, millis(at));
+    table.prune(millis(700));
+    assert_eq!(table.find(&instance, 1, &lender, millis(700)), None);
+    assert_eq!(speed(700), Some(millis(18)));
+    table.prune(millis(3099));
+    assert_eq!(speed(3099), Some(millis(18)));
+    assert_eq!(speed(3100), None);
+    // Another process of the instance, and another lending node.
+    assert_eq!(table.exchange(&instance, 2, &lender, millis(700)), None);
+    let other = "other".into();
+    assert_eq!(table.exchange(&instance, 1, &other, millis(700)), None);
+    table.forget(&instance, &lender, millis(800));
+    assert_eq!(speed(801), None);
+}
+
 /// Guards against a report with each answer, which costs bytes between failure domains.
 #[test]
 fn reports_are_sent_seldom_unless_they_change() {
