Ignore the speed in a late answer from before a failure

Cause: the table forgot after 500 ms that a lending node had failed, as long as a report on a queue counts. The time of an exchange in the same report counts for 3 s, so that an answer to a request from before the failure, which arrived between, was believed.

Change: a failure of a lending node is known for 3 s.

Result: a_late_answer_from_before_a_restart_tells_no_speed failed before (18 ms, after pruning) and passes; `--test load_reports` and `--test load_choice` pass.

--- a/desk/src/load/table.rs
+++ b/desk/src/load/table.rs
@@ -176,10 +176,11 @@
 
     /// Removes what no decision at `now` or later can use.
     pub fn prune(&self, now: id::Time) {
-        let recent = |time: id::Time| now < time + forecast::LIFETIME;
+        // A failure is known for as long as the speed in an answer from before it would count.
+        let recent = |time: id::Time| now < time + EXCHANGE_LIFETIME;
         self.failed_at.borrow_mut().retain(|_, time| recent(*time));
         self.entries
             .borrow_mut()
-            .retain(|_, entry| now < entry.asked_at + EXCHANGE_LIFETIME);
+            .retain(|_, entry| recent(entry.asked_at));
     }
 }
--- a/desk/tests/load_reports.rs
+++ b/desk/tests/load_reports.rs
@@ -530,6 +530,24 @@
     assert_eq!(speed(801), None);
 }
 
+/// Guards against the speed in an answer from before the lending node failed, which arrives after
+/// reports on queues from then would have expired.
+#[test]
+fn a_late_answer_from_before_a_restart_tells_no_speed() {
+    for pruned in [false, true] {
+        let table = table::Table::default();
+        let (instance, lender) = ("i".into(), "lender".into());
+        let pending = table.note_sent(&instance, 1, &lender, millis(100));
+        table.forget_lender(&lender, millis(120));
+        if pruned {
+            table.prune(millis(1000));
+        }
+        table.record(&instance, &lender, pending, REPORT);
+        let speed = table.exchange(&instance, 1, &lender, millis(1001));
+        assert_eq!(speed, None, "pruned {pruned}");
+    }
+}
+
 /// Guards against a report with each answer, which costs bytes between failure domains.
 #[test]
 fn reports_are_sent_seldom_unless_they_change() {
