Share the set-ups of tests of lending and queueing

Cause: members, addresses, targets, lending nodes and waiting requests were set up twice in load_reports, remote and router, and in load_refusal, shedding and turns.

Change: `desk/tests/setup` has them once. No assertion changes.

--- a/desk/tests/load_refusal.rs
+++ b/desk/tests/load_refusal.rs
@@ -2,6 +2,7 @@
 //! that borrows its connections.
 
 mod cluster;
+mod setup;
 
 use std::cell;
 use std::net;
@@ -23,8 +24,10 @@
 use mangotray_desk::reply;
 use mangotray_desk::session;
 use mangotray_desk::upstream;
-use mangotray_desk::urgency;
 use mangotray_desk::wait;
+use setup::lending::Work;
+use setup::lending::listen;
+use setup::lending::member;
 
 /// Longer than a report counts.
 const REPORT_LIFETIME: time::Duration = time::Duration::from_millis(550);
@@ -32,8 +35,6 @@
 /// Tries for which two requests within the lifetime of a report are certain enough.
 const TRIES: usize = 20;
 
-type Work = (urgency::Urgency, organisation::Name, Vec<upstream::Command>);
-
 /// A report of a queue that no statement of the cluster's routes can wait for.
 const LATE: report::Report = report::Report {
     waits_ms: [9000; 3],
@@ -41,21 +42,6 @@
     limit: 5,
 };
 
-fn address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
-fn member(name: &str, domain: &str) -> member::Member {
-    member::Member {
-        name: name.into(),
-        domain: domain.into(),
-        address: address(),
-        protocol: member::PROTOCOL,
-        capacity: None,
-    }
-}
-
 /// A node that borrows every connection from a lending node, which appends this report to all
 /// answers.
 struct Borrower {
@@ -74,18 +60,14 @@
         let (domain, guarantees) = ("there".into(), guarantees::Guarantees::default());
         let node = node::Node::new("own".into(), domain, router, executor, guarantees);
         node.apply(catalog::Catalog {
-            services: vec![catalog::Service {
-                group: cluster::GROUP.into(),
-                connections: 4,
-                sync: 1,
-            }],
+            services: setup::lending::services(4),
             ..cluster::catalog()
         });
-        let lender = member("lender", "here");
+        let lender = member("lender", "here", member::PROTOCOL);
         let reported = rc::Rc::new(cell::Cell::new(LATE));
         lend(&cluster, lender.address, &reported);
         node.router()
-            .set_members(vec![member("own", "there"), lender]);
+            .set_members(vec![member("own", "there", member::PROTOCOL), lender]);
         let list = cluster.world.borrow().list();
         node.update(list, Some(boot::now()), boot::now());
         Self {
@@ -114,9 +96,7 @@
     let dialer = rc::Rc::new(cluster::Dialer(rc::Rc::clone(&cluster.world)));
     let executor = rc::Rc::clone(&cluster.executor);
     let lender = router::Router::new("lender".into(), dialer, rc::Rc::clone(&executor));
-    let listener = net::TcpListener::bind(address).expect("a port");
-    let listener: async_net::TcpListener =
-        async_io::Async::new(listener).expect("a listener").into();
+    let listener = listen(address);
     let reported = rc::Rc::clone(reported);
     let serve = async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/desk/tests/load_reports.rs
+++ b/desk/tests/load_reports.rs
@@ -2,6 +2,7 @@
 //! they count.
 
 mod cluster;
+mod setup;
 
 use std::cell;
 use std::net;
@@ -27,6 +28,12 @@
 use mangotray_desk::upstream::Dialer;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
+use setup::lending::Work;
+use setup::lending::address;
+use setup::lending::listen;
+use setup::lending::member;
+use setup::lending::target;
+use setup::millis;
 
 /// Deadline of statements, too long to be reached in a test.
 const LONG_DEADLINE: time::Duration = time::Duration::from_mins(10);
@@ -37,74 +44,22 @@
     limit: 5,
 };
 
-const fn millis(count: u64) -> time::Duration {
-    time::Duration::from_millis(count)
-}
-
-fn address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
-fn member(name: &str, domain: &str, protocol: u32) -> member::Member {
-    member::Member {
-        name: name.into(),
-        domain: domain.into(),
-        address: address(),
-        protocol,
-        capacity: None,
-    }
-}
-
-fn target(cluster: &cluster::Cluster) -> upstream::Target {
-    let instance = cluster.world.borrow().list().remove(0);
-    upstream::Target {
-        address: instance.address,
-        group: instance.group,
-        id: instance.id,
-        born: instance.born,
-        domain: instance.domain,
-        slots: instance.slots,
-        organisation: organisation::OWN,
-        any: false,
-    }
-}
-
 /// A router of a group with so few connections that nodes must borrow them from each other.
 fn router(cluster: &cluster::Cluster, name: &str, load_reports: bool) -> rc::Rc<router::Router> {
     let dialer = rc::Rc::new(cluster::Dialer(rc::Rc::clone(&cluster.world)));
-    let executor = rc::Rc::clone(&cluster.executor);
-    let router = router::Router::new(name.into(), dialer, executor);
+    let router = setup::lending::router(name, dialer, &cluster.executor);
     router.set_options(options::Options {
         load_reports,
         ..options::Options::default()
     });
-    router.apply(&catalog::Catalog {
-        version: 1,
-        services: vec![catalog::Service {
-            group: cluster::GROUP.into(),
-            connections: 4,
-            sync: 1,
-        }],
-        ..catalog::Catalog::default()
-    });
     router
 }
 
 /// Starts a lending node at the address of a member.
 async fn lend(cluster: &cluster::Cluster, member: &member::Member, load_reports: bool) {
     let lender = router(cluster, &member.name, load_reports);
-    let server = relay::Server::new(
-        move |target| lender.pool(target),
-        rc::Rc::clone(&cluster.executor),
-        rc::Rc::default(),
-    );
-    let serve = server.serve(member.address);
-    let serve = async move { serve.await.expect("a port") };
-    cluster.executor.spawn(serve).detach();
-    while async_net::TcpStream::connect(member.address).await.is_err() {
-        wait::sleep(millis(5)).await;
-    }
+    let pool = move |target: &upstream::Target| lender.pool(target);
+    setup::lending::lend(&cluster.executor, member.address, pool, &rc::Rc::default()).await;
 }
 
 /// Serves one connection as a lending node of the build before load reports does: it sends
@@ -116,9 +71,7 @@
 ) -> rc::Rc<cell::Cell<Option<u8>>> {
     let seen = rc::Rc::new(cell::Cell::new(None));
     let trailer = rc::Rc::clone(&seen);
-    let listener = net::TcpListener::bind(address).expect("a port");
-    let listener: async_net::TcpListener =
-        async_io::Async::new(listener).expect("a listener").into();
+    let listener = listen(address);
     let serve = async move {
         let (mut stream, _) = listener.accept().await.expect("a node");
         let target: Result<upstream::Target, _> = message::receive(&mut stream).await;
@@ -135,8 +88,6 @@
     seen
 }
 
-type Work = (urgency::Urgency, organisation::Name, Vec<upstream::Command>);
-
 fn replies() -> Vec<reply::Reply> {
     vec![reply::Reply::done(reply::State::Idle)]
 }
@@ -162,9 +113,7 @@
     let router = router(&cluster, "own", true);
     let target = target(&cluster);
     cluster.run(async {
-        let listener = net::TcpListener::bind(address).expect("a port");
-        let listener: async_net::TcpListener =
-            async_io::Async::new(listener).expect("a listener").into();
+        let listener = listen(address);
         let serve = async move {
             let (mut stream, _) = listener.accept().await.expect("a node");
             let target: upstream::Target = message::receive(&mut stream).await.expect("a target");
@@ -350,9 +299,7 @@
     address: net::SocketAddr,
     report: report::Report,
 ) -> rc::Rc<cell::Cell<usize>> {
-    let listener = net::TcpListener::bind(address).expect("a port");
-    let listener: async_net::TcpListener =
-        async_io::Async::new(listener).expect("a listener").into();
+    let listener = listen(address);
     let count = rc::Rc::new(cell::Cell::new(0));
     let (opened, executor) = (rc::Rc::clone(&count), rc::Rc::clone(&cluster.executor));
     let serve = async move {
@@ -375,11 +322,7 @@
     // Enough for two lending nodes, and too few for each of fourteen to have its own.
     router.apply(&catalog::Catalog {
         version: 2,
-        services: vec![catalog::Service {
-            group: cluster::GROUP.into(),
-            connections: 34,
-            sync: 1,
-        }],
+        services: setup::lending::services(34),
         ..catalog::Catalog::default()
     });
     let lenders = [member("busy", "here", 1), member("idle", "here", 1)];
--- a/desk/tests/remote.rs
+++ b/desk/tests/remote.rs
@@ -1,6 +1,7 @@
 //! Connections through another node that is busy or has failed.
 
 mod cluster;
+mod setup;
 
 use std::net;
 use std::rc;
@@ -24,6 +25,9 @@
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
+use setup::lending::address;
+use setup::lending::listen;
+use setup::lending::target;
 
 /// Test timeout, far above any wait on a working connection.
 const TEST_TIMEOUT: time::Duration = time::Duration::from_secs(20);
@@ -34,27 +38,6 @@
 /// Longer than a relaying node takes to send the first heartbeat.
 const SEVERAL_HEARTBEATS: time::Duration = time::Duration::from_millis(300);
 
-fn listener() -> (async_net::TcpListener, net::SocketAddr) {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let listener = async_io::Async::new(listener).expect("a listener");
-    (listener.into(), address)
-}
-
-fn target(cluster: &cluster::Cluster) -> upstream::Target {
-    let instance = cluster.world.borrow().list().remove(0);
-    upstream::Target {
-        address: instance.address,
-        group: instance.group,
-        id: instance.id,
-        born: instance.born,
-        domain: instance.domain,
-        slots: instance.slots,
-        organisation: organisation::OWN,
-        any: false,
-    }
-}
-
 /// Starts a node that relays to the primary of the cluster, and returns its address.
 async fn start_relay(cluster: &cluster::Cluster) -> net::SocketAddr {
     start_relay_with(cluster, &rc::Rc::default()).await
@@ -64,20 +47,10 @@
     cluster: &cluster::Cluster,
     lifecycle: &rc::Rc<lifecycle::Lifecycle>,
 ) -> net::SocketAddr {
-    let (listener, address) = listener();
-    drop(listener);
+    let address = address();
     let pool = cluster.pool(3, 3);
-    let server = relay::Server::new(
-        move |_| rc::Rc::clone(&pool),
-        rc::Rc::clone(&cluster.executor),
-        rc::Rc::clone(lifecycle),
-    );
-    let serve = server.serve(address);
-    let serve = async move { serve.await.expect("a port") };
-    cluster.executor.spawn(serve).detach();
-    while async_net::TcpStream::connect(address).await.is_err() {
-        wait::sleep(time::Duration::from_millis(5)).await;
-    }
+    let pool = move |_: &upstream::Target| rc::Rc::clone(&pool);
+    setup::lending::lend(&cluster.executor, address, pool, lifecycle).await;
     address
 }
 
@@ -129,7 +102,8 @@
 #[test]
 fn a_read_on_a_broken_connection_is_given_up_soon() {
     let cluster = cluster::Cluster::new();
-    let (listener, address) = listener();
+    let address = address();
+    let listener = listen(address);
     let unresponsive = async move {
         let mut silent = Vec::new();
         while let Ok((mut stream, _)) = listener.accept().await {
--- a/desk/tests/router.rs
+++ b/desk/tests/router.rs
@@ -1,22 +1,22 @@
 //! How a node reaches instances through other nodes.
 
 mod cluster;
+mod setup;
 
-use std::net;
 use std::rc;
 use std::time;
 
 use futures_util::FutureExt;
 use futures_util::future;
-use mangotray_desk::catalog;
-use mangotray_desk::lending::relay;
 use mangotray_desk::lending::router;
-use mangotray_desk::member;
 use mangotray_desk::organisation;
 use mangotray_desk::reply;
 use mangotray_desk::upstream;
 use mangotray_desk::upstream::Dialer;
 use mangotray_desk::wait;
+use setup::lending::address;
+use setup::lending::member;
+use setup::lending::router;
 
 /// Longer than the timeout for borrowing a connection.
 const SHORT: time::Duration = time::Duration::from_millis(450);
@@ -43,31 +43,6 @@
     }
 }
 
-/// A router of a group with so few connections that nodes must borrow them from each other.
-fn router(
-    name: &str,
-    dialer: rc::Rc<dyn upstream::Dialer>,
-    executor: &Local,
-) -> rc::Rc<router::Router> {
-    let router = router::Router::new(name.into(), dialer, rc::Rc::clone(executor));
-    router.apply(&catalog::Catalog {
-        version: 1,
-        services: vec![catalog::Service {
-            group: cluster::GROUP.into(),
-            connections: 4,
-            sync: 1,
-        }],
-        ..catalog::Catalog::default()
-    });
-    router
-}
-
-/// A local address whose port was free when it was chosen.
-fn address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
 fn target(id: &str) -> upstream::Target {
     upstream::Target {
         address: address(),
@@ -81,16 +56,6 @@
     }
 }
 
-fn member(name: &str, domain: &str) -> member::Member {
-    member::Member {
-        name: name.into(),
-        domain: domain.into(),
-        address: address(),
-        protocol: 0,
-        capacity: None,
-    }
-}
-
 /// Guards against a node that refuses a group for most of a second although it could borrow
 /// connections. The link between a lending node and one instance is cut, and the lending node
 /// reports that it cannot reach this instance. It was then avoided for all other instances too.
@@ -98,32 +63,18 @@
 fn a_node_that_cannot_reach_one_instance_still_lends_for_others() {
     let cluster = cluster::Cluster::new();
     let executor = &cluster.executor;
-    let (own, lending) = (member("own", "far"), member("lending", "near"));
+    let (own, lending) = (member("own", "far", 0), member("lending", "near", 0));
     let reaches = SingleTarget(Some((
         "b".into(),
         cluster::Dialer(rc::Rc::clone(&cluster.world)),
     )));
     let lending_address = lending.address;
     let lender = router(&lending.name, rc::Rc::new(reaches), executor);
-    let server = relay::Server::new(
-        move |target| lender.pool(target),
-        rc::Rc::clone(executor),
-        rc::Rc::default(),
-    );
-    let serve = server.serve(lending_address);
-    executor
-        .spawn(async move { serve.await.expect("a port") })
-        .detach();
     let router = router(&own.name, rc::Rc::new(SingleTarget(None)), executor);
     router.set_members(vec![own, lending]);
     cluster.run(async {
-        // Wait until the lending node listens.
-        while async_net::TcpStream::connect(lending_address)
-            .await
-            .is_err()
-        {
-            wait::sleep(time::Duration::from_millis(5)).await;
-        }
+        let pool = move |target: &upstream::Target| lender.pool(target);
+        setup::lending::lend(executor, lending_address, pool, &rc::Rc::default()).await;
         let cut = wait::within(SHORT, router.dial(&target("a"))).await;
         assert!(cut.is_none_or(|dialled| dialled.is_err()));
         let open = wait::within(LONG, router.dial(&target("b"))).await;
--- a/desk/tests/shedding.rs
+++ b/desk/tests/shedding.rs
@@ -2,12 +2,12 @@
 //! been served.
 
 mod cluster;
+mod setup;
 
 use std::cell;
 use std::rc;
 use std::time;
 
-use mangotray::id;
 use mangotray_desk::boot;
 use mangotray_desk::lending::relay;
 use mangotray_desk::load::options;
@@ -19,20 +19,14 @@
 use mangotray_desk::room::turns;
 use mangotray_desk::urgency;
 use mangotray_desk::wait;
+use setup::millis;
+use setup::queueing::Request;
+use setup::queueing::SLOTS;
+use setup::queueing::names;
+use setup::queueing::queue;
 
-const SLOTS: usize = 4;
 const WORK: u64 = 14;
 
-fn millis(count: u64) -> id::Time {
-    time::Duration::from_millis(count)
-}
-
-struct Request {
-    entry: schedule::Entry,
-    organisation: usize,
-    marked: bool,
-}
-
 /// Requests that arrived, that would have been refused when they did, and that were served although
 /// they would have been refused.
 #[derive(Debug, Default)]
@@ -47,11 +41,9 @@
 /// and lets them wait.
 fn run(large: u64, seed: u64) -> Outcome {
     let mut random = fastrand::Rng::with_seed(seed);
-    let names: Vec<organisation::Name> = (0..73)
-        .map(|index| compact_str::format_compact!("o{index}"))
-        .collect();
+    let names: Vec<organisation::Name> = names(73);
     let mut outcome = Outcome::default();
-    let mut waiting: Vec<Request> = Vec::new();
+    let mut waiting: Vec<Request<bool>> = Vec::new();
     let mut running: Vec<(u64, usize)> = Vec::new();
     let mut turns = turns::Turns::default();
     let mut rate = shedding::Rate::default();
@@ -70,11 +62,7 @@
                     until: millis(now + left),
                     awaited: millis(now + 800),
                 };
-                let entries: Vec<_> = waiting.iter().map(|request| request.entry).collect();
-                let of: Vec<_> = waiting
-                    .iter()
-                    .map(|request| &names[request.organisation])
-                    .collect();
+                let (entries, of) = queue(&waiting, &names);
                 let ahead = shedding::Ahead::of(&turns, &entries, &of, name, urgency.priority);
                 let interval = rate.interval(millis(now));
                 let marked =
@@ -91,7 +79,7 @@
                 waiting.push(Request {
                     entry,
                     organisation: index,
-                    marked,
+                    note: marked,
                 });
             }
         }
@@ -100,11 +88,7 @@
             turns.settle(&names[organisation], millis(WORK));
         }
         while running.len() < SLOTS {
-            let entries: Vec<_> = waiting.iter().map(|request| request.entry).collect();
-            let of: Vec<_> = waiting
-                .iter()
-                .map(|request| &names[request.organisation])
-                .collect();
+            let (entries, of) = queue(&waiting, &names);
             served += 1;
             let Some(next) = turns.next(&entries, &of, millis(now), served) else {
                 break;
@@ -112,7 +96,7 @@
             rate.note(millis(now), millis(backlog_since));
             turns.charge(of[next], &of);
             let request = waiting.swap_remove(next);
-            outcome.served_marked += u32::from(request.marked);
+            outcome.served_marked += u32::from(request.note);
             running.push((now + WORK, request.organisation));
         }
     }
--- a/desk/tests/turns.rs
+++ b/desk/tests/turns.rs
@@ -1,15 +1,19 @@
 //! Fair queueing over organisations in virtual time. Guards against an organisation that sends many
 //! times its usual load and takes the places of all others at an instance.
 
-use std::time;
+mod cluster;
+mod setup;
 
-use mangotray::id;
 use mangotray_desk::organisation;
 use mangotray_desk::room::schedule;
 use mangotray_desk::room::turns;
 use mangotray_desk::urgency;
+use setup::millis;
+use setup::queueing::Request;
+use setup::queueing::SLOTS;
+use setup::queueing::names;
+use setup::queueing::queue;
 
-const SLOTS: usize = 4;
 const MILLIS: u64 = 10_000;
 const SEEDS: u64 = 5;
 
@@ -46,10 +50,6 @@
     },
 ];
 
-fn millis(count: u64) -> id::Time {
-    time::Duration::from_millis(count)
-}
-
 /// How requests are ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Order {
@@ -57,12 +57,6 @@
     Turns,
 }
 
-struct Request {
-    entry: schedule::Entry,
-    organisation: usize,
-    kind: usize,
-}
-
 /// Requests that arrived and that were answered within their objectives, and work that was done.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
@@ -81,11 +75,9 @@
 /// tally for each organisation and kind.
 fn run(rates: &[u64], order: Order, seed: u64) -> Vec<[Tally; 3]> {
     let mut random = fastrand::Rng::with_seed(seed);
-    let names: Vec<organisation::Name> = (0..rates.len())
-        .map(|index| compact_str::format_compact!("o{index}"))
-        .collect();
+    let names: Vec<organisation::Name> = names(rates.len());
     let mut tallies = vec![[Tally::default(); 3]; rates.len()];
-    let mut waiting: Vec<Request> = Vec::new();
+    let mut waiting: Vec<Request<usize>> = Vec::new();
     let mut running: Vec<(u64, usize, u64)> = Vec::new();
     let mut turns = turns::Turns::default();
     let (mut number, mut served) = (0, 0);
@@ -117,7 +109,7 @@
             waiting.push(Request {
                 entry,
                 organisation,
-                kind,
+                note: kind,
             });
         }
         waiting.retain(|request| request.entry.urgency.until > millis(now));
@@ -125,11 +117,7 @@
             turns.settle(&names[organisation], millis(work));
         }
         while running.len() < SLOTS {
-            let entries: Vec<_> = waiting.iter().map(|request| request.entry).collect();
-            let of: Vec<_> = waiting
-                .iter()
-                .map(|request| &names[request.organisation])
-                .collect();
+            let (entries, of) = queue(&waiting, &names);
             served += 1;
             let next = match order {
                 Order::Schedule => schedule::next(&entries, millis(now), served),
@@ -138,10 +126,10 @@
             let Some(next) = next else { break };
             turns.charge(of[next], &of);
             let request = waiting.swap_remove(next);
-            let kind = &KINDS[request.kind];
+            let kind = &KINDS[request.note];
             let end = now + kind.work;
             running.push((end, request.organisation, kind.work));
-            let tally = &mut tallies[request.organisation][request.kind];
+            let tally = &mut tallies[request.organisation][request.note];
             tally.work += kind.work;
             tally.in_time += u32::from(millis(end) <= request.entry.urgency.due);
         }
