List all faults of a list of organisations

Nodes stop at the first invalid organisation. A check of a configuration has to tell all of them, by the same rules.

`organisations::faults` lists them, and `Organisations::new` fails with the first. A key that two organisations hold is told with both names. What is accepted is unchanged.

--- a/desk/src/limits/quota.rs
+++ b/desk/src/limits/quota.rs
@@ -25,6 +25,19 @@
 }
 
 impl Quota {
+    /// Whether rate and burst are finite and not negative.
+    ///
+    /// ```
+    /// use mangotray_desk::limits::quota;
+    /// assert!(quota::Quota { rate: 0.0, burst: 1.0 }.is_valid());
+    /// assert!(!quota::Quota { rate: -1.0, burst: 1.0 }.is_valid());
+    /// ```
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let valid = |value: f64| value.is_finite() && value >= 0.0;
+        valid(self.rate) && valid(self.burst)
+    }
+
     /// Maximum number of operations that may start in any span of this length.
     #[must_use]
     pub fn within(&self, span: time::Duration) -> f64 {
--- a/desk/src/organisation.rs
+++ b/desk/src/organisation.rs
@@ -22,3 +22,16 @@
     /// Rate limit, if it has one.
     pub quota: Option<quota::Quota>,
 }
+
+/// Whether an organisation may have this name. A name that is empty, contains white space or is
+/// [`OWN`] cannot be sent to an instance.
+///
+/// ```
+/// use mangotray_desk::organisation;
+/// assert!(organisation::is_valid_name("dome"));
+/// assert!(!organisation::is_valid_name("the dome"));
+/// ```
+#[must_use]
+pub fn is_valid_name(name: &str) -> bool {
+    !name.is_empty() && !name.contains(char::is_whitespace) && name != OWN
+}
--- a/desk/src/organisations.rs
+++ b/desk/src/organisations.rs
@@ -20,12 +20,18 @@
 pub enum Fault {
     /// Two organisations have the same name.
     Duplicate(organisation::Name),
-    /// Two organisations hold the same key, given by its fingerprint.
-    SharedKey(CompactString),
+    /// Two organisations hold the same key.
+    SharedKey {
+        /// Fingerprint of the key.
+        fingerprint: CompactString,
+        /// The first organisation that holds it.
+        first: organisation::Name,
+        /// The other one.
+        second: organisation::Name,
+    },
     /// A rate or burst is negative, infinite or not a number.
     Quota(organisation::Name),
-    /// The name is empty, contains white space or is [`organisation::OWN`], and so cannot be sent
-    /// to an instance.
+    /// The name is not valid ([`organisation::is_valid_name`]).
     Name(organisation::Name),
 }
 
@@ -33,9 +39,14 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Duplicate(name) => write!(formatter, "organisation {name} is defined twice"),
-            Self::SharedKey(fingerprint) => {
-                write!(formatter, "two organisations hold the key {fingerprint}")
-            }
+            Self::SharedKey {
+                fingerprint,
+                first,
+                second,
+            } => write!(
+                formatter,
+                "organisations {first} and {second} hold the same key {fingerprint}"
+            ),
             Self::Quota(name) => {
                 write!(
                     formatter,
@@ -51,6 +62,45 @@
 
 impl std::error::Error for Fault {}
 
+/// Returns why a list of organisations is invalid, in the order of the list.
+///
+/// ```
+/// use mangotray_desk::{organisation, organisations};
+/// let one = organisation::Organisation { name: "dome".into(), keys: vec![], quota: None };
+/// assert!(organisations::faults(&[one.clone()]).is_empty());
+/// let twice = organisations::faults(&[one.clone(), one]);
+/// assert_eq!(twice, [organisations::Fault::Duplicate("dome".into())]);
+/// ```
+#[must_use]
+pub fn faults(all: &[organisation::Organisation]) -> Vec<Fault> {
+    let mut found = Vec::new();
+    let mut names = collections::BTreeSet::new();
+    let mut holders = collections::BTreeMap::new();
+    for organisation in all {
+        let name = &organisation.name;
+        if !organisation::is_valid_name(name) {
+            found.push(Fault::Name(name.clone()));
+        }
+        if !names.insert(name) {
+            found.push(Fault::Duplicate(name.clone()));
+        }
+        if organisation.quota.is_some_and(|quota| !quota.is_valid()) {
+            found.push(Fault::Quota(name.clone()));
+        }
+        for key in &organisation.keys {
+            let first = *holders.entry(key).or_insert(name);
+            if first != name {
+                found.push(Fault::SharedKey {
+                    fingerprint: key.fingerprint(),
+                    first: first.clone(),
+                    second: name.clone(),
+                });
+            }
+        }
+    }
+    found
+}
+
 impl Organisations {
     /// Indexes the organisations of a configuration.
     ///
@@ -70,34 +120,22 @@
     /// assert!(organisations::Organisations::new(vec![one, other]).is_err());
     /// ```
     pub fn new(all: Vec<organisation::Organisation>) -> Result<Self, Fault> {
-        let mut found = Self::default();
-        for organisation in all {
-            found.add(organisation)?;
-        }
-        Ok(found)
-    }
-
-    fn add(&mut self, organisation: organisation::Organisation) -> Result<(), Fault> {
-        let name = organisation.name.clone();
-        if name.is_empty() || name.contains(char::is_whitespace) || name == organisation::OWN {
-            return Err(Fault::Name(name));
-        }
-        let valid = |value: f64| value.is_finite() && value >= 0.0;
-        let quota = organisation.quota;
-        if quota.is_some_and(|quota| !valid(quota.rate) || !valid(quota.burst)) {
-            return Err(Fault::Quota(name));
+        if let Some(fault) = faults(&all).into_iter().next() {
+            return Err(fault);
         }
-        let shared = sync::Arc::new(organisation);
-        for key in &shared.keys {
-            let previous = self.by_key.insert(key.clone(), sync::Arc::clone(&shared));
-            if previous.is_some_and(|previous| previous.name != name) {
-                return Err(Fault::SharedKey(key.fingerprint()));
+        let mut indexed = Self::default();
+        for organisation in all {
+            let organisation = sync::Arc::new(organisation);
+            for key in &organisation.keys {
+                indexed
+                    .by_key
+                    .insert(key.clone(), sync::Arc::clone(&organisation));
             }
+            indexed
+                .by_name
+                .insert(organisation.name.clone(), organisation);
         }
-        match self.by_name.insert(name.clone(), shared) {
-            Some(_) => Err(Fault::Duplicate(name)),
-            None => Ok(()),
-        }
+        Ok(indexed)
     }
 
     /// Returns the organisation that holds a key.
