--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod checkout;
 pub mod cleanup;
 pub mod concurrency;
+pub mod configuration;
 pub mod confirmer;
 pub mod connection;
 pub mod deadline;
