Request a list before the order that follows a crash or a relief

Cause: a promotion of a primary that had failed decided on the list that watches had told, which may be seconds old. A replica that was in the store's list, but not in this node's, was passed over, although it alone had the last acknowledged commits. A relief waited a fixed 500 ms for such a replica.

Change: a list without staleness is requested beside the record of the promotion and applied before the last checks. Without it no order leaves for up to 2 s of recorded attempts. Handovers, and candidates that have all of a stopped primary's log, need none. Concluding a handover moves to its module, without other behaviour, as the calling function had become too long.

Result: two tests of desk/tests/listing.rs, for a crash and for a relief, ordered `c` before instead of `d` and pass now; a third guards the bound of the wait. listing, promoter, unlisted, handover and holds pass.

--- a/desk/src/handover.rs
+++ b/desk/src/handover.rs
@@ -18,6 +18,7 @@
 
 use crate::boot;
 use crate::pool;
+use crate::promote;
 use crate::promotion;
 use crate::resumes;
 use crate::status;
@@ -58,9 +59,23 @@
         self.follows(FINAL_CHECK_TIMEOUT).await
     }
 
-    /// Demotes the primary after its successor was ordered, and checks that the candidate has
-    /// received all of its records.
-    pub async fn demote_primary(&self) {
+    /// Acts on the outcome of the order: the primary of an accepted one is demoted.
+    pub async fn conclude(&self, outcome: &promote::Outcome) {
+        match outcome {
+            promote::Outcome::Accepted => {
+                let demotion = self.demote_primary();
+                let candidate = self.candidate.id();
+                self.promotion.while_holding(&candidate, demotion).await;
+            }
+            promote::Outcome::Unknown(_) => self.withdraw().await,
+            // A later attempt holds it again.
+            promote::Outcome::Refused(_) => {}
+        }
+    }
+
+    // Demotes the primary after its successor was ordered, and checks that the candidate has
+    // received all of its records.
+    async fn demote_primary(&self) {
         let group = &self.promotion.group.name;
         let Some(report) = self.promotion.demote_predecessor().await else {
             tracing::warn!(%group, candidate = %self.candidate.id(), "the replaced primary is not demoted yet");
@@ -71,8 +86,8 @@
         tracing::info!(%group, candidate = %self.candidate.id(), %position, covered, "the replaced primary has stepped down");
     }
 
-    /// Holds the candidate again, as its order may have failed.
-    pub async fn withdraw(&self) {
+    // Holds the candidate again, as its order may have failed.
+    async fn withdraw(&self) {
         let hold = upstream::Command::Hold(self.promotion.term);
         let started = boot::now();
         let group = &self.promotion.group;
--- a/desk/src/listing.rs
+++ b/desk/src/listing.rs
@@ -50,6 +50,11 @@
     /// Requests a list that includes all changes up to this call, and waits until this node has
     /// applied it. Returns `false` if the store does not answer in time.
     pub async fn request(&self) -> bool {
+        self.request_within(TIMEOUT).await
+    }
+
+    /// Like [`Listing::request`], with a wait of at most `limit`.
+    pub async fn request_within(&self, limit: time::Duration) -> bool {
         if !self.is_followed.get() {
             return true;
         }
@@ -65,7 +70,7 @@
                 answer.await;
             }
         };
-        wait::within(TIMEOUT, answered).await.is_some()
+        wait::within(limit, answered).await.is_some()
     }
 
     /// Waits for a request that is not answered.
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -43,6 +43,15 @@
 /// node.
 const LISTING_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Longest wait for the list of instances that is requested beside the record of a promotion. The
+/// order leaves within 350 ms of the record's begin, and the last checks take up to 100 ms of that.
+const LIST_TIMEOUT: time::Duration = time::Duration::from_millis(230);
+
+/// How long promotions that can be recorded wait for a list of instances. A connection to the store
+/// that has become silent is given up after 700 ms, and a list on a new one takes as long at most. A
+/// list that takes longer, as over a narrow link, would leave the group without a primary.
+const MAX_LIST_WAIT: time::Duration = time::Duration::from_secs(2);
+
 /// Result of one attempt to replace a primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -77,6 +86,8 @@
     pub(crate) resumes: rc::Rc<cell::RefCell<resumes::Resumes>>,
     /// Groups whose candidate lacked acknowledged commits.
     pub(crate) shortfalls: cell::RefCell<collections::BTreeMap<id::Group, shortfall::Shortfall>>,
+    /// Groups whose promotion waits for a list of instances, with its term and since when.
+    awaited_lists: cell::RefCell<collections::BTreeMap<id::Group, (id::Term, id::Time)>>,
 }
 
 impl Promoter {
@@ -96,6 +107,7 @@
             groups_without_order: cell::RefCell::default(),
             resumes: rc::Rc::default(),
             shortfalls: cell::RefCell::default(),
+            awaited_lists: cell::RefCell::default(),
         })
     }
 
@@ -199,13 +211,14 @@
             counted = audit.counted(), uncounted = audit.uncounted(),
             furthest = promotion.max_received.map(tracing::field::display), "candidate chosen");
         let relief = cause == detector::Cause::Relief;
-        if relief
-            && !self
-                .step_down_first(&promotion, candidate, &selection.reports)
-                .await
-        {
-            self.release(group, leader).await;
-            return Outcome::GivenUp;
+        let mut has_all_records = false;
+        if relief {
+            let stopped = self.step_down_first(&promotion, candidate, &selection.reports);
+            let Some(ahead) = stopped.await else {
+                self.release(group, leader).await;
+                return Outcome::GivenUp;
+            };
+            has_all_records = !ahead;
         }
         let returns_lead = promotion
             .old
@@ -226,19 +239,20 @@
             self.release(group, leader).await;
             return Outcome::GivenUp;
         }
+        // A candidate that follows the primary, or has all of its log, lacks nothing that another
+        // replica has.
+        let needs_list = !has_all_records && !returns_lead && handover.is_none();
         let order_outcome = self
-            .send_order(&promotion, leader, &selection, handover.as_ref())
+            .send_order(
+                &promotion,
+                leader,
+                &selection,
+                handover.as_ref(),
+                needs_list,
+            )
             .await;
         if let Some(handover) = &handover {
-            match order_outcome {
-                promote::Outcome::Accepted => {
-                    let demotion = handover.demote_primary();
-                    promotion.while_holding(candidate, demotion).await;
-                }
-                promote::Outcome::Unknown(_) => handover.withdraw().await,
-                // A later attempt holds it again.
-                promote::Outcome::Refused(_) => {}
-            }
+            handover.conclude(&order_outcome).await;
         }
         if let promote::Outcome::Refused(_) = order_outcome {
             if relief {
@@ -289,25 +303,23 @@
         })
     }
 
-    // Makes the primary step down before its successor is ordered. Returns whether it has done so.
+    // Makes the primary step down before its successor is ordered. Returns whether it has records
+    // that the candidate lacks, or `None` if it has not stepped down.
     //
     // A loaded primary appends records all the time, and a query for its log position takes as
     // long as its queue, so most relief promotions would find it ahead of the held replicas and
     // be withdrawn. After the step-down it acknowledges nothing more. If it is ahead then, only
     // an instance that is not listed yet can have contributed to an acknowledgement. The listing
-    // delay is waited for, and the promotion starts over if such an instance appears.
+    // delay is waited for, and the promotion starts over if such an instance appears, by the list that
+    // is requested before the order at the latest.
     async fn step_down_first(
         &self,
         promotion: &promotion::Promotion,
         candidate: &upstream::Id,
         held: &[status::Report],
-    ) -> bool {
-        if self.election.confirm().await.is_none() {
-            return false;
-        }
-        let Some(position) = promotion.step_down().await else {
-            return false;
-        };
+    ) -> Option<bool> {
+        self.election.confirm().await?;
+        let position = promotion.step_down().await?;
         let received = held
             .iter()
             .find(|report| report.id == *candidate)
@@ -317,7 +329,27 @@
         if ahead {
             wait::sleep(LISTING_DELAY).await;
         }
-        true
+        Some(ahead)
+    }
+
+    // Whether an order may leave with this list of instances: it includes all changes up to the
+    // record of the promotion, or such a list has been awaited in vain for [`MAX_LIST_WAIT`].
+    fn may_rely_on_list(&self, promotion: &promotion::Promotion, is_current: bool) -> bool {
+        let (group, now) = (&promotion.group.name, boot::now());
+        let mut awaited = self.awaited_lists.borrow_mut();
+        if is_current {
+            awaited.remove(group);
+            return true;
+        }
+        let before = awaited.get(group).copied();
+        let before = before.filter(|(term, _)| *term == promotion.term);
+        let since = before.map_or(now, |(_, since)| since);
+        awaited.insert(group.clone(), (promotion.term, since));
+        let waited = now.saturating_sub(since);
+        let over = waited >= MAX_LIST_WAIT;
+        tracing::warn!(%group, term = promotion.term, waited_ms = waited.as_millis(), over,
+            "no answer to the request for a list of instances before a promotion order");
+        over
     }
 
     // Whether an order may have taken effect, or may still do so, that makes an instance the
@@ -440,14 +472,19 @@
         leader: &status::Leader,
         selection: &selection::Selection,
         handover: Option<&handover::Handover<'_>>,
+        needs_list: bool,
     ) -> promote::Outcome {
         let group = &promotion.group.name;
         let open = self.has_open_order(group, leader);
-        let Some(permit) = self
-            .election
-            .record(&promotion.intent(&selection.candidate, selection.position, &selection.reports))
-            .await
-        else {
+        let intent = promotion.intent(&selection.candidate, selection.position, &selection.reports);
+        // A watch may be seconds behind, and a replica that it does not tell of may be the only one
+        // with some acknowledged commit. A replica that the list adds is a process that was not held.
+        let list = async { !needs_list || self.node.listing().request_within(LIST_TIMEOUT).await };
+        let (permit, is_current) =
+            futures_util::future::join(self.election.record(&intent), list).await;
+        let Some(permit) = permit else {
+            // The store does not answer at all: the wait for a list has not begun.
+            self.awaited_lists.borrow_mut().remove(group);
             tracing::warn!(%group, "no promotion ordered: the store did not confirm the promoter lease");
             return promote::Outcome::Refused("the seat is not confirmed".into());
         };
@@ -460,8 +497,11 @@
         };
         let held = promotion.are_held(follower.as_ref());
         let (held, follows) = futures_util::future::join(held, follows).await;
+        let listed = self.may_rely_on_list(promotion, is_current);
         // A restarted replica has lost its hold, and an added replica never had one.
-        let outcome = if held && follows && promotion.processes() == selection.processes {
+        let outcome = if !listed {
+            promote::Outcome::Refused("the list of instances may be out of date".into())
+        } else if held && follows && promotion.processes() == selection.processes {
             let order = promote::Order {
                 group: group.clone(),
                 candidate: selection.candidate.clone(),
--- a/desk/tests/listing.rs
+++ b/desk/tests/listing.rs
@@ -5,6 +5,7 @@
 
 use std::rc;
 
+use mangotray::role;
 use mangotray_desk::boot;
 use mangotray_desk::wait;
 
@@ -34,6 +35,27 @@
     harness.cluster.node.update(list, Some(now), now);
 }
 
+/// Answers requests for a list with that of the store. The node gets no other list.
+fn answer_requests(harness: &harness::Harness) {
+    let node = rc::Rc::clone(&harness.cluster.node);
+    let world = rc::Rc::clone(&harness.cluster.world);
+    let answer = async move {
+        loop {
+            node.listing().requested().await;
+            let (list, now) = (world.borrow().list(), boot::now());
+            node.update(list, Some(now), now);
+            node.listing().note_read(now);
+        }
+    };
+    harness.cluster.executor.spawn(answer).detach();
+}
+
+fn orders(harness: &harness::Harness) -> Vec<String> {
+    let orders = harness.client.orders.borrow();
+    let candidates = orders.iter().map(|order| order.candidate.to_string());
+    candidates.collect()
+}
+
 /// Guards against the loss of commits that only a replica has which is missing from an old list.
 #[test]
 fn a_planned_promotion_holds_the_replicas_of_a_list_that_was_read_for_it() {
@@ -43,17 +65,7 @@
         harness.cluster.node.listing().follow();
         start_replica_that_is_heard_of_late(&harness);
         drain_primary(&harness);
-        let node = rc::Rc::clone(&harness.cluster.node);
-        let world = rc::Rc::clone(&harness.cluster.world);
-        let answer = async move {
-            loop {
-                node.listing().requested().await;
-                let (list, now) = (world.borrow().list(), boot::now());
-                node.update(list, Some(now), now);
-                node.listing().note_read(now);
-            }
-        };
-        harness.cluster.executor.spawn(answer).detach();
+        answer_requests(&harness);
         harness.wait_for_primary(2).await;
     });
     assert_eq!(harness.leader(), ["d"]);
@@ -78,3 +90,61 @@
     });
     assert!(harness.client.orders.borrow().is_empty());
 }
+
+/// Guards against the loss of commits that a crashed primary has acknowledged because of a replica
+/// which is in the store's list, but in no answer to a watch yet. The node that has passed them on has
+/// ended as well.
+#[test]
+fn the_promotion_after_a_crash_holds_the_replicas_of_a_list_that_was_read_for_it() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.node.listing().follow();
+        start_replica_that_is_heard_of_late(&harness);
+        answer_requests(&harness);
+        harness.cluster.world.borrow_mut().at("a").up = false;
+        harness.wait_for_primary(2).await;
+    });
+    assert_eq!(orders(&harness), ["d"]);
+}
+
+/// Guards against the same loss with a relieved primary: the replica is listed after the primary has
+/// stepped down, and watches tell of it later than after the usual delay.
+#[test]
+fn a_relief_holds_the_replicas_of_a_list_that_was_read_after_the_step_down() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.node.listing().follow();
+        answer_requests(&harness);
+        harness.cluster.world.borrow_mut().at("a").ahead = 1;
+        harness.stall_replicas().await;
+        cluster::until("the primary steps down", || {
+            harness.cluster.world.borrow_mut().at("a").role == role::Role::Replica
+        })
+        .await;
+        start_replica_that_is_heard_of_late(&harness);
+        {
+            let mut world = harness.cluster.world.borrow_mut();
+            let replica = world.at("d");
+            (replica.position, replica.held, replica.lag) = (11, 0, None);
+        }
+        harness.wait_for_primary(2).await;
+    });
+    assert_eq!(orders(&harness), ["d"]);
+}
+
+/// Guards against a group that stays without a primary because the store records promotions, but its
+/// list does not arrive.
+#[test]
+fn a_crashed_primary_is_replaced_after_a_bounded_wait_for_a_list() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        // No task answers.
+        harness.cluster.node.listing().follow();
+        harness.cluster.world.borrow_mut().at("a").up = false;
+        harness.wait_for_primary(2).await;
+    });
+    assert_eq!(orders(&harness).len(), 1);
+}
