Read a list before an order for an unknown candidate is judged void

Cause: a recorded candidate that the holder of the promoter's lease did not know counted as gone for good. Its list may be seconds old: it released the replicas, and the order took effect on a candidate without the commits that the old primary acknowledged meanwhile.

Change: a list without staleness is requested first; without an answer nothing is judged.

--- a/desk/src/monitor.rs
+++ b/desk/src/monitor.rs
@@ -287,6 +287,11 @@
         }
         tracing::info!(group = %self.group.name, candidate = %intent.candidate, term = intent.term,
             primary = %leader.id, answers = reports.len(), ?outcome, "checked recorded promotion");
+        // A candidate that is not known here may be one that watches do not tell of yet.
+        let unknown = outcome == intent::Outcome::Void && !listed.contains(&intent.candidate);
+        if unknown && !self.is_gone(&intent.candidate).await {
+            return None;
+        }
         match outcome {
             intent::Outcome::Leads(found) => {
                 self.note_held_back(None);
@@ -321,6 +326,15 @@
         }
     }
 
+    // Whether a list that was read for this has no such instance either.
+    async fn is_gone(&self, id: &upstream::Id) -> bool {
+        let is_current = self.promoter.node().listing().request().await;
+        let gone = is_current && self.group.roster().find(id).is_none();
+        tracing::info!(group = %self.group.name, instance = %id, is_current, gone,
+            "candidate of a recorded promotion is not known");
+        gone
+    }
+
     // Whether the watched primary was ever seen leading.
     fn was_seen_leading(&mut self, leader: &status::Leader) -> bool {
         if self.group.leader().as_ref() == Some(leader) {
--- a/desk/tests/listing.rs
+++ b/desk/tests/listing.rs
@@ -6,7 +6,9 @@
 use std::rc;
 
 use mangotray::role;
+use mangotray::stamp;
 use mangotray_desk::boot;
+use mangotray_desk::intent;
 use mangotray_desk::wait;
 
 /// Starts the replica `d`, which alone has the last commits and is in the store's list, but not in
@@ -148,3 +150,45 @@
     });
     assert_eq!(orders(&harness).len(), 1);
 }
+
+/// Guards against the loss of commits that a primary acknowledges after its replicas were released,
+/// although an order to replace it may take effect: its candidate was in no list that the next holder
+/// of the promoter's lease knew, which counted as its end.
+#[test]
+fn an_order_for_a_replica_that_is_heard_of_late_is_not_void() {
+    let harness = harness::start();
+    let leads = || harness.cluster.world.borrow_mut().at("d").role == role::Role::Primary;
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.node.listing().follow();
+        start_replica_that_is_heard_of_late(&harness);
+        answer_requests(&harness);
+        {
+            let mut world = harness.cluster.world.borrow_mut();
+            for id in ["b", "c", "d"] {
+                (world.at(id).position, world.at(id).held) = (10, 2);
+            }
+            world.commits = true;
+        }
+        harness.election.records().note(intent::Intent {
+            group: cluster::GROUP.into(),
+            candidate: "d".into(),
+            born: 1,
+            term: 2,
+            old: Some("a".into()),
+            received: stamp::Stamp::new(1, 10),
+            place: intent::Place { fence: 1, turn: 1 },
+        });
+        cluster::until("the order was judged", || {
+            harness.cluster.world.borrow().released > 0 || leads()
+        })
+        .await;
+        wait::sleep(harness::SHORT).await;
+        if !leads() {
+            // The order takes effect.
+            harness.cluster.world.borrow_mut().promote("d");
+        }
+    });
+    let world = harness.cluster.world.borrow();
+    assert_eq!(world.lost, 0, "acknowledged commits were lost");
+}
