Read the members before acknowledged commits bound a loss

Cause: the answers of all known nodes counted as those of all nodes. A node that watches do not tell of yet may have passed on later commits as acknowledged, which the promotion then passed over.

Change: the list is read without staleness before such a bound is taken; without an answer no bound is known.

--- a/desk/src/holding.rs
+++ b/desk/src/holding.rs
@@ -264,11 +264,15 @@
     }
 
     // Bounds what a process may have confirmed that was never seen to follow the replaced primary:
-    // whatever it confirmed, callers were told of no commit beyond what all nodes report.
+    // whatever it confirmed, callers were told of no commit beyond what all nodes report. The members
+    // are read for this, as watches may not tell of some yet.
     async fn bound_unseen(&self, group: &id::Group, loss: verdict::Loss) -> verdict::Loss {
         if loss != verdict::Loss::Unseen {
             return loss;
         }
+        if !self.promoter.node.listing().request().await {
+            return verdict::Loss::Unknown;
+        }
         let acknowledgement = self.promoter.node.acknowledged_anywhere(group).await;
         tracing::info!(%group, ?acknowledgement, "a process has ended that was not seen to follow the primary");
         let bound = acknowledgement.bound();
--- a/desk/tests/log_loss.rs
+++ b/desk/tests/log_loss.rs
@@ -208,6 +208,37 @@
     });
 }
 
+/// Guards against the same loss while another node is among the members in the store, but in no answer
+/// to a watch yet.
+#[test]
+fn a_silent_primary_that_comes_back_holds_a_promotion_back_while_a_node_is_heard_of_late() {
+    let harness = harness::start();
+    enrol(&harness);
+    harness.cluster.run(async {
+        replace_silent_primary(&harness).await;
+        let node = rc::Rc::clone(&harness.cluster.node);
+        node.listing().follow();
+        let answer = async move {
+            loop {
+                node.listing().requested().await;
+                let mut members = node.router().members();
+                members.truncate(1);
+                let other = member::Member {
+                    name: "other".into(),
+                    ..members[0].clone()
+                };
+                members.push(other);
+                node.router().set_members(members);
+                node.listing().note_read(boot::now());
+            }
+        };
+        harness.cluster.executor.spawn(answer).detach();
+        come_back_and_lose_successor(&harness);
+        wait::sleep(3 * harness::LONG).await;
+        assert_eq!(harness.client.orders.borrow().len(), 1);
+    });
+}
+
 /// Positions closer together, in milliseconds, are kept as one.
 const SPACING: u64 = 40;
 
