Read a list before an unknown replaced primary counts as ended

Cause: the cleanup after a promotion released the replicas when it did not know the replaced primary. Watches may not tell of it yet, and it went on beside its successor.

Change: a list without staleness is requested first, until the store answers.

Result: a test of desk/tests/listing.rs found the replaced primary leading when a replica was released, and passes now; listing, holds, handover, promoter, era, absence and dark pass.

--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -605,8 +605,10 @@
             rc::Rc::clone(&self.resumes),
         );
         let promoter = rc::Rc::clone(self);
+        let (owner, old) = (rc::Rc::clone(group), intent.old.clone());
         let name = group.name.clone();
         let work = async move {
+            promoter.look_for(&owner, old.as_ref()).await;
             let demoted = cleanup.demote_predecessor().await;
             promoter.note_predecessor_demoted(&name, term);
             let done = demoted && cleanup.release().await;
@@ -615,6 +617,17 @@
         self.node.executor().spawn(work).detach();
     }
 
+    // Waits for a list that was read for this if the replaced primary is not known: watches may not
+    // tell of it yet, and it may still lead.
+    async fn look_for(&self, group: &group::Group, old: Option<&upstream::Id>) {
+        let Some(old) = old else { return };
+        let listing = self.node.listing();
+        while group.roster().find(old).is_none() && !listing.request().await {
+            tracing::info!(group = %group.name, instance = %old,
+                "cleanup postponed: the replaced primary is not known, and the store does not answer");
+        }
+    }
+
     fn note_predecessor_demoted(&self, group: &id::Group, term: id::Term) {
         let mut cleanups = self.cleanups.borrow_mut();
         let state = cleanups.get_mut(group);
--- a/desk/tests/listing.rs
+++ b/desk/tests/listing.rs
@@ -192,3 +192,38 @@
     let world = harness.cluster.world.borrow();
     assert_eq!(world.lost, 0, "acknowledged commits were lost");
 }
+
+/// Guards against a replaced primary that goes on beside its successor with released replicas: it was in
+/// no list that the holder of the promoter's lease knew, which counted as its end.
+#[test]
+fn no_replica_is_released_before_a_replaced_primary_that_is_heard_of_late_is_demoted() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        harness.cluster.node.listing().follow();
+        start_replica_that_is_heard_of_late(&harness);
+        answer_requests(&harness);
+        {
+            let mut world = harness.cluster.world.borrow_mut();
+            world.at("d").role = role::Role::Primary;
+            world.at("a").role = role::Role::Replica;
+            (world.at("a").held, world.at("b").held) = (2, 2);
+            world.promote("c");
+        }
+        harness.election.records().note(intent::Intent {
+            group: cluster::GROUP.into(),
+            candidate: "c".into(),
+            born: 1,
+            term: 2,
+            old: Some("d".into()),
+            received: stamp::Stamp::new(1, 10),
+            place: intent::Place { fence: 1, turn: 1 },
+        });
+        cluster::until("a replica is released", || {
+            harness.cluster.world.borrow().released > 0
+        })
+        .await;
+    });
+    let world = harness.cluster.world.borrow();
+    assert_eq!(world.instances["d"].role, role::Role::Replica);
+}
