--- a/desk/src/concurrency/estimate.rs
+++ b/desk/src/concurrency/estimate.rs
@@ -6,8 +6,8 @@
 use crate::concurrency::kind;
 use crate::load::report;
 
-/// A new time counts with a weight of one in this many, and the first ones are averaged: follows a change within a dozen answers,
-/// with a standard error of a fifth for the usual spread of times.
+/// A new time counts with a weight of one in this many, and the first ones are averaged: follows a
+/// change within a dozen answers, with a standard error of a fifth for the usual spread of times.
 const SMOOTHING_WEIGHT: f64 = 12.0;
 
 /// A time counts as at most this multiple of the expected one, so that a single slow answer moves
--- a/desk/src/concurrency/level.rs
+++ b/desk/src/concurrency/level.rs
@@ -16,8 +16,8 @@
 /// Largest distance of one answer from the level; a lost answer has no upper bound of its own.
 const MAX_DISTANCE: f64 = 2.5;
 
-/// Answers that the quiet level follows, about this many. The mean of so many differs from the level by
-/// a seventh, for the usual spread of times.
+/// Number of answers that the quiet level follows. The mean of so many differs from the level by a
+/// seventh, for the usual spread of times.
 const QUIET_WEIGHT: f64 = 32.0;
 
 /// Cost of one kind, and its answers in the current round.
