Look the forecast of a statement up once

Cause: the admission of a read or write looked the forecast of its instance up, and the code after it did so again for the log line, without a pause between. Each look-up selects the lending nodes of the instance.

Change: the admission returns the forecast that it has decided by, and the log line shows that one. No decision changes; no test is touched.

The time of a request was not measured.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::group;
 use crate::load::admission;
 use crate::load::delay;
+use crate::load::forecast;
 use crate::organisation;
 use crate::pinned;
 use crate::pool;
@@ -107,12 +108,15 @@
                 break;
             };
             let admitted = self.admission(&source.pool, &query.id, last.as_ref(), &urgency);
-            if let Err(refusal) = admitted {
-                text = refusal;
-                break;
-            }
+            let expected = match admitted {
+                Ok(expected) => expected,
+                Err(refusal) => {
+                    text = refusal;
+                    break;
+                }
+            };
             tried.push(source.pool.id());
-            let found = match self.read_at(query, &source, urgency).await {
+            let found = match self.read_at(query, &source, urgency, expected).await {
                 Ok(reply) => return Outcome::Answered(reply),
                 Err(found) => found,
             };
@@ -131,9 +135,9 @@
         query: &query::Query,
         source: &source::Source,
         urgency: urgency::Urgency,
+        expected: Option<forecast::Forecast>,
     ) -> Result<reply::Reply, retry::Reason> {
         let (group, route) = (&self.group, self.route);
-        let expected = source.pool.forecast(self.organisation);
         let wait_deadline = urgency.awaited.min(boot::now() + CHECKOUT_TIMEOUT);
         let checkout = source
             .pool
@@ -193,10 +197,11 @@
                 return Outcome::Refused(reply::Code::Busy, self.no_primary_text());
             };
             // Nothing was sent, or the instance answered that the write did not run.
-            if let Err(text) = self.admission(&pool, &query.id, last.as_ref(), &urgency) {
-                return Outcome::Refused(reply::Code::Busy, text);
-            }
-            let expected = pool.forecast(self.organisation);
+            let admitted = self.admission(&pool, &query.id, last.as_ref(), &urgency);
+            let expected = match admitted {
+                Ok(expected) => expected,
+                Err(text) => return Outcome::Refused(reply::Code::Busy, text),
+            };
             let mut checkout = match pool
                 .check_out(urgency, self.organisation, self.values, urgency.until)
                 .await
@@ -413,14 +418,15 @@
     }
 
     // Whether a statement may be sent to an instance: for the first time, or as a retry after
-    // `last`. The error is the text of the refusal; in that case it is not sent.
+    // `last`. Returns what is expected of it there, or the text of the refusal; in that case it is
+    // not sent.
     fn admission(
         &self,
         pool: &pool::Pool,
         request: &statement::Id,
         last: Option<&retry::Reason>,
         urgency: &urgency::Urgency,
-    ) -> Result<(), CompactString> {
+    ) -> Result<Option<forecast::Forecast>, CompactString> {
         let expected = pool.forecast(self.organisation);
         let left = urgency.until.saturating_sub(boot::now());
         let limited = pool.limits_retries();
@@ -431,7 +437,7 @@
             pool.dialer.note_statement();
         }
         let Err(refusal) = checked else {
-            return Ok(());
+            return Ok(expected);
         };
         let delay = delay::spread(refusal.delay, fastrand::f64());
         metrics::counter!("mangotray_early_refusals_total", "reason" => refusal.reason.label())
