Send an unanswered demotion again before the successor leads

Callers could be told of commits that the new primary lacks: the demotion that follows an accepted order was sent once, with a wait of 300 ms, while a platform carries the order out after 300 ms.

The demotion is sent again every 60 ms, on another connection, until one is answered or 300 ms are over; the clean-up goes on as before. It names a term, so that it may arrive twice.

a_lost_demotion_is_repeated_before_the_successor_leads failed before: "a" and "c" led at the same time.

--- a/desk/src/promotion.rs
+++ b/desk/src/promotion.rs
@@ -6,6 +6,8 @@
 
 use futures_lite::FutureExt;
 use futures_lite::future;
+use futures_util::StreamExt;
+use futures_util::stream;
 use mangotray::id;
 use mangotray::role;
 use mangotray::stamp;
@@ -27,6 +29,10 @@
 /// Timeout of the step-down of a loaded primary, whose queue of 24 commands takes 160 ms.
 const STEP_DOWN_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
+/// Interval at which a demotion that is not answered is sent again. Platforms carry an order out
+/// after 300 ms at the earliest.
+const DEMOTION_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(60);
+
 /// Longest wait until an ordered candidate leads. Promotions take 300 to 600 ms.
 pub const LEADERSHIP_TIMEOUT: time::Duration = time::Duration::from_millis(1800);
 
@@ -253,12 +259,29 @@
         report.is_some_and(|report| Some(report.status.received) > received)
     }
 
-    /// Sends one demote command to the old primary. Returns its status if it is a replica now.
+    /// Demotes the old primary. Returns its status if it is a replica now.
+    ///
+    /// The command is sent again, on another connection, while it is not answered: the successor
+    /// leads some hundred milliseconds after its order, and a primary that still runs then gets
+    /// commits confirmed that its successor lacks.
     pub async fn demote_predecessor(&self) -> Option<status::Report> {
         let old = self.old.as_ref()?;
         let command = upstream::Command::Demote(self.term);
-        let report = send(old, &command, self.group.dialer()).await;
-        report.filter(|report| report.status.role == role::Role::Replica)
+        let deadline = boot::now() + COMMAND_TIMEOUT;
+        let mut demotions = stream::FuturesUnordered::new();
+        while boot::now() < deadline {
+            let left = deadline.saturating_sub(boot::now());
+            demotions.push(send_within(old, &command, self.group.dialer(), left));
+            let retry = boot::now() + DEMOTION_RETRY_INTERVAL;
+            while let Some(Some(report)) = wait::until(retry, demotions.next()).await {
+                let stopped = |report: &status::Report| report.status.role == role::Role::Replica;
+                if let Some(report) = report.filter(stopped) {
+                    return Some(report);
+                }
+            }
+            wait::sleep(retry.saturating_sub(boot::now())).await;
+        }
+        None
     }
 
     /// Makes the old primary step down before a successor is ordered. Returns `None` if it still
--- a/desk/tests/unlisted.rs
+++ b/desk/tests/unlisted.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use mangotray::role;
+use mangotray_desk::upstream;
 
 /// Time from an order to its effect, as on real instances.
 const PROMOTION_TIME: time::Duration = time::Duration::from_millis(400);
@@ -70,3 +71,25 @@
     assert_eq!(world.lost, 0, "acknowledged commits were lost");
     assert_eq!(world.instances["a"].role, role::Role::Replica);
 }
+
+/// Guards against a primary that goes on beside its successor, and gets commits confirmed by an
+/// unlisted replica, because one demotion was lost.
+#[test]
+fn a_lost_demotion_is_repeated_before_the_successor_leads() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        start_unlisted_replica(&harness);
+        harness.cluster.world.borrow_mut().delay = Some(("a".into(), upstream::Command::Demote(2)));
+        begin_release(&harness);
+        let stopped = harness.cluster.world.borrow_mut().at("a").role;
+        assert_eq!(stopped, role::Role::Primary);
+        cluster::until("the primary is demoted or replaced", || {
+            let mut world = harness.cluster.world.borrow_mut();
+            let replaced = ["b", "c"].map(|id| world.at(id).role);
+            world.at("a").role == role::Role::Replica || replaced.contains(&role::Role::Primary)
+        })
+        .await;
+        assert_eq!(harness.leader(), Vec::<&str>::new(), "two instances lead");
+    });
+}
