Let a group's only listed replica follow its leaving primary as well

Callers lost commits in a planned change of a group with one listed replica: that replica stayed held up to the demotion, as before, so that it lacked what an unlisted replica confirmed in between. The hold was kept so that a later holder of the lease could tell an order whose record the store has lost. For that the store has to come back from an older copy between an order and its effect, and every node that heard of the record has to end: each of them writes it again. A replica that is in no list yet is an ordinary event.

The comparison with a held candidate had no other user and is gone.

a_planned_promotion_of_the_only_listed_replica_loses_no_commit failed before (two commits lost).

--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -229,9 +229,6 @@
             .filter(|_| !returns_lead && !has_stopped);
         let ready = match &handover {
             Some(handover) => handover.begin(|| self.election.may_release()).await,
-            None if cause == detector::Cause::Planned && !returns_lead => {
-                !promotion.is_ahead_of(candidate, &selection.reports).await
-            }
             None => true,
         };
         if !ready {
@@ -285,18 +282,15 @@
         outcome
     }
 
-    // The change of a leaving primary to a candidate that follows it. `None` if the candidate has to
-    // stay held: without another held replica, a later holder of the lease could not tell from the
-    // instances that there was an order.
+    // The change of a leaving primary to a candidate that follows it.
     fn handover<'a>(
         &'a self,
         promotion: &'a promotion::Promotion,
         selection: &selection::Selection,
     ) -> Option<handover::Handover<'a>> {
         let planned = promotion.cause == detector::Cause::Planned;
-        let others_held = selection.reports.len() > 1;
         let candidate = promotion.group.roster().find(&selection.candidate)?;
-        (planned && others_held).then_some(handover::Handover {
+        planned.then_some(handover::Handover {
             promotion,
             candidate,
             resumes: &self.resumes,
--- a/desk/src/promotion.rs
+++ b/desk/src/promotion.rs
@@ -245,20 +245,6 @@
         }
     }
 
-    /// Whether the old primary has records that the candidate lacks.
-    ///
-    /// As the replicas are held, it can have acknowledged these records only if an instance that is
-    /// not listed yet has received them.
-    pub async fn is_ahead_of(&self, candidate: &upstream::Id, held: &[status::Report]) -> bool {
-        let Some(old) = &self.old else { return false };
-        let report = status::query(old, self.group.dialer(), COMMAND_TIMEOUT).await;
-        let received = held
-            .iter()
-            .find(|report| report.id == *candidate)
-            .map(|report| report.status.received);
-        report.is_some_and(|report| Some(report.status.received) > received)
-    }
-
     /// Demotes the old primary. Returns its status if it is a replica now.
     ///
     /// The command is sent again, on another connection, while it is not answered: the successor
--- a/desk/tests/unlisted.rs
+++ b/desk/tests/unlisted.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod harness;
 
+use std::rc;
 use std::time;
 
 use mangotray::role;
@@ -93,3 +94,28 @@
         assert_eq!(harness.leader(), Vec::<&str>::new(), "two instances lead");
     });
 }
+
+/// Guards against the loss of commits that an unlisted replica confirms in a group with one listed
+/// replica.
+#[test]
+fn a_planned_promotion_of_the_only_listed_replica_loses_no_commit() {
+    let world = cluster::world();
+    let replica = world.borrow_mut().instances.remove("c");
+    let harness = harness::start_on(cluster::Cluster::of(rc::Rc::clone(&world)));
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        let unlisted = cluster::Instance {
+            listed: false,
+            ..replica.expect("the replica exists")
+        };
+        world.borrow_mut().instances.insert("d".into(), unlisted);
+        begin_release(&harness);
+        cluster::until("the promotion is being recorded", || {
+            harness.store.at().is_recording_promotion()
+        })
+        .await;
+        world.borrow_mut().commits = true;
+        harness.wait_for_primary(2).await;
+    });
+    assert_eq!(world.borrow().lost, 0, "acknowledged commits were lost");
+}
