Let the candidate of an unfinished promotion follow a primary that runs

Such a promotion is a handover like a planned one while its primary answers as such. A candidate that does not follow it is held again and promoted as before, since its earlier order may take effect at any moment.

--- a/desk/src/handover.rs
+++ b/desk/src/handover.rs
@@ -35,6 +35,9 @@
 /// Interval between status queries to the candidate.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
+/// The candidate does not follow the primary, so that it may lack acknowledged commits.
+pub(crate) struct NotFollowing;
+
 /// The change of the primary of one promotion to its candidate.
 pub(crate) struct Handover<'a> {
     /// The promotion.
@@ -86,8 +89,8 @@
         tracing::info!(%group, candidate = %self.candidate.id(), %position, covered, "the replaced primary has stepped down");
     }
 
-    // Holds the candidate again, as its order may have failed.
-    async fn withdraw(&self) {
+    /// Holds the candidate again.
+    pub async fn withdraw(&self) {
         let hold = upstream::Command::Hold(self.promotion.term);
         let started = boot::now();
         let group = &self.promotion.group;
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -224,18 +224,16 @@
             .old
             .as_ref()
             .is_some_and(|old| old.id() == *candidate);
-        let handover = self
-            .handover(&promotion, &selection)
-            .filter(|_| !returns_lead && !has_stopped);
-        let ready = match &handover {
-            Some(handover) => handover.begin(|| self.election.may_release()).await,
-            None => true,
+        let handover = if returns_lead || has_stopped {
+            Ok(None)
+        } else {
+            self.begin_handover(&promotion, leader, &selection).await
         };
-        if !ready {
+        let Ok(handover) = handover else {
             tracing::warn!(group = %group.name, %candidate, "the primary has records that no replica has");
             self.release(group, leader).await;
             return Outcome::GivenUp;
-        }
+        };
         // A candidate that follows the primary, or has all of its log, lacks nothing that another
         // replica has.
         let needs_list = !has_all_records && !returns_lead && handover.is_none();
@@ -282,19 +280,40 @@
         outcome
     }
 
-    // The change of a leaving primary to a candidate that follows it.
-    fn handover<'a>(
+    // Begins the change of a running primary to a candidate that follows it. `None` if the primary
+    // does not run, or steps down first.
+    async fn begin_handover<'a>(
         &'a self,
         promotion: &'a promotion::Promotion,
+        leader: &status::Leader,
         selection: &selection::Selection,
-    ) -> Option<handover::Handover<'a>> {
-        let planned = promotion.cause == detector::Cause::Planned;
-        let candidate = promotion.group.roster().find(&selection.candidate)?;
-        planned.then_some(handover::Handover {
+    ) -> Result<Option<handover::Handover<'a>>, handover::NotFollowing> {
+        let unfinished = promotion.cause == detector::Cause::Unfinished;
+        let runs = match promotion.cause {
+            detector::Cause::Planned => true,
+            detector::Cause::Unfinished => {
+                probe::Prober::new(&promotion.group, leader).leads().await
+            }
+            _ => false,
+        };
+        let candidate = promotion.group.roster().find(&selection.candidate);
+        let Some(candidate) = candidate.filter(|_| runs) else {
+            return Ok(None);
+        };
+        let handover = handover::Handover {
             promotion,
             candidate,
             resumes: &self.resumes,
-        })
+        };
+        if handover.begin(|| self.election.may_release()).await {
+            return Ok(Some(handover));
+        }
+        if unfinished {
+            // Its earlier order may take effect at any moment, so that it goes on without a handover.
+            handover.withdraw().await;
+            return Ok(None);
+        }
+        Err(handover::NotFollowing)
     }
 
     // Makes the primary step down before its successor is ordered. Returns whether it has records
--- a/desk/tests/unlisted.rs
+++ b/desk/tests/unlisted.rs
@@ -73,6 +73,24 @@
     assert_eq!(world.instances["a"].role, role::Role::Replica);
 }
 
+/// Guards against the loss of commits that an unlisted replica confirms while a promotion is finished
+/// whose first order was lost, as its primary runs on and its candidate is held.
+#[test]
+fn an_unfinished_promotion_loses_no_commit_that_only_an_unlisted_replica_confirmed() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        start_unlisted_replica(&harness);
+        harness.client.drop_orders.set(1);
+        harness.cluster.world.borrow_mut().commits = true;
+        begin_release(&harness);
+        harness.wait_for_primary(2).await;
+    });
+    let world = harness.cluster.world.borrow();
+    assert_eq!(world.lost, 0, "acknowledged commits were lost");
+    assert_eq!(harness.client.orders.borrow().len(), 2);
+}
+
 /// Guards against a primary that goes on beside its successor, and gets commits confirmed by an
 /// unlisted replica, because one demotion was lost.
 #[test]
