Let a candidate follow its primary while the answer to its order is missing

Callers could lose commits when the answer to the order of a planned change was lost: the candidate was held again at once, as the order might have failed, but it was carried out.

The candidate goes on following. All other listed replicas are held, so that whatever is confirmed needs the candidate or an unlisted replica, and both receive the same. The next attempt holds it as before.

--- a/desk/src/handover.rs
+++ b/desk/src/handover.rs
@@ -63,17 +63,18 @@
     }
 
     /// Acts on the outcome of the order: the primary of an accepted one is demoted.
+    ///
+    /// After an order with an unknown outcome the candidate goes on following the primary, as the
+    /// order may still take effect. A held candidate would lack what an unlisted replica confirms
+    /// until then. All other listed replicas are held, so that nothing is confirmed without it
+    /// otherwise. After a refused order a later attempt holds it again.
     pub async fn conclude(&self, outcome: &promote::Outcome) {
-        match outcome {
-            promote::Outcome::Accepted => {
-                let demotion = self.demote_primary();
-                let candidate = self.candidate.id();
-                self.promotion.while_holding(&candidate, demotion).await;
-            }
-            promote::Outcome::Unknown(_) => self.withdraw().await,
-            // A later attempt holds it again.
-            promote::Outcome::Refused(_) => {}
+        if *outcome != promote::Outcome::Accepted {
+            return;
         }
+        let candidate = self.candidate.id();
+        let demotion = self.demote_primary();
+        self.promotion.while_holding(&candidate, demotion).await;
     }
 
     // Demotes the primary after its successor was ordered, and checks that the candidate has
@@ -89,7 +90,7 @@
         tracing::info!(%group, candidate = %self.candidate.id(), %position, covered, "the replaced primary has stepped down");
     }
 
-    /// Holds the candidate again.
+    /// Holds the candidate again, for a promotion that goes on without a handover.
     pub async fn withdraw(&self) {
         let hold = upstream::Command::Hold(self.promotion.term);
         let started = boot::now();
--- a/desk/tests/unlisted.rs
+++ b/desk/tests/unlisted.rs
@@ -73,6 +73,23 @@
     assert_eq!(world.instances["a"].role, role::Role::Replica);
 }
 
+/// Guards against the loss of commits that an unlisted replica confirms after a candidate was held
+/// again, because the answer to its order was lost.
+#[test]
+fn a_candidate_whose_order_was_not_answered_goes_on_following_the_primary() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        start_unlisted_replica(&harness);
+        harness.client.lose_answers.set(1);
+        harness.cluster.world.borrow_mut().commits = true;
+        begin_release(&harness);
+        harness.wait_for_primary(2).await;
+    });
+    let world = harness.cluster.world.borrow();
+    assert_eq!(world.lost, 0, "acknowledged commits were lost");
+}
+
 /// Guards against the loss of commits that an unlisted replica confirms while a promotion is finished
 /// whose first order was lost, as its primary runs on and its candidate is held.
 #[test]
