Promote without an instance that left as planned and is silent

After an ordinary replacement of a replica, one crash of a primary could leave its group without a primary for good: the replica that had left was asked for its records, its machine was gone, and silence is no evidence of an end. A machine that is taken away neither refuses nor answers, so the promotion was held back for ever.

What may be lost is what callers were told, and they are told by nodes alone. So where only instances do not answer that had announced their end and left the list, the holder of the promoter's lease asks every node to seal the term: the node tells the highest position that it has passed on as acknowledged, and passes on no further commit of that term for two seconds (its caller is told UNSURE). A candidate that has all of that loses no acknowledged commit, whatever the silent instance has. Every node has to answer, and has to have run since a time up to which the candidate's log covers all acknowledged commits; else the promotion is held back as before. A primary that answers is not sealed.

--- a/desk/src/attempt.rs
+++ b/desk/src/attempt.rs
@@ -248,7 +248,9 @@
             group.record_position(term, sent, reply.position);
             match reply.code() {
                 None => {
-                    group.note_acknowledged(reply.position);
+                    if !group.acknowledge(term, reply.position) {
+                        return outcome_unknown("the primary is being replaced");
+                    }
                     tracing::info!(request = %query.id, version = route.version, group = %group.name, instance = %pool.id(),
                         term, waited_ms = sent.saturating_sub(query.arrived).as_millis(),
                         took_ms = boot::now().saturating_sub(sent).as_millis(),
--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -214,6 +214,33 @@
         found.map(|(_, stamp)| *stamp)
     }
 
+    /// The latest time of which it is known that all commits acknowledged before it, in `term`, are
+    /// at or before `stamp`.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::floor;
+    /// use std::time::Duration;
+    /// let millis = Duration::from_millis;
+    /// let mut floors = floor::Floors::default();
+    /// floors.record_position(2, millis(100), Stamp::new(2, 7));
+    /// floors.record_position(2, millis(200), Stamp::new(2, 9));
+    /// assert_eq!(floors.covered_until(2, Stamp::new(2, 8)), Some(millis(100)));
+    /// assert_eq!(floors.covered_until(2, Stamp::new(2, 9)), Some(millis(200)));
+    /// assert_eq!(floors.covered_until(2, Stamp::new(2, 6)), None);
+    /// assert_eq!(floors.covered_until(3, Stamp::new(2, 9)), None);
+    /// ```
+    #[must_use]
+    pub fn covered_until(&self, term: id::Term, stamp: stamp::Stamp) -> Option<id::Time> {
+        if term != self.term {
+            return None;
+        }
+        let positions = self.first_position.iter().chain(&self.recent_positions);
+        let known = positions.chain(&self.entries);
+        let covered = known.filter(|(_, position)| *position <= stamp);
+        covered.map(|(time, _)| *time).max()
+    }
+
     /// The last known position of the primary of `term`.
     ///
     /// ```
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -25,6 +25,7 @@
 use crate::pool;
 use crate::proof;
 use crate::roster;
+use crate::seal;
 use crate::source;
 use crate::status;
 use crate::upstream;
@@ -78,6 +79,8 @@
     prover: proof::Prover,
     /// Highest position of a commit that this node has passed on as acknowledged.
     acknowledged: cell::Cell<Option<stamp::Stamp>>,
+    /// The term of which this node passes on no further commit.
+    sealed: cell::Cell<Option<seal::Seal>>,
     /// What the promotion waits for that this node holds back.
     holdback: cell::RefCell<Option<holdback::Holdback>>,
     /// The record of the group's instances that the store has.
@@ -114,6 +117,7 @@
             querying_absent: cell::Cell::default(),
             prover: proof::Prover::default(),
             acknowledged: cell::Cell::default(),
+            sealed: cell::Cell::default(),
             holdback: cell::RefCell::default(),
             recorded: cell::RefCell::default(),
             recording: cell::RefCell::default(),
@@ -512,6 +516,27 @@
         }
     }
 
+    /// Records the position in the answer of the primary of `term` to a commit, which this node is
+    /// about to pass on as acknowledged. Returns `false` if it must not be: the term is sealed, and
+    /// the next primary may lack the commit.
+    #[must_use]
+    pub fn acknowledge(&self, term: id::Term, position: Option<stamp::Stamp>) -> bool {
+        let sealed = self.sealed.get();
+        if sealed.is_some_and(|seal| seal.covers(term, boot::now())) {
+            tracing::info!(group = %self.name, term, "commit not passed on: its term is sealed");
+            return false;
+        }
+        self.note_acknowledged(position);
+        true
+    }
+
+    /// Passes on no further commit of `term` for a while. Returns the highest position that this
+    /// node has passed on as acknowledged.
+    pub fn seal(&self, term: id::Term) -> Option<stamp::Stamp> {
+        self.sealed.set(Some(seal::Seal::new(term, boot::now())));
+        self.acknowledged()
+    }
+
     /// Records the position in the primary's answer to a commit, which this node passes on as
     /// acknowledged.
     pub fn note_acknowledged(&self, position: Option<stamp::Stamp>) {
--- a/desk/src/holding.rs
+++ b/desk/src/holding.rs
@@ -15,6 +15,7 @@
 use crate::probe;
 use crate::promoter;
 use crate::promotion;
+use crate::seal;
 use crate::selection;
 use crate::shortfall;
 use crate::status;
@@ -102,7 +103,7 @@
                 pending: pending.as_ref().map(|intent| &intent.candidate),
                 loss,
             };
-            let (mut verdict, predecessor) = self.judge(&view).await;
+            let (mut verdict, predecessor) = self.judge(&view, &pools).await;
             if let verdict::Verdict::Promote(candidate) = &verdict {
                 let answers = reports.iter().chain(&predecessor);
                 let position = position_of(answers, candidate);
@@ -211,7 +212,11 @@
 
     // Judges one round of holds. If the replicas alone do not decide, the replaced primary's answer
     // does; it is returned as well.
-    async fn judge(&self, view: &verdict::View<'_>) -> (verdict::Verdict, Option<status::Report>) {
+    async fn judge(
+        &self,
+        view: &verdict::View<'_>,
+        pools: &[rc::Rc<pool::Pool>],
+    ) -> (verdict::Verdict, Option<status::Report>) {
         let group = &self.promotion.group;
         let leaves = |id: &upstream::Id| group.roster().is_leaving(id);
         let mut verdict = view.judge(leaves);
@@ -227,6 +232,13 @@
                 "not all replicas answer, but the replaced primary does and has stopped");
             predecessor = Some(old);
         }
+        if verdict == verdict::Verdict::Missing
+            && let Some(bound) = self.bound_departed(view, pools).await
+        {
+            verdict = view.resolve_sealed(bound, leaves);
+            tracing::info!(group = %group.name, %bound, position = view.position().map(tracing::field::display), ?verdict,
+                missing = ?status::unanswered(pools, view.reports), "instances that have left as planned do not answer");
+        }
         if verdict == verdict::Verdict::Lacking {
             let old = self.promotion.query_predecessor().await;
             verdict = view.resolve(&old, leaves);
@@ -246,6 +258,35 @@
         (verdict, predecessor)
     }
 
+    // Bounds what callers were told in the term that is replaced, if only instances that have left as
+    // planned do not answer: such an instance never answers again once its machine is gone.
+    //
+    // The term is sealed for this, so it has to be certain that the primary leads no more.
+    async fn bound_departed(
+        &self,
+        view: &verdict::View<'_>,
+        pools: &[rc::Rc<pool::Pool>],
+    ) -> Option<stamp::Stamp> {
+        let group = &self.promotion.group;
+        let missing = status::unanswered(pools, view.reports);
+        let departed = missing.iter().all(|id| group.roster().has_left(id));
+        let position = view.position().filter(|_| departed)?;
+        let term = self.leader.term;
+        let known_at = group.with_witnesses(|witnesses| {
+            let floors = witnesses.leadership.floors();
+            floors.covered_until(term, position)
+        })?;
+        let may_run = self.promotion.cause.primary_may_run();
+        if may_run && probe::Prober::new(group, self.leader).leads().await {
+            return None;
+        }
+        let request = seal::Request {
+            group: group.name.clone(),
+            term,
+        };
+        self.promoter.node.seal_everywhere(&request, known_at).await
+    }
+
     // If a replica has lost its log under this primary, the bound on the records that it may have
     // confirmed before. While an order is open, all replicas were held before it, so the position
     // in the order's record is that bound. A stalled primary is exempt: it is cut off from its
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod retry;
 pub mod room;
 pub mod roster;
+pub mod seal;
 mod selection;
 pub mod session;
 pub mod settings;
--- a/desk/src/member.rs
+++ b/desk/src/member.rs
@@ -25,8 +25,12 @@
 }
 
 /// Version of the messages that this build understands. Version 1 has load reports and shares of
-/// organisations' limits; nodes send these messages only to members that understand them.
-pub const PROTOCOL: u32 = 1;
+/// organisations' limits, version 2 seals of terms; nodes send these messages only to members that
+/// understand them.
+pub const PROTOCOL: u32 = 2;
+
+/// Lowest version of a member that seals terms.
+pub const SEAL_PROTOCOL: u32 = 2;
 
 impl Member {
     /// Its key in the platform's store.
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -31,9 +31,11 @@
 use crate::limits::shares;
 use crate::limits::tokens;
 use crate::listing;
+use crate::member;
 use crate::membership;
 use crate::organisations;
 use crate::question;
+use crate::seal;
 use crate::upstream;
 use crate::validity;
 
@@ -57,6 +59,7 @@
     declared_lost: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     instances_known: cell::Cell<bool>,
     listing: listing::Listing,
+    started_at: id::Time,
     validity: Option<validity::Validity>,
     /// Whether the newest configuration could not be parsed. It may revoke keys.
     newest_unreadable: cell::Cell<bool>,
@@ -99,6 +102,7 @@
             declared_lost: cell::RefCell::default(),
             instances_known: cell::Cell::default(),
             listing: listing::Listing::default(),
+            started_at: boot::now(),
             unconfigured_groups: cell::RefCell::default(),
         })
     }
@@ -452,6 +456,58 @@
         groups.get(group).and_then(|group| group.acknowledged())
     }
 
+    /// Seals a term of a group at this node.
+    #[must_use]
+    pub fn seal(&self, request: &seal::Request) -> seal::Response {
+        let acknowledged = self.group(&request.group).seal(request.term);
+        seal::Response {
+            acknowledged,
+            uptime: boot::now().saturating_sub(self.started_at),
+        }
+    }
+
+    /// Seals a term of a group at all nodes. Returns the highest position that any of them has passed
+    /// on as acknowledged; `None` if one does not answer, or has not run since `known_at`.
+    pub async fn seal_everywhere(
+        &self,
+        request: &seal::Request,
+        known_at: id::Time,
+    ) -> Option<stamp::Stamp> {
+        let peers = self.router.peers();
+        let (own, others): (Vec<_>, Vec<_>) = self
+            .router
+            .members()
+            .into_iter()
+            .partition(|member| member.name == self.name);
+        // A node that has just started may not know the others yet, nor itself as one of them.
+        own.first()?;
+        let question = question::Question::Seal(request.clone());
+        let asked = others.iter().map(|member| async {
+            let able = member.protocol >= member::SEAL_PROTOCOL && peers.may_ask(&member.name);
+            let answer = if able {
+                peers.ask(member, &question).await
+            } else {
+                None
+            };
+            match answer {
+                Some(question::Answer::Sealed(response)) => Some(response),
+                _ => None,
+            }
+        });
+        let mut answers = futures_util::future::join_all(asked).await;
+        answers.push(Some(self.seal(request)));
+        let bound = seal::bound(&answers, boot::now().saturating_sub(known_at));
+        let unanswered: Vec<_> = others
+            .iter()
+            .zip(&answers)
+            .filter(|(_, answer)| answer.is_none())
+            .map(|(member, _)| &member.name)
+            .collect();
+        tracing::info!(group = %request.group, term = request.term, nodes = answers.len(), ?unanswered,
+            bound = bound.map(tracing::field::display), "term sealed");
+        bound
+    }
+
     /// What this node, and the others that answer, have passed on as acknowledged in a group.
     pub async fn acknowledged_anywhere(
         &self,
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -9,6 +9,7 @@
 use crate::limits::buckets;
 use crate::limits::lease;
 use crate::limits::tokens;
+use crate::seal;
 
 /// A question to another node.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -22,10 +23,12 @@
     /// Asks for the highest position that the node has passed on as acknowledged in a group.
     Acknowledged(id::Group),
     /// Asks about a share of a shard's limits. Only for members with protocol 1 or more, as the
-    /// following.
+    /// next one.
     Share(lease::Request),
     /// Requests tokens of an organisation from a node that holds shares of its limit.
     Tokens(tokens::Request),
+    /// Requests that a group's term be sealed. Only for members with protocol 2 or more.
+    Seal(seal::Request),
 }
 
 /// An answer; its variant follows from the question.
@@ -45,6 +48,8 @@
     Share(lease::Response),
     /// Decision about a request for tokens.
     Tokens(tokens::Decision),
+    /// The term is sealed.
+    Sealed(seal::Response),
 }
 
 /// Proof that a configuration was the newest.
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -231,6 +231,14 @@
         self.absent.borrow().contains_key(&pool.id())
     }
 
+    /// Whether an instance has left as planned: it had announced its end, and is no longer listed. It
+    /// may still run.
+    #[must_use]
+    pub fn has_left(&self, id: &upstream::Id) -> bool {
+        let absent = self.absent.borrow();
+        absent.get(id).is_some_and(|absence| absence.end_announced)
+    }
+
     /// Whether an instance is no longer listed and has been silent for long. It still counts in
     /// promotions.
     #[must_use]
--- /dev/null
+++ b/desk/src/seal.rs
@@ -0,0 +1,96 @@
+//! Sealing of a term: nodes pass on no further commit of a primary that is to be replaced.
+//!
+//! Callers learn of a commit through a node only. Once every node has told what it passed on in a
+//! term, and passes on nothing more, a candidate that has all of that loses no acknowledged commit,
+//! whatever a silent instance may have confirmed.
+
+use std::time;
+
+use mangotray::id;
+use mangotray::stamp;
+
+/// How long a seal lasts. Longer than an order and its effect take, and short, as callers of a
+/// primary that comes back cannot be told of their commits meanwhile.
+const LIFETIME: time::Duration = time::Duration::from_secs(2);
+
+/// A request to seal a term of a group.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Request {
+    /// The group.
+    pub group: id::Group,
+    /// The term of the primary that is to be replaced.
+    pub term: id::Term,
+}
+
+/// A node's answer: it has sealed the term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Response {
+    /// Highest position that this process has passed on as acknowledged.
+    pub acknowledged: Option<stamp::Stamp>,
+    /// How long this process has run. What an earlier process passed on is not known.
+    pub uptime: time::Duration,
+}
+
+/// A sealed term, as one node keeps it.
+///
+/// ```
+/// use mangotray_desk::seal;
+/// use std::time::Duration;
+/// let seal = seal::Seal::new(3, Duration::from_secs(10));
+/// assert!(seal.covers(3, Duration::from_secs(11)));
+/// assert!(!seal.covers(4, Duration::from_secs(11)));
+/// assert!(!seal.covers(3, Duration::from_secs(13)));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seal {
+    term: id::Term,
+    until: id::Time,
+}
+
+impl Seal {
+    /// Seals `term` at `now`.
+    #[must_use]
+    pub fn new(term: id::Term, now: id::Time) -> Self {
+        Self {
+            term,
+            until: now + LIFETIME,
+        }
+    }
+
+    /// Whether no commit of this term may be passed on at `now`.
+    #[must_use]
+    pub fn covers(&self, term: id::Term, now: id::Time) -> bool {
+        term <= self.term && now < self.until
+    }
+}
+
+/// The highest position that any node has passed on as acknowledged, by the answers of all nodes to
+/// a request to seal the term. `None` unless all have answered and have run since `since_ago`
+/// before now: what an earlier process of a node passed on until then has to be covered otherwise.
+///
+/// ```
+/// use mangotray::stamp::Stamp;
+/// use mangotray_desk::seal;
+/// use std::time::Duration;
+/// let seconds = Duration::from_secs;
+/// let answer = |position, uptime| Some(seal::Response {
+///     acknowledged: Some(Stamp::new(1, position)),
+///     uptime: seconds(uptime),
+/// });
+/// let bound = |answers: &[_]| seal::bound(answers, seconds(5));
+/// assert_eq!(bound(&[answer(7, 9), answer(8, 6)]), Some(Stamp::new(1, 8)));
+/// assert_eq!(bound(&[answer(7, 9), answer(8, 4)]), None);
+/// assert_eq!(bound(&[answer(7, 9), None]), None);
+/// assert_eq!(bound(&[]), None);
+/// ```
+#[must_use]
+pub fn bound(answers: &[Option<Response>], since_ago: time::Duration) -> Option<stamp::Stamp> {
+    let answered: Option<Vec<_>> = answers.iter().copied().collect();
+    let answered = answered.filter(|answered| !answered.is_empty())?;
+    let known = answered.iter().all(|answer| answer.uptime >= since_ago);
+    let highest = answered
+        .iter()
+        .filter_map(|answer| answer.acknowledged)
+        .max();
+    known.then(|| highest.unwrap_or_default())
+}
--- a/desk/src/transaction.rs
+++ b/desk/src/transaction.rs
@@ -119,8 +119,10 @@
         };
         if let (reply::State::Idle, Some(term)) = (reply.state, pinned.primary_term) {
             pinned.group.record_position(term, sent, reply.position);
-            if self.wrote && reply.is_done() {
-                pinned.group.note_acknowledged(reply.position);
+            let commits = self.wrote && reply.is_done();
+            if commits && !pinned.group.acknowledge(term, reply.position) {
+                let text = "the primary is being replaced".into();
+                return Err((reply::Code::Unsure, text));
             }
         }
         Ok(reply)
--- a/desk/src/verdict.rs
+++ b/desk/src/verdict.rs
@@ -174,6 +174,51 @@
         self.promote(covering.unwrap_or(old))
     }
 
+    /// Resolves [`Verdict::Missing`] by what callers were told: no node has passed on a commit
+    /// beyond `bound` in the term that is replaced, nor will, so that a replica which has all of that
+    /// needs no silent instance.
+    ///
+    /// ```
+    /// use mangotray::{role::Role, stamp::Stamp};
+    /// use mangotray_desk::{status, upstream, verdict};
+    /// let status = upstream::Status { role: Role::Replica, term: 1, received: Stamp::new(1, 4), held: 2, load: upstream::Load::default() };
+    /// let leader = status::Leader { id: "a".into(), term: 1 };
+    /// let reports = [status::Report { id: "b".into(), status, applied: None }];
+    /// let view = verdict::View { leader: &leader, term: 2, expected: 2, reports: &reports, max_received: None, pending: None, loss: None };
+    /// assert_eq!(view.judge(|_| false), verdict::Verdict::Missing);
+    /// assert_eq!(view.resolve_sealed(Stamp::new(1, 4), |_| false), verdict::Verdict::Promote("b".into()));
+    /// assert_eq!(view.resolve_sealed(Stamp::new(1, 5), |_| false), verdict::Verdict::Missing);
+    /// ```
+    #[must_use]
+    pub fn resolve_sealed(
+        &self,
+        bound: stamp::Stamp,
+        leaves: impl Fn(&upstream::Id) -> bool,
+    ) -> Verdict {
+        let answers = |id: &upstream::Id| self.reports.iter().any(|report| report.id == *id);
+        let may_lead = self.pending.is_some_and(|id| !answers(id));
+        match self.best(leaves) {
+            Some(best) if best.status.received >= bound && !may_lead => self.promote(best),
+            _ => Verdict::Missing,
+        }
+    }
+
+    /// The last log position that any of the instances which answer has received.
+    ///
+    /// ```
+    /// use mangotray_desk::{status, verdict};
+    /// let leader = status::Leader { id: "a".into(), term: 1 };
+    /// let view = verdict::View { leader: &leader, term: 2, expected: 2, reports: &[], max_received: None, pending: None, loss: None };
+    /// assert_eq!(view.position(), None);
+    /// ```
+    #[must_use]
+    pub fn position(&self) -> Option<stamp::Stamp> {
+        self.reports
+            .iter()
+            .map(|report| report.status.received)
+            .max()
+    }
+
     /// Resolves [`Verdict::Lacking`] by the state of the replaced primary. The hold-back ends once
     /// the primary answers, or has ended by evidence.
     ///
