Tell lost commits from records that nobody was told of

It compared all logs with the candidate's at the time of its choice, while the candidate of a planned change goes on following its primary; and it did not know whether any caller had been told of the records.

The candidate's position counts up to the primary's demotion, and all nodes are asked what they passed on in the earlier terms. Found records are Lost (passed on), Unacknowledged, or Unknown where a node did not answer or had restarted; the metric counts the first, and as before a replica's records of which nothing is known. Nodes keep what they passed on for each of the last four terms, as a commit of the new term hid that of the old one.

The list of nodes is read before a term is sealed, as watches may be behind.

--- a/desk/src/audit.rs
+++ b/desk/src/audit.rs
@@ -13,8 +13,11 @@
 use mangotray::stamp;
 use mangotray::telemetry;
 
+use crate::boot;
 use crate::group;
+use crate::node;
 use crate::probe;
+use crate::seal;
 use crate::status;
 use crate::upstream;
 
@@ -42,7 +45,7 @@
 pub struct Audit {
     /// The instance chosen as the new primary.
     pub candidate: upstream::Id,
-    /// Last log position of the candidate when it was chosen.
+    /// Last log position that the candidate is known to have received before it led.
     pub position: stamp::Stamp,
     /// Term that the candidate is to lead.
     pub term: id::Term,
@@ -59,6 +62,29 @@
 }
 
 impl Audit {
+    /// Notes that the candidate has received the records up to a position since it was chosen.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::audit;
+    /// let mut audit = audit::Audit {
+    ///     candidate: "b".into(),
+    ///     position: Stamp::new(1, 9),
+    ///     term: 2,
+    ///     old: Some("a".into()),
+    ///     reports: Vec::new(),
+    ///     queried: Vec::new(),
+    ///     unlisted: Vec::new(),
+    ///     forgotten: Vec::new(),
+    /// };
+    /// audit.note_received(Some(Stamp::new(1, 11)));
+    /// audit.note_received(None);
+    /// assert_eq!(audit.position, Stamp::new(1, 11));
+    /// ```
+    pub fn note_received(&mut self, position: Option<stamp::Stamp>) {
+        self.position = self.position.max(position.unwrap_or_default());
+    }
+
     /// Lists each counted instance with its last log position, its term and the term that it is
     /// held for.
     #[must_use]
@@ -100,7 +126,8 @@
     }
 
     /// Returns the instances that have records of earlier terms beyond the candidate's position at
-    /// the time of its choice. Each of these records is lost, and may have been acknowledged.
+    /// the time at which it began to lead. Each of these records is lost, and may have been
+    /// acknowledged.
     ///
     /// A replica that already follows the new primary was rolled back or has records of the new
     /// term, so its log proves nothing any more.
@@ -139,25 +166,44 @@
         reports.iter().filter(instances_ahead).collect()
     }
 
-    /// Queries all instances once after a promotion and reports records that the new primary lacks. The
-    /// answers do not change this node's view of the group.
-    pub async fn check(self, group: rc::Rc<group::Group>) {
+    /// Queries all instances once after a promotion that began at `began`, and reports records that
+    /// the new primary lacks. The nodes' answers to a seal of the earlier terms tell whether any caller
+    /// was told of these records. The answers do not change this node's view of the group.
+    pub async fn check(
+        self,
+        node: rc::Rc<node::Node>,
+        group: rc::Rc<group::Group>,
+        began: id::Time,
+    ) {
         let pools = group.roster().pools();
         let reports = status::query_all(&pools, group.dialer(), probe::TIMEOUT).await;
         let (candidate, position, term) = (&self.candidate, self.position, self.term);
         let ahead = self.instances_ahead(&reports);
         tracing::info!(group = %group.name, %candidate, term, answers = reports.len(),
             unseen = self.unanswered(&reports), beyond = ahead.len(), "promotion checked");
+        if ahead.is_empty() {
+            return;
+        }
+        let request = seal::Request {
+            group: group.name.clone(),
+            term: term.saturating_sub(1),
+        };
+        let answers = node.seal_everywhere(&request).await;
+        let told = seal::highest(&answers);
+        let bound = seal::bound(&answers, boot::now().saturating_sub(began));
+        let finding = Finding::judge(position, told, bound);
         for report in ahead {
-            let received = report.status.received;
-            if self.old.as_ref() == Some(&report.id) {
-                tracing::warn!(group = %group.name, instance = %report.id, %received, %candidate, %position, term,
-                    "the replaced primary has records that the new primary lacks: they are lost if they were acknowledged");
-            } else {
+            let (instance, received) = (&report.id, report.status.received);
+            let replaced = self.old.as_ref() == Some(instance);
+            let told = told.map(tracing::field::display);
+            if finding == Finding::Lost || (finding == Finding::Unknown && !replaced) {
                 metrics::counter!(telemetry::PROMOTION_LOSSES, "group" => group.name.to_string())
                     .increment(1);
-                tracing::error!(group = %group.name, instance = %report.id, %received, %candidate, %position, term,
-                    "a replica has records that the new primary lacks: acknowledged commits may be lost");
+                tracing::error!(group = %group.name, %instance, %received, replaced, %candidate, %position, term, told, ?finding,
+                    "an instance has records that the new primary lacks: acknowledged commits may be lost");
+            } else {
+                tracing::warn!(group = %group.name, %instance, %received, replaced, %candidate, %position, term, told, ?finding,
+                    "an instance has records that the new primary lacks");
             }
         }
     }
@@ -170,6 +216,45 @@
     }
 }
 
+/// What became of records that a new primary lacks.
+///
+/// ```
+/// use mangotray::stamp::Stamp;
+/// use mangotray_desk::audit::Finding;
+/// let (nine, ten) = (Stamp::new(1, 9), Stamp::new(1, 10));
+/// assert_eq!(Finding::judge(nine, Some(ten), None), Finding::Lost);
+/// assert_eq!(Finding::judge(ten, Some(nine), None), Finding::Unknown);
+/// assert_eq!(Finding::judge(ten, Some(nine), Some(nine)), Finding::Unacknowledged);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// A node had passed commits on as acknowledged that are lost.
+    Lost,
+    /// Some node did not answer, or had restarted: it may have passed them on.
+    Unknown,
+    /// No node had passed them on.
+    Unacknowledged,
+}
+
+impl Finding {
+    /// Judges a new primary that began to lead with the records up to `position`. `told` is the highest
+    /// position that any node which answered had passed on, and `bound` the same of all nodes.
+    #[must_use]
+    pub fn judge(
+        position: stamp::Stamp,
+        told: Option<stamp::Stamp>,
+        bound: Option<stamp::Stamp>,
+    ) -> Self {
+        if told > Some(position) {
+            Self::Lost
+        } else if bound.is_some() {
+            Self::Unacknowledged
+        } else {
+            Self::Unknown
+        }
+    }
+}
+
 fn join(items: impl Iterator<Item = impl fmt::Display>) -> String {
     let items: Vec<_> = items.map(|item| item.to_string()).collect();
     items.join(", ")
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -6,6 +6,7 @@
 //! [`crate::floor`]); any replica that has applied the floor may then serve the read.
 
 use std::cell;
+use std::collections;
 use std::rc;
 use std::time;
 
@@ -60,6 +61,10 @@
 /// it has none to the instance.
 const ABSENT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
+/// Number of terms of which the acknowledged position is kept: those that a promotion in progress, and
+/// its audit, ask for.
+const ACKNOWLEDGED_TERMS: usize = 4;
+
 /// The state of a group as known to this node.
 pub struct Group {
     /// The name of the group.
@@ -77,8 +82,8 @@
     refreshing_locally: cell::Cell<bool>,
     querying_absent: cell::Cell<bool>,
     prover: proof::Prover,
-    /// Highest position of a commit that this node has passed on as acknowledged.
-    acknowledged: cell::Cell<Option<stamp::Stamp>>,
+    /// Highest position of each term that this node has passed on as acknowledged.
+    acknowledged: cell::RefCell<collections::BTreeMap<id::Term, stamp::Stamp>>,
     /// The term of which this node passes on no further commit.
     sealed: cell::Cell<Option<seal::Seal>>,
     /// What the promotion waits for that this node holds back.
@@ -116,7 +121,7 @@
             refreshing_locally: cell::Cell::default(),
             querying_absent: cell::Cell::default(),
             prover: proof::Prover::default(),
-            acknowledged: cell::Cell::default(),
+            acknowledged: cell::RefCell::default(),
             sealed: cell::Cell::default(),
             holdback: cell::RefCell::default(),
             recorded: cell::RefCell::default(),
@@ -530,24 +535,33 @@
         true
     }
 
-    /// Passes on no further commit of `term` for a while. Returns the highest position that this
-    /// node has passed on as acknowledged.
+    /// Passes on no further commit of `term`, or an earlier one, for a while. Returns the highest
+    /// position that this node has passed on as acknowledged in them.
     pub fn seal(&self, term: id::Term) -> Option<stamp::Stamp> {
         self.sealed.set(Some(seal::Seal::new(term, boot::now())));
-        self.acknowledged()
+        let acknowledged = self.acknowledged.borrow();
+        let last = acknowledged.range(..=term).next_back();
+        last.map(|(_, position)| *position)
     }
 
     /// Records the position in the primary's answer to a commit, which this node passes on as
     /// acknowledged.
     pub fn note_acknowledged(&self, position: Option<stamp::Stamp>) {
-        self.acknowledged.set(self.acknowledged.get().max(position));
+        let Some(position) = position else { return };
+        let mut acknowledged = self.acknowledged.borrow_mut();
+        let highest = acknowledged.entry(position.term).or_insert(position);
+        *highest = position.max(*highest);
+        while acknowledged.len() > ACKNOWLEDGED_TERMS {
+            acknowledged.pop_first();
+        }
     }
 
     /// Highest position that this node has passed on as acknowledged. Commits that were in progress
     /// at the same time may be before it.
     #[must_use]
     pub fn acknowledged(&self) -> Option<stamp::Stamp> {
-        self.acknowledged.get()
+        let acknowledged = self.acknowledged.borrow();
+        acknowledged.values().next_back().copied()
     }
 
     /// Discards the known primary if its term is `term` or earlier, and starts a search.
--- a/desk/src/handover.rs
+++ b/desk/src/handover.rs
@@ -62,32 +62,34 @@
         self.follows(FINAL_CHECK_TIMEOUT).await
     }
 
-    /// Acts on the outcome of the order: the primary of an accepted one is demoted.
+    /// Acts on the outcome of the order: the primary of an accepted one is demoted. Returns the last
+    /// log position that the candidate is known to have received since.
     ///
     /// After an order with an unknown outcome the candidate goes on following the primary, as the
     /// order may still take effect. A held candidate would lack what an unlisted replica confirms
     /// until then. All other listed replicas are held, so that nothing is confirmed without it
     /// otherwise. After a refused order a later attempt holds it again.
-    pub async fn conclude(&self, outcome: &promote::Outcome) {
+    pub async fn conclude(&self, outcome: &promote::Outcome) -> Option<stamp::Stamp> {
         if *outcome != promote::Outcome::Accepted {
-            return;
+            return None;
         }
         let candidate = self.candidate.id();
         let demotion = self.demote_primary();
-        self.promotion.while_holding(&candidate, demotion).await;
+        self.promotion.while_holding(&candidate, demotion).await
     }
 
     // Demotes the primary after its successor was ordered, and checks that the candidate has
-    // received all of its records.
-    async fn demote_primary(&self) {
+    // received all of its records. Returns their position if it has.
+    async fn demote_primary(&self) -> Option<stamp::Stamp> {
         let group = &self.promotion.group.name;
         let Some(report) = self.promotion.demote_predecessor().await else {
             tracing::warn!(%group, candidate = %self.candidate.id(), "the replaced primary is not demoted yet");
-            return;
+            return None;
         };
         let position = report.status.received;
         let covered = self.receives(position, CATCH_UP_TIMEOUT).await;
         tracing::info!(%group, candidate = %self.candidate.id(), %position, covered, "the replaced primary has stepped down");
+        covered.then_some(position)
     }
 
     /// Holds the candidate again, for a promotion that goes on without a handover.
--- a/desk/src/holding.rs
+++ b/desk/src/holding.rs
@@ -280,11 +280,17 @@
         if may_run && probe::Prober::new(group, self.leader).leads().await {
             return None;
         }
+        // Watches may not tell of some nodes yet, and each has to be asked.
+        let node = &self.promoter.node;
+        if !node.listing().request().await {
+            return None;
+        }
         let request = seal::Request {
             group: group.name.clone(),
             term,
         };
-        self.promoter.node.seal_everywhere(&request, known_at).await
+        let answers = node.seal_everywhere(&request).await;
+        seal::bound(&answers, boot::now().saturating_sub(known_at))
     }
 
     // If a replica has lost its log under this primary, the bound on the records that it may have
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -466,46 +466,39 @@
         }
     }
 
-    /// Seals a term of a group at all nodes. Returns the highest position that any of them has passed
-    /// on as acknowledged; `None` if one does not answer, or has not run since `known_at`.
-    pub async fn seal_everywhere(
-        &self,
-        request: &seal::Request,
-        known_at: id::Time,
-    ) -> Option<stamp::Stamp> {
+    /// Seals a term of a group at all nodes, and returns their answers; none if this node does not
+    /// know yet which nodes there are.
+    pub async fn seal_everywhere(&self, request: &seal::Request) -> Vec<Option<seal::Response>> {
         let peers = self.router.peers();
         let (own, others): (Vec<_>, Vec<_>) = self
             .router
             .members()
             .into_iter()
             .partition(|member| member.name == self.name);
-        // A node that has just started may not know the others yet, nor itself as one of them.
-        own.first()?;
+        if own.is_empty() {
+            return Vec::new();
+        }
         let question = question::Question::Seal(request.clone());
         let asked = others.iter().map(|member| async {
             let able = member.protocol >= member::SEAL_PROTOCOL && peers.may_ask(&member.name);
-            let answer = if able {
-                peers.ask(member, &question).await
-            } else {
-                None
-            };
-            match answer {
-                Some(question::Answer::Sealed(response)) => Some(response),
+            if !able {
+                return None;
+            }
+            match peers.ask(member, &question).await? {
+                question::Answer::Sealed(response) => Some(response),
                 _ => None,
             }
         });
         let mut answers = futures_util::future::join_all(asked).await;
-        answers.push(Some(self.seal(request)));
-        let bound = seal::bound(&answers, boot::now().saturating_sub(known_at));
-        let unanswered: Vec<_> = others
-            .iter()
-            .zip(&answers)
+        let answered = others.iter().zip(&answers);
+        let unanswered: Vec<_> = answered
             .filter(|(_, answer)| answer.is_none())
             .map(|(member, _)| &member.name)
             .collect();
+        answers.push(Some(self.seal(request)));
         tracing::info!(group = %request.group, term = request.term, nodes = answers.len(), ?unanswered,
-            bound = bound.map(tracing::field::display), "term sealed");
-        bound
+            acknowledged = seal::highest(&answers).map(tracing::field::display), "term sealed");
+        answers
     }
 
     /// What this node, and the others that answer, have passed on as acknowledged in a group.
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -206,7 +206,7 @@
             Err(outcome) => return outcome,
         };
         let candidate = &selection.candidate;
-        let audit = selection.audit(&promotion);
+        let mut audit = selection.audit(&promotion);
         tracing::info!(group = %group.name, %candidate, term = promotion.term, position = %selection.position,
             counted = audit.counted(), uncounted = audit.uncounted(),
             furthest = promotion.max_received.map(tracing::field::display), "candidate chosen");
@@ -247,7 +247,7 @@
             )
             .await;
         if let Some(handover) = &handover {
-            handover.conclude(&order_outcome).await;
+            audit.note_received(handover.conclude(&order_outcome).await);
         }
         if let promote::Outcome::Refused(_) = order_outcome {
             if relief {
@@ -274,7 +274,8 @@
         }
         let outcome = self.finish(&promotion, candidate).await;
         if matches!(outcome, Outcome::Promoted(_)) {
-            let check = audit.check(rc::Rc::clone(group));
+            let node = rc::Rc::clone(&self.node);
+            let check = audit.check(node, rc::Rc::clone(group), promotion.began);
             self.node.executor().spawn(check).detach();
         }
         outcome
--- a/desk/src/seal.rs
+++ b/desk/src/seal.rs
@@ -25,7 +25,7 @@
 /// A node's answer: it has sealed the term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Response {
-    /// Highest position that this process has passed on as acknowledged.
+    /// Highest position that this process has passed on as acknowledged in this term or an earlier one.
     pub acknowledged: Option<stamp::Stamp>,
     /// How long this process has run. What an earlier process passed on is not known.
     pub uptime: time::Duration,
@@ -85,12 +85,25 @@
 /// ```
 #[must_use]
 pub fn bound(answers: &[Option<Response>], since_ago: time::Duration) -> Option<stamp::Stamp> {
-    let answered: Option<Vec<_>> = answers.iter().copied().collect();
-    let answered = answered.filter(|answered| !answered.is_empty())?;
-    let known = answered.iter().all(|answer| answer.uptime >= since_ago);
-    let highest = answered
-        .iter()
-        .filter_map(|answer| answer.acknowledged)
-        .max();
-    known.then(|| highest.unwrap_or_default())
+    let knows = |answer: &Option<Response>| {
+        let uptime = answer.as_ref().map(|answer| answer.uptime);
+        uptime >= Some(since_ago)
+    };
+    let complete = !answers.is_empty() && answers.iter().all(knows);
+    complete.then(|| highest(answers).unwrap_or_default())
+}
+
+/// The highest position that any node which answered has passed on as acknowledged.
+///
+/// ```
+/// use mangotray::stamp::Stamp;
+/// use mangotray_desk::seal;
+/// let acknowledged = Some(Stamp::new(1, 7));
+/// let answer = seal::Response { acknowledged, uptime: std::time::Duration::ZERO };
+/// assert_eq!(seal::highest(&[None, Some(answer)]), acknowledged);
+/// ```
+#[must_use]
+pub fn highest(answers: &[Option<Response>]) -> Option<stamp::Stamp> {
+    let answered = answers.iter().flatten();
+    answered.filter_map(|answer| answer.acknowledged).max()
 }
