--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -1,6 +1,7 @@
 //! Checks that the operators' handbook describes every setting, key and cause in the code.
 
 use std::fs;
+use std::process;
 
 use mangotray::declaration;
 use mangotray::fault;
@@ -87,3 +88,44 @@
         assert_row(&handbook, &format!("| `{cause}` |"));
     }
 }
+
+/// Names of the binaries that `cargo build` and `cargo run --bin` find without naming a package.
+fn default_binaries() -> Vec<String> {
+    let mut command = process::Command::new(env!("CARGO"));
+    let command = command.args(["metadata", "--no-deps", "--offline", "--format-version=1"]);
+    let output = command.current_dir(env!("CARGO_MANIFEST_DIR")).output();
+    let metadata: serde_json::Value = serde_json::from_slice(&output.unwrap().stdout).unwrap();
+    let defaults = metadata["workspace_default_members"].as_array().unwrap();
+    let packages = metadata["packages"].as_array().unwrap().iter();
+    let built = packages.filter(|package| defaults.contains(&package["id"]));
+    let targets = built.flat_map(|package| package["targets"].as_array().unwrap());
+    let binaries = targets.filter(|target| target["kind"] == serde_json::json!(["bin"]));
+    let names = binaries.map(|target| target["name"].as_str().unwrap().to_owned());
+    names.collect()
+}
+
+/// Guards against a first command of a new user that ends with "no bin target named ...".
+#[test]
+fn every_binary_of_a_printed_command_is_built_by_default() {
+    let binaries = default_binaries();
+    let mut checked = 0;
+    for page in [
+        "README.md",
+        "CONTRIBUTING.md",
+        "DEVELOPERS.md",
+        "docs/OPERATIONS.md",
+    ] {
+        let path = format!("{}/{page}", env!("CARGO_MANIFEST_DIR"));
+        let text = fs::read_to_string(path).unwrap();
+        for line in text.lines().filter(|line| line.starts_with("$ cargo run")) {
+            let mut words = line.split(' ').skip_while(|word| *word != "--bin").skip(1);
+            let name = words.next().expect("a command names its binary");
+            assert!(
+                binaries.iter().any(|binary| binary == name),
+                "{page}: {line}"
+            );
+            checked += 1;
+        }
+    }
+    assert!(checked >= 4, "{checked}");
+}
