--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -6,7 +6,6 @@
 //! [`crate::floor`]); any replica that has applied the floor may then serve the read.
 
 use std::cell;
-use std::collections;
 use std::rc;
 use std::time;
 
@@ -16,6 +15,7 @@
 use crate::absence;
 use crate::boot;
 use crate::catalog;
+use crate::commits;
 use crate::delegate;
 use crate::detector;
 use crate::election;
@@ -25,8 +25,8 @@
 use crate::membership;
 use crate::pool;
 use crate::proof;
+use crate::recording;
 use crate::roster;
-use crate::seal;
 use crate::source;
 use crate::status;
 use crate::upstream;
@@ -61,10 +61,6 @@
 /// it has none to the instance.
 const ABSENT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
-/// Number of terms of which the acknowledged position is kept: those that a promotion in progress, and
-/// its audit, ask for.
-const ACKNOWLEDGED_TERMS: usize = 4;
-
 /// The state of a group as known to this node.
 pub struct Group {
     /// The name of the group.
@@ -82,16 +78,11 @@
     refreshing_locally: cell::Cell<bool>,
     querying_absent: cell::Cell<bool>,
     prover: proof::Prover,
-    /// Highest position of each term that this node has passed on as acknowledged.
-    acknowledged: cell::RefCell<collections::BTreeMap<id::Term, stamp::Stamp>>,
-    /// The term of which this node passes on no further commit.
-    sealed: cell::Cell<Option<seal::Seal>>,
+    /// What this node passes on as acknowledged.
+    commits: commits::Commits,
     /// What the promotion waits for that this node holds back.
     holdback: cell::RefCell<Option<holdback::Holdback>>,
-    /// The record of the group's instances that the store has.
-    recorded: cell::RefCell<Option<membership::Record>>,
-    /// The instances that this node has just recorded, until the store reports the record.
-    recording: cell::RefCell<Option<membership::Membership>>,
+    recording: recording::Recording,
 }
 
 impl Group {
@@ -121,11 +112,9 @@
             refreshing_locally: cell::Cell::default(),
             querying_absent: cell::Cell::default(),
             prover: proof::Prover::default(),
-            acknowledged: cell::RefCell::default(),
-            sealed: cell::Cell::default(),
+            commits: commits::Commits::default(),
             holdback: cell::RefCell::default(),
-            recorded: cell::RefCell::default(),
-            recording: cell::RefCell::default(),
+            recording: recording::Recording::default(),
         })
     }
 
@@ -371,13 +360,11 @@
     /// Sets the store's record of this group's instances. Adds those that this node doesn't know, and
     /// forgets unlisted ones that are recorded no more, as another node has seen their end.
     pub fn set_recorded(self: &rc::Rc<Self>, recorded: Option<membership::Record>) {
-        self.recording.take();
-        let before = self.recorded.replace(recorded.clone());
+        let removed = self.recording.update(recorded.clone());
         let Some(recorded) = recorded else { return };
         self.roster.restore(&recorded.membership);
-        if let Some(before) = before {
-            let ended = before.membership.removed_in(&recorded.membership);
-            let forgotten = self.roster.forget_unlisted(&ended);
+        if !removed.is_empty() {
+            let forgotten = self.roster.forget_unlisted(&removed);
             self.note_forgotten(&forgotten);
         }
     }
@@ -385,7 +372,7 @@
     /// Sets the record of a store that was reset to an older copy: an instance that it lacks may have
     /// been recorded since, and has not ended.
     pub fn restore_recorded(self: &rc::Rc<Self>, recorded: Option<membership::Record>) {
-        self.recorded.take();
+        self.recording.reset();
         self.set_recorded(recorded);
     }
 
@@ -393,16 +380,7 @@
     /// any. Instances that nobody knows to have ended may be recorded at any time.
     #[must_use]
     pub fn lost_record(&self) -> Option<membership::Record> {
-        let known = self.roster.membership();
-        let recorded = self.recorded.borrow();
-        let version = recorded.as_ref().map_or(0, |record| record.version);
-        let before = recorded.as_ref().map(|record| &record.membership);
-        let membership = known.extended_by(before);
-        let lacks = before.is_none_or(|before| !membership.removed_in(before).is_empty());
-        (lacks && !membership.instances.is_empty()).then_some(membership::Record {
-            membership,
-            version,
-        })
+        self.recording.extension(&self.roster.membership())
     }
 
     /// The group's instances with the version of their record in the store, if that record is
@@ -412,28 +390,15 @@
     /// recorded until another replica has all records that it may have confirmed.
     #[must_use]
     pub fn unrecorded(&self) -> Option<membership::Record> {
-        let membership = self.roster.membership();
-        let recorded = self.recorded.borrow();
-        let version = recorded.as_ref().map_or(0, |record| record.version);
-        let outdated = recorded
-            .as_ref()
-            .is_none_or(|record| record.membership != membership);
-        let replaceable = recorded
-            .as_ref()
-            .is_none_or(|record| record.membership.removed_in(&membership).is_empty())
-            || self.is_loss_covered();
-        let complete = self.roster.is_settled() && !membership.instances.is_empty();
-        let recording = self.recording.borrow().as_ref() == Some(&membership);
-        (outdated && replaceable && complete && !recording).then_some(membership::Record {
-            membership,
-            version,
-        })
+        let settled = self.roster.is_settled();
+        let update = self.recording.correction(self.roster.membership())?;
+        let replaceable = !update.removes || self.is_loss_covered();
+        (settled && replaceable).then_some(update.record)
     }
 
     /// Notes that the group's instances have been recorded.
     pub fn note_recording(&self) {
-        let membership = self.roster.membership();
-        self.recording.replace(Some(membership));
+        self.recording.note_written(self.roster.membership());
     }
 
     // Whether a replica has all records that ended instances may have confirmed.
@@ -526,33 +491,26 @@
     /// the next primary may lack the commit.
     #[must_use]
     pub fn acknowledge(&self, term: id::Term, position: Option<stamp::Stamp>) -> bool {
-        let sealed = self.sealed.get();
-        if sealed.is_some_and(|seal| seal.covers(term, boot::now())) {
+        let permitted = self.commits.may_pass_on(term, boot::now());
+        if permitted {
+            self.note_acknowledged(position);
+        } else {
             tracing::info!(group = %self.name, term, "commit not passed on: its term is sealed");
-            return false;
         }
-        self.note_acknowledged(position);
-        true
+        permitted
     }
 
     /// Passes on no further commit of `term`, or an earlier one, for a while. Returns the highest
     /// position that this node has passed on as acknowledged in them.
     pub fn seal(&self, term: id::Term) -> Option<stamp::Stamp> {
-        self.sealed.set(Some(seal::Seal::new(term, boot::now())));
-        let acknowledged = self.acknowledged.borrow();
-        let last = acknowledged.range(..=term).next_back();
-        last.map(|(_, position)| *position)
+        self.commits.seal(term, boot::now())
     }
 
     /// Records the position in the primary's answer to a commit, which this node passes on as
     /// acknowledged.
     pub fn note_acknowledged(&self, position: Option<stamp::Stamp>) {
-        let Some(position) = position else { return };
-        let mut acknowledged = self.acknowledged.borrow_mut();
-        let highest = acknowledged.entry(position.term).or_insert(position);
-        *highest = position.max(*highest);
-        while acknowledged.len() > ACKNOWLEDGED_TERMS {
-            acknowledged.pop_first();
+        if let Some(position) = position {
+            self.commits.note(position);
         }
     }
 
@@ -560,8 +518,7 @@
     /// at the same time may be before it.
     #[must_use]
     pub fn acknowledged(&self) -> Option<stamp::Stamp> {
-        let acknowledged = self.acknowledged.borrow();
-        acknowledged.values().next_back().copied()
+        self.commits.highest()
     }
 
     /// Discards the known primary if its term is `term` or earlier, and starts a search.
