Ask other nodes for evidence that a silent instance has ended

Evidence was each node's own.

A node's answer to a seal names the recorded instances that it knows to have ended. The promotion does without silent instances that are no longer listed and that have left as planned, or that some node knows to have ended; as before, the candidate needs all that any node has passed on.

an_instance_that_another_node_knows_to_have_ended_holds_no_promotion_back fails with the answers left out. Two tests share the start of another node now.

--- a/desk/src/holding.rs
+++ b/desk/src/holding.rs
@@ -237,7 +237,7 @@
         {
             verdict = view.resolve_sealed(bound, leaves);
             tracing::info!(group = %group.name, %bound, position = view.position().map(tracing::field::display), ?verdict,
-                missing = ?status::unanswered(pools, view.reports), "instances that have left as planned do not answer");
+                missing = ?status::unanswered(pools, view.reports), "only instances that have left or ended do not answer");
         }
         if verdict == verdict::Verdict::Lacking {
             let old = self.promotion.query_predecessor().await;
@@ -258,8 +258,10 @@
         (verdict, predecessor)
     }
 
-    // Bounds what callers were told in the term that is replaced, if only instances that have left as
-    // planned do not answer: such an instance never answers again once its machine is gone.
+    // Bounds what callers were told in the term that is replaced, if only instances do not answer that
+    // are no longer listed, and each has left as planned or is known to another node to have ended. This
+    // node may never find out: a machine that is gone does not answer, and a path that is cut shows
+    // no refusal.
     //
     // The term is sealed for this, so it has to be certain that the primary leads no more.
     async fn bound_departed(
@@ -268,9 +270,11 @@
         pools: &[rc::Rc<pool::Pool>],
     ) -> Option<stamp::Stamp> {
         let group = &self.promotion.group;
-        let missing = status::unanswered(pools, view.reports);
-        let departed = missing.iter().all(|id| group.roster().has_left(id));
-        let position = view.position().filter(|_| departed)?;
+        let roster = group.roster();
+        let mut missing = pools.to_vec();
+        missing.retain(|pool| view.reports.iter().all(|report| report.id != pool.id()));
+        let unlisted = missing.iter().all(|pool| roster.is_unlisted(pool));
+        let position = view.position().filter(|_| unlisted)?;
         let term = self.leader.term;
         let known_at = group.with_witnesses(|witnesses| {
             let floors = witnesses.leadership.floors();
@@ -290,7 +294,12 @@
             term,
         };
         let answers = node.seal_everywhere(&request).await;
-        seal::bound(&answers, boot::now().saturating_sub(known_at))
+        let gone = |pool: &rc::Rc<pool::Pool>| {
+            let id = pool.id();
+            roster.has_left(&id) || seal::has_ended(&answers, &id)
+        };
+        let bound = seal::bound(&answers, boot::now().saturating_sub(known_at));
+        bound.filter(|_| missing.iter().all(gone))
     }
 
     // If a replica has lost its log under this primary, the bound on the records that it may have
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -459,10 +459,11 @@
     /// Seals a term of a group at this node.
     #[must_use]
     pub fn seal(&self, request: &seal::Request) -> seal::Response {
-        let acknowledged = self.group(&request.group).seal(request.term);
+        let group = self.group(&request.group);
         seal::Response {
-            acknowledged,
+            acknowledged: group.seal(request.term),
             uptime: boot::now().saturating_sub(self.started_at),
+            ended: group.roster().ended(),
         }
     }
 
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -32,7 +32,7 @@
 }
 
 /// An answer; its variant follows from the question.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Answer {
     /// The node has no answer.
     Nothing,
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -239,6 +239,12 @@
         absent.get(id).is_some_and(|absence| absence.end_announced)
     }
 
+    /// The recorded instances that this node knows to have ended.
+    #[must_use]
+    pub fn ended(&self) -> Vec<upstream::Id> {
+        self.ended.borrow().iter().cloned().collect()
+    }
+
     /// Whether an instance is no longer listed and has been silent for long. It still counts in
     /// promotions.
     #[must_use]
--- a/desk/src/seal.rs
+++ b/desk/src/seal.rs
@@ -9,6 +9,8 @@
 use mangotray::id;
 use mangotray::stamp;
 
+use crate::upstream;
+
 /// How long a seal lasts. Longer than an order and its effect take, and short, as callers of a
 /// primary that comes back cannot be told of their commits meanwhile.
 const LIFETIME: time::Duration = time::Duration::from_secs(2);
@@ -23,12 +25,14 @@
 }
 
 /// A node's answer: it has sealed the term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Response {
     /// Highest position that this process has passed on as acknowledged in this term or an earlier one.
     pub acknowledged: Option<stamp::Stamp>,
     /// How long this process has run. What an earlier process passed on is not known.
     pub uptime: time::Duration,
+    /// Recorded instances of the group that the node knows to have ended.
+    pub ended: Vec<upstream::Id>,
 }
 
 /// A sealed term, as one node keeps it.
@@ -76,6 +80,7 @@
 /// let answer = |position, uptime| Some(seal::Response {
 ///     acknowledged: Some(Stamp::new(1, position)),
 ///     uptime: seconds(uptime),
+///     ended: Vec::new(),
 /// });
 /// let bound = |answers: &[_]| seal::bound(answers, seconds(5));
 /// assert_eq!(bound(&[answer(7, 9), answer(8, 6)]), Some(Stamp::new(1, 8)));
@@ -99,7 +104,7 @@
 /// use mangotray::stamp::Stamp;
 /// use mangotray_desk::seal;
 /// let acknowledged = Some(Stamp::new(1, 7));
-/// let answer = seal::Response { acknowledged, uptime: std::time::Duration::ZERO };
+/// let answer = seal::Response { acknowledged, ..seal::Response::default() };
 /// assert_eq!(seal::highest(&[None, Some(answer)]), acknowledged);
 /// ```
 #[must_use]
@@ -107,3 +112,18 @@
     let answered = answers.iter().flatten();
     answered.filter_map(|answer| answer.acknowledged).max()
 }
+
+/// Whether some node knows that the instance has ended.
+///
+/// ```
+/// use mangotray_desk::seal;
+/// let answer = seal::Response { ended: vec!["c".into()], ..seal::Response::default() };
+/// let answers = [None, Some(answer)];
+/// assert!(seal::has_ended(&answers, &"c".into()));
+/// assert!(!seal::has_ended(&answers, &"b".into()));
+/// ```
+#[must_use]
+pub fn has_ended(answers: &[Option<Response>], id: &upstream::Id) -> bool {
+    let mut answered = answers.iter().flatten();
+    answered.any(|answer| answer.ended.contains(id))
+}
--- a/desk/tests/departed.rs
+++ b/desk/tests/departed.rs
@@ -10,7 +10,9 @@
 use mangotray::stamp;
 use mangotray_desk::boot;
 use mangotray_desk::member;
+use mangotray_desk::question;
 use mangotray_desk::reply;
+use mangotray_desk::seal;
 use mangotray_desk::wait;
 
 /// Longer than a node probes an instance that has left at short intervals.
@@ -147,6 +149,31 @@
     assert!(harness.client.orders.borrow().is_empty());
 }
 
+/// Guards against a group that stays without a primary because the holder of the lease alone has seen
+/// no evidence that a replica has ended.
+#[test]
+fn an_instance_that_another_node_knows_to_have_ended_holds_no_promotion_back() {
+    let harness = start();
+    harness.cluster.run(async {
+        take_machine(&harness);
+        prove(&harness).await;
+        let answer = |question| match question {
+            question::Question::Seal(_) => question::Answer::Sealed(seal::Response {
+                uptime: time::Duration::from_hours(1),
+                ended: vec!["c".into()],
+                ..seal::Response::default()
+            }),
+            _ => question::Answer::Nothing,
+        };
+        let other = harness.start_other_node(answer).await;
+        let router = harness.cluster.node.router();
+        router.set_members(vec![member("vm"), other]);
+        harness.cluster.world.borrow_mut().at("a").up = false;
+        harness.wait_for_primary(2).await;
+    });
+    assert_eq!(harness.leader(), ["b"]);
+}
+
 /// Guards against the loss of a commit that a node passes on after it has told the promoter what it
 /// had passed on before.
 #[test]
--- a/desk/tests/harness/mod.rs
+++ b/desk/tests/harness/mod.rs
@@ -5,6 +5,7 @@
 
 use std::cell;
 use std::collections;
+use std::net;
 use std::rc;
 use std::sync;
 use std::thread;
@@ -18,8 +19,11 @@
 use mangotray_desk::boot;
 use mangotray_desk::election;
 use mangotray_desk::intent;
+use mangotray_desk::lending::relay;
+use mangotray_desk::member;
 use mangotray_desk::promote;
 use mangotray_desk::promoter;
+use mangotray_desk::question;
 use mangotray_desk::upstream;
 use mangotray_desk::wait;
 
@@ -494,6 +498,34 @@
         .await;
     }
 
+    /// Starts another node that answers questions like this, and returns its entry.
+    pub async fn start_other_node(
+        &self,
+        answer: impl Fn(question::Question) -> question::Answer + 'static,
+    ) -> member::Member {
+        let free = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = free.local_addr().expect("an address");
+        drop(free);
+        let router = rc::Rc::clone(self.cluster.node.router());
+        let find = move |target: &_| router.pool(target);
+        let executor = rc::Rc::clone(&self.cluster.executor);
+        let server = relay::Server::new(find, executor, rc::Rc::default());
+        server.set_question_handler(move |question| future::ready(answer(question)).boxed_local());
+        let serve = server.serve(address);
+        let serve = async move { serve.await.expect("a port") };
+        self.cluster.executor.spawn(serve).detach();
+        while async_net::TcpStream::connect(address).await.is_err() {
+            wait::sleep(time::Duration::from_millis(5)).await;
+        }
+        member::Member {
+            name: "other".into(),
+            domain: "here".into(),
+            address,
+            protocol: member::PROTOCOL,
+            capacity: None,
+        }
+    }
+
     /// Stalls both replicas with a record that takes nine seconds to apply, and waits until the
     /// node has queried their status.
     pub async fn stall_replicas(&self) {
--- a/desk/tests/shortfall.rs
+++ b/desk/tests/shortfall.rs
@@ -3,16 +3,11 @@
 mod cluster;
 mod harness;
 
-use std::net;
-use std::rc;
 use std::time;
 
-use futures_util::FutureExt;
 use mangotray::role;
 use mangotray::stamp;
 use mangotray_desk::boot;
-use mangotray_desk::lending::relay;
-use mangotray_desk::member;
 use mangotray_desk::question;
 use mangotray_desk::shortfall;
 use mangotray_desk::wait;
@@ -45,40 +40,16 @@
         .collect()
 }
 
-/// Starts another node that answers questions for the acknowledged position, and makes it known.
+/// Starts another node that has passed on a commit as acknowledged.
 async fn start_other_node(harness: &harness::Harness) {
-    let free = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = free.local_addr().expect("an address");
-    drop(free);
-    let router = rc::Rc::clone(harness.cluster.node.router());
-    let find = move |target: &_| router.pool(target);
-    let executor = rc::Rc::clone(&harness.cluster.executor);
-    let server = relay::Server::new(find, executor, rc::Rc::default());
-    server.set_question_handler(|question| {
-        async move {
-            match question {
-                question::Question::Acknowledged(group) if group == cluster::GROUP => {
-                    question::Answer::Acknowledged(ACKNOWLEDGED)
-                }
-                _ => question::Answer::Nothing,
-            }
+    let answer = |question| match question {
+        question::Question::Acknowledged(group) if group == cluster::GROUP => {
+            question::Answer::Acknowledged(ACKNOWLEDGED)
         }
-        .boxed_local()
-    });
-    let serve = server.serve(address);
-    let serve = async move { serve.await.expect("a port") };
-    harness.cluster.executor.spawn(serve).detach();
-    while async_net::TcpStream::connect(address).await.is_err() {
-        wait::sleep(time::Duration::from_millis(5)).await;
-    }
-    let member = member::Member {
-        name: "other".into(),
-        domain: "here".into(),
-        address,
-        protocol: 0,
-        capacity: None,
+        _ => question::Answer::Nothing,
     };
-    harness.cluster.node.router().set_members(vec![member]);
+    let other = harness.start_other_node(answer).await;
+    harness.cluster.node.router().set_members(vec![other]);
 }
 
 /// Guards against the loss of commits that only a replica has that is not listed yet: a candidate
