Seal the terms before the new primary's own in a promotion's audit

Callers of a new primary could be told UNSURE for two seconds: the audit sealed the term before the one that the replicas were held for, which is the new primary's own where it leads in an earlier term; and a seal of an earlier term replaced one of a later term. The audit seals below the term that the candidate leads in, and a seal keeps the higher term while it lasts.

the_audit_does_not_seal_the_term_of_the_new_primary fails with the term as it was.

--- a/desk/src/audit.rs
+++ b/desk/src/audit.rs
@@ -166,13 +166,15 @@
         reports.iter().filter(instances_ahead).collect()
     }
 
-    /// Queries all instances once after a promotion that began at `began`, and reports records that
-    /// the new primary lacks. The nodes' answers to a seal of the earlier terms tell whether any caller
-    /// was told of these records. The answers do not change this node's view of the group.
+    /// Queries all instances once after a promotion that began at `began` and whose candidate leads in
+    /// the term `led`, and reports records that the new primary lacks. The nodes' answers to a seal of
+    /// the earlier terms tell whether any caller was told of these records. The answers do not change
+    /// this node's view of the group.
     pub async fn check(
         self,
         node: rc::Rc<node::Node>,
         group: rc::Rc<group::Group>,
+        led: id::Term,
         began: id::Time,
     ) {
         let pools = group.roster().pools();
@@ -186,7 +188,7 @@
         }
         let request = seal::Request {
             group: group.name.clone(),
-            term: term.saturating_sub(1),
+            term: led.saturating_sub(1),
         };
         let answers = node.seal_everywhere(&request).await;
         let told = seal::highest(&answers);
--- a/desk/src/commits.rs
+++ b/desk/src/commits.rs
@@ -62,7 +62,10 @@
     /// Passes on no further commit of `term`, or an earlier one, for a while. Returns the highest
     /// position that was passed on in them.
     pub fn seal(&self, term: id::Term, now: id::Time) -> Option<stamp::Stamp> {
-        self.sealed.set(Some(seal::Seal::new(term, now)));
+        let seal = seal::Seal::new(term, now);
+        let before = self.sealed.get();
+        let seal = before.map_or(seal, |before| before.extended_by(seal));
+        self.sealed.set(Some(seal));
         let passed_on = self.passed_on.borrow();
         let last = passed_on.range(..=term).next_back();
         last.map(|(_, position)| *position)
--- a/desk/src/promoter.rs
+++ b/desk/src/promoter.rs
@@ -273,9 +273,9 @@
                 .await;
         }
         let outcome = self.finish(&promotion, candidate).await;
-        if matches!(outcome, Outcome::Promoted(_)) {
+        if let Outcome::Promoted(found) = &outcome {
             let node = rc::Rc::clone(&self.node);
-            let check = audit.check(node, rc::Rc::clone(group), promotion.began);
+            let check = audit.check(node, rc::Rc::clone(group), found.term, promotion.began);
             self.node.executor().spawn(check).detach();
         }
         outcome
--- a/desk/src/seal.rs
+++ b/desk/src/seal.rs
@@ -61,6 +61,28 @@
         }
     }
 
+    /// This seal, extended by a later one. The higher of the two terms stays sealed.
+    ///
+    /// ```
+    /// use mangotray_desk::seal;
+    /// use std::time::Duration;
+    /// let seconds = Duration::from_secs;
+    /// let later = seal::Seal::new(3, seconds(10)).extended_by(seal::Seal::new(1, seconds(11)));
+    /// assert!(later.covers(3, seconds(12)));
+    /// let long_after = seal::Seal::new(3, seconds(10)).extended_by(seal::Seal::new(1, seconds(20)));
+    /// assert!(!long_after.covers(3, seconds(21)));
+    /// ```
+    #[must_use]
+    pub fn extended_by(self, later: Self) -> Self {
+        let began = later.until.saturating_sub(LIFETIME);
+        let term = if began < self.until {
+            self.term.max(later.term)
+        } else {
+            later.term
+        };
+        Self { term, ..later }
+    }
+
     /// Whether no commit of this term may be passed on at `now`.
     #[must_use]
     pub fn covers(&self, term: id::Term, now: id::Time) -> bool {
--- a/desk/tests/audit.rs
+++ b/desk/tests/audit.rs
@@ -9,6 +9,8 @@
 use mangotray::stamp;
 use mangotray::telemetry;
 use mangotray_desk::audit;
+use mangotray_desk::boot;
+use mangotray_desk::member;
 use mangotray_desk::status;
 use mangotray_desk::upstream;
 use mangotray_desk::wait;
@@ -132,3 +134,37 @@
     promote_past(5);
     assert_eq!(losses(), 1);
 }
+
+/// Guards against commits of the new primary that nodes do not pass on, because the audit of its
+/// promotion sealed its term: it leads in an earlier term than the replicas were held for.
+#[test]
+fn the_audit_does_not_seal_the_term_of_the_new_primary() {
+    let harness = harness::start();
+    harness.cluster.run(async {
+        harness.wait_for_primary(1).await;
+        let group = harness.cluster.node.group(&cluster::GROUP.into());
+        harness
+            .cluster
+            .node
+            .router()
+            .set_members(vec![member::Member {
+                name: "vm".into(),
+                domain: "here".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                protocol: member::PROTOCOL,
+                capacity: None,
+            }]);
+        // `c` is ahead of the new primary.
+        harness.cluster.world.borrow_mut().at("c").position += 5;
+        let promotion = audit::Audit {
+            position: stamp::Stamp::new(1, 10),
+            ..audit()
+        };
+        let node = std::rc::Rc::clone(&harness.cluster.node);
+        let led = 3;
+        promotion
+            .check(node, std::rc::Rc::clone(&group), led, boot::now())
+            .await;
+        assert!(group.acknowledge(led, Some(stamp::Stamp::new(led, 1))));
+    });
+}
