Run a forwarded batch here once this proxy serves the group

Callers of a proxy that had just started were refused after their whole deadline of 2 s ("this proxy does not serve the group (not run)"), though the proxy could have run the request after some 50 ms.

Cause: the choice between this proxy and a peer was made once for each request. A proxy that has no seat yet forwards to a peer that is in the serving set and has none either, and the loop of forwards asked peers alone until the deadline.

The loop now ends once this proxy serves the group and the last refusal says that the batch has not run; the batch then runs here. One that may have run is not run again.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -355,4 +355,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/direct/tests.rs
+++ b/src/direct/tests.rs
@@ -30,11 +30,11 @@
 use crate::term;
 use crate::upstream;
 
-const START: id::Time = time::Duration::from_secs(100);
-const BATCH_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+pub(crate) const START: id::Time = time::Duration::from_secs(100);
+pub(crate) const BATCH_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Clock that advances only when a test calls `advance`.
-struct ManualClock(sync::Mutex<id::Time>);
+pub(crate) struct ManualClock(sync::Mutex<id::Time>);
 
 impl clock::Clock for ManualClock {
     fn now(&self) -> id::Time {
@@ -44,8 +44,8 @@
 
 /// Shared behaviour of the test's instances.
 #[derive(Default)]
-struct Upstreams {
-    sent: atomic::AtomicUsize,
+pub(crate) struct Upstreams {
+    pub(crate) sent: atomic::AtomicUsize,
     /// Number of batches whose connection is lost; later connections are refused.
     lost: usize,
 }
@@ -97,17 +97,17 @@
 }
 
 /// A group whose background tasks never run; the test sets the state on its board.
-struct Setup {
-    group: sync::Arc<group::Group>,
-    clock: sync::Arc<ManualClock>,
-    upstreams: sync::Arc<Upstreams>,
+pub(crate) struct Setup {
+    pub(crate) group: sync::Arc<group::Group>,
+    pub(crate) clock: sync::Arc<ManualClock>,
+    pub(crate) upstreams: sync::Arc<Upstreams>,
 }
 
 const DECLARATION: &str = "[group g]\ndatabase = d\n\
     instances = a@x:10.0.0.1:5, b@y:10.0.0.2:5, c@z:10.0.0.3:5\n\
     connections = 20\nslots = 3\ndeadline = 2s\n";
 
-fn setup(lost: usize) -> Setup {
+pub(crate) fn setup(lost: usize) -> Setup {
     let clock = sync::Arc::new(ManualClock(sync::Mutex::new(START)));
     let upstreams = sync::Arc::new(Upstreams {
         lost,
@@ -168,11 +168,11 @@
         self.group.watch.record_answer(index, observation);
     }
 
-    fn advance(&self, time: time::Duration) {
+    pub(crate) fn advance(&self, time: time::Duration) {
         *self.clock.0.lock().unwrap() += time;
     }
 
-    fn batch(&self, class: class::Class, timeout: time::Duration) -> batch::Batch {
+    pub(crate) fn batch(&self, class: class::Class, timeout: time::Duration) -> batch::Batch {
         let now = clock::Clock::now(&*self.clock);
         batch::Batch {
             request: 1,
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -258,6 +258,11 @@
         let entry = self.entry(database);
         entry.map_or_else(Vec::new, |entry| entry.members.load().to_vec())
     }
+
+    fn is_local(&self, database: &str) -> bool {
+        let entry = self.entry(database);
+        entry.is_some_and(|entry| entry.preferred_runtime().is_some())
+    }
 }
 
 /// Opens lanes to all groups, for the sessions of callers.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -46,6 +46,15 @@
         self.runtime.load_full().filter(|group| group.usable())
     }
 
+    /// The usable runtime, if callers' work should run on it rather than on a peer's: it reaches the
+    /// instances, or there is no peer.
+    #[must_use]
+    pub fn preferred_runtime(&self) -> Option<sync::Arc<group::Group>> {
+        let alone = self.members.load().is_empty();
+        self.usable_runtime()
+            .filter(|group| alone || group.reachable())
+    }
+
     /// The runtime, if the group has one, whether or not it may use the instances now.
     #[must_use]
     pub fn runtime(&self) -> Option<sync::Arc<group::Group>> {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -36,6 +36,9 @@
 pub trait Directory: Send + Sync {
     /// The current serving set in order of preference, excluding this proxy.
     fn members(&self, database: &str) -> Vec<Member>;
+
+    /// Whether this proxy serves the database itself.
+    fn is_local(&self, database: &str) -> bool;
 }
 
 /// Connections to peers, by address.
@@ -185,7 +188,8 @@
     }
 
     /// Runs a batch outside a transaction at the first member that accepts it, and retries the
-    /// members in rounds, with a jittered pause, until the deadline.
+    /// members in rounds, with a jittered pause, until the deadline, or until this proxy serves the
+    /// group itself and the batch is known not to have run.
     async fn forward_unpinned(&mut self, batch: &batch::Batch) -> peer::Answer {
         let mut last = resend::no_server();
         loop {
@@ -194,7 +198,9 @@
                 resend::Verdict::Done(answer) => return answer,
                 resend::Verdict::TryNext(outcome) => last = outcome,
             }
-            if self.remaining(batch) <= resend::ROUND_PAUSE {
+            let runs_here =
+                resend::allows_next_member(&last) && self.directory.is_local(&self.database);
+            if runs_here || self.remaining(batch) <= resend::ROUND_PAUSE {
                 return Err(last);
             }
             let pause = resend::ROUND_PAUSE.mul_f64(0.5 + fastrand::f64() / 2.0);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::outcome;
 use crate::reason;
 use crate::reply;
+use crate::resend;
 use crate::transaction;
 
 /// Interval between checks whether the group is being served.
@@ -76,11 +77,7 @@
             self.choose_target();
             self.await_start(&batch).await;
         }
-        let answer = match &mut self.target {
-            Some(Target::Direct(_, lane)) => lane::Lane::run(lane, batch).await,
-            Some(Target::Forward(lane)) => lane::Lane::run(lane, batch).await,
-            None => Err(not_served()),
-        };
+        let answer = self.run_on_target(&batch).await;
         let in_transaction = answer
             .as_ref()
             .is_ok_and(|reply| reply.transaction != transaction::State::Idle);
@@ -95,6 +92,28 @@
         answer
     }
 
+    /// Runs the batch on the chosen target. A forwarded batch that no peer has accepted runs here if
+    /// this proxy serves the group by now.
+    async fn run_on_target(&mut self, batch: &batch::Batch) -> Answer {
+        let answer = match &mut self.target {
+            Some(Target::Direct(_, lane)) => lane::Lane::run(lane, batch.clone()).await,
+            Some(Target::Forward(lane)) => lane::Lane::run(lane, batch.clone()).await,
+            None => Err(not_served()),
+        };
+        let refused = answer
+            .as_ref()
+            .err()
+            .is_some_and(resend::allows_next_member);
+        if self.in_transaction || !refused || !matches!(self.target, Some(Target::Forward(_))) {
+            return answer;
+        }
+        self.choose_target();
+        match &mut self.target {
+            Some(Target::Direct(_, lane)) => lane::Lane::run(lane, batch.clone()).await,
+            _ => answer,
+        }
+    }
+
     /// Waits, at most until the deadline, while no proxy serves the group, for example just after
     /// it was declared, instead of refusing the batch.
     async fn await_start(&mut self, batch: &batch::Batch) {
@@ -117,10 +136,11 @@
             self.target = None;
             return;
         };
-        let local_only = self.scope == Scope::Local || entry.members.load().is_empty();
-        let local = entry
-            .usable_runtime()
-            .filter(|group| local_only || group.reachable());
+        let local = if self.scope == Scope::Local {
+            entry.usable_runtime()
+        } else {
+            entry.preferred_runtime()
+        };
         match (local, &self.target) {
             (Some(group), Some(Target::Direct(known, _))) if sync::Arc::ptr_eq(&group, known) => {}
             (Some(group), _) => {
@@ -154,3 +174,6 @@
     let detail = "the proxy is shutting down".into();
     outcome::Outcome::not_run(reason::Reason::Draining, detail, None)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/resend.rs
+++ b/src/resend.rs
@@ -71,7 +71,14 @@
 
 /// Whether a peer refused only because it doesn't serve the group or is draining, so that
 /// another member may run the batch.
-fn allows_next_member(outcome: &outcome::Outcome) -> bool {
+///
+/// ```
+/// use mangotray::resend;
+/// assert!(resend::allows_next_member(&resend::no_server()));
+/// assert!(!resend::allows_next_member(&resend::transaction_lost()));
+/// ```
+#[must_use]
+pub fn allows_next_member(outcome: &outcome::Outcome) -> bool {
     is_refused_for(outcome, reason::Reason::NoServer)
         || is_refused_for(outcome, reason::Reason::Draining)
 }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -285,6 +285,10 @@
     fn members(&self, _: &str) -> Vec<forward::Member> {
         self.0.lock().unwrap().clone()
     }
+
+    fn is_local(&self, _: &str) -> bool {
+        false
+    }
 }
 
 /// A proxy that forwards to its peers.
