Record which instances have left as planned

Callers of a group whose nodes had all restarted since a replica left as planned, onto a machine that is silent now, had no primary after the next crash: the promotion waited for that replica for good.

Cause: the announced end was in the memory of the nodes alone. A node that restarts knows such an instance from the record of instances in the store, which did not tell it from one that is cut off.

The record now says which instances have left. Such an instance still needs the sealed term and a candidate that has all that callers were told, so that no acknowledged commit is lost for it.

Entries without the field are read as before, and older nodes ignore it.

--- a/desk/src/absence.rs
+++ b/desk/src/absence.rs
@@ -68,6 +68,45 @@
 }
 
 impl Absence {
+    /// The absence of an instance that this node knows from its record alone, found at `now`.
+    /// One that had left then has been missing for long.
+    ///
+    /// ```
+    /// use mangotray_desk::absence::Absence;
+    /// use std::time::Duration;
+    /// let now = Duration::from_secs(100);
+    /// assert!(Absence::recorded(true, now).has_left(now));
+    /// assert!(!Absence::recorded(false, now).has_left(now + Duration::from_secs(60)));
+    /// ```
+    #[must_use]
+    pub const fn recorded(left: bool, now: id::Time) -> Self {
+        Self {
+            unlisted_since: now,
+            noticed_at: if left {
+                now.saturating_sub(OVERDUE_AFTER)
+            } else {
+                now
+            },
+            end_announced: left,
+        }
+    }
+
+    /// Whether the instance has left as planned: it had announced its end, and is not listed again
+    /// within the time that the list needs to become complete.
+    ///
+    /// ```
+    /// use mangotray_desk::absence::Absence;
+    /// use std::time::Duration;
+    /// let seconds = Duration::from_secs;
+    /// let absence = Absence { unlisted_since: seconds(9), noticed_at: seconds(10), end_announced: true };
+    /// assert!(!absence.has_left(seconds(11)));
+    /// assert!(absence.has_left(seconds(14)));
+    /// ```
+    #[must_use]
+    pub fn has_left(&self, now: id::Time) -> bool {
+        self.end_announced && self.is_overdue(now)
+    }
+
     /// Whether there is evidence that the instance has ended.
     ///
     /// A refusal shows that its process has ended. For a [`Standing::Follower`] that suffices if it had announced
--- a/desk/src/holding.rs
+++ b/desk/src/holding.rs
@@ -296,7 +296,7 @@
         let answers = node.seal_everywhere(&request).await;
         let gone = |pool: &rc::Rc<pool::Pool>| {
             let id = pool.id();
-            roster.has_left(&id) || seal::has_ended(&answers, &id)
+            roster.announced_end(&id) || seal::has_ended(&answers, &id)
         };
         let bound = seal::bound(&answers, boot::now().saturating_sub(known_at));
         bound.filter(|_| missing.iter().all(gone))
--- a/desk/src/membership.rs
+++ b/desk/src/membership.rs
@@ -3,7 +3,8 @@
 //! The list of instances drops those that are silent, and a node keeps them only in memory. After a
 //! restart of all nodes, nobody would know that an instance without power has records which the
 //! listed ones lack. So the holder of the promoter's lease records which instances a group has, and
-//! removes one only once there is evidence that it has ended.
+//! removes one only once there is evidence that it has ended. It also records which have left as
+//! planned, as promotions do without these.
 
 use std::net;
 
@@ -29,6 +30,14 @@
     pub domain: id::Domain,
     /// Number of statements that it executes at once.
     pub slots: usize,
+    /// It has left as planned, though nobody knows yet whether it has ended.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub left: bool,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde requires.
+const fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 impl Instance {
@@ -41,10 +50,12 @@
             address: instance.address,
             domain: instance.domain.clone(),
             slots: instance.slots,
+            left: false,
         }
     }
 
-    /// A list entry for this instance of `group`, as a running replica.
+    /// A list entry for this instance of `group`, as a replica that runs, or is shutting down if it
+    /// has left.
     #[must_use]
     pub fn entry(&self, group: &id::Group) -> catalog::Instance {
         catalog::Instance {
@@ -54,7 +65,7 @@
             address: self.address,
             domain: self.domain.clone(),
             slots: self.slots,
-            draining: false,
+            draining: self.left,
             leads: false,
             any: false,
         }
@@ -87,7 +98,7 @@
     ///
     /// ```
     /// use mangotray_desk::membership::{Instance, Membership};
-    /// let instance = |id: &str| Instance { id: id.into(), born: 1, address: ([127, 0, 0, 1], 1).into(), domain: "d".into(), slots: 2 };
+    /// let instance = |id: &str| Instance { id: id.into(), born: 1, address: ([127, 0, 0, 1], 1).into(), domain: "d".into(), slots: 2, left: false };
     /// let of = |ids: &[&str]| Membership { group: "bookings".into(), instances: ids.iter().map(|id| instance(id)).collect() };
     /// assert_eq!(of(&["b"]).extended_by(Some(&of(&["a", "b"]))), of(&["a", "b"]));
     /// assert_eq!(of(&["b"]).extended_by(None), of(&["b"]));
--- a/desk/src/recording.rs
+++ b/desk/src/recording.rs
@@ -18,7 +18,7 @@
 ///
 /// ```
 /// use mangotray_desk::{membership, recording};
-/// let instance = |id: &str| membership::Instance { id: id.into(), born: 1, address: ([127, 0, 0, 1], 1).into(), domain: "d".into(), slots: 2 };
+/// let instance = |id: &str| membership::Instance { id: id.into(), born: 1, address: ([127, 0, 0, 1], 1).into(), domain: "d".into(), slots: 2, left: false };
 /// let of = |ids: &[&str]| membership::Membership { group: "bookings".into(), instances: ids.iter().map(|id| instance(id)).collect() };
 /// let recording = recording::Recording::default();
 /// let first = recording.correction(of(&["a", "b"])).unwrap();
--- a/desk/src/roster.rs
+++ b/desk/src/roster.rs
@@ -171,14 +171,19 @@
     /// The instances that have not ended, listed or not.
     #[must_use]
     pub fn membership(&self) -> membership::Membership {
-        let pools = self.pools();
+        let (pools, absent, now) = (self.pools(), self.absent.borrow(), boot::now());
         let instances = pools.iter().map(|pool| pool.instance.borrow().clone());
         let known = instances.filter(|instance| !instance.any);
+        let recorded = known.map(|instance| {
+            let absence = absent.get(&instance.id);
+            membership::Instance {
+                left: absence.is_some_and(|absence| absence.has_left(now)),
+                ..membership::Instance::new(&instance)
+            }
+        });
         membership::Membership {
             group: self.group.clone(),
-            instances: known
-                .map(|instance| membership::Instance::new(&instance))
-                .collect(),
+            instances: recorded.collect(),
         }
     }
 
@@ -193,7 +198,8 @@
         self.ended.borrow_mut().retain(|id| ids.contains(id));
         for instance in &recorded.instances {
             if self.is_member_unknown(instance) {
-                self.add_unlisted(instance.entry(&self.group));
+                let absence = absence::Absence::recorded(instance.left, boot::now());
+                self.add_unlisted(instance.entry(&self.group), absence);
             }
         }
     }
@@ -208,16 +214,10 @@
             && !self.pools().iter().any(known)
     }
 
-    fn add_unlisted(&self, instance: catalog::Instance) {
-        let now = boot::now();
+    fn add_unlisted(&self, instance: catalog::Instance, absence: absence::Absence) {
         let id = instance.id.clone();
         tracing::info!(group = %self.group, instance = %id, address = %instance.address,
-            "instance is recorded, but not listed");
-        let absence = absence::Absence {
-            unlisted_since: now,
-            noticed_at: now,
-            end_announced: false,
-        };
+            left = absence.end_announced, "instance is recorded, but not listed");
         let (dialer, executor) = (rc::Rc::clone(&self.dialer), rc::Rc::clone(&self.executor));
         let pool = pool::Pool::new(instance, dialer, executor, size::Size::shared());
         self.absent.borrow_mut().insert(id.clone(), absence);
@@ -231,10 +231,9 @@
         self.absent.borrow().contains_key(&pool.id())
     }
 
-    /// Whether an instance has left as planned: it had announced its end, and is no longer listed. It
-    /// may still run.
+    /// Whether an instance has announced its end and is no longer listed. It may still run.
     #[must_use]
-    pub fn has_left(&self, id: &upstream::Id) -> bool {
+    pub fn announced_end(&self, id: &upstream::Id) -> bool {
         let absent = self.absent.borrow();
         absent.get(id).is_some_and(|absence| absence.end_announced)
     }
@@ -313,11 +312,7 @@
         };
         let pool = addresses.swap_remove(index).pool;
         let now = boot::now();
-        let absence = absence::Absence {
-            unlisted_since: now,
-            noticed_at: now,
-            end_announced: false,
-        };
+        let absence = absence::Absence::recorded(false, now);
         tracing::info!(group = %self.group, instance = %id, "unlisted successor found at the address of an ended instance");
         self.absent.borrow_mut().insert(id.clone(), absence);
         self.leaving.borrow_mut().insert(id.clone(), id::Time::ZERO);
--- a/desk/tests/declaration.rs
+++ b/desk/tests/declaration.rs
@@ -13,6 +13,7 @@
         address: ([127, 0, 0, 1], port).into(),
         domain: "here".into(),
         slots: 2,
+        left: false,
     };
     let membership = membership::Membership {
         group: group.into(),
--- a/desk/tests/departed.rs
+++ b/desk/tests/departed.rs
@@ -8,8 +8,10 @@
 use std::time;
 
 use mangotray::stamp;
+use mangotray::store::Store as _;
 use mangotray_desk::boot;
 use mangotray_desk::member;
+use mangotray_desk::membership;
 use mangotray_desk::question;
 use mangotray_desk::reply;
 use mangotray_desk::seal;
@@ -30,7 +32,10 @@
 
 /// Starts a promoter whose node is the only one of the deployment.
 fn start() -> harness::Harness {
-    let harness = harness::start();
+    start_from(harness::start())
+}
+
+fn start_from(harness: harness::Harness) -> harness::Harness {
     harness.cluster.run_housekeeping();
     let router = harness.cluster.node.router();
     router.set_members(vec![member("vm")]);
@@ -65,6 +70,19 @@
     assert!(proven.is_some(), "the primary is proven to lead");
 }
 
+/// Returns the record of the group's instances, as a watch of the store tells it.
+async fn recorded(harness: &harness::Harness) -> Vec<membership::Record> {
+    let key = "mangotray/membership/bookings";
+    let is_recorded = || harness.store.at().others.contains_key(key);
+    cluster::until("the instances are recorded", is_recorded).await;
+    let entries = harness.store.list(membership::PREFIX).await;
+    let entries = entries.expect("the store is up");
+    entries
+        .iter()
+        .filter_map(membership::Record::read)
+        .collect()
+}
+
 /// Guards against a group that stays without a primary for good after a crash, because a replica that
 /// had left as planned is silent.
 #[test]
@@ -94,6 +112,32 @@
     assert_eq!(harness.client.orders.borrow()[0].candidate, "b");
 }
 
+/// Guards against a group that stays without a primary because all nodes have restarted since a replica
+/// left as planned, so that they know it from its record alone.
+#[test]
+fn an_instance_that_left_before_all_nodes_restarted_holds_no_promotion_back() {
+    let first = start();
+    let recorded = first.cluster.run(async {
+        first
+            .cluster
+            .node
+            .set_memberships(recorded(&first).await, true);
+        leave(&first).await;
+        wait::sleep(LONG_AFTER).await;
+        recorded(&first).await
+    });
+    first.store.at().entry = None;
+    let cluster = cluster::Cluster::of(rc::Rc::clone(&first.cluster.world));
+    cluster.node.set_memberships(recorded, true);
+    let second = start_from(harness::start_with(cluster, first.store.clone()));
+    second.cluster.run(async {
+        prove(&second).await;
+        second.cluster.world.borrow_mut().at("a").up = false;
+        second.wait_for_primary(2).await;
+    });
+    assert_eq!(second.leader(), ["b"]);
+}
+
 /// Guards against the loss of commits that only an instance which had left had confirmed, cut off from
 /// everybody but the primary.
 #[test]
