Ask all other nodes in one place

Seals of terms and the question for acknowledged positions split the members, asked each and collected the answers in two copies. One function does it now. A node that answers with another kind of answer counted as complete for acknowledged positions, and still does.

--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -470,33 +470,22 @@
     /// Seals a term of a group at all nodes, and returns their answers; none if this node does not
     /// know yet which nodes there are.
     pub async fn seal_everywhere(&self, request: &seal::Request) -> Vec<Option<seal::Response>> {
-        let peers = self.router.peers();
-        let (own, others): (Vec<_>, Vec<_>) = self
-            .router
-            .members()
-            .into_iter()
-            .partition(|member| member.name == self.name);
-        if own.is_empty() {
+        let question = question::Question::Seal(request.clone());
+        let seals = |member: &member::Member| member.protocol >= member::SEAL_PROTOCOL;
+        if !self.is_member() {
             return Vec::new();
         }
-        let question = question::Question::Seal(request.clone());
-        let asked = others.iter().map(|member| async {
-            let able = member.protocol >= member::SEAL_PROTOCOL && peers.may_ask(&member.name);
-            if !able {
-                return None;
-            }
-            match peers.ask(member, &question).await? {
-                question::Answer::Sealed(response) => Some(response),
-                _ => None,
-            }
-        });
-        let mut answers = futures_util::future::join_all(asked).await;
-        let answered = others.iter().zip(&answers);
-        let unanswered: Vec<_> = answered
-            .filter(|(_, answer)| answer.is_none())
-            .map(|(member, _)| &member.name)
-            .collect();
-        answers.push(Some(self.seal(request)));
+        let others = self.ask_others(&question, seals).await;
+        let mut unanswered = Vec::new();
+        let mut answers = vec![Some(self.seal(request))];
+        for (name, answer) in others {
+            let Some(question::Answer::Sealed(response)) = answer else {
+                unanswered.push(name);
+                answers.push(None);
+                continue;
+            };
+            answers.push(Some(response));
+        }
         tracing::info!(group = %request.group, term = request.term, nodes = answers.len(), ?unanswered,
             acknowledged = seal::highest(&answers).map(tracing::field::display), "term sealed");
         answers
@@ -507,24 +496,45 @@
         &self,
         group: &id::Group,
     ) -> acknowledgement::Acknowledgement {
-        let peers = self.router.peers();
-        let members = self.router.members();
-        let (own, mut others): (Vec<_>, Vec<_>) = members
-            .into_iter()
-            .partition(|member| member.name == self.name);
-        let total = others.len();
-        others.retain(|member| peers.may_ask(&member.name));
         let question = question::Question::Acknowledged(group.clone());
-        let asked = others.iter().map(|member| peers.ask(member, &question));
-        let answers = futures_util::future::join_all(asked).await;
+        let others = self.ask_others(&question, |_| true).await;
+        let answers: Vec<_> = others.into_iter().map(|(_, answer)| answer).collect();
         let positions = answers.iter().flatten().filter_map(|answer| match answer {
             question::Answer::Acknowledged(position) => Some(*position),
             _ => None,
         });
         acknowledgement::Acknowledgement {
             position: positions.max().max(self.acknowledged(group)),
-            // A node that has just started may not know the others yet, nor itself as one of them.
-            complete: !own.is_empty() && answers.iter().flatten().count() == total,
+            complete: self.is_member() && answers.iter().all(Option::is_some),
         }
     }
+
+    // Whether this node is among the members that it knows. One that has just started may not know
+    // the others yet, nor itself.
+    fn is_member(&self) -> bool {
+        let members = self.router.members();
+        members.iter().any(|member| member.name == self.name)
+    }
+
+    // Asks all other nodes at once, and returns the answer of each. A node that does not understand
+    // the question, or was silent a moment ago, has none.
+    async fn ask_others(
+        &self,
+        question: &question::Question,
+        understands: impl Fn(&member::Member) -> bool,
+    ) -> Vec<(id::Vm, Option<question::Answer>)> {
+        let mut others = self.router.members();
+        others.retain(|member| member.name != self.name);
+        let peers = self.router.peers();
+        let asked = others.iter().map(|member| async {
+            let able = understands(member) && peers.may_ask(&member.name);
+            let answer = if able {
+                peers.ask(member, question).await
+            } else {
+                None
+            };
+            (member.name.clone(), answer)
+        });
+        futures_util::future::join_all(asked).await
+    }
 }
