--- a/desk/src/configuration/contradictions.rs
+++ b/desk/src/configuration/contradictions.rs
@@ -33,7 +33,8 @@
             "the objective of route {database} is not a valid time; nodes read it as 0"
         ));
     };
-    (objective > route.timeout).then(|| {
+    // A timeout of 0 is an error of its own.
+    (objective > route.timeout && !route.timeout.is_zero()).then(|| {
         let timeout = route.timeout;
         format!("the objective {objective:?} of route {database} is above its timeout {timeout:?}")
     })
--- a/desk/tests/configuration.rs
+++ b/desk/tests/configuration.rs
@@ -249,6 +249,18 @@
     assert_eq!(caller.expect("an organisation").organisation, "dome");
 }
 
+/// Guards against a warning that repeats what an error says of the same entry.
+#[test]
+fn a_timeout_of_0_is_one_finding() {
+    assert_eq!(
+        after(|document| {
+            document.routes[0].timeout = time::Duration::ZERO;
+            document.routes[0].objective_ms = 250.0;
+        }),
+        ["error: route clinic has a timeout of 0"]
+    );
+}
+
 /// Guards against limits that contradict each other and refuse or delay callers.
 #[test]
 fn contradicting_limits_are_warned_of() {
