Take the renewal of floors out of Group

A move: no change of behaviour; the tests of delegates, groups, witnesses, remote nodes and splits pass.

--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -26,6 +26,7 @@
 use crate::pool;
 use crate::proof;
 use crate::recording;
+use crate::renewal;
 use crate::roster;
 use crate::source;
 use crate::status;
@@ -38,21 +39,10 @@
 /// transit of the request and for timer granularity.
 const STALENESS_MARGIN: time::Duration = time::Duration::from_millis(60);
 
-/// A floor is renewed once its age reaches this percentage of a read's staleness bound. The rest is
-/// the time that a replica may lag behind; status queries load the instances, and a lower
-/// percentage needs more of them.
-const RENEWAL_PERCENT: u32 = 70;
-
-/// Minimum interval between two attempts to renew a floor.
-const REFRESH_PAUSE: time::Duration = time::Duration::from_millis(60);
-
 /// Maximum interval between rounds of the search for a primary; a gap of one second then costs
 /// about ten status queries per instance.
 const SEARCH_INTERVAL: time::Duration = time::Duration::from_millis(120);
 
-/// A primary's position older than this is queried again together with a new floor.
-const MAX_POSITION_AGE: time::Duration = time::Duration::from_millis(200);
-
 /// Status queries in a row to an instance that is missing from the list: the first may use a
 /// connection that broke when the instance ended, the next opens a new one, which is refused.
 const ABSENT_ATTEMPTS: u32 = 3;
@@ -74,10 +64,9 @@
     /// Notified when a primary or a floor becomes known.
     changed: event_listener::Event,
     searching: cell::Cell<bool>,
-    refreshing: cell::Cell<bool>,
-    refreshing_locally: cell::Cell<bool>,
     querying_absent: cell::Cell<bool>,
     prover: proof::Prover,
+    renewal: renewal::Renewal,
     /// What this node passes on as acknowledged.
     commits: commits::Commits,
     /// What the promotion waits for that this node holds back.
@@ -108,10 +97,9 @@
             leadership: cell::RefCell::default(),
             changed: event_listener::Event::new(),
             searching: cell::Cell::default(),
-            refreshing: cell::Cell::default(),
-            refreshing_locally: cell::Cell::default(),
             querying_absent: cell::Cell::default(),
             prover: proof::Prover::default(),
+            renewal: renewal::Renewal::default(),
             commits: commits::Commits::default(),
             holdback: cell::RefCell::default(),
             recording: recording::Recording::default(),
@@ -567,9 +555,13 @@
         true
     }
 
-    // Derives evidence of leadership and positions from reports whose queries were sent at
-    // `started`.
-    fn apply_reports(self: &rc::Rc<Self>, started: id::Time, reports: &[status::Report]) {
+    /// Derives evidence of leadership and positions from reports whose queries were sent at
+    /// `started`.
+    pub(crate) fn apply_reports(
+        self: &rc::Rc<Self>,
+        started: id::Time,
+        reports: &[status::Report],
+    ) {
         let Some(leader) = status::find_leader(reports) else {
             return;
         };
@@ -624,163 +616,28 @@
         self.with_witnesses(|witnesses| witnesses.others(primary))
     }
 
-    // Determines a floor for reads that accept some staleness.
-    async fn refresh(self: &rc::Rc<Self>) {
-        let Some(leader) = self.leader() else {
-            self.search();
-            self.refresh_without_primary().await;
-            return;
-        };
-        let started = boot::now();
-        let fresh = self
-            .leadership
-            .borrow()
-            .floors()
-            .has_position_since(started.saturating_sub(MAX_POSITION_AGE));
-        if fresh && self.prover.try_prove(self).await.is_some() {
-            return;
-        }
-        let Some(primary) = self.roster.pool(&leader.id) else {
-            self.refresh_without_primary().await;
-            return;
-        };
-        let mut pools = self.others(&leader.id);
-        pools.truncate(1);
-        pools.push(primary);
-        let reports = self.query_status(&pools, status::TIMEOUT).await;
-        self.apply_reports(started, &reports);
-        if reports.len() < pools.len() {
-            self.refresh_without_primary().await;
-        }
-    }
-
-    // Determines a floor without a primary that is proven to lead. Only the last known primary may be
-    // silent: any other silent instance may be the primary by now.
-    //
-    // While it answers, its own position counts as well: the replicas may be held, and a replica that
-    // is not listed yet lets it acknowledge commits which they lack.
-    async fn refresh_without_primary(self: &rc::Rc<Self>) {
-        let last = self.leadership.borrow().last_primary().cloned();
-        let (primary, pools): (Vec<_>, Vec<_>) = self
-            .roster
-            .pools()
-            .into_iter()
-            .partition(|pool| Some(pool.id()) == last);
-        let term = self.term();
-        // An instance that is not listed yet may be the only replica with a commit.
-        if !self.roster.is_settled() {
-            return;
-        }
-        let started = boot::now();
-        let reports = self.query_status(&pools, status::TIMEOUT);
-        let own = self.query_status(&primary, status::TIMEOUT);
-        let (reports, own) = futures_util::future::join(reports, own).await;
-        let own = own.first().map(|report| report.status.received);
-        let received = status::max_received(&reports, pools.len(), term);
-        // Its log has all commits that it has acknowledged, and this node knows of its own callers'.
-        let received = received.map(|stamp| Some(stamp).max(own).max(self.acknowledged()));
-        let received = received.flatten();
-        let mut leadership = self.leadership.borrow_mut();
-        let covering_position =
-            received.and_then(|stamp| leadership.covering_position(stamp, self.roster.last_lost()));
-        if let Some(stamp) = covering_position {
-            leadership.record_replica_only_floor(started, stamp);
-        }
-    }
-
-    // Obtains a floor that covers all commits acknowledged longer ago than `within`: from the
-    // delegate of the failure domain, or else by status queries of this node.
-    fn refresh_soon(self: &rc::Rc<Self>, within: time::Duration) {
-        if self.refreshing.replace(true) {
-            return;
-        }
-        let group = rc::Rc::clone(self);
-        self.executor
-            .spawn(async move {
-                if !group.request_floor(within).await {
-                    group.refresh_and_pause().await;
-                }
-                group.refreshing.set(false);
-                group.changed.notify(usize::MAX);
-            })
-            .detach();
-    }
-
-    // Determines a floor by status queries of this node.
-    fn refresh_locally_soon(self: &rc::Rc<Self>) {
-        if self.refreshing_locally.replace(true) {
-            return;
-        }
-        let group = rc::Rc::clone(self);
-        self.executor
-            .spawn(async move {
-                group.refresh_and_pause().await;
-                group.refreshing_locally.set(false);
-                group.changed.notify(usize::MAX);
-            })
-            .detach();
-    }
-
-    async fn refresh_and_pause(self: &rc::Rc<Self>) {
-        self.refresh().await;
-        self.changed.notify(usize::MAX);
-        // Tasks that still lack a floor retry at once: without a pause, a group in which only the
-        // primary answers is queried hundreds of times a second.
-        wait::sleep(REFRESH_PAUSE).await;
-    }
-
-    async fn request_floor(self: &rc::Rc<Self>, within: time::Duration) -> bool {
-        let request = delegate::Request {
-            group: self.name.clone(),
-            within,
-        };
-        let sent = boot::now();
-        let Some(response) = self.dialer.request_floor(&request).await else {
-            return false;
-        };
-        let moment = response.moment(sent);
-        // A response that is older than requested, or of an earlier term, is discarded.
-        let serves = moment >= sent.saturating_sub(within) && response.term >= self.term();
-        if serves {
-            let leader = self.leader();
-            if leader.is_some_and(|leader| leader.term < response.term) {
-                self.suspect(response.term - 1, "a delegate reported a later term");
-            }
-            let mut leadership = self.leadership.borrow_mut();
-            leadership.adopt_floor(response.term, moment, response.stamp);
-        }
-        serves
-    }
-
     /// A floor for another node that requested one which covers all commits acknowledged longer ago
     /// than `within`; determined by status queries of this node if none is known.
-    ///
-    /// The floor is renewed in the background before it expires, so that later requests get a floor
-    /// that replicas have already applied.
     pub async fn floor_for_peer(
         self: &rc::Rc<Self>,
         within: time::Duration,
     ) -> Option<delegate::Response> {
-        let arrived = boot::now();
-        let moment = arrived.saturating_sub(within);
-        let deadline = arrived + delegate::TIMEOUT;
-        loop {
-            let changed = self.changed.listen();
-            let (found, newest) = {
-                let leadership = self.leadership.borrow();
-                let floors = leadership.floors();
-                (floors.attested_since(moment), floors.newest_moment())
-            };
-            let renewal = arrived.saturating_sub(within * RENEWAL_PERCENT / 100);
-            if newest.is_none_or(|newest| newest < renewal) {
-                self.refresh_locally_soon();
-            }
-            if let Some((term, time, stamp)) = found {
-                let ago = arrived.saturating_sub(time);
-                return Some(delegate::Response { term, stamp, ago });
-            }
-            wait::until(deadline, changed).await?;
-        }
+        self.renewal.floor_for_peer(self, within).await
+    }
+
+    /// What is known of the group's primary and its positions.
+    pub(crate) const fn leadership(&self) -> &cell::RefCell<leadership::Leadership> {
+        &self.leadership
+    }
+
+    /// Notified when a primary or a floor becomes known.
+    pub(crate) const fn changed(&self) -> &event_listener::Event {
+        &self.changed
+    }
+
+    /// Renews the floors of this group.
+    pub(crate) const fn renewal(&self) -> &renewal::Renewal {
+        &self.renewal
     }
 
     /// Selects an instance to read from, other than those in `tried`.
@@ -799,7 +656,7 @@
         let moment = request
             .arrived
             .saturating_sub(age.saturating_sub(STALENESS_MARGIN));
-        let floor = self.floor(request, moment, age).await?;
+        let floor = self.renewal.floor(self, request, moment, age).await?;
         let chosen = self.choose(request, tried, moment, floor);
         if chosen.is_none() && request.writes {
             return self.current_source(request, tried).await;
@@ -856,34 +713,4 @@
             });
         }
     }
-
-    async fn floor(
-        self: &rc::Rc<Self>,
-        request: &source::Requirements,
-        moment: id::Time,
-        age: time::Duration,
-    ) -> Option<stamp::Stamp> {
-        loop {
-            let changed = self.changed.listen();
-            let (floor, newest) = {
-                let leadership = self.leadership.borrow();
-                let floors = leadership.floors();
-                (floors.since(moment), floors.newest_moment())
-            };
-            let renewal = request.arrived.saturating_sub(age * RENEWAL_PERCENT / 100);
-            if newest.is_none_or(|newest| newest < renewal) {
-                let percent = if floor.is_some() {
-                    RENEWAL_PERCENT
-                } else {
-                    100
-                };
-                let spent = boot::now().saturating_sub(moment);
-                self.refresh_soon(spent * percent / 100);
-            }
-            if let Some(floor) = floor {
-                return Some(floor.max(request.own.unwrap_or_default()));
-            }
-            wait::until(request.deadline, changed).await?;
-        }
-    }
 }
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod records;
 pub mod registration;
 pub mod relief;
+mod renewal;
 pub mod reply;
 pub mod resumes;
 pub mod retry;
