Copy no batch on the direct path of a lane

Every batch was cloned before it ran, though only one that is forwarded may have to run a second time. Only that is cloned now, and the flag of a recorded instance is skipped without a function of its own.

--- a/desk/src/membership.rs
+++ b/desk/src/membership.rs
@@ -31,15 +31,10 @@
     /// Number of statements that it executes at once.
     pub slots: usize,
     /// It has left as planned, though nobody knows yet whether it has ended.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub left: bool,
 }
 
-#[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde requires.
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
 impl Instance {
     /// The part of a list entry that is recorded.
     #[must_use]
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -77,7 +77,7 @@
             self.choose_target();
             self.await_start(&batch).await;
         }
-        let answer = self.run_on_target(&batch).await;
+        let answer = self.run_on_target(batch).await;
         let in_transaction = answer
             .as_ref()
             .is_ok_and(|reply| reply.transaction != transaction::State::Idle);
@@ -94,22 +94,19 @@
 
     /// Runs the batch on the chosen target. A forwarded batch that no peer has accepted runs here if
     /// this proxy serves the group by now.
-    async fn run_on_target(&mut self, batch: &batch::Batch) -> Answer {
+    async fn run_on_target(&mut self, batch: batch::Batch) -> Answer {
         let answer = match &mut self.target {
-            Some(Target::Direct(_, lane)) => lane::Lane::run(lane, batch.clone()).await,
+            Some(Target::Direct(_, lane)) => return lane::Lane::run(lane, batch).await,
             Some(Target::Forward(lane)) => lane::Lane::run(lane, batch.clone()).await,
-            None => Err(not_served()),
+            None => return Err(not_served()),
         };
-        let refused = answer
-            .as_ref()
-            .err()
-            .is_some_and(resend::allows_next_member);
-        if self.in_transaction || !refused || !matches!(self.target, Some(Target::Forward(_))) {
+        let refusal = answer.as_ref().err();
+        if self.in_transaction || !refusal.is_some_and(resend::allows_next_member) {
             return answer;
         }
         self.choose_target();
         match &mut self.target {
-            Some(Target::Direct(_, lane)) => lane::Lane::run(lane, batch.clone()).await,
+            Some(Target::Direct(_, lane)) => lane::Lane::run(lane, batch).await,
             _ => answer,
         }
     }
