--- a/review/standins-3/src/instance.rs
+++ b/review/standins-3/src/instance.rs
@@ -49,6 +49,8 @@
         connections: 0,
         max_connections: kind.max_connections,
         seq: 0,
+        reported: kind.primary,
+        silent: None,
         superseded: None,
     };
     world.lock().instances.insert(id.to_owned(), instance);
@@ -283,7 +285,6 @@
                     }
                 });
                 let status = self.noted_status(text);
-                self.world.register(self.id);
                 status
             }
             "RESET" => {
@@ -456,7 +457,9 @@
             let instance = state.instances.get_mut(self.id).expect("the instance exists");
             let position = (instance.term, instance.received().1 + 1);
             let now = Instant::now();
-            instance.log.push(Entry { position, ids, appended: now, received: now });
+            // Its own records stay applied when it steps down.
+            let received = now.checked_sub(instance.apply).unwrap_or(now);
+            instance.log.push(Entry { position, ids, appended: now, received });
             (position, sync, instance.group.clone())
         };
         self.world.note(&format!("COMMITTED {id} at {} as {}.{}", self.id, position.0, position.1));
--- a/review/standins-3/src/world.rs
+++ b/review/standins-3/src/world.rs
@@ -6,6 +6,9 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// Interval at which an instance writes its entry.
+const PING: Duration = Duration::from_millis(1200);
+
 /// Term and number of a log position.
 pub type Position = (u64, u64);
 
@@ -58,6 +61,10 @@
     pub connections: usize,
     pub max_connections: usize,
     pub seq: u64,
+    /// The role in its entry.
+    pub reported: bool,
+    /// Since when it has written nothing, as it is down or dark.
+    pub silent: Option<Instant>,
     /// Since when it, as a primary, can reach a primary of a later term.
     pub superseded: Option<Instant>,
 }
@@ -210,7 +217,10 @@
                 }
             }
             state.replicate();
+            state.expire_entries();
+            let changed = state.changed_roles();
             drop(state);
+            changed.iter().for_each(|id| self.register(id));
             self.changed.notify_all();
         }
     }
@@ -231,6 +241,8 @@
             let mut state = self.lock();
             let Some(instance) = state.instances.get_mut(id) else { return };
             instance.seq += 1;
+            instance.reported = instance.primary;
+            instance.silent = None;
             serde_json::json!({
                 "service": instance.group, "addr": instance.address.to_string(), "zone": instance.zone,
                 "version": "v1", "capacity": 3, "warmup_left_ms": 0, "seq": instance.seq,
@@ -280,6 +292,33 @@
         }
     }
 
+    // An entry is removed after three ping intervals of silence.
+    fn expire_entries(&mut self) {
+        let now = Instant::now();
+        let mut expired = Vec::new();
+        for (id, instance) in &mut self.instances {
+            if instance.power == Power::Up {
+                instance.silent = None;
+                continue;
+            }
+            let since = *instance.silent.get_or_insert(now);
+            if now > since + 3 * PING && self.items.contains_key(&format!("servers/{id}")) {
+                expired.push(id.clone());
+            }
+        }
+        expired.iter().for_each(|id| self.remove(&format!("servers/{id}")));
+    }
+
+    // A change of the role is reported immediately, and an entry that expired is written again.
+    fn changed_roles(&self) -> Vec<String> {
+        let missing = |id: &String| !self.items.contains_key(&format!("servers/{id}"));
+        let due = |id: &String, found: &Instance| {
+            found.power == Power::Up && found.seq > 0 && (found.primary != found.reported || missing(id))
+        };
+        let found = self.instances.iter().filter(|(id, found)| due(id, found));
+        found.map(|(id, _)| id.clone()).collect()
+    }
+
     fn take_due_promotions(&mut self) -> Vec<String> {
         let now = Instant::now();
         let (due, left) = self.promotions.drain(..).partition(|(at, _)| *at <= now);
