--- a/review/standins-3/src/node.rs
+++ b/review/standins-3/src/node.rs
@@ -14,9 +14,24 @@
     child: Option<Child>,
 }
 
+/// Ports to choose from, below the range of ephemeral ones: an outgoing connection could otherwise
+/// take a node's port before the node listens.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+static NEXT: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
+
+// A port that no program listens on. Each script begins at another place, by its process id.
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener is bound")
+    let count = PORTS.end - PORTS.start;
+    let offset = u16::try_from(std::process::id() * 97 % u32::from(count)).unwrap_or_default();
+    loop {
+        let step = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        assert!(step < count, "no port is free");
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + (offset + step) % count));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Node {
