--- a/review/standins-3/src/bin/foreign_values.rs
+++ b/review/standins-3/src/bin/foreign_values.rs
@@ -21,7 +21,9 @@
 
 fn main() {
     let mut stage = stage::Stage::new();
-    stage.tenants = ["dome", "hall", "school", "club", "clinic", "ward"].map(|name| (name.into(), format!("key-{name}"))).to_vec();
+    stage.tenants = ["dome", "hall", "school", "club", "clinic", "ward"]
+        .map(|name| (name.into(), format!("key-{name}")))
+        .to_vec();
     stage.max_connections = 16;
     let stage = stage;
     let world = &stage.world;
@@ -67,13 +69,20 @@
                 for _ in 0..4 {
                     sequence += 1;
                     let id = format!("q{number:02}x{sequence:06}");
-                    told.lock().unwrap().insert(id.clone(), (values.clone(), tenant.clone(), Instant::now()));
+                    told.lock()
+                        .unwrap()
+                        .insert(id.clone(), (values.clone(), tenant.clone(), Instant::now()));
                     let answer = session.query(&id, &format!("READ seat{sequence}"));
-                    world.note(&format!("ANSWER {id} {tenant} {values:?} {:?}", answer.as_ref().map(|reply| reply.end.clone())));
+                    world.note(&format!(
+                        "ANSWER {id} {tenant} {values:?} {:?}",
+                        answer.as_ref().map(|reply| reply.end.clone())
+                    ));
                     if answer.is_err() {
                         break;
                     }
-                    std::thread::sleep(Duration::from_millis(40 + (sequence * 7 + number as u64 * 13) % 70));
+                    std::thread::sleep(Duration::from_millis(
+                        40 + (sequence * 7 + number as u64 * 13) % 70,
+                    ));
                 }
                 let _ = session.send("BYE");
             }
@@ -87,8 +96,17 @@
             slow = wanted;
             world.note(&format!("SLOW {slow}"));
             // Three of the 24 instances: those of the service that is used.
-            for instance in world.lock().instances.values_mut().filter(|instance| instance.group == "db-1") {
-                instance.work = if slow { USUAL.mul_f64(SLOW_FACTOR) } else { USUAL };
+            for instance in world
+                .lock()
+                .instances
+                .values_mut()
+                .filter(|instance| instance.group == "db-1")
+            {
+                instance.work = if slow {
+                    USUAL.mul_f64(SLOW_FACTOR)
+                } else {
+                    USUAL
+                };
             }
         }
         std::thread::sleep(Duration::from_millis(20));
@@ -98,7 +116,9 @@
     let runs = world.lock().runs.clone();
     let (mut wrong, mut checked, mut lent) = (0, 0, 0);
     for run in &runs {
-        let Some((values, tenant, _)) = told.get(&run.id) else { continue };
+        let Some((values, tenant, _)) = told.get(&run.id) else {
+            continue;
+        };
         checked += 1;
         lent += u64::from(run.caller == *tenant);
         if run.values != *values {
@@ -107,10 +127,15 @@
                 run.id, run.instance, world.ms(run.at), run.values));
         }
         if run.caller != *tenant {
-            world.note(&format!("FOREIGN {} of {tenant} runs for {}", run.id, run.caller));
+            world.note(&format!(
+                "FOREIGN {} of {tenant} runs for {}",
+                run.id, run.caller
+            ));
         }
     }
-    println!("{checked} statements run, {lent} for their tenant, {wrong} with other values than those that their requester was acknowledged");
+    println!(
+        "{checked} statements run, {lent} for their tenant, {wrong} with other values than those that their requester was acknowledged"
+    );
     if checked < 100 {
         stage.exit(stage::NOT_RUN, &mut nodes);
     }
--- a/review/standins-3/src/bin/stale_route.rs
+++ b/review/standins-3/src/bin/stale_route.rs
@@ -41,15 +41,27 @@
         for node in &nodes {
             number += 1;
             let id = format!("q{number:08}");
-            let text = if number % 2 == 0 { format!("WRITE seat{number} class{number}") } else { format!("READ seat{number}") };
+            let text = if number % 2 == 0 {
+                format!("WRITE seat{number} class{number}")
+            } else {
+                format!("READ seat{number}")
+            };
             let at = Instant::now();
-            let answer = client::Session::open(node.callers, "desk clerk").and_then(|mut session| session.query(&id, &text));
-            world.note(&format!("ANSWER {id} {text} at {}: sent {} {:?}", node.name, world.ms(at), answer.as_ref().map(|reply| reply.end.clone())));
+            let answer = client::Session::open(node.callers, "desk clerk")
+                .and_then(|mut session| session.query(&id, &text));
+            world.note(&format!(
+                "ANSWER {id} {text} at {}: sent {} {:?}",
+                node.name,
+                world.ms(at),
+                answer.as_ref().map(|reply| reply.end.clone())
+            ));
             sent.push((id, at, answer.is_ok_and(|reply| reply.end.is_ok())));
         }
         std::thread::sleep(Duration::from_millis(40));
     }
-    let Some(moved) = moved else { stage.exit(stage::NOT_RUN, &mut nodes) };
+    let Some(moved) = moved else {
+        stage.exit(stage::NOT_RUN, &mut nodes)
+    };
     let runs = world.lock().runs.clone();
     let (mut late, mut new) = (0, 0);
     for (id, at, served) in &sent {
@@ -62,8 +74,11 @@
             }
         }
     }
-    println!("{} requests, {new} run by the new service, {late} run by the old one although sent later than {} ms after the acknowledgement",
-        sent.len(), CONFIG_APPLY.as_millis());
+    println!(
+        "{} requests, {new} run by the new service, {late} run by the old one although sent later than {} ms after the acknowledgement",
+        sent.len(),
+        CONFIG_APPLY.as_millis()
+    );
     if new == 0 {
         stage.exit(stage::NOT_RUN, &mut nodes);
     }
--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -27,14 +27,22 @@
 impl Session {
     /// Opens a session; the error is what the node answered, or why there was no answer.
     pub fn open(address: SocketAddr, start: &str) -> Result<Self, String> {
-        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).map_err(|error| error.to_string())?;
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))
+            .map_err(|error| error.to_string())?;
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
         let writer = stream.try_clone().map_err(|error| error.to_string())?;
-        let mut session = Self { writer, reader: BufReader::new(stream) };
+        let mut session = Self {
+            writer,
+            reader: BufReader::new(stream),
+        };
         session.send(&format!("START {start}"))?;
         let line = session.line()?;
-        if line.starts_with("READY I") { Ok(session) } else { Err(line) }
+        if line.starts_with("READY I") {
+            Ok(session)
+        } else {
+            Err(line)
+        }
     }
 
     /// How long an answer is waited for.
@@ -76,7 +84,14 @@
                         Some((term.parse().ok()?, number.parse().ok()?))
                     });
                     let end = end.ok_or("READY without an end")?;
-                    return Ok(Reply { rows, end, text, state: state.to_owned(), position, at: Instant::now() });
+                    return Ok(Reply {
+                        rows,
+                        end,
+                        text,
+                        state: state.to_owned(),
+                        position,
+                        at: Instant::now(),
+                    });
                 }
                 _ => return Err(format!("unexpected {line:?}")),
             }
--- a/review/standins-3/src/instance.rs
+++ b/review/standins-3/src/instance.rs
@@ -59,7 +59,9 @@
 }
 
 fn listen(world: &Shared, id: &str, listener: TcpListener) {
-    listener.set_nonblocking(true).expect("the listener is valid");
+    listener
+        .set_nonblocking(true)
+        .expect("the listener is valid");
     let (world, id) = (Arc::clone(world), id.to_owned());
     std::thread::spawn(move || {
         loop {
@@ -96,7 +98,10 @@
         let mut state = world.lock();
         let group = state.instances[id].group.clone();
         let own = state.instances[id].term;
-        let later = state.instances.values().any(|other| other.group == group && other.primary && other.term > own);
+        let later = state
+            .instances
+            .values()
+            .any(|other| other.group == group && other.primary && other.term > own);
         let instance = state.instances.get_mut(id).expect("the instance exists");
         instance.power = Power::Up;
         instance.incarnation += 1;
@@ -148,7 +153,12 @@
         failed: false,
     };
     let _ = session.run(stream);
-    world.lock().instances.get_mut(id).expect("the instance exists").connections -= 1;
+    world
+        .lock()
+        .instances
+        .get_mut(id)
+        .expect("the instance exists")
+        .connections -= 1;
 }
 
 impl Session<'_> {
@@ -190,7 +200,11 @@
             match stream.read(&mut chunk) {
                 Ok(0) => return Ok(()),
                 Ok(count) => buffer.extend_from_slice(&chunk[..count]),
-                Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                    ) => {}
                 Err(error) => return Err(error),
             }
         }
@@ -217,7 +231,11 @@
             return Some(format!("ERR TOOMANY {}\r\n", self.id));
         }
         drop(state);
-        words.get(2).copied().unwrap_or_default().clone_into(&mut self.caller);
+        words
+            .get(2)
+            .copied()
+            .unwrap_or_default()
+            .clone_into(&mut self.caller);
         std::thread::sleep(Duration::from_millis(12));
         Some(self.ready())
     }
@@ -293,11 +311,13 @@
                 done("-")
             }
             "SET" => {
-                self.values.insert(words.get(1)?.to_string(), words[2..].join(" "));
+                self.values
+                    .insert(words.get(1)?.to_string(), words[2..].join(" "));
                 done("-")
             }
             "PREPARE" => {
-                self.prepared.insert(words.get(1)?.to_string(), words[2..].join(" "));
+                self.prepared
+                    .insert(words.get(1)?.to_string(), words[2..].join(" "));
                 done("-")
             }
             "FORGET" => {
@@ -310,7 +330,11 @@
                 if !read_only && !primary {
                     return refusal("READONLY");
                 }
-                self.transaction = Some(Transaction { read_only, term, writes: Vec::new() });
+                self.transaction = Some(Transaction {
+                    read_only,
+                    term,
+                    writes: Vec::new(),
+                });
                 done("-")
             }
             "ROLLBACK" => {
@@ -325,26 +349,42 @@
 
     fn change(&self, change: impl Fn(&mut Instance)) {
         let mut state = self.world.lock();
-        change(state.instances.get_mut(self.id).expect("the instance exists"));
+        change(
+            state
+                .instances
+                .get_mut(self.id)
+                .expect("the instance exists"),
+        );
     }
 
     fn role(&self) -> (bool, u64) {
         let state = self.world.lock();
-        (state.instances[self.id].primary, state.instances[self.id].term)
+        (
+            state.instances[self.id].primary,
+            state.instances[self.id].term,
+        )
     }
 
     fn noted_status(&self, text: &str) -> Option<Reply> {
         let status = self.status();
-        self.world.note(&format!("COMMAND {text} at {}: {}", self.id, status.0[0]));
+        self.world
+            .note(&format!("COMMAND {text} at {}: {}", self.id, status.0[0]));
         Some(status)
     }
 
     fn status(&self) -> Reply {
         let state = self.world.lock();
         let instance = &state.instances[self.id];
-        let role = if instance.primary { "primary" } else { "replica" };
+        let role = if instance.primary {
+            "primary"
+        } else {
+            "replica"
+        };
         let (term, number) = instance.received();
-        let row = format!("{role} {} {term}.{number} {} 0 0 {}", instance.term, instance.hold, instance.connections);
+        let row = format!(
+            "{role} {} {term}.{number} {} 0 0 {}",
+            instance.term, instance.hold, instance.connections
+        );
         (vec![row], "DONE -".into())
     }
 
@@ -368,7 +408,10 @@
             return None;
         }
         let (primary, term) = self.role();
-        let lost = self.transaction.as_ref().is_some_and(|open| !open.read_only && (!primary || open.term != term));
+        let lost = self
+            .transaction
+            .as_ref()
+            .is_some_and(|open| !open.read_only && (!primary || open.term != term));
         let barred = self.transaction.as_ref().is_some_and(|open| open.read_only);
         if lost || write && (!primary || barred) {
             return refusal("READONLY");
@@ -387,11 +430,13 @@
     // Waits for a slot; `None` if the queue is full.
     fn enter(&self) -> Option<Duration> {
         let mut state = self.world.lock();
-        let own = |state: &mut crate::world::State| state.instances.get_mut(self.id).map(|own| {
-            let free = own.running < own.slots;
-            own.running += usize::from(free);
-            free.then_some(own.work)
-        });
+        let own = |state: &mut crate::world::State| {
+            state.instances.get_mut(self.id).map(|own| {
+                let free = own.running < own.slots;
+                own.running += usize::from(free);
+                free.then_some(own.work)
+            })
+        };
         if let Some(Some(work)) = own(&mut state) {
             return Some(work);
         }
@@ -401,7 +446,12 @@
         }
         instance.queued += 1;
         loop {
-            state = self.world.changed.wait_timeout(state, Duration::from_millis(5)).expect("no panic while locked").0;
+            state = self
+                .world
+                .changed
+                .wait_timeout(state, Duration::from_millis(5))
+                .expect("no panic while locked")
+                .0;
             let work = own(&mut state).flatten();
             if work.is_some() || state.finished {
                 state.instances.get_mut(self.id)?.queued -= 1;
@@ -427,8 +477,10 @@
             });
             applied
         };
-        self.world.note(&format!("RUN {id} {text} at {} with {}.{} for {} with values {:?}",
-            self.id, applied.0, applied.1, self.caller, self.values));
+        self.world.note(&format!(
+            "RUN {id} {text} at {} with {}.{} for {} with values {:?}",
+            self.id, applied.0, applied.1, self.caller, self.values
+        ));
     }
 
     fn commit(&mut self, id: &str) -> Option<Reply> {
@@ -454,32 +506,54 @@
         let (position, sync, group) = {
             let mut state = self.world.lock();
             let sync = state.sync;
-            let instance = state.instances.get_mut(self.id).expect("the instance exists");
+            let instance = state
+                .instances
+                .get_mut(self.id)
+                .expect("the instance exists");
             let position = (instance.term, instance.received().1 + 1);
             let now = Instant::now();
             // Its own records stay applied when it steps down.
             let received = now.checked_sub(instance.apply).unwrap_or(now);
-            instance.log.push(Entry { position, ids, appended: now, received });
+            instance.log.push(Entry {
+                position,
+                ids,
+                appended: now,
+                received,
+            });
             (position, sync, instance.group.clone())
         };
-        self.world.note(&format!("COMMITTED {id} at {} as {}.{}", self.id, position.0, position.1));
+        self.world.note(&format!(
+            "COMMITTED {id} at {} as {}.{}",
+            self.id, position.0, position.1
+        ));
         let until = Instant::now() + SYNC_TIMEOUT;
         while sync > 0 {
             let state = self.world.lock();
             let has = |log: &[Entry]| {
-                log.binary_search_by_key(&position, |entry| entry.position).is_ok()
+                log.binary_search_by_key(&position, |entry| entry.position)
+                    .is_ok()
             };
             let copies = state.instances.iter().filter(|(name, other)| {
-                *name != self.id && other.group == group && other.power == Power::Up && has(&other.log)
+                *name != self.id
+                    && other.group == group
+                    && other.power == Power::Up
+                    && has(&other.log)
             });
             if copies.count() >= sync {
                 break;
             }
             let instance = &state.instances[self.id];
-            if Instant::now() > until || !instance.primary || instance.incarnation != self.incarnation {
+            if Instant::now() > until
+                || !instance.primary
+                || instance.incarnation != self.incarnation
+            {
                 return None;
             }
-            drop(self.world.changed.wait_timeout(state, Duration::from_millis(5)));
+            drop(
+                self.world
+                    .changed
+                    .wait_timeout(state, Duration::from_millis(5)),
+            );
         }
         done(&format!("d.{id}.{}.{}", position.0, position.1))
     }
--- a/review/standins-3/src/node.rs
+++ b/review/standins-3/src/node.rs
@@ -40,7 +40,8 @@
     pub fn new(name: &str, zone: &str, store: SocketAddr, folder: &Path, keys: bool) -> Self {
         let with_keys = |text: &str| if keys { text.to_owned() } else { String::new() };
         let (callers, ready, peers) = (free_port(), free_port(), free_port());
-        let template = std::fs::read_to_string("deploy/node.ini").expect("the script runs in the repository's root");
+        let template = std::fs::read_to_string("deploy/node.ini")
+            .expect("the script runs in the repository's root");
         let values = [
             ("{{node_name}}", name.to_owned()),
             ("{{zone}}", zone.to_owned()),
@@ -52,21 +53,41 @@
             ("{{cloud.addr}}", store.to_string()),
             ("{{bounds.grace_s}}", "6".into()),
             ("{{limits.max_fds}}", "4200".into()),
-            ("{{#bounds.revoke_strict}}{{bounds.revoke_ms}}{{/bounds.revoke_strict}}", with_keys("5000")),
+            (
+                "{{#bounds.revoke_strict}}{{bounds.revoke_ms}}{{/bounds.revoke_strict}}",
+                with_keys("5000"),
+            ),
             ("{{bounds.quota_window_s}}", with_keys("5")),
             ("{{bounds.quota_excess}}", with_keys("0.1")),
             ("{{bounds.quota_slack}}", with_keys("20")),
         ];
-        let text = values.iter().fold(template, |text, (name, value)| text.replace(name, value));
-        assert!(!text.contains("{{"), "the template has unknown places: {text}");
+        let text = values
+            .iter()
+            .fold(template, |text, (name, value)| text.replace(name, value));
+        assert!(
+            !text.contains("{{"),
+            "the template has unknown places: {text}"
+        );
         let settings = folder.join(format!("{name}.ini"));
         std::fs::write(&settings, text).expect("the folder can be written");
-        Self { name: name.to_owned(), callers, ready, peers, settings, folder: folder.to_owned(), child: None }
+        Self {
+            name: name.to_owned(),
+            callers,
+            ready,
+            peers,
+            settings,
+            folder: folder.to_owned(),
+            child: None,
+        }
     }
 
     pub fn start(&mut self) {
         let log = self.folder.join(format!("{}.log", self.name));
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("the folder can be written");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("the folder can be written");
         let child = Command::new("target/release/mangotray-node")
             .env("MANGOTRAY_CONFIG", &self.settings)
             .stdin(Stdio::null())
@@ -78,7 +99,10 @@
     }
 
     pub fn signal(&self, signal: rustix::process::Signal) {
-        let id = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
+        let id = self
+            .child
+            .as_ref()
+            .and_then(|child| i32::try_from(child.id()).ok());
         if let Some(id) = id.and_then(rustix::process::Pid::from_raw) {
             let _ = rustix::process::kill_process(id, signal);
         }
@@ -93,13 +117,17 @@
 
     /// Whether the process has ended by itself.
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
-        self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
+        self.child
+            .as_mut()
+            .and_then(|child| child.try_wait().ok().flatten())
     }
 
     /// Whether the readiness probe is answered with 200.
     pub fn is_ready(&self) -> bool {
         use std::io::{Read, Write};
-        let Ok(mut stream) = std::net::TcpStream::connect(self.ready) else { return false };
+        let Ok(mut stream) = std::net::TcpStream::connect(self.ready) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(std::time::Duration::from_secs(1)));
         let _ = stream.write_all(b"GET /v1/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n");
         let mut answer = String::new();
--- a/review/standins-3/src/stage.rs
+++ b/review/standins-3/src/stage.rs
@@ -30,14 +30,23 @@
 impl Stage {
     /// `NAME RECORD` is the command line.
     pub fn new() -> Self {
-        let record = std::env::args().nth(1).unwrap_or_else(|| "record.txt".into());
+        let record = std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".into());
         let world = world::World::new(std::path::Path::new(&record));
         let folder = std::env::temp_dir().join(format!("mangotray-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the temporary folder can be made");
         let store = store::serve(&world);
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         world.note(&format!("BEGIN trouble {trouble}"));
-        Self { world, store, folder, trouble, tenants: Vec::new(), max_connections: 23 }
+        Self {
+            world,
+            store,
+            folder,
+            trouble,
+            tenants: Vec::new(),
+            max_connections: 23,
+        }
     }
 
     /// A service of one primary (the first) and two replicas, one in each zone.
@@ -56,7 +65,13 @@
     }
 
     /// Writes a desired state. Returns when it was acknowledged.
-    pub fn configure(&self, version: u64, routes: &[(&str, &str, &str)], services: &[&str], sync: usize) -> Instant {
+    pub fn configure(
+        &self,
+        version: u64,
+        routes: &[(&str, &str, &str)],
+        services: &[&str],
+        sync: usize,
+    ) -> Instant {
         let route = |(host, kind, service): &(&str, &str, &str)| {
             let (timeout, slo, priority, age) = match *kind {
                 "primary" => (800, 150, 1, 0),
@@ -71,13 +86,16 @@
             route
         };
         let routes: Vec<Value> = routes.iter().map(route).collect();
-        let service = |name: &&str| json!({"name": name, "health_path": "/health", "max_conns": self.max_connections,
-            "protocol": "h1", "tls": false, "sync_replicas": sync});
+        let service = |name: &&str| {
+            json!({"name": name, "health_path": "/health", "max_conns": self.max_connections,
+            "protocol": "h1", "tls": false, "sync_replicas": sync})
+        };
         let services: Vec<Value> = services.iter().map(service).collect();
         let limits = json!({"max_header_bytes": 16384, "max_body_bytes": 262_144, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000, "tx_idle_ms": 3000});
         self.world.lock().sync = sync;
-        let mut state = json!({"version": version, "routes": routes, "services": services, "limits": limits});
+        let mut state =
+            json!({"version": version, "routes": routes, "services": services, "limits": limits});
         if !self.tenants.is_empty() {
             let tenant = |(name, key): &(String, String)| json!({"name": name, "api_keys": [key]});
             state["tenants"] = self.tenants.iter().map(tenant).collect();
@@ -88,7 +106,15 @@
     /// Starts nodes and waits until all are ready.
     pub fn nodes(&self, count: usize) -> Vec<node::Node> {
         let zones = ["patan-hall", "kirtipur-hall", "bhaktapur-hall"];
-        let make = |number: usize| node::Node::new(&format!("front-{}-{number}", zones[number % 3]), zones[number % 3], self.store, &self.folder, !self.tenants.is_empty());
+        let make = |number: usize| {
+            node::Node::new(
+                &format!("front-{}-{number}", zones[number % 3]),
+                zones[number % 3],
+                self.store,
+                &self.folder,
+                !self.tenants.is_empty(),
+            )
+        };
         let mut nodes: Vec<_> = (0..count).map(make).collect();
         nodes.iter_mut().for_each(node::Node::start);
         let until = Instant::now() + Duration::from_secs(10);
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -85,7 +85,9 @@
         if line.is_empty() {
             break;
         }
-        let Some((name, value)) = line.split_once(':') else { continue };
+        let Some((name, value)) = line.split_once(':') else {
+            continue;
+        };
         let value = value.trim();
         match name.to_ascii_lowercase().as_str() {
             "content-length" => length = value.parse().unwrap_or(0),
@@ -98,15 +100,26 @@
     reader.read_exact(&mut body)?;
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = pairs.map(|(key, value)| (key.to_owned(), unescape(value))).collect();
-    Ok(Some(Request { method, path: path.to_owned(), query, holder, fence, body }))
+    let query = pairs
+        .map(|(key, value)| (key.to_owned(), unescape(value)))
+        .collect();
+    Ok(Some(Request {
+        method,
+        path: path.to_owned(),
+        query,
+        holder,
+        fence,
+        body,
+    }))
 }
 
 fn unescape(text: &str) -> String {
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let code = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -127,7 +140,16 @@
         found.map(|(_, value)| value.clone()).unwrap_or_default()
     };
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let call = format!("{} {}", request.method, request.path.split('/').take(3).collect::<Vec<_>>().join("/"));
+    let call = format!(
+        "{} {}",
+        request.method,
+        request
+            .path
+            .split('/')
+            .take(3)
+            .collect::<Vec<_>>()
+            .join("/")
+    );
     *world.lock().calls.entry(call).or_default() += 1;
     match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/v1/kv-key") => {
@@ -144,14 +166,26 @@
         ("GET", "/v1/kv-range") => {
             let state = world.lock();
             let prefix = get("prefix");
-            let found = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
+            let found = state
+                .items
+                .iter()
+                .filter(|(key, _)| key.starts_with(&prefix));
             let items: Vec<_> = found.map(|(key, item)| row(key, item)).collect();
-            (200, json!({"items": items, "truncated": false, "store_revision": state.revision}))
+            (
+                200,
+                json!({"items": items, "truncated": false, "store_revision": state.revision}),
+            )
         }
         ("GET", "/v1/kv-watch") => {
             let after = get("after").parse().unwrap_or(0);
             let wait = Duration::from_millis(get("wait_ms").parse().unwrap_or(0));
-            watch(world, &get("prefix"), after, wait, get("allow_stale") == "1")
+            watch(
+                world,
+                &get("prefix"),
+                after,
+                wait,
+                get("allow_stale") == "1",
+            )
         }
         ("POST", "/v1/kv-txn") => {
             let answer = transact(&mut world.lock(), &body);
@@ -165,11 +199,17 @@
             state.next_lease += 1;
             let lease = state.next_lease;
             state.leases.insert(lease, (Instant::now() + ttl, ttl));
-            (200, json!({"lease": lease, "ttl_ms": ttl.as_millis() as u64}))
+            (
+                200,
+                json!({"lease": lease, "ttl_ms": ttl.as_millis() as u64}),
+            )
         }
         ("POST", path) if path.starts_with("/v1/kv-keep/") => {
             let mut state = world.lock();
-            let lease = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok());
+            let lease = path
+                .rsplit('/')
+                .next()
+                .and_then(|id| id.parse::<u64>().ok());
             match lease.and_then(|lease| state.leases.get_mut(&lease)) {
                 Some((until, ttl)) => {
                     *until = Instant::now() + *ttl;
@@ -179,7 +219,10 @@
             }
         }
         ("DELETE", path) if path.starts_with("/v1/kv-lease-end/") => {
-            let lease = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok());
+            let lease = path
+                .rsplit('/')
+                .next()
+                .and_then(|id| id.parse::<u64>().ok());
             world.lock().end_lease(lease.unwrap_or(0));
             world.changed.notify_all();
             (200, json!({}))
@@ -191,7 +234,10 @@
 
 fn keys_of(body: &Value) -> String {
     let rows = body["writes"].as_array().cloned().unwrap_or_default();
-    let keys: Vec<_> = rows.iter().map(|row| row["key"].as_str().unwrap_or_default().to_owned()).collect();
+    let keys: Vec<_> = rows
+        .iter()
+        .map(|row| row["key"].as_str().unwrap_or_default().to_owned())
+        .collect();
     keys.join(" ")
 }
 
@@ -208,11 +254,21 @@
 }
 
 // A read that may be stale shows the store as it was some time ago.
-fn watch(world: &Shared, prefix: &str, after: u64, wait: Duration, may_be_stale: bool) -> (u16, Value) {
+fn watch(
+    world: &Shared,
+    prefix: &str,
+    after: u64,
+    wait: Duration,
+    may_be_stale: bool,
+) -> (u16, Value) {
     let until = Instant::now() + wait;
     let mut state = world.lock();
     loop {
-        let lag = if may_be_stale { state.stale } else { Duration::ZERO };
+        let lag = if may_be_stale {
+            state.stale
+        } else {
+            Duration::ZERO
+        };
         let now = Instant::now();
         let visible = state.events.partition_point(|event| event.at + lag <= now);
         let seen = &state.events[..visible];
@@ -221,13 +277,21 @@
         } else {
             seen.last().map_or(after, |event| event.rev).max(after)
         };
-        let found = seen.iter().filter(|event| event.rev > after && event.key.starts_with(prefix));
+        let found = seen
+            .iter()
+            .filter(|event| event.rev > after && event.key.starts_with(prefix));
         let events: Vec<_> = found.map(self::event).collect();
         if !events.is_empty() || now >= until || state.finished {
             return (200, json!({"events": events, "store_revision": revision}));
         }
-        let left = until.saturating_duration_since(now).min(Duration::from_millis(20));
-        state = world.changed.wait_timeout(state, left).expect("no panic while locked").0;
+        let left = until
+            .saturating_duration_since(now)
+            .min(Duration::from_millis(20));
+        state = world
+            .changed
+            .wait_timeout(state, left)
+            .expect("no panic while locked")
+            .0;
     }
 }
 
@@ -235,7 +299,10 @@
     let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
     let current = |state: &State, key: &str| state.items.get(key).map_or(0, |item| item.rev);
-    if rows("expected").iter().any(|row| Some(current(state, &text(&row["key"]))) != row["rev"].as_u64()) {
+    if rows("expected")
+        .iter()
+        .any(|row| Some(current(state, &text(&row["key"]))) != row["rev"].as_u64())
+    {
         return (412, json!({"items": []}));
     }
     for row in rows("writes") {
@@ -246,7 +313,11 @@
     }
     for row in rows("writes") {
         let value = base64::engine::general_purpose::STANDARD.decode(text(&row["value"]));
-        state.write(&text(&row["key"]), value.unwrap_or_default(), row["lease"].as_u64().unwrap_or(0));
+        state.write(
+            &text(&row["key"]),
+            value.unwrap_or_default(),
+            row["lease"].as_u64().unwrap_or(0),
+        );
     }
     for key in rows("deletes") {
         state.remove(&text(&key));
@@ -256,9 +327,17 @@
 
 fn failover(world: &Shared, request: &Request, body: &Value) -> (u16, Value) {
     let id = body["id"].as_str().unwrap_or_default().to_owned();
-    world.note(&format!("ORDER {id} by {} with {}", request.holder, request.fence));
+    world.note(&format!(
+        "ORDER {id} by {} with {}",
+        request.holder, request.fence
+    ));
     let mut state = world.lock();
-    state.orders.push((Instant::now(), request.holder.clone(), request.fence, id.clone()));
+    state.orders.push((
+        Instant::now(),
+        request.holder.clone(),
+        request.fence,
+        id.clone(),
+    ));
     let Some(found) = state.instances.get(&id) else {
         return (409, json!({}));
     };
--- a/review/standins-3/src/world.rs
+++ b/review/standins-3/src/world.rs
@@ -79,7 +79,11 @@
             return self.received();
         }
         let now = Instant::now();
-        let applied = self.log.iter().rev().find(|entry| entry.received + self.apply <= now);
+        let applied = self
+            .log
+            .iter()
+            .rev()
+            .find(|entry| entry.received + self.apply <= now);
         applied.map_or((1, 0), |entry| entry.position)
     }
 }
@@ -199,7 +203,11 @@
     /// Writes a line to the record, with the time.
     pub fn note(&self, text: &str) {
         let line = format!("{:>7} {text}\n", self.ms(Instant::now()));
-        let _ = self.record.lock().expect("no panic while locked").write_all(line.as_bytes());
+        let _ = self
+            .record
+            .lock()
+            .expect("no panic while locked")
+            .write_all(line.as_bytes());
     }
 
     fn tick_until_finished(&self) {
@@ -239,7 +247,9 @@
     pub fn register(&self, id: &str) {
         let entry = {
             let mut state = self.lock();
-            let Some(instance) = state.instances.get_mut(id) else { return };
+            let Some(instance) = state.instances.get_mut(id) else {
+                return;
+            };
             instance.seq += 1;
             instance.reported = instance.primary;
             instance.silent = None;
@@ -259,15 +269,30 @@
         self.revision += 1;
         let rev = self.revision;
         let create_rev = self.items.get(key).map_or(rev, |item| item.create_rev);
-        let item = Item { value, rev, create_rev, lease };
+        let item = Item {
+            value,
+            rev,
+            create_rev,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.events.push(Event { rev, key: key.to_owned(), item: Some(item), at: Instant::now() });
+        self.events.push(Event {
+            rev,
+            key: key.to_owned(),
+            item: Some(item),
+            at: Instant::now(),
+        });
     }
 
     pub fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            let event = Event { rev: self.revision, key: key.to_owned(), item: None, at: Instant::now() };
+            let event = Event {
+                rev: self.revision,
+                key: key.to_owned(),
+                item: None,
+                at: Instant::now(),
+            };
             self.events.push(event);
         }
     }
@@ -275,7 +300,12 @@
     pub fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
         let of = |item: &Item| item.lease == lease;
-        let keys: Vec<_> = self.items.iter().filter(|(_, item)| of(item)).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(_, item)| of(item))
+            .map(|(key, _)| key.clone())
+            .collect();
         for key in keys {
             self.remove(&key);
         }
@@ -286,7 +316,12 @@
         if self.store != StoreMode::Up {
             return;
         }
-        let ended: Vec<_> = self.leases.iter().filter(|(_, (until, _))| *until < now).map(|(id, _)| *id).collect();
+        let ended: Vec<_> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until < now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in ended {
             self.end_lease(lease);
         }
@@ -306,14 +341,18 @@
                 expired.push(id.clone());
             }
         }
-        expired.iter().for_each(|id| self.remove(&format!("servers/{id}")));
+        expired
+            .iter()
+            .for_each(|id| self.remove(&format!("servers/{id}")));
     }
 
     // A change of the role is reported immediately, and an entry that expired is written again.
     fn changed_roles(&self) -> Vec<String> {
         let missing = |id: &String| !self.items.contains_key(&format!("servers/{id}"));
         let due = |id: &String, found: &Instance| {
-            found.power == Power::Up && found.seq > 0 && (found.primary != found.reported || missing(id))
+            found.power == Power::Up
+                && found.seq > 0
+                && (found.primary != found.reported || missing(id))
         };
         let found = self.instances.iter().filter(|(id, found)| due(id, found));
         found.map(|(id, _)| id.clone()).collect()
@@ -329,11 +368,28 @@
 
     /// The named instance leads the next term with what it had received and nothing more.
     fn promote(&mut self, id: &str) -> Option<u64> {
-        let group = self.instances.get(id).filter(|found| found.power == Power::Up)?.group.clone();
+        let group = self
+            .instances
+            .get(id)
+            .filter(|found| found.power == Power::Up)?
+            .group
+            .clone();
         let of = |instance: &&Instance| instance.group == group;
         let leads = |instance: &Instance, term| instance.primary && instance.term == term;
-        let highest = self.instances.values().filter(of).map(|found| found.term.max(found.hold)).max()?;
-        if leads(&self.instances[id], self.instances.values().filter(of).map(|found| found.term).max()?) {
+        let highest = self
+            .instances
+            .values()
+            .filter(of)
+            .map(|found| found.term.max(found.hold))
+            .max()?;
+        if leads(
+            &self.instances[id],
+            self.instances
+                .values()
+                .filter(of)
+                .map(|found| found.term)
+                .max()?,
+        ) {
             return None;
         }
         let term = highest + 1;
@@ -353,9 +409,21 @@
     }
 
     pub fn reaches(&self, one: &str, other: &str) -> bool {
-        let up = |id: &str| self.instances.get(id).is_some_and(|found| found.power == Power::Up);
-        let pair = if one < other { (one, other) } else { (other, one) };
-        up(one) && up(other) && !self.parted.contains(&(pair.0.to_owned(), pair.1.to_owned()))
+        let up = |id: &str| {
+            self.instances
+                .get(id)
+                .is_some_and(|found| found.power == Power::Up)
+        };
+        let pair = if one < other {
+            (one, other)
+        } else {
+            (other, one)
+        };
+        up(one)
+            && up(other)
+            && !self
+                .parted
+                .contains(&(pair.0.to_owned(), pair.1.to_owned()))
     }
 
     fn replicate(&mut self) {
@@ -367,7 +435,9 @@
                 let found = &self.instances[*other];
                 *other != id && found.group == own.group && found.primary && self.reaches(id, other)
             });
-            let newest = newest.max_by_key(|other| self.instances[*other].term).cloned();
+            let newest = newest
+                .max_by_key(|other| self.instances[*other].term)
+                .cloned();
             let Some(newest) = newest else { continue };
             let lead_term = self.instances[&newest].term;
             if own.primary {
@@ -389,7 +459,9 @@
                 let count = log.partition_point(|entry| entry.appended + own.network <= now);
                 let mine = &self.instances[id].log;
                 let same = |(a, b): &(&Entry, &Entry)| a.position == b.position;
-                let last = mine.last().zip(mine.len().checked_sub(1).and_then(|at| log.get(at)));
+                let last = mine
+                    .last()
+                    .zip(mine.len().checked_sub(1).and_then(|at| log.get(at)));
                 let common = match last {
                     Some(pair) if same(&pair) => mine.len(),
                     _ => mine.iter().zip(log).take_while(same).count(),
@@ -404,7 +476,10 @@
             };
             let instance = self.instances.get_mut(id).expect("listed");
             instance.term = lead_term;
-            instance.log.extend(visible.into_iter().map(|entry| Entry { received: now, ..entry }));
+            instance.log.extend(visible.into_iter().map(|entry| Entry {
+                received: now,
+                ..entry
+            }));
         }
     }
 }
