Bound the age of the configuration in force

Cause: nodes follow the configuration by watches with allow_stale alone. The proof that a configuration is the newest was renewed only where callers need keys; the loop slept otherwise.

The proof is renewed for every configuration now, with a period that follows from `[configuration] apply_ms`: one node of each failure domain asks the store at a fifth of it, its peers ask that node, and each asks the store itself at 45 %. Nothing is refused for want of it.

--- a/desk/src/confirmer.rs
+++ b/desk/src/confirmer.rs
@@ -1,4 +1,4 @@
-//! Renews a node's proof that its configuration is the newest; [`crate::validity`] says when.
+//! Renews a node's proof that its configuration is the newest; [`crate::schedule`] says when.
 //!
 //! One node of each failure domain queries the store, and its peers ask that node. A node that gets
 //! no proof from its peer in time queries the store itself.
@@ -12,10 +12,11 @@
 use crate::delegate;
 use crate::node;
 use crate::question;
+use crate::schedule;
 use crate::validity;
 use crate::wait;
 
-/// Delay after a failed renewal, and between checks while the configuration has no keys.
+/// Delay after a failed renewal.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
 
 /// Delay after a query to the store failed. Longer, as each query has a price and all nodes retry.
@@ -51,44 +52,42 @@
 
     /// Renews the proof in an endless loop.
     pub async fn run(self: rc::Rc<Self>) {
-        let Some(validity) = self.node.validity() else {
-            return;
-        };
         let mut was_expired = false;
         loop {
-            let now = boot::now();
-            let is_expired = validity.state(now) == validity::State::Expired;
+            let is_expired = self.node.key_validity() == validity::State::Expired;
             if is_expired && !was_expired {
-                let age_ms = validity.age(now).map(|age| age.as_millis());
+                let age = self.node.validity().age(boot::now());
+                let age_ms = age.map(|age| age.as_millis());
                 tracing::warn!(
                     age_ms,
                     "refusing all keys: the configuration may not be the newest"
                 );
             }
             was_expired = is_expired;
-            self.step(validity, now).await;
+            self.step().await;
         }
     }
 
-    async fn step(&self, validity: &validity::Validity, now: mangotray::id::Time) {
-        match validity.next_action(now) {
-            _ if !self.node.requires_keys() => wait::sleep(RETRY_DELAY).await,
-            validity::Action::None => {
-                let age = validity.age(now).unwrap_or_default();
-                wait::sleep(validity.renewal().saturating_sub(age)).await;
+    async fn step(&self) {
+        let age = self.node.validity().age(boot::now());
+        let schedule = self.node.schedule();
+        match schedule.next_action(age) {
+            schedule::Action::None => {
+                let age = age.unwrap_or_default();
+                wait::sleep(schedule.renewal().saturating_sub(age)).await;
             }
-            validity::Action::AskPeer => {
-                let renewed = match self.ask_peer(validity).await {
+            schedule::Action::AskPeer => {
+                let renewed = match self.ask_peer(schedule.renewal()).await {
                     Some(renewed) => renewed,
-                    None => self.ask_store(validity.renewal()).await,
+                    None => self.ask_store(schedule.renewal()).await,
                 };
                 if !renewed {
                     wait::sleep(RETRY_DELAY).await;
                 }
             }
-            validity::Action::AskStore => {
-                let renewed = self.ask_peer(validity).await == Some(true);
-                if !renewed && !self.ask_store(validity.renewal()).await {
+            schedule::Action::AskStore => {
+                let renewed = self.ask_peer(schedule.renewal()).await == Some(true);
+                if !renewed && !self.ask_store(schedule.renewal()).await {
                     wait::sleep(STORE_RETRY_DELAY).await;
                 }
             }
@@ -99,7 +98,7 @@
     /// `within`.
     pub async fn newest(&self, within: time::Duration) -> Option<question::Newest> {
         let arrived = boot::now();
-        let validity = self.node.validity()?;
+        let validity = self.node.validity();
         if validity.age(arrived).is_none_or(|age| age > within) {
             wait::within(delegate::TIMEOUT, self.ask_store(within)).await;
         }
@@ -110,16 +109,16 @@
         })
     }
 
-    // Returns whether the peer's answer renewed the proof, or `None` if this node is the one of its
-    // failure domain that queries the store.
-    async fn ask_peer(&self, validity: &validity::Validity) -> Option<bool> {
+    // Asks the peer for a proof that is no older than `within`. Returns whether its answer renewed the
+    // proof, or `None` if this node is the one of its failure domain that queries the store.
+    async fn ask_peer(&self, within: time::Duration) -> Option<bool> {
         let members = self.node.router().members();
         let peers = self.node.router().peers();
         let may_ask = |name: &mangotray::id::Vm| peers.may_ask(name);
         let delegate =
             delegate::choose(&members, &RENDEZVOUS_KEY.into(), &self.node.name, may_ask)?;
         // The peer's proof may be as old as the renewal age; it is used for the rest of the bound.
-        let question = question::Question::Newest(validity.renewal());
+        let question = question::Question::Newest(within);
         let sent = boot::now();
         let answer = peers.ask(&delegate, &question).await;
         let Some(question::Answer::Newest(newest)) = answer else {
@@ -130,20 +129,16 @@
             return Some(false);
         }
         let moment = newest.moment(sent);
+        let validity = self.node.validity();
         validity.confirm_from_peer(moment, boot::now());
-        Some(
-            validity
-                .age(sent)
-                .is_some_and(|age| age <= 2 * validity.renewal()),
-        )
+        Some(validity.age(sent).is_some_and(|age| age <= 2 * within))
     }
 
     // One query serves all tasks that wait for it.
     async fn ask_store(&self, within: time::Duration) -> bool {
         let _guard = self.store_query.lock().await;
         let fresh = |now| {
-            let validity = self.node.validity();
-            let age = validity.and_then(|validity| validity.age(now));
+            let age = self.node.validity().age(now);
             age.is_some_and(|age| age <= within)
         };
         fresh(boot::now()) || self.source.confirm().await
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod retry;
 pub mod room;
 pub mod roster;
+pub mod schedule;
 pub mod seal;
 mod selection;
 pub mod session;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -35,6 +35,7 @@
 use crate::membership;
 use crate::organisations;
 use crate::question;
+use crate::schedule;
 use crate::seal;
 use crate::upstream;
 use crate::validity;
@@ -60,7 +61,8 @@
     instances_known: cell::Cell<bool>,
     listing: listing::Listing,
     started_at: id::Time,
-    validity: Option<validity::Validity>,
+    validity: validity::Validity,
+    guarantees: guarantees::Guarantees,
     /// Whether the newest configuration could not be parsed. It may revoke keys.
     newest_unreadable: cell::Cell<bool>,
     quotas: quotas::Quotas,
@@ -88,7 +90,8 @@
             borrowing::Borrowing::start(shares, rc::Rc::clone(&router), &executor)
         });
         rc::Rc::new(Self {
-            validity: guarantees.revocation.map(validity::Validity::new),
+            validity: validity::Validity::new(guarantees.revocation),
+            guarantees,
             newest_unreadable: cell::Cell::default(),
             quotas: quotas::Quotas::new(name.clone(), rc::Rc::clone(&router), buckets, borrowing),
             name,
@@ -287,22 +290,27 @@
         self.catalog.load_full()
     }
 
-    /// Validity of the configuration; `None` if the settings set no bound for the revocation of
-    /// keys.
+    /// Validity of the configuration.
     #[must_use]
-    pub const fn validity(&self) -> Option<&validity::Validity> {
-        self.validity.as_ref()
+    pub const fn validity(&self) -> &validity::Validity {
+        &self.validity
+    }
+
+    /// When the proof of the configuration is to be renewed: it may grow no older than a change may
+    /// take to be in force, nor than a revoked key may be accepted.
+    #[must_use]
+    pub fn schedule(&self) -> schedule::Schedule {
+        let application = self.guarantees.application;
+        let revocation = self.guarantees.revocation.filter(|_| self.requires_keys());
+        let bound = revocation.map_or(application, |revocation| revocation.min(application));
+        schedule::Schedule::new(bound)
     }
 
     /// Records that the store had acknowledged nothing newer than the configuration in force at
     /// `moment`.
     pub fn confirm(&self, moment: id::Time) {
-        let validity = self
-            .validity
-            .as_ref()
-            .filter(|_| !self.newest_unreadable.get());
-        if let Some(validity) = validity {
-            validity.confirm(moment, boot::now());
+        if !self.newest_unreadable.get() {
+            self.validity.confirm(moment, boot::now());
         }
     }
 
@@ -314,9 +322,7 @@
 
     /// Records that the store may hold an outdated configuration for a while.
     pub fn distrust_store(&self) {
-        if let Some(validity) = &self.validity {
-            validity.note_store_reset(boot::now());
-        }
+        self.validity.note_store_reset(boot::now());
     }
 
     /// Whether the configuration has organisations, so that callers need keys.
@@ -328,10 +334,11 @@
     /// Whether keys are accepted now. Always valid if callers need none, or no bound is set.
     #[must_use]
     pub fn key_validity(&self) -> validity::State {
-        let validity = self.validity.as_ref().filter(|_| self.requires_keys());
-        validity.map_or(validity::State::Valid, |validity| {
-            validity.state(boot::now())
-        })
+        if self.requires_keys() {
+            self.validity.state(boot::now())
+        } else {
+            validity::State::Valid
+        }
     }
 
     /// Finds the organisation of a caller by its key.
--- a/desk/src/session.rs
+++ b/desk/src/session.rs
@@ -390,10 +390,7 @@
         if let reply::End::Error { code, text } = &reply.end {
             let route = self.node.route(&self.database);
             let group = route.as_ref().map(|route| route.group.as_str());
-            let age = self
-                .node
-                .validity()
-                .and_then(|validity| validity.age(arrived));
+            let age = self.node.validity().age(arrived);
             tracing::warn!(request = %request.id, database = %self.database, organisation = %self.identity.organisation(),
                 version = self.node.catalog().version, evidence_ms = age.map(|age| age.as_millis()), group, ?code, %text, took_ms = took.as_millis(), "statement failed");
         }
--- a/desk/src/settings.rs
+++ b/desk/src/settings.rs
@@ -130,6 +130,7 @@
         None => tolerance::Tolerance::default(),
     };
     Ok(guarantees::Guarantees {
+        application: read_application(file)?,
         revocation: revocation.map(time::Duration::from_millis),
         tolerance,
         sustained: window.is_some() && read_switch(file, SECTION, "sustained_limits")?,
@@ -137,6 +138,17 @@
     })
 }
 
+// The key is optional.
+fn read_application(file: &ini::Ini) -> eyre::Result<time::Duration> {
+    let bound: Option<u64> = optional(file, "configuration", "apply_ms")?;
+    eyre::ensure!(
+        bound != Some(0),
+        "[configuration] apply_ms: 0 is not a positive number"
+    );
+    let bound = bound.map(time::Duration::from_millis);
+    Ok(bound.unwrap_or(guarantees::DEFAULT_APPLICATION))
+}
+
 // Both keys are optional. A narrow link bounds the capacity, as a node that relays statements uses
 // both.
 fn read_capacity(file: &ini::Ini) -> eyre::Result<Option<u32>> {
--- a/desk/src/validity.rs
+++ b/desk/src/validity.rs
@@ -19,13 +19,6 @@
 /// ready: new callers would be refused within a fraction of a second.
 const EXPIRING_PERCENT: u32 = 60;
 
-/// Age, as a percentage of the bound, at which the proof is renewed.
-const RENEWAL_PERCENT: u32 = 20;
-
-/// Age, as a percentage of the bound, at which a node that gets no proof from its peers asks the
-/// store itself.
-const ASK_STORE_PERCENT: u32 = 45;
-
 /// Time after a reset of the store to an older copy during which its answers prove nothing: the
 /// operators first write the missing entries again.
 const STORE_RESET_DISTRUST: time::Duration = time::Duration::from_secs(3);
@@ -41,31 +34,21 @@
     Expired,
 }
 
-/// How a node renews its proof.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// No renewal is due.
-    None,
-    /// Ask the peer that queries the store for its failure domain.
-    AskPeer,
-    /// Ask the store.
-    AskStore,
-}
-
 /// The latest time at which the configuration in force was proven to be the newest.
 #[derive(Debug)]
 pub struct Validity {
-    bound: time::Duration,
+    /// How long a key may be accepted after its revocation; `None` if for any time.
+    bound: Option<time::Duration>,
     proven_at: cell::Cell<Option<id::Time>>,
     distrusted_until: cell::Cell<id::Time>,
     changed: event_listener::Event,
 }
 
 impl Validity {
-    /// Creates an expired validity. A key must not be accepted longer than `bound` after it was
-    /// revoked.
+    /// Creates a validity without proof. A key must not be accepted longer than `bound` after it was
+    /// revoked; without a bound, keys are always accepted.
     #[must_use]
-    pub fn new(bound: time::Duration) -> Self {
+    pub fn new(bound: Option<time::Duration>) -> Self {
         Self {
             bound,
             proven_at: cell::Cell::default(),
@@ -106,6 +89,12 @@
         self.distrusted_until.set(now + STORE_RESET_DISTRUST);
     }
 
+    /// Whether keys are accepted only while there is a proof.
+    #[must_use]
+    pub const fn is_bounded(&self) -> bool {
+        self.bound.is_some()
+    }
+
     /// Age of the proof; `None` if there is none.
     #[must_use]
     pub fn age(&self, now: id::Time) -> Option<time::Duration> {
@@ -120,7 +109,7 @@
     /// use mangotray_desk::validity;
     /// use std::time::Duration;
     /// let seconds = Duration::from_secs;
-    /// let validity = validity::Validity::new(seconds(5));
+    /// let validity = validity::Validity::new(Some(seconds(5)));
     /// assert_eq!(validity.state(seconds(9)), validity::State::Expired);
     /// validity.confirm(seconds(9), seconds(9));
     /// assert_eq!(validity.state(seconds(11)), validity::State::Valid);
@@ -129,29 +118,16 @@
     /// ```
     #[must_use]
     pub fn state(&self, now: id::Time) -> State {
+        let Some(bound) = self.bound else {
+            return State::Valid;
+        };
         match self.age(now) {
-            Some(age) if age < self.bound * EXPIRING_PERCENT / 100 => State::Valid,
-            Some(age) if age < self.bound * EXPIRED_PERCENT / 100 => State::Expiring,
+            Some(age) if age < bound * EXPIRING_PERCENT / 100 => State::Valid,
+            Some(age) if age < bound * EXPIRED_PERCENT / 100 => State::Expiring,
             _ => State::Expired,
         }
     }
 
-    /// How the proof is to be renewed at `now`.
-    #[must_use]
-    pub fn next_action(&self, now: id::Time) -> Action {
-        match self.age(now) {
-            Some(age) if age < self.renewal() => Action::None,
-            Some(age) if age < self.bound * ASK_STORE_PERCENT / 100 => Action::AskPeer,
-            _ => Action::AskStore,
-        }
-    }
-
-    /// Age at which the proof is renewed.
-    #[must_use]
-    pub fn renewal(&self) -> time::Duration {
-        self.bound * RENEWAL_PERCENT / 100
-    }
-
     /// Returns a listener for the next renewal.
     pub fn renewed(&self) -> event_listener::EventListener {
         self.changed.listen()
--- a/desk/tests/organisations.rs
+++ b/desk/tests/organisations.rs
@@ -251,8 +251,7 @@
     let guarantees = guarantees::Guarantees {
         revocation: Some(BOUND),
         tolerance: TOLERANCE,
-        sustained: false,
-        share: None,
+        ..guarantees::Guarantees::default()
     };
     let node = node::Node::new("strict".into(), "here".into(), router, executor, guarantees);
     node.apply(catalog(1, vec![organisation("dome", &["k"])]));
@@ -353,7 +352,7 @@
 /// key again.
 #[test]
 fn a_store_that_came_back_proves_nothing_for_a_while() {
-    let validity = validity::Validity::new(BOUND);
+    let validity = validity::Validity::new(Some(BOUND));
     let at = |seconds: u64| time::Duration::from_secs(100 + seconds);
     validity.confirm(at(0), at(0));
     validity.note_store_reset(at(1));
@@ -362,7 +361,7 @@
     validity.confirm(at(4), at(4));
     assert_eq!(validity.age(at(4)), Some(time::Duration::ZERO));
     // The answer of a peer is accepted: the peer checks the state of the store itself.
-    let started = validity::Validity::new(BOUND);
+    let started = validity::Validity::new(Some(BOUND));
     started.note_store_reset(at(0));
     started.confirm(at(1), at(1));
     assert_eq!(started.state(at(1)), validity::State::Expired);
--- a/desk/tests/shares_wire.rs
+++ b/desk/tests/shares_wire.rs
@@ -15,7 +15,6 @@
 use mangotray_desk::lending::relay;
 use mangotray_desk::lending::router;
 use mangotray_desk::limits::quota;
-use mangotray_desk::limits::tolerance;
 use mangotray_desk::member;
 use mangotray_desk::node;
 use mangotray_desk::question;
@@ -39,10 +38,8 @@
     let executor = rc::Rc::clone(&cluster.executor);
     let router = router::Router::new(name.into(), dialer, rc::Rc::clone(&executor));
     let guarantees = guarantees::Guarantees {
-        revocation: None,
-        tolerance: tolerance::Tolerance::default(),
-        sustained: false,
         share: Some(time::Duration::from_secs(2)),
+        ..guarantees::Guarantees::default()
     };
     node::Node::new(name.into(), "here".into(), router, executor, guarantees)
 }
