Derive no floor from replicas that need not have every commit

Cause: without a proven primary, the furthest position that all replicas have received was taken to cover all acknowledged commits. That holds only if a replica has a commit before it is acknowledged; the figure of the configuration was decoded and used by no decision.

A group now knows since when its replicas have every acknowledged commit. Where they need not, only an answer of the last primary tells a floor before the lead is proven. After a change from 0 to 1 the replicas count once a floor of the primary was proven after the change is in force everywhere; a change to 0 discards the floors. Reads are then refused at once while no primary is found, and wait no longer for their deadline.

--- a/desk/src/floor.rs
+++ b/desk/src/floor.rs
@@ -351,6 +351,21 @@
         self.proven_at.filter(|_| term == self.term)
     }
 
+    /// Discards the floors; what is known of the primary and its positions stays.
+    ///
+    /// ```
+    /// use mangotray::stamp::Stamp;
+    /// use mangotray_desk::floor;
+    /// use std::time::Duration;
+    /// let mut floors = floor::Floors::default();
+    /// floors.adopt(2, Duration::from_millis(10), Stamp::new(2, 7));
+    /// floors.discard();
+    /// assert_eq!(floors.since(Duration::from_millis(10)), None);
+    /// ```
+    pub fn discard(&mut self) {
+        self.entries.clear();
+    }
+
     fn enter_term(&mut self, term: id::Term) -> bool {
         if term > self.term {
             *self = Self {
--- a/desk/src/group.rs
+++ b/desk/src/group.rs
@@ -406,6 +406,13 @@
         })
     }
 
+    /// Sets how many replicas must have a commit before it is acknowledged, by a configuration that is
+    /// applied everywhere within `settling`.
+    pub fn set_replication(&self, required: usize, settling: time::Duration) {
+        let mut leadership = self.leadership.borrow_mut();
+        leadership.set_replication(required, boot::now(), settling);
+    }
+
     /// Sets what the promotion waits for that this node holds back; `None` if it holds none back.
     pub fn set_holdback(&self, holdback: Option<holdback::Holdback>) {
         self.holdback.replace(holdback);
--- a/desk/src/leadership.rs
+++ b/desk/src/leadership.rs
@@ -1,5 +1,7 @@
 //! Leadership of a group as known to this node: the primary, its term, and the evidence for both.
 
+use std::time;
+
 use mangotray::id;
 use mangotray::role;
 use mangotray::stamp;
@@ -8,6 +10,7 @@
 use crate::ended;
 use crate::floor;
 use crate::progress;
+use crate::replication;
 use crate::status;
 use crate::upstream;
 
@@ -32,6 +35,7 @@
     vacant_since: Option<id::Time>,
     progress: progress::Progress,
     floors: floor::Floors,
+    replication: replication::Replication,
 }
 
 impl Leadership {
@@ -79,6 +83,20 @@
         &self.floors
     }
 
+    /// Whether the replicas have every acknowledged commit.
+    #[must_use]
+    pub const fn replication(&self) -> &replication::Replication {
+        &self.replication
+    }
+
+    /// Sets how many replicas must have a commit before it is acknowledged, by a configuration
+    /// applied at `now` and everywhere else within `settling`.
+    pub fn set_replication(&mut self, required: usize, now: id::Time, settling: time::Duration) {
+        if self.replication.configure(required, now, settling) {
+            self.floors.discard();
+        }
+    }
+
     /// Discards the known primary if its term is `term` or earlier, and returns it.
     pub fn clear_leader(&mut self, term: id::Term, now: id::Time) -> Option<status::Leader> {
         let cleared = self.leader.take_if(|leader| leader.term <= term)?;
@@ -150,26 +168,28 @@
         self.floors.record_leading(term, started);
     }
 
-    /// A position that covers every acknowledged commit, from replicas alone: `received` is the
-    /// highest log position that the remaining replicas have received, `lost` is when an instance
-    /// was last lost.
+    /// A position that covers every acknowledged commit, without a proof that the primary leads:
+    /// `received` is the highest log position among the answers of all other instances, and of the
+    /// last primary if it `answered` as primary; `lost` is when an instance was last lost.
     ///
-    /// A commit is acknowledged once one replica has received it. If that replica is lost, only the
-    /// primary has the commit, and the remaining replicas' positions don't cover it. They cover all
-    /// commits only if a floor based on the primary's own position was proven after the loss.
+    /// Without the primary's answer, the replicas cover a commit only if it is not acknowledged before
+    /// one of them has received it. If that replica is lost, only the primary has the commit, and the
+    /// remaining replicas' positions don't cover it. They cover all commits only if a floor based on
+    /// the primary's own position was proven after the loss, and after the replicas had to have them.
     /// Otherwise, if one of two replicas is lost for good and the other has received nothing for
     /// seconds, reads on the other would miss the commits that only the lost replica had received.
     #[must_use]
     pub fn covering_position(
         &self,
         received: stamp::Stamp,
+        answered: bool,
         lost: Option<id::Time>,
     ) -> Option<stamp::Stamp> {
         self.floors.last_proven(self.term)?;
         let proven = self.floors.newest_moment()?;
         let known = self.floors.newest_position().unwrap_or_default();
-        lost.is_none_or(|lost| proven > lost)
-            .then_some(received.max(known))
+        let covered = answered || self.replication.covers(proven);
+        (covered && lost.is_none_or(|lost| proven > lost)).then_some(received.max(known))
     }
 
     /// Whether a replica that restarted at `restarted`, if it did, can prove by its report alone
--- a/desk/src/lib.rs
+++ b/desk/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod registration;
 pub mod relief;
 mod renewal;
+pub mod replication;
 pub mod reply;
 pub mod resumes;
 pub mod retry;
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -137,7 +137,8 @@
         let shown = u32::try_from(catalog.version).unwrap_or(u32::MAX);
         metrics::gauge!(telemetry::CONFIG_REVISION).set(shown);
         for service in &catalog.services {
-            self.group(&service.group);
+            let group = self.group(&service.group);
+            group.set_replication(service.sync, self.guarantees.application);
         }
         self.router.apply(&catalog);
         self.catalog.store(sync::Arc::new(catalog));
--- a/desk/src/renewal.rs
+++ b/desk/src/renewal.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use mangotray::id;
+use mangotray::role;
 use mangotray::stamp;
 
 use crate::boot;
@@ -30,11 +31,14 @@
 pub struct Renewal {
     running: cell::Cell<bool>,
     running_locally: cell::Cell<bool>,
+    /// When it was last found that no floor is known before a primary is: the replicas need not have
+    /// every commit. `None` once there is a primary.
+    unprovable_at: cell::Cell<Option<id::Time>>,
 }
 
 impl Renewal {
     /// A floor that covers all commits acknowledged before `moment`, for a read that accepts data of
-    /// this age; `None` if there is none before the read's deadline.
+    /// this age. `None` if there is none before the read's deadline, or no instance can tell one.
     pub async fn floor(
         &self,
         group: &rc::Rc<group::Group>,
@@ -62,6 +66,9 @@
             if let Some(floor) = floor {
                 return Some(floor.max(request.own.unwrap_or_default()));
             }
+            if self.unprovable_at.get() >= Some(request.arrived) {
+                return None;
+            }
             wait::until(request.deadline, changed).await?;
         }
     }
@@ -115,6 +122,13 @@
         group.executor().spawn(renewal).detach();
     }
 
+    // Notes that queries begun at `started` found no primary, and that replicas alone tell no floor.
+    fn note_unprovable(&self, group: &id::Group, started: id::Time) {
+        if self.unprovable_at.replace(Some(started)).is_none() {
+            tracing::info!(%group, "reads are refused: no primary answers, and replicas need not have every commit");
+        }
+    }
+
     // Determines a floor by status queries of this node.
     fn renew_locally_soon(&self, group: &rc::Rc<group::Group>) {
         if self.running_locally.replace(true) {
@@ -145,6 +159,7 @@
         refresh_without_primary(group).await;
         return;
     };
+    group.renewal().unprovable_at.set(None);
     let started = boot::now();
     let fresh = group
         .leadership()
@@ -189,16 +204,20 @@
     let reports = group.query_status(&pools, status::TIMEOUT);
     let own = group.query_status(&primary, status::TIMEOUT);
     let (reports, own) = futures_util::future::join(reports, own).await;
-    let own = own.first().map(|report| report.status.received);
+    let own = own.first().map(|report| report.status);
+    let answered = own.is_some_and(|own| own.role == role::Role::Primary && own.term == term);
     let received = status::max_received(&reports, pools.len(), term);
     // Its log has all commits that it has acknowledged, and this node knows of its own callers'.
+    let own = own.map(|own| own.received);
     let received = received.map(|stamp| Some(stamp).max(own).max(group.acknowledged()));
     let received = received.flatten();
     let mut leadership = group.leadership().borrow_mut();
-    let covering_position =
-        received.and_then(|stamp| leadership.covering_position(stamp, roster.last_lost()));
+    let covering_position = received
+        .and_then(|stamp| leadership.covering_position(stamp, answered, roster.last_lost()));
     if let Some(stamp) = covering_position {
         leadership.record_replica_only_floor(started, stamp);
+    } else if leadership.leader().is_none() && leadership.replication().is_asynchronous() {
+        group.renewal().note_unprovable(&group.name, started);
     }
 }
 
--- a/desk/tests/cluster/mod.rs
+++ b/desk/tests/cluster/mod.rs
@@ -636,6 +636,8 @@
             guarantees::Guarantees::default(),
         );
         node.apply(catalog());
+        node.group(&GROUP.into())
+            .set_replication(1, time::Duration::ZERO);
         node.update(world.borrow().list(), Some(boot::now()), boot::now());
         Self {
             world,
--- a/desk/tests/delegate.rs
+++ b/desk/tests/delegate.rs
@@ -76,6 +76,7 @@
             rc::Rc::<FakeDialer>::clone(&dialer),
             rc::Rc::clone(&cluster.executor),
         );
+        group.set_replication(1, time::Duration::ZERO);
         group.update(
             cluster.world.borrow().list(),
             Some(boot::now()),
