--- a/desk/src/lending/serving.rs
+++ b/desk/src/lending/serving.rs
@@ -94,10 +94,11 @@
 /// assert_eq!(serving::concurrency(3, 12), 4);
 /// assert_eq!(serving::concurrency(0, 12), 2);
 /// assert_eq!(serving::concurrency(8, 6), 6);
+/// assert_eq!(serving::concurrency(usize::MAX, 6), 6);
 /// ```
 #[must_use]
 pub const fn concurrency(slots: usize, each: usize) -> usize {
-    clamp(slots + 1, 2, each)
+    clamp(slots.saturating_add(1), 2, each)
 }
 
 const fn clamp(value: usize, least: usize, most: usize) -> usize {
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -44,6 +44,9 @@
 /// bound for the revocation of keys.
 const DEFAULT_TAKEOVER: time::Duration = time::Duration::from_secs(5);
 
+/// Number of groups of listed instances that are told in the log as not configured.
+const MAX_LOGGED_GROUPS: usize = 256;
+
 /// The configuration in force and the groups.
 pub struct Node {
     /// Name of this VM.
@@ -173,12 +176,20 @@
         for (name, group_instances) in by_group {
             if self.is_configured(&name) {
                 self.group(&name).update(group_instances, since, list_time);
-            } else if self.unconfigured_groups.borrow_mut().insert(name.clone()) {
-                tracing::warn!(group = %name, "listed instances belong to a group that is not in the configuration");
+            } else {
+                self.note_unconfigured(name);
             }
         }
     }
 
+    fn note_unconfigured(&self, group: id::Group) {
+        let mut noted = self.unconfigured_groups.borrow_mut();
+        if noted.len() < MAX_LOGGED_GROUPS && !noted.contains(&group) {
+            tracing::warn!(%group, "listed instances belong to a group that is not in the configuration");
+            noted.insert(group);
+        }
+    }
+
     /// Sets the records of the groups' instances. `whole` tells whether these are all records, or
     /// only changed ones.
     pub fn set_memberships(&self, records: Vec<membership::Record>, whole: bool) {
