Bound the age of all that is followed in the store

All that a node follows comes by watches with allow_stale, and nothing bounded its age.

A query for the newest configuration tells the store's position too. Messages of protocol 3; older members are asked as before.

--- a/desk/src/confirmer.rs
+++ b/desk/src/confirmer.rs
@@ -1,15 +1,18 @@
 //! Renews a node's proof that its configuration is the newest; [`crate::schedule`] says when.
 //!
 //! One node of each failure domain queries the store, and its peers ask that node. A node that gets
-//! no proof from its peer in time queries the store itself.
+//! no proof from its peer in time queries the store itself. The answers also tell how far the store is;
+//! a node whose watches are behind that for long reads all changes ([`crate::coverage`]).
 
 use std::rc;
 use std::time;
 
 use futures_util::future;
+use mangotray::telemetry;
 
 use crate::boot;
 use crate::delegate;
+use crate::member;
 use crate::node;
 use crate::question;
 use crate::schedule;
@@ -30,6 +33,9 @@
     /// Queries the store, applies a newer configuration, and confirms the one in force as of the
     /// time at which the query was sent. Returns `false` if there is no proof.
     fn confirm(&self) -> future::LocalBoxFuture<'_, bool>;
+
+    /// Whether changes are being received. Asking for them once more would delay them.
+    fn is_receiving(&self) -> bool;
 }
 
 /// Renews the proof of a node.
@@ -65,9 +71,25 @@
             }
             was_expired = is_expired;
             self.step().await;
+            self.catch_up().await;
         }
     }
 
+    // Reads all changes from the store if watches do not tell them in time.
+    async fn catch_up(&self) {
+        let lag = self.node.coverage().borrow().lag(boot::now());
+        metrics::gauge!(telemetry::STORE_LAG).set(lag.as_secs_f64());
+        if !self.node.schedule().is_overdue(lag) || self.source.is_receiving() {
+            return;
+        }
+        let read = self.node.listing().request().await;
+        tracing::info!(
+            lag_ms = lag.as_millis(),
+            read,
+            "watches are behind the store; read its changes"
+        );
+    }
+
     async fn step(&self) {
         let age = self.node.validity().age(boot::now());
         let schedule = self.node.schedule();
@@ -109,6 +131,18 @@
         })
     }
 
+    /// Like [`Confirmer::newest`], with the last position of the store that this node was told.
+    pub async fn position(
+        &self,
+        within: time::Duration,
+    ) -> Option<(question::Newest, question::Told)> {
+        let arrived = boot::now();
+        let newest = self.newest(within).await?;
+        let (moment, position) = self.node.coverage().borrow().newest()?;
+        let ago = arrived.saturating_sub(moment);
+        Some((newest, question::Told { position, ago }))
+    }
+
     // Asks the peer for a proof that is no older than `within`. Returns whether its answer renewed the
     // proof, or `None` if this node is the one of its failure domain that queries the store.
     async fn ask_peer(&self, within: time::Duration) -> Option<bool> {
@@ -118,11 +152,21 @@
         let delegate =
             delegate::choose(&members, &RENDEZVOUS_KEY.into(), &self.node.name, may_ask)?;
         // The peer's proof may be as old as the renewal age; it is used for the rest of the bound.
-        let question = question::Question::Newest(within);
+        let question = if delegate.protocol >= member::POSITION_PROTOCOL {
+            question::Question::Position(within)
+        } else {
+            question::Question::Newest(within)
+        };
         let sent = boot::now();
-        let answer = peers.ask(&delegate, &question).await;
-        let Some(question::Answer::Newest(newest)) = answer else {
-            return Some(false);
+        let newest = match peers.ask(&delegate, &question).await {
+            Some(question::Answer::Newest(newest)) => newest,
+            Some(question::Answer::Position(newest, told)) => {
+                let moment = sent.saturating_sub(told.ago);
+                let mut coverage = self.node.coverage().borrow_mut();
+                coverage.note_told(told.position, moment);
+                newest
+            }
+            _ => return Some(false),
         };
         // The peer knows of a newer configuration: the one in force here is outdated.
         if newest.version > self.node.catalog().version {
--- a/desk/src/member.rs
+++ b/desk/src/member.rs
@@ -25,13 +25,16 @@
 }
 
 /// Version of the messages that this build understands. Version 1 has load reports and shares of
-/// organisations' limits, version 2 seals of terms; nodes send these messages only to members that
-/// understand them.
-pub const PROTOCOL: u32 = 2;
+/// organisations' limits, version 2 seals of terms, version 3 positions of the store; nodes send these
+/// messages only to members that understand them.
+pub const PROTOCOL: u32 = 3;
 
 /// Lowest version of a member that seals terms.
 pub const SEAL_PROTOCOL: u32 = 2;
 
+/// Lowest version of a member that tells the store's position.
+pub const POSITION_PROTOCOL: u32 = 3;
+
 impl Member {
     /// Its key in the platform's store.
     ///
--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -17,6 +17,7 @@
 use crate::acknowledgement;
 use crate::boot;
 use crate::catalog;
+use crate::coverage;
 use crate::delegate;
 use crate::group;
 use crate::guarantees;
@@ -63,6 +64,7 @@
     declared_lost: cell::RefCell<collections::BTreeSet<upstream::Id>>,
     instances_known: cell::Cell<bool>,
     listing: listing::Listing,
+    coverage: cell::RefCell<coverage::Coverage>,
     started_at: id::Time,
     validity: validity::Validity,
     guarantees: guarantees::Guarantees,
@@ -108,6 +110,7 @@
             declared_lost: cell::RefCell::default(),
             instances_known: cell::Cell::default(),
             listing: listing::Listing::default(),
+            coverage: cell::RefCell::default(),
             started_at: boot::now(),
             unconfigured_groups: cell::RefCell::default(),
         })
@@ -248,6 +251,12 @@
         &self.listing
     }
 
+    /// How far the content of the store that this node follows is behind.
+    #[must_use]
+    pub const fn coverage(&self) -> &cell::RefCell<coverage::Coverage> {
+        &self.coverage
+    }
+
     /// Whether an instance is in the list of instances.
     #[must_use]
     pub fn is_listed(&self, id: &upstream::Id) -> bool {
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -9,6 +9,7 @@
 use crate::limits::buckets;
 use crate::limits::lease;
 use crate::limits::tokens;
+use crate::position;
 use crate::seal;
 
 /// A question to another node.
@@ -29,6 +30,8 @@
     Tokens(tokens::Request),
     /// Requests that a group's term be sealed. Only for members with protocol 2 or more.
     Seal(seal::Request),
+    /// Like `Newest`, and asks for the store's position. Only for members with protocol 3 or more.
+    Position(time::Duration),
 }
 
 /// An answer; its variant follows from the question.
@@ -50,6 +53,8 @@
     Tokens(tokens::Decision),
     /// The term is sealed.
     Sealed(seal::Response),
+    /// The newest configuration and the store's position.
+    Position(Newest, Told),
 }
 
 /// Proof that a configuration was the newest.
@@ -61,6 +66,16 @@
     pub ago: time::Duration,
 }
 
+/// The last position of the store that a node was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Told {
+    /// The position.
+    pub position: position::Position,
+    /// Age, at the time when the question arrived, of a moment before which the store had nothing
+    /// later.
+    pub ago: time::Duration,
+}
+
 impl Newest {
     /// Time of the proof on the clock of the node that sent the question at `sent`. It is never
     /// later than the true time, as the question arrived after it was sent.
--- a/desk/src/schedule.rs
+++ b/desk/src/schedule.rs
@@ -54,12 +54,18 @@
         self.bound * RENEWAL_PERCENT / 100
     }
 
+    /// Whether changes that have been missing for so long are to be read from the store itself.
+    #[must_use]
+    pub fn is_overdue(&self, lag: time::Duration) -> bool {
+        lag >= self.bound * ASK_STORE_PERCENT / 100
+    }
+
     /// How a proof of this age is to be renewed; `None` if there is no proof.
     #[must_use]
     pub fn next_action(&self, age: Option<time::Duration>) -> Action {
         match age {
             Some(age) if age < self.renewal() => Action::None,
-            Some(age) if age < self.bound * ASK_STORE_PERCENT / 100 => Action::AskPeer,
+            Some(age) if !self.is_overdue(age) => Action::AskPeer,
             _ => Action::AskStore,
         }
     }
--- a/desk/tests/confirmer.rs
+++ b/desk/tests/confirmer.rs
@@ -17,6 +17,7 @@
 use mangotray_desk::lending::router;
 use mangotray_desk::member;
 use mangotray_desk::node;
+use mangotray_desk::position;
 use mangotray_desk::question;
 
 const NAMES: [&str; 2] = ["one", "two"];
@@ -31,8 +32,16 @@
     fn confirm(&self) -> future::LocalBoxFuture<'_, bool> {
         self.node.apply(catalog(self.newest.get()));
         self.node.confirm(boot::now());
+        let revision = self.newest.get();
+        let position = position::Position { era: 1, revision };
+        let mut coverage = self.node.coverage().borrow_mut();
+        coverage.note_told(position, boot::now());
         future::ready(true).boxed_local()
     }
+
+    fn is_receiving(&self) -> bool {
+        false
+    }
 }
 
 fn catalog(version: id::Revision) -> catalog::Catalog {
@@ -76,11 +85,13 @@
     server.set_question_handler(move |question| {
         let confirmer = rc::Rc::clone(&confirmer);
         async move {
-            let question::Question::Newest(within) = question else {
+            let question::Question::Position(within) = question else {
                 return question::Answer::Nothing;
             };
-            let newest = confirmer.newest(within).await;
-            newest.map_or(question::Answer::Nothing, question::Answer::Newest)
+            let told = confirmer.position(within).await;
+            told.map_or(question::Answer::Nothing, |(newest, told)| {
+                question::Answer::Position(newest, told)
+            })
         }
         .boxed_local()
     });
@@ -114,6 +125,12 @@
             newest.set(version);
             let all_apply = || nodes.iter().all(|node| node.catalog().version == version);
             cluster::until("all nodes apply it", all_apply).await;
+            let told = |node: &rc::Rc<node::Node>| {
+                let newest = node.coverage().borrow().newest();
+                newest.is_some_and(|(_, position)| position.revision == version)
+            };
+            let all_told = || nodes.iter().all(told);
+            cluster::until("all nodes are told the position", all_told).await;
         }
     });
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -45,6 +45,8 @@
 pub const STORE_ANSWER_BYTES: &str = "mangotray_store_answer_bytes_total";
 /// Era of the platform's store, which rises when the store is restored from an older copy.
 pub const STORE_ERA: &str = "mangotray_store_era";
+/// For how long changes of the platform's store are known to be missing on this node, in seconds.
+pub const STORE_LAG: &str = "mangotray_store_lag_seconds";
 /// Sessions offered to another proxy; label `result`.
 pub const FORWARDS: &str = "mangotray_forwards_total";
 
@@ -191,6 +193,10 @@
             PROMOTION_HELD_BACK,
             "1 while a promotion is held back on this node, by group",
         ),
+        (
+            STORE_LAG,
+            "For how long changes of the platform's store are known to be missing on this node",
+        ),
         (
             STORE_ERA,
             "Era of the platform's store; it rises when the store comes back from an older copy",
