Reset a lent connection that changes its organisation

Cause: both ends of a lent connection record its values. The borrower cleared its record when the connection was taken for another organisation, the lender only when that organisation's first statement arrived. Where it was never sent, the first organisation's next statement came without RESET to a lender that still had the old values.

A connection that changes its organisation now counts as one whose state is not known: the next commands begin with RESET, which the lender applies to its record in the same exchange, and the mark goes once they are answered.

--- a/desk/src/connection.rs
+++ b/desk/src/connection.rs
@@ -24,7 +24,8 @@
     pub values: Values,
     /// Names of the statements that the instance has confirmed as prepared on it.
     pub handles: collections::BTreeSet<CompactString>,
-    /// Commands that set its state were built but not sent, so `values` and `handles` may be wrong.
+    /// Its state is not known, so `values` and `handles` may be wrong: commands that set it were built
+    /// but not sent, or it has changed the organisation.
     pub dirty: bool,
     /// When it was last used.
     pub used: id::Time,
@@ -62,13 +63,15 @@
         self.link.serves_any_organisation() && same && !own
     }
 
-    /// Assigns it to an organisation that it may serve. If that is a different one, the recorded
-    /// state is cleared; the lending node clears its side as well.
+    /// Assigns it to an organisation that it may serve. If that is a different one, nothing is known
+    /// of its state: the lending node learns of the change with the next statement, which may never
+    /// be sent.
     pub fn assign(&mut self, organisation: &organisation::Name) {
         if self.organisation != *organisation {
             self.organisation.clone_from(organisation);
             self.values.clear();
             self.handles.clear();
+            self.dirty = true;
         }
     }
 
