Serve an added service whose instances have registered before

Cause: listed instances of groups that are not in the configuration were skipped, and not looked at again when a configuration brings their group.

They are kept, and their group gets them with the configuration that adds it; what they announce counts as of any age.

--- a/desk/src/node.rs
+++ b/desk/src/node.rs
@@ -48,6 +48,13 @@
 /// Number of groups of listed instances that are told in the log as not configured.
 const MAX_LOGGED_GROUPS: usize = 256;
 
+/// Listed instances whose groups are not in the configuration.
+#[derive(Default)]
+struct Unconfigured {
+    instances: collections::BTreeMap<id::Group, Vec<catalog::Instance>>,
+    list_time: id::Time,
+}
+
 /// The configuration in force and the groups.
 pub struct Node {
     /// Name of this VM.
@@ -73,6 +80,8 @@
     quotas: quotas::Quotas,
     /// Groups of listed instances that are not in the configuration; each is logged once.
     unconfigured_groups: cell::RefCell<collections::BTreeSet<id::Group>>,
+    /// The listed instances of such groups, and when they were read.
+    unconfigured: cell::RefCell<Unconfigured>,
 }
 
 impl Node {
@@ -113,6 +122,7 @@
             coverage: cell::RefCell::default(),
             started_at: boot::now(),
             unconfigured_groups: cell::RefCell::default(),
+            unconfigured: cell::RefCell::default(),
         })
     }
 
@@ -148,9 +158,31 @@
         }
         self.router.apply(&catalog);
         self.catalog.store(sync::Arc::new(catalog));
+        self.adopt_listed();
         true
     }
 
+    // Adds the instances that were listed before their group was configured.
+    fn adopt_listed(&self) {
+        let Unconfigured {
+            instances,
+            list_time,
+        } = self.unconfigured.take();
+        let mut rest = collections::BTreeMap::new();
+        for (name, instances) in instances {
+            if self.is_configured(&name) {
+                // What they announce may be of any age.
+                self.group(&name).update(instances, None, list_time);
+            } else {
+                rest.insert(name, instances);
+            }
+        }
+        self.unconfigured.replace(Unconfigured {
+            instances: rest,
+            list_time,
+        });
+    }
+
     /// Applies a new list of instances, read at `list_time`. Its changes are no older than `since`, or
     /// of unknown age if that is `None`.
     pub fn update(
@@ -176,20 +208,26 @@
         for name in self.groups.borrow().keys() {
             by_group.entry(name.clone()).or_default();
         }
+        let mut unconfigured = collections::BTreeMap::new();
         for (name, group_instances) in by_group {
             if self.is_configured(&name) {
                 self.group(&name).update(group_instances, since, list_time);
             } else {
-                self.note_unconfigured(name);
+                self.note_unconfigured(&name);
+                unconfigured.insert(name, group_instances);
             }
         }
+        self.unconfigured.replace(Unconfigured {
+            instances: unconfigured,
+            list_time,
+        });
     }
 
-    fn note_unconfigured(&self, group: id::Group) {
+    fn note_unconfigured(&self, group: &id::Group) {
         let mut noted = self.unconfigured_groups.borrow_mut();
-        if noted.len() < MAX_LOGGED_GROUPS && !noted.contains(&group) {
+        if noted.len() < MAX_LOGGED_GROUPS && !noted.contains(group) {
             tracing::warn!(%group, "listed instances belong to a group that is not in the configuration");
-            noted.insert(group);
+            noted.insert(group.clone());
         }
     }
 
