Refuse reads without synchronous replicas only while no primary answers

A status round that finds a primary, but no floor yet, noted that reads are to be refused at once. The round now has to find no primary among all that answer. Found by reading; no test failed on it, as a node that has just started is not settled and returns before. Only groups with sync_replicas 0 are concerned.

--- a/desk/src/renewal.rs
+++ b/desk/src/renewal.rs
@@ -206,6 +206,8 @@
     let (reports, own) = futures_util::future::join(reports, own).await;
     let own = own.first().map(|report| report.status);
     let answered = own.is_some_and(|own| own.role == role::Role::Primary && own.term == term);
+    let leads = |report: &status::Report| report.status.role == role::Role::Primary;
+    let vacant = !answered && !reports.iter().any(leads);
     let received = status::max_received(&reports, pools.len(), term);
     // Its log has all commits that it has acknowledged, and this node knows of its own callers'.
     let own = own.map(|own| own.received);
@@ -216,7 +218,8 @@
         .and_then(|stamp| leadership.covering_position(stamp, answered, roster.last_lost()));
     if let Some(stamp) = covering_position {
         leadership.record_replica_only_floor(started, stamp);
-    } else if leadership.leader().is_none() && leadership.replication().is_asynchronous() {
+    } else if vacant && leadership.leader().is_none() && leadership.replication().is_asynchronous()
+    {
         group.renewal().note_unprovable(&group.name, started);
     }
 }
