Join what the tests and two messages repeated

The requirements of a read stood three times in desk/tests, a member with a free address once more in confirmer.rs, and the moment of a told position beside that of a proof.

--- a/desk/src/confirmer.rs
+++ b/desk/src/confirmer.rs
@@ -161,9 +161,8 @@
         let newest = match peers.ask(&delegate, &question).await {
             Some(question::Answer::Newest(newest)) => newest,
             Some(question::Answer::Position(newest, told)) => {
-                let moment = sent.saturating_sub(told.ago);
                 let mut coverage = self.node.coverage().borrow_mut();
-                coverage.note_told(told.position, moment);
+                coverage.note_told(told.position, told.moment(sent));
                 newest
             }
             _ => return Some(false),
--- a/desk/src/question.rs
+++ b/desk/src/question.rs
@@ -76,6 +76,23 @@
     pub ago: time::Duration,
 }
 
+impl Told {
+    /// The moment on the clock of the node that sent the question at `sent`; never later than the true
+    /// one, as for [`Newest::moment`].
+    ///
+    /// ```
+    /// use mangotray_desk::{position, question};
+    /// use std::time::Duration;
+    /// let position = position::Position { era: 1, revision: 7 };
+    /// let told = question::Told { position, ago: Duration::from_millis(300) };
+    /// assert_eq!(told.moment(Duration::from_secs(9)), Duration::from_millis(8700));
+    /// ```
+    #[must_use]
+    pub const fn moment(&self, sent: id::Time) -> id::Time {
+        sent.saturating_sub(self.ago)
+    }
+}
+
 impl Newest {
     /// Time of the proof on the clock of the node that sent the question at `sent`. It is never
     /// later than the true time, as the question arrived after it was sent.
--- a/desk/tests/cluster/mod.rs
+++ b/desk/tests/cluster/mod.rs
@@ -26,6 +26,7 @@
 use mangotray_desk::reply;
 use mangotray_desk::room::size;
 use mangotray_desk::session;
+use mangotray_desk::source;
 use mangotray_desk::statement;
 use mangotray_desk::upstream;
 use mangotray_desk::urgency;
@@ -597,6 +598,20 @@
     }]
 }
 
+/// A read that arrives now and has `limit` to be served.
+pub fn need(freshness: catalog::Freshness, limit: time::Duration) -> source::Requirements {
+    let now = boot::now();
+    source::Requirements {
+        arrived: now,
+        freshness,
+        writes: false,
+        own: None,
+        organisation: organisation::OWN,
+        deadline: now + limit,
+        urgency: None,
+    }
+}
+
 /// A node that is connected to fake instances, with one route for each kind of freshness.
 pub struct Cluster {
     pub world: Shared,
--- a/desk/tests/confirmer.rs
+++ b/desk/tests/confirmer.rs
@@ -1,9 +1,9 @@
 //! Proofs that a configuration is the newest, passed on between the nodes of a failure domain.
 
 mod cluster;
+mod setup;
 
 use std::cell;
-use std::net;
 use std::rc;
 
 use futures_util::FutureExt;
@@ -20,6 +20,8 @@
 use mangotray_desk::position;
 use mangotray_desk::question;
 
+use setup::lending;
+
 const NAMES: [&str; 2] = ["one", "two"];
 
 /// A store that answers at once, as one node reaches it.
@@ -51,11 +53,6 @@
     }
 }
 
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
 fn start(
     cluster: &cluster::Cluster,
     member: &member::Member,
@@ -107,13 +104,7 @@
 fn a_newer_configuration_at_a_peer_is_fetched_from_the_store() {
     let cluster = cluster::Cluster::new();
     let newest = rc::Rc::new(cell::Cell::new(1));
-    let members = NAMES.map(|name| member::Member {
-        name: name.into(),
-        domain: "here".into(),
-        address: free_address(),
-        protocol: member::PROTOCOL,
-        capacity: None,
-    });
+    let members = NAMES.map(|name| lending::member(name, "here", member::PROTOCOL));
     let nodes = members
         .each_ref()
         .map(|member| start(&cluster, member, &newest));
--- a/desk/tests/delegate.rs
+++ b/desk/tests/delegate.rs
@@ -16,7 +16,6 @@
 use mangotray_desk::group;
 use mangotray_desk::lending::relay;
 use mangotray_desk::member;
-use mangotray_desk::organisation;
 use mangotray_desk::peers;
 use mangotray_desk::question;
 use mangotray_desk::reply;
@@ -100,16 +99,7 @@
 }
 
 fn need() -> source::Requirements {
-    let now = boot::now();
-    source::Requirements {
-        arrived: now,
-        freshness: catalog::Freshness::Bounded(AGE),
-        writes: false,
-        own: None,
-        organisation: organisation::OWN,
-        deadline: now + LONG,
-        urgency: None,
-    }
+    cluster::need(catalog::Freshness::Bounded(AGE), LONG)
 }
 
 fn response(term: u64, position: u64, ago: time::Duration) -> delegate::Response {
--- a/desk/tests/group.rs
+++ b/desk/tests/group.rs
@@ -18,16 +18,7 @@
 const LIMIT: time::Duration = time::Duration::from_secs(5);
 
 fn need(freshness: catalog::Freshness) -> source::Requirements {
-    let now = boot::now();
-    source::Requirements {
-        arrived: now,
-        freshness,
-        writes: false,
-        own: None,
-        organisation: organisation::OWN,
-        deadline: now + LIMIT,
-        urgency: None,
-    }
+    cluster::need(freshness, LIMIT)
 }
 
 // Like [`need`], with a short deadline.
--- a/desk/tests/replication.rs
+++ b/desk/tests/replication.rs
@@ -9,7 +9,6 @@
 use mangotray_desk::catalog;
 use mangotray_desk::group;
 use mangotray_desk::leadership;
-use mangotray_desk::organisation;
 use mangotray_desk::source;
 use mangotray_desk::status;
 use mangotray_desk::wait;
@@ -22,16 +21,7 @@
 const SETTLING: time::Duration = time::Duration::from_secs(3);
 
 fn need() -> source::Requirements {
-    let now = boot::now();
-    source::Requirements {
-        arrived: now,
-        freshness: catalog::Freshness::Bounded(AGE),
-        writes: false,
-        own: None,
-        organisation: organisation::OWN,
-        deadline: now + cluster::LIMIT,
-        urgency: None,
-    }
+    cluster::need(catalog::Freshness::Bounded(AGE), cluster::LIMIT)
 }
 
 /// Crashes the primary after a commit that no replica has received, and waits until the last floor
