Keep the followed position of the store in one place

The position up to which a node has followed the store stood twice: in feed::Progress, shared by the feed and the confirmation, and in coverage::Coverage. A list sets the position as it did before; the coverage had kept the highest.

A node whose store is out of reach no longer asks for changes beside the list that it retries, which also spares a log line a second.

No decision for callers changes.

--- a/desk/src/confirmer.rs
+++ b/desk/src/confirmer.rs
@@ -77,9 +77,14 @@
 
     // Reads all changes from the store if watches do not tell them in time.
     async fn catch_up(&self) {
-        let lag = self.node.coverage().borrow().lag(boot::now());
+        let (lag, followed) = {
+            let coverage = self.node.coverage().borrow();
+            (coverage.lag(boot::now()), coverage.followed())
+        };
         metrics::gauge!(telemetry::STORE_LAG).set(lag.as_secs_f64());
-        if !self.node.schedule().is_overdue(lag) || self.source.is_receiving() {
+        // While the store is out of reach, a list is asked for again and again.
+        let overdue = followed.is_some() && self.node.schedule().is_overdue(lag);
+        if !overdue || self.source.is_receiving() {
             return;
         }
         let read = self.node.listing().request().await;
--- a/desk/src/coverage.rs
+++ b/desk/src/coverage.rs
@@ -33,6 +33,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Coverage {
+    /// Up to where all changes have been applied; `None` before the first list and while the store is
+    /// out of reach.
     followed: Option<position::Position>,
     /// Positions that are not followed yet, in order, each with a moment at which the store had
     /// nothing later.
@@ -44,8 +46,20 @@
 impl Coverage {
     /// Notes that all changes up to `position` have been applied.
     pub fn note_followed(&mut self, position: position::Position) {
-        self.followed = self.followed.max(Some(position));
-        self.told.retain(|(_, told)| Some(*told) > self.followed);
+        self.followed = Some(position);
+        self.told.retain(|(_, told)| *told > position);
+    }
+
+    /// Notes that the store is out of reach; the list that ends this includes all changes.
+    pub fn note_lost(&mut self) {
+        self.followed = None;
+    }
+
+    /// Up to where all changes have been applied; `None` before the first list and while the store is
+    /// out of reach.
+    #[must_use]
+    pub const fn followed(&self) -> Option<position::Position> {
+        self.followed
     }
 
     /// Notes that the store's changes before `moment` are those up to `position`.
